--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,9 @@
+//! What lives as long as a connection between two processes: membership, leases, announcements.
+
+pub mod announcement;
+pub mod cluster_map;
+pub mod grant_desk;
+pub mod lease;
+pub mod protocol;
+pub mod rpc_client;
+pub mod worker_row;
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,36 @@
+//! Type aliases for the identifiers that cross module borders.
+
+/// Name of an entry process, unique in the cluster, from its settings.
+pub type EntryId = String;
+/// Name of a worker: a host that runs endpoints and tasks.
+pub type WorkerId = String;
+/// Name of an endpoint, unique on its worker.
+pub type EndpointId = String;
+/// Name of a service, the same as that of its document.
+pub type ServiceName = String;
+/// Name of a team that owns documents and quotas.
+pub type TeamName = String;
+/// Name of a failure domain, such as `wien-a`.
+pub type DomainName = String;
+/// Identifier of one run of a process; a restart makes a new one.
+pub type IncarnationId = u64;
+/// Identifier of a request, a UUID of version 7.
+pub type RequestId = uuid::Uuid;
+/// Identifier of a job, chosen by its caller.
+pub type JobId = String;
+/// Position of a task in its job.
+pub type TaskIndex = u32;
+/// Number of the attempt of a task: the fencing token of everything said about it.
+pub type AttemptNumber = u32;
+/// Number of a partition of the request ids.
+pub type PartitionId = u32;
+/// Number of the configuration in force; it only rises.
+pub type GenerationNumber = u64;
+/// Number of a document's edition; it only rises.
+pub type RevisionNumber = u64;
+/// Epoch of an exclusive lease; each takeover raises it by one.
+pub type LeaseEpoch = u64;
+/// Version of a row of the table service; zero means that there is no row.
+pub type RowVersion = u64;
+/// Digest of a request's or an answer's body.
+pub type BodyDigest = u64;
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as a process: settings, logging, metrics, the programs' parts.
+
+pub mod ini_reader;
--- /dev/null
+++ b/src/request/deadline_queue.rs
@@ -0,0 +1,225 @@
+//! A queue of requests that wait for a slot, earliest deadline first.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Instant;
+
+use crate::request::service_pool::EndpointKey;
+
+/// Number of a waiting request, unique in its process.
+pub type TicketNumber = u64;
+
+/// A request that waits for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedRequest {
+    /// Its number.
+    pub ticket: TicketNumber,
+    /// Until when an answer is of use.
+    pub deadline: Instant,
+    /// Who sent it.
+    pub caller: String,
+    /// The endpoint that a retry should avoid.
+    pub avoid: Option<EndpointKey>,
+}
+
+/// Waiting requests in order of their deadlines.
+#[derive(Debug, Default)]
+pub struct DeadlineQueue {
+    requests: BTreeMap<(Instant, TicketNumber), QueuedRequest>,
+    by_caller: HashMap<String, usize>,
+}
+
+impl DeadlineQueue {
+    /// Adds a request.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    /// use greengagearch::request::deadline_queue::QueuedRequest;
+    ///
+    /// let mut queue = DeadlineQueue::default();
+    /// let deadline = Instant::now();
+    /// queue.push(QueuedRequest { ticket: 1, deadline, caller: "desk".into(), avoid: None });
+    /// assert_eq!(queue.pop().unwrap().ticket, 1);
+    /// ```
+    pub fn push(&mut self, request: QueuedRequest) {
+        *self.by_caller.entry(request.caller.clone()).or_default() += 1;
+        self.requests
+            .insert((request.deadline, request.ticket), request);
+    }
+
+    /// Takes the request with the earliest deadline.
+    ///
+    /// ```
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert!(DeadlineQueue::default().pop().is_none());
+    /// ```
+    pub fn pop(&mut self) -> Option<QueuedRequest> {
+        let (_, request) = self.requests.pop_first()?;
+        self.forget_caller(&request.caller);
+        Some(request)
+    }
+
+    /// Takes all requests whose deadline lies before `limit`.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert!(DeadlineQueue::default().take_before(Instant::now()).is_empty());
+    /// ```
+    pub fn take_before(&mut self, limit: Instant) -> Vec<QueuedRequest> {
+        let mut taken = Vec::new();
+        while self
+            .requests
+            .first_key_value()
+            .is_some_and(|((end, _), _)| *end < limit)
+        {
+            taken.extend(self.pop());
+        }
+        taken
+    }
+
+    /// Removes a request whose caller has gone. Gives whether it was waiting.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert!(!DeadlineQueue::default().remove(Instant::now(), 1));
+    /// ```
+    pub fn remove(&mut self, deadline: Instant, ticket: TicketNumber) -> bool {
+        let Some(request) = self.requests.remove(&(deadline, ticket)) else {
+            return false;
+        };
+        self.forget_caller(&request.caller);
+        true
+    }
+
+    /// Number of requests that go before one with this deadline.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert_eq!(DeadlineQueue::default().len_before(Instant::now()), 0);
+    /// ```
+    pub fn len_before(&self, deadline: Instant) -> usize {
+        self.requests.range(..(deadline, TicketNumber::MAX)).count()
+    }
+
+    /// Takes the last request before `deadline` of the caller that has most requests waiting, so
+    /// that another caller gets its place.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert!(DeadlineQueue::default().displace(Instant::now()).is_none());
+    /// ```
+    pub fn displace(&mut self, deadline: Instant) -> Option<QueuedRequest> {
+        let (heaviest, _) = self.by_caller.iter().max_by_key(|(_, count)| **count)?;
+        let ahead = self.requests.range(..(deadline, TicketNumber::MAX)).rev();
+        let mut of_heaviest = ahead.filter(|(_, request)| request.caller == *heaviest);
+        let key = *of_heaviest.next()?.0;
+        let request = self.requests.remove(&key)?;
+        self.forget_caller(&request.caller);
+        Some(request)
+    }
+
+    /// Number of waiting requests of one caller.
+    ///
+    /// ```
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert_eq!(DeadlineQueue::default().len_of("desk"), 0);
+    /// ```
+    pub fn len_of(&self, caller: &str) -> usize {
+        self.by_caller.get(caller).copied().unwrap_or(0)
+    }
+
+    /// Number of callers with a waiting request.
+    ///
+    /// ```
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert_eq!(DeadlineQueue::default().caller_count(), 0);
+    /// ```
+    pub fn caller_count(&self) -> usize {
+        self.by_caller.len()
+    }
+
+    /// Number of waiting requests.
+    ///
+    /// ```
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert_eq!(DeadlineQueue::default().len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether nothing waits.
+    ///
+    /// ```
+    /// use greengagearch::request::deadline_queue::DeadlineQueue;
+    ///
+    /// assert!(DeadlineQueue::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    fn forget_caller(&mut self, caller: &str) {
+        if let Some(count) = self.by_caller.get_mut(caller) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_caller.remove(caller);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+
+    fn request(ticket: TicketNumber, deadline: Instant) -> QueuedRequest {
+        QueuedRequest {
+            ticket,
+            deadline,
+            caller: "desk".to_string(),
+            avoid: None,
+        }
+    }
+
+    #[test]
+    fn the_earliest_deadline_goes_first() {
+        let now = Instant::now();
+        let mut queue = DeadlineQueue::default();
+        queue.push(request(1, now + Duration::from_secs(2)));
+        queue.push(request(2, now + Duration::from_secs(1)));
+        assert_eq!(queue.len_before(now + Duration::from_secs(1)), 1);
+        assert_eq!(queue.pop().unwrap().ticket, 2);
+        assert_eq!(queue.len_of("desk"), 1);
+    }
+
+    #[test]
+    fn a_caller_without_requests_is_forgotten() {
+        let now = Instant::now();
+        let mut queue = DeadlineQueue::default();
+        queue.push(request(1, now));
+        assert!(queue.remove(now, 1));
+        assert!(!queue.remove(now, 1));
+        assert_eq!(queue.caller_count(), 0);
+    }
+}
--- /dev/null
+++ b/src/request/job.rs
@@ -0,0 +1,267 @@
+//! Jobs and tasks: what callers submit and the rows that keep it.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::connection::cluster_map::partition_of_job;
+use crate::ids::AttemptNumber;
+use crate::ids::JobId;
+use crate::ids::PartitionId;
+use crate::ids::TaskIndex;
+use crate::ids::TeamName;
+use crate::ids::WorkerId;
+use crate::platform::worker::AttemptKey;
+use crate::platform::worker::ResourceAmount;
+
+/// Largest number of tasks of one job.
+pub const LARGEST_JOB: usize = 256;
+/// Longest job id, in bytes.
+pub const LONGEST_JOB_ID: usize = 128;
+/// Distinct workers on which a task may fail before it counts as failed.
+pub const FAILED_WORKERS_LIMIT: usize = 3;
+
+/// One task of a submission.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskSpec {
+    /// Declared resources.
+    pub resources: ResourceAmount,
+    /// Declared run time in milliseconds.
+    pub run_millis: u64,
+    /// Input, opaque to the scheduler.
+    #[serde(default)]
+    pub input: String,
+}
+
+/// A submission.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSpec {
+    /// The caller's name for the job; a repeat gives the same job.
+    pub id: JobId,
+    /// The team on whose quota it runs.
+    pub team: TeamName,
+    /// Kind of its tasks; tasks of one kind behave alike.
+    pub kind: String,
+    /// Whether it goes before the team's other work.
+    #[serde(default)]
+    pub urgent: bool,
+    /// Its tasks.
+    pub tasks: Vec<TaskSpec>,
+}
+
+/// State of a whole job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Tasks are still to be done.
+    Active,
+    /// Cancelled by its owner; running tasks are being stopped.
+    Cancelled,
+    /// All tasks ended.
+    Ended,
+}
+
+/// How one task of an ended job ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskEnd {
+    /// Done, with its result.
+    Done {
+        /// Output, opaque to the scheduler.
+        result: String,
+    },
+    /// Given up after failures on several workers.
+    Failed {
+        /// The last error.
+        error: String,
+        /// Workers on which it failed.
+        workers: Vec<WorkerId>,
+    },
+    /// Cancelled.
+    Cancelled,
+}
+
+/// The row of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// The submission.
+    pub spec: JobSpec,
+    /// State of the job.
+    pub state: JobState,
+    /// Wall-clock time of the submission in milliseconds since the Unix epoch.
+    pub submitted_millis: u64,
+    /// Ends of the tasks once the job has ended, in their order.
+    pub ends: Vec<TaskEnd>,
+}
+
+/// State of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    /// Waiting for a worker.
+    Queued,
+    /// Committed on a worker.
+    Committed {
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// At its end.
+    Ended(TaskEnd),
+}
+
+/// The row of a task of a job that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRow {
+    /// The job.
+    pub job: JobId,
+    /// Position in the job.
+    pub index: TaskIndex,
+    /// The team on whose quota it runs.
+    pub team: TeamName,
+    /// Kind of the task.
+    pub kind: String,
+    /// Whether it goes before the team's other work.
+    pub urgent: bool,
+    /// What it was submitted with.
+    pub spec: TaskSpec,
+    /// Number of the newest attempt; zero before the first.
+    pub attempt: AttemptNumber,
+    /// Reference of the newest checkpoint.
+    pub checkpoint: Option<String>,
+    /// Distinct workers on which it failed.
+    pub failed_on: Vec<WorkerId>,
+    /// State of the task.
+    pub state: TaskState,
+    /// Wall-clock time of the submission in milliseconds since the Unix epoch.
+    pub submitted_millis: u64,
+}
+
+impl TaskRow {
+    /// Whether `attempt` on `worker` is the one that counts.
+    ///
+    /// ```
+    /// # use greengagearch::platform::worker::AttemptKey;
+    /// # use greengagearch::request::job::{JobSpec, TaskSpec, task_rows};
+    /// # let task = TaskSpec { resources: Default::default(), run_millis: 1, input: String::new() };
+    /// # let spec = JobSpec { id: "night".into(), team: "planning".into(), kind: "roster".into(),
+    /// #     urgent: false, tasks: vec![task] };
+    /// let row = &task_rows(&spec, 0)[0];
+    /// let key = AttemptKey { job: "night".into(), task: 0, attempt: 1 };
+    /// assert!(!row.is_current(&key, "w1"));
+    /// ```
+    pub fn is_current(&self, attempt: &AttemptKey, worker: &str) -> bool {
+        let is_here = matches!(&self.state, TaskState::Committed { worker: on } if on == worker);
+        is_here && self.attempt == attempt.attempt
+    }
+
+    /// Takes in a failure on `worker`: back to the queue, or failed for good after enough workers.
+    ///
+    /// ```
+    /// # use greengagearch::request::job::{JobSpec, TaskSpec, TaskState, task_rows};
+    /// # let task = TaskSpec { resources: Default::default(), run_millis: 1, input: String::new() };
+    /// # let spec = JobSpec { id: "night".into(), team: "planning".into(), kind: "roster".into(),
+    /// #     urgent: false, tasks: vec![task] };
+    /// let mut row = task_rows(&spec, 0).remove(0);
+    /// row.on_failure("w1", "out of memory");
+    /// row.on_failure("w2", "out of memory");
+    /// assert_eq!(row.state, TaskState::Queued);
+    /// row.on_failure("w3", "out of memory");
+    /// assert_ne!(row.state, TaskState::Queued);
+    /// ```
+    pub fn on_failure(&mut self, worker: &str, error: &str) {
+        if !self.failed_on.iter().any(|known| known == worker) {
+            self.failed_on.push(worker.to_string());
+        }
+        self.state = if self.failed_on.len() >= FAILED_WORKERS_LIMIT {
+            TaskState::Ended(TaskEnd::Failed {
+                error: error.to_string(),
+                workers: self.failed_on.clone(),
+            })
+        } else {
+            TaskState::Queued
+        };
+    }
+}
+
+/// Key of a job's row.
+///
+/// ```
+/// assert!(greengagearch::request::job::job_key("night").ends_with("/night"));
+/// ```
+pub fn job_key(job: &str) -> String {
+    format!("job/{:02}/{job}", partition_of_job(job))
+}
+
+/// Key of a task's row.
+///
+/// ```
+/// assert!(greengagearch::request::job::task_key("night", 3).ends_with("/night/0003"));
+/// ```
+pub fn task_key(job: &str, index: TaskIndex) -> String {
+    format!("{}{job}/{index:04}", task_prefix(partition_of_job(job)))
+}
+
+/// Prefix of the keys of all tasks of a partition.
+///
+/// ```
+/// assert_eq!(greengagearch::request::job::task_prefix(7), "task/07/");
+/// ```
+pub fn task_prefix(partition: PartitionId) -> String {
+    format!("task/{partition:02}/")
+}
+
+/// The rows of a new job's tasks.
+///
+/// ```
+/// # use greengagearch::request::job::{JobSpec, task_rows};
+/// # let spec = JobSpec { id: "night".into(), team: "planning".into(), kind: "roster".into(),
+/// #     urgent: false, tasks: Vec::new() };
+/// assert!(task_rows(&spec, 0).is_empty());
+/// ```
+pub fn task_rows(spec: &JobSpec, submitted_millis: u64) -> Vec<TaskRow> {
+    let numbered = (0..).zip(&spec.tasks);
+    let rows = numbered.map(|(index, task)| TaskRow {
+        job: spec.id.clone(),
+        index,
+        team: spec.team.clone(),
+        kind: spec.kind.clone(),
+        urgent: spec.urgent,
+        spec: task.clone(),
+        attempt: 0,
+        checkpoint: None,
+        failed_on: Vec::new(),
+        state: TaskState::Queued,
+        submitted_millis,
+    });
+    rows.collect()
+}
+
+/// What is wrong with a submission, as one sentence each; empty when it is sound.
+///
+/// ```
+/// # use greengagearch::request::job::{JobSpec, check_spec};
+/// # let spec = JobSpec { id: "a/b".into(), team: "planning".into(), kind: "roster".into(),
+/// #     urgent: false, tasks: Vec::new() };
+/// assert_eq!(check_spec(&spec).len(), 2);
+/// ```
+pub fn check_spec(spec: &JobSpec) -> Vec<String> {
+    let mut findings = Vec::new();
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    if spec.id.is_empty() || spec.id.len() > LONGEST_JOB_ID || !spec.id.chars().all(is_plain) {
+        findings.push(format!(
+            "id: write 1 to {LONGEST_JOB_ID} of the characters a-z, A-Z, 0-9, '-', '_', '.', ':'"
+        ));
+    }
+    if spec.tasks.is_empty() || spec.tasks.len() > LARGEST_JOB {
+        findings.push(format!(
+            "tasks: give 1 to {LARGEST_JOB} tasks, not {}",
+            spec.tasks.len()
+        ));
+    }
+    for (index, task) in spec.tasks.iter().enumerate() {
+        if task.resources.millicores == 0 || task.resources.memory_mib == 0 {
+            findings.push(format!(
+                "tasks[{index}].resources: millicores and memory_mib must be at least 1"
+            ));
+        }
+    }
+    findings
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,14 @@
+//! What lives as long as a request or an attempt of a task.
+
+pub mod deadline_queue;
+pub mod ejection;
+pub mod job;
+pub mod outcome;
+pub mod placement;
+pub mod request_id;
+pub mod request_journal;
+pub mod request_ledger;
+pub mod retry_budget;
+pub mod routing;
+pub mod service_pool;
+pub mod task_plan;
--- /dev/null
+++ b/src/request/request_journal.rs
@@ -0,0 +1,275 @@
+//! What an agent remembers of the non-idempotent requests it was sent.
+//!
+//! The journal is what makes "at most once" hold when the owner of a partition changes: a new owner
+//! asks the agents, and an agent that never saw an id writes a tombstone with the new owner's epoch.
+//! From then on it refuses the id to owners of earlier epochs; the new owner may run it once.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::LeaseEpoch;
+use crate::ids::RequestId;
+use crate::request::outcome::RequestOutcome;
+use crate::request::request_id::CLOCK_SKEW;
+
+#[derive(Clone, Debug)]
+enum JournalState {
+    Running,
+    Ended(RequestOutcome),
+    Tombstone(LeaseEpoch),
+}
+
+#[derive(Clone, Debug)]
+struct JournalEntry {
+    state: JournalState,
+    forget_at: Duration,
+}
+
+/// What to do with a dispatch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JournalVerdict {
+    /// It is new: run it, then call [`RequestJournal::end`].
+    Run,
+    /// It is being run: wait for its outcome.
+    Wait,
+    /// It ended before, like this.
+    Ended(RequestOutcome),
+    /// A later owner has settled it; the sender of this order must not run it.
+    Refuse,
+}
+
+/// An agent's word on an id that may have been run by an earlier owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SettleAnswer {
+    /// Never seen, and from now on refused to earlier owners.
+    NeverRun,
+    /// Still at work.
+    Running,
+    /// It ended like this.
+    Ended(RequestOutcome),
+    /// This agent's memory does not reach back to the id.
+    CannotTell,
+}
+
+/// Ids of non-idempotent requests at one agent.
+#[derive(Debug, Default)]
+pub struct RequestJournal {
+    entries: HashMap<RequestId, JournalEntry>,
+    /// Wall-clock time from which every dispatch is remembered.
+    remembers_since: Duration,
+}
+
+impl RequestJournal {
+    /// An empty journal that can vouch for everything sent to it after `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// assert_eq!(RequestJournal::new(Duration::ZERO).len(), 0);
+    /// ```
+    pub fn new(now: Duration) -> RequestJournal {
+        RequestJournal {
+            entries: HashMap::new(),
+            remembers_since: now,
+        }
+    }
+
+    /// Looks up an order of the owner at `epoch` and marks it as running when it is new.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::JournalVerdict;
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// let mut journal = RequestJournal::new(Duration::ZERO);
+    /// let id = uuid::Uuid::now_v7();
+    /// assert_eq!(journal.begin(id, 1, Duration::MAX), JournalVerdict::Run);
+    /// assert_eq!(journal.begin(id, 1, Duration::MAX), JournalVerdict::Wait);
+    /// ```
+    pub fn begin(
+        &mut self,
+        id: RequestId,
+        epoch: LeaseEpoch,
+        forget_at: Duration,
+    ) -> JournalVerdict {
+        match self.entries.get(&id).map(|entry| &entry.state) {
+            Some(JournalState::Running) => JournalVerdict::Wait,
+            Some(JournalState::Ended(outcome)) => JournalVerdict::Ended(outcome.clone()),
+            Some(JournalState::Tombstone(newest)) if epoch < *newest => JournalVerdict::Refuse,
+            Some(JournalState::Tombstone(_)) | None => {
+                self.entries.insert(
+                    id,
+                    JournalEntry {
+                        state: JournalState::Running,
+                        forget_at,
+                    },
+                );
+                JournalVerdict::Run
+            }
+        }
+    }
+
+    /// Records how a dispatch ended; one that was not run is forgotten.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::outcome::NotRunReason;
+    /// use greengagearch::request::outcome::RequestOutcome;
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// let mut journal = RequestJournal::new(Duration::ZERO);
+    /// let id = uuid::Uuid::now_v7();
+    /// journal.begin(id, 1, Duration::MAX);
+    /// journal.end(id, &RequestOutcome::not_run(NotRunReason::SlotsFull));
+    /// assert_eq!(journal.len(), 0);
+    /// ```
+    pub fn end(&mut self, id: RequestId, outcome: &RequestOutcome) {
+        if let RequestOutcome::NotRun { .. } = outcome {
+            self.entries.remove(&id);
+        } else if let Some(entry) = self.entries.get_mut(&id) {
+            entry.state = JournalState::Ended(outcome.clone());
+        }
+    }
+
+    /// Answers the question of the owner at `epoch` about an id whose own time is `id_time`; an id
+    /// that was never seen gets a tombstone. All times are wall-clock times since the Unix epoch.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::JournalVerdict;
+    /// use greengagearch::request::request_journal::RequestJournal;
+    /// use greengagearch::request::request_journal::SettleAnswer;
+    ///
+    /// let mut journal = RequestJournal::new(Duration::ZERO);
+    /// let id = uuid::Uuid::now_v7();
+    /// let answer = journal.settle(id, 2, Duration::from_secs(60), Duration::MAX);
+    /// assert_eq!(answer, SettleAnswer::NeverRun);
+    /// assert_eq!(journal.begin(id, 1, Duration::MAX), JournalVerdict::Refuse);
+    /// ```
+    pub fn settle(
+        &mut self,
+        id: RequestId,
+        epoch: LeaseEpoch,
+        id_time: Duration,
+        forget_at: Duration,
+    ) -> SettleAnswer {
+        let known = self.entries.get(&id).map(|entry| &entry.state);
+        let epoch = match known {
+            Some(JournalState::Running) => return SettleAnswer::Running,
+            Some(JournalState::Ended(outcome)) => return SettleAnswer::Ended(outcome.clone()),
+            Some(JournalState::Tombstone(newest)) => epoch.max(*newest),
+            None => epoch,
+        };
+        self.entries.insert(
+            id,
+            JournalEntry {
+                state: JournalState::Tombstone(epoch),
+                forget_at,
+            },
+        );
+        // An id is accepted up to one skew ahead of an entry's clock, which may itself be one skew
+        // ahead of this agent's.
+        if id_time < self.remembers_since + 2 * CLOCK_SKEW {
+            SettleAnswer::CannotTell
+        } else {
+            SettleAnswer::NeverRun
+        }
+    }
+
+    /// Forgets ids whose time has come; running ones stay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// RequestJournal::new(Duration::ZERO).forget_old(Duration::from_secs(1));
+    /// ```
+    pub fn forget_old(&mut self, now: Duration) {
+        self.entries.retain(|_, entry| {
+            entry.forget_at > now || matches!(entry.state, JournalState::Running)
+        });
+    }
+
+    /// Number of ids that are remembered.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// assert_eq!(RequestJournal::new(Duration::ZERO).len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no id is remembered.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// assert!(RequestJournal::new(Duration::ZERO).is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_restarted_agent_cannot_vouch_for_older_ids() {
+        let mut journal = RequestJournal::new(Duration::from_secs(100));
+        let id = RequestId::now_v7();
+        let answer = journal.settle(id, 2, Duration::from_secs(103), Duration::from_secs(200));
+        assert_eq!(answer, SettleAnswer::CannotTell);
+        assert_eq!(
+            journal.begin(id, 1, Duration::from_secs(200)),
+            JournalVerdict::Refuse
+        );
+    }
+
+    #[test]
+    fn the_owner_that_settled_an_id_may_run_it_once() {
+        let mut journal = RequestJournal::new(Duration::ZERO);
+        let id = RequestId::now_v7();
+        journal.settle(id, 2, Duration::from_secs(20), Duration::from_secs(30));
+        assert_eq!(
+            journal.begin(id, 1, Duration::from_secs(30)),
+            JournalVerdict::Refuse
+        );
+        assert_eq!(
+            journal.begin(id, 2, Duration::from_secs(30)),
+            JournalVerdict::Run
+        );
+        assert_eq!(
+            journal.begin(id, 2, Duration::from_secs(30)),
+            JournalVerdict::Wait
+        );
+    }
+
+    #[test]
+    fn a_tombstone_is_kept_for_its_window() {
+        let mut journal = RequestJournal::new(Duration::ZERO);
+        let id = RequestId::now_v7();
+        journal.settle(id, 2, Duration::from_secs(20), Duration::from_secs(30));
+        journal.forget_old(Duration::from_secs(29));
+        assert_eq!(
+            journal.begin(id, 1, Duration::from_secs(30)),
+            JournalVerdict::Refuse
+        );
+    }
+}
--- /dev/null
+++ b/src/request/request_ledger.rs
@@ -0,0 +1,171 @@
+//! What the owner of a partition remembers of non-idempotent requests.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::ids::BodyDigest;
+use crate::ids::RequestId;
+use crate::request::outcome::RequestOutcome;
+
+#[derive(Clone, Debug)]
+enum LedgerState {
+    InFlight,
+    Ended(RequestOutcome),
+}
+
+#[derive(Clone, Debug)]
+struct LedgerEntry {
+    digest: BodyDigest,
+    state: LedgerState,
+    forget_at: Duration,
+}
+
+/// What to do with a request whose id was looked up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LedgerVerdict {
+    /// It is new here: run it, then call [`RequestLedger::end`].
+    Run,
+    /// It is being run: wait for its outcome.
+    Wait,
+    /// It ended before, like this.
+    Ended(RequestOutcome),
+    /// The id came before with another body.
+    Conflict,
+}
+
+/// Ids of one owner, with what became of them.
+#[derive(Debug, Default)]
+pub struct RequestLedger {
+    entries: HashMap<RequestId, LedgerEntry>,
+}
+
+impl RequestLedger {
+    /// Looks an id up and marks it as in flight when it is new. It is kept until the wall-clock
+    /// time `forget_at` at least.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_ledger::LedgerVerdict;
+    /// use greengagearch::request::request_ledger::RequestLedger;
+    ///
+    /// let mut ledger = RequestLedger::default();
+    /// let id = uuid::Uuid::now_v7();
+    /// assert_eq!(ledger.begin(id, 1, Duration::MAX), LedgerVerdict::Run);
+    /// assert_eq!(ledger.begin(id, 1, Duration::MAX), LedgerVerdict::Wait);
+    /// assert_eq!(ledger.begin(id, 2, Duration::MAX), LedgerVerdict::Conflict);
+    /// ```
+    pub fn begin(
+        &mut self,
+        id: RequestId,
+        digest: BodyDigest,
+        forget_at: Duration,
+    ) -> LedgerVerdict {
+        if let Some(entry) = self.entries.get(&id) {
+            return match &entry.state {
+                _ if entry.digest != digest => LedgerVerdict::Conflict,
+                LedgerState::InFlight => LedgerVerdict::Wait,
+                LedgerState::Ended(outcome) => LedgerVerdict::Ended(outcome.clone()),
+            };
+        }
+        let state = LedgerState::InFlight;
+        self.entries.insert(
+            id,
+            LedgerEntry {
+                digest,
+                state,
+                forget_at,
+            },
+        );
+        LedgerVerdict::Run
+    }
+
+    /// Records how a request ended. One that was provably not run is forgotten, so that its caller
+    /// may try again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::outcome::NotRunReason;
+    /// use greengagearch::request::outcome::RequestOutcome;
+    /// use greengagearch::request::request_ledger::LedgerVerdict;
+    /// use greengagearch::request::request_ledger::RequestLedger;
+    ///
+    /// let mut ledger = RequestLedger::default();
+    /// let id = uuid::Uuid::now_v7();
+    /// ledger.begin(id, 1, Duration::MAX);
+    /// ledger.end(id, &RequestOutcome::not_run(NotRunReason::NoEndpoint));
+    /// assert_eq!(ledger.begin(id, 1, Duration::MAX), LedgerVerdict::Run);
+    /// ```
+    pub fn end(&mut self, id: RequestId, outcome: &RequestOutcome) {
+        if let RequestOutcome::NotRun { .. } = outcome {
+            self.entries.remove(&id);
+        } else if let Some(entry) = self.entries.get_mut(&id) {
+            entry.state = LedgerState::Ended(outcome.clone());
+        }
+    }
+
+    /// Forgets ids whose time has come; those in flight stay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_ledger::RequestLedger;
+    ///
+    /// let mut ledger = RequestLedger::default();
+    /// ledger.forget_old(Duration::from_secs(1));
+    /// assert_eq!(ledger.len(), 0);
+    /// ```
+    pub fn forget_old(&mut self, now: Duration) {
+        self.entries.retain(|_, entry| {
+            entry.forget_at > now || matches!(entry.state, LedgerState::InFlight)
+        });
+    }
+
+    /// Number of ids that are remembered.
+    ///
+    /// ```
+    /// assert_eq!(greengagearch::request::request_ledger::RequestLedger::default().len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no id is remembered.
+    ///
+    /// ```
+    /// assert!(greengagearch::request::request_ledger::RequestLedger::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::request::outcome::UnknownReason;
+
+    #[test]
+    fn an_unknown_outcome_is_kept_and_never_run_again() {
+        let mut ledger = RequestLedger::default();
+        let id = RequestId::now_v7();
+        ledger.begin(id, 1, Duration::from_secs(10));
+        let outcome = RequestOutcome::Unknown(UnknownReason::AgentSilent);
+        ledger.end(id, &outcome);
+        let verdict = ledger.begin(id, 1, Duration::from_secs(10));
+        assert_eq!(verdict, LedgerVerdict::Ended(outcome));
+    }
+
+    #[test]
+    fn an_id_in_flight_outlives_its_window() {
+        let mut ledger = RequestLedger::default();
+        let id = RequestId::now_v7();
+        ledger.begin(id, 1, Duration::from_secs(1));
+        ledger.forget_old(Duration::from_secs(2));
+        assert_eq!(
+            ledger.begin(id, 1, Duration::from_secs(1)),
+            LedgerVerdict::Wait
+        );
+    }
+}
--- /dev/null
+++ b/src/request/retry_budget.rs
@@ -0,0 +1,54 @@
+//! A budget that bounds retries to a share of the requests.
+
+/// Retries that may be saved up in quiet times.
+const LARGEST_BALANCE: f64 = 20.0;
+
+/// A token bucket filled by requests: each request adds a share of a retry, each retry takes one.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    balance: f64,
+}
+
+impl RetryBudget {
+    /// A budget of `share` retries for each request, with a full balance.
+    ///
+    /// ```
+    /// use greengagearch::request::retry_budget::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::new(0.1);
+    /// assert!(budget.try_take());
+    /// ```
+    pub fn new(share: f64) -> RetryBudget {
+        RetryBudget {
+            share,
+            balance: LARGEST_BALANCE,
+        }
+    }
+
+    /// Counts a first try.
+    ///
+    /// ```
+    /// greengagearch::request::retry_budget::RetryBudget::new(0.1).on_request();
+    /// ```
+    pub fn on_request(&mut self) {
+        self.balance = (self.balance + self.share).min(LARGEST_BALANCE);
+    }
+
+    /// Takes one retry, if there is one left.
+    ///
+    /// ```
+    /// use greengagearch::request::retry_budget::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::new(0.0);
+    /// let taken = (0..100).filter(|_| budget.try_take()).count();
+    /// assert_eq!(taken, 20);
+    /// ```
+    pub fn try_take(&mut self) -> bool {
+        if self.balance < 1.0 {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/src/request/routing.rs
@@ -0,0 +1,120 @@
+//! The ways of choosing an endpoint.
+
+use std::str::FromStr;
+
+use rand::Rng;
+use rand::RngExt;
+use snafu::Snafu;
+
+/// A way of choosing among endpoints with a free slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RoutingWay {
+    /// Any of them.
+    Random,
+    /// The one with the smallest load.
+    LeastLoaded,
+    /// The less loaded of two drawn at random (Mitzenmacher, "The Power of Two Choices in
+    /// Randomized Load Balancing", 2001).
+    TwoChoices,
+    /// Two choices within the entry's failure domain; the others only when it has none free.
+    #[default]
+    LocalFirst,
+}
+
+/// The text named no routing way.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("allowed are random, least-loaded, two-choices and local-first"))]
+pub struct UnknownWay;
+
+impl FromStr for RoutingWay {
+    type Err = UnknownWay;
+
+    fn from_str(text: &str) -> Result<RoutingWay, UnknownWay> {
+        match text {
+            "random" => Ok(RoutingWay::Random),
+            "least-loaded" => Ok(RoutingWay::LeastLoaded),
+            "two-choices" => Ok(RoutingWay::TwoChoices),
+            "local-first" => Ok(RoutingWay::LocalFirst),
+            _ => Err(UnknownWay),
+        }
+    }
+}
+
+/// An endpoint that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteCandidate {
+    /// Position among the service's endpoints.
+    pub index: usize,
+    /// Whether it is in the chooser's failure domain.
+    pub is_local: bool,
+    /// Expected work ahead of a new request: slots in use, each weighed with the endpoint's usual
+    /// time relative to others.
+    pub load: f64,
+}
+
+/// Chooses one of the candidates.
+///
+/// ```
+/// use rand::SeedableRng;
+/// use rand::rngs::StdRng;
+///
+/// use greengagearch::request::routing::RouteCandidate;
+/// use greengagearch::request::routing::RoutingWay;
+/// use greengagearch::request::routing::choose;
+///
+/// let busy = RouteCandidate { index: 0, is_local: true, load: 7.0 };
+/// let idle = RouteCandidate { index: 1, is_local: true, load: 0.0 };
+/// let mut rng = StdRng::seed_from_u64(1);
+/// assert_eq!(choose(RoutingWay::LeastLoaded, &[busy, idle], &mut rng), Some(1));
+/// ```
+pub fn choose<R: Rng>(
+    way: RoutingWay,
+    candidates: &[RouteCandidate],
+    rng: &mut R,
+) -> Option<usize> {
+    match way {
+        RoutingWay::Random => draw(candidates, rng).map(|candidate| candidate.index),
+        RoutingWay::LeastLoaded => least_loaded(candidates, rng),
+        RoutingWay::TwoChoices => two_choices(candidates, rng),
+        RoutingWay::LocalFirst => local_first(candidates, rng),
+    }
+}
+
+fn draw<'a, R: Rng>(candidates: &'a [RouteCandidate], rng: &mut R) -> Option<&'a RouteCandidate> {
+    if candidates.is_empty() {
+        return None;
+    }
+    candidates.get(rng.random_range(0..candidates.len()))
+}
+
+/// Starts at a random place, so that ties do not all go to the same endpoint.
+fn least_loaded<R: Rng>(candidates: &[RouteCandidate], rng: &mut R) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let (before, after) = candidates.split_at(rng.random_range(0..candidates.len()));
+    let turned = after.iter().chain(before);
+    turned
+        .min_by(|a, b| a.load.total_cmp(&b.load))
+        .map(|candidate| candidate.index)
+}
+
+fn two_choices<R: Rng>(candidates: &[RouteCandidate], rng: &mut R) -> Option<usize> {
+    let first = draw(candidates, rng)?;
+    let second = draw(candidates, rng)?;
+    let better = if second.load < first.load {
+        second
+    } else {
+        first
+    };
+    Some(better.index)
+}
+
+fn local_first<R: Rng>(candidates: &[RouteCandidate], rng: &mut R) -> Option<usize> {
+    let local: Vec<RouteCandidate> = candidates
+        .iter()
+        .copied()
+        .filter(|candidate| candidate.is_local)
+        .collect();
+    two_choices(&local, rng).or_else(|| two_choices(candidates, rng))
+}
--- /dev/null
+++ b/src/request/service_pool.rs
@@ -0,0 +1,636 @@
+//! An entry's view of one service: its endpoints, their slots, and the requests that wait.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::DomainName;
+use crate::ids::EndpointId;
+use crate::ids::IncarnationId;
+use crate::ids::WorkerId;
+use crate::request::deadline_queue::DeadlineQueue;
+use crate::request::deadline_queue::QueuedRequest;
+use crate::request::deadline_queue::TicketNumber;
+use crate::request::ejection::EndpointHealth;
+use crate::request::outcome::NotRunReason;
+use crate::request::retry_budget::RetryBudget;
+use crate::request::routing::RouteCandidate;
+use crate::request::routing::RoutingWay;
+use crate::request::routing::choose;
+
+/// Assumed time of a request before any was measured.
+const FIRST_TIME_GUESS: Duration = Duration::from_millis(5);
+/// Weight of the newest sample in the running mean of times.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// How long a report of other entries' requests at an endpoint is believed.
+const REPORT_LIFE: Duration = Duration::from_millis(100);
+/// Shortest pause before an endpoint that refused for want of slots is tried again.
+const SHORTEST_HOLD: Duration = Duration::from_millis(2);
+/// Requests of one caller that may always wait.
+const SMALLEST_SHARE: usize = 4;
+/// When to come back after a refusal for want of endpoints.
+const NO_ENDPOINT_HINT: Duration = Duration::from_millis(500);
+
+/// Names one run of one endpoint's agent and the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EndpointKey {
+    /// The worker it is on.
+    pub worker: WorkerId,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The run of the worker's agent that announced it.
+    pub incarnation: IncarnationId,
+}
+
+/// An endpoint as its agent reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointReport {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The service it serves.
+    pub service: String,
+    /// Requests it can run at once.
+    pub slots: u32,
+    /// Requests it runs now, of all entries.
+    pub in_flight: u32,
+    /// Whether it is leaving and gets no new requests.
+    pub leaving: bool,
+}
+
+/// Places of one agent's endpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentPlace {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The run of its agent.
+    pub incarnation: IncarnationId,
+    /// Where it stands.
+    pub domain: DomainName,
+}
+
+#[derive(Clone, Debug)]
+struct PoolEndpoint {
+    domain: DomainName,
+    slots: u32,
+    own: u32,
+    foreign: u32,
+    foreign_until: Instant,
+    leaving: bool,
+    health: EndpointHealth,
+    mean_seconds: f64,
+}
+
+impl PoolEndpoint {
+    fn in_use(&self, now: Instant) -> u32 {
+        let foreign = if now < self.foreign_until {
+            self.foreign
+        } else {
+            0
+        };
+        self.own + foreign
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        !self.leaving && self.in_use(now) < self.slots && self.health.is_open(now)
+    }
+}
+
+/// How a request at an endpoint ended, as far as the pool cares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotResult {
+    /// A good answer after this time.
+    Success(Duration),
+    /// An error or a lost answer.
+    Failure,
+    /// All slots were taken by others.
+    Full,
+    /// The endpoint is leaving.
+    Leaving,
+    /// Nothing that speaks for or against the endpoint.
+    Neutral,
+}
+
+/// What a request that asks for a slot gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SlotDecision {
+    /// This endpoint, at once.
+    Granted(EndpointKey),
+    /// A place in the queue.
+    Queued,
+    /// Nothing.
+    Refused {
+        /// Why.
+        reason: NotRunReason,
+        /// When it is worth coming back.
+        retry_after: Duration,
+    },
+}
+
+/// What became of a request that waited.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TicketResult {
+    /// The request's number.
+    pub ticket: TicketNumber,
+    /// A grant or a refusal.
+    pub decision: SlotDecision,
+}
+
+/// Endpoints and queue of one service.
+#[derive(Debug)]
+pub struct ServicePool {
+    way: RoutingWay,
+    domain: DomainName,
+    endpoints: BTreeMap<EndpointKey, PoolEndpoint>,
+    queue: DeadlineQueue,
+    mean_seconds: f64,
+    /// Budget of retries after lost answers.
+    pub budget: RetryBudget,
+}
+
+impl ServicePool {
+    /// An empty pool of an entry in `domain`.
+    ///
+    /// ```
+    /// use greengagearch::request::routing::RoutingWay;
+    /// use greengagearch::request::service_pool::ServicePool;
+    ///
+    /// let pool = ServicePool::new(RoutingWay::LocalFirst, "wien-a".into(), 0.1);
+    /// assert_eq!(pool.queue_len(), 0);
+    /// ```
+    pub fn new(way: RoutingWay, domain: DomainName, retry_share: f64) -> ServicePool {
+        ServicePool {
+            way,
+            domain,
+            endpoints: BTreeMap::new(),
+            queue: DeadlineQueue::default(),
+            mean_seconds: FIRST_TIME_GUESS.as_secs_f64(),
+            budget: RetryBudget::new(retry_share),
+        }
+    }
+
+    /// Number of waiting requests.
+    ///
+    /// ```
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// assert_eq!(pool.queue_len(), 0);
+    /// ```
+    pub fn queue_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of endpoints that are announced and not leaving.
+    ///
+    /// ```
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// assert_eq!(pool.endpoint_count(), 0);
+    /// ```
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints
+            .values()
+            .filter(|endpoint| !endpoint.leaving)
+            .count()
+    }
+
+    /// Takes in an agent's report of its endpoints of this service; those it leaves out, and those
+    /// of the agent's earlier runs, are gone.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::{AgentPlace, EndpointReport, ServicePool};
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// let place = AgentPlace { worker: "w1".into(), incarnation: 1, domain: "wien-a".into() };
+    /// let report = EndpointReport { endpoint: "r1".into(), service: "spots".into(), slots: 8,
+    ///     in_flight: 0, leaving: false };
+    /// pool.on_report(&place, &[report], Instant::now());
+    /// assert_eq!(pool.endpoint_count(), 1);
+    /// ```
+    pub fn on_report(&mut self, place: &AgentPlace, reports: &[EndpointReport], now: Instant) {
+        self.endpoints.retain(|key, _| {
+            let is_reported = reports.iter().any(|report| report.endpoint == key.endpoint);
+            key.worker != place.worker || (key.incarnation == place.incarnation && is_reported)
+        });
+        for report in reports {
+            self.take_report(place, report, now);
+        }
+    }
+
+    /// Drops all endpoints of a worker whose agent is silent.
+    ///
+    /// ```
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1).forget_worker("w1");
+    /// ```
+    pub fn forget_worker(&mut self, worker: &str) {
+        self.endpoints.retain(|key, _| key.worker != worker);
+    }
+
+    /// Asks for a slot for a request.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use greengagearch::request::deadline_queue::QueuedRequest;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::{ServicePool, SlotDecision};
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// let now = Instant::now();
+    /// let deadline = now + Duration::from_secs(1);
+    /// let request = QueuedRequest { ticket: 1, deadline, caller: "desk".into(), avoid: None };
+    /// let (decision, displaced) = pool.request_slot(request, now, &mut rand::rng());
+    /// assert!(matches!(decision, SlotDecision::Refused { .. }));
+    /// assert!(displaced.is_none());
+    /// ```
+    pub fn request_slot<R: Rng>(
+        &mut self,
+        request: QueuedRequest,
+        now: Instant,
+        rng: &mut R,
+    ) -> (SlotDecision, Option<TicketResult>) {
+        if self.queue.is_empty()
+            && let Some(key) = self.choose_endpoint(request.avoid.as_ref(), now, rng)
+        {
+            return (SlotDecision::Granted(key), None);
+        }
+        let slots = self.usable_slots(now);
+        if slots == 0 {
+            return (refused(NotRunReason::NoEndpoint, NO_ENDPOINT_HINT), None);
+        }
+        self.enqueue(request, slots, now)
+    }
+
+    /// Gives a slot back.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::{EndpointKey, ServicePool, SlotResult};
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// let key = EndpointKey { worker: "w1".into(), endpoint: "r1".into(), incarnation: 1 };
+    /// pool.release(&key, SlotResult::Failure, Instant::now());
+    /// ```
+    pub fn release(&mut self, key: &EndpointKey, result: SlotResult, now: Instant) {
+        if let SlotResult::Success(time) = result {
+            self.mean_seconds = blend(self.mean_seconds, time);
+        }
+        let ejected = self
+            .endpoints
+            .values()
+            .filter(|one| one.health.is_ejected())
+            .count();
+        let may_eject = (ejected + 1) * 2 <= self.endpoints.len();
+        let hold = self.mean_seconds;
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.own = endpoint.own.saturating_sub(1);
+        match result {
+            SlotResult::Success(time) => {
+                endpoint.mean_seconds = blend(endpoint.mean_seconds, time);
+                endpoint.health.on_success();
+            }
+            SlotResult::Failure => endpoint.health.on_failure(now, may_eject),
+            SlotResult::Full => {
+                let hold = Duration::from_secs_f64(hold / f64::from(endpoint.slots.max(1)));
+                endpoint.foreign = endpoint.slots.saturating_sub(endpoint.own);
+                endpoint.foreign_until = now + hold.max(SHORTEST_HOLD);
+                endpoint.health.on_neutral();
+            }
+            SlotResult::Leaving => endpoint.leaving = true,
+            SlotResult::Neutral => endpoint.health.on_neutral(),
+        }
+    }
+
+    /// Gives free slots to waiting requests and refuses those whose time is up.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// assert!(pool.poll(Instant::now(), &mut rand::rng()).is_empty());
+    /// ```
+    pub fn poll<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Vec<TicketResult> {
+        let useless_before = now + self.mean_time() / 2;
+        let expired = self.queue.take_before(useless_before).into_iter();
+        let mut results: Vec<TicketResult> = expired
+            .map(|request| self.refuse_waiting(request.ticket, now))
+            .collect();
+        while !self.queue.is_empty() {
+            let Some(key) = self.choose_endpoint(None, now, rng) else {
+                break;
+            };
+            if let Some(request) = self.queue.pop() {
+                let decision = SlotDecision::Granted(key);
+                results.push(TicketResult {
+                    ticket: request.ticket,
+                    decision,
+                });
+            }
+        }
+        results
+    }
+
+    /// Drops a waiting request whose caller has gone. Gives whether it was waiting.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// assert!(!pool.cancel(Instant::now(), 1));
+    /// ```
+    pub fn cancel(&mut self, deadline: Instant, ticket: TicketNumber) -> bool {
+        self.queue.remove(deadline, ticket)
+    }
+
+    /// Mean time of a request at an endpoint.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// assert_eq!(pool.mean_time(), Duration::from_millis(5));
+    /// ```
+    pub fn mean_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_seconds)
+    }
+
+    fn take_report(&mut self, place: &AgentPlace, report: &EndpointReport, now: Instant) {
+        let key = EndpointKey {
+            worker: place.worker.clone(),
+            endpoint: report.endpoint.clone(),
+            incarnation: place.incarnation,
+        };
+        let mean_seconds = self.mean_seconds;
+        let endpoint = self.endpoints.entry(key).or_insert_with(|| PoolEndpoint {
+            domain: place.domain.clone(),
+            slots: report.slots,
+            own: 0,
+            foreign: 0,
+            foreign_until: now,
+            leaving: report.leaving,
+            health: EndpointHealth::default(),
+            mean_seconds,
+        });
+        endpoint.slots = report.slots;
+        endpoint.leaving = report.leaving;
+        endpoint.foreign = report.in_flight.saturating_sub(endpoint.own);
+        endpoint.foreign_until = now + REPORT_LIFE;
+    }
+
+    fn enqueue(
+        &mut self,
+        request: QueuedRequest,
+        slots: u32,
+        now: Instant,
+    ) -> (SlotDecision, Option<TicketResult>) {
+        let per_request = self.mean_seconds / f64::from(slots);
+        let ahead = self.queue.len_before(request.deadline);
+        let wait = Duration::from_secs_f64(per_request * (ahead + 1) as f64);
+        let left = request.deadline.saturating_duration_since(now);
+        if wait + self.mean_time() <= left {
+            self.queue.push(request);
+            return (SlotDecision::Queued, None);
+        }
+        let longest = (left.as_secs_f64() / per_request) as usize;
+        match self.displace_for(&request, longest) {
+            Some(displaced) => {
+                self.queue.push(request);
+                let decision = refused(NotRunReason::CallerShare, wait);
+                let result = TicketResult {
+                    ticket: displaced.ticket,
+                    decision,
+                };
+                (SlotDecision::Queued, Some(result))
+            }
+            None => (refused(NotRunReason::Overloaded, wait), None),
+        }
+    }
+
+    /// Makes room for a caller that has less than its share of a full queue.
+    fn displace_for(&mut self, request: &QueuedRequest, longest: usize) -> Option<QueuedRequest> {
+        let own = self.queue.len_of(&request.caller);
+        let others = self.queue.caller_count() - usize::from(own > 0);
+        let share = (longest / (others + 1)).max(SMALLEST_SHARE);
+        if others == 0 || own >= share || longest == 0 {
+            return None;
+        }
+        let displaced = self.queue.displace(request.deadline)?;
+        if displaced.caller == request.caller {
+            self.queue.push(displaced);
+            return None;
+        }
+        Some(displaced)
+    }
+
+    fn refuse_waiting(&self, ticket: TicketNumber, now: Instant) -> TicketResult {
+        let decision = if self.usable_slots(now) == 0 {
+            refused(NotRunReason::NoEndpoint, NO_ENDPOINT_HINT)
+        } else {
+            refused(NotRunReason::DeadlinePassed, self.mean_time())
+        };
+        TicketResult { ticket, decision }
+    }
+
+    fn usable_slots(&self, now: Instant) -> u32 {
+        let usable = self
+            .endpoints
+            .values()
+            .filter(|one| !one.leaving && one.health.is_open(now));
+        usable.map(|one| one.slots).sum()
+    }
+
+    fn choose_endpoint<R: Rng>(
+        &mut self,
+        avoid: Option<&EndpointKey>,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<EndpointKey> {
+        let mut candidates = self.candidates(avoid, now);
+        if candidates.is_empty() && avoid.is_some() {
+            candidates = self.candidates(None, now);
+        }
+        let index = choose(self.way, &candidates, rng)?;
+        let (key, endpoint) = self.endpoints.iter_mut().nth(index)?;
+        endpoint.own += 1;
+        endpoint.health.on_sent();
+        Some(key.clone())
+    }
+
+    fn candidates(&self, avoid: Option<&EndpointKey>, now: Instant) -> Vec<RouteCandidate> {
+        let numbered = self.endpoints.iter().enumerate();
+        let open = numbered.filter(|(_, (key, one))| one.is_open(now) && Some(*key) != avoid);
+        open.map(|(index, (_, one))| RouteCandidate {
+            index,
+            is_local: one.domain == self.domain,
+            load: f64::from(one.in_use(now) + 1) * one.mean_seconds,
+        })
+        .collect()
+    }
+}
+
+fn refused(reason: NotRunReason, retry_after: Duration) -> SlotDecision {
+    SlotDecision::Refused {
+        reason,
+        retry_after,
+    }
+}
+
+fn blend(mean: f64, sample: Duration) -> f64 {
+    mean + SAMPLE_WEIGHT * (sample.as_secs_f64() - mean)
+}
+
+#[cfg(test)]
+mod tests {
+    use assert_matches::assert_matches;
+    use rand::SeedableRng;
+    use rand::rngs::StdRng;
+
+    use super::*;
+
+    fn pool_of(slots: &[u32], now: Instant) -> ServicePool {
+        let mut pool = ServicePool::new(RoutingWay::LeastLoaded, "a".to_string(), 0.1);
+        for (number, slots) in slots.iter().enumerate() {
+            let worker = format!("w{number}");
+            let place = AgentPlace {
+                worker,
+                incarnation: 1,
+                domain: "a".to_string(),
+            };
+            let report = EndpointReport {
+                endpoint: "r".to_string(),
+                service: "s".to_string(),
+                slots: *slots,
+                in_flight: 0,
+                leaving: false,
+            };
+            pool.on_report(&place, &[report], now);
+        }
+        pool
+    }
+
+    fn request(ticket: TicketNumber, caller: &str, deadline: Instant) -> QueuedRequest {
+        QueuedRequest {
+            ticket,
+            deadline,
+            caller: caller.to_string(),
+            avoid: None,
+        }
+    }
+
+    #[test]
+    fn slots_are_never_exceeded_and_freed_slots_go_to_the_earliest_deadline() {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut pool = pool_of(&[1], now);
+        let second = Duration::from_secs(1);
+        let (decision, _) = pool.request_slot(request(1, "c", now + second), now, &mut rng);
+        let SlotDecision::Granted(key) = decision else {
+            panic!("{decision:?}")
+        };
+        pool.request_slot(request(2, "c", now + 3 * second), now, &mut rng);
+        pool.request_slot(request(3, "c", now + 2 * second), now, &mut rng);
+        assert!(pool.poll(now, &mut rng).is_empty());
+        pool.release(&key, SlotResult::Success(Duration::from_millis(5)), now);
+        let results = pool.poll(now, &mut rng);
+        assert_eq!(results.len(), 1);
+        assert_eq!(results[0].ticket, 3);
+    }
+
+    #[test]
+    fn what_cannot_meet_its_deadline_is_refused_at_once_with_a_hint() {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut pool = pool_of(&[1], now);
+        let deadline = now + Duration::from_millis(20);
+        let decisions: Vec<SlotDecision> = (0..10)
+            .map(|ticket| {
+                pool.request_slot(request(ticket, "c", deadline), now, &mut rng)
+                    .0
+            })
+            .collect();
+        assert_matches!(decisions[0], SlotDecision::Granted(_));
+        assert_matches!(decisions[1], SlotDecision::Queued);
+        assert_matches!(
+            decisions[9],
+            SlotDecision::Refused { reason: NotRunReason::Overloaded, retry_after }
+                if retry_after > Duration::ZERO
+        );
+    }
+
+    #[test]
+    fn a_flood_of_one_caller_leaves_room_for_another() {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut pool = pool_of(&[1], now);
+        let deadline = now + Duration::from_millis(200);
+        for ticket in 0..100 {
+            pool.request_slot(request(ticket, "flood", deadline), now, &mut rng);
+        }
+        let (decision, displaced) =
+            pool.request_slot(request(1_000, "desk", deadline), now, &mut rng);
+        assert_eq!(decision, SlotDecision::Queued);
+        let displaced = displaced.expect("a request of the flood gives way");
+        assert_matches!(
+            displaced.decision,
+            SlotDecision::Refused {
+                reason: NotRunReason::CallerShare,
+                ..
+            }
+        );
+    }
+
+    #[test]
+    fn an_endpoint_that_fails_at_once_is_left_out() {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut pool = pool_of(&[8, 8], now);
+        let mut failures = 0;
+        for ticket in 0..100 {
+            let deadline = now + Duration::from_secs(1);
+            let (decision, _) = pool.request_slot(request(ticket, "c", deadline), now, &mut rng);
+            let SlotDecision::Granted(key) = decision else {
+                panic!("{decision:?}")
+            };
+            let result = if key.worker == "w0" {
+                failures += 1;
+                SlotResult::Failure
+            } else {
+                SlotResult::Success(Duration::from_millis(5))
+            };
+            pool.release(&key, result, now);
+        }
+        assert!(
+            failures <= 6,
+            "{failures} requests went to the broken endpoint"
+        );
+    }
+
+    #[test]
+    fn a_leaving_endpoint_gets_nothing() {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut pool = pool_of(&[8, 8], now);
+        let key = EndpointKey {
+            worker: "w0".into(),
+            endpoint: "r".into(),
+            incarnation: 1,
+        };
+        pool.release(&key, SlotResult::Leaving, now);
+        for ticket in 0..8 {
+            let deadline = now + Duration::from_secs(1);
+            let (decision, _) = pool.request_slot(request(ticket, "c", deadline), now, &mut rng);
+            assert_matches!(decision, SlotDecision::Granted(key) if key.worker == "w1");
+        }
+    }
+}
--- /dev/null
+++ b/src/request/task_plan.rs
@@ -0,0 +1,256 @@
+//! Which queued tasks start next, and where.
+//!
+//! Teams get fair shares by dominant resource, each relative to its quota. Within a team urgent
+//! tasks go first, then older ones. A task that has waited long goes before all shares, so that
+//! nothing starves.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::ids::TeamName;
+use crate::ids::WorkerId;
+use crate::platform::worker::ResourceAmount;
+use crate::request::placement::PlacementWay;
+use crate::request::placement::WorkerView;
+use crate::request::placement::dominant_share;
+use crate::request::placement::place;
+
+/// Waiting time after which a task goes before the teams' shares.
+const LONG_WAIT: Duration = Duration::from_secs(600);
+/// Tasks of one team that are looked at in one plan when the first ones find no room.
+const LOOK_AHEAD: usize = 64;
+
+/// A queued task as the plan sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedTask {
+    /// Key of its row.
+    pub key: String,
+    /// The team on whose quota it runs.
+    pub team: TeamName,
+    /// Whether it goes before the team's other work.
+    pub urgent: bool,
+    /// What would be committed to it.
+    pub resources: ResourceAmount,
+    /// Workers on which it failed before.
+    pub avoid: Vec<WorkerId>,
+    /// How long it has waited.
+    pub waited: Duration,
+}
+
+/// A team's quota and what it uses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TeamShare {
+    /// What it may use at most.
+    pub quota: ResourceAmount,
+    /// What it uses.
+    pub used: ResourceAmount,
+}
+
+/// A start that was decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedStart {
+    /// Key of the task's row.
+    pub key: String,
+    /// Where it starts.
+    pub worker: WorkerId,
+}
+
+/// Plans at most `limit` starts and takes them out of `views` and the teams' shares.
+///
+/// ```
+/// use std::collections::BTreeMap;
+///
+/// use greengagearch::request::placement::PlacementWay;
+/// use greengagearch::request::task_plan::plan_starts;
+///
+/// let mut teams = BTreeMap::new();
+/// let way = PlacementWay::LeastLoaded;
+/// let starts = plan_starts(Vec::new(), &mut [], &mut teams, way, 8, &mut rand::rng());
+/// assert!(starts.is_empty());
+/// ```
+pub fn plan_starts<R: Rng>(
+    queued: Vec<QueuedTask>,
+    views: &mut [WorkerView],
+    teams: &mut BTreeMap<TeamName, TeamShare>,
+    way: PlacementWay,
+    limit: usize,
+    rng: &mut R,
+) -> Vec<PlannedStart> {
+    let mut starts = Vec::new();
+    let mut queues = queues_by_team(queued);
+    while starts.len() < limit {
+        let Some(team) = next_team(&queues, teams) else {
+            break;
+        };
+        let Some(task) = queues.get_mut(&team).and_then(VecDeque::pop_front) else {
+            break;
+        };
+        let share = teams.entry(team).or_default();
+        if !share.quota.contains(&share.used.plus(&task.resources)) {
+            continue;
+        }
+        if let Some(index) = place(way, views, &task.resources, &task.avoid, rng) {
+            views[index].take(&task.resources);
+            share.used = share.used.plus(&task.resources);
+            starts.push(PlannedStart {
+                key: task.key,
+                worker: views[index].worker.clone(),
+            });
+        }
+    }
+    starts
+}
+
+/// Each team's tasks: urgent first, then the longest wait.
+fn queues_by_team(mut queued: Vec<QueuedTask>) -> BTreeMap<TeamName, VecDeque<QueuedTask>> {
+    queued.sort_by(|a, b| {
+        let urgency = b.urgent.cmp(&a.urgent);
+        urgency
+            .then(b.waited.cmp(&a.waited))
+            .then_with(|| a.key.cmp(&b.key))
+    });
+    let mut queues: BTreeMap<TeamName, VecDeque<QueuedTask>> = BTreeMap::new();
+    for task in queued {
+        let queue = queues.entry(task.team.clone()).or_default();
+        if queue.len() < LOOK_AHEAD {
+            queue.push_back(task);
+        }
+    }
+    queues
+}
+
+/// The team whose first task goes next: long waits, then urgent, then the smallest share.
+fn next_team(
+    queues: &BTreeMap<TeamName, VecDeque<QueuedTask>>,
+    teams: &BTreeMap<TeamName, TeamShare>,
+) -> Option<TeamName> {
+    let heads = queues
+        .iter()
+        .filter_map(|(team, queue)| Some((team, queue.front()?)));
+    let ranked = heads.map(|(team, task)| {
+        let share = teams.get(team).copied().unwrap_or_default();
+        let used = dominant_share(&share.used, &share.quota);
+        let rank = (task.waited < LONG_WAIT, !task.urgent, used);
+        (team, rank)
+    });
+    let first =
+        ranked.min_by(|(_, a), (_, b)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+    first.map(|(team, _)| team.clone())
+}
+
+#[cfg(test)]
+mod tests {
+    use rand::SeedableRng;
+    use rand::rngs::StdRng;
+
+    use super::*;
+
+    fn amount(millicores: u64) -> ResourceAmount {
+        ResourceAmount {
+            millicores,
+            memory_mib: millicores,
+            accelerators: 0,
+        }
+    }
+
+    fn view(worker: &str, free: u64) -> WorkerView {
+        WorkerView {
+            worker: worker.to_string(),
+            domain: "a".to_string(),
+            capacity: amount(1_000),
+            free: amount(free),
+            probes_left: None,
+        }
+    }
+
+    fn task(key: &str, team: &str, urgent: bool, waited: u64) -> QueuedTask {
+        QueuedTask {
+            key: key.to_string(),
+            team: team.to_string(),
+            urgent,
+            resources: amount(500),
+            avoid: Vec::new(),
+            waited: Duration::from_secs(waited),
+        }
+    }
+
+    fn shares(quotas: &[(&str, u64)]) -> BTreeMap<TeamName, TeamShare> {
+        let share = |quota: u64| TeamShare {
+            quota: amount(quota),
+            used: amount(0),
+        };
+        quotas
+            .iter()
+            .map(|(team, quota)| (team.to_string(), share(*quota)))
+            .collect()
+    }
+
+    fn plan(
+        queued: Vec<QueuedTask>,
+        views: &mut [WorkerView],
+        teams: &mut BTreeMap<TeamName, TeamShare>,
+    ) -> Vec<String> {
+        let mut rng = StdRng::seed_from_u64(1);
+        let starts = plan_starts(
+            queued,
+            views,
+            teams,
+            PlacementWay::LeastLoaded,
+            99,
+            &mut rng,
+        );
+        starts.into_iter().map(|start| start.key).collect()
+    }
+
+    #[test]
+    fn no_worker_and_no_quota_is_exceeded() {
+        let queued = (0..9)
+            .map(|n| task(&n.to_string(), "t", false, n))
+            .collect();
+        let mut views = [view("w1", 1_000), view("w2", 700)];
+        let mut teams = shares(&[("t", 1_200)]);
+        assert_eq!(plan(queued, &mut views, &mut teams).len(), 2);
+        assert_eq!(teams["t"].used, amount(1_000));
+    }
+
+    #[test]
+    fn teams_take_turns_and_urgent_goes_first() {
+        let queued = vec![
+            task("a1", "a", false, 50),
+            task("a2", "a", false, 40),
+            task("b1", "b", false, 1),
+            task("b2", "b", true, 0),
+        ];
+        let mut views = [view("w1", 1_000), view("w2", 500)];
+        let mut teams = shares(&[("a", 5_000), ("b", 5_000)]);
+        assert_eq!(plan(queued, &mut views, &mut teams), ["b2", "a1", "a2"]);
+    }
+
+    #[test]
+    fn a_long_wait_goes_before_shares() {
+        let queued = vec![task("old", "a", false, 700), task("new", "b", true, 0)];
+        let mut views = [view("w1", 500)];
+        let mut teams = shares(&[("a", 5_000), ("b", 5_000)]);
+        teams.get_mut("a").unwrap().used = amount(4_000);
+        assert_eq!(plan(queued, &mut views, &mut teams), ["old"]);
+    }
+
+    #[test]
+    fn a_task_that_fits_nowhere_does_not_hold_others_up() {
+        let mut big = task("big", "a", true, 99);
+        big.resources = amount(2_000);
+        let mut views = [view("w1", 500)];
+        let mut teams = shares(&[("a", 5_000)]);
+        assert_eq!(
+            plan(
+                vec![big, task("small", "a", false, 1)],
+                &mut views,
+                &mut teams
+            ),
+            ["small"]
+        );
+    }
+}
--- /dev/null
+++ b/src/version/catalog.rs
@@ -0,0 +1,168 @@
+//! The documents in force in a process, under one generation that never goes back.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::GenerationNumber;
+use crate::ids::RevisionNumber;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+use crate::platform::worker::ResourceAmount;
+use crate::version::document::ServiceDocument;
+
+/// Key of the row that holds the generation.
+pub const GENERATION_KEY: &str = "generation";
+/// Prefix of the keys of documents.
+pub const DOCUMENT_PREFIX: &str = "document/";
+
+/// Key of a document's row.
+///
+/// ```
+/// assert_eq!(greengagearch::version::catalog::document_key("spots"), "document/spots");
+/// ```
+pub fn document_key(service: &str) -> String {
+    format!("{DOCUMENT_PREFIX}{service}")
+}
+
+/// One change in a document's history.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentChange {
+    /// Revision that the change made.
+    pub revision: RevisionNumber,
+    /// Generation that it came into force with.
+    pub generation: GenerationNumber,
+    /// The team that signed in.
+    pub team: TeamName,
+    /// Wall-clock time in milliseconds since the Unix epoch.
+    pub at_millis: u64,
+    /// Token of the change, made by whoever applied it; tells a repeat from a race.
+    pub token: String,
+}
+
+/// The row of a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentRow {
+    /// The service.
+    pub service: ServiceName,
+    /// INI text.
+    pub text: String,
+    /// Changes, the newest last; the newest ones only.
+    pub history: Vec<DocumentChange>,
+}
+
+impl DocumentRow {
+    /// Revision in the row; zero when there is no change yet.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentRow;
+    ///
+    /// let row = DocumentRow { service: "s".into(), text: String::new(), history: Vec::new() };
+    /// assert_eq!(row.revision(), 0);
+    /// ```
+    pub fn revision(&self) -> RevisionNumber {
+        self.history.last().map_or(0, |change| change.revision)
+    }
+}
+
+/// All documents under one generation, as processes pass them on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentSet {
+    /// The generation.
+    pub generation: GenerationNumber,
+    /// The rows.
+    pub rows: Vec<DocumentRow>,
+}
+
+/// Documents in force.
+#[derive(Clone, Debug, Default)]
+pub struct DocumentCatalog {
+    set: DocumentSet,
+    documents: BTreeMap<ServiceName, Arc<ServiceDocument>>,
+}
+
+impl DocumentCatalog {
+    /// Puts a set in force unless its generation is not newer. Gives whether it did.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentCatalog;
+    /// use greengagearch::version::catalog::DocumentSet;
+    ///
+    /// let mut catalog = DocumentCatalog::default();
+    /// assert!(catalog.adopt(DocumentSet { generation: 2, rows: Vec::new() }));
+    /// assert!(!catalog.adopt(DocumentSet { generation: 1, rows: Vec::new() }));
+    /// assert_eq!(catalog.generation(), 2);
+    /// ```
+    pub fn adopt(&mut self, set: DocumentSet) -> bool {
+        if set.generation <= self.set.generation {
+            return false;
+        }
+        let parsed = set.rows.iter().filter_map(|row| {
+            let document = ServiceDocument::parse(&row.service, &row.text).ok()?;
+            Some((row.service.clone(), Arc::new(document)))
+        });
+        self.documents = parsed.collect();
+        self.set = set;
+        true
+    }
+
+    /// The generation in force.
+    ///
+    /// ```
+    /// assert_eq!(greengagearch::version::catalog::DocumentCatalog::default().generation(), 0);
+    /// ```
+    pub fn generation(&self) -> GenerationNumber {
+        self.set.generation
+    }
+
+    /// The document of a service.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentCatalog;
+    ///
+    /// assert!(DocumentCatalog::default().document("spots").is_none());
+    /// ```
+    pub fn document(&self, service: &str) -> Option<Arc<ServiceDocument>> {
+        self.documents.get(service).cloned()
+    }
+
+    /// All documents.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentCatalog;
+    ///
+    /// assert_eq!(DocumentCatalog::default().documents().count(), 0);
+    /// ```
+    pub fn documents(&self) -> impl Iterator<Item = &Arc<ServiceDocument>> {
+        self.documents.values()
+    }
+
+    /// The set, to be passed on.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentCatalog;
+    ///
+    /// assert!(DocumentCatalog::default().set().rows.is_empty());
+    /// ```
+    pub fn set(&self) -> &DocumentSet {
+        &self.set
+    }
+
+    /// What a team's batch tasks may use; nothing when the team owns no document.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentCatalog;
+    ///
+    /// assert!(DocumentCatalog::default().quota("sendeplan").is_none());
+    /// ```
+    pub fn quota(&self, team: &str) -> Option<ResourceAmount> {
+        let owned = self
+            .documents
+            .values()
+            .filter(|document| document.owner == team);
+        let quotas = owned.map(|document| document.quota);
+        quotas.reduce(|sum, quota| sum.plus(&quota))
+    }
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as a version of the configuration: documents and the generation in force.
+
+pub mod catalog;
+pub mod document;
