--- a/src/connection/announcement.rs
+++ b/src/connection/announcement.rs
@@ -75,14 +75,8 @@
             return;
         }
         let in_flight = known.map_or(0, |endpoint| endpoint.in_flight);
-        let endpoint = AnnouncedEndpoint {
-            lapses_at,
-            leaving: false,
-            in_flight,
-            announcement,
-        };
-        self.endpoints
-            .insert(endpoint.announcement.endpoint.clone(), endpoint);
+        let endpoint = AnnouncedEndpoint { lapses_at, leaving: false, in_flight, announcement };
+        self.endpoints.insert(endpoint.announcement.endpoint.clone(), endpoint);
     }
 
     /// Marks an endpoint as leaving. Gives whether it was known.
@@ -147,10 +141,7 @@
     /// assert_eq!(greengagearch::connection::announcement::EndpointTable::default().in_flight(), 0);
     /// ```
     pub fn in_flight(&self) -> u32 {
-        self.endpoints
-            .values()
-            .map(|endpoint| endpoint.in_flight)
-            .sum()
+        self.endpoints.values().map(|endpoint| endpoint.in_flight).sum()
     }
 
     /// Requests in flight at one endpoint.
@@ -160,9 +151,7 @@
     /// assert_eq!(EndpointTable::default().in_flight_at("r1"), 0);
     /// ```
     pub fn in_flight_at(&self, endpoint: &str) -> u32 {
-        self.endpoints
-            .get(endpoint)
-            .map_or(0, |endpoint| endpoint.in_flight)
+        self.endpoints.get(endpoint).map_or(0, |endpoint| endpoint.in_flight)
     }
 
     /// What the heartbeat says of each endpoint. A lapsed one counts as leaving; it is forgotten
@@ -219,10 +208,7 @@
         table.announce(announcement(), now);
         table.leave("r1");
         table.announce(announcement(), now);
-        assert_eq!(
-            table.take_slot("r1", now),
-            Err(NotRunReason::EndpointLeaving)
-        );
+        assert_eq!(table.take_slot("r1", now), Err(NotRunReason::EndpointLeaving));
         let later = now + Duration::from_secs(1);
         table.announce(announcement(), later);
         assert!(table.take_slot("r1", later).is_ok());
@@ -236,10 +222,7 @@
         table.take_slot("r1", now).unwrap();
         let later = now + Duration::from_secs(60);
         assert!(table.reports(later)[0].leaving);
-        assert_eq!(
-            table.take_slot("r1", later),
-            Err(NotRunReason::EndpointLeaving)
-        );
+        assert_eq!(table.take_slot("r1", later), Err(NotRunReason::EndpointLeaving));
         table.release_slot("r1");
         assert!(table.reports(later).is_empty());
     }
--- a/src/connection/cluster_map.rs
+++ b/src/connection/cluster_map.rs
@@ -35,7 +35,7 @@
 }
 
 /// Who owns one partition.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartitionOwner {
     /// The owner's incarnation; zero when there is none.
     pub incarnation: IncarnationId,
@@ -45,6 +45,13 @@
     pub handed_over: bool,
 }
 
+impl Default for PartitionOwner {
+    /// A partition that nobody acts for.
+    fn default() -> PartitionOwner {
+        PartitionOwner { incarnation: 0, epoch: 0, handed_over: true }
+    }
+}
+
 /// Time spans that all processes must agree on, in milliseconds; written by the first entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClusterTiming {
@@ -182,7 +189,11 @@
     pub fn handed_over_by(&self, incarnation: IncarnationId) -> ClusterMap {
         let mut map = self.without_members(&[incarnation]);
         for (before, after) in self.owners.iter().zip(&mut map.owners) {
-            after.handed_over |= before.incarnation == incarnation;
+            if before.incarnation == incarnation {
+                let next = if map.members.is_empty() { 0 } else { after.incarnation };
+                let epoch = after.epoch;
+                *after = PartitionOwner { incarnation: next, epoch, handed_over: true };
+            }
         }
         map
     }
@@ -195,9 +206,7 @@
     /// assert!(!ClusterMap::default().has_member(1));
     /// ```
     pub fn has_member(&self, incarnation: IncarnationId) -> bool {
-        self.members
-            .iter()
-            .any(|member| member.incarnation == incarnation)
+        self.members.iter().any(|member| member.incarnation == incarnation)
     }
 
     /// Partitions of an incarnation, with the epoch of each ownership.
@@ -210,9 +219,7 @@
     pub fn owned_by(&self, incarnation: IncarnationId) -> BTreeMap<PartitionId, LeaseEpoch> {
         let owners = (0..).zip(&self.owners);
         let owned = owners.filter(|(_, owner)| owner.incarnation == incarnation);
-        owned
-            .map(|(partition, owner)| (partition, owner.epoch))
-            .collect()
+        owned.map(|(partition, owner)| (partition, owner.epoch)).collect()
     }
 
     /// The member that owns a partition.
@@ -224,9 +231,7 @@
     /// ```
     pub fn owner_of(&self, partition: PartitionId) -> Option<&EntryMember> {
         let owner = self.owners.get(partition as usize)?;
-        self.members
-            .iter()
-            .find(|member| member.incarnation == owner.incarnation)
+        self.members.iter().find(|member| member.incarnation == owner.incarnation)
     }
 
     fn with_members(&self, members: Vec<EntryMember>) -> ClusterMap {
@@ -236,19 +241,15 @@
             members,
             owners: self.owners.clone(),
         };
-        map.owners
-            .resize(PARTITION_COUNT as usize, PartitionOwner::default());
+        map.owners.resize(PARTITION_COUNT as usize, PartitionOwner::default());
         map.spread_partitions();
         map
     }
 
     /// Moves as few partitions as needed until no member has two more than another.
     fn spread_partitions(&mut self) {
-        let mut counts: BTreeMap<IncarnationId, usize> = self
-            .members
-            .iter()
-            .map(|member| (member.incarnation, 0))
-            .collect();
+        let mut counts: BTreeMap<IncarnationId, usize> =
+            self.members.iter().map(|member| (member.incarnation, 0)).collect();
         if counts.is_empty() {
             return;
         }
@@ -267,9 +268,9 @@
             };
             *count += 1;
             let owner = &mut self.owners[index];
+            owner.handed_over &= owner.incarnation == 0;
             owner.incarnation = *incarnation;
             owner.epoch += 1;
-            owner.handed_over = false;
         }
     }
 }
@@ -286,15 +287,26 @@
     partition_of(id.as_bytes())
 }
 
-/// Partition of a job id.
+/// Partition of a team's jobs: one owner sees all of a team's work, so that its quota is exact.
+///
+/// ```
+/// use greengagearch::connection::cluster_map::partition_of_team;
+///
+/// assert_eq!(partition_of_team("planning"), partition_of_team("planning"));
+/// ```
+pub fn partition_of_team(team: &str) -> PartitionId {
+    partition_of(team.as_bytes())
+}
+
+/// Partition whose owner looks after a worker.
 ///
 /// ```
-/// use greengagearch::connection::cluster_map::partition_of_job;
+/// use greengagearch::connection::cluster_map::partition_of_worker;
 ///
-/// assert_eq!(partition_of_job("night"), partition_of_job("night"));
+/// assert_eq!(partition_of_worker("w1"), partition_of_worker("w1"));
 /// ```
-pub fn partition_of_job(job: &str) -> PartitionId {
-    partition_of(job.as_bytes())
+pub fn partition_of_worker(worker: &str) -> PartitionId {
+    partition_of(worker.as_bytes())
 }
 
 fn partition_of(bytes: &[u8]) -> PartitionId {
@@ -306,34 +318,21 @@
     use super::*;
 
     fn member(incarnation: IncarnationId) -> EntryMember {
-        EntryMember {
-            id: format!("e{incarnation}"),
-            incarnation,
-            address: String::new(),
-        }
+        EntryMember { id: format!("e{incarnation}"), incarnation, address: String::new() }
     }
 
     #[test]
     fn a_join_moves_only_what_the_joiner_gets() {
-        let two = ClusterMap::default()
-            .with_member(member(1))
-            .with_member(member(2));
+        let two = ClusterMap::default().with_member(member(1)).with_member(member(2));
         let three = two.with_member(member(3));
-        let moved = two
-            .owners
-            .iter()
-            .zip(&three.owners)
-            .filter(|(old, new)| old != new)
-            .count();
+        let moved = two.owners.iter().zip(&three.owners).filter(|(old, new)| old != new).count();
         assert_eq!(moved, three.owned_by(3).len());
         assert!(three.owned_by(3).len() >= 20);
     }
 
     #[test]
     fn a_removal_raises_the_epoch_of_what_moved() {
-        let two = ClusterMap::default()
-            .with_member(member(1))
-            .with_member(member(2));
+        let two = ClusterMap::default().with_member(member(1)).with_member(member(2));
         let one = two.without_members(&[2]);
         for (partition, epoch) in two.owned_by(2) {
             assert!(one.owners[partition as usize].epoch > epoch);
@@ -341,6 +340,27 @@
         assert_eq!(one.owned_by(1).len(), PARTITION_COUNT as usize);
     }
 
+    #[test]
+    fn only_what_a_stopped_owner_gave_away_is_handed_over() {
+        let two = ClusterMap::default().with_member(member(1)).with_member(member(2));
+        let left = two.handed_over_by(2);
+        for (before, after) in two.owners.iter().zip(&left.owners) {
+            assert_eq!(after.handed_over, before.incarnation == 2 || before.handed_over);
+        }
+        let died = left.with_member(member(3)).without_members(&[1]);
+        let moved = died.owners.iter().zip(&left.owners).filter(|(now, then)| now != then);
+        assert!(moved.count() > 0);
+        assert!(died.owners.iter().all(|owner| !owner.handed_over || owner.epoch <= 2));
+    }
+
+    #[test]
+    fn the_last_member_hands_over_to_whoever_comes() {
+        let none = ClusterMap::default().with_member(member(1)).handed_over_by(1);
+        assert!(none.members.is_empty());
+        let next = none.with_member(member(2));
+        assert!(next.owners.iter().all(|owner| owner.handed_over && owner.incarnation == 2));
+    }
+
     #[test]
     fn a_new_run_of_an_entry_replaces_the_old_one() {
         let first = ClusterMap::default().with_member(member(1));
--- /dev/null
+++ b/src/connection/cluster_view.rs
@@ -0,0 +1,331 @@
+//! An entry's view of the cluster: what it knows, what it may act for, what it promises.
+//!
+//! The view decides and keeps; reading the row, writing it and sending heartbeats is left to its
+//! callers. `docs/notes/leases.md` derives why two entries never act for one partition.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::connection::cluster_map::ClusterMap;
+use crate::connection::cluster_map::EntryMember;
+use crate::connection::grant_desk::GrantDesk;
+use crate::connection::lease::LeaseHolder;
+use crate::ids::IncarnationId;
+use crate::ids::LeaseEpoch;
+use crate::ids::PartitionId;
+use crate::ids::RowVersion;
+
+/// Heartbeats that a member may miss before it is removed.
+const BEATS_TO_REMOVE: u32 = 3;
+
+/// An entry's right to act for a partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ActingRight {
+    /// Epoch of the ownership.
+    pub epoch: LeaseEpoch,
+    /// Since when the entry may act.
+    pub since: Instant,
+}
+
+/// A change of the row that an entry is about to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MapChange {
+    /// Version of the row that the change builds on.
+    pub version: RowVersion,
+    /// The new map.
+    pub map: ClusterMap,
+}
+
+/// How the write of a change ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeResult {
+    /// It took effect, and the row has this version.
+    Written(RowVersion),
+    /// It took no effect and never will.
+    Refused,
+    /// It may take effect now or later.
+    Ambiguous,
+}
+
+/// What an entry knows of the cluster.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use greengagearch::connection::cluster_map::ClusterMap;
+/// use greengagearch::connection::cluster_map::EntryMember;
+/// use greengagearch::connection::cluster_view::ClusterView;
+///
+/// let own = EntryMember { id: "e1".into(), incarnation: 1, address: "127.0.0.1:1".into() };
+/// let now = Instant::now();
+/// let mut view = ClusterView::new(own.clone(), now);
+/// let map = ClusterMap::default().with_member(own);
+/// view.on_row(map, 1, now, now);
+/// assert!(view.acting_right(0, now).is_some());
+/// assert!(view.plan_upkeep(now).is_none());
+/// ```
+#[derive(Debug)]
+pub struct ClusterView {
+    own: EntryMember,
+    map: ClusterMap,
+    row_version: Option<RowVersion>,
+    holder: Option<LeaseHolder>,
+    desk: GrantDesk,
+    acts_from: Vec<Instant>,
+    takes_workers_from: Instant,
+    heard: HashMap<IncarnationId, Instant>,
+    pending: Option<MapChange>,
+    stopped: bool,
+}
+
+impl ClusterView {
+    /// The view of an entry that knows nothing yet.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::cluster_map::EntryMember;
+    /// use greengagearch::connection::cluster_view::ClusterView;
+    ///
+    /// let own = EntryMember { id: "e1".into(), incarnation: 1, address: "127.0.0.1:1".into() };
+    /// let view = ClusterView::new(own, Instant::now());
+    /// assert!(!view.is_member());
+    /// ```
+    pub fn new(own: EntryMember, now: Instant) -> ClusterView {
+        ClusterView {
+            own,
+            map: ClusterMap::default(),
+            row_version: None,
+            holder: None,
+            desk: GrantDesk::default(),
+            acts_from: Vec::new(),
+            takes_workers_from: now,
+            heard: HashMap::new(),
+            pending: None,
+            stopped: false,
+        }
+    }
+
+    /// The newest map that is known.
+    pub fn map(&self) -> &ClusterMap {
+        &self.map
+    }
+
+    /// Whether this entry is a member of the newest map it knows.
+    pub fn is_member(&self) -> bool {
+        self.map.has_member(self.own.incarnation)
+    }
+
+    /// Takes in a read of the row that was sent at `sent`.
+    pub fn on_row(&mut self, map: ClusterMap, version: RowVersion, sent: Instant, now: Instant) {
+        if self.pending.as_ref().is_some_and(|change| version > change.version) {
+            // The row has moved on, so the change either is in it or can never be.
+            self.pending = None;
+            self.desk.end_change(map.generation);
+        }
+        if map.generation >= self.map.generation {
+            self.row_version = Some(version);
+        }
+        let is_member = map.has_member(self.own.incarnation);
+        self.adopt(map, now);
+        if let Some(holder) = self.holder.as_mut().filter(|_| is_member) {
+            holder.on_read(0, sent);
+        }
+    }
+
+    /// Takes in a map from anywhere; an older one than is known changes nothing.
+    pub fn adopt(&mut self, map: ClusterMap, now: Instant) {
+        if map.generation <= self.map.generation {
+            return;
+        }
+        let timing = map.timing;
+        let was_member = self.is_member();
+        let old = std::mem::replace(&mut self.map, map);
+        self.desk.on_map(self.map.generation);
+        if !self.is_member() {
+            self.holder = None;
+        } else if !was_member {
+            self.holder = Some(LeaseHolder::new(timing.partition_lease(), 0, now));
+            let is_first = old.generation == 0 && self.map.generation == 1;
+            let wait = timing.worker_lease().takeover_wait();
+            self.takes_workers_from = if is_first { now } else { now + wait };
+        }
+        self.update_acts_from(&old, now);
+        self.heard.retain(|incarnation, _| self.map.has_member(*incarnation));
+        for member in &self.map.members {
+            self.heard.entry(member.incarnation).or_insert(now);
+        }
+    }
+
+    /// Takes in a sign of life of another entry.
+    pub fn on_heard(&mut self, incarnation: IncarnationId, now: Instant) {
+        if let Some(heard) = self.heard.get_mut(&incarnation) {
+            *heard = now;
+        }
+    }
+
+    /// Takes in a grant that `member` gave in answer to a heartbeat sent at `sent`.
+    pub fn on_grant(&mut self, member: IncarnationId, sent: Instant) {
+        if let Some(holder) = &mut self.holder {
+            holder.on_grant(member, sent);
+        }
+    }
+
+    /// This entry's right to act for a partition at `now`, if it has one.
+    pub fn acting_right(&self, partition: PartitionId, now: Instant) -> Option<ActingRight> {
+        let owner = self.map.owners.get(partition as usize)?;
+        let since = *self.acts_from.get(partition as usize)?;
+        let is_own = owner.incarnation == self.own.incarnation && !self.stopped;
+        let is_valid = self.holder.as_ref()?.is_valid(&self.map, now);
+        (is_own && is_valid && now >= since).then_some(ActingRight { epoch: owner.epoch, since })
+    }
+
+    /// The partitions that this entry may act for at `now`.
+    pub fn acting_partitions(&self, now: Instant) -> Vec<PartitionId> {
+        let all = 0..self.map.owners.len() as PartitionId;
+        all.filter(|partition| self.acting_right(*partition, now).is_some()).collect()
+    }
+
+    /// Whether this entry may take the leases of workers over at `now`.
+    pub fn may_take_workers(&self, now: Instant) -> bool {
+        self.is_member() && !self.stopped && now >= self.takes_workers_from
+    }
+
+    /// Whether the holder of a lease, who knows the map of `generation`, gets a grant.
+    pub fn may_grant(&self, lease: &str, epoch: LeaseEpoch, generation: u64) -> bool {
+        self.is_member() && !self.stopped && self.desk.may_grant(lease, epoch, generation)
+    }
+
+    /// Must be called before a takeover of a worker's lease is sent to the table service.
+    pub fn supersede(&mut self, lease: &str, epoch: LeaseEpoch) {
+        self.desk.supersede(lease, epoch);
+    }
+
+    /// The version of the row at the newest map, as a check in a worker's takeover.
+    pub fn row_version(&self) -> Option<RowVersion> {
+        self.row_version
+    }
+
+    /// The change that adds `member`, when this entry can write one now.
+    pub fn plan_join(&self, member: EntryMember) -> Option<MapChange> {
+        let version = self.row_version.filter(|_| self.is_member() && self.pending.is_none())?;
+        Some(MapChange { version, map: self.map.with_member(member) })
+    }
+
+    /// The change that removes silent members, or settles a change whose outcome is not known.
+    pub fn plan_upkeep(&self, now: Instant) -> Option<MapChange> {
+        if let Some(change) = &self.pending {
+            return Some(change.clone());
+        }
+        let version = self.row_version.filter(|_| self.is_member() && !self.stopped)?;
+        let limit = self.map.timing.entry_beat() * BEATS_TO_REMOVE;
+        let silent = self.heard.iter().filter(|(incarnation, heard)| {
+            **incarnation != self.own.incarnation && now.saturating_duration_since(**heard) > limit
+        });
+        let silent: Vec<IncarnationId> = silent.map(|(incarnation, _)| *incarnation).collect();
+        if silent.is_empty() {
+            return None;
+        }
+        Some(MapChange { version, map: self.map.without_members(&silent) })
+    }
+
+    /// The change that hands this entry's partitions over; from now on it acts for none.
+    pub fn plan_leave(&mut self) -> Option<MapChange> {
+        self.stopped = true;
+        let version = self.row_version.filter(|_| self.is_member())?;
+        Some(MapChange { version, map: self.map.handed_over_by(self.own.incarnation) })
+    }
+
+    /// Must be called before a change is sent to the table service.
+    pub fn begin_change(&mut self, change: &MapChange) {
+        self.pending = Some(change.clone());
+        self.desk.begin_change();
+    }
+
+    /// Takes in how the write of a change ended.
+    pub fn end_change(&mut self, change: MapChange, result: ChangeResult, now: Instant) {
+        match result {
+            ChangeResult::Ambiguous => {}
+            ChangeResult::Refused => {
+                self.pending = None;
+                self.desk.end_change(self.map.generation);
+            }
+            ChangeResult::Written(version) => {
+                self.pending = None;
+                self.desk.end_change(change.map.generation);
+                self.row_version = Some(version);
+                self.adopt(change.map, now);
+            }
+        }
+    }
+
+    fn update_acts_from(&mut self, old: &ClusterMap, now: Instant) {
+        let wait = self.map.timing.partition_lease().takeover_wait();
+        self.acts_from.resize(self.map.owners.len(), now);
+        for (index, owner) in self.map.owners.iter().enumerate() {
+            let is_same = old.owners.get(index).is_some_and(|before| before.epoch == owner.epoch);
+            if !is_same {
+                self.acts_from[index] = if owner.handed_over { now } else { now + wait };
+            }
+        }
+    }
+
+    /// How long a member may be silent before it is removed.
+    pub fn removal_limit(&self) -> Duration {
+        self.map.timing.entry_beat() * BEATS_TO_REMOVE
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(incarnation: IncarnationId) -> EntryMember {
+        EntryMember { id: format!("e{incarnation}"), incarnation, address: String::new() }
+    }
+
+    #[test]
+    fn the_first_entry_acts_at_once_and_a_joiner_after_its_wait() {
+        let now = Instant::now();
+        let mut first = ClusterView::new(member(1), now);
+        let map = ClusterMap::default().with_member(member(1));
+        first.on_row(map.clone(), 1, now, now);
+        assert!(first.acting_right(0, now).is_some());
+        let mut second = ClusterView::new(member(2), now);
+        let both = map.with_member(member(2));
+        let moved = *both.owned_by(2).keys().next().unwrap();
+        second.on_row(both.clone(), 2, now, now);
+        assert!(second.acting_right(moved, now).is_none());
+        let later = now + both.timing.partition_lease().takeover_wait();
+        second.on_row(both, 2, later, later);
+        assert!(second.acting_right(moved, later).is_some());
+    }
+
+    #[test]
+    fn nothing_is_granted_while_a_change_may_take_effect() {
+        let now = Instant::now();
+        let mut view = ClusterView::new(member(1), now);
+        let map = ClusterMap::default().with_member(member(1));
+        view.on_row(map.clone(), 1, now, now);
+        let change = view.plan_join(member(2)).unwrap();
+        view.begin_change(&change);
+        assert!(!view.may_grant("worker/w", 1, 9));
+        view.end_change(change.clone(), ChangeResult::Ambiguous, now);
+        view.on_row(map, 1, now, now);
+        assert!(!view.may_grant("worker/w", 1, 9));
+        assert_eq!(view.plan_upkeep(now), Some(change.clone()));
+        view.on_row(change.map, 2, now, now);
+        assert!(view.may_grant("worker/w", 1, 9));
+    }
+
+    #[test]
+    fn a_member_that_was_removed_stops_at_once() {
+        let now = Instant::now();
+        let mut view = ClusterView::new(member(1), now);
+        let map = ClusterMap::default().with_member(member(1)).with_member(member(2));
+        view.on_row(map.clone(), 1, now, now);
+        view.adopt(map.without_members(&[1]), now);
+        assert!(view.acting_partitions(now).is_empty());
+    }
+}
--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -110,13 +110,7 @@
     /// assert!(!holder.is_valid(&ClusterMap::default(), now + Duration::from_secs(2)));
     /// ```
     pub fn new(timing: LeaseTiming, epoch: LeaseEpoch, last_read: Instant) -> LeaseHolder {
-        LeaseHolder {
-            timing,
-            epoch,
-            last_read,
-            grants: BTreeMap::new(),
-            lost: false,
-        }
+        LeaseHolder { timing, epoch, last_read, grants: BTreeMap::new(), lost: false }
     }
 
     /// Epoch of the lease.
@@ -240,11 +234,7 @@
         let mut map = ClusterMap::default();
         for incarnation in incarnations {
             let id = format!("e{incarnation}");
-            let member = EntryMember {
-                id,
-                incarnation: *incarnation,
-                address: String::new(),
-            };
+            let member = EntryMember { id, incarnation: *incarnation, address: String::new() };
             map = map.with_member(member);
         }
         map
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod announcement;
 pub mod cluster_map;
+pub mod cluster_view;
 pub mod grant_desk;
 pub mod lease;
 pub mod protocol;
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -202,8 +202,8 @@
     async fn forward(request: ServiceRequest) -> RequestOutcome;
     /// The cluster map as this entry knows it.
     async fn cluster() -> ClusterMap;
-    /// The documents in force.
-    async fn documents() -> DocumentSet;
+    /// The documents that changed after a generation, under the generation in force.
+    async fn documents(since: GenerationNumber) -> DocumentSet;
     /// Says that tasks of a partition may have changed.
     async fn tasks_changed(partition: PartitionId);
 }
--- a/src/connection/rpc_client.rs
+++ b/src/connection/rpc_client.rs
@@ -101,9 +101,7 @@
 
 impl<C> Default for ConnectionCache<C> {
     fn default() -> ConnectionCache<C> {
-        ConnectionCache {
-            clients: Mutex::new(HashMap::new()),
-        }
+        ConnectionCache { clients: Mutex::new(HashMap::new()) }
     }
 }
 
@@ -130,10 +128,7 @@
         }
         let target: SocketAddr = address.parse().map_err(|_| CallError::NotSent)?;
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await;
-        let stream = connected
-            .ok()
-            .and_then(Result::ok)
-            .ok_or(CallError::NotSent)?;
+        let stream = connected.ok().and_then(Result::ok).ok_or(CallError::NotSent)?;
         stream.set_nodelay(true).map_err(|_| CallError::NotSent)?;
         // Another call may have been quicker; calls share one connection.
         if let Some(client) = self.open_client(address) {
@@ -141,10 +136,7 @@
         }
         let ended = Arc::new(AtomicBool::new(false));
         let client = C::spawn(stream, ended.clone());
-        let cached = CachedClient {
-            client: client.clone(),
-            ended,
-        };
+        let cached = CachedClient { client: client.clone(), ended };
         self.lock().insert(address.to_string(), cached);
         Ok(client)
     }
--- a/src/connection/worker_row.rs
+++ b/src/connection/worker_row.rs
@@ -9,6 +9,7 @@
 use crate::ids::DomainName;
 use crate::ids::IncarnationId;
 use crate::ids::LeaseEpoch;
+use crate::ids::TeamName;
 use crate::ids::WorkerId;
 use crate::platform::worker::AttemptKey;
 use crate::platform::worker::ResourceAmount;
@@ -32,6 +33,10 @@
     pub attempt: AttemptNumber,
     /// What is committed to it.
     pub resources: ResourceAmount,
+    /// The team on whose quota it runs.
+    pub team: TeamName,
+    /// Whether it shall be checkpointed and stopped.
+    pub stop: bool,
 }
 
 /// The row of a worker.
@@ -51,6 +56,8 @@
     pub holder: IncarnationId,
     /// Epoch of the lease.
     pub epoch: LeaseEpoch,
+    /// Whether the last holder had stopped acting when it gave the lease back.
+    pub released: bool,
     /// What the host has.
     pub capacity: ResourceAmount,
     /// Tasks that are committed on it, by `job/task`.
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -20,11 +20,7 @@
 
 impl fmt::Display for ConfigFinding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}:{}: {}: {}",
-            self.file, self.line, self.key, self.message
-        )
+        write!(f, "{}:{}: {}: {}", self.file, self.line, self.key, self.message)
     }
 }
 
@@ -45,11 +41,7 @@
     /// assert_eq!(FindingList::default().or_value(7), Ok(7));
     /// ```
     pub fn or_value<T>(self, value: T) -> Result<T, FindingList> {
-        if self.0.is_empty() {
-            Ok(value)
-        } else {
-            Err(self)
-        }
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cli;
 pub mod connection;
+pub mod ctl;
 pub mod error;
 pub mod exit_codes;
 pub mod findings;
--- a/src/platform/http_table.rs
+++ b/src/platform/http_table.rs
@@ -33,9 +33,7 @@
     /// let table = HttpTable::open("127.0.0.1:7000");
     /// ```
     pub fn open(address: &str) -> HttpTable {
-        let builder = Client::builder()
-            .timeout(ANSWER_TIMEOUT)
-            .connect_timeout(CONNECT_TIMEOUT);
+        let builder = Client::builder().timeout(ANSWER_TIMEOUT).connect_timeout(CONNECT_TIMEOUT);
         HttpTable {
             client: builder.no_proxy().build().unwrap_or_default(),
             base: format!("http://{address}"),
@@ -55,12 +53,7 @@
 
     async fn list(&self, prefix: &str) -> Result<Vec<TableRow>, TableError> {
         let url = format!("{}/rows", self.base);
-        let answer = self
-            .client
-            .get(url)
-            .query(&[("prefix", prefix)])
-            .send()
-            .await;
+        let answer = self.client.get(url).query(&[("prefix", prefix)]).send().await;
         let answer = answer.and_then(reqwest::Response::error_for_status);
         let answer = answer.map_err(|_| TableError::Unavailable)?;
         answer.json().await.map_err(|_| TableError::Unavailable)
--- a/src/platform/http_worker.rs
+++ b/src/platform/http_worker.rs
@@ -79,8 +79,7 @@
     }
 
     async fn renew(&self, keys: Vec<AttemptKey>, until_millis: u64) -> Result<(), WorkerError> {
-        self.post("renew", &RenewalBody { keys, until_millis })
-            .await
+        self.post("renew", &RenewalBody { keys, until_millis }).await
     }
 
     async fn stop(&self, key: AttemptKey) -> Result<(), WorkerError> {
--- a/src/platform/memory_table.rs
+++ b/src/platform/memory_table.rs
@@ -47,9 +47,7 @@
         for check in &transaction.checks {
             let version = state.rows.get(&check.key).map_or(0, |row| row.version);
             if version != check.version {
-                return Err(TableError::Conflict {
-                    key: check.key.clone(),
-                });
+                return Err(TableError::Conflict { key: check.key.clone() });
             }
         }
         state.last_version += 1;
@@ -57,11 +55,7 @@
         for write in &transaction.writes {
             match &write.value {
                 Some(value) => {
-                    let row = TableRow {
-                        key: write.key.clone(),
-                        version,
-                        value: value.clone(),
-                    };
+                    let row = TableRow { key: write.key.clone(), version, value: value.clone() };
                     state.rows.insert(write.key.clone(), row);
                 }
                 None => {
@@ -93,9 +87,7 @@
     pub fn rows(&self, prefix: &str) -> Vec<TableRow> {
         let state = self.lock();
         let from = state.rows.range(prefix.to_string()..);
-        from.take_while(|(key, _)| key.starts_with(prefix))
-            .map(|(_, row)| row.clone())
-            .collect()
+        from.take_while(|(key, _)| key.starts_with(prefix)).map(|(_, row)| row.clone()).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, TableState> {
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -13,7 +13,7 @@
 pub struct TableRow {
     /// Key of the row.
     pub key: String,
-    /// Version of the row; no two states of a key ever share one.
+    /// Version of the row; it rises with every change of the key, also over a removal.
     pub version: RowVersion,
     /// Value, JSON text.
     pub value: String,
@@ -78,10 +78,7 @@
     /// assert_eq!(transaction.checks.len(), 1);
     /// ```
     pub fn check(&mut self, key: &str, version: RowVersion) {
-        self.checks.push(RowCheck {
-            key: key.to_string(),
-            version,
-        });
+        self.checks.push(RowCheck { key: key.to_string(), version });
     }
 
     /// Adds a write that needs the row to be at `version`.
@@ -96,10 +93,7 @@
     pub fn put<T: Serialize>(&mut self, key: &str, version: RowVersion, value: &T) {
         self.check(key, version);
         let value = serde_json::to_string(value).unwrap_or_default();
-        self.writes.push(RowWrite {
-            key: key.to_string(),
-            value: Some(value),
-        });
+        self.writes.push(RowWrite { key: key.to_string(), value: Some(value) });
     }
 
     /// Adds the removal of a row that must be at `version`.
@@ -113,10 +107,7 @@
     /// ```
     pub fn remove(&mut self, key: &str, version: RowVersion) {
         self.check(key, version);
-        self.writes.push(RowWrite {
-            key: key.to_string(),
-            value: None,
-        });
+        self.writes.push(RowWrite { key: key.to_string(), value: None });
     }
 }
 
--- /dev/null
+++ b/src/process/agent/dispatcher.rs
@@ -0,0 +1,184 @@
+//! Runs requests on this host's endpoints.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Response;
+use reqwest::header::CONTENT_TYPE;
+use tokio::sync::watch;
+
+use crate::connection::protocol::DispatchOrder;
+use crate::connection::protocol::DispatchReply;
+use crate::connection::protocol::SettleQuestion;
+use crate::ids::LeaseEpoch;
+use crate::ids::RequestId;
+use crate::process::agent::shared::AgentShared;
+use crate::request::outcome::EndpointAnswer;
+use crate::request::outcome::NotRunReason;
+use crate::request::outcome::RequestOutcome;
+use crate::request::outcome::UnknownReason;
+use crate::request::outcome::body_digest;
+use crate::request::request_id::forget_time;
+use crate::request::request_id::id_time;
+use crate::request::request_journal::JournalVerdict;
+use crate::request::request_journal::SettleAnswer;
+
+/// Header that tells the endpoint how long the request is worth running, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header that carries the request's id.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Time beyond the deadline for which the endpoint's slot is held for its answer.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+
+/// Runs a request, or gives the outcome it already has here.
+pub async fn dispatch(shared: Arc<AgentShared>, order: DispatchOrder) -> DispatchReply {
+    let endpoint = order.endpoint.clone();
+    // A task of its own: when the entry hangs up, the request and its record must go on.
+    let run = tokio::spawn(dispatch_once(shared.clone(), order));
+    let outcome = run.await.unwrap_or(RequestOutcome::Unknown(UnknownReason::AnswerLost));
+    let in_flight = shared.endpoints().in_flight_at(&endpoint);
+    DispatchReply { outcome, in_flight }
+}
+
+async fn dispatch_once(shared: Arc<AgentShared>, order: DispatchOrder) -> RequestOutcome {
+    if let Some(reason) = refusal(&shared, &order) {
+        return RequestOutcome::not_run(reason);
+    }
+    if order.request.idempotent {
+        return run_on_endpoint(&shared, &order).await;
+    }
+    let id = order.request.id;
+    let Some(time) = id_time(&id) else {
+        return RequestOutcome::not_run(NotRunReason::IdInFuture);
+    };
+    let window = order.window.max(shared.window_of(&order.request.service));
+    match begin(&shared, id, order.epoch, forget_time(time, window)) {
+        Begun::Ended(outcome) => outcome,
+        Begun::Wait(receiver) => await_running(receiver, order.request.time_left).await,
+        Begun::Run(sender) => {
+            let outcome = run_on_endpoint(&shared, &order).await;
+            {
+                let mut journal = shared.journal();
+                journal.end(id, &outcome);
+                shared.running().remove(&id);
+            }
+            // Nobody may be waiting.
+            let _ = sender.send(Some(outcome.clone()));
+            outcome
+        }
+    }
+}
+
+/// What becomes of an order that is not refused.
+enum Begun {
+    /// It is run, and its outcome is sent here.
+    Run(watch::Sender<Option<RequestOutcome>>),
+    /// It is being run, and its outcome comes here.
+    Wait(watch::Receiver<Option<RequestOutcome>>),
+    /// It has this outcome.
+    Ended(RequestOutcome),
+}
+
+/// Looks an order up in the journal. The outcome to come is found and left under the journal's
+/// lock, so that nobody who is told to wait comes too late for it.
+fn begin(shared: &AgentShared, id: RequestId, epoch: LeaseEpoch, forget_at: Duration) -> Begun {
+    let mut journal = shared.journal();
+    match journal.begin(id, epoch, forget_at) {
+        JournalVerdict::Ended(outcome) => Begun::Ended(outcome),
+        JournalVerdict::Refuse => Begun::Ended(RequestOutcome::not_run(NotRunReason::Tombstoned)),
+        JournalVerdict::Run => {
+            let (sender, receiver) = watch::channel(None);
+            shared.running().insert(id, receiver);
+            Begun::Run(sender)
+        }
+        JournalVerdict::Wait => match shared.running().get(&id) {
+            Some(receiver) => Begun::Wait(receiver.clone()),
+            None => Begun::Ended(RequestOutcome::Unknown(UnknownReason::AnswerLost)),
+        },
+    }
+}
+
+/// Why an order must not be carried out, if so.
+fn refusal(shared: &AgentShared, order: &DispatchOrder) -> Option<NotRunReason> {
+    if order.incarnation != shared.incarnation {
+        return Some(NotRunReason::StaleIncarnation);
+    }
+    if shared.is_draining() {
+        return Some(NotRunReason::Draining);
+    }
+    if body_digest(&order.request.body) != order.request.digest {
+        return Some(NotRunReason::BrokenBody);
+    }
+    // A later owner of the id asks the agents that hold the workers' leases.
+    if !order.request.idempotent && shared.acts_until(Instant::now()).is_none() {
+        return Some(NotRunReason::AgentNotReady);
+    }
+    None
+}
+
+async fn await_running(
+    mut receiver: watch::Receiver<Option<RequestOutcome>>,
+    time_left: Duration,
+) -> RequestOutcome {
+    let lost = RequestOutcome::Unknown(UnknownReason::DeadlinePassed);
+    let wait = receiver.wait_for(Option::is_some);
+    match tokio::time::timeout(time_left, wait).await {
+        Ok(Ok(outcome)) => outcome.clone().unwrap_or(lost),
+        Ok(Err(_)) | Err(_) => lost,
+    }
+}
+
+async fn run_on_endpoint(shared: &AgentShared, order: &DispatchOrder) -> RequestOutcome {
+    let taken = shared.endpoints().take_slot(&order.endpoint, Instant::now());
+    let target = match taken {
+        Ok(target) => target,
+        Err(reason) => return RequestOutcome::not_run(reason),
+    };
+    let outcome = call_endpoint(shared, order, &target.address).await;
+    shared.endpoints().release_slot(&order.endpoint);
+    outcome
+}
+
+async fn call_endpoint(
+    shared: &AgentShared,
+    order: &DispatchOrder,
+    address: &str,
+) -> RequestOutcome {
+    let request = &order.request;
+    let call = shared.http.post(format!("http://{address}/"));
+    let call = call.header(CONTENT_TYPE, request.content_type.clone());
+    let call = call.header(REQUEST_ID_HEADER, request.id.to_string());
+    let call = call.header(DEADLINE_HEADER, request.time_left.as_millis().to_string());
+    let call = call.timeout(request.time_left + ANSWER_GRACE).body(request.body.clone());
+    match call.send().await {
+        Ok(response) => read_answer(response).await,
+        // Without a connection nothing was sent.
+        Err(error) if error.is_connect() => RequestOutcome::not_run(NotRunReason::ConnectFailed),
+        Err(error) if error.is_timeout() => RequestOutcome::Unknown(UnknownReason::DeadlinePassed),
+        Err(_) => RequestOutcome::Unknown(UnknownReason::AnswerLost),
+    }
+}
+
+/// Reads the whole answer; one that breaks off is an error of the HTTP library.
+async fn read_answer(response: Response) -> RequestOutcome {
+    let status = response.status().as_u16();
+    let content_type = response.headers().get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let content_type = content_type.to_string();
+    match response.bytes().await {
+        Ok(body) => {
+            RequestOutcome::Answered(EndpointAnswer::new(status, content_type, body.to_vec()))
+        }
+        Err(_) => RequestOutcome::Unknown(UnknownReason::AnswerLost),
+    }
+}
+
+/// Answers a new owner's question about an id.
+pub fn settle(shared: &AgentShared, question: &SettleQuestion) -> SettleAnswer {
+    let Some(time) = id_time(&question.id) else {
+        return SettleAnswer::CannotTell;
+    };
+    let forget_at = forget_time(time, question.window);
+    shared.journal().settle(question.id, question.epoch, time, forget_at)
+}
--- /dev/null
+++ b/src/process/agent/heartbeat.rs
@@ -0,0 +1,100 @@
+//! Heartbeats of an agent to all entries, and what their answers bring.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::time::timeout;
+
+use crate::connection::cluster_map::EntryMember;
+use crate::connection::protocol::AgentBeat;
+use crate::connection::rpc_client::call_within;
+use crate::process::agent::shared::AgentShared;
+
+/// Sends heartbeats until the process ends.
+pub fn spawn_beats(shared: Arc<AgentShared>) {
+    tokio::spawn(async move {
+        loop {
+            let members = shared.map().members;
+            if members.is_empty() {
+                ask_balancer(&shared).await;
+            }
+            for member in members {
+                let shared = shared.clone();
+                tokio::spawn(async move { beat_member(&shared, member).await });
+            }
+            let wait = if shared.map().members.is_empty() {
+                shared.beat_interval() / 10
+            } else {
+                shared.beat_interval()
+            };
+            // Either way the next heartbeat is due.
+            let _ = timeout(wait, shared.beat_now.notified()).await;
+        }
+    });
+}
+
+/// Asks whichever entry the balancer chooses for the cluster map.
+pub async fn ask_balancer(shared: &AgentShared) {
+    let address = shared.settings.balancer.to_string();
+    let Ok(client) = shared.entry_connections.client(&address).await else {
+        return;
+    };
+    if let Ok(map) = client.cluster(call_within(shared.beat_interval())).await {
+        shared.adopt_map(map);
+    }
+    // The balancer shall choose anew next time.
+    shared.entry_connections.drop_client(&address);
+}
+
+fn beat_of(shared: &AgentShared) -> AgentBeat {
+    let mut endpoints = shared.endpoints().reports(Instant::now());
+    if shared.is_draining() {
+        endpoints.iter_mut().for_each(|endpoint| endpoint.leaving = true);
+    }
+    AgentBeat {
+        worker: shared.settings.worker.clone(),
+        incarnation: shared.incarnation,
+        epoch: shared.epoch(),
+        domain: shared.settings.domain.clone(),
+        group: shared.settings.domain.clone(),
+        address: shared.address.clone(),
+        map_generation: shared.map().generation,
+        generation: shared.generation(),
+        registered: shared.is_registered(),
+        endpoints,
+    }
+}
+
+async fn beat_member(shared: &AgentShared, member: EntryMember) {
+    let Ok(client) = shared.entry_connections.client(&member.address).await else {
+        return forget_member(shared, &member).await;
+    };
+    let beat = beat_of(shared);
+    let epoch = beat.epoch;
+    let sent = Instant::now();
+    shared.metrics.messages.with_label_values(&["agent_beat"]).inc();
+    let Ok(reply) = client.agent_beat(call_within(shared.beat_interval() * 2), beat).await else {
+        return forget_member(shared, &member).await;
+    };
+    if let Some(map) = reply.map {
+        shared.adopt_map(map);
+    }
+    if reply.granted
+        && let Some(lease) = shared.lease().as_mut().filter(|one| one.holder.epoch() == epoch)
+    {
+        lease.holder.on_grant(reply.incarnation, sent);
+    }
+    if reply.generation > shared.generation() {
+        let since = shared.generation();
+        let documents = client.documents(call_within(shared.beat_interval()), since).await;
+        if let Ok(set) = documents {
+            shared.adopt_documents(set);
+        }
+    }
+}
+
+/// A member does not answer: the map may be old, so another entry is asked for a newer one.
+async fn forget_member(shared: &AgentShared, member: &EntryMember) {
+    shared.entry_connections.drop_client(&member.address);
+    ask_balancer(shared).await;
+}
--- /dev/null
+++ b/src/process/agent/reconciler.rs
@@ -0,0 +1,442 @@
+//! Makes the worker run what its row says: one actor, one step at a time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::Context;
+use kameo::message::Message;
+use log::Level;
+
+use crate::connection::lease::LeaseHolder;
+use crate::connection::protocol::ClaimReply;
+use crate::connection::protocol::WorkerClaim;
+use crate::connection::rpc_client::call_within;
+use crate::connection::worker_row::WorkerRow;
+use crate::connection::worker_row::parse_task_name;
+use crate::connection::worker_row::task_name;
+use crate::connection::worker_row::worker_key;
+use crate::ids::PartitionId;
+use crate::ids::RowVersion;
+use crate::platform::table::TableError;
+use crate::platform::table::TableTransaction;
+use crate::platform::worker::AttemptKey;
+use crate::platform::worker::AttemptReport;
+use crate::platform::worker::AttemptState;
+use crate::platform::worker::ResourceAmount;
+use crate::platform::worker::TaskStart;
+use crate::platform::worker::WorkerControl;
+use crate::platform::worker::WorkerStatus;
+use crate::process::agent::shared::AgentShared;
+use crate::process::agent::shared::WorkerLease;
+use crate::process::logging::log_event;
+use crate::request::job::TaskEnd;
+use crate::request::job::TaskRow;
+use crate::request::job::TaskState;
+use crate::request::job::job_partition;
+use crate::request::job::task_key;
+
+/// Time between two looks at the worker.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for an entry's answer to a claim.
+const CLAIM_CALL: Duration = Duration::from_secs(3);
+/// Pause between two claims.
+const CLAIM_PAUSE: Duration = Duration::from_millis(500);
+/// Ends of tasks that go into one transaction.
+const ENDS_PER_WRITE: usize = 16;
+/// Longest wait for an entry to take a note of changed tasks.
+const NUDGE_CALL: Duration = Duration::from_millis(500);
+/// Part of a lease's remaining time that is given up for the drift of the worker's clock.
+const DRIFT_PART: u32 = 100;
+
+/// Makes the worker run what its row says.
+#[derive(Actor)]
+pub struct ReconcileActor {
+    shared: Arc<AgentShared>,
+    row: Option<(RowVersion, WorkerRow)>,
+    row_read: Option<Instant>,
+    claimed: Option<Instant>,
+}
+
+/// The worker's row has changed.
+pub struct ReconcileTick;
+/// Time for a look at the worker.
+pub struct LookTick;
+
+impl ReconcileActor {
+    /// An actor for the agent of `shared`.
+    pub fn new(shared: Arc<AgentShared>) -> ReconcileActor {
+        ReconcileActor { shared, row: None, row_read: None, claimed: None }
+    }
+
+    async fn look(&mut self) {
+        if self.shared.lease().is_none() {
+            self.claim().await;
+        }
+        let interval = self.shared.beat_interval();
+        if self.row_read.is_none_or(|read| read.elapsed() >= interval) {
+            self.read_row().await;
+        }
+        let Some(worker) = self.shared.worker.clone() else {
+            return;
+        };
+        if self.shared.acts_until(Instant::now()).is_none() || self.row.is_none() {
+            return;
+        }
+        if let Ok(status) = worker.status().await {
+            self.reconcile(&worker, status, Instant::now()).await;
+        }
+    }
+
+    /// Asks the entries for the worker's lease.
+    async fn claim(&mut self) {
+        if self.claimed.is_some_and(|claimed| claimed.elapsed() < CLAIM_PAUSE) {
+            return;
+        }
+        self.claimed = Some(Instant::now());
+        let Some(capacity) = self.capacity().await else {
+            return;
+        };
+        let settings = &self.shared.settings;
+        let claim = WorkerClaim {
+            worker: settings.worker.clone(),
+            incarnation: self.shared.incarnation,
+            domain: settings.domain.clone(),
+            rack: settings.rack.clone(),
+            address: self.shared.address.clone(),
+            capacity,
+        };
+        for member in self.shared.map().members {
+            let Ok(client) = self.shared.entry_connections.client(&member.address).await else {
+                continue;
+            };
+            let reply = client.claim_worker(call_within(CLAIM_CALL), claim.clone()).await;
+            if let Ok(ClaimReply::Claimed { epoch, wait }) = reply {
+                self.take_lease(epoch, wait);
+                return;
+            }
+        }
+    }
+
+    /// What the host has; nothing while the worker does not answer.
+    async fn capacity(&self) -> Option<ResourceAmount> {
+        match &self.shared.worker {
+            Some(worker) => worker.status().await.ok().map(|status| status.capacity),
+            None => Some(ResourceAmount::default()),
+        }
+    }
+
+    fn take_lease(&mut self, epoch: u64, wait: Duration) {
+        let now = Instant::now();
+        let acts_from = now + wait;
+        let timing = self.shared.map().timing.worker_lease();
+        let holder = LeaseHolder::new(timing, epoch, now);
+        // Until then an earlier run may still take orders that this one will never know of.
+        self.shared.journal().vouch_from(self.shared.clock.wall() + wait);
+        *self.shared.lease() = Some(WorkerLease { holder, acts_from });
+        self.row_read = None;
+        self.shared.beat_now.notify_one();
+        let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+            ("worker", &self.shared.settings.worker),
+            ("epoch", &epoch),
+            ("wait_millis", &wait.as_millis()),
+        ];
+        log_event(Level::Info, "lease_taken", &pairs);
+    }
+
+    async fn read_row(&mut self) {
+        let sent = Instant::now();
+        let key = worker_key(&self.shared.settings.worker);
+        let Ok(Some(row)) = self.shared.table.get(&key).await else {
+            return;
+        };
+        let Ok(worker) = row.decode::<WorkerRow>() else {
+            return;
+        };
+        self.row_read = Some(sent);
+        let is_ours = worker.holder == self.shared.incarnation;
+        let is_free = worker.holder == 0;
+        let mut lease = self.shared.lease();
+        if let Some(known) = lease.as_mut() {
+            // A row of an earlier epoch is an older state, read before the claim took effect.
+            if worker.epoch >= known.holder.epoch() {
+                known.holder.on_read(worker.epoch, sent);
+            }
+            if !is_ours && worker.epoch > known.holder.epoch() {
+                let pairs: [(&str, &dyn std::fmt::Display); 2] =
+                    [("worker", &worker.worker), ("epoch", &worker.epoch)];
+                log_event(Level::Warn, "lease_lost", &pairs);
+                // Another run holds it: this one must not fight for it. A free one is claimed.
+                if is_free {
+                    *lease = None;
+                }
+                drop(lease);
+                self.row = None;
+                return;
+            }
+        }
+        drop(lease);
+        *self.shared.row() = Some(worker.clone());
+        self.row = Some((row.version, worker));
+    }
+
+    async fn reconcile(
+        &mut self,
+        worker: &Arc<dyn WorkerControl>,
+        status: WorkerStatus,
+        answered: Instant,
+    ) {
+        let Some(until) = self.shared.acts_until(answered) else {
+            return;
+        };
+        let left = until.saturating_duration_since(answered);
+        let left = left - left / DRIFT_PART;
+        let until_millis = status.now_millis + u64::try_from(left.as_millis()).unwrap_or(0);
+        self.renew(worker, &status, until_millis).await;
+        self.stop_unwanted(worker, &status).await;
+        self.start_missing(worker, &status, until_millis).await;
+        self.commit_ends(worker, &status).await;
+    }
+
+    async fn renew(
+        &self,
+        worker: &Arc<dyn WorkerControl>,
+        status: &WorkerStatus,
+        until_millis: u64,
+    ) {
+        let Some((_, row)) = &self.row else { return };
+        let running = status.attempts.iter().filter(|one| one.state == AttemptState::Running);
+        let wanted = running.filter(|one| row.has_attempt(&one.key));
+        let keys: Vec<AttemptKey> = wanted.map(|one| one.key.clone()).collect();
+        if !keys.is_empty() {
+            // A renewal that is lost is made up for by the next one.
+            let _ = worker.renew(keys, until_millis).await;
+        }
+    }
+
+    /// Stops attempts that the row does not name or wants stopped, and forgets ended ones that it
+    /// does not name.
+    async fn stop_unwanted(&self, worker: &Arc<dyn WorkerControl>, status: &WorkerStatus) {
+        let Some((_, row)) = &self.row else { return };
+        let mut over = Vec::new();
+        for attempt in &status.attempts {
+            let name = task_name(&attempt.key.job, attempt.key.task);
+            let is_wanted = row.has_attempt(&attempt.key);
+            let is_to_stop = row.tasks.get(&name).is_some_and(|task| task.stop);
+            if attempt.state == AttemptState::Running && (!is_wanted || is_to_stop) {
+                // Asked again at the next look until the worker says that it has stopped.
+                let _ = worker.stop(attempt.key.clone()).await;
+            } else if !is_wanted && attempt.state != AttemptState::Running {
+                over.push(attempt.key.clone());
+            }
+        }
+        if !over.is_empty() {
+            let _ = worker.forget(over).await;
+        }
+    }
+
+    async fn start_missing(
+        &self,
+        worker: &Arc<dyn WorkerControl>,
+        status: &WorkerStatus,
+        until_millis: u64,
+    ) {
+        let Some((_, row)) = &self.row else { return };
+        let running = status.attempts.iter().filter(|one| one.state == AttemptState::Running);
+        let mut used = running.fold(ResourceAmount::default(), |sum, one| sum.plus(&one.resources));
+        for (name, committed) in &row.tasks {
+            let Some((job, task)) = parse_task_name(name) else {
+                continue;
+            };
+            let key = AttemptKey { job, task, attempt: committed.attempt };
+            if committed.stop || status.attempts.iter().any(|one| one.key == key) {
+                continue;
+            }
+            let next = used.plus(&committed.resources);
+            // The last guard: an attempt that is still stopping holds its resources.
+            if !status.capacity.contains(&next) {
+                continue;
+            }
+            if self.start_one(worker, key, committed.resources, until_millis).await {
+                used = next;
+            }
+        }
+    }
+
+    async fn start_one(
+        &self,
+        worker: &Arc<dyn WorkerControl>,
+        key: AttemptKey,
+        resources: ResourceAmount,
+        until_millis: u64,
+    ) -> bool {
+        let row = self.shared.table.get(&task_key(&key.job, key.task)).await;
+        let Ok(Some(row)) = row else { return false };
+        let Ok(task) = row.decode::<TaskRow>() else { return false };
+        if !task.is_current(&key, &self.shared.settings.worker) {
+            return false;
+        }
+        let start = TaskStart {
+            key: key.clone(),
+            kind: task.kind,
+            resources,
+            input: task.spec.input,
+            checkpoint: task.checkpoint,
+            run_millis: task.spec.run_millis,
+            lease_until_millis: until_millis,
+        };
+        let started = worker.start(start).await;
+        let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+            ("job", &key.job),
+            ("task", &key.task),
+            ("attempt", &key.attempt),
+            ("ok", &started.is_ok()),
+        ];
+        log_event(Level::Info, "task_start", &pairs);
+        started.is_ok()
+    }
+
+    /// Commits the ends of attempts: with the tasks' rows, the worker's row lets them go.
+    async fn commit_ends(&mut self, worker: &Arc<dyn WorkerControl>, status: &WorkerStatus) {
+        let Some((version, row)) = self.row.clone() else {
+            return;
+        };
+        let ended: Vec<AttemptReport> = ended_attempts(&row, status);
+        if ended.is_empty() {
+            return;
+        }
+        let keys: Vec<AttemptKey> = ended.iter().map(|one| one.key.clone()).collect();
+        match self.write_ends(version, row, ended).await {
+            Ok(partitions) => {
+                let _ = worker.forget(keys).await;
+                self.nudge_owners(partitions);
+            }
+            Err(error) => {
+                log_event(Level::Debug, "ends_not_committed", &[("error", &error)]);
+            }
+        }
+        // What took effect, and what others wrote, is seen by reading.
+        self.row_read = None;
+    }
+
+    async fn write_ends(
+        &mut self,
+        version: RowVersion,
+        mut row: WorkerRow,
+        ended: Vec<AttemptReport>,
+    ) -> Result<BTreeSet<PartitionId>, TableError> {
+        let mut transaction = TableTransaction::default();
+        let mut partitions = BTreeSet::new();
+        for attempt in ended {
+            let key = task_key(&attempt.key.job, attempt.key.task);
+            if let Some(current) = self.shared.table.get(&key).await? {
+                let mut task: TaskRow = current.decode()?;
+                if task.is_current(&attempt.key, &self.shared.settings.worker) {
+                    self.take_end(&mut task, attempt.state);
+                    transaction.put(&key, current.version, &task);
+                }
+            }
+            row.tasks.remove(&task_name(&attempt.key.job, attempt.key.task));
+            partitions.insert(job_partition(&attempt.key.job));
+        }
+        let key = worker_key(&self.shared.settings.worker);
+        transaction.put(&key, version, &row);
+        let version = self.shared.table.commit(transaction).await?;
+        self.row = Some((version, row));
+        Ok(partitions)
+    }
+
+    fn take_end(&self, task: &mut TaskRow, state: AttemptState) {
+        let event = match state {
+            AttemptState::Finished { result } => {
+                task.state = TaskState::Ended(TaskEnd::Done { result });
+                "finished"
+            }
+            AttemptState::Failed { error } => {
+                task.on_failure(&self.shared.settings.worker, &error);
+                "failed"
+            }
+            AttemptState::Stopped { checkpoint } => {
+                task.checkpoint = checkpoint.or(task.checkpoint.take());
+                task.state = TaskState::Queued;
+                "stopped"
+            }
+            AttemptState::Running => return,
+        };
+        self.shared.metrics.tasks.with_label_values(&[event]).inc();
+        let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+            ("job", &task.job),
+            ("task", &task.index),
+            ("attempt", &task.attempt),
+            ("end", &event),
+        ];
+        log_event(Level::Info, "task_end", &pairs);
+    }
+
+    fn nudge_owners(&self, partitions: BTreeSet<PartitionId>) {
+        let map = self.shared.map();
+        for partition in partitions {
+            let Some(owner) = map.owner_of(partition).cloned() else {
+                continue;
+            };
+            let shared = self.shared.clone();
+            tokio::spawn(async move {
+                if let Ok(client) = shared.entry_connections.client(&owner.address).await {
+                    // The owner looks by itself after a while when this is lost.
+                    let _ = client.tasks_changed(call_within(NUDGE_CALL), partition).await;
+                }
+            });
+        }
+    }
+}
+
+/// Attempts of the row that ended, or that shall stop before they were started.
+fn ended_attempts(row: &WorkerRow, status: &WorkerStatus) -> Vec<AttemptReport> {
+    let of_row = status.attempts.iter().filter(|one| row.has_attempt(&one.key));
+    let ended = of_row.filter(|one| one.state != AttemptState::Running).cloned();
+    let mut reports: Vec<AttemptReport> = ended.collect();
+    for (name, task) in row.tasks.iter().filter(|(_, task)| task.stop) {
+        let Some((job, index)) = parse_task_name(name) else {
+            continue;
+        };
+        let key = AttemptKey { job, task: index, attempt: task.attempt };
+        if !status.attempts.iter().any(|one| one.key == key) {
+            let state = AttemptState::Stopped { checkpoint: None };
+            reports.push(AttemptReport { key, resources: task.resources, state });
+        }
+    }
+    reports.truncate(ENDS_PER_WRITE);
+    reports
+}
+
+impl Message<ReconcileTick> for ReconcileActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ReconcileTick, _: &mut Context<Self, ()>) {
+        self.row_read = None;
+        self.look().await;
+    }
+}
+
+impl Message<LookTick> for ReconcileActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: LookTick, _: &mut Context<Self, ()>) {
+        self.look().await;
+    }
+}
+
+/// Asks the actor for looks until the process ends.
+pub fn spawn_ticks(shared: Arc<AgentShared>, reconciler: ActorRef<ReconcileActor>) {
+    tokio::spawn(async move {
+        loop {
+            // Waiting for the answer keeps looks from piling up while the table service is slow.
+            let _ = reconciler.ask(LookTick).await;
+            let interval = LOOK_INTERVAL.min(shared.beat_interval() / 2);
+            tokio::time::sleep(interval).await;
+        }
+    });
+}
--- /dev/null
+++ b/src/process/agent/rpc.rs
@@ -0,0 +1,59 @@
+//! The calls that an agent serves for entries.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use kameo::actor::ActorRef;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+
+use crate::connection::protocol::AgentRpc;
+use crate::connection::protocol::DispatchOrder;
+use crate::connection::protocol::DispatchReply;
+use crate::connection::protocol::SettleQuestion;
+use crate::connection::rpc_client::framed;
+use crate::process::agent::dispatcher;
+use crate::process::agent::reconciler::ReconcileActor;
+use crate::process::agent::reconciler::ReconcileTick;
+use crate::process::agent::shared::AgentShared;
+use crate::process::rpc_server::spawn_accept_loop;
+use crate::request::request_journal::SettleAnswer;
+
+#[derive(Clone)]
+struct AgentServer {
+    shared: Arc<AgentShared>,
+    reconciler: ActorRef<ReconcileActor>,
+}
+
+/// Serves calls on `listener` until the process ends.
+pub fn spawn_agent_rpc(
+    listener: TcpListener,
+    shared: Arc<AgentShared>,
+    reconciler: ActorRef<ReconcileActor>,
+) {
+    let server = AgentServer { shared, reconciler };
+    spawn_accept_loop(listener, move |stream| {
+        let channel = BaseChannel::with_defaults(framed(stream));
+        let calls = channel.execute(server.clone().serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    });
+}
+
+impl AgentRpc for AgentServer {
+    async fn dispatch(self, _: Context, order: DispatchOrder) -> DispatchReply {
+        dispatcher::dispatch(self.shared, order).await
+    }
+
+    async fn settle(self, _: Context, question: SettleQuestion) -> SettleAnswer {
+        dispatcher::settle(&self.shared, &question)
+    }
+
+    async fn row_changed(self, _: Context) {
+        // A full mailbox means that a look is due anyway.
+        let _ = self.reconciler.tell(ReconcileTick).await;
+    }
+}
--- /dev/null
+++ b/src/process/entry/broker.rs
@@ -0,0 +1,364 @@
+//! The path of a request through an entry: ownership of its id, slot, dispatch, retry.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::join_all;
+
+use crate::connection::cluster_map::partition_of_request;
+use crate::connection::cluster_view::ActingRight;
+use crate::connection::protocol::AgentRpcClient;
+use crate::connection::protocol::DispatchOrder;
+use crate::connection::protocol::ServiceRequest;
+use crate::connection::protocol::SettleQuestion;
+use crate::connection::rpc_client::call_within;
+use crate::connection::worker_row::WorkerRow;
+use crate::ids::LeaseEpoch;
+use crate::ids::RequestId;
+use crate::process::entry::ledger_desk::DeskVerdict;
+use crate::process::entry::shared::EntryShared;
+use crate::request::outcome::NotRunReason;
+use crate::request::outcome::RequestOutcome;
+use crate::request::outcome::UnknownReason;
+use crate::request::request_id::CLOCK_SKEW;
+use crate::request::request_id::IdAge;
+use crate::request::request_id::forget_time;
+use crate::request::request_id::id_age;
+use crate::request::request_id::id_time;
+use crate::request::request_id::id_window;
+use crate::request::request_journal::SettleAnswer;
+use crate::request::service_pool::EndpointKey;
+use crate::request::service_pool::SlotDecision;
+use crate::request::service_pool::SlotResult;
+use crate::version::document::ServiceDocument;
+
+/// Time beyond a deadline for which an answer is still waited for, so that the slot's state is known.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// Pause before ownership of a partition is looked at again.
+const OWNER_PAUSE: Duration = Duration::from_millis(50);
+/// Tries to make an id of an own partition; with three entries one in three fits.
+const ID_TRIES: usize = 1_000;
+/// Endpoints tried for one request at most.
+const LARGEST_TRIES: usize = 8;
+/// Longest wait for an agent's word on an id.
+const SETTLE_CALL: Duration = Duration::from_millis(1_000);
+/// Pause before an agent is asked again about an id that it is running.
+const SETTLE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Runs a request that a caller sent to this entry.
+pub async fn run(shared: Arc<EntryShared>, request: ServiceRequest) -> RequestOutcome {
+    if request.idempotent {
+        return run_idempotent(&shared, request).await;
+    }
+    let deadline = Instant::now() + request.time_left;
+    loop {
+        let outcome = run_or_forward(&shared, &request, deadline).await;
+        let is_early = matches!(
+            outcome,
+            RequestOutcome::NotRun {
+                reason: NotRunReason::NoOwner
+                    | NotRunReason::LeaseLapsed
+                    | NotRunReason::OwnerUnreachable,
+                ..
+            }
+        );
+        // Ownership may be on its way to another entry, which takes seconds; a request with more
+        // time than that is worth waiting with.
+        let left = deadline.saturating_duration_since(Instant::now());
+        if !is_early || left < 2 * OWNER_PAUSE || shared.is_draining() {
+            return outcome;
+        }
+        tokio::time::sleep(OWNER_PAUSE).await;
+    }
+}
+
+/// Makes an id that falls into a partition this entry acts for.
+pub fn own_id(shared: &EntryShared) -> Option<RequestId> {
+    let now = Instant::now();
+    let view = shared.view();
+    let mut ids = std::iter::repeat_with(RequestId::now_v7).take(ID_TRIES);
+    ids.find(|id| view.acting_right(partition_of_request(id), now).is_some())
+}
+
+async fn run_or_forward(
+    shared: &Arc<EntryShared>,
+    request: &ServiceRequest,
+    deadline: Instant,
+) -> RequestOutcome {
+    let partition = partition_of_request(&request.id);
+    let owner = {
+        let view = shared.view();
+        view.map().owner_of(partition).cloned()
+    };
+    let mut request = request.clone();
+    request.time_left = deadline.saturating_duration_since(Instant::now());
+    let Some(owner) = owner else {
+        return lapsed(shared);
+    };
+    if owner.incarnation == shared.member.incarnation {
+        return run_as_owner(shared.clone(), request).await;
+    }
+    let Ok(client) = shared.entry_connections.client(&owner.address).await else {
+        return RequestOutcome::not_run(NotRunReason::OwnerUnreachable);
+    };
+    shared.metrics.messages.with_label_values(&["forward"]).inc();
+    let context = call_within(request.time_left + 2 * ANSWER_GRACE);
+    match client.forward(context, request).await {
+        Ok(outcome) => outcome,
+        Err(_) => RequestOutcome::Unknown(UnknownReason::OwnerSilent),
+    }
+}
+
+fn lapsed(shared: &EntryShared) -> RequestOutcome {
+    let timing = shared.view().map().timing.partition_lease();
+    RequestOutcome::NotRun {
+        reason: NotRunReason::LeaseLapsed,
+        retry_after: timing.takeover_wait(),
+    }
+}
+
+/// Runs a non-idempotent request as the owner of its id's partition, at most once.
+pub async fn run_as_owner(shared: Arc<EntryShared>, request: ServiceRequest) -> RequestOutcome {
+    let _flight = shared.begin_flight();
+    let document = shared.with_catalog(|catalog| catalog.document(&request.service));
+    let Some(document) = document else {
+        return RequestOutcome::not_run(NotRunReason::UnknownService);
+    };
+    let partition = partition_of_request(&request.id);
+    let right = shared.view().acting_right(partition, Instant::now());
+    let Some(right) = right else {
+        return lapsed(&shared);
+    };
+    let Some(time) = id_time(&request.id) else {
+        return RequestOutcome::not_run(NotRunReason::IdInFuture);
+    };
+    let window = id_window(document.requests.largest_deadline);
+    match id_age(time, shared.clock.wall(), window) {
+        IdAge::Current => {}
+        IdAge::TooOld => return RequestOutcome::Unknown(UnknownReason::IdTooOld),
+        IdAge::InFuture => return RequestOutcome::not_run(NotRunReason::IdInFuture),
+    }
+    let id = request.id;
+    match shared.ledger.begin(id, request.digest, forget_time(time, window)) {
+        DeskVerdict::Ended(outcome) => outcome,
+        DeskVerdict::Conflict => RequestOutcome::not_run(NotRunReason::BodyConflict),
+        DeskVerdict::Wait(receiver) => await_other(receiver, request.time_left).await,
+        DeskVerdict::Run => {
+            let outcome = run_first(&shared, &document, request, right, time).await;
+            shared.ledger.end(id, &outcome);
+            outcome
+        }
+    }
+}
+
+/// Waits for the outcome of another call with the same id.
+async fn await_other(
+    receiver: tokio::sync::oneshot::Receiver<RequestOutcome>,
+    time_left: Duration,
+) -> RequestOutcome {
+    match tokio::time::timeout(time_left, receiver).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(_)) | Err(_) => RequestOutcome::Unknown(UnknownReason::DeadlinePassed),
+    }
+}
+
+/// Runs an id that this owner sees for the first time.
+async fn run_first(
+    shared: &Arc<EntryShared>,
+    document: &ServiceDocument,
+    request: ServiceRequest,
+    right: ActingRight,
+    time: Duration,
+) -> RequestOutcome {
+    let owned_since = shared.clock.wall_at(right.since);
+    // An earlier owner may have run every id that it could have accepted: up to one skew ahead of
+    // its clock, which may itself be one skew ahead of this one's.
+    if time < owned_since + 2 * CLOCK_SKEW && right.epoch > FIRST_EPOCH {
+        let settled = settle(shared, document, &request, right).await;
+        if let Some(outcome) = settled {
+            return outcome;
+        }
+    }
+    dispatch(shared, document, request, right.epoch).await
+}
+
+/// Epoch of a partition that nobody owned before.
+const FIRST_EPOCH: LeaseEpoch = 1;
+
+/// Asks all agents about an id. Gives its outcome, or nothing when it was provably never run.
+async fn settle(
+    shared: &Arc<EntryShared>,
+    document: &ServiceDocument,
+    request: &ServiceRequest,
+    right: ActingRight,
+) -> Option<RequestOutcome> {
+    let deadline = Instant::now() + request.time_left;
+    let window = id_window(document.requests.largest_deadline);
+    let question = SettleQuestion { id: request.id, epoch: right.epoch, window };
+    let Ok(rows) = shared.worker_rows_since(right.since).await else {
+        return Some(RequestOutcome::Unknown(UnknownReason::Unsettled));
+    };
+    loop {
+        let asked = rows.iter().map(|row| ask_agent(shared, row, question.clone()));
+        let answers = join_all(asked).await;
+        let mut is_running = false;
+        let mut is_unsettled = false;
+        for answer in answers {
+            match answer {
+                Some(SettleAnswer::Ended(outcome)) => return Some(outcome),
+                Some(SettleAnswer::Running) => is_running = true,
+                Some(SettleAnswer::NeverRun) => {}
+                Some(SettleAnswer::CannotTell) | None => is_unsettled = true,
+            }
+        }
+        if !is_running && is_unsettled {
+            return Some(RequestOutcome::Unknown(UnknownReason::Unsettled));
+        }
+        if !is_running {
+            return None;
+        }
+        if Instant::now() >= deadline {
+            return Some(RequestOutcome::Unknown(UnknownReason::DeadlinePassed));
+        }
+        tokio::time::sleep(SETTLE_PAUSE).await;
+    }
+}
+
+async fn ask_agent(
+    shared: &EntryShared,
+    row: &WorkerRow,
+    question: SettleQuestion,
+) -> Option<SettleAnswer> {
+    // The newest address: the row's may be that of an earlier run.
+    let address = shared.agents().get(&row.worker).map(|agent| agent.address.clone());
+    let address = address.unwrap_or_else(|| row.address.clone());
+    let client = shared.agent_connections.client(&address).await.ok()?;
+    client.settle(call_within(SETTLE_CALL), question).await.ok()
+}
+
+async fn run_idempotent(shared: &Arc<EntryShared>, request: ServiceRequest) -> RequestOutcome {
+    let _flight = shared.begin_flight();
+    let document = shared.with_catalog(|catalog| catalog.document(&request.service));
+    let Some(document) = document else {
+        return RequestOutcome::not_run(NotRunReason::UnknownService);
+    };
+    dispatch(shared, &document, request, 0).await
+}
+
+/// How one try at an endpoint ended.
+struct TryResult {
+    outcome: RequestOutcome,
+    slot: SlotResult,
+}
+
+/// Sends a request to endpoints until one answers, its fate is unknown, or it is given up.
+async fn dispatch(
+    shared: &Arc<EntryShared>,
+    document: &ServiceDocument,
+    request: ServiceRequest,
+    epoch: LeaseEpoch,
+) -> RequestOutcome {
+    let deadline = Instant::now() + request.time_left;
+    let mut avoid = None;
+    let mut was_unknown = None;
+    for _ in 0..LARGEST_TRIES {
+        let slot = shared.pools.take_slot(document, deadline, &request.caller, avoid.take()).await;
+        let key = match slot {
+            SlotDecision::Granted(key) => key,
+            SlotDecision::Queued => break,
+            SlotDecision::Refused { reason, retry_after } => {
+                return was_unknown.unwrap_or(RequestOutcome::NotRun { reason, retry_after });
+            }
+        };
+        let result = try_endpoint(shared, document, &request, &key, epoch, deadline).await;
+        shared.pools.release(&document.name, &key, result.slot);
+        match result.outcome {
+            RequestOutcome::NotRun { reason, .. } if reason.is_retryable() => avoid = Some(key),
+            RequestOutcome::Unknown(reason)
+                if request.idempotent && shared.pools.try_retry(&document.name) =>
+            {
+                was_unknown = Some(RequestOutcome::Unknown(reason));
+                avoid = Some(key);
+            }
+            outcome => return outcome,
+        }
+    }
+    let retry_after = Duration::from_millis(100);
+    was_unknown.unwrap_or(RequestOutcome::NotRun { reason: NotRunReason::Overloaded, retry_after })
+}
+
+async fn try_endpoint(
+    shared: &Arc<EntryShared>,
+    document: &ServiceDocument,
+    request: &ServiceRequest,
+    key: &EndpointKey,
+    epoch: LeaseEpoch,
+    deadline: Instant,
+) -> TryResult {
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    if time_left.is_zero() {
+        return not_sent(NotRunReason::DeadlinePassed, SlotResult::Neutral);
+    }
+    let address = {
+        let agents = shared.agents();
+        let known = agents.get(&key.worker);
+        known
+            .filter(|agent| agent.place.incarnation == key.incarnation)
+            .map(|one| one.address.clone())
+    };
+    let Some(address) = address else {
+        return not_sent(NotRunReason::StaleIncarnation, SlotResult::Leaving);
+    };
+    let Ok(client) = shared.agent_connections.client(&address).await else {
+        return not_sent(NotRunReason::AgentUnreachable, SlotResult::Failure);
+    };
+    // The last look before sending: a lease that lapsed in the queue must not be acted on.
+    if epoch > 0 && !is_still_owner(shared, request, epoch) {
+        return not_sent(NotRunReason::LeaseLapsed, SlotResult::Neutral);
+    }
+    let order = DispatchOrder {
+        request: ServiceRequest { time_left, ..request.clone() },
+        endpoint: key.endpoint.clone(),
+        incarnation: key.incarnation,
+        epoch,
+        window: id_window(document.requests.largest_deadline),
+    };
+    send(client, order, time_left).await
+}
+
+fn is_still_owner(shared: &EntryShared, request: &ServiceRequest, epoch: LeaseEpoch) -> bool {
+    let partition = partition_of_request(&request.id);
+    let right = shared.view().acting_right(partition, Instant::now());
+    right.is_some_and(|right| right.epoch == epoch)
+}
+
+async fn send(client: AgentRpcClient, order: DispatchOrder, time_left: Duration) -> TryResult {
+    let sent = Instant::now();
+    let answer = client.dispatch(call_within(time_left + ANSWER_GRACE), order).await;
+    let Ok(reply) = answer else {
+        let outcome = RequestOutcome::Unknown(UnknownReason::AgentSilent);
+        return TryResult { outcome, slot: SlotResult::Failure };
+    };
+    let slot = match &reply.outcome {
+        RequestOutcome::Answered(answer) if !answer.is_whole() => {
+            let outcome = RequestOutcome::Unknown(UnknownReason::AnswerLost);
+            return TryResult { outcome, slot: SlotResult::Failure };
+        }
+        RequestOutcome::Answered(answer) if answer.status >= 500 => SlotResult::Failure,
+        RequestOutcome::Answered(_) => SlotResult::Success(sent.elapsed()),
+        RequestOutcome::NotRun { reason: NotRunReason::SlotsFull, .. } => SlotResult::Full,
+        RequestOutcome::NotRun {
+            reason: NotRunReason::EndpointLeaving | NotRunReason::Draining,
+            ..
+        } => SlotResult::Leaving,
+        RequestOutcome::NotRun { reason: NotRunReason::ConnectFailed, .. } => SlotResult::Failure,
+        RequestOutcome::NotRun { .. } => SlotResult::Neutral,
+        RequestOutcome::Unknown(_) => SlotResult::Failure,
+    };
+    TryResult { outcome: reply.outcome, slot }
+}
+
+fn not_sent(reason: NotRunReason, slot: SlotResult) -> TryResult {
+    TryResult { outcome: RequestOutcome::not_run(reason), slot }
+}
--- /dev/null
+++ b/src/process/entry/rpc.rs
@@ -0,0 +1,172 @@
+//! The calls that an entry serves for other processes of the system.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures::StreamExt;
+use kameo::actor::ActorRef;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+
+use crate::connection::cluster_map::ClusterMap;
+use crate::connection::cluster_map::EntryMember;
+use crate::connection::protocol::AgentBeat;
+use crate::connection::protocol::BeatReply;
+use crate::connection::protocol::ClaimReply;
+use crate::connection::protocol::EntryBeat;
+use crate::connection::protocol::EntryRpc;
+use crate::connection::protocol::JoinReply;
+use crate::connection::protocol::ServiceRequest;
+use crate::connection::protocol::WorkerClaim;
+use crate::connection::rpc_client::framed;
+use crate::connection::worker_row::worker_key;
+use crate::ids::GenerationNumber;
+use crate::ids::IncarnationId;
+use crate::ids::LeaseEpoch;
+use crate::ids::PartitionId;
+use crate::process::entry::broker;
+use crate::process::entry::membership::AddMember;
+use crate::process::entry::membership::MembershipActor;
+use crate::process::entry::membership::entry_lease;
+use crate::process::entry::scheduler::SchedulerActor;
+use crate::process::entry::scheduler::TasksChanged;
+use crate::process::entry::shared::AgentNews;
+use crate::process::entry::shared::EntryShared;
+use crate::process::entry::shared::PeerNews;
+use crate::process::rpc_server::spawn_accept_loop;
+use crate::request::outcome::NotRunReason;
+use crate::request::outcome::RequestOutcome;
+use crate::request::service_pool::AgentPlace;
+use crate::version::catalog::DocumentCatalog;
+use crate::version::catalog::DocumentSet;
+
+#[derive(Clone)]
+struct EntryServer {
+    shared: Arc<EntryShared>,
+    membership: ActorRef<MembershipActor>,
+    scheduler: ActorRef<SchedulerActor>,
+}
+
+/// Serves calls on `listener` until the process ends.
+pub fn spawn_entry_rpc(
+    listener: TcpListener,
+    shared: Arc<EntryShared>,
+    membership: ActorRef<MembershipActor>,
+    scheduler: ActorRef<SchedulerActor>,
+) {
+    let server = EntryServer { shared, membership, scheduler };
+    spawn_accept_loop(listener, move |stream| {
+        let channel = BaseChannel::with_defaults(framed(stream));
+        let calls = channel.execute(server.clone().serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    });
+}
+
+impl EntryServer {
+    fn reply(
+        &self,
+        lease: &str,
+        epoch: LeaseEpoch,
+        map_generation: u64,
+        generation: GenerationNumber,
+    ) -> BeatReply {
+        let own_generation = self.shared.with_catalog(DocumentCatalog::generation);
+        if generation > own_generation {
+            self.shared.catalog_news.notify_one();
+        }
+        let view = self.shared.view();
+        let is_behind = map_generation < view.map().generation;
+        BeatReply {
+            incarnation: self.shared.member.incarnation,
+            granted: view.may_grant(lease, epoch, map_generation),
+            generation: own_generation,
+            map: is_behind.then(|| view.map().clone()),
+        }
+    }
+
+    /// Records what a heartbeat tells of its agent; gives whether the agent is the newest run.
+    fn take_news(&self, beat: &AgentBeat, place: &AgentPlace) -> bool {
+        let news = AgentNews {
+            place: place.clone(),
+            address: beat.address.clone(),
+            epoch: beat.epoch,
+            generation: beat.generation,
+            registered: beat.registered,
+            heard: Instant::now(),
+        };
+        let mut agents = self.shared.agents();
+        if let Some(known) = agents.get(&beat.worker) {
+            let is_other = known.place.incarnation != beat.incarnation;
+            // A run that lost its worker's lease may still be sending.
+            if is_other && known.registered && beat.epoch < known.epoch {
+                return false;
+            }
+            if is_other {
+                self.shared.agent_connections.drop_client(&known.address);
+            }
+        }
+        agents.insert(beat.worker.clone(), news);
+        true
+    }
+}
+
+impl EntryRpc for EntryServer {
+    async fn agent_beat(self, _: Context, beat: AgentBeat) -> BeatReply {
+        let place = AgentPlace {
+            worker: beat.worker.clone(),
+            incarnation: beat.incarnation,
+            domain: beat.domain.clone(),
+        };
+        if self.take_news(&beat, &place) {
+            self.shared.pools.on_report(&place, &beat.endpoints);
+        }
+        let lease = worker_key(&beat.worker);
+        self.reply(&lease, beat.epoch, beat.map_generation, beat.generation)
+    }
+
+    async fn entry_beat(self, _: Context, beat: EntryBeat) -> BeatReply {
+        let now = Instant::now();
+        let news = PeerNews { id: beat.member.id.clone(), generation: beat.generation, heard: now };
+        self.shared.peers().insert(beat.member.incarnation, news);
+        self.shared.view().on_heard(beat.member.incarnation, now);
+        self.reply(&entry_lease(&beat.member), 0, beat.map_generation, beat.generation)
+    }
+
+    async fn identity(self, _: Context) -> IncarnationId {
+        self.shared.member.incarnation
+    }
+
+    async fn join(self, _: Context, member: EntryMember) -> JoinReply {
+        match self.membership.ask(AddMember(member)).await {
+            Ok(Some(map)) => JoinReply::Joined(map),
+            _ => JoinReply::Later,
+        }
+    }
+
+    async fn claim_worker(self, _: Context, claim: WorkerClaim) -> ClaimReply {
+        self.shared.claim_worker(claim).await
+    }
+
+    async fn forward(self, _: Context, request: ServiceRequest) -> RequestOutcome {
+        // A task of its own: the call ends with the sender's patience, the request must not.
+        let run = tokio::spawn(broker::run_as_owner(self.shared, request));
+        run.await.unwrap_or(RequestOutcome::not_run(NotRunReason::Draining))
+    }
+
+    async fn cluster(self, _: Context) -> ClusterMap {
+        self.shared.view().map().clone()
+    }
+
+    async fn documents(self, _: Context, since: GenerationNumber) -> DocumentSet {
+        self.shared.with_catalog(|catalog| catalog.changed_since(since))
+    }
+
+    async fn tasks_changed(self, _: Context, partition: PartitionId) {
+        // A full mailbox means that a look is due anyway.
+        let _ = self.scheduler.tell(TasksChanged(partition)).await;
+    }
+}
--- a/src/process/ini_reader.rs
+++ b/src/process/ini_reader.rs
@@ -63,9 +63,7 @@
     /// ```
     pub fn text(&mut self, section: &str, key: &str) -> Option<String> {
         self.known.insert((section.to_string(), key.to_string()));
-        self.ini
-            .get_from(Some(section), key)
-            .map(|value| value.trim().to_string())
+        self.ini.get_from(Some(section), key).map(|value| value.trim().to_string())
     }
 
     /// The value of a key that must be there and not be empty.
@@ -132,11 +130,7 @@
         if range.contains(&value) {
             return value;
         }
-        let message = format!(
-            "{value} is not between {} and {}",
-            range.start(),
-            range.end()
-        );
+        let message = format!("{value} is not between {} and {}", range.start(), range.end());
         self.report(section, key, &message);
         default
     }
@@ -187,10 +181,21 @@
     /// ```
     pub fn sections(&self, prefix: &str) -> Vec<String> {
         let names = self.ini.sections().flatten();
-        names
-            .filter_map(|name| name.strip_prefix(prefix))
-            .map(str::to_string)
-            .collect()
+        names.filter_map(|name| name.strip_prefix(prefix)).map(str::to_string).collect()
+    }
+
+    /// Names of the keys of a section.
+    ///
+    /// ```
+    /// use greengagearch::process::ini_reader::IniReader;
+    ///
+    /// let reader = IniReader::open("a.ini", "[team-keys]\nsendeplan = 00\n");
+    /// assert_eq!(reader.keys("team-keys"), ["sendeplan"]);
+    /// ```
+    pub fn keys(&self, section: &str) -> Vec<String> {
+        let properties = self.ini.section(Some(section));
+        let pairs = properties.into_iter().flat_map(|properties| properties.iter());
+        pairs.map(|(key, _)| key.to_string()).collect()
     }
 
     /// Adds a finding about a key, at the key's line.
@@ -243,8 +248,17 @@
     }
 }
 
-/// Reads `250ms`, `2s`, `5m` or `1h`.
-fn parse_span(text: &str) -> Option<Duration> {
+/// Reads `250ms`, `2s`, `5m` or `1h`; nothing when the text is none of these.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use greengagearch::process::ini_reader::parse_span;
+///
+/// assert_eq!(parse_span("2s"), Some(Duration::from_secs(2)));
+/// assert_eq!(parse_span("2 days"), None);
+/// ```
+pub fn parse_span(text: &str) -> Option<Duration> {
     let split = text.find(|c: char| !c.is_ascii_digit())?;
     let (digits, unit) = text.split_at(split);
     let number: u64 = digits.parse().ok()?;
@@ -264,10 +278,7 @@
     let mut section_line = 1;
     for (index, line) in text.lines().enumerate() {
         let line = line.trim();
-        if let Some(name) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'))
-        {
+        if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
             current = name.trim();
             if current == section {
                 section_line = index + 1;
@@ -293,12 +304,7 @@
         reader.span("a", "wait", Duration::ZERO);
         reader.number("b", "n", 1, 0..=5);
         reader.required("a", "id");
-        let lines: Vec<usize> = reader
-            .finish()
-            .0
-            .iter()
-            .map(|finding| finding.line)
-            .collect();
+        let lines: Vec<usize> = reader.finish().0.iter().map(|finding| finding.line).collect();
         assert_eq!(lines, [1, 2, 3, 5]);
     }
 
--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,105 @@
+//! Metrics in the Prometheus text format.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// Metrics of a process; each program counts what applies to it.
+#[derive(Clone, Debug)]
+pub struct ProcessMetrics {
+    registry: Registry,
+    /// Outcomes of requests, by service, outcome and reason.
+    pub outcomes: IntCounterVec,
+    /// Time from a caller's request to its outcome, in seconds.
+    pub latency: Histogram,
+    /// Events of tasks, by event: started, finished, failed, requeued, cancelled.
+    pub tasks: IntCounterVec,
+    /// Calls of the table service, by call and result.
+    pub table_calls: IntCounterVec,
+    /// Messages to other processes of the system, by kind.
+    pub messages: IntCounterVec,
+    /// Generation of the documents in force.
+    pub generation: IntGauge,
+}
+
+impl ProcessMetrics {
+    /// Metrics that all stand at zero.
+    ///
+    /// ```
+    /// use greengagearch::process::metrics::ProcessMetrics;
+    ///
+    /// let metrics = ProcessMetrics::open();
+    /// metrics.generation.set(3);
+    /// assert!(metrics.render().contains("gga_generation 3"));
+    /// ```
+    pub fn open() -> ProcessMetrics {
+        let registry = Registry::new();
+        let metrics = ProcessMetrics {
+            outcomes: counters(
+                "gga_outcomes",
+                "Request outcomes",
+                &["service", "outcome", "reason"],
+            ),
+            latency: histogram("gga_latency_seconds", "Time from request to outcome"),
+            tasks: counters("gga_task_events", "Task events", &["event"]),
+            table_calls: counters("gga_table_calls", "Table service calls", &["call", "result"]),
+            messages: counters("gga_messages", "Messages to other processes", &["kind"]),
+            generation: gauge("gga_generation", "Generation of the documents in force"),
+            registry,
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// All metrics as text.
+    ///
+    /// ```
+    /// use greengagearch::process::metrics::ProcessMetrics;
+    ///
+    /// assert!(ProcessMetrics::open().render().contains("gga_latency_seconds_count 0"));
+    /// ```
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        // Writing to a vector cannot fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+            Box::new(self.outcomes.clone()),
+            Box::new(self.latency.clone()),
+            Box::new(self.tasks.clone()),
+            Box::new(self.table_calls.clone()),
+            Box::new(self.messages.clone()),
+            Box::new(self.generation.clone()),
+        ];
+        for collector in collectors {
+            // Names are constants and unique, so that a refusal is a mistake in this file, which
+            // the tests of `render` show.
+            let _ = self.registry.register(collector);
+        }
+    }
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("constant names are valid")
+}
+
+fn histogram(name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    Histogram::with_opts(options).expect("constant names are valid")
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("constant names are valid")
+}
--- a/src/request/deadline_queue.rs
+++ b/src/request/deadline_queue.rs
@@ -45,8 +45,7 @@
     /// ```
     pub fn push(&mut self, request: QueuedRequest) {
         *self.by_caller.entry(request.caller.clone()).or_default() += 1;
-        self.requests
-            .insert((request.deadline, request.ticket), request);
+        self.requests.insert((request.deadline, request.ticket), request);
     }
 
     /// Takes the request with the earliest deadline.
@@ -73,11 +72,7 @@
     /// ```
     pub fn take_before(&mut self, limit: Instant) -> Vec<QueuedRequest> {
         let mut taken = Vec::new();
-        while self
-            .requests
-            .first_key_value()
-            .is_some_and(|((end, _), _)| *end < limit)
-        {
+        while self.requests.first_key_value().is_some_and(|((end, _), _)| *end < limit) {
             taken.extend(self.pop());
         }
         taken
@@ -194,12 +189,7 @@
     use super::*;
 
     fn request(ticket: TicketNumber, deadline: Instant) -> QueuedRequest {
-        QueuedRequest {
-            ticket,
-            deadline,
-            caller: "desk".to_string(),
-            avoid: None,
-        }
+        QueuedRequest { ticket, deadline, caller: "desk".to_string(), avoid: None }
     }
 
     #[test]
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::connection::cluster_map::partition_of_job;
+use crate::connection::cluster_map::partition_of_team;
 use crate::ids::AttemptNumber;
 use crate::ids::JobId;
 use crate::ids::PartitionId;
@@ -110,7 +110,7 @@
 /// The row of a task of a job that has not ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRow {
-    /// The job.
+    /// Full name of the job.
     pub job: JobId,
     /// Position in the job.
     pub index: TaskIndex,
@@ -181,22 +181,34 @@
     }
 }
 
-/// Key of a job's row.
+/// Full name of a team's job.
 ///
 /// ```
-/// assert!(greengagearch::request::job::job_key("night").ends_with("/night"));
+/// assert_eq!(greengagearch::request::job::job_name("planning", "night"), "planning/night");
 /// ```
-pub fn job_key(job: &str) -> String {
-    format!("job/{:02}/{job}", partition_of_job(job))
+pub fn job_name(team: &str, id: &str) -> JobId {
+    format!("{team}/{id}")
 }
 
-/// Key of a task's row.
+/// Partition of a job, by its full name.
 ///
 /// ```
-/// assert!(greengagearch::request::job::task_key("night", 3).ends_with("/night/0003"));
+/// use greengagearch::request::job::job_partition;
+///
+/// assert_eq!(job_partition("planning/night"), job_partition("planning/day"));
 /// ```
-pub fn task_key(job: &str, index: TaskIndex) -> String {
-    format!("{}{job}/{index:04}", task_prefix(partition_of_job(job)))
+pub fn job_partition(job: &str) -> PartitionId {
+    let team = job.split('/').next().unwrap_or_default();
+    partition_of_team(team)
+}
+
+/// Key of a job's row.
+///
+/// ```
+/// assert!(greengagearch::request::job::job_key("planning/night").ends_with("/planning/night"));
+/// ```
+pub fn job_key(job: &str) -> String {
+    format!("job/{:02}/{job}", job_partition(job))
 }
 
 /// Prefix of the keys of all tasks of a partition.
@@ -208,6 +220,50 @@
     format!("task/{partition:02}/")
 }
 
+/// Prefix of the keys of all tasks of a job.
+///
+/// ```
+/// let prefix = greengagearch::request::job::job_tasks_prefix("planning/night");
+/// assert!(prefix.ends_with("/planning/night/"));
+/// ```
+pub fn job_tasks_prefix(job: &str) -> String {
+    format!("{}{job}/", task_prefix(job_partition(job)))
+}
+
+/// Key of a task's row.
+///
+/// ```
+/// let key = greengagearch::request::job::task_key("planning/night", 3);
+/// assert!(key.ends_with("/planning/night/0003"));
+/// ```
+pub fn task_key(job: &str, index: TaskIndex) -> String {
+    format!("{}{index:04}", job_tasks_prefix(job))
+}
+
+/// Key of the marker that a job is cancelled; it stands among the job's tasks, so that one read
+/// of a partition shows both.
+///
+/// ```
+/// let key = greengagearch::request::job::cancel_key("planning/night");
+/// assert!(key.ends_with("/planning/night/cancel"));
+/// ```
+pub fn cancel_key(job: &str) -> String {
+    format!("{}cancel", job_tasks_prefix(job))
+}
+
+/// The job of a marker's key.
+///
+/// ```
+/// use greengagearch::request::job::cancel_key;
+/// use greengagearch::request::job::cancelled_job;
+///
+/// assert_eq!(cancelled_job(&cancel_key("planning/night")), Some("planning/night".into()));
+/// ```
+pub fn cancelled_job(key: &str) -> Option<JobId> {
+    let (_, rest) = key.strip_prefix("task/")?.split_once('/')?;
+    rest.strip_suffix("/cancel").map(str::to_string)
+}
+
 /// The rows of a new job's tasks.
 ///
 /// ```
@@ -219,7 +275,7 @@
 pub fn task_rows(spec: &JobSpec, submitted_millis: u64) -> Vec<TaskRow> {
     let numbered = (0..).zip(&spec.tasks);
     let rows = numbered.map(|(index, task)| TaskRow {
-        job: spec.id.clone(),
+        job: job_name(&spec.team, &spec.id),
         index,
         team: spec.team.clone(),
         kind: spec.kind.clone(),
@@ -245,16 +301,16 @@
 pub fn check_spec(spec: &JobSpec) -> Vec<String> {
     let mut findings = Vec::new();
     let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    if spec.team.is_empty() || !spec.team.chars().all(is_plain) {
+        findings.push("team: write the characters a-z, A-Z, 0-9, '-', '_', '.', ':'".to_string());
+    }
     if spec.id.is_empty() || spec.id.len() > LONGEST_JOB_ID || !spec.id.chars().all(is_plain) {
         findings.push(format!(
             "id: write 1 to {LONGEST_JOB_ID} of the characters a-z, A-Z, 0-9, '-', '_', '.', ':'"
         ));
     }
     if spec.tasks.is_empty() || spec.tasks.len() > LARGEST_JOB {
-        findings.push(format!(
-            "tasks: give 1 to {LARGEST_JOB} tasks, not {}",
-            spec.tasks.len()
-        ));
+        findings.push(format!("tasks: give 1 to {LARGEST_JOB} tasks, not {}", spec.tasks.len()));
     }
     for (index, task) in spec.tasks.iter().enumerate() {
         if task.resources.millicores == 0 || task.resources.memory_mib == 0 {
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -36,12 +36,7 @@
     /// ```
     pub fn new(status: u16, content_type: String, body: Vec<u8>) -> EndpointAnswer {
         let digest = body_digest(&body);
-        EndpointAnswer {
-            status,
-            content_type,
-            body,
-            digest,
-        }
+        EndpointAnswer { status, content_type, body, digest }
     }
 
     /// Whether the body still has the digest that was taken of it.
@@ -231,10 +226,7 @@
     /// assert_eq!(outcome.to_string(), "not_run/no_owner");
     /// ```
     pub fn not_run(reason: NotRunReason) -> RequestOutcome {
-        RequestOutcome::NotRun {
-            reason,
-            retry_after: Duration::ZERO,
-        }
+        RequestOutcome::NotRun { reason, retry_after: Duration::ZERO }
     }
 }
 
--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -142,39 +142,22 @@
     let numbered = views.iter().enumerate();
     let roomy: Vec<(usize, &WorkerView)> =
         numbered.filter(|(_, view)| view.has_room(amount)).collect();
-    let preferred: Vec<(usize, &WorkerView)> = roomy
-        .iter()
-        .copied()
-        .filter(|(_, view)| !avoid.contains(&view.worker))
-        .collect();
-    let choice = if preferred.is_empty() {
-        roomy
-    } else {
-        preferred
-    };
+    let preferred: Vec<(usize, &WorkerView)> =
+        roomy.iter().copied().filter(|(_, view)| !avoid.contains(&view.worker)).collect();
+    let choice = if preferred.is_empty() { roomy } else { preferred };
     match way {
         _ if choice.is_empty() => None,
-        PlacementWay::Random => choice
-            .get(rng.random_range(0..choice.len()))
-            .map(|one| one.0),
+        PlacementWay::Random => choice.get(rng.random_range(0..choice.len())).map(|one| one.0),
         PlacementWay::FirstFit => choice.first().map(|one| one.0),
         PlacementWay::LeastLoaded => least_loaded(&choice),
     }
 }
 
 fn least_loaded(choice: &[(usize, &WorkerView)]) -> Option<usize> {
-    let shares = choice
-        .iter()
-        .map(|(index, view)| (*index, view.committed_share()));
-    shares
-        .min_by(|a, b| a.1.total_cmp(&b.1))
-        .map(|(index, _)| index)
+    let shares = choice.iter().map(|(index, view)| (*index, view.committed_share()));
+    shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
 }
 
 fn share(part: u64, whole: u64) -> f64 {
-    if whole == 0 {
-        0.0
-    } else {
-        part as f64 / whole as f64
-    }
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
 }
--- a/src/request/request_journal.rs
+++ b/src/request/request_journal.rs
@@ -73,10 +73,20 @@
     /// assert_eq!(RequestJournal::new(Duration::ZERO).len(), 0);
     /// ```
     pub fn new(now: Duration) -> RequestJournal {
-        RequestJournal {
-            entries: HashMap::new(),
-            remembers_since: now,
-        }
+        RequestJournal { entries: HashMap::new(), remembers_since: now }
+    }
+
+    /// Says that every dispatch from `time` on is remembered here, and none before for certain.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// RequestJournal::new(Duration::ZERO).vouch_from(Duration::from_secs(1));
+    /// ```
+    pub fn vouch_from(&mut self, time: Duration) {
+        self.remembers_since = self.remembers_since.max(time);
     }
 
     /// Looks up an order of the owner at `epoch` and marks it as running when it is new.
@@ -103,13 +113,7 @@
             Some(JournalState::Ended(outcome)) => JournalVerdict::Ended(outcome.clone()),
             Some(JournalState::Tombstone(newest)) if epoch < *newest => JournalVerdict::Refuse,
             Some(JournalState::Tombstone(_)) | None => {
-                self.entries.insert(
-                    id,
-                    JournalEntry {
-                        state: JournalState::Running,
-                        forget_at,
-                    },
-                );
+                self.entries.insert(id, JournalEntry { state: JournalState::Running, forget_at });
                 JournalVerdict::Run
             }
         }
@@ -168,13 +172,7 @@
             Some(JournalState::Tombstone(newest)) => epoch.max(*newest),
             None => epoch,
         };
-        self.entries.insert(
-            id,
-            JournalEntry {
-                state: JournalState::Tombstone(epoch),
-                forget_at,
-            },
-        );
+        self.entries.insert(id, JournalEntry { state: JournalState::Tombstone(epoch), forget_at });
         // An id is accepted up to one skew ahead of an entry's clock, which may itself be one skew
         // ahead of this agent's.
         if id_time < self.remembers_since + 2 * CLOCK_SKEW {
@@ -236,10 +234,7 @@
         let id = RequestId::now_v7();
         let answer = journal.settle(id, 2, Duration::from_secs(103), Duration::from_secs(200));
         assert_eq!(answer, SettleAnswer::CannotTell);
-        assert_eq!(
-            journal.begin(id, 1, Duration::from_secs(200)),
-            JournalVerdict::Refuse
-        );
+        assert_eq!(journal.begin(id, 1, Duration::from_secs(200)), JournalVerdict::Refuse);
     }
 
     #[test]
@@ -247,18 +242,9 @@
         let mut journal = RequestJournal::new(Duration::ZERO);
         let id = RequestId::now_v7();
         journal.settle(id, 2, Duration::from_secs(20), Duration::from_secs(30));
-        assert_eq!(
-            journal.begin(id, 1, Duration::from_secs(30)),
-            JournalVerdict::Refuse
-        );
-        assert_eq!(
-            journal.begin(id, 2, Duration::from_secs(30)),
-            JournalVerdict::Run
-        );
-        assert_eq!(
-            journal.begin(id, 2, Duration::from_secs(30)),
-            JournalVerdict::Wait
-        );
+        assert_eq!(journal.begin(id, 1, Duration::from_secs(30)), JournalVerdict::Refuse);
+        assert_eq!(journal.begin(id, 2, Duration::from_secs(30)), JournalVerdict::Run);
+        assert_eq!(journal.begin(id, 2, Duration::from_secs(30)), JournalVerdict::Wait);
     }
 
     #[test]
@@ -267,9 +253,6 @@
         let id = RequestId::now_v7();
         journal.settle(id, 2, Duration::from_secs(20), Duration::from_secs(30));
         journal.forget_old(Duration::from_secs(29));
-        assert_eq!(
-            journal.begin(id, 1, Duration::from_secs(30)),
-            JournalVerdict::Refuse
-        );
+        assert_eq!(journal.begin(id, 1, Duration::from_secs(30)), JournalVerdict::Refuse);
     }
 }
--- a/src/request/request_ledger.rs
+++ b/src/request/request_ledger.rs
@@ -69,14 +69,7 @@
             };
         }
         let state = LedgerState::InFlight;
-        self.entries.insert(
-            id,
-            LedgerEntry {
-                digest,
-                state,
-                forget_at,
-            },
-        );
+        self.entries.insert(id, LedgerEntry { digest, state, forget_at });
         LedgerVerdict::Run
     }
 
@@ -163,9 +156,6 @@
         let id = RequestId::now_v7();
         ledger.begin(id, 1, Duration::from_secs(1));
         ledger.forget_old(Duration::from_secs(2));
-        assert_eq!(
-            ledger.begin(id, 1, Duration::from_secs(1)),
-            LedgerVerdict::Wait
-        );
+        assert_eq!(ledger.begin(id, 1, Duration::from_secs(1)), LedgerVerdict::Wait);
     }
 }
--- a/src/request/retry_budget.rs
+++ b/src/request/retry_budget.rs
@@ -20,10 +20,16 @@
     /// assert!(budget.try_take());
     /// ```
     pub fn new(share: f64) -> RetryBudget {
-        RetryBudget {
-            share,
-            balance: LARGEST_BALANCE,
-        }
+        RetryBudget { share, balance: LARGEST_BALANCE }
+    }
+
+    /// Changes the share; the balance stays.
+    ///
+    /// ```
+    /// greengagearch::request::retry_budget::RetryBudget::new(0.1).set_share(0.2);
+    /// ```
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
     }
 
     /// Counts a first try.
--- a/src/request/routing.rs
+++ b/src/request/routing.rs
@@ -94,27 +94,18 @@
     }
     let (before, after) = candidates.split_at(rng.random_range(0..candidates.len()));
     let turned = after.iter().chain(before);
-    turned
-        .min_by(|a, b| a.load.total_cmp(&b.load))
-        .map(|candidate| candidate.index)
+    turned.min_by(|a, b| a.load.total_cmp(&b.load)).map(|candidate| candidate.index)
 }
 
 fn two_choices<R: Rng>(candidates: &[RouteCandidate], rng: &mut R) -> Option<usize> {
     let first = draw(candidates, rng)?;
     let second = draw(candidates, rng)?;
-    let better = if second.load < first.load {
-        second
-    } else {
-        first
-    };
+    let better = if second.load < first.load { second } else { first };
     Some(better.index)
 }
 
 fn local_first<R: Rng>(candidates: &[RouteCandidate], rng: &mut R) -> Option<usize> {
-    let local: Vec<RouteCandidate> = candidates
-        .iter()
-        .copied()
-        .filter(|candidate| candidate.is_local)
-        .collect();
+    let local: Vec<RouteCandidate> =
+        candidates.iter().copied().filter(|candidate| candidate.is_local).collect();
     two_choices(&local, rng).or_else(|| two_choices(candidates, rng))
 }
--- a/src/request/service_pool.rs
+++ b/src/request/service_pool.rs
@@ -86,11 +86,7 @@
 
 impl PoolEndpoint {
     fn in_use(&self, now: Instant) -> u32 {
-        let foreign = if now < self.foreign_until {
-            self.foreign
-        } else {
-            0
-        };
+        let foreign = if now < self.foreign_until { self.foreign } else { 0 };
         self.own + foreign
     }
 
@@ -172,6 +168,19 @@
         }
     }
 
+    /// Puts the rules of a newer document in force.
+    ///
+    /// ```
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// pool.set_rules(RoutingWay::LocalFirst, 0.2);
+    /// ```
+    pub fn set_rules(&mut self, way: RoutingWay, retry_share: f64) {
+        self.way = way;
+        self.budget.set_share(retry_share);
+    }
+
     /// Number of waiting requests.
     ///
     /// ```
@@ -193,10 +202,7 @@
     /// assert_eq!(pool.endpoint_count(), 0);
     /// ```
     pub fn endpoint_count(&self) -> usize {
-        self.endpoints
-            .values()
-            .filter(|endpoint| !endpoint.leaving)
-            .count()
+        self.endpoints.values().filter(|endpoint| !endpoint.leaving).count()
     }
 
     /// Takes in an agent's report of its endpoints of this service; those it leaves out, and those
@@ -281,11 +287,7 @@
         if let SlotResult::Success(time) = result {
             self.mean_seconds = blend(self.mean_seconds, time);
         }
-        let ejected = self
-            .endpoints
-            .values()
-            .filter(|one| one.health.is_ejected())
-            .count();
+        let ejected = self.endpoints.values().filter(|one| one.health.is_ejected()).count();
         let may_eject = (ejected + 1) * 2 <= self.endpoints.len();
         let hold = self.mean_seconds;
         let Some(endpoint) = self.endpoints.get_mut(key) else {
@@ -321,19 +323,15 @@
     pub fn poll<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Vec<TicketResult> {
         let useless_before = now + self.mean_time() / 2;
         let expired = self.queue.take_before(useless_before).into_iter();
-        let mut results: Vec<TicketResult> = expired
-            .map(|request| self.refuse_waiting(request.ticket, now))
-            .collect();
+        let mut results: Vec<TicketResult> =
+            expired.map(|request| self.refuse_waiting(request.ticket, now)).collect();
         while !self.queue.is_empty() {
             let Some(key) = self.choose_endpoint(None, now, rng) else {
                 break;
             };
             if let Some(request) = self.queue.pop() {
                 let decision = SlotDecision::Granted(key);
-                results.push(TicketResult {
-                    ticket: request.ticket,
-                    decision,
-                });
+                results.push(TicketResult { ticket: request.ticket, decision });
             }
         }
         results
@@ -407,10 +405,7 @@
             Some(displaced) => {
                 self.queue.push(request);
                 let decision = refused(NotRunReason::CallerShare, wait);
-                let result = TicketResult {
-                    ticket: displaced.ticket,
-                    decision,
-                };
+                let result = TicketResult { ticket: displaced.ticket, decision };
                 (SlotDecision::Queued, Some(result))
             }
             None => (refused(NotRunReason::Overloaded, wait), None),
@@ -443,10 +438,7 @@
     }
 
     fn usable_slots(&self, now: Instant) -> u32 {
-        let usable = self
-            .endpoints
-            .values()
-            .filter(|one| !one.leaving && one.health.is_open(now));
+        let usable = self.endpoints.values().filter(|one| !one.leaving && one.health.is_open(now));
         usable.map(|one| one.slots).sum()
     }
 
@@ -480,10 +472,7 @@
 }
 
 fn refused(reason: NotRunReason, retry_after: Duration) -> SlotDecision {
-    SlotDecision::Refused {
-        reason,
-        retry_after,
-    }
+    SlotDecision::Refused { reason, retry_after }
 }
 
 fn blend(mean: f64, sample: Duration) -> f64 {
@@ -502,11 +491,7 @@
         let mut pool = ServicePool::new(RoutingWay::LeastLoaded, "a".to_string(), 0.1);
         for (number, slots) in slots.iter().enumerate() {
             let worker = format!("w{number}");
-            let place = AgentPlace {
-                worker,
-                incarnation: 1,
-                domain: "a".to_string(),
-            };
+            let place = AgentPlace { worker, incarnation: 1, domain: "a".to_string() };
             let report = EndpointReport {
                 endpoint: "r".to_string(),
                 service: "s".to_string(),
@@ -520,12 +505,7 @@
     }
 
     fn request(ticket: TicketNumber, caller: &str, deadline: Instant) -> QueuedRequest {
-        QueuedRequest {
-            ticket,
-            deadline,
-            caller: caller.to_string(),
-            avoid: None,
-        }
+        QueuedRequest { ticket, deadline, caller: caller.to_string(), avoid: None }
     }
 
     #[test]
@@ -535,9 +515,7 @@
         let mut pool = pool_of(&[1], now);
         let second = Duration::from_secs(1);
         let (decision, _) = pool.request_slot(request(1, "c", now + second), now, &mut rng);
-        let SlotDecision::Granted(key) = decision else {
-            panic!("{decision:?}")
-        };
+        let SlotDecision::Granted(key) = decision else { panic!("{decision:?}") };
         pool.request_slot(request(2, "c", now + 3 * second), now, &mut rng);
         pool.request_slot(request(3, "c", now + 2 * second), now, &mut rng);
         assert!(pool.poll(now, &mut rng).is_empty());
@@ -554,10 +532,7 @@
         let mut pool = pool_of(&[1], now);
         let deadline = now + Duration::from_millis(20);
         let decisions: Vec<SlotDecision> = (0..10)
-            .map(|ticket| {
-                pool.request_slot(request(ticket, "c", deadline), now, &mut rng)
-                    .0
-            })
+            .map(|ticket| pool.request_slot(request(ticket, "c", deadline), now, &mut rng).0)
             .collect();
         assert_matches!(decisions[0], SlotDecision::Granted(_));
         assert_matches!(decisions[1], SlotDecision::Queued);
@@ -583,10 +558,7 @@
         let displaced = displaced.expect("a request of the flood gives way");
         assert_matches!(
             displaced.decision,
-            SlotDecision::Refused {
-                reason: NotRunReason::CallerShare,
-                ..
-            }
+            SlotDecision::Refused { reason: NotRunReason::CallerShare, .. }
         );
     }
 
@@ -599,9 +571,7 @@
         for ticket in 0..100 {
             let deadline = now + Duration::from_secs(1);
             let (decision, _) = pool.request_slot(request(ticket, "c", deadline), now, &mut rng);
-            let SlotDecision::Granted(key) = decision else {
-                panic!("{decision:?}")
-            };
+            let SlotDecision::Granted(key) = decision else { panic!("{decision:?}") };
             let result = if key.worker == "w0" {
                 failures += 1;
                 SlotResult::Failure
@@ -610,10 +580,7 @@
             };
             pool.release(&key, result, now);
         }
-        assert!(
-            failures <= 6,
-            "{failures} requests went to the broken endpoint"
-        );
+        assert!(failures <= 6, "{failures} requests went to the broken endpoint");
     }
 
     #[test]
@@ -621,11 +588,7 @@
         let now = Instant::now();
         let mut rng = StdRng::seed_from_u64(1);
         let mut pool = pool_of(&[8, 8], now);
-        let key = EndpointKey {
-            worker: "w0".into(),
-            endpoint: "r".into(),
-            incarnation: 1,
-        };
+        let key = EndpointKey { worker: "w0".into(), endpoint: "r".into(), incarnation: 1 };
         pool.release(&key, SlotResult::Leaving, now);
         for ticket in 0..8 {
             let deadline = now + Duration::from_secs(1);
--- a/src/request/task_plan.rs
+++ b/src/request/task_plan.rs
@@ -95,10 +95,7 @@
         if let Some(index) = place(way, views, &task.resources, &task.avoid, rng) {
             views[index].take(&task.resources);
             share.used = share.used.plus(&task.resources);
-            starts.push(PlannedStart {
-                key: task.key,
-                worker: views[index].worker.clone(),
-            });
+            starts.push(PlannedStart { key: task.key, worker: views[index].worker.clone() });
         }
     }
     starts
@@ -108,9 +105,7 @@
 fn queues_by_team(mut queued: Vec<QueuedTask>) -> BTreeMap<TeamName, VecDeque<QueuedTask>> {
     queued.sort_by(|a, b| {
         let urgency = b.urgent.cmp(&a.urgent);
-        urgency
-            .then(b.waited.cmp(&a.waited))
-            .then_with(|| a.key.cmp(&b.key))
+        urgency.then(b.waited.cmp(&a.waited)).then_with(|| a.key.cmp(&b.key))
     });
     let mut queues: BTreeMap<TeamName, VecDeque<QueuedTask>> = BTreeMap::new();
     for task in queued {
@@ -127,9 +122,7 @@
     queues: &BTreeMap<TeamName, VecDeque<QueuedTask>>,
     teams: &BTreeMap<TeamName, TeamShare>,
 ) -> Option<TeamName> {
-    let heads = queues
-        .iter()
-        .filter_map(|(team, queue)| Some((team, queue.front()?)));
+    let heads = queues.iter().filter_map(|(team, queue)| Some((team, queue.front()?)));
     let ranked = heads.map(|(team, task)| {
         let share = teams.get(team).copied().unwrap_or_default();
         let used = dominant_share(&share.used, &share.quota);
@@ -149,11 +142,7 @@
     use super::*;
 
     fn amount(millicores: u64) -> ResourceAmount {
-        ResourceAmount {
-            millicores,
-            memory_mib: millicores,
-            accelerators: 0,
-        }
+        ResourceAmount { millicores, memory_mib: millicores, accelerators: 0 }
     }
 
     fn view(worker: &str, free: u64) -> WorkerView {
@@ -178,14 +167,8 @@
     }
 
     fn shares(quotas: &[(&str, u64)]) -> BTreeMap<TeamName, TeamShare> {
-        let share = |quota: u64| TeamShare {
-            quota: amount(quota),
-            used: amount(0),
-        };
-        quotas
-            .iter()
-            .map(|(team, quota)| (team.to_string(), share(*quota)))
-            .collect()
+        let share = |quota: u64| TeamShare { quota: amount(quota), used: amount(0) };
+        quotas.iter().map(|(team, quota)| (team.to_string(), share(*quota))).collect()
     }
 
     fn plan(
@@ -194,22 +177,13 @@
         teams: &mut BTreeMap<TeamName, TeamShare>,
     ) -> Vec<String> {
         let mut rng = StdRng::seed_from_u64(1);
-        let starts = plan_starts(
-            queued,
-            views,
-            teams,
-            PlacementWay::LeastLoaded,
-            99,
-            &mut rng,
-        );
+        let starts = plan_starts(queued, views, teams, PlacementWay::LeastLoaded, 99, &mut rng);
         starts.into_iter().map(|start| start.key).collect()
     }
 
     #[test]
     fn no_worker_and_no_quota_is_exceeded() {
-        let queued = (0..9)
-            .map(|n| task(&n.to_string(), "t", false, n))
-            .collect();
+        let queued = (0..9).map(|n| task(&n.to_string(), "t", false, n)).collect();
         let mut views = [view("w1", 1_000), view("w2", 700)];
         let mut teams = shares(&[("t", 1_200)]);
         assert_eq!(plan(queued, &mut views, &mut teams).len(), 2);
@@ -245,11 +219,7 @@
         let mut views = [view("w1", 500)];
         let mut teams = shares(&[("a", 5_000)]);
         assert_eq!(
-            plan(
-                vec![big, task("small", "a", false, 1)],
-                &mut views,
-                &mut teams
-            ),
+            plan(vec![big, task("small", "a", false, 1)], &mut views, &mut teams),
             ["small"]
         );
     }
--- a/src/version/catalog.rs
+++ b/src/version/catalog.rs
@@ -65,9 +65,21 @@
     pub fn revision(&self) -> RevisionNumber {
         self.history.last().map_or(0, |change| change.revision)
     }
+
+    /// Generation that the newest change came into force with.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentRow;
+    ///
+    /// let row = DocumentRow { service: "s".into(), text: String::new(), history: Vec::new() };
+    /// assert_eq!(row.generation(), 0);
+    /// ```
+    pub fn generation(&self) -> GenerationNumber {
+        self.history.last().map_or(0, |change| change.generation)
+    }
 }
 
-/// All documents under one generation, as processes pass them on.
+/// Documents under one generation, as processes pass them on: all, or those that changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentSet {
     /// The generation.
@@ -79,12 +91,13 @@
 /// Documents in force.
 #[derive(Clone, Debug, Default)]
 pub struct DocumentCatalog {
-    set: DocumentSet,
+    generation: GenerationNumber,
+    rows: BTreeMap<ServiceName, DocumentRow>,
     documents: BTreeMap<ServiceName, Arc<ServiceDocument>>,
 }
 
 impl DocumentCatalog {
-    /// Puts a set in force unless its generation is not newer. Gives whether it did.
+    /// Puts changed documents in force unless their generation is not newer. Gives whether it did.
     ///
     /// ```
     /// use greengagearch::version::catalog::DocumentCatalog;
@@ -96,15 +109,16 @@
     /// assert_eq!(catalog.generation(), 2);
     /// ```
     pub fn adopt(&mut self, set: DocumentSet) -> bool {
-        if set.generation <= self.set.generation {
+        if set.generation <= self.generation {
             return false;
         }
-        let parsed = set.rows.iter().filter_map(|row| {
-            let document = ServiceDocument::parse(&row.service, &row.text).ok()?;
-            Some((row.service.clone(), Arc::new(document)))
-        });
-        self.documents = parsed.collect();
-        self.set = set;
+        self.generation = set.generation;
+        for row in set.rows {
+            if let Ok(document) = ServiceDocument::parse(&row.service, &row.text) {
+                self.documents.insert(row.service.clone(), Arc::new(document));
+            }
+            self.rows.insert(row.service.clone(), row);
+        }
         true
     }
 
@@ -114,7 +128,7 @@
     /// assert_eq!(greengagearch::version::catalog::DocumentCatalog::default().generation(), 0);
     /// ```
     pub fn generation(&self) -> GenerationNumber {
-        self.set.generation
+        self.generation
     }
 
     /// The document of a service.
@@ -139,15 +153,28 @@
         self.documents.values()
     }
 
-    /// The set, to be passed on.
+    /// The documents that changed after generation `since`, to be passed on.
+    ///
+    /// ```
+    /// use greengagearch::version::catalog::DocumentCatalog;
+    ///
+    /// assert!(DocumentCatalog::default().changed_since(0).rows.is_empty());
+    /// ```
+    pub fn changed_since(&self, since: GenerationNumber) -> DocumentSet {
+        let is_newer = |row: &&DocumentRow| row.generation() > since;
+        let rows = self.rows.values().filter(is_newer).cloned().collect();
+        DocumentSet { generation: self.generation, rows }
+    }
+
+    /// The row of a service.
     ///
     /// ```
     /// use greengagearch::version::catalog::DocumentCatalog;
     ///
-    /// assert!(DocumentCatalog::default().set().rows.is_empty());
+    /// assert!(DocumentCatalog::default().row("spots").is_none());
     /// ```
-    pub fn set(&self) -> &DocumentSet {
-        &self.set
+    pub fn row(&self, service: &str) -> Option<&DocumentRow> {
+        self.rows.get(service)
     }
 
     /// What a team's batch tasks may use; nothing when the team owns no document.
@@ -158,10 +185,7 @@
     /// assert!(DocumentCatalog::default().quota("sendeplan").is_none());
     /// ```
     pub fn quota(&self, team: &str) -> Option<ResourceAmount> {
-        let owned = self
-            .documents
-            .values()
-            .filter(|document| document.owner == team);
+        let owned = self.documents.values().filter(|document| document.owner == team);
         let quotas = owned.map(|document| document.quota);
         quotas.reduce(|sum, quota| sum.plus(&quota))
     }
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -113,11 +113,7 @@
 fn read_rules(reader: &mut IniReader) -> RequestRules {
     let largest_deadline = reader.span("requests", "largest-deadline", Duration::from_secs(30));
     if largest_deadline.is_zero() || largest_deadline > LONGEST_DEADLINE {
-        reader.report(
-            "requests",
-            "largest-deadline",
-            "must be between 1ms and 10m",
-        );
+        reader.report("requests", "largest-deadline", "must be between 1ms and 10m");
     }
     let retry_share = reader.value("guards", "retry-share", 0.1);
     if !(0.0..=1.0).contains(&retry_share) {
@@ -151,11 +147,8 @@
         let text = "[service]\nname = Spots\nowner = sendeplan\n[objective]\npercent = 101\n\
                     [requests]\nidempotent = maybe\nretries = 3\n";
         let findings = ServiceDocument::parse("spots.ini", text).unwrap_err();
-        let places: Vec<String> = findings
-            .0
-            .iter()
-            .map(|finding| format!("{}:{}", finding.line, finding.key))
-            .collect();
+        let places: Vec<String> =
+            findings.0.iter().map(|finding| format!("{}:{}", finding.line, finding.key)).collect();
         let expected = [
             "2:service.name",
             "5:objective.percent",
--- /dev/null
+++ b/standins/src/bin/gga-local.rs
@@ -0,0 +1,144 @@
+//! Runs the whole system in one process on loopback, for a first try.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use getopts::Options;
+use greengagearch::cli::add_common;
+use greengagearch::cli::parse;
+use greengagearch::cli::read_file;
+use greengagearch::cli::version_text;
+use greengagearch::error::Error;
+use greengagearch::process::ini_reader::parse_span;
+use greengagearch::process::logging::open_log;
+use greengagearch::process::program::finish;
+use greengagearch::process::stop_signal::StopSwitch;
+use greengagearch::process::stop_signal::listen;
+use greengagearch_standins::load::LoadPlan;
+use greengagearch_standins::load::run_load;
+use greengagearch_standins::local::DocumentFile;
+use greengagearch_standins::local::LocalSystem;
+
+const PURPOSE: &str = "Runs entry, agents, runners and the platform's stand-ins in one process.\n\n\
+    Usage: gga-local --documents FOLDER [--traffic SPAN] [--rate N]";
+/// Requests a second of `--traffic`.
+const DEFAULT_RATE: f64 = 300.0;
+/// Deadline of the requests of `--traffic`.
+const TRAFFIC_DEADLINE: Duration = Duration::from_secs(1);
+
+/// What the program was asked to do.
+struct LocalConfig {
+    documents: Vec<DocumentFile>,
+    traffic: Option<Duration>,
+    rate: f64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    finish(run().await)
+}
+
+async fn run() -> Result<(), Error> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let Some(config) = parse_args(&args)? else {
+        return Ok(());
+    };
+    open_log(log::LevelFilter::Warn);
+    let (switch, stop) = StopSwitch::new();
+    let system = LocalSystem::spawn(&config.documents, stop).await?;
+    print_hints(&system);
+    match config.traffic {
+        Some(length) => send_traffic(&system, length, config.rate).await,
+        None => {
+            let signal =
+                listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
+            signal.raised().await;
+        }
+    }
+    switch.stop();
+    system.stopped().await;
+    Ok(())
+}
+
+fn parse_args(args: &[String]) -> Result<Option<LocalConfig>, Error> {
+    let mut options = Options::new();
+    options.optopt("d", "documents", "apply the documents of this folder", "FOLDER");
+    options.optopt("t", "traffic", "send a load for this long, audit it and exit", "SPAN");
+    options.optopt("r", "rate", "requests a second of the load (default 300)", "N");
+    add_common(&mut options);
+    let matches = parse(&options, args)?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(PURPOSE));
+        return Ok(None);
+    }
+    if matches.opt_present("version") {
+        print!("{}", version_text("gga-local"));
+        return Ok(None);
+    }
+    let usage = |message: &str| Error::Usage { message: message.to_string() };
+    let folder = matches.opt_str("documents").ok_or(usage("--documents FOLDER is missing"))?;
+    let traffic = match matches.opt_str("traffic") {
+        None => None,
+        Some(text) => Some(parse_span(&text).ok_or(usage("--traffic: write 20s or 1m"))?),
+    };
+    let rate = matches.opt_str("rate").map(|text| text.parse::<f64>());
+    let rate = rate.transpose().map_err(|_| usage("--rate: write a number"))?;
+    let rate = rate.unwrap_or(DEFAULT_RATE);
+    if !(1.0..=100_000.0).contains(&rate) {
+        return Err(usage("--rate: write a number between 1 and 100000"));
+    }
+    Ok(Some(LocalConfig { documents: read_documents(&folder)?, traffic, rate }))
+}
+
+fn read_documents(folder: &str) -> Result<Vec<DocumentFile>, Error> {
+    let path = Path::new(folder);
+    let entries = std::fs::read_dir(path)
+        .map_err(|source| Error::ReadFile { path: path.to_path_buf(), source })?;
+    let mut names: Vec<String> = entries
+        .filter_map(|entry| entry.ok()?.path().to_str().map(str::to_string))
+        .filter(|name| name.ends_with(".ini"))
+        .collect();
+    names.sort();
+    if names.is_empty() {
+        let message = format!("no .ini files in '{folder}'");
+        return Err(Error::Usage { message });
+    }
+    let read = |name: String| read_file(&name).map(|text| DocumentFile { name, text });
+    names.into_iter().map(read).collect()
+}
+
+fn print_hints(system: &LocalSystem) {
+    let callers = system.addresses.callers;
+    println!("callers   http://{callers}");
+    println!("operators http://{}", system.addresses.operators);
+    println!("\nTry a request:");
+    for service in &system.services {
+        println!("  curl -i -d 'hello' http://{callers}/v1/services/{service}/requests");
+    }
+    println!("Try a job:");
+    println!(
+        "  curl -d '{{\"id\":\"first\",\"team\":\"{}\",\"kind\":\"roster\",\"tasks\":\
+         [{{\"resources\":{{\"millicores\":500,\"memory_mib\":64}},\"run_millis\":300}}]}}' \
+         -H 'content-type: application/json' http://{callers}/v1/jobs",
+        system.team
+    );
+    println!("  curl http://{callers}/v1/jobs/{}/first\n", system.team);
+}
+
+async fn send_traffic(system: &LocalSystem, length: Duration, rate: f64) {
+    let plan = LoadPlan {
+        entries: vec![system.addresses.callers],
+        service: system.services.first().cloned().unwrap_or_default(),
+        rate,
+        length,
+        deadline: TRAFFIC_DEADLINE,
+        own_ids: true,
+    };
+    println!("sending {rate:.0} requests a second to {} for {length:?} …", plan.service);
+    let report = run_load(&plan, &system.requests).await;
+    println!("{report}");
+    for violation in &report.violations {
+        println!("violation: {violation}");
+    }
+}
--- /dev/null
+++ b/standins/src/runner.rs
@@ -0,0 +1,188 @@
+//! An endpoint: announces itself, serves requests in its slots, and keeps a journal of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::post;
+use greengagearch::connection::announcement::EndpointAnnouncement;
+use tokio::net::TcpListener;
+
+/// Life of an announcement; it is renewed three times in it.
+const ANNOUNCEMENT_TTL: Duration = Duration::from_millis(3_000);
+
+/// How a runner behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunnerBehaviour {
+    /// Shortest time for a request.
+    pub time: Duration,
+    /// What a request may take longer, drawn evenly.
+    pub spread: Duration,
+    /// Whether every request fails at once.
+    pub fails: bool,
+}
+
+/// One entry of the journal: a request that was run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// Id of the request.
+    pub id: String,
+    /// Whether the runner finished it.
+    pub finished: bool,
+}
+
+/// The journal that all runners of a test write.
+#[derive(Clone, Debug, Default)]
+pub struct RunJournal {
+    records: Arc<Mutex<Vec<RunRecord>>>,
+}
+
+impl RunJournal {
+    /// A copy of all records.
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Number of times that an id was run.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.iter().filter(|record| record.id == id).count()
+    }
+
+    fn begin(&self, id: &str) -> usize {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.push(RunRecord { id: id.to_string(), finished: false });
+        records.len() - 1
+    }
+
+    fn finish(&self, index: usize) {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)[index].finished = true;
+    }
+}
+
+/// A running stand-in of an endpoint.
+#[derive(Clone)]
+pub struct Runner {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Requests it has run.
+    pub journal: RunJournal,
+    announcement: EndpointAnnouncement,
+    behaviour: Arc<Mutex<RunnerBehaviour>>,
+    in_flight: Arc<AtomicU64>,
+    most_in_flight: Arc<AtomicU64>,
+    announces: Arc<AtomicBool>,
+}
+
+impl Runner {
+    /// Starts a runner on any free port; it announces itself to `agent` until it leaves.
+    pub async fn spawn(
+        name: &str,
+        service: &str,
+        slots: u32,
+        agent: SocketAddr,
+        behaviour: RunnerBehaviour,
+        journal: RunJournal,
+    ) -> Runner {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        let runner = Runner {
+            address,
+            journal,
+            announcement: EndpointAnnouncement {
+                endpoint: name.to_string(),
+                service: service.to_string(),
+                address: address.to_string(),
+                slots,
+                connections: 64,
+                ttl_millis: ANNOUNCEMENT_TTL.as_millis() as u64,
+            },
+            behaviour: Arc::new(Mutex::new(behaviour)),
+            in_flight: Arc::default(),
+            most_in_flight: Arc::default(),
+            announces: Arc::new(AtomicBool::new(true)),
+        };
+        let router = Router::new().route("/", post(handle)).with_state(runner.clone());
+        let listener = axum::serve::ListenerExt::tap_io(listener, |stream| {
+            let _ = stream.set_nodelay(true);
+        });
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        runner.announce_to(agent);
+        runner
+    }
+
+    /// Announces this runner to an agent until it leaves.
+    pub fn announce_to(&self, agent: SocketAddr) {
+        let announcement = self.announcement.clone();
+        let announces = self.announces.clone();
+        tokio::spawn(async move {
+            let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+            while announces.load(Ordering::Acquire) {
+                let call = client.post(format!("http://{agent}/v1/endpoints"));
+                // An agent that is away is asked again.
+                let is_known = call.json(&announcement).send().await.is_ok();
+                let pause = if is_known { ANNOUNCEMENT_TTL / 3 } else { ANNOUNCEMENT_TTL / 30 };
+                tokio::time::sleep(pause).await;
+            }
+        });
+    }
+
+    /// Tells the agent that this runner leaves.
+    pub async fn leave(&self, agent: SocketAddr) {
+        self.announces.store(false, Ordering::Release);
+        let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+        let name = &self.announcement.endpoint;
+        let call = client.delete(format!("http://{agent}/v1/endpoints/{name}"));
+        let _ = call.send().await;
+    }
+
+    /// Changes the behaviour from now on.
+    pub fn set_behaviour(&self, behaviour: RunnerBehaviour) {
+        *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+    }
+
+    /// Most requests that were in flight at once.
+    pub fn most_in_flight(&self) -> u64 {
+        self.most_in_flight.load(Ordering::Acquire)
+    }
+
+    fn behaviour(&self) -> RunnerBehaviour {
+        *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn handle(State(runner): State<Runner>, headers: HeaderMap, body: Bytes) -> Response {
+    let behaviour = runner.behaviour();
+    let id = headers.get("x-request-id").and_then(|value| value.to_str().ok());
+    let id = id.unwrap_or_default().to_string();
+    let record = runner.journal.begin(&id);
+    if behaviour.fails {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let in_flight = runner.in_flight.fetch_add(1, Ordering::AcqRel) + 1;
+    runner.most_in_flight.fetch_max(in_flight, Ordering::AcqRel);
+    let spread = behaviour.spread.as_micros() as u64;
+    let extra = if spread == 0 { 0 } else { rand::random_range(0..spread) };
+    let work = behaviour.time + Duration::from_micros(extra);
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
+    runner.in_flight.fetch_sub(1, Ordering::AcqRel);
+    runner.journal.finish(record);
+    // The answer names its request, so that a mix-up shows.
+    let mut answer = format!("{id} ").into_bytes();
+    answer.extend_from_slice(&body);
+    ([("content-type", "text/plain")], answer).into_response()
+}
--- /dev/null
+++ b/tests/env/mod.rs
@@ -0,0 +1,321 @@
+//! One small environment for all integration tests: real processes against the stand-ins.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use greengagearch::platform::worker::ResourceAmount;
+use greengagearch::process::entry::operator_http::key_hash;
+use greengagearch_standins::caller::Caller;
+use greengagearch_standins::proxy::FaultProxy;
+use greengagearch_standins::runner::RunJournal;
+use greengagearch_standins::runner::Runner;
+use greengagearch_standins::runner::RunnerBehaviour;
+use greengagearch_standins::table_service::TableService;
+use greengagearch_standins::worker::TaskJournal;
+use greengagearch_standins::worker::Worker;
+use serde_json::Value;
+
+/// Key of the team of the tests.
+pub const TEAM_KEY: &str = "a key for tests";
+/// Bound on every wait for a condition; far beyond what any takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+/// What a worker of the tests has.
+pub const HOST: ResourceAmount =
+    ResourceAmount { millicores: 4_000, memory_mib: 8_192, accelerators: 1 };
+/// A document that all tests use.
+pub const DOCUMENT: &str = "[service]\nname = spots\nowner = traffic\n\
+    [requests]\nlargest-deadline = 20s\ndefault-deadline = 10s\n\
+    [batch-quota]\ncores = 100\nmemory-gib = 100\naccelerators = 10\n";
+
+/// A process of the product that ends with its handle.
+pub struct ProductProcess {
+    child: Child,
+    addresses: Vec<(String, SocketAddr)>,
+}
+
+impl ProductProcess {
+    fn spawn(program: &str, settings: &PathBuf) -> ProductProcess {
+        let mut command = Command::new(program);
+        command.arg("--settings").arg(settings).stdout(Stdio::piped());
+        if std::env::var_os("GGA_TEST_LOG").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command.spawn().expect("the program can be started");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line).expect("the program prints its addresses");
+        let words = line.split_whitespace().skip(1);
+        let addresses = words.map(|word| {
+            let (name, address) = word.split_once('=').expect("name=address");
+            (name.to_string(), address.parse().expect("an address"))
+        });
+        ProductProcess { child, addresses: addresses.collect() }
+    }
+
+    /// Address of one of its listeners.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let found = self.addresses.iter().find(|(known, _)| known == name);
+        found.expect("the program printed this address").1
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
+        assert!(status.expect("kill can be run").success());
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process and gives whether it was a success.
+    pub async fn ended(&mut self) -> bool {
+        for _ in 0..PATIENCE.as_millis() / POLL.as_millis() {
+            if let Some(status) = self.child.try_wait().expect("the child can be asked") {
+                return status.success();
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("the process does not end");
+    }
+
+    /// Resident memory in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+}
+
+impl Drop for ProductProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The stand-ins and processes of a test.
+pub struct TestEnv {
+    /// The table service.
+    pub table: TableService,
+    /// The balancer of the entries' internal listeners.
+    pub balancer: FaultProxy,
+    /// What runners ran.
+    pub requests: RunJournal,
+    /// What workers ran.
+    pub tasks: TaskJournal,
+    /// Lines that the settings of each entry end with.
+    pub entry_lines: String,
+    folder: PathBuf,
+    files: usize,
+}
+
+/// An agent with its worker.
+pub struct TestHost {
+    /// The agent.
+    pub agent: ProductProcess,
+    /// The worker.
+    pub worker: Worker,
+    name: String,
+}
+
+impl TestEnv {
+    /// An environment without processes.
+    pub async fn open() -> TestEnv {
+        let folder = std::env::temp_dir().join(format!("gga-test-{}", uuid::Uuid::now_v7()));
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        TestEnv {
+            table: TableService::bind().await,
+            balancer: FaultProxy::bind(&[]).await,
+            requests: RunJournal::default(),
+            tasks: TaskJournal::default(),
+            entry_lines: "[timing]\nentry-beat = 100ms\nagent-beat = 200ms\n".to_string(),
+            folder,
+            files: 0,
+        }
+    }
+
+    /// Starts an entry.
+    pub fn spawn_entry(&mut self, id: &str) -> ProductProcess {
+        let table = self.table.address;
+        self.spawn_entry_at(id, table)
+    }
+
+    /// Starts an entry that reaches the table service at another address, such as a proxy.
+    pub fn spawn_entry_at(&mut self, id: &str, table: SocketAddr) -> ProductProcess {
+        let text = format!(
+            "[entry]\nid = {id}\ndomain = wien-a\nbalancer = {}\n[platform]\ntable = {table}\n\
+             [team-keys]\ntraffic = {}\n{}",
+            self.balancer.address,
+            key_hash(TEAM_KEY.as_bytes()),
+            self.entry_lines,
+        );
+        let file = self.write_settings(&text);
+        ProductProcess::spawn(env!("CARGO_BIN_EXE_gga-entry"), &file)
+    }
+
+    /// Starts a worker and its agent.
+    pub async fn spawn_host(&mut self, name: &str) -> TestHost {
+        let worker = Worker::spawn(name, HOST, self.tasks.clone()).await;
+        let agent = self.spawn_agent(name, worker.address);
+        TestHost { agent, worker, name: name.to_string() }
+    }
+
+    /// Starts an agent for a worker that runs already.
+    pub fn spawn_agent(&mut self, name: &str, worker: SocketAddr) -> ProductProcess {
+        let table = self.table.address;
+        self.spawn_agent_at(name, worker, table)
+    }
+
+    /// Starts an agent that reaches the table service at another address, such as a proxy.
+    pub fn spawn_agent_at(
+        &mut self,
+        name: &str,
+        worker: SocketAddr,
+        table: SocketAddr,
+    ) -> ProductProcess {
+        let text = format!(
+            "[agent]\nworker = {name}\ndomain = wien-a\nrack = r1\nbalancer = {}\n\
+             [platform]\ntable = {table}\nworker = {worker}\n",
+            self.balancer.address,
+        );
+        let file = self.write_settings(&text);
+        ProductProcess::spawn(env!("CARGO_BIN_EXE_gga-agent"), &file)
+    }
+
+    /// Starts a runner of the service `spots` beside an agent.
+    pub async fn spawn_runner(&self, host: &TestHost, time: Duration) -> Runner {
+        let behaviour = RunnerBehaviour { time, spread: Duration::ZERO, fails: false };
+        let agent = host.agent.address("endpoints");
+        let name = format!("{}-r", host.name);
+        Runner::spawn(&name, "spots", 8, agent, behaviour, self.requests.clone()).await
+    }
+
+    /// Applies the document of all tests and waits until it is in force at the entry.
+    pub async fn apply_document(&self, entry: &ProductProcess) {
+        let operators = entry.address("operators");
+        until("the document is accepted", async || {
+            apply(operators, "spots", DOCUMENT, 0, "first").await.0 == 200
+        })
+        .await;
+        until("the document is in force", async || {
+            get(operators, "/v1/cluster").await["generation"] == 1
+        })
+        .await;
+    }
+
+    /// Waits until an entry answers bookings.
+    pub async fn until_serving(&self, entry: &ProductProcess) {
+        let caller = Caller::open("probe");
+        let callers = entry.address("callers");
+        until("a booking is answered", async || {
+            let answer = caller.send(callers, "spots", None, Duration::from_secs(2), "probe").await;
+            answer.is_own_answer()
+        })
+        .await;
+    }
+
+    fn write_settings(&mut self, text: &str) -> PathBuf {
+        self.files += 1;
+        let file = self.folder.join(format!("{}.ini", self.files));
+        std::fs::write(&file, text).expect("settings can be written");
+        file
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a condition holds; the bound only ends a test that would hang.
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    });
+    waited.await.unwrap_or_else(|_| panic!("waited in vain until {what}"));
+}
+
+/// Applies a document; gives the status and the answer.
+pub async fn apply(
+    operators: SocketAddr,
+    service: &str,
+    text: &str,
+    base: u64,
+    token: &str,
+) -> (u16, Value) {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let url = format!("http://{operators}/v1/documents/{service}?base={base}&token={token}");
+    let call = client.put(url).header("x-team", "traffic").header("x-team-key", TEAM_KEY);
+    match call.body(text.to_string()).send().await {
+        Ok(answer) => {
+            let status = answer.status().as_u16();
+            (status, answer.json().await.unwrap_or(Value::Null))
+        }
+        Err(_) => (0, Value::Null),
+    }
+}
+
+/// Reads JSON from a listener; nothing when it does not answer.
+pub async fn get(address: SocketAddr, path: &str) -> Value {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    match client.get(format!("http://{address}{path}")).send().await {
+        Ok(answer) => answer.json().await.unwrap_or(Value::Null),
+        Err(_) => Value::Null,
+    }
+}
+
+/// Submits a job of the team of the tests; gives the status and the answer.
+pub async fn submit(callers: SocketAddr, job: &Value) -> (u16, Value) {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    match client.post(format!("http://{callers}/v1/jobs")).json(job).send().await {
+        Ok(answer) => {
+            let status = answer.status().as_u16();
+            (status, answer.json().await.unwrap_or(Value::Null))
+        }
+        Err(_) => (0, Value::Null),
+    }
+}
+
+/// A job of `count` tasks of one core, each of which runs for `run_millis`.
+pub fn job(id: &str, count: usize, run_millis: u64) -> Value {
+    let task = serde_json::json!({
+        "resources": { "millicores": 1_000, "memory_mib": 512 },
+        "run_millis": run_millis,
+        "input": id,
+    });
+    serde_json::json!({
+        "id": id,
+        "team": "traffic",
+        "kind": "roster",
+        "tasks": vec![task; count],
+    })
+}
+
+/// Waits until a job has ended and gives its report.
+pub async fn until_job_ended(callers: SocketAddr, id: &str) -> Value {
+    let mut report = Value::Null;
+    until("the job has ended", async || {
+        report = get(callers, &format!("/v1/jobs/traffic/{id}")).await;
+        report["state"] == "Ended"
+    })
+    .await;
+    report
+}
