Bring about the faults of the batch path and keep renewals out of the store's way

Cause: with the table service hanging, running tasks were stopped after 0.8 s, the length of their lease, although grants kept the lease valid: the agent's actor waited 1.5 s for each read before it renewed anything. Ruled out: lapsed grants (bookings of the same test cluster went on, on the same grants). Change: renewals run apart from everything that waits for the table service.

--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -4,6 +4,7 @@
 pub mod dispatcher;
 pub mod heartbeat;
 pub mod reconciler;
+pub mod renewal;
 pub mod rpc;
 pub mod shared;
 
@@ -78,6 +79,7 @@
         let reconciler = ReconcileActor::spawn(ReconcileActor::new(shared.clone()));
         rpc::spawn_agent_rpc(internal, shared.clone(), reconciler.clone());
         heartbeat::spawn_beats(shared.clone());
+        renewal::spawn_renewals(shared.clone());
         reconciler::spawn_ticks(shared.clone(), reconciler.clone());
         let (close, closed) = StopSwitch::new();
         let router = announce_http::router(shared.clone());
--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -32,6 +32,7 @@
 use crate::platform::worker::TaskStart;
 use crate::platform::worker::WorkerControl;
 use crate::platform::worker::WorkerStatus;
+use crate::process::agent::renewal::lease_end;
 use crate::process::agent::shared::AgentShared;
 use crate::process::agent::shared::WorkerLease;
 use crate::process::logging::log_event;
@@ -54,8 +55,6 @@
 const NUDGE_CALL: Duration = Duration::from_millis(500);
 /// Tries to give the lease back when stopping; without it the next run waits for it to lapse.
 const RELEASE_TRIES: usize = 3;
-/// Part of a lease's remaining time that is given up for the drift of the worker's clock.
-const DRIFT_PART: u32 = 100;
 
 /// Makes the worker run what its row says.
 #[derive(Actor)]
@@ -258,31 +257,12 @@
         let Some(until) = self.shared.acts_until(answered) else {
             return;
         };
-        let left = until.saturating_duration_since(answered);
-        let left = left - left / DRIFT_PART;
-        let until_millis = status.now_millis + u64::try_from(left.as_millis()).unwrap_or(0);
-        self.renew(worker, &status, until_millis).await;
+        let until_millis = lease_end(&status, until, answered);
         self.stop_unwanted(worker, &status).await;
         self.start_missing(worker, &status, until_millis).await;
         self.commit_ends(worker, &status).await;
     }
 
-    async fn renew(
-        &self,
-        worker: &Arc<dyn WorkerControl>,
-        status: &WorkerStatus,
-        until_millis: u64,
-    ) {
-        let Some((_, row)) = &self.row else { return };
-        let running = status.attempts.iter().filter(|one| one.state == AttemptState::Running);
-        let wanted = running.filter(|one| row.has_attempt(&one.key));
-        let keys: Vec<AttemptKey> = wanted.map(|one| one.key.clone()).collect();
-        if !keys.is_empty() {
-            // A renewal that is lost is made up for by the next one.
-            let _ = worker.renew(keys, until_millis).await;
-        }
-    }
-
     /// Stops attempts that the row does not name or wants stopped, and forgets ended ones that it
     /// does not name.
     async fn stop_unwanted(&self, worker: &Arc<dyn WorkerControl>, status: &WorkerStatus) {
@@ -411,6 +391,7 @@
         let key = worker_key(&self.shared.settings.worker);
         transaction.put(&key, version, &row);
         let version = self.shared.table.commit(transaction).await?;
+        *self.shared.row() = Some(row.clone());
         self.row = Some((version, row));
         Ok(partitions)
     }
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -143,7 +143,9 @@
             balancer: FaultProxy::bind(&[]).await,
             requests: RunJournal::default(),
             tasks: TaskJournal::default(),
-            entry_lines: "[timing]\nentry-beat = 100ms\nagent-beat = 200ms\n".to_string(),
+            entry_lines:
+                "[timing]\nentry-beat = 100ms\nagent-beat = 200ms\nlongest-grant-only = 8s\n"
+                    .to_string(),
             folder,
             files: 0,
         }
@@ -157,12 +159,11 @@
 
     /// Starts an entry that reaches the table service at another address, such as a proxy.
     pub fn spawn_entry_at(&mut self, id: &str, table: SocketAddr) -> ProductProcess {
+        let hash = key_hash(TEAM_KEY.as_bytes());
         let text = format!(
             "[entry]\nid = {id}\ndomain = wien-a\nbalancer = {}\n[platform]\ntable = {table}\n\
-             [team-keys]\ntraffic = {}\n{}",
-            self.balancer.address,
-            key_hash(TEAM_KEY.as_bytes()),
-            self.entry_lines,
+             [team-keys]\ntraffic = {hash}\nplanning = {hash}\n{}",
+            self.balancer.address, self.entry_lines,
         );
         let file = self.write_settings(&text);
         ProductProcess::spawn(env!("CARGO_BIN_EXE_gga-entry"), &file)
@@ -253,17 +254,29 @@
     waited.await.unwrap_or_else(|_| panic!("waited in vain until {what}"));
 }
 
-/// Applies a document; gives the status and the answer.
+/// Applies a document as the team of the tests; gives the status and the answer.
 pub async fn apply(
     operators: SocketAddr,
     service: &str,
     text: &str,
     base: u64,
     token: &str,
+) -> (u16, Value) {
+    apply_as("traffic", operators, service, text, base, token).await
+}
+
+/// Applies a document as any team; gives the status and the answer.
+pub async fn apply_as(
+    team: &str,
+    operators: SocketAddr,
+    service: &str,
+    text: &str,
+    base: u64,
+    token: &str,
 ) -> (u16, Value) {
     let client = reqwest::Client::builder().no_proxy().build().expect("a client");
     let url = format!("http://{operators}/v1/documents/{service}?base={base}&token={token}");
-    let call = client.put(url).header("x-team", "traffic").header("x-team-key", TEAM_KEY);
+    let call = client.put(url).header("x-team", team).header("x-team-key", TEAM_KEY);
     match call.body(text.to_string()).send().await {
         Ok(answer) => {
             let status = answer.status().as_u16();
@@ -309,11 +322,23 @@
     })
 }
 
+/// Cancels a job of the team of the tests; gives the status.
+pub async fn cancel(callers: SocketAddr, id: &str) -> u16 {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let call = client.delete(format!("http://{callers}/v1/jobs/traffic/{id}"));
+    call.send().await.map_or(0, |answer| answer.status().as_u16())
+}
+
 /// Waits until a job has ended and gives its report.
 pub async fn until_job_ended(callers: SocketAddr, id: &str) -> Value {
+    until_ended("traffic", callers, id).await
+}
+
+/// Waits until a job of any team has ended and gives its report.
+pub async fn until_ended(team: &str, callers: SocketAddr, id: &str) -> Value {
     let mut report = Value::Null;
     until("the job has ended", async || {
-        report = get(callers, &format!("/v1/jobs/traffic/{id}")).await;
+        report = get(callers, &format!("/v1/jobs/{team}/{id}")).await;
         report["state"] == "Ended"
     })
     .await;
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -319,6 +319,17 @@
     assert!(cluster.runners[0].most_in_flight() <= 8, "slots are never exceeded");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_know_nothing_of_each_other_never_exceed_an_endpoints_slots() {
+    let cluster = Cluster::open(1).await;
+    let bookings = Bookings::start(&cluster.callers(), 60);
+    let before = cluster.env.requests.records().len();
+    until("bookings run", async || cluster.env.requests.records().len() > before + 300).await;
+    let answers = bookings.finish().await;
+    assert_eq!(cluster.violations(&answers), Vec::<String>::new());
+    assert_eq!(cluster.runners[0].most_in_flight(), 8, "all slots are used, and no more");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_held_back_answer_is_never_given_to_another_caller() {
     let mut env = TestEnv::open().await;
