--- a/src/connection/cluster_map.rs
+++ b/src/connection/cluster_map.rs
@@ -138,6 +138,8 @@
 pub struct ClusterMap {
     /// Raised by each change of the map.
     pub generation: u64,
+    /// Generation of the newest change that was made without any member's help; zero for none.
+    pub unaided_generation: u64,
     /// Time spans that all processes go by.
     pub timing: ClusterTiming,
     /// All entries that may take a lease over.
@@ -166,6 +168,22 @@
         self.with_members(members)
     }
 
+    /// The map with `member` alone, written while no other member answers. Those may be alive and
+    /// cut off, so that nobody acts on this map before leases on their grants have lapsed.
+    ///
+    /// ```
+    /// use greengagearch::connection::cluster_map::ClusterMap;
+    /// use greengagearch::connection::cluster_map::EntryMember;
+    ///
+    /// let own = EntryMember { id: "a".into(), incarnation: 1, address: "127.0.0.1:1".into() };
+    /// assert_eq!(ClusterMap::default().with_only(own).unaided_generation, 1);
+    /// ```
+    pub fn with_only(&self, member: EntryMember) -> ClusterMap {
+        let mut map = self.with_members(vec![member]);
+        map.unaided_generation = map.generation;
+        map
+    }
+
     /// The map without the entries of the given incarnations.
     ///
     /// ```
@@ -237,6 +255,7 @@
     fn with_members(&self, members: Vec<EntryMember>) -> ClusterMap {
         let mut map = ClusterMap {
             generation: self.generation + 1,
+            unaided_generation: self.unaided_generation,
             timing: self.timing,
             members,
             owners: self.owners.clone(),
--- a/src/connection/cluster_view.rs
+++ b/src/connection/cluster_view.rs
@@ -74,6 +74,8 @@
     desk: GrantDesk,
     acts_from: Vec<Instant>,
     takes_workers_from: Instant,
+    /// Until then leases may live on grants of members that an unaided change removed.
+    unaided_until: Instant,
     heard: HashMap<IncarnationId, Instant>,
     pending: Option<MapChange>,
     stopped: bool,
@@ -101,6 +103,7 @@
             desk: GrantDesk::default(),
             acts_from: Vec::new(),
             takes_workers_from: now,
+            unaided_until: now,
             heard: HashMap::new(),
             pending: None,
             stopped: false,
@@ -143,6 +146,11 @@
         let was_member = self.is_member();
         let old = std::mem::replace(&mut self.map, map);
         self.desk.on_map(self.map.generation);
+        if self.map.unaided_generation > old.unaided_generation {
+            let waits = [timing.partition_lease(), timing.worker_lease()];
+            let longest = waits.map(|lease| lease.unaided_join_wait()).into_iter().max();
+            self.unaided_until = now + longest.unwrap_or_default();
+        }
         if !self.is_member() {
             self.holder = None;
         } else if !was_member {
@@ -174,22 +182,37 @@
 
     /// This entry's right to act for a partition at `now`, if it has one.
     pub fn acting_right(&self, partition: PartitionId, now: Instant) -> Option<ActingRight> {
-        let owner = self.map.owners.get(partition as usize)?;
-        let since = *self.acts_from.get(partition as usize)?;
-        let is_own = owner.incarnation == self.own.incarnation && !self.stopped;
-        let is_valid = self.holder.as_ref()?.is_valid(&self.map, now);
-        (is_own && is_valid && now >= since).then_some(ActingRight { epoch: owner.epoch, since })
+        self.right_by_map(partition, now).filter(|_| self.is_valid(now))
     }
 
     /// The partitions that this entry may act for at `now`.
     pub fn acting_partitions(&self, now: Instant) -> Vec<PartitionId> {
+        if !self.is_valid(now) {
+            return Vec::new();
+        }
         let all = 0..self.map.owners.len() as PartitionId;
-        all.filter(|partition| self.acting_right(*partition, now).is_some()).collect()
+        all.filter(|partition| self.right_by_map(*partition, now).is_some()).collect()
+    }
+
+    /// Whether this entry's leases are valid at `now`.
+    fn is_valid(&self, now: Instant) -> bool {
+        let holder = self.holder.as_ref().filter(|_| !self.stopped);
+        holder.is_some_and(|holder| holder.is_valid(&self.map, now))
+    }
+
+    /// The right that the map gives to this entry, as far as its leases are valid.
+    fn right_by_map(&self, partition: PartitionId, now: Instant) -> Option<ActingRight> {
+        let owner = self.map.owners.get(partition as usize)?;
+        let since = *self.acts_from.get(partition as usize)?;
+        let since = since.max(self.unaided_until);
+        let is_own = owner.incarnation == self.own.incarnation;
+        (is_own && now >= since).then_some(ActingRight { epoch: owner.epoch, since })
     }
 
     /// Whether this entry may take the leases of workers over at `now`.
     pub fn may_take_workers(&self, now: Instant) -> bool {
-        self.is_member() && !self.stopped && now >= self.takes_workers_from
+        let from = self.takes_workers_from.max(self.unaided_until);
+        self.is_member() && !self.stopped && now >= from
     }
 
     /// Whether the holder of a lease, who knows the map of `generation`, gets a grant.
--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -52,7 +52,8 @@
         self.stretched(self.freshness.max(self.grant))
     }
 
-    /// How long an entry that joins without any member's help waits before it acts.
+    /// How long nobody acts after a change of the cluster map that was written without any member's
+    /// help, counted from when the change is learned.
     ///
     /// ```
     /// use std::time::Duration;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod announcement;
 pub mod cluster_map;
 pub mod cluster_view;
+pub mod counted_stream;
 pub mod grant_desk;
 pub mod lease;
 pub mod protocol;
--- a/src/connection/rpc_client.rs
+++ b/src/connection/rpc_client.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::connection::counted_stream::CountedStream;
 use crate::connection::protocol::AgentRpcClient;
 use crate::connection::protocol::EntryRpcClient;
 
@@ -74,13 +75,13 @@
 }
 
 /// The transport between two processes: length-prefixed frames, coded by bincode.
-pub fn framed<I, S>(stream: TcpStream) -> Transport<TcpStream, I, S, Bincode<I, S>>
+pub fn framed<I, S>(stream: TcpStream) -> Transport<CountedStream, I, S, Bincode<I, S>>
 where
     I: DeserializeOwned,
     S: Serialize,
 {
     let mut codec = LengthDelimitedCodec::builder();
-    let frames = codec.max_frame_length(LARGEST_FRAME).new_framed(stream);
+    let frames = codec.max_frame_length(LARGEST_FRAME).new_framed(CountedStream(stream));
     serde_transport::new(frames, Bincode::default())
 }
 
--- a/src/process/entry/membership.rs
+++ b/src/process/entry/membership.rs
@@ -28,6 +28,8 @@
 
 /// Longest wait for another entry's answer to a question about membership.
 const MEMBER_CALL: Duration = Duration::from_millis(500);
+/// Heartbeats for which no member answers before an entry joins without help.
+const BEATS_ALONE: u32 = 10;
 /// Longest time that leaving may take; after it the others remove this entry by themselves.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -35,7 +37,8 @@
 #[derive(Actor)]
 pub struct MembershipActor {
     shared: Arc<EntryShared>,
-    started: Instant,
+    /// Since when no member answers.
+    alone_since: Option<Instant>,
 }
 
 /// Time for a look at the row.
@@ -48,7 +51,7 @@
 impl MembershipActor {
     /// An actor for the entry of `shared`.
     pub fn new(shared: Arc<EntryShared>) -> MembershipActor {
-        MembershipActor { shared, started: Instant::now() }
+        MembershipActor { shared, alone_since: None }
     }
 
     async fn tick(&mut self) {
@@ -86,23 +89,27 @@
         true
     }
 
-    async fn join(&self) {
+    async fn join(&mut self) {
         let map = self.shared.view().map().clone();
         if self.join_through_member(&map).await {
+            self.alone_since = None;
             return;
         }
-        if !map.members.is_empty() && !self.may_join_unaided(&map).await {
+        let own = self.shared.member.clone();
+        let version = self.shared.view().row_version().unwrap_or(0);
+        if self.are_gone(&map).await {
+            // Grants of members that ended lapse within the wait that every takeover has.
+            let mut base = ClusterMap { members: Vec::new(), ..map };
+            if base.generation == 0 {
+                base.timing = self.shared.settings.timing;
+            }
+            self.write(MapChange { version, map: base.with_member(own) }, "joined").await;
             return;
         }
-        let version = self.shared.view().row_version().unwrap_or(0);
-        let gone: Vec<u64> = map.members.iter().map(|member| member.incarnation).collect();
-        let mut base = map;
-        if base.generation == 0 {
-            base.timing = self.shared.settings.timing;
+        let alone_since = *self.alone_since.get_or_insert_with(Instant::now);
+        if alone_since.elapsed() >= self.shared.beat_interval() * BEATS_ALONE {
+            self.write(MapChange { version, map: map.with_only(own) }, "joined_unaided").await;
         }
-        base.members.retain(|member| !gone.contains(&member.incarnation));
-        let map = base.with_member(self.shared.member.clone());
-        self.write(MapChange { version, map }, "joined_unaided").await;
     }
 
     async fn join_through_member(&self, map: &ClusterMap) -> bool {
@@ -121,14 +128,8 @@
         false
     }
 
-    /// Without any member's help this entry may join when all members are gone for certain, or when
-    /// no lease can live on their grants any more.
-    async fn may_join_unaided(&self, map: &ClusterMap) -> bool {
-        let waits = [map.timing.partition_lease(), map.timing.worker_lease()];
-        let longest = waits.map(|timing| timing.unaided_join_wait()).into_iter().max();
-        if longest.is_some_and(|wait| self.started.elapsed() >= wait) {
-            return true;
-        }
+    /// Whether all members have ended for certain.
+    async fn are_gone(&self, map: &ClusterMap) -> bool {
         let gone = join_all(map.members.iter().map(|member| self.is_gone(member))).await;
         gone.into_iter().all(|is_gone| is_gone)
     }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::connection::counted_stream::byte_counts;
+
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
@@ -29,6 +31,10 @@
     pub messages: IntCounterVec,
     /// Generation of the documents in force.
     pub generation: IntGauge,
+    /// Bytes sent to other processes of the system, without TCP and IP headers.
+    pub bytes_sent: IntGauge,
+    /// Bytes received from other processes of the system, without TCP and IP headers.
+    pub bytes_received: IntGauge,
 }
 
 impl ProcessMetrics {
@@ -54,6 +60,8 @@
             table_calls: counters("gga_table_calls", "Table service calls", &["call", "result"]),
             messages: counters("gga_messages", "Messages to other processes", &["kind"]),
             generation: gauge("gga_generation", "Generation of the documents in force"),
+            bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
+            bytes_received: gauge("gga_bytes_received", "Bytes received from other processes"),
             registry,
         };
         metrics.register();
@@ -68,6 +76,9 @@
     /// assert!(ProcessMetrics::open().render().contains("gga_latency_seconds_count 0"));
     /// ```
     pub fn render(&self) -> String {
+        let (sent, received) = byte_counts();
+        self.bytes_sent.set(i64::try_from(sent).unwrap_or(i64::MAX));
+        self.bytes_received.set(i64::try_from(received).unwrap_or(i64::MAX));
         let mut text = Vec::new();
         // Writing to a vector cannot fail.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
@@ -75,13 +86,15 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
             Box::new(self.table_calls.clone()),
             Box::new(self.messages.clone()),
             Box::new(self.generation.clone()),
+            Box::new(self.bytes_sent.clone()),
+            Box::new(self.bytes_received.clone()),
         ];
         for collector in collectors {
             // Names are constants and unique, so that a refusal is a mistake in this file, which
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -77,7 +77,11 @@
                     && other.until.is_none_or(|until| until > run.from)
             });
             let used = beside.fold(ResourceAmount::default(), |sum, one| sum.plus(&one.resources));
-            if !capacity.contains(&used) {
+            // Compared here by itself, so that a mistake in the product's own sums shows.
+            let is_within = used.millicores <= capacity.millicores
+                && used.memory_mib <= capacity.memory_mib
+                && used.accelerators <= capacity.accelerators;
+            if !is_within {
                 found.push(format!("{} holds {used:?}", run.worker));
             }
         }
