--- a/src/process/entry/document_desk.rs
+++ b/src/process/entry/document_desk.rs
@@ -2,6 +2,7 @@
 
 use snafu::Snafu;
 
+use crate::findings::ConfigFinding;
 use crate::findings::FindingList;
 use crate::ids::GenerationNumber;
 use crate::ids::RevisionNumber;
@@ -100,6 +101,7 @@
 ) -> Result<AcceptedChange, ApplyError> {
     let document = ServiceDocument::parse(&apply.service, &apply.text)
         .map_err(|findings| ApplyError::Invalid { findings })?;
+    check_name(&apply.service, &document.name)?;
     check_owner(&apply.service, &document.owner, &apply.team)?;
     let key = document_key(&apply.service);
     let mut is_ambiguous = false;
@@ -149,6 +151,19 @@
     document.map(|document| document.owner).unwrap_or_default()
 }
 
+fn check_name(service: &str, name: &str) -> Result<(), ApplyError> {
+    if service == name {
+        return Ok(());
+    }
+    let finding = ConfigFinding {
+        file: service.to_string(),
+        line: 1,
+        key: "service.name".to_string(),
+        message: format!("'{name}' is not the document that is changed, '{service}'"),
+    };
+    Err(ApplyError::Invalid { findings: FindingList(vec![finding]) })
+}
+
 fn check_owner(service: &str, owner: &str, team: &str) -> Result<(), ApplyError> {
     if owner == team {
         return Ok(());
