--- a/src/connection/cluster_view.rs
+++ b/src/connection/cluster_view.rs
@@ -154,11 +154,15 @@
         if !self.is_member() {
             self.holder = None;
         } else if !was_member {
-            self.holder = Some(LeaseHolder::new(timing.partition_lease(), 0, now));
+            self.holder = Some(LeaseHolder::new(timing.partition_lease(), 0));
             let is_first = old.generation == 0 && self.map.generation == 1;
             let wait = timing.worker_lease().takeover_wait();
             self.takes_workers_from = if is_first { now } else { now + wait };
         }
+        // Ownership of partitions is the map's own, so that the newest map is what counts.
+        if let Some(holder) = &mut self.holder {
+            holder.rely_on(&self.map);
+        }
         self.update_acts_from(&old, now);
         self.heard.retain(|incarnation, _| self.map.has_member(*incarnation));
         for member in &self.map.members {
@@ -197,7 +201,7 @@
     /// Whether this entry's leases are valid at `now`.
     fn is_valid(&self, now: Instant) -> bool {
         let holder = self.holder.as_ref().filter(|_| !self.stopped);
-        holder.is_some_and(|holder| holder.is_valid(&self.map, now))
+        holder.is_some_and(|holder| holder.is_valid(now))
     }
 
     /// The right that the map gives to this entry, as far as its leases are valid.
--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -4,11 +4,13 @@
 //! Cheriton, "Leases", SOSP 1989, with the renewal turned into a read). Its holder is valid
 //!
 //! - until `freshness` after it sent a read that found it still named in the row, or
-//! - until the earliest end of unexpired grants from *every* member of the newest cluster map it
-//!   knows; a grant is a member's promise to write no takeover for that long,
+//! - until the earliest end of unexpired grants from *every* member of the cluster map it relies on;
+//!   a grant is a member's promise to act on no takeover for that long,
 //!
-//! but never longer than `longest_grant_only` after the last fresh read. Who takes a lease over
-//! writes the row first and acts only after [`LeaseTiming::takeover_wait`]. The reasoning stands
+//! but never longer than `longest_grant_only` after the last fresh read. A lease whose row is not
+//! the cluster map's own relies on the members of the map that was known when the last fresh read
+//! was sent, and on no newer one: a member that took the lease over may be gone from the newer map.
+//! Who takes a lease over writes the row first and acts only after [`LeaseTiming::takeover_wait`]. The reasoning stands
 //! in `docs/notes/leases.md`.
 
 use std::collections::BTreeMap;
@@ -82,20 +84,23 @@
 pub struct LeaseHolder {
     timing: LeaseTiming,
     epoch: LeaseEpoch,
-    last_read: Instant,
+    map_generation: u64,
+    members: Vec<IncarnationId>,
+    /// When the newest read was sent that named the holder.
+    last_read: Option<Instant>,
     /// Grant ends by member incarnation.
     grants: BTreeMap<IncarnationId, Instant>,
     lost: bool,
 }
 
 impl LeaseHolder {
-    /// A holder whose takeover was written and whose wait is over at `acts_from`.
+    /// The holder of a lease that was taken over under `epoch`. It is valid only once a read that
+    /// it sent itself has named it, since the news of a takeover may be old when it comes.
     ///
     /// ```
     /// use std::time::Duration;
     /// use std::time::Instant;
     ///
-    /// use greengagearch::connection::cluster_map::ClusterMap;
     /// use greengagearch::connection::lease::LeaseHolder;
     /// use greengagearch::connection::lease::LeaseTiming;
     ///
@@ -106,12 +111,59 @@
     ///     drift_per_mille: 10,
     /// };
     /// let now = Instant::now();
-    /// let holder = LeaseHolder::new(timing, 1, now);
-    /// assert!(holder.is_valid(&ClusterMap::default(), now));
-    /// assert!(!holder.is_valid(&ClusterMap::default(), now + Duration::from_secs(2)));
+    /// let mut holder = LeaseHolder::new(timing, 1);
+    /// assert!(!holder.is_valid(now));
+    /// holder.on_read(1, now);
+    /// assert!(holder.is_valid(now));
+    /// assert!(!holder.is_valid(now + Duration::from_secs(2)));
     /// ```
-    pub fn new(timing: LeaseTiming, epoch: LeaseEpoch, last_read: Instant) -> LeaseHolder {
-        LeaseHolder { timing, epoch, last_read, grants: BTreeMap::new(), lost: false }
+    pub fn new(timing: LeaseTiming, epoch: LeaseEpoch) -> LeaseHolder {
+        LeaseHolder {
+            timing,
+            epoch,
+            map_generation: 0,
+            members: Vec::new(),
+            last_read: None,
+            grants: BTreeMap::new(),
+            lost: false,
+        }
+    }
+
+    /// Lets the lease rely on the members of `map`; a map older than the one it relies on changes
+    /// nothing.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use greengagearch::connection::cluster_map::ClusterMap;
+    /// # use greengagearch::connection::lease::{LeaseHolder, LeaseTiming};
+    /// # let second = Duration::from_secs(1);
+    /// # let timing = LeaseTiming { freshness: second, grant: second,
+    /// #     longest_grant_only: second, drift_per_mille: 0 };
+    /// let mut holder = LeaseHolder::new(timing, 4);
+    /// holder.rely_on(&ClusterMap { generation: 7, ..ClusterMap::default() });
+    /// assert_eq!(holder.map_generation(), 7);
+    /// ```
+    pub fn rely_on(&mut self, map: &ClusterMap) {
+        if map.generation < self.map_generation {
+            return;
+        }
+        self.map_generation = map.generation;
+        self.members = map.members.iter().map(|member| member.incarnation).collect();
+        self.grants.retain(|member, _| self.members.contains(member));
+    }
+
+    /// Generation of the map that the lease relies on; grants are asked for under it.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use greengagearch::connection::lease::{LeaseHolder, LeaseTiming};
+    /// # let second = Duration::from_secs(1);
+    /// # let timing = LeaseTiming { freshness: second, grant: second,
+    /// #     longest_grant_only: second, drift_per_mille: 0 };
+    /// assert_eq!(LeaseHolder::new(timing, 4).map_generation(), 0);
+    /// ```
+    pub fn map_generation(&self) -> u64 {
+        self.map_generation
     }
 
     /// Epoch of the lease.
@@ -122,7 +174,7 @@
     /// # let second = Duration::from_secs(1);
     /// # let timing = LeaseTiming { freshness: second, grant: second,
     /// #     longest_grant_only: second, drift_per_mille: 0 };
-    /// assert_eq!(LeaseHolder::new(timing, 4, Instant::now()).epoch(), 4);
+    /// assert_eq!(LeaseHolder::new(timing, 4).epoch(), 4);
     /// ```
     pub fn epoch(&self) -> LeaseEpoch {
         self.epoch
@@ -132,21 +184,20 @@
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
-    /// # use greengagearch::connection::cluster_map::ClusterMap;
     /// # use greengagearch::connection::lease::{LeaseHolder, LeaseTiming};
     /// # let second = Duration::from_secs(1);
     /// # let timing = LeaseTiming { freshness: second, grant: second,
     /// #     longest_grant_only: second, drift_per_mille: 0 };
     /// let now = Instant::now();
-    /// let mut holder = LeaseHolder::new(timing, 4, now);
+    /// let mut holder = LeaseHolder::new(timing, 4);
     /// holder.on_read(5, now);
-    /// assert!(!holder.is_valid(&ClusterMap::default(), now));
+    /// assert!(!holder.is_valid(now));
     /// ```
     pub fn on_read(&mut self, epoch: LeaseEpoch, sent: Instant) {
         if epoch != self.epoch {
             self.lost = true;
         }
-        self.last_read = self.last_read.max(sent);
+        self.last_read = self.last_read.max(Some(sent));
     }
 
     /// Takes in a grant that `member` gave in answer to a heartbeat sent at `sent`.
@@ -157,7 +208,7 @@
     /// # let second = Duration::from_secs(1);
     /// # let timing = LeaseTiming { freshness: second, grant: second,
     /// #     longest_grant_only: second, drift_per_mille: 0 };
-    /// LeaseHolder::new(timing, 4, Instant::now()).on_grant(1, Instant::now());
+    /// LeaseHolder::new(timing, 4).on_grant(1, Instant::now());
     /// ```
     pub fn on_grant(&mut self, member: IncarnationId, sent: Instant) {
         let until = sent + self.timing.grant;
@@ -165,26 +216,27 @@
         *end = until.max(*end);
     }
 
-    /// The instant at which the holder must stop, or nothing when the lease is lost.
+    /// The instant at which the holder must stop, or nothing when the lease is lost or was never read.
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
-    /// # use greengagearch::connection::cluster_map::ClusterMap;
     /// # use greengagearch::connection::lease::{LeaseHolder, LeaseTiming};
     /// # let second = Duration::from_secs(1);
     /// # let timing = LeaseTiming { freshness: second, grant: second,
     /// #     longest_grant_only: second, drift_per_mille: 0 };
     /// let now = Instant::now();
-    /// let holder = LeaseHolder::new(timing, 4, now);
-    /// assert_eq!(holder.valid_until(&ClusterMap::default()), Some(now + second));
+    /// let mut holder = LeaseHolder::new(timing, 4);
+    /// holder.on_read(4, now);
+    /// assert_eq!(holder.valid_until(), Some(now + second));
     /// ```
-    pub fn valid_until(&self, map: &ClusterMap) -> Option<Instant> {
+    pub fn valid_until(&self) -> Option<Instant> {
         if self.lost {
             return None;
         }
-        let by_read = self.last_read + self.timing.freshness;
-        let last = self.last_read + self.timing.longest_grant_only;
-        let by_grants = self.granted_until(map).map(|end| end.min(last));
+        let last_read = self.last_read?;
+        let by_read = last_read + self.timing.freshness;
+        let last = last_read + self.timing.longest_grant_only;
+        let by_grants = self.granted_until().map(|end| end.min(last));
         Some(by_grants.map_or(by_read, |end| end.max(by_read)))
     }
 
@@ -192,23 +244,22 @@
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
-    /// # use greengagearch::connection::cluster_map::ClusterMap;
     /// # use greengagearch::connection::lease::{LeaseHolder, LeaseTiming};
     /// # let second = Duration::from_secs(1);
     /// # let timing = LeaseTiming { freshness: second, grant: second,
     /// #     longest_grant_only: second, drift_per_mille: 0 };
     /// let now = Instant::now();
-    /// assert!(LeaseHolder::new(timing, 4, now).is_valid(&ClusterMap::default(), now));
+    /// assert!(!LeaseHolder::new(timing, 4).is_valid(now));
     /// ```
-    pub fn is_valid(&self, map: &ClusterMap, now: Instant) -> bool {
-        self.valid_until(map).is_some_and(|end| now < end)
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.valid_until().is_some_and(|end| now < end)
     }
 
     /// Earliest end among the grants of all members; nothing when a member gave none.
-    fn granted_until(&self, map: &ClusterMap) -> Option<Instant> {
+    fn granted_until(&self) -> Option<Instant> {
         let mut earliest = None;
-        for member in &map.members {
-            let end = *self.grants.get(&member.incarnation)?;
+        for member in &self.members {
+            let end = *self.grants.get(member)?;
             earliest = Some(earliest.map_or(end, |known: Instant| known.min(end)));
         }
         earliest
@@ -241,39 +292,56 @@
         map
     }
 
+    fn holder(incarnations: &[IncarnationId], start: Instant) -> LeaseHolder {
+        let mut holder = LeaseHolder::new(timing(), 1);
+        holder.rely_on(&map(incarnations));
+        holder.on_read(1, start);
+        holder
+    }
+
     #[test]
     fn grants_of_all_members_outlive_an_unread_row() {
         let start = Instant::now();
-        let mut holder = LeaseHolder::new(timing(), 1, start);
+        let mut holder = holder(&[1, 2], start);
         holder.on_grant(1, start + 3 * SECOND);
-        assert!(!holder.is_valid(&map(&[1, 2]), start + 4 * SECOND));
+        assert!(!holder.is_valid(start + 4 * SECOND));
         holder.on_grant(2, start + 3 * SECOND);
-        assert!(holder.is_valid(&map(&[1, 2]), start + 4 * SECOND));
+        assert!(holder.is_valid(start + 4 * SECOND));
     }
 
     #[test]
     fn a_new_member_must_grant_too() {
         let start = Instant::now();
-        let mut holder = LeaseHolder::new(timing(), 1, start);
+        let mut holder = holder(&[1], start);
+        holder.on_grant(1, start + 3 * SECOND);
+        assert!(holder.is_valid(start + 4 * SECOND));
+        holder.rely_on(&map(&[1, 2]));
+        assert!(!holder.is_valid(start + 4 * SECOND));
+    }
+
+    #[test]
+    fn an_older_map_takes_no_member_out_again() {
+        let start = Instant::now();
+        let mut holder = holder(&[1, 2], start);
         holder.on_grant(1, start + 3 * SECOND);
-        assert!(holder.is_valid(&map(&[1]), start + 4 * SECOND));
-        assert!(!holder.is_valid(&map(&[1, 2]), start + 4 * SECOND));
+        holder.rely_on(&map(&[1]));
+        assert!(!holder.is_valid(start + 4 * SECOND));
     }
 
     #[test]
     fn grants_alone_end_at_their_longest_time() {
         let start = Instant::now();
-        let mut holder = LeaseHolder::new(timing(), 1, start);
+        let mut holder = holder(&[1], start);
         holder.on_grant(1, start + 9 * SECOND);
-        assert_eq!(holder.valid_until(&map(&[1])), Some(start + 10 * SECOND));
+        assert_eq!(holder.valid_until(), Some(start + 10 * SECOND));
     }
 
     #[test]
     fn a_lost_lease_never_becomes_valid_again() {
         let start = Instant::now();
-        let mut holder = LeaseHolder::new(timing(), 1, start);
+        let mut holder = holder(&[], start);
         holder.on_read(2, start);
         holder.on_read(1, start);
-        assert_eq!(holder.valid_until(&map(&[])), None);
+        assert_eq!(holder.valid_until(), None);
     }
 }
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -22,6 +22,8 @@
 use crate::ids::ServiceName;
 use crate::ids::WorkerId;
 use crate::platform::worker::ResourceAmount;
+use crate::process::interference::InterferenceSample;
+use crate::process::interference::KindName;
 use crate::request::outcome::RequestOutcome;
 use crate::request::request_journal::SettleAnswer;
 use crate::request::service_pool::EndpointReport;
@@ -44,12 +46,27 @@
     pub address: String,
     /// Generation of the cluster map that the agent knows.
     pub map_generation: u64,
+    /// Generation of the cluster map that the worker's lease relies on.
+    pub lease_generation: u64,
     /// Generation of the documents in force at the agent.
     pub generation: GenerationNumber,
     /// Whether the agent may take non-idempotent requests.
     pub registered: bool,
     /// Its endpoints.
     pub endpoints: Vec<EndpointReport>,
+    /// New samples of how long requests took beside which tasks; a bounded number.
+    pub samples: Vec<InterferenceSample>,
+}
+
+/// A learned slowdown that an entry tells an agent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KindSlowdown {
+    /// The service.
+    pub service: ServiceName,
+    /// Kind of the tasks beside it.
+    pub kind: KindName,
+    /// Expected slowdown by one task.
+    pub slowdown: f64,
 }
 
 /// A heartbeat of an entry to another, which asks for a grant too.
@@ -64,7 +81,7 @@
 }
 
 /// The answer to a heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BeatReply {
     /// The answering entry's incarnation.
     pub incarnation: IncarnationId,
@@ -74,6 +91,8 @@
     pub generation: GenerationNumber,
     /// The cluster map, when the sender knows an older one.
     pub map: Option<ClusterMap>,
+    /// What is known of the pairs in the sender's samples.
+    pub slowdowns: Vec<KindSlowdown>,
 }
 
 /// A new agent's request for its worker's lease.
@@ -137,6 +156,30 @@
     pub digest: BodyDigest,
 }
 
+/// What a request's way through the system was like, for the burn report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestTrace {
+    /// Time that it waited for slots.
+    pub queued: Duration,
+    /// Worker of the endpoint that it was last sent to.
+    pub worker: Option<WorkerId>,
+}
+
+/// How a request ended, and its way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TracedOutcome {
+    /// How it ended.
+    pub outcome: RequestOutcome,
+    /// Its way.
+    pub trace: RequestTrace,
+}
+
+impl From<RequestOutcome> for TracedOutcome {
+    fn from(outcome: RequestOutcome) -> TracedOutcome {
+        TracedOutcome { outcome, trace: RequestTrace::default() }
+    }
+}
+
 /// An entry's order to run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchOrder {
@@ -199,7 +242,7 @@
     /// Gives a worker's lease to a new agent.
     async fn claim_worker(claim: WorkerClaim) -> ClaimReply;
     /// Runs a request as the owner of its partition.
-    async fn forward(request: ServiceRequest) -> RequestOutcome;
+    async fn forward(request: ServiceRequest) -> TracedOutcome;
     /// The cluster map as this entry knows it.
     async fn cluster() -> ClusterMap;
     /// The documents that changed after a generation, under the generation in force.
--- a/src/connection/worker_row.rs
+++ b/src/connection/worker_row.rs
@@ -13,6 +13,7 @@
 use crate::ids::WorkerId;
 use crate::platform::worker::AttemptKey;
 use crate::platform::worker::ResourceAmount;
+use crate::process::interference::KindName;
 
 /// Prefix of the keys of worker rows.
 pub const WORKER_PREFIX: &str = "worker/";
@@ -44,6 +45,10 @@
     pub resources: ResourceAmount,
     /// The team on whose quota it runs.
     pub team: TeamName,
+    /// Kind of the task.
+    pub kind: KindName,
+    /// Whether it goes before the team's other work.
+    pub urgent: bool,
     /// Whether it shall be checkpointed and stopped.
     pub stop: bool,
 }
@@ -97,6 +102,34 @@
         self.capacity.minus(&self.committed())
     }
 
+    /// Kinds of the committed tasks, with the number of each.
+    ///
+    /// ```
+    /// use greengagearch::connection::worker_row::WorkerRow;
+    ///
+    /// assert!(WorkerRow::default().kinds().is_empty());
+    /// ```
+    pub fn kinds(&self) -> BTreeMap<KindName, u32> {
+        let mut kinds = BTreeMap::new();
+        for task in self.tasks.values() {
+            *kinds.entry(task.kind.clone()).or_default() += 1;
+        }
+        kinds
+    }
+
+    /// Whether an attempt is committed here and urgent.
+    ///
+    /// ```
+    /// use greengagearch::connection::worker_row::WorkerRow;
+    /// use greengagearch::platform::worker::AttemptKey;
+    ///
+    /// let key = AttemptKey { job: "night".into(), task: 0, attempt: 1 };
+    /// assert!(!WorkerRow::default().is_urgent(&key));
+    /// ```
+    pub fn is_urgent(&self, key: &AttemptKey) -> bool {
+        self.tasks.get(&task_name(&key.job, key.task)).is_some_and(|task| task.urgent)
+    }
+
     /// Whether an attempt is committed here.
     ///
     /// ```
--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -15,7 +15,8 @@
 Usage:
     gga-ctl check PATH...
     gga-ctl apply PATH... --entry ADDRESS --team TEAM --key-file FILE [--wait SPAN]
-    gga-ctl show [SERVICE] --entry ADDRESS";
+    gga-ctl show [SERVICE] --entry ADDRESS
+    gga-ctl report burn [SERVICE] --entry ADDRESS [--html FILE]";
 
 /// What `gga-ctl` was asked to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +36,8 @@
     Apply,
     /// Show what is in force.
     Show,
+    /// Report on service-level burn.
+    ReportBurn,
 }
 
 /// The parsed command line.
@@ -50,6 +53,8 @@
     pub team: String,
     /// File that holds the team's key.
     pub key_file: String,
+    /// File to which a report is written as a page.
+    pub html_file: Option<String>,
     /// How long to wait until all processes report the new generation.
     pub wait: Option<Duration>,
 }
@@ -71,6 +76,7 @@
     options.optopt("e", "entry", "operators' listener of any entry", "ADDRESS");
     options.optopt("t", "team", "sign in as this team", "TEAM");
     options.optopt("k", "key-file", "read the team's key from this file", "FILE");
+    options.optopt("", "html", "write the report as a page to this file", "FILE");
     options.optopt("w", "wait", "wait until the change is in force everywhere", "SPAN");
     add_common(&mut options);
     let matches = parse(&options, args)?;
@@ -85,6 +91,10 @@
         Some("check") => CtlAction::Check,
         Some("apply") => CtlAction::Apply,
         Some("show") => CtlAction::Show,
+        Some("report") => match operands.next().as_deref() {
+            Some("burn") => CtlAction::ReportBurn,
+            _ => return usage("report: the only report is 'burn'"),
+        },
         Some(other) => return usage(&format!("unknown command '{other}'")),
         None => return usage("a command is missing"),
     };
@@ -102,6 +112,7 @@
         entry: text("entry"),
         team: text("team"),
         key_file: text("key-file"),
+        html_file: matches.opt_str("html"),
         wait,
     };
     check_config(config)
@@ -109,11 +120,12 @@
 
 fn check_config(config: CtlConfig) -> Result<CtlCommand, Error> {
     let needs_entry = config.action != CtlAction::Check;
-    if config.action != CtlAction::Show && config.operands.is_empty() {
+    let takes_paths = matches!(config.action, CtlAction::Check | CtlAction::Apply);
+    if takes_paths && config.operands.is_empty() {
         return usage("PATH is missing");
     }
-    if config.action == CtlAction::Show && config.operands.len() > 1 {
-        return usage("show takes one SERVICE at most");
+    if !takes_paths && config.operands.len() > 1 {
+        return usage("give one SERVICE at most");
     }
     if needs_entry && config.entry.is_empty() {
         return usage("--entry ADDRESS is missing");
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' command: checks, applies and shows documents.
 
 pub mod cli;
+pub mod report;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,11 +14,14 @@
 use crate::cli::read_file;
 use crate::ctl::cli::CtlAction;
 use crate::ctl::cli::CtlConfig;
+use crate::ctl::report::html_report;
+use crate::ctl::report::text_report;
 use crate::error::Error;
 use crate::findings::ConfigFinding;
 use crate::findings::FindingList;
 use crate::ids::GenerationNumber;
 use crate::ids::RevisionNumber;
+use crate::process::burn_ledger::ServiceBurn;
 use crate::process::entry::operator_http::ApplyAnswer;
 use crate::process::entry::operator_http::ClusterReport;
 use crate::process::entry::operator_http::KEY_HEADER;
@@ -52,6 +56,7 @@
         }
         CtlAction::Apply => apply_all(config).await,
         CtlAction::Show => show(config).await,
+        CtlAction::ReportBurn => report_burn(config).await,
     }
 }
 
@@ -201,6 +206,24 @@
     Ok(())
 }
 
+async fn report_burn(config: &CtlConfig) -> Result<(), Error> {
+    let client = open_client();
+    let url = format!("http://{}/v1/burn", config.entry);
+    let mut burns: Vec<ServiceBurn> = fetch(&client, &url).await?;
+    if let Some(service) = config.operands.first() {
+        burns.retain(|burn| burn.service == *service);
+        if burns.is_empty() {
+            return Err(Error::Remote { message: format!("no document '{service}' in force") });
+        }
+    }
+    print!("{}", text_report(&burns));
+    if let Some(file) = &config.html_file {
+        let written = std::fs::write(file, html_report(&burns));
+        written.map_err(|source| Error::WriteFile { path: file.into(), source })?;
+    }
+    Ok(())
+}
+
 fn open_client() -> Client {
     Client::builder().no_proxy().timeout(ANSWER_TIMEOUT).build().unwrap_or_default()
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -18,6 +18,9 @@
     /// A file could not be read.
     #[snafu(display("cannot read '{}': {source}", path.display()))]
     ReadFile { path: PathBuf, source: io::Error },
+    /// A file could not be written.
+    #[snafu(display("cannot write '{}': {source}", path.display()))]
+    WriteFile { path: PathBuf, source: io::Error },
     /// Settings or documents hold mistakes.
     #[snafu(display("{findings}"))]
     Invalid { findings: FindingList },
@@ -46,9 +49,10 @@
         match self {
             Error::Usage { .. } | Error::Invalid { .. } => ExitCode::InvalidInput,
             Error::Conflict { .. } => ExitCode::Conflict,
-            Error::ReadFile { .. } | Error::Listen { .. } | Error::Remote { .. } => {
-                ExitCode::GeneralError
-            }
+            Error::ReadFile { .. }
+            | Error::WriteFile { .. }
+            | Error::Listen { .. }
+            | Error::Remote { .. } => ExitCode::GeneralError,
         }
     }
 }
--- a/src/platform/http_worker.rs
+++ b/src/platform/http_worker.rs
@@ -26,6 +26,15 @@
     pub until_millis: u64,
 }
 
+/// Body of a throttling.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ThrottleBody {
+    /// The attempt.
+    pub key: AttemptKey,
+    /// Share of its processors that it keeps, in percent.
+    pub percent: u32,
+}
+
 /// A client of one worker.
 #[derive(Clone, Debug)]
 pub struct HttpWorker {
@@ -82,6 +91,10 @@
         self.post("renew", &RenewalBody { keys, until_millis }).await
     }
 
+    async fn throttle(&self, key: AttemptKey, percent: u32) -> Result<(), WorkerError> {
+        self.post("throttle", &ThrottleBody { key, percent }).await
+    }
+
     async fn stop(&self, key: AttemptKey) -> Result<(), WorkerError> {
         self.post("stop", &key).await
     }
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -131,8 +131,14 @@
 pub struct AttemptReport {
     /// The attempt.
     pub key: AttemptKey,
+    /// Kind of the task.
+    pub kind: String,
     /// Resources that it holds while it runs.
     pub resources: ResourceAmount,
+    /// The most it was seen to use; reported with a lag.
+    pub used: ResourceAmount,
+    /// Time for which it has run, in milliseconds.
+    pub ran_millis: u64,
     /// Its state.
     pub state: AttemptState,
 }
@@ -171,6 +177,8 @@
     async fn start(&self, start: TaskStart) -> Result<(), WorkerError>;
     /// Moves the end of the leases of all given attempts to `until_millis`.
     async fn renew(&self, keys: Vec<AttemptKey>, until_millis: u64) -> Result<(), WorkerError>;
+    /// Lets an attempt have only a share of its processors, in percent; 100 lifts that.
+    async fn throttle(&self, key: AttemptKey, percent: u32) -> Result<(), WorkerError>;
     /// Checkpoints and stops an attempt.
     async fn stop(&self, key: AttemptKey) -> Result<(), WorkerError>;
     /// Drops what the worker keeps of attempts that ended.
--- a/src/process/agent/dispatcher.rs
+++ b/src/process/agent/dispatcher.rs
@@ -135,8 +135,15 @@
         Ok(target) => target,
         Err(reason) => return RequestOutcome::not_run(reason),
     };
+    let started = Instant::now();
     let outcome = call_endpoint(shared, order, &target.address).await;
     shared.endpoints().release_slot(&order.endpoint);
+    if let RequestOutcome::Answered(answer) = &outcome
+        && answer.status < 500
+    {
+        let now = Instant::now();
+        shared.observer().on_answer(&order.request.service, now - started, now);
+    }
     outcome
 }
 
--- a/src/process/agent/heartbeat.rs
+++ b/src/process/agent/heartbeat.rs
@@ -9,6 +9,10 @@
 use crate::connection::protocol::AgentBeat;
 use crate::connection::rpc_client::call_within;
 use crate::process::agent::shared::AgentShared;
+use crate::process::interference::InterferenceSample;
+
+/// Samples that one heartbeat carries at most, so that its size is bounded.
+const SAMPLES_PER_BEAT: usize = 4;
 
 /// Sends heartbeats until the process ends.
 pub fn spawn_beats(shared: Arc<AgentShared>) {
@@ -18,9 +22,11 @@
             if members.is_empty() {
                 ask_balancer(&shared).await;
             }
+            let samples = shared.observer().take_samples(SAMPLES_PER_BEAT);
             for member in members {
                 let shared = shared.clone();
-                tokio::spawn(async move { beat_member(&shared, member).await });
+                let samples = samples.clone();
+                tokio::spawn(async move { beat_member(&shared, member, samples).await });
             }
             let wait = if shared.map().members.is_empty() {
                 shared.beat_interval() / 10
@@ -46,7 +52,7 @@
     shared.entry_connections.drop_client(&address);
 }
 
-fn beat_of(shared: &AgentShared) -> AgentBeat {
+fn beat_of(shared: &AgentShared, samples: Vec<InterferenceSample>) -> AgentBeat {
     let mut endpoints = shared.endpoints().reports(Instant::now());
     if shared.is_draining() {
         endpoints.iter_mut().for_each(|endpoint| endpoint.leaving = true);
@@ -59,17 +65,19 @@
         group: shared.settings.domain.clone(),
         address: shared.address.clone(),
         map_generation: shared.map().generation,
+        lease_generation: shared.lease_generation(),
         generation: shared.generation(),
         registered: shared.is_registered(),
         endpoints,
+        samples,
     }
 }
 
-async fn beat_member(shared: &AgentShared, member: EntryMember) {
+async fn beat_member(shared: &AgentShared, member: EntryMember, samples: Vec<InterferenceSample>) {
     let Ok(client) = shared.entry_connections.client(&member.address).await else {
         return forget_member(shared, &member).await;
     };
-    let beat = beat_of(shared);
+    let beat = beat_of(shared, samples);
     let epoch = beat.epoch;
     let sent = Instant::now();
     shared.metrics.messages.with_label_values(&["agent_beat"]).inc();
@@ -79,6 +87,7 @@
     if let Some(map) = reply.map {
         shared.adopt_map(map);
     }
+    shared.adopt_slowdowns(reply.slowdowns);
     if reply.granted
         && let Some(lease) = shared.lease().as_mut().filter(|one| one.holder.epoch() == epoch)
     {
--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -3,6 +3,7 @@
 pub mod announce_http;
 pub mod dispatcher;
 pub mod heartbeat;
+pub mod reactor;
 pub mod reconciler;
 pub mod renewal;
 pub mod rpc;
@@ -80,6 +81,7 @@
         rpc::spawn_agent_rpc(internal, shared.clone(), reconciler.clone());
         heartbeat::spawn_beats(shared.clone());
         renewal::spawn_renewals(shared.clone());
+        reactor::spawn_reactor(shared.clone());
         reconciler::spawn_ticks(shared.clone(), reconciler.clone());
         let (close, closed) = StopSwitch::new();
         let router = announce_http::router(shared.clone());
--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -122,9 +122,10 @@
             let Ok(client) = self.shared.entry_connections.client(&member.address).await else {
                 continue;
             };
+            let sent = Instant::now();
             let reply = client.claim_worker(call_within(CLAIM_CALL), claim.clone()).await;
             if let Ok(ClaimReply::Claimed { epoch, wait }) = reply {
-                self.take_lease(epoch, wait).await;
+                self.take_lease(epoch, wait, sent).await;
                 return;
             }
         }
@@ -138,14 +139,16 @@
         }
     }
 
-    async fn take_lease(&mut self, epoch: LeaseEpoch, wait: Duration) {
+    async fn take_lease(&mut self, epoch: LeaseEpoch, wait: Duration, sent: Instant) {
         if wait.is_zero() {
             self.take_over_journal(epoch).await;
         }
         let now = Instant::now();
         let acts_from = now + wait;
         let timing = self.shared.map().timing.worker_lease();
-        let holder = LeaseHolder::new(timing, epoch, now);
+        let mut holder = LeaseHolder::new(timing, epoch);
+        // The answer may be old; what it says held at some time after the claim was sent.
+        holder.on_read(epoch, sent);
         if !wait.is_zero() {
             // Until then an earlier run may still take orders that this one will never know of.
             self.shared.journal().vouch_from(self.shared.clock.wall() + wait);
@@ -213,6 +216,7 @@
     }
 
     async fn read_row(&mut self) {
+        let map = self.shared.map();
         let sent = Instant::now();
         let key = worker_key(&self.shared.settings.worker);
         let Ok(Some(row)) = self.shared.table.get(&key).await else {
@@ -229,6 +233,8 @@
             // A row of an earlier epoch is an older state, read before the claim took effect.
             if worker.epoch >= known.holder.epoch() {
                 known.holder.on_read(worker.epoch, sent);
+                // The map that was known when the read was sent, and no newer one.
+                known.holder.rely_on(&map);
             }
             if !is_ours && worker.epoch > known.holder.epoch() {
                 let pairs: [(&str, &dyn std::fmt::Display); 2] =
@@ -357,6 +363,8 @@
         let keys: Vec<AttemptKey> = ended.iter().map(|one| one.key.clone()).collect();
         match self.write_ends(version, row, ended).await {
             Ok(partitions) => {
+                self.shared.end_evictions(&keys);
+                // What is not forgotten now is at the next look.
                 let _ = worker.forget(keys).await;
                 self.nudge_owners(partitions);
             }
@@ -381,7 +389,7 @@
             if let Some(current) = self.shared.table.get(&key).await? {
                 let mut task: TaskRow = current.decode()?;
                 if task.is_current(&attempt.key, &self.shared.settings.worker) {
-                    self.take_end(&mut task, attempt.state);
+                    self.take_end(&mut task, &attempt.key, attempt.state, attempt.used);
                     transaction.put(&key, current.version, &task);
                 }
             }
@@ -396,10 +404,18 @@
         Ok(partitions)
     }
 
-    fn take_end(&self, task: &mut TaskRow, state: AttemptState) {
+    fn take_end(
+        &self,
+        task: &mut TaskRow,
+        key: &AttemptKey,
+        state: AttemptState,
+        used: ResourceAmount,
+    ) {
+        let was_evicted = self.shared.is_evicted(key);
         let event = match state {
             AttemptState::Finished { result } => {
                 task.state = TaskState::Ended(TaskEnd::Done { result });
+                task.used = Some(used);
                 "finished"
             }
             AttemptState::Failed { error } => {
@@ -409,6 +425,10 @@
             AttemptState::Stopped { checkpoint } => {
                 task.checkpoint = checkpoint.or(task.checkpoint.take());
                 task.state = TaskState::Queued;
+                if was_evicted {
+                    task.evicted_from = Some(self.shared.settings.worker.clone());
+                    task.evictions += 1;
+                }
                 "stopped"
             }
             AttemptState::Running => return,
@@ -452,7 +472,14 @@
         let key = AttemptKey { job, task: index, attempt: task.attempt };
         if !status.attempts.iter().any(|one| one.key == key) {
             let state = AttemptState::Stopped { checkpoint: None };
-            reports.push(AttemptReport { key, resources: task.resources, state });
+            reports.push(AttemptReport {
+                key,
+                kind: task.kind.clone(),
+                resources: task.resources,
+                used: ResourceAmount::default(),
+                ran_millis: 0,
+                state,
+            });
         }
     }
     reports.truncate(ENDS_PER_WRITE);
--- a/src/process/agent/shared.rs
+++ b/src/process/agent/shared.rs
@@ -1,6 +1,8 @@
 //! What all parts of an agent share.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,23 +21,29 @@
 use crate::connection::cluster_map::ClusterMap;
 use crate::connection::lease::LeaseHolder;
 use crate::connection::protocol::EntryRpcClient;
+use crate::connection::protocol::KindSlowdown;
 use crate::connection::rpc_client::ConnectionCache;
 use crate::connection::worker_row::WorkerRow;
 use crate::ids::GenerationNumber;
 use crate::ids::IncarnationId;
 use crate::ids::LeaseEpoch;
 use crate::ids::RequestId;
+use crate::ids::ServiceName;
 use crate::platform::table::TableStore;
+use crate::platform::worker::AttemptKey;
 use crate::platform::worker::WorkerControl;
 use crate::process::clock::SteadyClock;
 use crate::process::entry::shared::new_incarnation;
+use crate::process::interference::KindName;
 use crate::process::metrics::ProcessMetrics;
+use crate::process::service_observer::ServiceObserver;
 use crate::process::settings::AgentSettings;
 use crate::request::outcome::RequestOutcome;
 use crate::request::request_id::id_window;
 use crate::request::request_journal::RequestJournal;
 use crate::version::catalog::DocumentCatalog;
 use crate::version::catalog::DocumentSet;
+use crate::version::document::ServiceObjective;
 
 /// Idle connections to one endpoint that are kept open.
 const IDLE_CONNECTIONS: usize = 64;
@@ -78,6 +86,9 @@
     lease: Mutex<Option<WorkerLease>>,
     row: Mutex<Option<WorkerRow>>,
     catalog: Mutex<DocumentCatalog>,
+    observer: Mutex<ServiceObserver>,
+    slowdowns: Mutex<BTreeMap<ServiceName, BTreeMap<KindName, f64>>>,
+    evicting: Mutex<HashSet<AttemptKey>>,
     journal_ready: AtomicBool,
     draining: AtomicBool,
 }
@@ -110,6 +121,9 @@
             lease: Mutex::default(),
             row: Mutex::default(),
             catalog: Mutex::default(),
+            observer: Mutex::default(),
+            slowdowns: Mutex::default(),
+            evicting: Mutex::default(),
             journal_ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
         }
@@ -155,12 +169,16 @@
         self.lease().as_ref().map_or(0, |lease| lease.holder.epoch())
     }
 
+    /// Generation of the cluster map that the lease relies on; zero without a lease.
+    pub fn lease_generation(&self) -> u64 {
+        self.lease().as_ref().map_or(0, |lease| lease.holder.map_generation())
+    }
+
     /// How long the agent may act for its worker, when it may at `now`.
     pub fn acts_until(&self, now: Instant) -> Option<Instant> {
-        let map = self.map();
         let lease = self.lease();
         let lease = lease.as_ref().filter(|lease| now >= lease.acts_from)?;
-        lease.holder.valid_until(&map).filter(|end| now < *end)
+        lease.holder.valid_until().filter(|end| now < *end)
     }
 
     /// The worker's row as it was last read.
@@ -188,6 +206,46 @@
         document.map_or(Duration::ZERO, |one| id_window(one.requests.largest_deadline))
     }
 
+    /// The objective of a service, by the documents in force here.
+    pub fn objective_of(&self, service: &str) -> Option<ServiceObjective> {
+        self.catalog().document(service).map(|document| document.objective.clone())
+    }
+
+    /// Times of requests beside tasks. Never held over a wait.
+    pub fn observer(&self) -> MutexGuard<'_, ServiceObserver> {
+        self.observer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in what an entry has learned of pairs.
+    pub fn adopt_slowdowns(&self, slowdowns: Vec<KindSlowdown>) {
+        let mut known = self.slowdowns.lock().unwrap_or_else(PoisonError::into_inner);
+        for one in slowdowns {
+            known.entry(one.service).or_default().insert(one.kind, one.slowdown);
+        }
+    }
+
+    /// Learned slowdown of a service by each kind.
+    pub fn slowdowns_of(&self, service: &str) -> BTreeMap<KindName, f64> {
+        let known = self.slowdowns.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Marks an attempt as stopped for the sake of a service.
+    pub fn begin_eviction(&self, key: &AttemptKey) {
+        self.evicting.lock().unwrap_or_else(PoisonError::into_inner).insert(key.clone());
+    }
+
+    /// Whether an attempt was stopped for the sake of a service.
+    pub fn is_evicted(&self, key: &AttemptKey) -> bool {
+        self.evicting.lock().unwrap_or_else(PoisonError::into_inner).contains(key)
+    }
+
+    /// Forgets the marks of attempts whose ends were committed.
+    pub fn end_evictions(&self, keys: &[AttemptKey]) {
+        let mut evicting = self.evicting.lock().unwrap_or_else(PoisonError::into_inner);
+        evicting.retain(|key| !keys.contains(key));
+    }
+
     fn catalog(&self) -> MutexGuard<'_, DocumentCatalog> {
         self.catalog.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/process/entry/broker.rs
+++ b/src/process/entry/broker.rs
@@ -8,7 +8,9 @@
 use crate::connection::cluster_view::ActingRight;
 use crate::connection::protocol::AgentRpcClient;
 use crate::connection::protocol::DispatchOrder;
+use crate::connection::protocol::RequestTrace;
 use crate::connection::protocol::ServiceRequest;
+use crate::connection::protocol::TracedOutcome;
 use crate::connection::rpc_client::call_within;
 use crate::ids::LeaseEpoch;
 use crate::ids::RequestId;
@@ -35,10 +37,12 @@
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
 /// Tries to make an id of an own partition; with three entries one in three fits.
 const ID_TRIES: usize = 1_000;
+/// When to come back after all tries were refused.
+const TRIES_PAUSE: Duration = Duration::from_millis(100);
 /// Endpoints tried for one request at most.
 const LARGEST_TRIES: usize = 8;
 /// Runs a request that a caller sent to this entry.
-pub async fn run(shared: Arc<EntryShared>, request: ServiceRequest) -> RequestOutcome {
+pub async fn run(shared: Arc<EntryShared>, request: ServiceRequest) -> TracedOutcome {
     if request.idempotent {
         return run_idempotent(&shared, request).await;
     }
@@ -46,7 +50,7 @@
     loop {
         let outcome = run_or_forward(&shared, &request, deadline).await;
         let is_early = matches!(
-            outcome,
+            outcome.outcome,
             RequestOutcome::NotRun {
                 reason: NotRunReason::NoOwner
                     | NotRunReason::LeaseLapsed
@@ -76,7 +80,7 @@
     shared: &Arc<EntryShared>,
     request: &ServiceRequest,
     deadline: Instant,
-) -> RequestOutcome {
+) -> TracedOutcome {
     let partition = partition_of_request(&request.id);
     let owner = {
         let view = shared.view();
@@ -85,19 +89,19 @@
     let mut request = request.clone();
     request.time_left = deadline.saturating_duration_since(Instant::now());
     let Some(owner) = owner else {
-        return lapsed(shared);
+        return lapsed(shared).into();
     };
     if owner.incarnation == shared.member.incarnation {
         return run_as_owner(shared.clone(), request).await;
     }
     let Ok(client) = shared.entry_connections.client(&owner.address).await else {
-        return RequestOutcome::not_run(NotRunReason::OwnerUnreachable);
+        return RequestOutcome::not_run(NotRunReason::OwnerUnreachable).into();
     };
     shared.metrics.messages.with_label_values(&["forward"]).inc();
     let context = call_within(request.time_left + 2 * ANSWER_GRACE);
     match client.forward(context, request).await {
         Ok(outcome) => outcome,
-        Err(_) => RequestOutcome::Unknown(UnknownReason::OwnerSilent),
+        Err(_) => RequestOutcome::Unknown(UnknownReason::OwnerSilent).into(),
     }
 }
 
@@ -110,35 +114,35 @@
 }
 
 /// Runs a non-idempotent request as the owner of its id's partition, at most once.
-pub async fn run_as_owner(shared: Arc<EntryShared>, request: ServiceRequest) -> RequestOutcome {
+pub async fn run_as_owner(shared: Arc<EntryShared>, request: ServiceRequest) -> TracedOutcome {
     let _flight = shared.begin_flight();
     let document = shared.with_catalog(|catalog| catalog.document(&request.service));
     let Some(document) = document else {
-        return RequestOutcome::not_run(NotRunReason::UnknownService);
+        return RequestOutcome::not_run(NotRunReason::UnknownService).into();
     };
     let partition = partition_of_request(&request.id);
     let right = shared.view().acting_right(partition, Instant::now());
     let Some(right) = right else {
-        return lapsed(&shared);
+        return lapsed(&shared).into();
     };
     let Some(time) = id_time(&request.id) else {
-        return RequestOutcome::not_run(NotRunReason::IdInFuture);
+        return RequestOutcome::not_run(NotRunReason::IdInFuture).into();
     };
     let window = id_window(document.requests.largest_deadline);
     match id_age(time, shared.clock.wall(), window) {
         IdAge::Current => {}
-        IdAge::TooOld => return RequestOutcome::Unknown(UnknownReason::IdTooOld),
-        IdAge::InFuture => return RequestOutcome::not_run(NotRunReason::IdInFuture),
+        IdAge::TooOld => return RequestOutcome::Unknown(UnknownReason::IdTooOld).into(),
+        IdAge::InFuture => return RequestOutcome::not_run(NotRunReason::IdInFuture).into(),
     }
     let id = request.id;
     match shared.ledger.begin(id, request.digest, forget_time(time, window)) {
-        DeskVerdict::Ended(outcome) => outcome,
-        DeskVerdict::Conflict => RequestOutcome::not_run(NotRunReason::BodyConflict),
-        DeskVerdict::Wait(receiver) => await_other(receiver, request.time_left).await,
+        DeskVerdict::Ended(outcome) => outcome.into(),
+        DeskVerdict::Conflict => RequestOutcome::not_run(NotRunReason::BodyConflict).into(),
+        DeskVerdict::Wait(receiver) => await_other(receiver, request.time_left).await.into(),
         DeskVerdict::Run => {
-            let outcome = run_first(&shared, &document, request, right, time).await;
-            shared.ledger.end(id, &outcome);
-            outcome
+            let ended = run_first(&shared, &document, request, right, time).await;
+            shared.ledger.end(id, &ended.outcome);
+            ended
         }
     }
 }
@@ -161,14 +165,14 @@
     request: ServiceRequest,
     right: ActingRight,
     time: Duration,
-) -> RequestOutcome {
+) -> TracedOutcome {
     let owned_since = shared.clock.wall_at(right.since);
     // An earlier owner may have run every id that it could have accepted: up to one skew ahead of
     // its clock, which may itself be one skew ahead of this one's.
     if time < owned_since + 2 * CLOCK_SKEW && right.epoch > FIRST_EPOCH {
         let settled = settle(shared, document, &request, right).await;
         if let Some(outcome) = settled {
-            return outcome;
+            return outcome.into();
         }
     }
     dispatch(shared, document, request, right.epoch).await
@@ -177,11 +181,11 @@
 /// Epoch of a partition that nobody owned before.
 const FIRST_EPOCH: LeaseEpoch = 1;
 
-async fn run_idempotent(shared: &Arc<EntryShared>, request: ServiceRequest) -> RequestOutcome {
+async fn run_idempotent(shared: &Arc<EntryShared>, request: ServiceRequest) -> TracedOutcome {
     let _flight = shared.begin_flight();
     let document = shared.with_catalog(|catalog| catalog.document(&request.service));
     let Some(document) = document else {
-        return RequestOutcome::not_run(NotRunReason::UnknownService);
+        return RequestOutcome::not_run(NotRunReason::UnknownService).into();
     };
     dispatch(shared, &document, request, 0).await
 }
@@ -198,12 +202,26 @@
     document: &ServiceDocument,
     request: ServiceRequest,
     epoch: LeaseEpoch,
+) -> TracedOutcome {
+    let mut trace = RequestTrace::default();
+    let outcome = dispatch_traced(shared, document, request, epoch, &mut trace).await;
+    TracedOutcome { outcome, trace }
+}
+
+async fn dispatch_traced(
+    shared: &Arc<EntryShared>,
+    document: &ServiceDocument,
+    request: ServiceRequest,
+    epoch: LeaseEpoch,
+    trace: &mut RequestTrace,
 ) -> RequestOutcome {
     let deadline = Instant::now() + request.time_left;
     let mut avoid = None;
     let mut was_unknown = None;
     for _ in 0..LARGEST_TRIES {
+        let asked = Instant::now();
         let slot = shared.pools.take_slot(document, deadline, &request.caller, avoid.take()).await;
+        trace.queued += asked.elapsed();
         let key = match slot {
             SlotDecision::Granted(key) => key,
             SlotDecision::Queued => break,
@@ -211,6 +229,7 @@
                 return was_unknown.unwrap_or(RequestOutcome::NotRun { reason, retry_after });
             }
         };
+        trace.worker = Some(key.worker.clone());
         let result = try_endpoint(shared, document, &request, &key, epoch, deadline).await;
         shared.pools.release(&document.name, &key, result.slot);
         match result.outcome {
@@ -224,8 +243,10 @@
             outcome => return outcome,
         }
     }
-    let retry_after = Duration::from_millis(100);
-    was_unknown.unwrap_or(RequestOutcome::NotRun { reason: NotRunReason::Overloaded, retry_after })
+    was_unknown.unwrap_or(RequestOutcome::NotRun {
+        reason: NotRunReason::Overloaded,
+        retry_after: TRIES_PAUSE,
+    })
 }
 
 async fn try_endpoint(
--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -25,13 +25,17 @@
 use tokio::time::timeout;
 
 use crate::connection::protocol::ServiceRequest;
+use crate::connection::protocol::TracedOutcome;
 use crate::ids::RequestId;
+use crate::process::burn_ledger::EndedRequest;
+use crate::process::burn_ledger::judge;
 use crate::process::entry::broker;
 use crate::process::entry::job_desk;
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::shared::EntryShared;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::RequestOutcome;
+use crate::request::outcome::UnknownReason;
 use crate::request::outcome::body_digest;
 use crate::request::request_id::id_time;
 use crate::version::document::ServiceDocument;
@@ -154,23 +158,37 @@
     let flight = shared.begin_flight();
     // A task of its own: a caller that hangs up must not cut the request off half-way.
     let run = tokio::spawn(broker::run(shared.clone(), request));
-    let outcome = run
-        .await
-        .unwrap_or(RequestOutcome::Unknown(crate::request::outcome::UnknownReason::AnswerLost));
+    let lost = RequestOutcome::Unknown(UnknownReason::AnswerLost);
+    let ended = run.await.unwrap_or(lost.into());
     drop(flight);
-    count(&shared, &service, &outcome, started.elapsed());
-    let mut response = respond(outcome);
+    count(&shared, &service, &ended, started.elapsed());
+    let mut response = respond(ended.outcome);
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
         response.headers_mut().insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
     }
     response
 }
 
-fn count(shared: &EntryShared, service: &str, outcome: &RequestOutcome, time: Duration) {
-    let text = outcome.to_string();
+fn count(shared: &EntryShared, service: &str, ended: &TracedOutcome, time: Duration) {
+    let text = ended.outcome.to_string();
     let (kind, reason) = text.split_once('/').unwrap_or((&text, ""));
     shared.metrics.outcomes.with_label_values(&[service, kind, reason]).inc();
     shared.metrics.latency.observe(time.as_secs_f64());
+    let objective = shared.with_catalog(|catalog| {
+        catalog.document(service).map(|document| document.objective.latency)
+    });
+    let Some(objective) = objective else { return };
+    let is_late = time > objective;
+    let worker = ended.trace.worker.as_ref().filter(|_| is_late);
+    let event = EndedRequest {
+        outcome: &ended.outcome,
+        time,
+        queued: ended.trace.queued,
+        neighbour: worker.and_then(|worker| shared.worst_neighbour(service, worker)),
+    };
+    if let Some(event) = judge(&event, objective) {
+        shared.burn().count(service, event, shared.clock.wall_millis());
+    }
 }
 
 fn parse_headers(
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: takes callers' requests and operators' documents, routes, and schedules tasks.
 
 pub mod broker;
+pub mod burn_desk;
 pub mod caller_http;
 pub mod catalog_sync;
 pub mod document_desk;
@@ -28,6 +29,7 @@
 use crate::error::Error;
 use crate::error::ListenSnafu;
 use crate::platform::table::TableStore;
+use crate::process::entry::burn_desk::BurnFlush;
 use crate::process::entry::membership::LeaveCluster;
 use crate::process::entry::membership::MembershipActor;
 use crate::process::entry::scheduler::SchedulerActor;
@@ -93,6 +95,7 @@
         catalog_sync::spawn_catalog_sync(shared.clone());
         scheduler::spawn_ticks(shared.clone(), scheduler.clone());
         pool_set::spawn_upkeep(shared.clone());
+        burn_desk::spawn_flushes(shared.clone());
         let (close, closed) = StopSwitch::new();
         let caller_router = caller_http::router(shared.clone(), scheduler);
         let caller_server = spawn_http_server(callers, caller_router, closed.clone());
@@ -134,6 +137,11 @@
     if tokio::time::timeout(shared.settings.drain_limit, all_done).await.is_err() {
         log_event(Level::Error, "drain_limit_passed", &[("in_flight", &shared.in_flight())]);
     }
+    let mut flush = BurnFlush::default();
+    let last_counts = tokio::time::timeout(LAST_CLOSE, flush.flush(shared));
+    if !matches!(last_counts.await, Ok(Ok(()))) {
+        log_event(Level::Warn, "burn_not_written", &[("entry", &shared.member.id)]);
+    }
     // Peers that have not read the new map yet still forward; each such request is refused here,
     // which is better than the silence of a closed connection.
     tokio::time::sleep(shared.beat_interval() * BEATS_TO_LINGER).await;
--- a/src/process/entry/operator_http.rs
+++ b/src/process/entry/operator_http.rs
@@ -24,6 +24,8 @@
 use crate::ids::GenerationNumber;
 use crate::ids::RevisionNumber;
 use crate::ids::TeamName;
+use crate::process::burn_ledger::ServiceBurn;
+use crate::process::entry::burn_desk::read_burns;
 use crate::process::entry::document_desk::ApplyError;
 use crate::process::entry::document_desk::DocumentApply;
 use crate::process::entry::document_desk::apply;
@@ -73,6 +75,7 @@
         .route("/v1/documents/{service}", get(handle_show).put(handle_apply))
         .route("/v1/cluster", get(handle_cluster))
         .route("/v1/workers", get(handle_workers))
+        .route("/v1/burn", get(handle_burn))
         .route("/metrics", get(handle_metrics))
         .with_state(shared)
 }
@@ -162,6 +165,13 @@
     Ok(Json(rows.iter().filter_map(|row| row.decode().ok()).collect()))
 }
 
+async fn handle_burn(
+    State(shared): State<Arc<EntryShared>>,
+) -> Result<Json<Vec<ServiceBurn>>, StatusCode> {
+    let burns = read_burns(&shared).await;
+    burns.map(Json).map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
+}
+
 async fn handle_metrics(State(shared): State<Arc<EntryShared>>) -> String {
     shared.metrics.render()
 }
--- a/src/process/entry/rpc.rs
+++ b/src/process/entry/rpc.rs
@@ -19,6 +19,7 @@
 use crate::connection::protocol::EntryRpc;
 use crate::connection::protocol::JoinReply;
 use crate::connection::protocol::ServiceRequest;
+use crate::connection::protocol::TracedOutcome;
 use crate::connection::protocol::WorkerClaim;
 use crate::connection::rpc_client::framed;
 use crate::connection::worker_row::worker_key;
@@ -36,8 +37,8 @@
 use crate::process::entry::shared::EntryShared;
 use crate::process::entry::shared::PeerNews;
 use crate::process::rpc_server::spawn_accept_loop;
-use crate::request::outcome::NotRunReason;
 use crate::request::outcome::RequestOutcome;
+use crate::request::outcome::UnknownReason;
 use crate::request::service_pool::AgentPlace;
 use crate::version::catalog::DocumentCatalog;
 use crate::version::catalog::DocumentSet;
@@ -49,6 +50,16 @@
     scheduler: ActorRef<SchedulerActor>,
 }
 
+/// What a heartbeat asks a grant for.
+struct GrantRequest<'a> {
+    /// Name of the lease.
+    lease: &'a str,
+    /// Epoch of the lease.
+    epoch: LeaseEpoch,
+    /// Generation of the cluster map that the lease relies on.
+    generation: u64,
+}
+
 /// Serves calls on `listener` until the process ends.
 pub fn spawn_entry_rpc(
     listener: TcpListener,
@@ -69,8 +80,7 @@
 impl EntryServer {
     fn reply(
         &self,
-        lease: &str,
-        epoch: LeaseEpoch,
+        request: &GrantRequest<'_>,
         map_generation: u64,
         generation: GenerationNumber,
     ) -> BeatReply {
@@ -82,9 +92,10 @@
         let is_behind = map_generation < view.map().generation;
         BeatReply {
             incarnation: self.shared.member.incarnation,
-            granted: view.may_grant(lease, epoch, map_generation),
+            granted: view.may_grant(request.lease, request.epoch, request.generation),
             generation: own_generation,
             map: is_behind.then(|| view.map().clone()),
+            slowdowns: Vec::new(),
         }
     }
 
@@ -96,10 +107,16 @@
             epoch: beat.epoch,
             generation: beat.generation,
             registered: beat.registered,
+            kinds: beat.samples.last().map(|sample| sample.kinds.clone()).unwrap_or_default(),
+            services: beat.endpoints.iter().map(|one| one.service.clone()).collect(),
             heard: Instant::now(),
         };
+        let mut news = news;
         let mut agents = self.shared.agents();
         if let Some(known) = agents.get(&beat.worker) {
+            if beat.samples.is_empty() {
+                news.kinds.clone_from(&known.kinds);
+            }
             let is_other = known.place.incarnation != beat.incarnation;
             // A run that lost its worker's lease may still be sending.
             if is_other && known.registered && beat.epoch < known.epoch {
@@ -125,7 +142,11 @@
             self.shared.pools.on_report(&place, &beat.endpoints);
         }
         let lease = worker_key(&beat.worker);
-        self.reply(&lease, beat.epoch, beat.map_generation, beat.generation)
+        let request =
+            GrantRequest { lease: &lease, epoch: beat.epoch, generation: beat.lease_generation };
+        let mut reply = self.reply(&request, beat.map_generation, beat.generation);
+        reply.slowdowns = self.shared.learn(&beat.samples);
+        reply
     }
 
     async fn entry_beat(self, _: Context, beat: EntryBeat) -> BeatReply {
@@ -133,7 +154,9 @@
         let news = PeerNews { id: beat.member.id.clone(), generation: beat.generation, heard: now };
         self.shared.peers().insert(beat.member.incarnation, news);
         self.shared.view().on_heard(beat.member.incarnation, now);
-        self.reply(&entry_lease(&beat.member), 0, beat.map_generation, beat.generation)
+        let lease = entry_lease(&beat.member);
+        let request = GrantRequest { lease: &lease, epoch: 0, generation: beat.map_generation };
+        self.reply(&request, beat.map_generation, beat.generation)
     }
 
     async fn identity(self, _: Context) -> IncarnationId {
@@ -151,10 +174,10 @@
         self.shared.claim_worker(claim).await
     }
 
-    async fn forward(self, _: Context, request: ServiceRequest) -> RequestOutcome {
+    async fn forward(self, _: Context, request: ServiceRequest) -> TracedOutcome {
         // A task of its own: the call ends with the sender's patience, the request must not.
         let run = tokio::spawn(broker::run_as_owner(self.shared, request));
-        run.await.unwrap_or(RequestOutcome::not_run(NotRunReason::Draining))
+        run.await.unwrap_or(RequestOutcome::Unknown(UnknownReason::AnswerLost).into())
     }
 
     async fn cluster(self, _: Context) -> ClusterMap {
--- a/src/process/entry/scheduler.rs
+++ b/src/process/entry/scheduler.rs
@@ -12,6 +12,7 @@
 use kameo::message::Context;
 use kameo::message::Message;
 use log::Level;
+use rand::rngs::StdRng;
 
 use crate::connection::rpc_client::call_within;
 use crate::connection::worker_row::CommittedTask;
@@ -26,10 +27,13 @@
 use crate::ids::WorkerId;
 use crate::platform::table::TableError;
 use crate::platform::table::TableTransaction;
+use crate::platform::worker::ResourceAmount;
 use crate::process::entry::job_desk::is_over;
 use crate::process::entry::shared::EntryShared;
 use crate::process::entry::worker_desk::RecoveryPlan;
 use crate::process::logging::log_event;
+use crate::process::size_learner::SizeLearner;
+use crate::process::suspicion::WorkerSuspicion;
 use crate::request::job::JobRow;
 use crate::request::job::JobState;
 use crate::request::job::TaskEnd;
@@ -93,6 +97,9 @@
     workers_read: Option<Instant>,
     recovery: RecoveryPlan,
     recovery_at: Instant,
+    suspicion: WorkerSuspicion,
+    sizes: SizeLearner,
+    rng: StdRng,
 }
 
 impl SchedulerActor {
@@ -108,6 +115,9 @@
             workers_read: None,
             recovery: RecoveryPlan::default(),
             recovery_at: Instant::now(),
+            suspicion: WorkerSuspicion::default(),
+            sizes: SizeLearner::default(),
+            rng: rand::make_rng(),
         }
     }
 
@@ -154,10 +164,36 @@
             }
         }
         self.looked_at.insert(partition, Instant::now());
-        self.partitions.insert(partition, read);
+        if let Some(before) = self.partitions.insert(partition, read) {
+            self.learn_from_ends(partition, &before);
+        }
         Ok(())
     }
 
+    /// Learns from tasks that were running at the last look and are not any more.
+    fn learn_from_ends(&mut self, partition: PartitionId, before: &PartitionTasks) {
+        let Some(read) = self.partitions.get(&partition) else {
+            return;
+        };
+        let now = Instant::now();
+        for (key, task) in &read.tasks {
+            let Some(TaskState::Committed { worker }) =
+                before.tasks.get(key).map(|task| &task.row.state)
+            else {
+                continue;
+            };
+            let failures_before = before.tasks.get(key).map_or(0, |task| task.row.failed_on.len());
+            if matches!(task.row.state, TaskState::Ended(TaskEnd::Done { .. })) {
+                self.suspicion.on_success(worker);
+                if let Some(used) = task.row.used {
+                    self.sizes.on_end(&task.row.kind, used);
+                }
+            } else if task.row.failed_on.len() > failures_before {
+                self.suspicion.on_failure(worker, key, now);
+            }
+        }
+    }
+
     /// Moves the ends of tasks into the rows of jobs that are over, and removes the tasks' rows.
     async fn close_jobs(&mut self, partition: PartitionId) -> Result<(), TableError> {
         let Some(read) = self.partitions.get(&partition) else {
@@ -246,16 +282,22 @@
     }
 
     async fn start_tasks(&mut self) -> Result<(), TableError> {
-        let queued = self.queued_tasks();
-        if queued.is_empty() {
+        if !self.has_queued() {
             return Ok(());
         }
         self.read_workers().await?;
+        let queued = self.queued_tasks();
         let mut views = self.worker_views();
         let mut teams = self.team_shares(&queued);
-        let way = self.shared.settings.placement;
-        let starts =
-            plan_starts(queued, &mut views, &mut teams, way, STARTS_PER_STEP, &mut rand::rng());
+        let policy = self.shared.settings.placement.policy(self.shared.interference());
+        let starts = plan_starts(
+            queued,
+            &mut views,
+            &mut teams,
+            policy.as_ref(),
+            STARTS_PER_STEP,
+            &mut self.rng,
+        );
         let mut by_worker: BTreeMap<WorkerId, Vec<PlannedStart>> = BTreeMap::new();
         for start in starts {
             by_worker.entry(start.worker.clone()).or_default().push(start);
@@ -270,19 +312,27 @@
         Ok(())
     }
 
+    fn has_queued(&self) -> bool {
+        let tasks = self.partitions.values().flat_map(|read| read.tasks.values());
+        tasks.map(|task| &task.row.state).any(|state| *state == TaskState::Queued)
+    }
+
     fn queued_tasks(&self) -> Vec<QueuedTask> {
         let now = self.shared.clock.wall_millis();
+        let host = self.largest_host();
         let mut queued = Vec::new();
         for read in self.partitions.values() {
             for (key, task) in &read.tasks {
                 let task = &task.row;
                 if task.state == TaskState::Queued && !read.cancelled.contains(&task.job) {
+                    let avoid = task.failed_on.iter().chain(&task.evicted_from).cloned();
                     queued.push(QueuedTask {
                         key: key.clone(),
                         team: task.team.clone(),
+                        kind: task.kind.clone(),
                         urgent: task.urgent,
-                        resources: task.spec.resources,
-                        avoid: task.failed_on.clone(),
+                        resources: self.sizes.size(&task.kind, &task.spec.resources, &host),
+                        avoid: avoid.collect(),
                         waited: Duration::from_millis(now.saturating_sub(task.submitted_millis)),
                     });
                 }
@@ -291,6 +341,16 @@
         queued
     }
 
+    /// The largest amount of each resource that a worker has.
+    fn largest_host(&self) -> ResourceAmount {
+        let capacities = self.workers.values().map(|worker| worker.row.capacity);
+        capacities.fold(ResourceAmount::default(), |most, one| ResourceAmount {
+            millicores: most.millicores.max(one.millicores),
+            memory_mib: most.memory_mib.max(one.memory_mib),
+            accelerators: most.accelerators.max(one.accelerators),
+        })
+    }
+
     async fn read_workers(&mut self) -> Result<(), TableError> {
         if self.workers_read.is_some_and(|read| read.elapsed() < WORKERS_INTERVAL) {
             return Ok(());
@@ -308,6 +368,7 @@
 
     /// Workers whose agent is alive and holds the lease.
     fn worker_views(&self) -> Vec<WorkerView> {
+        let now = Instant::now();
         let limit = self.shared.view().map().timing.agent_beat() * BEATS_TO_TRUST;
         let agents = self.shared.agents();
         let trusted = self.workers.values().map(|worker| &worker.row).filter(|row| {
@@ -321,7 +382,9 @@
                 domain: row.domain.clone(),
                 capacity: row.capacity,
                 free: row.free(),
-                probes_left: None,
+                services: agents.get(&row.worker).map_or(Vec::new(), |one| one.services.clone()),
+                kinds: row.kinds(),
+                starts_left: self.suspicion.starts_left(&row.worker, now),
             })
             .collect()
     }
@@ -359,8 +422,10 @@
             transaction.put(&start.key, task.version, &next);
             let committed = CommittedTask {
                 attempt: next.attempt,
-                resources: next.spec.resources,
+                resources: start.resources,
                 team: next.team.clone(),
+                kind: next.kind.clone(),
+                urgent: next.urgent,
                 stop: false,
             };
             row.tasks.insert(task_name(&next.job, next.index), committed);
@@ -375,6 +440,7 @@
         self.count("start", committed.is_ok());
         if let Ok(version) = committed {
             self.shared.metrics.tasks.with_label_values(&["started"]).inc_by(started.len() as u64);
+            self.suspicion.on_start(worker, Instant::now());
             for (key, next) in started {
                 self.keep_task(key, Versioned { version, row: next });
             }
--- a/src/process/entry/shared.rs
+++ b/src/process/entry/shared.rs
@@ -1,5 +1,6 @@
 //! What all parts of an entry share.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 use crate::connection::cluster_view::ClusterView;
 use crate::connection::protocol::AgentRpcClient;
 use crate::connection::protocol::EntryRpcClient;
+use crate::connection::protocol::KindSlowdown;
 use crate::connection::protocol::ProcessReport;
 use crate::connection::rpc_client::ConnectionCache;
 use crate::connection::worker_row::WORKER_PREFIX;
@@ -26,12 +28,17 @@
 use crate::ids::GenerationNumber;
 use crate::ids::IncarnationId;
 use crate::ids::LeaseEpoch;
+use crate::ids::ServiceName;
 use crate::ids::WorkerId;
 use crate::platform::table::TableError;
 use crate::platform::table::TableStore;
+use crate::process::burn_ledger::BurnLedger;
 use crate::process::clock::SteadyClock;
 use crate::process::entry::ledger_desk::LedgerDesk;
 use crate::process::entry::pool_set::PoolSet;
+use crate::process::interference::InterferenceModel;
+use crate::process::interference::InterferenceSample;
+use crate::process::interference::KindName;
 use crate::process::metrics::ProcessMetrics;
 use crate::process::settings::EntrySettings;
 use crate::request::service_pool::AgentPlace;
@@ -50,6 +57,10 @@
     pub generation: GenerationNumber,
     /// Whether it may take non-idempotent requests.
     pub registered: bool,
+    /// Kinds of the tasks that ran on its worker at its newest sample, with the number of each.
+    pub kinds: BTreeMap<KindName, u32>,
+    /// Services of its endpoints.
+    pub services: Vec<ServiceName>,
     /// When it was heard of.
     pub heard: Instant,
 }
@@ -91,6 +102,8 @@
     agents: Mutex<HashMap<WorkerId, AgentNews>>,
     peers: Mutex<HashMap<IncarnationId, PeerNews>>,
     catalog: RwLock<DocumentCatalog>,
+    model: Mutex<Arc<InterferenceModel>>,
+    burn: Mutex<BurnLedger>,
     worker_rows: tokio::sync::Mutex<Option<(Instant, Arc<Vec<WorkerRow>>)>>,
     in_flight: AtomicU64,
     catalog_ready: AtomicBool,
@@ -134,6 +147,8 @@
             agents: Mutex::default(),
             peers: Mutex::default(),
             catalog: RwLock::default(),
+            model: Mutex::default(),
+            burn: Mutex::default(),
             worker_rows: tokio::sync::Mutex::default(),
             in_flight: AtomicU64::new(0),
             catalog_ready: AtomicBool::new(false),
@@ -167,6 +182,46 @@
         change(&mut self.catalog.write().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Events of the services. Never held over a wait.
+    pub fn burn(&self) -> MutexGuard<'_, BurnLedger> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The kind of tasks that slows a service on a worker most, with the slowdown by all of its
+    /// tasks there.
+    pub fn worst_neighbour(&self, service: &str, worker: &str) -> Option<(KindName, f64)> {
+        let kinds = self.agents().get(worker)?.kinds.clone();
+        let model = self.interference();
+        let each = kinds.into_iter().map(|(kind, count)| {
+            let slowdown = model.estimate(service, &kind).slowdown * f64::from(count);
+            (kind, slowdown)
+        });
+        each.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// What is known of the interference between services and tasks.
+    pub fn interference(&self) -> Arc<InterferenceModel> {
+        self.model.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes in samples of an agent and gives what is known of their pairs.
+    pub fn learn(&self, samples: &[InterferenceSample]) -> Vec<KindSlowdown> {
+        let mut model = self.model.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = BTreeMap::new();
+        for sample in samples {
+            // Copied only while a plan still reads the old one.
+            Arc::make_mut(&mut model).learn(sample);
+            for kind in sample.kinds.keys() {
+                known.insert((sample.service.clone(), kind.clone()), ());
+            }
+        }
+        let slowdowns = known.into_keys().map(|(service, kind)| {
+            let slowdown = model.estimate(&service, &kind).slowdown;
+            KindSlowdown { service, kind, slowdown }
+        });
+        slowdowns.collect()
+    }
+
     /// Rows of all workers, read at `since` or later.
     ///
     /// # Errors
@@ -177,8 +232,7 @@
         since: Instant,
     ) -> Result<Arc<Vec<WorkerRow>>, TableError> {
         let mut cached = self.worker_rows.lock().await;
-        if let Some((read_at, rows)) = cached.as_ref().filter(|(read_at, _)| *read_at >= since) {
-            debug_assert!(*read_at >= since);
+        if let Some((_, rows)) = cached.as_ref().filter(|(read_at, _)| *read_at >= since) {
             return Ok(rows.clone());
         }
         let read_at = Instant::now();
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,13 +1,19 @@
 //! What lives as long as a process: settings, logging, metrics, the programs' parts.
 
 pub mod agent;
+pub mod burn_ledger;
 pub mod clock;
 pub mod entry;
 pub mod http_server;
 pub mod ini_reader;
+pub mod interference;
 pub mod logging;
 pub mod metrics;
 pub mod program;
+pub mod reaction;
 pub mod rpc_server;
+pub mod service_observer;
 pub mod settings;
+pub mod size_learner;
 pub mod stop_signal;
+pub mod suspicion;
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -128,6 +128,12 @@
     pub checkpoint: Option<String>,
     /// Distinct workers on which it failed.
     pub failed_on: Vec<WorkerId>,
+    /// The worker from which it was last evicted.
+    pub evicted_from: Option<WorkerId>,
+    /// How often it was evicted.
+    pub evictions: u32,
+    /// The most it was seen to use, once it has ended.
+    pub used: Option<ResourceAmount>,
     /// State of the task.
     pub state: TaskState,
     /// Wall-clock time of the submission in milliseconds since the Unix epoch.
@@ -284,6 +290,9 @@
         attempt: 0,
         checkpoint: None,
         failed_on: Vec::new(),
+        evicted_from: None,
+        evictions: 0,
+        used: None,
         state: TaskState::Queued,
         submitted_millis,
     });
--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -1,14 +1,26 @@
 //! The ways of choosing a worker for a task.
 
+use std::collections::BTreeMap;
+use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use rand::Rng;
 use rand::RngExt;
 use snafu::Snafu;
 
 use crate::ids::DomainName;
+use crate::ids::ServiceName;
 use crate::ids::WorkerId;
 use crate::platform::worker::ResourceAmount;
+use crate::process::interference::InterferenceModel;
+use crate::process::interference::KindName;
+
+/// How much more loaded than the least loaded worker a worker may be to be chosen for its pairs.
+const LOAD_SLACK: f64 = 0.15;
+/// Widths of doubt by which an estimated slowdown is raised: a pair that is hardly known counts as
+/// worse than one that is known to be as bad.
+const DOUBT_WIDTHS: f64 = 0.5;
 
 /// A way of choosing among the workers that have room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,13 +30,15 @@
     /// The first by name.
     FirstFit,
     /// The one with the smallest dominant share committed.
-    #[default]
     LeastLoaded,
+    /// Among the nearly least loaded, the one whose services suffer least by the learned pairs.
+    #[default]
+    Pairwise,
 }
 
 /// The text named no placement way.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("allowed are random, first-fit and least-loaded"))]
+#[snafu(display("allowed are random, first-fit, least-loaded and pairwise"))]
 pub struct UnknownPlacement;
 
 impl FromStr for PlacementWay {
@@ -35,11 +49,32 @@
             "random" => Ok(PlacementWay::Random),
             "first-fit" => Ok(PlacementWay::FirstFit),
             "least-loaded" => Ok(PlacementWay::LeastLoaded),
+            "pairwise" => Ok(PlacementWay::Pairwise),
             _ => Err(UnknownPlacement),
         }
     }
 }
 
+impl PlacementWay {
+    /// The policy of this way.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use greengagearch::request::placement::PlacementWay;
+    ///
+    /// let policy = PlacementWay::Random.policy(Arc::default());
+    /// ```
+    pub fn policy(self, model: Arc<InterferenceModel>) -> Box<dyn PlacementPolicy> {
+        match self {
+            PlacementWay::Random => Box::new(RandomPlacement),
+            PlacementWay::FirstFit => Box::new(FirstFit),
+            PlacementWay::LeastLoaded => Box::new(LeastLoaded),
+            PlacementWay::Pairwise => Box::new(PairwisePlacement { model }),
+        }
+    }
+}
+
 /// A worker as the scheduler sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerView {
@@ -51,8 +86,12 @@
     pub capacity: ResourceAmount,
     /// What may still be committed.
     pub free: ResourceAmount,
-    /// Starts that are still allowed before its suspicion is lifted; nothing when it has none.
-    pub probes_left: Option<u32>,
+    /// Services that have an endpoint there.
+    pub services: Vec<ServiceName>,
+    /// Kinds of tasks that are committed there, with the number of each.
+    pub kinds: BTreeMap<KindName, u32>,
+    /// Starts that are allowed; nothing when they are not bounded.
+    pub starts_left: Option<u32>,
 }
 
 impl WorkerView {
@@ -63,12 +102,30 @@
     /// use greengagearch::request::placement::WorkerView;
     ///
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
-    /// let view = WorkerView { worker: "w1".into(), domain: "wien-a".into(), capacity: host,
-    ///     free: host, probes_left: None };
+    /// let view = WorkerView::empty("w1", host);
     /// assert!(view.has_room(&host));
     /// ```
     pub fn has_room(&self, amount: &ResourceAmount) -> bool {
-        self.free.contains(amount) && self.probes_left != Some(0)
+        self.free.contains(amount) && self.starts_left != Some(0)
+    }
+
+    /// A worker on which nothing runs.
+    ///
+    /// ```
+    /// use greengagearch::request::placement::WorkerView;
+    ///
+    /// assert_eq!(WorkerView::empty("w1", Default::default()).worker, "w1");
+    /// ```
+    pub fn empty(worker: &str, capacity: ResourceAmount) -> WorkerView {
+        WorkerView {
+            worker: worker.to_string(),
+            domain: String::new(),
+            capacity,
+            free: capacity,
+            services: Vec::new(),
+            kinds: BTreeMap::new(),
+            starts_left: None,
+        }
     }
 
     /// The largest share of any resource that is committed, from 0 to 1 (Ghodsi et al., "Dominant
@@ -79,29 +136,28 @@
     /// use greengagearch::request::placement::WorkerView;
     ///
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
-    /// let free = ResourceAmount { millicores: 250, ..host };
-    /// let view = WorkerView { worker: "w1".into(), domain: "wien-a".into(), capacity: host,
-    ///     free, probes_left: None };
+    /// let mut view = WorkerView::empty("w1", host);
+    /// view.free.millicores = 250;
     /// assert_eq!(view.committed_share(), 0.75);
     /// ```
     pub fn committed_share(&self) -> f64 {
         dominant_share(&self.capacity.minus(&self.free), &self.capacity)
     }
 
-    /// Takes a task's amount out of what is free.
+    /// Takes a task into the view.
     ///
     /// ```
     /// # use greengagearch::platform::worker::ResourceAmount;
     /// # use greengagearch::request::placement::WorkerView;
-    /// # let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
-    /// # let mut view = WorkerView { worker: "w1".into(), domain: "wien-a".into(), capacity: host,
-    /// #     free: host, probes_left: None };
-    /// view.take(&host);
+    /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
+    /// let mut view = WorkerView::empty("w1", host);
+    /// view.take(&host, "roster");
     /// assert_eq!(view.free.millicores, 0);
     /// ```
-    pub fn take(&mut self, amount: &ResourceAmount) {
+    pub fn take(&mut self, amount: &ResourceAmount, kind: &str) {
         self.free = self.free.minus(amount);
-        self.probes_left = self.probes_left.map(|left| left.saturating_sub(1));
+        self.starts_left = self.starts_left.map(|left| left.saturating_sub(1));
+        *self.kinds.entry(kind.to_string()).or_default() += 1;
     }
 }
 
@@ -122,42 +178,190 @@
     millicores.max(memory).max(accelerators)
 }
 
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
+
+/// A worker that has room, with its position among all.
+pub type RoomyWorker<'a> = (usize, &'a WorkerView);
+
+/// Chooses one of the workers that have room for a task of a kind; gives its position.
+pub trait PlacementPolicy: Send + Sync {
+    /// Chooses; nothing only when `roomy` is empty.
+    fn choose(&self, roomy: &[RoomyWorker<'_>], kind: &str, rng: &mut dyn Rng) -> Option<usize>;
+}
+
+/// Any worker with room.
+#[derive(Clone, Copy, Debug)]
+pub struct RandomPlacement;
+
+/// The first worker with room.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstFit;
+
+/// The worker with the smallest share committed.
+#[derive(Clone, Copy, Debug)]
+pub struct LeastLoaded;
+
+/// Among the nearly least loaded workers, the one whose services suffer least.
+///
+/// The step is that of Shan et al., "Explore Data Placement Algorithm for Balanced Recovery Load
+/// Distribution" (USENIX ATC 2023), Algorithm 2: among the candidates within a slack of the least
+/// loaded one, the least sum of pair weights; here a weight is the slowdown that the new task adds.
+#[derive(Clone)]
+pub struct PairwisePlacement {
+    /// Learned slowdowns.
+    pub model: Arc<InterferenceModel>,
+}
+
+impl fmt::Debug for PairwisePlacement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PairwisePlacement").field("pairs", &self.model.pair_count()).finish()
+    }
+}
+
+impl PlacementPolicy for RandomPlacement {
+    fn choose(&self, roomy: &[RoomyWorker<'_>], _: &str, rng: &mut dyn Rng) -> Option<usize> {
+        if roomy.is_empty() {
+            return None;
+        }
+        roomy.get(rng.random_range(0..roomy.len())).map(|one| one.0)
+    }
+}
+
+impl PlacementPolicy for FirstFit {
+    fn choose(&self, roomy: &[RoomyWorker<'_>], _: &str, _: &mut dyn Rng) -> Option<usize> {
+        roomy.first().map(|one| one.0)
+    }
+}
+
+impl PlacementPolicy for LeastLoaded {
+    fn choose(&self, roomy: &[RoomyWorker<'_>], _: &str, _: &mut dyn Rng) -> Option<usize> {
+        let shares = roomy.iter().map(|(index, view)| (*index, view.committed_share()));
+        shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+    }
+}
+
+impl PlacementPolicy for PairwisePlacement {
+    fn choose(&self, roomy: &[RoomyWorker<'_>], kind: &str, _: &mut dyn Rng) -> Option<usize> {
+        let shares: Vec<f64> = roomy.iter().map(|(_, view)| view.committed_share()).collect();
+        let least = shares.iter().copied().fold(f64::INFINITY, f64::min);
+        let costs = roomy.iter().zip(&shares).filter(|(_, share)| **share <= least + LOAD_SLACK);
+        let costs =
+            costs.map(|((index, view), share)| (*index, self.added_pain(view, kind), *share));
+        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.total_cmp(&b.2)));
+        best.map(|(index, _, _)| index)
+    }
+}
+
+impl PairwisePlacement {
+    /// By how much the services of a worker would suffer more. Pain grows with the square of a
+    /// service's slowdown, so that it is spread rather than heaped up.
+    fn added_pain(&self, view: &WorkerView, kind: &str) -> f64 {
+        let pain = |service: &ServiceName| {
+            let now = self.model.slowdown(service, &view.kinds);
+            let estimate = self.model.estimate(service, kind);
+            let added = estimate.slowdown + DOUBT_WIDTHS * estimate.variance.sqrt();
+            (now + added).powi(2) - now.powi(2)
+        };
+        view.services.iter().map(pain).sum()
+    }
+}
+
 /// Chooses a worker with room for `amount`; those in `avoid` only when there is no other.
 ///
 /// ```
 /// use greengagearch::platform::worker::ResourceAmount;
-/// use greengagearch::request::placement::PlacementWay;
+/// use greengagearch::request::placement::FirstFit;
 /// use greengagearch::request::placement::place;
 ///
 /// let amount = ResourceAmount::default();
-/// assert_eq!(place(PlacementWay::FirstFit, &[], &amount, &[], &mut rand::rng()), None);
+/// assert_eq!(place(&FirstFit, &[], &amount, "roster", &[], &mut rand::rng()), None);
 /// ```
-pub fn place<R: Rng>(
-    way: PlacementWay,
+pub fn place(
+    policy: &dyn PlacementPolicy,
     views: &[WorkerView],
     amount: &ResourceAmount,
+    kind: &str,
     avoid: &[WorkerId],
-    rng: &mut R,
+    rng: &mut dyn Rng,
 ) -> Option<usize> {
     let numbered = views.iter().enumerate();
-    let roomy: Vec<(usize, &WorkerView)> =
-        numbered.filter(|(_, view)| view.has_room(amount)).collect();
-    let preferred: Vec<(usize, &WorkerView)> =
+    let roomy: Vec<RoomyWorker<'_>> = numbered.filter(|(_, view)| view.has_room(amount)).collect();
+    let preferred: Vec<RoomyWorker<'_>> =
         roomy.iter().copied().filter(|(_, view)| !avoid.contains(&view.worker)).collect();
-    let choice = if preferred.is_empty() { roomy } else { preferred };
-    match way {
-        _ if choice.is_empty() => None,
-        PlacementWay::Random => choice.get(rng.random_range(0..choice.len())).map(|one| one.0),
-        PlacementWay::FirstFit => choice.first().map(|one| one.0),
-        PlacementWay::LeastLoaded => least_loaded(&choice),
-    }
+    policy.choose(if preferred.is_empty() { &roomy } else { &preferred }, kind, rng)
 }
 
-fn least_loaded(choice: &[(usize, &WorkerView)]) -> Option<usize> {
-    let shares = choice.iter().map(|(index, view)| (*index, view.committed_share()));
-    shares.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
-}
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
 
-fn share(part: u64, whole: u64) -> f64 {
-    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+    use rand::SeedableRng;
+    use rand::rngs::StdRng;
+
+    use super::*;
+    use crate::process::interference::InterferenceSample;
+
+    const HOST: ResourceAmount =
+        ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
+    const TASK: ResourceAmount =
+        ResourceAmount { millicores: 100, memory_mib: 100, accelerators: 0 };
+
+    fn model(pairs: &[(&str, &str, f64)]) -> Arc<InterferenceModel> {
+        let mut model = InterferenceModel::default();
+        for (service, kind, slowdown) in pairs {
+            let mut sample = InterferenceSample {
+                service: service.to_string(),
+                kinds: BTreeMap::new(),
+                mean_time: Duration::from_millis(100),
+                requests: 1_000,
+                at_millis: 0,
+            };
+            model.learn(&sample);
+            sample.kinds.insert(kind.to_string(), 1);
+            sample.mean_time = Duration::from_secs_f64(0.1 * (1.0 + slowdown));
+            (0..50).for_each(|_| model.learn(&sample));
+        }
+        Arc::new(model)
+    }
+
+    fn views() -> Vec<WorkerView> {
+        let mut quiet = WorkerView::empty("w1", HOST);
+        quiet.services.push("tough".to_string());
+        let mut loud = WorkerView::empty("w2", HOST);
+        loud.services.push("tender".to_string());
+        vec![loud, quiet]
+    }
+
+    #[test]
+    fn a_task_goes_where_its_pair_is_mild() {
+        let pairs = [("tender", "roster", 0.8), ("tough", "roster", 0.01)];
+        let policy = PlacementWay::Pairwise.policy(model(&pairs));
+        let mut rng = StdRng::seed_from_u64(1);
+        let chosen = place(policy.as_ref(), &views(), &TASK, "roster", &[], &mut rng);
+        assert_eq!(chosen, Some(1));
+    }
+
+    #[test]
+    fn mild_pairs_do_not_draw_everything_to_one_worker() {
+        let pairs = [("tender", "roster", 0.1), ("tough", "roster", 0.01)];
+        let policy = PlacementWay::Pairwise.policy(model(&pairs));
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut views = views();
+        for _ in 0..10 {
+            let index = place(policy.as_ref(), &views, &TASK, "roster", &[], &mut rng).unwrap();
+            views[index].take(&TASK, "roster");
+        }
+        assert!(views[0].committed_share() > 0.3, "{}", views[0].committed_share());
+    }
+
+    #[test]
+    fn a_worker_to_avoid_is_taken_only_when_alone() {
+        let mut rng = StdRng::seed_from_u64(1);
+        let avoid = ["w2".to_string()];
+        let views = views();
+        assert_eq!(place(&FirstFit, &views, &TASK, "k", &avoid, &mut rng), Some(1));
+        assert_eq!(place(&FirstFit, &views[..1], &TASK, "k", &avoid, &mut rng), Some(0));
+    }
 }
--- a/src/request/task_plan.rs
+++ b/src/request/task_plan.rs
@@ -13,7 +13,8 @@
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
 use crate::platform::worker::ResourceAmount;
-use crate::request::placement::PlacementWay;
+use crate::process::interference::KindName;
+use crate::request::placement::PlacementPolicy;
 use crate::request::placement::WorkerView;
 use crate::request::placement::dominant_share;
 use crate::request::placement::place;
@@ -30,11 +31,13 @@
     pub key: String,
     /// The team on whose quota it runs.
     pub team: TeamName,
+    /// Kind of the task.
+    pub kind: KindName,
     /// Whether it goes before the team's other work.
     pub urgent: bool,
     /// What would be committed to it.
     pub resources: ResourceAmount,
-    /// Workers on which it failed before.
+    /// Workers on which it failed, or from which it was evicted.
     pub avoid: Vec<WorkerId>,
     /// How long it has waited.
     pub waited: Duration,
@@ -56,6 +59,8 @@
     pub key: String,
     /// Where it starts.
     pub worker: WorkerId,
+    /// What is committed to it.
+    pub resources: ResourceAmount,
 }
 
 /// Plans at most `limit` starts and takes them out of `views` and the teams' shares.
@@ -63,21 +68,20 @@
 /// ```
 /// use std::collections::BTreeMap;
 ///
-/// use greengagearch::request::placement::PlacementWay;
+/// use greengagearch::request::placement::LeastLoaded;
 /// use greengagearch::request::task_plan::plan_starts;
 ///
 /// let mut teams = BTreeMap::new();
-/// let way = PlacementWay::LeastLoaded;
-/// let starts = plan_starts(Vec::new(), &mut [], &mut teams, way, 8, &mut rand::rng());
+/// let starts = plan_starts(Vec::new(), &mut [], &mut teams, &LeastLoaded, 8, &mut rand::rng());
 /// assert!(starts.is_empty());
 /// ```
-pub fn plan_starts<R: Rng>(
+pub fn plan_starts(
     queued: Vec<QueuedTask>,
     views: &mut [WorkerView],
     teams: &mut BTreeMap<TeamName, TeamShare>,
-    way: PlacementWay,
+    policy: &dyn PlacementPolicy,
     limit: usize,
-    rng: &mut R,
+    rng: &mut dyn Rng,
 ) -> Vec<PlannedStart> {
     let mut starts = Vec::new();
     let mut queues = queues_by_team(queued);
@@ -92,10 +96,15 @@
         if !share.quota.contains(&share.used.plus(&task.resources)) {
             continue;
         }
-        if let Some(index) = place(way, views, &task.resources, &task.avoid, rng) {
-            views[index].take(&task.resources);
+        let chosen = place(policy, views, &task.resources, &task.kind, &task.avoid, rng);
+        if let Some(index) = chosen {
+            views[index].take(&task.resources, &task.kind);
             share.used = share.used.plus(&task.resources);
-            starts.push(PlannedStart { key: task.key, worker: views[index].worker.clone() });
+            starts.push(PlannedStart {
+                key: task.key,
+                worker: views[index].worker.clone(),
+                resources: task.resources,
+            });
         }
     }
     starts
@@ -140,25 +149,21 @@
     use rand::rngs::StdRng;
 
     use super::*;
+    use crate::request::placement::LeastLoaded;
 
     fn amount(millicores: u64) -> ResourceAmount {
         ResourceAmount { millicores, memory_mib: millicores, accelerators: 0 }
     }
 
     fn view(worker: &str, free: u64) -> WorkerView {
-        WorkerView {
-            worker: worker.to_string(),
-            domain: "a".to_string(),
-            capacity: amount(1_000),
-            free: amount(free),
-            probes_left: None,
-        }
+        WorkerView { free: amount(free), ..WorkerView::empty(worker, amount(1_000)) }
     }
 
     fn task(key: &str, team: &str, urgent: bool, waited: u64) -> QueuedTask {
         QueuedTask {
             key: key.to_string(),
             team: team.to_string(),
+            kind: "k".to_string(),
             urgent,
             resources: amount(500),
             avoid: Vec::new(),
@@ -177,7 +182,7 @@
         teams: &mut BTreeMap<TeamName, TeamShare>,
     ) -> Vec<String> {
         let mut rng = StdRng::seed_from_u64(1);
-        let starts = plan_starts(queued, views, teams, PlacementWay::LeastLoaded, 99, &mut rng);
+        let starts = plan_starts(queued, views, teams, &LeastLoaded, 99, &mut rng);
         starts.into_iter().map(|start| start.key).collect()
     }
 
--- a/standins/src/bin/gga-slopes.rs
+++ b/standins/src/bin/gga-slopes.rs
@@ -32,13 +32,14 @@
 const WARM_UP: Duration = Duration::from_secs(4);
 /// Tasks of the job that is run at each size.
 const TASKS: usize = 64;
-/// Ticks of the processor clock in a second, as Linux reports processor time.
-const TICKS_PER_SECOND: f64 = 100.0;
 const DOCUMENT: &str = "[service]\nname = spots\nowner = traffic\n\
     [batch-quota]\ncores = 1000\nmemory-gib = 1000\n";
 const HOST: ResourceAmount =
     ResourceAmount { millicores: 16_000, memory_mib: 60_000, accelerators: 0 };
 
+/// One figure out of all.
+type FigureColumn = fn(&Figures) -> f64;
+
 struct Product {
     child: Child,
     addresses: Vec<SocketAddr>,
@@ -62,14 +63,16 @@
         Product { child, addresses }
     }
 
-    /// Seconds of processor time used so far.
+    /// Seconds of processor time used so far, by all threads, from the scheduler's own account.
     fn cpu(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        let stat = stat.unwrap_or_default();
-        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-        let ticks = |index: usize| fields.get(index).and_then(|text| text.parse().ok());
-        let used: f64 = ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
-        used / TICKS_PER_SECOND
+        let Ok(threads) = std::fs::read_dir(format!("/proc/{}/task", self.child.id())) else {
+            return 0.0;
+        };
+        let nanos = threads.flatten().filter_map(|thread| {
+            let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+            text.split_whitespace().next()?.parse::<u64>().ok()
+        });
+        nanos.sum::<u64>() as f64 / 1e9
     }
 
     fn resident_mib(&self) -> f64 {
@@ -232,7 +235,7 @@
 }
 
 fn print_fits(figures: &[Figures]) {
-    let columns: [(&str, fn(&Figures) -> f64); 10] = [
+    let columns: [(&str, FigureColumn); 10] = [
         ("entry processor time, % of a core", |one| one.entry_cpu_percent),
         ("entry resident memory, MiB", |one| one.entry_mib),
         ("entry bytes a second, both ways", |one| one.entry_bytes),
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -1,5 +1,6 @@
 //! An endpoint: announces itself, serves requests in its slots, and keeps a journal of its own.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,6 +22,8 @@
 use greengagearch::connection::announcement::EndpointAnnouncement;
 use tokio::net::TcpListener;
 
+use crate::worker::Worker;
+
 /// Life of an announcement; it is renewed three times in it.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_millis(3_000);
 
@@ -35,6 +38,26 @@
     pub fails: bool,
 }
 
+/// How tasks on the same worker slow a runner down: each kind by its true slowdown.
+#[derive(Clone)]
+pub struct PairEffect {
+    /// The worker beside the runner.
+    pub worker: Worker,
+    /// True slowdown by one task of each kind.
+    pub slowdowns: Arc<Mutex<BTreeMap<String, f64>>>,
+}
+
+impl PairEffect {
+    /// By how much a request takes longer right now.
+    fn factor(&self) -> f64 {
+        let slowdowns = self.slowdowns.lock().unwrap_or_else(PoisonError::into_inner);
+        let running = self.worker.running_kinds().into_iter();
+        let each =
+            running.map(|(kind, share)| share * slowdowns.get(&kind).copied().unwrap_or(0.0));
+        1.0 + each.sum::<f64>()
+    }
+}
+
 /// One entry of the journal: a request that was run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
@@ -88,6 +111,7 @@
     most_in_flight: Arc<AtomicU64>,
     begun: Arc<AtomicU64>,
     announces: Arc<AtomicBool>,
+    effect: Arc<Mutex<Option<PairEffect>>>,
 }
 
 impl Runner {
@@ -118,6 +142,7 @@
             most_in_flight: Arc::default(),
             begun: Arc::default(),
             announces: Arc::new(AtomicBool::new(true)),
+            effect: Arc::default(),
         };
         let router = Router::new().route("/", post(handle)).with_state(runner.clone());
         let listener = axum::serve::ListenerExt::tap_io(listener, |stream| {
@@ -163,6 +188,16 @@
         self.most_in_flight.load(Ordering::Acquire)
     }
 
+    /// Lets the tasks on a worker slow this runner down from now on.
+    pub fn set_effect(&self, effect: PairEffect) {
+        *self.effect.lock().unwrap_or_else(PoisonError::into_inner) = Some(effect);
+    }
+
+    fn factor(&self) -> f64 {
+        let effect = self.effect.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        effect.map_or(1.0, |effect| effect.factor())
+    }
+
     /// Requests that this runner has begun.
     pub fn begun(&self) -> u64 {
         self.begun.load(Ordering::Acquire)
@@ -187,6 +222,7 @@
     let spread = behaviour.spread.as_micros() as u64;
     let extra = if spread == 0 { 0 } else { rand::random_range(0..spread) };
     let work = behaviour.time + Duration::from_micros(extra);
+    let work = work.mul_f64(runner.factor());
     if !work.is_zero() {
         tokio::time::sleep(work).await;
     }
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -16,6 +16,7 @@
 use axum::routing::get;
 use axum::routing::post;
 use greengagearch::platform::http_worker::RenewalBody;
+use greengagearch::platform::http_worker::ThrottleBody;
 use greengagearch::platform::worker::AttemptKey;
 use greengagearch::platform::worker::AttemptReport;
 use greengagearch::platform::worker::AttemptState;
@@ -27,6 +28,9 @@
 /// Time between two looks at the running tasks.
 const STEP: Duration = Duration::from_millis(5);
 
+/// Time after which a task's use shows in reports.
+const USAGE_LAG: Duration = Duration::from_millis(20);
+
 /// An interval in which an attempt ran on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskRun {
@@ -106,9 +110,29 @@
     /// Work that is still to be done.
     left: Duration,
     lease_until: u64,
+    /// Share of its processors that it has, in percent.
+    percent: u32,
+    ran: Duration,
     state: AttemptState,
 }
 
+impl RunningTask {
+    /// What the task really uses: what its input says, as `use:MILLICORES:MIB`, else what it holds.
+    fn used(&self) -> ResourceAmount {
+        let mut parts = self.start.input.split(':');
+        let held = self.start.resources;
+        if parts.next() != Some("use") || self.ran < USAGE_LAG {
+            return held;
+        }
+        let mut number = || parts.next().and_then(|text| text.parse().ok());
+        ResourceAmount {
+            millicores: number().unwrap_or(held.millicores),
+            memory_mib: number().unwrap_or(held.memory_mib),
+            accelerators: held.accelerators,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct WorkerState {
     tasks: BTreeMap<AttemptKey, RunningTask>,
@@ -146,6 +170,7 @@
             .route("/status", get(handle_status))
             .route("/start", post(handle_start))
             .route("/renew", post(handle_renew))
+            .route("/throttle", post(handle_throttle))
             .route("/stop", post(handle_stop))
             .route("/forget", post(handle_forget))
             .with_state(worker.clone());
@@ -159,6 +184,13 @@
         self.lock().fails_all = fails_all;
     }
 
+    /// Running tasks: the kind of each and the share of its processors that it has.
+    pub fn running_kinds(&self) -> Vec<(String, f64)> {
+        let state = self.lock();
+        let running = state.tasks.values().filter(|task| task.state == AttemptState::Running);
+        running.map(|task| (task.start.kind.clone(), f64::from(task.percent) / 100.0)).collect()
+    }
+
     /// Ends the worker: its tasks stop, and it answers nothing any more.
     pub fn die(&self) {
         let mut state = self.lock();
@@ -190,7 +222,8 @@
             if task.state != AttemptState::Running {
                 continue;
             }
-            task.left = task.left.saturating_sub(passed);
+            task.ran += passed;
+            task.left = task.left.saturating_sub(passed * task.percent / 100);
             if task.left.is_zero() {
                 let result = format!("done {}", task.start.input);
                 task.state = AttemptState::Finished { result };
@@ -231,7 +264,10 @@
     }
     let reports = state.tasks.values().map(|task| AttemptReport {
         key: task.start.key.clone(),
+        kind: task.start.kind.clone(),
         resources: task.start.resources,
+        used: task.used(),
+        ran_millis: task.ran.as_millis() as u64,
         state: task.state.clone(),
     });
     Ok(Json(WorkerStatus {
@@ -273,6 +309,8 @@
         lease_until: start.lease_until_millis,
         run,
         left,
+        percent: 100,
+        ran: Duration::ZERO,
         state: AttemptState::Running,
         start,
     };
@@ -300,6 +338,20 @@
     Ok(())
 }
 
+async fn handle_throttle(
+    State(worker): State<Worker>,
+    Json(throttle): Json<ThrottleBody>,
+) -> Result<(), StatusCode> {
+    let mut state = worker.lock();
+    if state.dead {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if let Some(task) = state.tasks.get_mut(&throttle.key) {
+        task.percent = throttle.percent.clamp(1, 100);
+    }
+    Ok(())
+}
+
 async fn handle_stop(
     State(worker): State<Worker>,
     Json(key): Json<AttemptKey>,
--- a/tests/lease_search.rs
+++ b/tests/lease_search.rs
@@ -43,13 +43,13 @@
     Join { from: usize, to: usize },
     Write { entry: usize, run: u64, change: MapChange },
     WriteReply { entry: usize, run: u64, change: MapChange, result: ChangeResult },
-    AgentBeat { agent: usize, to: usize, generation: u64, epoch: u64, sent: Instant },
+    AgentBeat { agent: usize, to: usize, known: u64, relied: u64, epoch: u64, sent: Instant },
     AgentReply { agent: usize, reply: Reply },
-    LeaseRead { agent: usize, sent: Instant },
-    LeaseReply { agent: usize, epoch: u64, sent: Instant },
-    Claim { agent: usize, to: usize },
-    Take { agent: usize, epoch: u64, version: u64, lease_version: u64 },
-    Taken { agent: usize, epoch: u64 },
+    LeaseRead { agent: usize, sent: Instant, map: ClusterMap },
+    LeaseReply { agent: usize, epoch: u64, sent: Instant, map: ClusterMap },
+    Claim { agent: usize, to: usize, sent: Instant },
+    Take { agent: usize, epoch: u64, version: u64, lease_version: u64, sent: Instant },
+    Taken { agent: usize, epoch: u64, sent: Instant },
 }
 
 #[derive(Clone, Debug)]
@@ -236,9 +236,10 @@
     fn agent_acts(&self, index: usize) -> bool {
         let now = self.agent_now(index);
         let agent = &self.agents[index];
-        agent.holder.as_ref().is_some_and(|(holder, acts_from)| {
-            now >= *acts_from && holder.is_valid(&agent.map, now)
-        })
+        agent
+            .holder
+            .as_ref()
+            .is_some_and(|(holder, acts_from)| now >= *acts_from && holder.is_valid(now))
     }
 
     fn handle(&mut self, event: Event) {
@@ -297,8 +298,9 @@
                     self.entries[entry].view.end_change(change, result, now);
                 }
             }
-            Event::AgentBeat { agent, to, generation, epoch, sent } => {
-                let reply = self.reply(to, LEASE, epoch, generation, sent);
+            Event::AgentBeat { agent, to, known, relied, epoch, sent } => {
+                let mut reply = self.reply(to, LEASE, epoch, relied, sent);
+                reply.map = reply.map.filter(|map| map.generation > known);
                 self.send(Event::AgentReply { agent, reply });
             }
             Event::AgentReply { agent, reply } => {
@@ -310,33 +312,35 @@
                     holder.on_grant(reply.from_run, reply.sent);
                 }
             }
-            Event::LeaseRead { agent, sent } => {
+            Event::LeaseRead { agent, sent, map } => {
                 if self.agents[agent].reaches_table {
                     let epoch = self.lease_epoch;
-                    self.send(Event::LeaseReply { agent, epoch, sent });
+                    self.send(Event::LeaseReply { agent, epoch, sent, map });
                 }
             }
-            Event::LeaseReply { agent, epoch, sent } => {
+            Event::LeaseReply { agent, epoch, sent, map } => {
                 if let Some((holder, _)) = &mut self.agents[agent].holder
                     && epoch >= holder.epoch()
                 {
                     holder.on_read(epoch, sent);
+                    holder.rely_on(&map);
                 }
             }
-            Event::Claim { agent, to } => self.claim(agent, to),
-            Event::Take { agent, epoch, version, lease_version } => {
+            Event::Claim { agent, to, sent } => self.claim(agent, to, sent),
+            Event::Take { agent, epoch, version, lease_version, sent } => {
                 if self.version == version && self.lease_version == lease_version {
                     self.lease_version += 1;
                     self.lease_epoch = epoch;
-                    self.send(Event::Taken { agent, epoch });
+                    self.send(Event::Taken { agent, epoch, sent });
                 }
             }
-            Event::Taken { agent, epoch } => {
+            Event::Taken { agent, epoch, sent } => {
                 let now = self.agent_now(agent);
                 let timing = TIMING.worker_lease();
                 // A first lease follows nobody and needs no wait.
                 let wait = if epoch == 1 { Duration::ZERO } else { timing.takeover_wait() };
-                let holder = LeaseHolder::new(timing, epoch, now);
+                let mut holder = LeaseHolder::new(timing, epoch);
+                holder.on_read(epoch, sent);
                 self.agents[agent].holder = Some((holder, now + wait));
             }
         }
@@ -413,6 +417,10 @@
             return;
         }
         self.send(Event::Write { entry, run, change });
+        // The worst moment to lose sight of the table is right after a write.
+        if self.rng.random_range(0..5) == 0 {
+            self.entries[entry].reaches_table = false;
+        }
     }
 
     fn disturb_entry(&mut self, index: usize) {
@@ -440,7 +448,8 @@
             // A new run of the agent asks for the lease.
             20..22 => {
                 let to = self.rng.random_range(0..ENTRIES);
-                self.send(Event::Claim { agent: index, to });
+                let sent = self.agent_now(index);
+                self.send(Event::Claim { agent: index, to, sent });
             }
             _ => {}
         }
@@ -448,18 +457,21 @@
         let epoch = self.agents[index].holder.as_ref().map_or(0, |(holder, _)| holder.epoch());
         if epoch == 0 && self.lease_epoch == 0 {
             let to = self.rng.random_range(0..ENTRIES);
-            self.send(Event::Claim { agent: index, to });
+            self.send(Event::Claim { agent: index, to, sent: now });
         }
         if self.agents[index].reaches_table {
-            self.send(Event::LeaseRead { agent: index, sent: now });
+            let map = self.agents[index].map.clone();
+            self.send(Event::LeaseRead { agent: index, sent: now, map });
         }
-        let generation = self.agents[index].map.generation;
+        let known = self.agents[index].map.generation;
+        let holder = self.agents[index].holder.as_ref();
+        let relied = holder.map_or(0, |(holder, _)| holder.map_generation());
         for to in 0..ENTRIES {
-            self.send(Event::AgentBeat { agent: index, to, generation, epoch, sent: now });
+            self.send(Event::AgentBeat { agent: index, to, known, relied, epoch, sent: now });
         }
     }
 
-    fn claim(&mut self, agent: usize, to: usize) {
+    fn claim(&mut self, agent: usize, to: usize, sent: Instant) {
         let now = self.entry_now(to);
         let epoch = self.lease_epoch + 1;
         let lease_version = self.lease_version;
@@ -469,7 +481,7 @@
         }
         entry.view.supersede(LEASE, epoch);
         let version = entry.view.row_version().unwrap_or(0);
-        self.send(Event::Take { agent, epoch, version, lease_version });
+        self.send(Event::Take { agent, epoch, version, lease_version, sent });
     }
 }
 
