--- /dev/null
+++ b/standins/src/bin/gga-experiment.rs
@@ -0,0 +1,65 @@
+//! Experiments with real processes: how ways of deciding compare under the same load.
+
+use std::process::ExitCode;
+
+use getopts::Options;
+use greengagearch::cli::add_common;
+use greengagearch::cli::parse;
+use greengagearch::cli::version_text;
+use greengagearch::error::Error;
+use greengagearch::process::program::finish;
+use greengagearch_standins::experiments;
+
+const BRIEF: &str = "Runs experiments with real processes on this machine.
+
+Usage: gga-experiment NAME...
+
+    latency    time added over calling a runner directly
+    rate       requests a second and processor time of one entry
+    routing    ways of choosing an endpoint, at 50, 80 and 95 % of all slots
+    overload   answers in time at three times the capacity
+    takeover   time until a dead entry's partitions are served again
+    documents  time until a document is in force everywhere
+    placement  ways of choosing a worker, beside services that suffer
+    urgent     time until an urgent task starts
+    recovery   time until the tasks of a dead rack run again";
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    finish(run().await)
+}
+
+async fn run() -> Result<(), Error> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let mut options = Options::new();
+    add_common(&mut options);
+    let matches = parse(&options, &args)?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(BRIEF));
+        return Ok(());
+    }
+    if matches.opt_present("version") {
+        print!("{}", version_text("gga-experiment"));
+        return Ok(());
+    }
+    if matches.free.is_empty() {
+        return Err(Error::Usage { message: "NAME is missing".to_string() });
+    }
+    for name in &matches.free {
+        match name.as_str() {
+            "latency" => experiments::latency().await,
+            "rate" => experiments::rate().await,
+            "routing" => experiments::routing().await,
+            "overload" => experiments::overload().await,
+            "takeover" => experiments::takeover().await,
+            "documents" => experiments::documents().await,
+            "placement" => experiments::placement().await,
+            "urgent" => experiments::urgent().await,
+            "recovery" => experiments::recovery().await,
+            other => {
+                return Err(Error::Usage { message: format!("unknown experiment '{other}'") });
+            }
+        }
+    }
+    Ok(())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,8 +1,11 @@
 //! Stand-ins for the platform and the endpoints: small, for tests and a first try, never shipped.
 
 pub mod caller;
+pub mod deployment;
+pub mod experiments;
 pub mod load;
 pub mod local;
+pub mod processes;
 pub mod proxy;
 pub mod runner;
 pub mod table_service;
--- a/tests/batch_faults.rs
+++ b/tests/batch_faults.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use env::HOST;
-use env::ProductProcess;
 use env::TestEnv;
 use env::TestHost;
 use env::apply_as;
@@ -18,6 +17,7 @@
 use env::until;
 use env::until_ended;
 use env::until_job_ended;
+use greengagearch_standins::processes::ProductProcess;
 use greengagearch_standins::table_service::TableFault;
 use serde_json::Value;
 
--- a/tests/document_faults.rs
+++ b/tests/document_faults.rs
@@ -6,13 +6,13 @@
 use std::process::Command;
 
 use env::DOCUMENT;
-use env::ProductProcess;
 use env::TEAM_KEY;
 use env::TestEnv;
 use env::apply;
 use env::apply_as;
 use env::get;
 use env::until;
+use greengagearch_standins::processes::ProductProcess;
 use greengagearch_standins::table_service::TableFault;
 
 /// The document of all tests with another comment, so that its text differs.
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,18 +2,15 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::io::BufRead;
-use std::io::BufReader;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
+use std::path::Path;
 use std::time::Duration;
 
 use greengagearch::platform::worker::ResourceAmount;
 use greengagearch::process::entry::operator_http::key_hash;
 use greengagearch_standins::caller::Caller;
+use greengagearch_standins::processes::ProductProcess;
+use greengagearch_standins::processes::SettingsFolder;
 use greengagearch_standins::proxy::FaultProxy;
 use greengagearch_standins::runner::RunJournal;
 use greengagearch_standins::runner::Runner;
@@ -37,77 +34,6 @@
     [requests]\nlargest-deadline = 20s\ndefault-deadline = 10s\n\
     [batch-quota]\ncores = 100\nmemory-gib = 100\naccelerators = 10\n";
 
-/// A process of the product that ends with its handle.
-pub struct ProductProcess {
-    child: Child,
-    addresses: Vec<(String, SocketAddr)>,
-}
-
-impl ProductProcess {
-    fn spawn(program: &str, settings: &PathBuf) -> ProductProcess {
-        let mut command = Command::new(program);
-        command.arg("--settings").arg(settings).stdout(Stdio::piped());
-        if std::env::var_os("GGA_TEST_LOG").is_none() {
-            command.stderr(Stdio::null());
-        }
-        let mut child = command.spawn().expect("the program can be started");
-        let stdout = child.stdout.take().expect("stdout is piped");
-        let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line).expect("the program prints its addresses");
-        let words = line.split_whitespace().skip(1);
-        let addresses = words.map(|word| {
-            let (name, address) = word.split_once('=').expect("name=address");
-            (name.to_string(), address.parse().expect("an address"))
-        });
-        ProductProcess { child, addresses: addresses.collect() }
-    }
-
-    /// Address of one of its listeners.
-    pub fn address(&self, name: &str) -> SocketAddr {
-        let found = self.addresses.iter().find(|(known, _)| known == name);
-        found.expect("the program printed this address").1
-    }
-
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
-        assert!(status.expect("kill can be run").success());
-    }
-
-    /// Ends the process at once.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Waits for the end of the process and gives whether it was a success.
-    pub async fn ended(&mut self) -> bool {
-        for _ in 0..PATIENCE.as_millis() / POLL.as_millis() {
-            if let Some(status) = self.child.try_wait().expect("the child can be asked") {
-                return status.success();
-            }
-            tokio::time::sleep(POLL).await;
-        }
-        panic!("the process does not end");
-    }
-
-    /// Resident memory in KiB.
-    pub fn resident_kib(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let number = line.and_then(|line| line.split_whitespace().nth(1));
-        number.and_then(|number| number.parse().ok()).unwrap_or(0)
-    }
-}
-
-impl Drop for ProductProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// The stand-ins and processes of a test.
 pub struct TestEnv {
     /// The table service.
@@ -120,8 +46,7 @@
     pub tasks: TaskJournal,
     /// Lines that the settings of each entry end with.
     pub entry_lines: String,
-    folder: PathBuf,
-    files: usize,
+    folder: SettingsFolder,
 }
 
 /// An agent with its worker.
@@ -136,8 +61,6 @@
 impl TestEnv {
     /// An environment without processes.
     pub async fn open() -> TestEnv {
-        let folder = std::env::temp_dir().join(format!("gga-test-{}", uuid::Uuid::now_v7()));
-        std::fs::create_dir_all(&folder).expect("a folder for settings");
         TestEnv {
             table: TableService::bind().await,
             balancer: FaultProxy::bind(&[]).await,
@@ -146,8 +69,7 @@
             entry_lines:
                 "[timing]\nentry-beat = 100ms\nagent-beat = 200ms\nlongest-grant-only = 8s\n"
                     .to_string(),
-            folder,
-            files: 0,
+            folder: SettingsFolder::open(),
         }
     }
 
@@ -165,8 +87,8 @@
              [team-keys]\ntraffic = {hash}\nplanning = {hash}\n{}",
             self.balancer.address, self.entry_lines,
         );
-        let file = self.write_settings(&text);
-        ProductProcess::spawn(env!("CARGO_BIN_EXE_gga-entry"), &file)
+        let file = self.folder.write(&text);
+        ProductProcess::spawn(Path::new(env!("CARGO_BIN_EXE_gga-entry")), &file)
     }
 
     /// Starts a worker and its agent.
@@ -194,8 +116,8 @@
              [platform]\ntable = {table}\nworker = {worker}\n",
             self.balancer.address,
         );
-        let file = self.write_settings(&text);
-        ProductProcess::spawn(env!("CARGO_BIN_EXE_gga-agent"), &file)
+        let file = self.folder.write(&text);
+        ProductProcess::spawn(Path::new(env!("CARGO_BIN_EXE_gga-agent")), &file)
     }
 
     /// Starts a runner of the service `spots` beside an agent.
@@ -229,19 +151,6 @@
         })
         .await;
     }
-
-    fn write_settings(&mut self, text: &str) -> PathBuf {
-        self.files += 1;
-        let file = self.folder.join(format!("{}.ini", self.files));
-        std::fs::write(&file, text).expect("settings can be written");
-        file
-    }
-}
-
-impl Drop for TestEnv {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
 }
 
 /// Waits until a condition holds; the bound only ends a test that would hang.
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use env::ProductProcess;
 use env::TestEnv;
 use env::TestHost;
 use env::get;
@@ -16,6 +15,7 @@
 use greengagearch_standins::caller::Caller;
 use greengagearch_standins::caller::CallerAnswer;
 use greengagearch_standins::load::audit;
+use greengagearch_standins::processes::ProductProcess;
 use greengagearch_standins::proxy::FaultProxy;
 use greengagearch_standins::proxy::ProxyFault;
 use greengagearch_standins::runner::Runner;
