Run agents on one thread

Cause: an agent took 47 to 62 µs of processor time a request, much of it in waking other threads. Change: the agent's runtime has one thread; its budget is a few hundredths of a core anyway.

--- a/src/bin/gga-agent.rs
+++ b/src/bin/gga-agent.rs
@@ -18,7 +18,7 @@
 
 const PURPOSE: &str = "Dispatches to its host's endpoints and runs its worker's tasks.";
 
-#[tokio::main]
+#[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     finish(run().await)
 }
