--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -16,8 +16,8 @@
 use crate::ids::EndpointId;
 use crate::ids::GenerationNumber;
 use crate::ids::IncarnationId;
+use crate::ids::JobId;
 use crate::ids::LeaseEpoch;
-use crate::ids::PartitionId;
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
 use crate::ids::WorkerId;
@@ -247,8 +247,10 @@
     async fn cluster() -> ClusterMap;
     /// The documents that changed after a generation, under the generation in force.
     async fn documents(since: GenerationNumber) -> DocumentSet;
-    /// Says that tasks of a partition may have changed.
-    async fn tasks_changed(partition: PartitionId);
+    /// Says that a job was submitted or cancelled.
+    async fn job_changed(job: JobId);
+    /// Says that tasks of these jobs ended on a worker.
+    async fn tasks_ended(worker: WorkerId, jobs: Vec<JobId>);
 }
 
 /// Services that agents offer to entries.
--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -1,5 +1,6 @@
 //! Makes the worker run what its row says: one actor, one step at a time.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,8 +21,8 @@
 use crate::connection::worker_row::parse_task_name;
 use crate::connection::worker_row::task_name;
 use crate::connection::worker_row::worker_key;
+use crate::ids::JobId;
 use crate::ids::LeaseEpoch;
-use crate::ids::PartitionId;
 use crate::ids::RowVersion;
 use crate::platform::table::TableError;
 use crate::platform::table::TableTransaction;
@@ -362,11 +363,11 @@
         }
         let keys: Vec<AttemptKey> = ended.iter().map(|one| one.key.clone()).collect();
         match self.write_ends(version, row, ended).await {
-            Ok(partitions) => {
+            Ok(jobs) => {
                 self.shared.end_evictions(&keys);
                 // What is not forgotten now is at the next look.
                 let _ = worker.forget(keys).await;
-                self.nudge_owners(partitions);
+                self.nudge_owners(jobs);
             }
             Err(error) => {
                 log_event(Level::Debug, "ends_not_committed", &[("error", &error)]);
@@ -381,9 +382,9 @@
         version: RowVersion,
         mut row: WorkerRow,
         ended: Vec<AttemptReport>,
-    ) -> Result<BTreeSet<PartitionId>, TableError> {
+    ) -> Result<BTreeSet<JobId>, TableError> {
         let mut transaction = TableTransaction::default();
-        let mut partitions = BTreeSet::new();
+        let mut jobs = BTreeSet::new();
         for attempt in ended {
             let key = task_key(&attempt.key.job, attempt.key.task);
             if let Some(current) = self.shared.table.get(&key).await? {
@@ -394,14 +395,14 @@
                 }
             }
             row.tasks.remove(&task_name(&attempt.key.job, attempt.key.task));
-            partitions.insert(job_partition(&attempt.key.job));
+            jobs.insert(attempt.key.job.clone());
         }
         let key = worker_key(&self.shared.settings.worker);
         transaction.put(&key, version, &row);
         let version = self.shared.table.commit(transaction).await?;
         *self.shared.row() = Some(row.clone());
         self.row = Some((version, row));
-        Ok(partitions)
+        Ok(jobs)
     }
 
     fn take_end(
@@ -443,17 +444,22 @@
         log_event(Level::Info, "task_end", &pairs);
     }
 
-    fn nudge_owners(&self, partitions: BTreeSet<PartitionId>) {
+    /// Tells the owners of the jobs' partitions which tasks ended here.
+    fn nudge_owners(&self, jobs: BTreeSet<JobId>) {
         let map = self.shared.map();
-        for partition in partitions {
-            let Some(owner) = map.owner_of(partition).cloned() else {
-                continue;
-            };
+        let mut by_owner: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
+        for job in jobs {
+            if let Some(owner) = map.owner_of(job_partition(&job)) {
+                by_owner.entry(owner.address.clone()).or_default().push(job);
+            }
+        }
+        for (address, jobs) in by_owner {
             let shared = self.shared.clone();
             tokio::spawn(async move {
-                if let Ok(client) = shared.entry_connections.client(&owner.address).await {
+                if let Ok(client) = shared.entry_connections.client(&address).await {
+                    let worker = shared.settings.worker.clone();
                     // The owner looks by itself after a while when this is lost.
-                    let _ = client.tasks_changed(call_within(NUDGE_CALL), partition).await;
+                    let _ = client.tasks_ended(call_within(NUDGE_CALL), worker, jobs).await;
                 }
             });
         }
--- a/src/process/entry/job_desk.rs
+++ b/src/process/entry/job_desk.rs
@@ -16,13 +16,12 @@
 use crate::platform::table::TableError;
 use crate::platform::table::TableTransaction;
 use crate::process::entry::caller_http::CallerState;
-use crate::process::entry::scheduler::TasksChanged;
+use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::EntryShared;
 use crate::request::job::JobRow;
 use crate::request::job::JobSpec;
 use crate::request::job::JobState;
 use crate::request::job::TaskRow;
-use crate::request::job::TaskState;
 use crate::request::job::cancel_key;
 use crate::request::job::check_spec;
 use crate::request::job::job_key;
@@ -241,20 +240,11 @@
     let Some(owner) = owner else { return };
     if owner.incarnation == state.shared.member.incarnation {
         // A full mailbox means that a look is due anyway.
-        let _ = state.scheduler.tell(TasksChanged(partition)).await;
+        let _ = state.scheduler.tell(SchedulerNews::JobChanged(job.to_string())).await;
         return;
     }
     if let Ok(client) = state.shared.entry_connections.client(&owner.address).await {
         // The owner looks by itself after a while when this is lost.
-        let _ = client.tasks_changed(call_within(NUDGE_CALL), partition).await;
+        let _ = client.job_changed(call_within(NUDGE_CALL), job.to_string()).await;
     }
 }
-
-/// Whether all tasks have ended, or wait and shall not run any more.
-pub fn is_over(tasks: &[TaskRow], is_cancelled: bool) -> bool {
-    tasks.iter().all(|task| match &task.state {
-        TaskState::Ended(_) => true,
-        TaskState::Queued => is_cancelled,
-        TaskState::Committed { .. } => false,
-    })
-}
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller_http;
 pub mod catalog_sync;
 pub mod document_desk;
+pub mod fleet_board;
 pub mod job_desk;
 pub mod ledger_desk;
 pub mod membership;
@@ -14,6 +15,7 @@
 pub mod scheduler;
 pub mod settlement;
 pub mod shared;
+pub mod task_board;
 pub mod worker_desk;
 
 use std::net::SocketAddr;
--- a/src/process/entry/pool_set.rs
+++ b/src/process/entry/pool_set.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::ids::DomainName;
 use crate::ids::ServiceName;
@@ -26,6 +28,8 @@
 
 /// Time between two looks at queues whose slots may be freed by other entries' requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time between two looks for silent agents and old ids.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats of an agent that may be lost before its endpoints are dropped.
 const BEATS_TO_FORGET: u32 = 3;
 /// Share of retries of a service without a document of its own in force yet.
@@ -59,6 +63,8 @@
 /// Pools by service.
 #[derive(Debug)]
 pub struct PoolSet {
+    /// Told when somebody begins to wait.
+    pub queued: Notify,
     domain: DomainName,
     state: Mutex<PoolState>,
 }
@@ -70,7 +76,7 @@
     /// greengagearch::process::entry::pool_set::PoolSet::new("wien-a".into());
     /// ```
     pub fn new(domain: DomainName) -> PoolSet {
-        PoolSet { domain, state: Mutex::default() }
+        PoolSet { queued: Notify::new(), domain, state: Mutex::default() }
     }
 
     /// Waits for a slot of the document's service.
@@ -134,8 +140,9 @@
         }
     }
 
-    /// Passes on slots that other entries freed and refuses what is too late.
-    pub fn poll(&self) {
+    /// Passes on slots that other entries freed and refuses what is too late; gives whether anybody
+    /// still waits.
+    pub fn poll(&self) -> bool {
         let now = Instant::now();
         let mut state = self.lock();
         let busy = state.pools.iter().filter(|(_, pool)| pool.queue_len() > 0);
@@ -146,6 +153,7 @@
                 state.deliver(&service, results);
             }
         }
+        state.pools.values().any(|pool| pool.queue_len() > 0)
     }
 
     /// Number of endpoints and of waiting requests of a service.
@@ -178,6 +186,7 @@
         if decision == SlotDecision::Queued {
             let (sender, receiver) = oneshot::channel();
             state.waiting.insert(ticket, sender);
+            self.queued.notify_one();
             waiting = Some(receiver);
         }
         state.deliver(&document.name, displaced.into_iter().collect());
@@ -192,12 +201,14 @@
 /// Polls the queues and drops endpoints of silent agents until the process ends.
 pub fn spawn_upkeep(shared: Arc<EntryShared>) {
     tokio::spawn(async move {
-        let mut ticks: u64 = 0;
+        let mut next_upkeep = Instant::now();
         loop {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            shared.pools.poll();
-            ticks += 1;
-            if ticks.is_multiple_of(100) {
+            // Without anybody waiting there is nothing to poll for.
+            let pause = if shared.pools.poll() { POLL_INTERVAL } else { UPKEEP_INTERVAL };
+            let _ = timeout(pause, shared.pools.queued.notified()).await;
+            let now = Instant::now();
+            if now >= next_upkeep {
+                next_upkeep = now + UPKEEP_INTERVAL;
                 forget_silent_agents(&shared);
                 shared.ledger.forget_old(shared.clock.wall());
             }
--- a/src/process/entry/rpc.rs
+++ b/src/process/entry/rpc.rs
@@ -25,14 +25,15 @@
 use crate::connection::worker_row::worker_key;
 use crate::ids::GenerationNumber;
 use crate::ids::IncarnationId;
+use crate::ids::JobId;
 use crate::ids::LeaseEpoch;
-use crate::ids::PartitionId;
+use crate::ids::WorkerId;
 use crate::process::entry::broker;
 use crate::process::entry::membership::AddMember;
 use crate::process::entry::membership::MembershipActor;
 use crate::process::entry::membership::entry_lease;
 use crate::process::entry::scheduler::SchedulerActor;
-use crate::process::entry::scheduler::TasksChanged;
+use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::AgentNews;
 use crate::process::entry::shared::EntryShared;
 use crate::process::entry::shared::PeerNews;
@@ -188,8 +189,13 @@
         self.shared.with_catalog(|catalog| catalog.changed_since(since))
     }
 
-    async fn tasks_changed(self, _: Context, partition: PartitionId) {
+    async fn job_changed(self, _: Context, job: JobId) {
         // A full mailbox means that a look is due anyway.
-        let _ = self.scheduler.tell(TasksChanged(partition)).await;
+        let _ = self.scheduler.tell(SchedulerNews::JobChanged(job)).await;
+    }
+
+    async fn tasks_ended(self, _: Context, worker: WorkerId, jobs: Vec<JobId>) {
+        // A full mailbox means that a look is due anyway.
+        let _ = self.scheduler.tell(SchedulerNews::TasksEnded { worker, jobs }).await;
     }
 }
--- a/src/process/entry/worker_desk.rs
+++ b/src/process/entry/worker_desk.rs
@@ -1,5 +1,6 @@
 //! Leases of workers: claims of new agents, and recovery of workers whose agent is silent.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use log::Level;
 
 use crate::connection::cluster_map::CLUSTER_KEY;
+use crate::connection::cluster_map::ClusterTiming;
 use crate::connection::cluster_map::partition_of_worker;
 use crate::connection::protocol::ClaimReply;
 use crate::connection::protocol::WorkerClaim;
@@ -15,6 +17,7 @@
 use crate::connection::worker_row::WorkerRow;
 use crate::connection::worker_row::parse_task_name;
 use crate::connection::worker_row::worker_key;
+use crate::ids::JobId;
 use crate::ids::LeaseEpoch;
 use crate::ids::RowVersion;
 use crate::ids::WorkerId;
@@ -29,6 +32,8 @@
 
 /// Heartbeats that an agent may miss before its worker's lease is taken from it.
 const BEATS_TO_RECOVER: u32 = 4;
+/// Time after which the names of all workers are listed again.
+const LIST_INTERVAL: Duration = Duration::from_secs(30);
 /// Tasks that are requeued in one transaction; bounds the size of the write and paces recovery.
 const REQUEUE_GROUP: usize = 16;
 
@@ -61,6 +66,89 @@
     }
 }
 
+/// Looks for workers whose agent is silent, takes their leases and requeues their tasks.
+pub struct WorkerRecovery {
+    shared: Arc<EntryShared>,
+    plan: RecoveryPlan,
+    started: Instant,
+    next_look: Instant,
+    listed_at: Option<Instant>,
+    workers: BTreeSet<WorkerId>,
+}
+
+impl WorkerRecovery {
+    /// A recovery on behalf of the entry of `shared`.
+    pub fn new(shared: Arc<EntryShared>) -> WorkerRecovery {
+        let now = Instant::now();
+        WorkerRecovery {
+            shared,
+            plan: RecoveryPlan::default(),
+            started: now,
+            next_look: now,
+            listed_at: None,
+            workers: BTreeSet::new(),
+        }
+    }
+
+    /// Takes a look when it is time for one; gives the jobs whose tasks were requeued.
+    ///
+    /// # Errors
+    ///
+    /// As the table service gives them; the next look goes on from there.
+    pub async fn look(&mut self, now: Instant) -> Result<BTreeSet<JobId>, TableError> {
+        let timing = self.shared.view().map().timing;
+        let limit = timing.agent_beat() * BEATS_TO_RECOVER;
+        // An entry that has just started has heard of nobody yet.
+        let is_early = self.started.elapsed() < limit || now < self.next_look;
+        if is_early || !self.shared.view().may_take_workers(now) {
+            return Ok(BTreeSet::new());
+        }
+        self.next_look = now + timing.agent_beat() / 2;
+        self.list_workers(now).await?;
+        let mut jobs = BTreeSet::new();
+        for worker in self.workers.clone() {
+            if self.shared.looks_after(&worker) && self.shared.is_silent(&worker, limit) {
+                jobs.extend(self.recover(&worker, &timing).await?);
+            }
+        }
+        Ok(jobs)
+    }
+
+    /// Learns the names of all workers now and then; the rows of the silent ones are read one by
+    /// one.
+    async fn list_workers(&mut self, now: Instant) -> Result<(), TableError> {
+        if self.listed_at.is_some_and(|at| now < at + LIST_INTERVAL) {
+            self.workers.extend(self.shared.agents().keys().cloned());
+            return Ok(());
+        }
+        let rows = self.shared.table.list(WORKER_PREFIX).await?;
+        let names = rows.iter().filter_map(|row| row.key.strip_prefix(WORKER_PREFIX));
+        self.workers = names.map(str::to_string).collect();
+        self.listed_at = Some(now);
+        Ok(())
+    }
+
+    async fn recover(
+        &mut self,
+        worker: &str,
+        timing: &ClusterTiming,
+    ) -> Result<BTreeSet<JobId>, TableError> {
+        let Some(row) = self.shared.table.get(&worker_key(worker)).await? else {
+            return Ok(BTreeSet::new());
+        };
+        let worker: WorkerRow = row.decode()?;
+        if worker.holder != 0 {
+            self.shared.take_silent_worker(&row, worker).await?;
+            return Ok(BTreeSet::new());
+        }
+        let wait = timing.worker_lease().takeover_wait();
+        if worker.tasks.is_empty() || !self.plan.is_ready(&worker, wait, Instant::now()) {
+            return Ok(BTreeSet::new());
+        }
+        self.shared.requeue_tasks(&row, worker).await
+    }
+}
+
 impl EntryShared {
     /// Gives a worker's lease to a new run of its agent.
     pub async fn claim_worker(&self, claim: WorkerClaim) -> ClaimReply {
@@ -122,40 +210,6 @@
         self.table.commit(transaction).await
     }
 
-    /// Looks for workers whose agent is silent, takes their leases and requeues their tasks.
-    /// Gives the partitions whose tasks changed.
-    ///
-    /// # Errors
-    ///
-    /// As the table service gives them; the next look goes on from there.
-    pub async fn recover_workers(
-        self: &Arc<Self>,
-        plan: &mut RecoveryPlan,
-        started: Instant,
-    ) -> Result<(), TableError> {
-        let timing = self.view().map().timing;
-        let limit = timing.agent_beat() * BEATS_TO_RECOVER;
-        // An entry that has just started has heard of nobody yet.
-        if started.elapsed() < limit || !self.view().may_take_workers(Instant::now()) {
-            return Ok(());
-        }
-        for row in self.table.list(WORKER_PREFIX).await? {
-            let worker: WorkerRow = row.decode()?;
-            if !self.looks_after(&worker.worker) {
-                continue;
-            }
-            if worker.holder == 0 {
-                let wait = timing.worker_lease().takeover_wait();
-                if !worker.tasks.is_empty() && plan.is_ready(&worker, wait, Instant::now()) {
-                    self.requeue_tasks(&row, worker).await?;
-                }
-            } else if self.is_silent(&worker.worker, limit) {
-                self.take_silent_worker(&row, worker).await?;
-            }
-        }
-        Ok(())
-    }
-
     fn looks_after(&self, worker: &str) -> bool {
         let partition = partition_of_worker(worker);
         self.view().acting_right(partition, Instant::now()).is_some()
@@ -181,15 +235,21 @@
         Ok(())
     }
 
-    /// Moves some of a lost worker's tasks back to the queue, in one transaction.
-    async fn requeue_tasks(&self, row: &TableRow, mut worker: WorkerRow) -> Result<(), TableError> {
+    /// Moves some of a lost worker's tasks back to the queue, in one transaction; gives their jobs.
+    async fn requeue_tasks(
+        &self,
+        row: &TableRow,
+        mut worker: WorkerRow,
+    ) -> Result<BTreeSet<JobId>, TableError> {
         let names: Vec<String> = worker.tasks.keys().take(REQUEUE_GROUP).cloned().collect();
         let mut transaction = TableTransaction::default();
+        let mut jobs = BTreeSet::new();
         for name in &names {
             let committed = worker.tasks.remove(name);
             let Some((job, index)) = parse_task_name(name) else {
                 continue;
             };
+            jobs.insert(job.clone());
             let key = task_key(&job, index);
             let Some(task_row) = self.table.get(&key).await? else {
                 continue;
@@ -208,6 +268,6 @@
         let pairs: [(&str, &dyn std::fmt::Display); 2] =
             [("worker", &worker.worker), ("tasks", &count)];
         log_event(Level::Info, "tasks_requeued", &pairs);
-        Ok(())
+        Ok(jobs)
     }
 }
--- a/standins/src/experiments.rs
+++ b/standins/src/experiments.rs
@@ -426,8 +426,7 @@
         let job = json!({ "id": "long", "team": TEAM, "kind": "long", "tasks": vec![task; 88] });
         deployment.submit(&job).await;
         until(async || running(&deployment).len() >= 88).await;
-        let lost =
-            running(&deployment).iter().filter(|run| run.worker < "w003".to_string()).count();
+        let lost = running(&deployment).iter().filter(|run| run.worker.as_str() < "w003").count();
         let died = Instant::now();
         for number in 0..3 {
             deployment.workers[number].die();
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -44,6 +44,8 @@
     pub until: Option<Instant>,
     /// Whether it ran to its end.
     pub finished: bool,
+    /// The checkpoint that it resumed from.
+    pub resumed_from: Option<String>,
     /// What it held.
     pub resources: ResourceAmount,
 }
@@ -301,6 +303,7 @@
             from: Instant::now(),
             until: None,
             finished: false,
+            resumed_from: start.checkpoint.clone(),
             resources: start.resources,
         });
         runs.len() - 1
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -130,9 +130,14 @@
 
     /// Applies the document of all tests and waits until it is in force at the entry.
     pub async fn apply_document(&self, entry: &ProductProcess) {
+        self.apply_text(entry, DOCUMENT).await;
+    }
+
+    /// Applies a first edition of the document and waits until it is in force at the entry.
+    pub async fn apply_text(&self, entry: &ProductProcess, text: &str) {
         let operators = entry.address("operators");
         until("the document is accepted", async || {
-            apply(operators, "spots", DOCUMENT, 0, "first").await.0 == 200
+            apply(operators, "spots", text, 0, "first").await.0 == 200
         })
         .await;
         until("the document is in force", async || {
