--- a/src/process/burn_cause.rs
+++ b/src/process/burn_cause.rs
@@ -133,6 +133,7 @@
         | UnknownReason::AgentSilent
         | UnknownReason::OwnerSilent
         | UnknownReason::Unsettled => Some(BurnCause::Process),
+        UnknownReason::NoOwner => Some(BurnCause::Ownership),
         UnknownReason::IdTooOld => None,
     }
 }
--- a/src/process/entry/broker.rs
+++ b/src/process/entry/broker.rs
@@ -151,7 +151,12 @@
         DeskVerdict::Conflict => RequestOutcome::not_run(NotRunReason::BodyConflict).into(),
         DeskVerdict::Wait(receiver) => await_other(receiver, request.time_left).await.into(),
         DeskVerdict::Run => {
-            let ended = run_first(&shared, &document, request, right, time).await;
+            let mut ended = run_first(&shared, &document, request, right, time).await;
+            let is_refused = matches!(ended.outcome, RequestOutcome::NotRun { .. });
+            if is_refused && !is_still_owner(&shared, &id, right.epoch) {
+                // A later owner may have run it meanwhile.
+                ended.outcome = RequestOutcome::Unknown(UnknownReason::NoOwner);
+            }
             shared.ledger.end(id, &ended.outcome);
             ended
         }
@@ -229,7 +234,8 @@
     let deadline = Instant::now() + request.time_left;
     let mut avoid = None;
     let mut was_unknown = None;
-    for _ in 0..LARGEST_TRIES {
+    let mut tries = 0;
+    while tries < LARGEST_TRIES {
         let asked = Instant::now();
         let slot = shared.pools.take_slot(document, deadline, &request.caller, avoid.take()).await;
         trace.queued += asked.elapsed();
@@ -244,11 +250,16 @@
         let result = try_endpoint(shared, document, &request, &key, epoch, deadline).await;
         shared.pools.release(&document.name, &key, result.slot);
         match result.outcome {
-            RequestOutcome::NotRun { reason, .. } if reason.is_retryable() => avoid = Some(key),
+            RequestOutcome::NotRun { reason, .. } if reason.is_retryable() => {
+                // Other entries were quicker: that is a queue, whose end the deadline decides.
+                tries += usize::from(reason != NotRunReason::SlotsFull);
+                avoid = Some(key);
+            }
             RequestOutcome::Unknown(reason)
                 if request.idempotent && shared.pools.try_retry(&document.name) =>
             {
                 was_unknown = Some(RequestOutcome::Unknown(reason));
+                tries += 1;
                 avoid = Some(key);
             }
             outcome => return outcome,
@@ -286,7 +297,7 @@
         return not_sent(NotRunReason::AgentUnreachable, SlotResult::Failure);
     };
     // The last look before sending: a lease that lapsed in the queue must not be acted on.
-    if epoch > 0 && !is_still_owner(shared, request, epoch) {
+    if epoch > 0 && !is_still_owner(shared, &request.id, epoch) {
         return not_sent(NotRunReason::LeaseLapsed, SlotResult::Neutral);
     }
     let order = DispatchOrder {
@@ -299,8 +310,8 @@
     send(client, order, time_left).await
 }
 
-fn is_still_owner(shared: &EntryShared, request: &ServiceRequest, epoch: LeaseEpoch) -> bool {
-    let partition = partition_of_request(&request.id);
+fn is_still_owner(shared: &EntryShared, id: &RequestId, epoch: LeaseEpoch) -> bool {
+    let partition = partition_of_request(id);
     let right = shared.view().acting_right(partition, Instant::now());
     right.is_some_and(|right| right.epoch == epoch)
 }
--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -54,6 +54,9 @@
 /// Longest time for which a caller may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// When to come back after a refusal that is expected to pass.
+const RETRY_HINT: Duration = Duration::from_secs(1);
+
 /// State of the callers' listener.
 #[derive(Clone)]
 pub struct CallerState {
@@ -114,7 +117,9 @@
     let started = Instant::now();
     let shared = state.shared;
     if !shared.is_catalog_ready() || shared.is_draining() {
-        return refuse(NotRunReason::Draining);
+        let is_repeatable = headers.contains_key(REQUEST_ID_HEADER);
+        let refusal = refusal(NotRunReason::Draining);
+        return respond(if is_repeatable { vouched(refusal) } else { refusal });
     }
     let document = shared.with_catalog(|catalog| catalog.document(&service));
     let Some(document) = document else {
@@ -152,6 +157,7 @@
         request.id = broker::own_id(&shared).unwrap_or_else(RequestId::now_v7);
     }
     let id = request.id;
+    let is_repeatable = !make_id && !request.idempotent;
     let service = request.service.clone();
     let flight = shared.begin_flight();
     // A task of its own: a caller that hangs up must not cut the request off half-way.
@@ -160,13 +166,25 @@
     let ended = run.await.unwrap_or(lost.into());
     drop(flight);
     count(&shared, &service, &ended, started.elapsed());
-    let mut response = respond(ended.outcome);
+    let outcome = if is_repeatable { vouched(ended.outcome) } else { ended.outcome };
+    let mut response = respond(outcome);
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
         response.headers_mut().insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
     }
     response
 }
 
+/// What may be said of an id that the caller made: it may have been tried before, so that "not run"
+/// is said only by who knows of earlier tries.
+fn vouched(outcome: RequestOutcome) -> RequestOutcome {
+    match outcome {
+        RequestOutcome::NotRun { reason, .. } if reason.is_of_this_try_only() => {
+            RequestOutcome::Unknown(UnknownReason::NoOwner)
+        }
+        outcome => outcome,
+    }
+}
+
 fn count(shared: &EntryShared, service: &str, ended: &TracedOutcome, time: Duration) {
     let text = ended.outcome.to_string();
     let (kind, reason) = text.split_once('/').unwrap_or((&text, ""));
@@ -274,8 +292,11 @@
 }
 
 fn refuse(reason: NotRunReason) -> Response {
-    let retry_after = Duration::from_secs(1);
-    respond(RequestOutcome::NotRun { reason, retry_after })
+    respond(refusal(reason))
+}
+
+fn refusal(reason: NotRunReason) -> RequestOutcome {
+    RequestOutcome::NotRun { reason, retry_after: RETRY_HINT }
 }
 
 fn respond(outcome: RequestOutcome) -> Response {
@@ -301,12 +322,19 @@
             with_outcome(response, "not_run")
         }
         RequestOutcome::Unknown(reason) => {
+            // Repeating the same id is safe, and tells once there is an owner again.
+            let is_passing = reason == UnknownReason::NoOwner;
+            let retry_after = if is_passing { RETRY_HINT } else { Duration::ZERO };
             let body = OutcomeBody {
                 outcome: "unknown",
                 reason: reason.name().to_string(),
-                retry_after_millis: 0,
+                retry_after_millis: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
             };
-            let response = (StatusCode::GATEWAY_TIMEOUT, Json(body)).into_response();
+            let mut response = (StatusCode::GATEWAY_TIMEOUT, Json(body)).into_response();
+            if is_passing {
+                let seconds = retry_after.as_secs();
+                response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+            }
             with_outcome(response, "unknown")
         }
     }
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -139,6 +139,26 @@
         }
     }
 
+    /// Whether the refusal was given without a look at what is known of the id. Then it is true of
+    /// this try only, and says nothing of earlier ones.
+    ///
+    /// ```
+    /// use greengagearch::request::outcome::NotRunReason;
+    ///
+    /// assert!(NotRunReason::NoOwner.is_of_this_try_only());
+    /// assert!(!NotRunReason::Overloaded.is_of_this_try_only());
+    /// ```
+    pub fn is_of_this_try_only(self) -> bool {
+        matches!(
+            self,
+            NotRunReason::NoOwner
+                | NotRunReason::OwnerUnreachable
+                | NotRunReason::LeaseLapsed
+                | NotRunReason::Draining
+                | NotRunReason::Tombstoned
+        )
+    }
+
     /// Whether another endpoint may do better at once.
     ///
     /// ```
@@ -177,6 +197,8 @@
     IdTooOld,
     /// An earlier owner may have run it, and an agent that would know does not answer.
     Unsettled,
+    /// This try was not run, but nobody who knows of earlier tries of the same id acts at present.
+    NoOwner,
 }
 
 impl UnknownReason {
@@ -195,6 +217,7 @@
             UnknownReason::DeadlinePassed => "deadline_passed",
             UnknownReason::IdTooOld => "id_too_old",
             UnknownReason::Unsettled => "unsettled",
+            UnknownReason::NoOwner => "no_owner",
         }
     }
 }
--- a/src/request/routing.rs
+++ b/src/request/routing.rs
@@ -97,9 +97,15 @@
     turned.min_by(|a, b| a.load.total_cmp(&b.load)).map(|candidate| candidate.index)
 }
 
+/// The two are different: drawn with replacement, a slow endpoint would win against itself.
 fn two_choices<R: Rng>(candidates: &[RouteCandidate], rng: &mut R) -> Option<usize> {
-    let first = draw(candidates, rng)?;
-    let second = draw(candidates, rng)?;
+    if candidates.len() < 2 {
+        return candidates.first().map(|only| only.index);
+    }
+    let first = rng.random_range(0..candidates.len());
+    let step = rng.random_range(1..candidates.len());
+    let second = (first + step) % candidates.len();
+    let (first, second) = (candidates[first], candidates[second]);
     let better = if second.load < first.load { second } else { first };
     Some(better.index)
 }
@@ -109,3 +115,37 @@
         candidates.iter().copied().filter(|candidate| candidate.is_local).collect();
     two_choices(&local, rng).or_else(|| two_choices(candidates, rng))
 }
+
+#[cfg(test)]
+mod tests {
+    use rand::SeedableRng;
+    use rand::rngs::StdRng;
+
+    use super::*;
+
+    fn candidate(index: usize, is_local: bool, load: f64) -> RouteCandidate {
+        RouteCandidate { index, is_local, load }
+    }
+
+    #[test]
+    fn the_worst_of_all_never_wins_between_two() {
+        let candidates: Vec<RouteCandidate> = (0..4)
+            .map(|index| candidate(index, true, if index == 2 { 5.0 } else { 1.0 }))
+            .collect();
+        let mut rng = StdRng::seed_from_u64(1);
+        for way in [RoutingWay::TwoChoices, RoutingWay::LocalFirst, RoutingWay::LeastLoaded] {
+            for _ in 0..200 {
+                assert_ne!(choose(way, &candidates, &mut rng), Some(2), "{way:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn others_are_chosen_only_when_none_is_local() {
+        let mut rng = StdRng::seed_from_u64(1);
+        let mixed = [candidate(0, false, 0.0), candidate(1, true, 9.0)];
+        assert_eq!(choose(RoutingWay::LocalFirst, &mixed, &mut rng), Some(1));
+        assert_eq!(choose(RoutingWay::LocalFirst, &mixed[..1], &mut rng), Some(0));
+        assert_eq!(choose(RoutingWay::LocalFirst, &[], &mut rng), None);
+    }
+}
--- a/standins/src/bin/gga-experiment.rs
+++ b/standins/src/bin/gga-experiment.rs
@@ -17,6 +17,7 @@
     latency    time added over calling a runner directly
     rate       requests a second and processor time of one entry
     routing    ways of choosing an endpoint, at 50, 80 and 95 % of all slots
+    routing-slow  the same with a slow endpoint only
     overload   answers in time at three times the capacity
     takeover   time until a dead entry's partitions are served again
     documents  time until a document is in force everywhere
@@ -52,6 +53,7 @@
             "latency" => experiments::latency().await,
             "rate" => experiments::rate().await,
             "routing" => experiments::routing().await,
+            "routing-slow" => experiments::routing_slow().await,
             "overload" => experiments::overload().await,
             "takeover" => experiments::takeover().await,
             "documents" => experiments::documents().await,
