Draw the burn report's plot from the first minute on

Cause: the page was looked at in a browser: a single minute of events drew no line, and the legend had no colours. Change: the plot begins one minute before the first event; the colours are named in the text above it, so the legend goes.

--- a/src/ctl/report.rs
+++ b/src/ctl/report.rs
@@ -3,7 +3,6 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-use plotters::prelude::BLACK;
 use plotters::prelude::ChartBuilder;
 use plotters::prelude::Color;
 use plotters::prelude::IntoDrawingArea;
@@ -113,7 +112,8 @@
 fn plot(burn: &ServiceBurn) -> Option<String> {
     let (last, _) = burn.minutes.last_key_value()?;
     let (first, _) = burn.minutes.first_key_value()?;
-    let first = (*first).max(last.saturating_sub(PLOT_MINUTES));
+    // One more minute before the first, so that a single minute makes a line too.
+    let first = first.saturating_sub(1).max(last.saturating_sub(PLOT_MINUTES));
     let events = |minute: u64| burn.minutes.get(&minute).cloned().unwrap_or_default();
     let highest = (first..=*last).map(|minute| {
         let counts = events(minute);
@@ -129,15 +129,14 @@
             .margin(8)
             .x_label_area_size(32)
             .y_label_area_size(56)
-            .build_cartesian_2d(ago(first).min(-1.0)..0.0, 0.0..highest as f64 * 1.05)
+            .build_cartesian_2d(ago(first)..0.0, 0.0..highest as f64 * 1.05)
             .ok()?;
         let mut mesh = chart.configure_mesh();
         mesh.x_desc("minutes before the last event").y_desc("events a minute").draw().ok()?;
         let good = (first..=*last).map(|minute| (ago(minute), events(minute).good as f64));
-        chart.draw_series(LineSeries::new(good, GOOD.stroke_width(2))).ok()?.label("good");
+        chart.draw_series(LineSeries::new(good, GOOD.stroke_width(2))).ok()?;
         let bad = (first..=*last).map(|minute| (ago(minute), events(minute).bad_count() as f64));
-        chart.draw_series(LineSeries::new(bad, RED.stroke_width(2))).ok()?.label("bad");
-        chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw().ok()?;
+        chart.draw_series(LineSeries::new(bad, RED.stroke_width(2))).ok()?;
         area.present().ok()?;
     }
     Some(format!("<p>Good events in green, bad events in red.</p>{picture}"))
