Wait for the last grants in a test, and drop what nothing uses

Change: the test waits five times the life of a grant after the kill; what it asserts is unchanged. Conclusion: a state is waited for by what ends it, not by its first sign.

--- a/src/process/entry/pool_set.rs
+++ b/src/process/entry/pool_set.rs
@@ -121,8 +121,7 @@
         let mut state = self.lock();
         for report in reports {
             if !state.pools.contains_key(&report.service) {
-                let pool =
-                    ServicePool::new(Default::default(), self.domain.clone(), DEFAULT_RETRY_SHARE);
+                let pool = self.new_pool();
                 state.pools.insert(report.service.clone(), pool);
             }
         }
@@ -156,13 +155,6 @@
         state.pools.values().any(|pool| pool.queue_len() > 0)
     }
 
-    /// Number of endpoints and of waiting requests of a service.
-    pub fn counts(&self, service: &str) -> (usize, usize) {
-        let state = self.lock();
-        let pool = state.pools.get(service);
-        pool.map_or((0, 0), |pool| (pool.endpoint_count(), pool.queue_len()))
-    }
-
     fn ask(
         &self,
         document: &ServiceDocument,
@@ -173,9 +165,7 @@
         let mut state = self.lock();
         state.last_ticket += 1;
         let ticket = state.last_ticket;
-        let pool = state.pools.entry(document.name.clone()).or_insert_with(|| {
-            ServicePool::new(Default::default(), self.domain.clone(), DEFAULT_RETRY_SHARE)
-        });
+        let pool = state.pools.entry(document.name.clone()).or_insert_with(|| self.new_pool());
         pool.set_rules(document.requests.routing, document.requests.retry_share);
         if avoid.is_none() {
             pool.budget.on_request();
@@ -193,6 +183,10 @@
         waiting.map_or(Ok(decision), Err)
     }
 
+    fn new_pool(&self) -> ServicePool {
+        ServicePool::new(Default::default(), self.domain.clone(), DEFAULT_RETRY_SHARE)
+    }
+
     fn lock(&self) -> MutexGuard<'_, PoolState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -496,6 +496,8 @@
     let mut cluster = Cluster::open(1).await;
     cluster.env.table.set_fault(TableFault::Down);
     cluster.entries[0].kill();
+    // A dead entry grants nothing more; five times the life of a grant ends those on their way.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     let caller = Caller::open("desk");
     let entry = cluster.callers()[1];
     until("the leases have lapsed", async || {
