Commit starts on several workers in one write, and bound writes with priorities

Cause: a start was one transaction a worker. 18 starts of a step at the target fall on 18 workers, so that starts and ends together came to 360 of the 400 writes a second that the table service is assumed to bear, and nothing kept a wave of starts from holding up leases, ends or callers.

Change: a batch takes up to 8 workers, 8 starts each; when a row has changed, its worker's part is taken out and the rest is committed without it. Entries' writes go through a token bucket whose priorities (lease, end, caller, start, report) each leave a part to those above; a lease is never held up. The scheduler plans no starts while there is no turn for them, so that recovery and ends in the same step do not wait. Ruled out: all of a step in one transaction, since a conflict then holds up more.

Not measured: 180 starts a second through processes.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,5 +3,7 @@
 pub mod http_table;
 pub mod http_worker;
 pub mod memory_table;
+pub mod paced_table;
 pub mod table;
 pub mod worker;
+pub mod write_budget;
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 
 use crate::ids::RowVersion;
+use crate::platform::write_budget::WritePriority;
 
 /// One row as it was read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,9 +66,25 @@
     pub checks: Vec<RowCheck>,
     /// Writes to carry out.
     pub writes: Vec<RowWrite>,
+    /// What the transaction is for; stays in this process.
+    #[serde(skip)]
+    pub priority: WritePriority,
 }
 
 impl TableTransaction {
+    /// An empty transaction of this priority.
+    ///
+    /// ```
+    /// use greengagearch::platform::table::TableTransaction;
+    /// use greengagearch::platform::write_budget::WritePriority;
+    ///
+    /// let transaction = TableTransaction::of(WritePriority::Start);
+    /// assert!(transaction.writes.is_empty());
+    /// ```
+    pub fn of(priority: WritePriority) -> TableTransaction {
+        TableTransaction { priority, ..TableTransaction::default() }
+    }
+
     /// Adds a check without a write.
     ///
     /// ```
--- a/src/process/agent/lease_keeper.rs
+++ b/src/process/agent/lease_keeper.rs
@@ -17,6 +17,7 @@
 use crate::ids::RowVersion;
 use crate::platform::table::TableTransaction;
 use crate::platform::worker::ResourceAmount;
+use crate::platform::write_budget::WritePriority;
 use crate::process::agent::shared::AgentShared;
 use crate::process::agent::shared::WorkerLease;
 use crate::process::logging::log_event;
@@ -157,7 +158,7 @@
             let Ok(known) = self.shared.table.get(&journal_key).await else {
                 continue;
             };
-            let mut transaction = TableTransaction::default();
+            let mut transaction = TableTransaction::of(WritePriority::Lease);
             transaction.put(&worker_key, row.version, &worker);
             transaction.put(&journal_key, known.map_or(0, |row| row.version), &handover);
             if self.shared.table.commit(transaction).await.is_ok() {
--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -28,6 +28,7 @@
 use crate::platform::worker::TaskStart;
 use crate::platform::worker::WorkerControl;
 use crate::platform::worker::WorkerStatus;
+use crate::platform::write_budget::WritePriority;
 use crate::process::agent::lease_keeper::LeaseKeeper;
 use crate::process::agent::lease_keeper::RowReading;
 use crate::process::agent::renewal::lease_end;
@@ -234,7 +235,7 @@
         mut row: WorkerRow,
         ended: Vec<AttemptReport>,
     ) -> Result<BTreeSet<JobId>, TableError> {
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::End);
         let mut jobs = BTreeSet::new();
         for attempt in ended {
             let key = task_key(&attempt.key.job, attempt.key.task);
--- a/src/process/entry/burn_desk.rs
+++ b/src/process/entry/burn_desk.rs
@@ -14,6 +14,7 @@
 use crate::platform::table::TableError;
 use crate::platform::table::TableRow;
 use crate::platform::table::TableTransaction;
+use crate::platform::write_budget::WritePriority;
 use crate::process::burn_ledger::BurnHour;
 use crate::process::burn_ledger::BurnObjective;
 use crate::process::burn_ledger::ServiceBurn;
@@ -66,7 +67,7 @@
         shared: &EntryShared,
         changed: Vec<((String, u64), BurnHour)>,
     ) -> Result<(), TableError> {
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::Report);
         for ((service, hour), counts) in changed {
             let run = shared.member.incarnation;
             let key = format!("{}{hour:08}/{run:016x}", burn_prefix(&service));
@@ -142,7 +143,7 @@
             .saturating_sub(objective.window.as_secs() / 3_600 + 1);
         let rows = shared.table.list(&burn_prefix(&objective.service)).await?;
         let old = rows.iter().filter(|row| hour_of_row(row).is_some_and(|hour| hour < oldest));
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::Report);
         for row in old.take(REMOVALS) {
             transaction.remove(&row.key, row.version);
         }
--- a/src/process/entry/document_desk.rs
+++ b/src/process/entry/document_desk.rs
@@ -10,6 +10,7 @@
 use crate::platform::table::TableError;
 use crate::platform::table::TableRow;
 use crate::platform::table::TableTransaction;
+use crate::platform::write_budget::WritePriority;
 use crate::process::entry::shared::EntryShared;
 use crate::version::catalog::DocumentChange;
 use crate::version::catalog::DocumentRow;
@@ -191,7 +192,7 @@
     });
     let surplus = row.history.len().saturating_sub(HISTORY_LENGTH);
     row.history.drain(..surplus);
-    let mut transaction = TableTransaction::default();
+    let mut transaction = TableTransaction::of(WritePriority::Caller);
     transaction.put(&document_key(&apply.service), version, &row);
     let generation_version = current.map_or(0, |row| row.version);
     transaction.put(GENERATION_KEY, generation_version, &accepted.generation);
--- a/src/process/entry/job_desk.rs
+++ b/src/process/entry/job_desk.rs
@@ -15,6 +15,7 @@
 use crate::connection::rpc_client::call_within;
 use crate::platform::table::TableError;
 use crate::platform::table::TableTransaction;
+use crate::platform::write_budget::WritePriority;
 use crate::process::entry::caller_http::CallerState;
 use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::EntryShared;
@@ -156,7 +157,7 @@
             return Ok(Json(JobReport { row, tasks: Vec::new() }));
         }
         row.state = JobState::Cancelled;
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::Caller);
         transaction.put(&job_key(&job), version, &row);
         transaction.put(&cancel_key(&job), 0, &true);
         match state.shared.table.commit(transaction).await {
@@ -174,7 +175,7 @@
     let job = job_name(&spec.team, &spec.id);
     let submitted_millis = shared.clock.wall_millis();
     let row = JobRow { spec, state: JobState::Active, submitted_millis, ends: Vec::new() };
-    let mut transaction = TableTransaction::default();
+    let mut transaction = TableTransaction::of(WritePriority::Caller);
     transaction.put(&job_key(&job), 0, &row);
     for task in task_rows(&row.spec, submitted_millis) {
         transaction.put(&task_key(&job, task.index), 0, &task);
--- a/src/process/entry/membership.rs
+++ b/src/process/entry/membership.rs
@@ -22,6 +22,7 @@
 use crate::connection::rpc_client::call_within;
 use crate::platform::table::TableError;
 use crate::platform::table::TableTransaction;
+use crate::platform::write_budget::WritePriority;
 use crate::process::entry::shared::EntryShared;
 use crate::process::logging::log_event;
 use crate::version::catalog::DocumentCatalog;
@@ -58,6 +59,7 @@
         if !self.read_row().await {
             return;
         }
+        self.shared.share_writes();
         if self.shared.is_draining() {
             return;
         }
@@ -151,7 +153,7 @@
     /// Writes a change of the map; gives whether it took effect.
     async fn write(&self, change: MapChange, event: &str) -> bool {
         self.shared.view().begin_change(&change);
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::Lease);
         transaction.put(CLUSTER_KEY, change.version, &change.map);
         let result = match self.shared.table.commit(transaction).await {
             Ok(version) => ChangeResult::Written(version),
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod scheduler;
 pub mod settlement;
 pub mod shared;
+pub mod start_batch;
 pub mod task_board;
 pub mod worker_desk;
 
--- a/src/process/entry/scheduler.rs
+++ b/src/process/entry/scheduler.rs
@@ -14,7 +14,6 @@
 use rand::rngs::StdRng;
 
 use crate::connection::rpc_client::call_within;
-use crate::connection::worker_row::CommittedTask;
 use crate::connection::worker_row::WORKER_PREFIX;
 use crate::connection::worker_row::WorkerRow;
 use crate::connection::worker_row::task_name;
@@ -26,8 +25,11 @@
 use crate::ids::WorkerId;
 use crate::platform::table::TableError;
 use crate::platform::table::TableTransaction;
+use crate::platform::write_budget::WritePriority;
 use crate::process::entry::fleet_board::FleetBoard;
 use crate::process::entry::shared::EntryShared;
+use crate::process::entry::start_batch::StartBatch;
+use crate::process::entry::start_batch::WorkerStarts;
 use crate::process::entry::task_board::FinishedJob;
 use crate::process::entry::task_board::TaskBoard;
 use crate::process::entry::task_board::TaskNews;
@@ -47,7 +49,6 @@
 use crate::request::job::job_tasks_prefix;
 use crate::request::job::task_prefix;
 use crate::request::placement::WorkerView;
-use crate::request::task_plan::PlannedStart;
 use crate::request::task_plan::QueuedTask;
 use crate::request::task_plan::TeamShare;
 use crate::request::task_plan::plan_starts;
@@ -58,10 +59,8 @@
 const QUIET_INTERVAL: Duration = Duration::from_secs(10);
 /// Time after which all workers' rows are read again; what is known to change is read at once.
 const WORKERS_INTERVAL: Duration = Duration::from_secs(10);
-/// Starts that are planned in one step; with the step's length this bounds the rate of writes.
+/// Starts that are planned in one step.
 const STARTS_PER_STEP: usize = 32;
-/// Starts that go into one transaction.
-const STARTS_PER_WRITE: usize = 8;
 /// Heartbeats of an agent that may be lost before nothing more is started on its worker.
 const BEATS_TO_TRUST: u32 = 2;
 /// Longest wait for an agent to take a note of its changed row.
@@ -191,7 +190,7 @@
         let was_cancelled = row.state == JobState::Cancelled;
         row.state = JobState::Ended;
         row.ends = finished.tasks.iter().map(|task| end_of(&task.row)).collect();
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::End);
         transaction.put(&job_key(job), current.version, &row);
         for task in &finished.tasks {
             transaction.remove(&key_of(&task.row), task.version);
@@ -226,7 +225,7 @@
                 }
             }
             if is_changed {
-                let mut transaction = TableTransaction::default();
+                let mut transaction = TableTransaction::of(WritePriority::End);
                 transaction.put(&worker_key(&worker), known.version, &row);
                 let committed = self.shared.table.commit(transaction).await;
                 self.after_worker_write(row, committed);
@@ -236,7 +235,8 @@
     }
 
     async fn start_tasks(&mut self) -> Result<(), TableError> {
-        if !self.board.has_queued() {
+        // A step that waited for its turn to write would hold up recovery and ends.
+        if !self.board.has_queued() || !self.shared.pace.allows(WritePriority::Start) {
             return Ok(());
         }
         self.read_workers().await?;
@@ -252,15 +252,9 @@
             STARTS_PER_STEP,
             &mut self.rng,
         );
-        let mut by_worker: BTreeMap<WorkerId, Vec<PlannedStart>> = BTreeMap::new();
-        for start in starts {
-            by_worker.entry(start.worker.clone()).or_default().push(start);
-        }
-        for (worker, starts) in by_worker {
-            for group in starts.chunks(STARTS_PER_WRITE) {
-                if !self.commit_starts(&worker, group).await {
-                    break;
-                }
+        for batch in StartBatch::of_plan(starts, &self.fleet, &self.board) {
+            if !self.commit_starts(batch).await {
+                break;
             }
         }
         Ok(())
@@ -338,42 +332,40 @@
         shares
     }
 
-    /// Commits starts on one worker in one transaction; gives whether they took effect.
-    async fn commit_starts(&mut self, worker: &str, starts: &[PlannedStart]) -> bool {
-        let Some(known) = self.fleet.worker(worker).cloned() else {
-            return false;
-        };
-        let mut row = known.row;
-        let mut transaction = TableTransaction::default();
-        let mut started = Vec::new();
-        for start in starts {
-            let Some(task) = self.board.task(&start.key) else {
-                continue;
-            };
-            let mut next = task.row.clone();
-            next.attempt += 1;
-            next.state = TaskState::Committed { worker: worker.to_string() };
-            transaction.put(&start.key, task.version, &next);
-            row.tasks.insert(task_name(&next.job, next.index), committed_task(&next, start));
-            started.push((start.key.clone(), next));
-        }
-        // The sums are checked once more on what is about to be written.
-        if started.is_empty() || !row.capacity.contains(&row.committed()) {
-            return false;
-        }
-        transaction.put(&worker_key(worker), known.version, &row);
-        let committed = self.shared.table.commit(transaction).await;
-        self.count("start", committed.is_ok());
-        if let Ok(version) = committed {
-            self.shared.metrics.tasks.with_label_values(&["started"]).inc_by(started.len() as u64);
-            self.suspicion.on_start(worker, Instant::now());
-            for (key, next) in started {
-                self.board.keep_task(key, VersionedRow { version, row: next });
+    /// Commits a batch, without the parts whose rows have changed; gives whether the table service
+    /// takes writes.
+    async fn commit_starts(&mut self, mut batch: StartBatch) -> bool {
+        while !batch.parts.is_empty() {
+            let committed = self.shared.table.commit(batch.transaction()).await;
+            self.count("start", committed.is_ok());
+            match committed {
+                Ok(version) => {
+                    batch.parts.into_iter().for_each(|part| self.keep_starts(part, version));
+                    return true;
+                }
+                Err(error) => {
+                    self.note_failure(&error);
+                    let is_rest_good = matches!(&error, TableError::Conflict { key }
+                        if batch.drop_part_of(key));
+                    if !is_rest_good {
+                        // The write may have taken effect: the agents look as well.
+                        batch.parts.iter().for_each(|part| self.nudge_agent(&part.row.worker));
+                        return false;
+                    }
+                }
             }
         }
-        let is_committed = committed.is_ok();
-        self.after_worker_write(row, committed);
-        is_committed
+        true
+    }
+
+    fn keep_starts(&mut self, part: WorkerStarts, version: RowVersion) {
+        let count = part.tasks.len() as u64;
+        self.shared.metrics.tasks.with_label_values(&["started"]).inc_by(count);
+        self.suspicion.on_start(&part.row.worker, Instant::now());
+        for task in part.tasks {
+            self.board.keep_task(task.key, VersionedRow { version, row: task.row });
+        }
+        self.after_worker_write(part.row, Ok(version));
     }
 
     /// Keeps the row that was written and tells the agent, or has it read again.
@@ -437,17 +429,6 @@
     }
 }
 
-fn committed_task(task: &TaskRow, start: &PlannedStart) -> CommittedTask {
-    CommittedTask {
-        attempt: task.attempt,
-        resources: start.resources,
-        team: task.team.clone(),
-        kind: task.kind.clone(),
-        urgent: task.urgent,
-        stop: false,
-    }
-}
-
 impl Message<SchedulerNews> for SchedulerActor {
     type Reply = ();
 
--- a/src/process/entry/shared.rs
+++ b/src/process/entry/shared.rs
@@ -30,6 +30,7 @@
 use crate::ids::LeaseEpoch;
 use crate::ids::ServiceName;
 use crate::ids::WorkerId;
+use crate::platform::paced_table::PacedTable;
 use crate::platform::table::TableError;
 use crate::platform::table::TableStore;
 use crate::process::burn_ledger::BurnLedger;
@@ -47,6 +48,9 @@
 /// Time after which an entry that was not heard of is forgotten.
 const PEER_LIFE: Duration = Duration::from_secs(60);
 
+/// Smallest rate of writes in writes a second that an entry gets, however many there are.
+const SMALLEST_WRITE_SHARE: f64 = 4.0;
+
 /// What an entry last heard of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentNews {
@@ -85,8 +89,10 @@
     pub settings: EntrySettings,
     /// The entry as a member of the cluster.
     pub member: EntryMember,
-    /// The platform's table service.
+    /// The platform's table service, within this entry's share of the writes.
     pub table: Arc<dyn TableStore>,
+    /// The same, as what divides the writes.
+    pub pace: Arc<PacedTable>,
     /// Wall clock.
     pub clock: SteadyClock,
     /// Metrics.
@@ -135,12 +141,14 @@
             incarnation: new_incarnation(),
             address: settings.internal_advertise.unwrap_or(internal).to_string(),
         };
+        let pace = Arc::new(PacedTable::open(table, settings.write_rate as f64));
         EntryShared {
             pools: PoolSet::new(settings.domain.clone()),
             view: Mutex::new(ClusterView::new(member.clone(), Instant::now())),
             member,
+            table: pace.clone(),
+            pace,
             settings,
-            table,
             clock: SteadyClock::start(),
             metrics: ProcessMetrics::open(),
             ledger: LedgerDesk::default(),
@@ -253,6 +261,13 @@
         self.peers().retain(|_, peer| peer.heard.elapsed() < PEER_LIFE);
     }
 
+    /// Divides the rate of writes among the members of the newest map.
+    pub fn share_writes(&self) {
+        let members = self.view().map().members.len().max(1);
+        let share = self.settings.write_rate as f64 / members as f64;
+        self.pace.set_rate(share.max(SMALLEST_WRITE_SHARE));
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin_flight(self: &Arc<Self>) -> FlightGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
--- a/src/process/entry/worker_desk.rs
+++ b/src/process/entry/worker_desk.rs
@@ -26,6 +26,7 @@
 use crate::platform::table::TableError;
 use crate::platform::table::TableRow;
 use crate::platform::table::TableTransaction;
+use crate::platform::write_budget::WritePriority;
 use crate::process::entry::shared::EntryShared;
 use crate::process::logging::log_event;
 use crate::request::job::TaskRow;
@@ -210,7 +211,7 @@
             view.supersede(key, row.epoch);
             view.row_version().unwrap_or(0)
         };
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::Lease);
         transaction.check(CLUSTER_KEY, cluster_version);
         transaction.put(key, version, row);
         self.table.commit(transaction).await
@@ -261,7 +262,7 @@
         mut worker: WorkerRow,
     ) -> Result<BTreeSet<JobId>, TableError> {
         let names: Vec<String> = worker.tasks.keys().take(REQUEUE_GROUP).cloned().collect();
-        let mut transaction = TableTransaction::default();
+        let mut transaction = TableTransaction::of(WritePriority::End);
         let mut jobs = BTreeSet::new();
         for name in &names {
             let committed = worker.tasks.remove(name);
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -17,6 +17,11 @@
 const KEY_HASH_DIGITS: usize = 64;
 /// Shortest and longest time between two heartbeats that are allowed.
 const BEAT_RANGE: std::ops::RangeInclusive<u64> = 20..=10_000;
+/// Writes a second that entries together may send, without a setting: half of what the platform's
+/// service is assumed to bear, since agents write the ends of tasks besides.
+const WRITE_RATE: u64 = 200;
+/// Rates of writes that are allowed.
+const WRITE_RANGE: std::ops::RangeInclusive<u64> = 10..=1_000_000;
 
 /// Settings of an entry.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +46,8 @@
     pub key_hashes: BTreeMap<TeamName, String>,
     /// Timing for a new cluster; an existing cluster keeps its own.
     pub timing: ClusterTiming,
+    /// Writes a second that all entries together may send to the table service.
+    pub write_rate: u64,
     /// Way of choosing a worker for a task.
     pub placement: PlacementWay,
     /// Longest wait for requests in flight when stopping.
@@ -73,6 +80,7 @@
             table: read_target(&mut reader, "platform", "table"),
             key_hashes: read_key_hashes(&mut reader),
             timing: read_timing(&mut reader),
+            write_rate: reader.number("platform", "writes-per-second", WRITE_RATE, WRITE_RANGE),
             placement: reader.value("batch", "placement", PlacementWay::default()),
             drain_limit: reader.span("entry", "drain-limit", Duration::from_secs(30)),
         };
