Let the first run of a worker's agent vouch for every id

An owner with a new partition asks all agents about ids younger than its ownership; an agent that had just started answered that its memory does not reach back, although its worker had never had another agent.

Change: the run that takes a worker's lease at its first epoch vouches for all ids, since orders need the lease and no run held it before.

A unit test holds the rule.

--- a/src/process/agent/lease_keeper.rs
+++ b/src/process/agent/lease_keeper.rs
@@ -23,6 +23,8 @@
 use crate::process::logging::log_event;
 use crate::request::request_journal::JournalHandover;
 
+/// Epoch of a worker's lease that no run held before; orders need the lease.
+const FIRST_EPOCH: LeaseEpoch = 1;
 /// Longest wait for an entry's answer to a claim.
 const CLAIM_CALL: Duration = Duration::from_secs(3);
 /// Pause between two claims.
@@ -103,7 +105,9 @@
         let mut holder = LeaseHolder::new(timing, epoch);
         // The answer may be old; what it says held at some time after the claim was sent.
         holder.on_read(epoch, sent);
-        if !wait.is_zero() {
+        if epoch == FIRST_EPOCH {
+            self.shared.journal().vouch_for_all();
+        } else if !wait.is_zero() {
             // Until then an earlier run may still take orders that this one will never know of.
             self.shared.journal().vouch_from(self.shared.clock.wall() + wait);
         }
--- a/src/request/request_journal.rs
+++ b/src/request/request_journal.rs
@@ -130,6 +130,19 @@
         self.remembers_since = self.remembers_since.max(time);
     }
 
+    /// Says that no run before this one ever took an order, so that every id is vouched for.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::request::request_journal::RequestJournal;
+    ///
+    /// RequestJournal::new(Duration::from_secs(9)).vouch_for_all();
+    /// ```
+    pub fn vouch_for_all(&mut self) {
+        self.remembers_since = Duration::ZERO;
+    }
+
     /// What the next run of the agent has to know; nothing may be begun here any more.
     ///
     /// ```
@@ -316,6 +329,15 @@
         assert_eq!(journal.begin(id, 1, Duration::from_secs(200)), JournalVerdict::Refuse);
     }
 
+    #[test]
+    fn the_first_run_of_all_vouches_for_every_id() {
+        let mut journal = RequestJournal::new(Duration::from_secs(100));
+        journal.vouch_for_all();
+        let id = RequestId::now_v7();
+        let answer = journal.settle(id, 2, Duration::from_secs(99), Duration::from_secs(200));
+        assert_eq!(answer, SettleAnswer::NeverRun);
+    }
+
     #[test]
     fn the_owner_that_settled_an_id_may_run_it_once() {
         let mut journal = RequestJournal::new(Duration::ZERO);
