--- a/src/connection/announcement.rs
+++ b/src/connection/announcement.rs
@@ -8,7 +8,9 @@
 use serde::Serialize;
 
 use crate::ids::EndpointId;
+use crate::request::concurrency_limit::ConcurrencyLimit;
 use crate::request::outcome::NotRunReason;
+use crate::request::pool_endpoint::EndpointLoad;
 use crate::request::pool_endpoint::EndpointReport;
 
 /// How long after its lapse a leaving endpoint is still reported, so that every entry hears of it.
@@ -38,6 +40,20 @@
     lapses_at: Instant,
     leaving: bool,
     in_flight: u32,
+    limit: ConcurrencyLimit,
+    is_adaptive: bool,
+}
+
+impl AnnouncedEndpoint {
+    /// Requests that may be in flight now: each takes a slot and a connection.
+    fn slots(&self) -> u32 {
+        let announced = slots_of(&self.announcement);
+        if self.is_adaptive { self.limit.limit().min(announced) } else { announced }
+    }
+}
+
+fn slots_of(announcement: &EndpointAnnouncement) -> u32 {
+    announcement.slots.min(announcement.connections)
 }
 
 /// Where a dispatch goes.
@@ -45,8 +61,17 @@
 pub struct EndpointTarget {
     /// IP address and port.
     pub address: String,
-    /// Connections it accepts at most.
-    pub connections: u32,
+    /// Requests in flight there, with this one.
+    pub in_flight: u32,
+}
+
+/// How a dispatch used its slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotUse {
+    /// Requests in flight when it began, with this one.
+    pub in_flight: u32,
+    /// How long the answer took, if it was a good one.
+    pub answered: Option<Duration>,
 }
 
 /// The endpoints of one agent, with their slots in use.
@@ -74,9 +99,26 @@
         if known.is_some_and(|endpoint| endpoint.leaving && now < endpoint.lapses_at) {
             return;
         }
-        let in_flight = known.map_or(0, |endpoint| endpoint.in_flight);
-        let endpoint = AnnouncedEndpoint { lapses_at, leaving: false, in_flight, announcement };
-        self.endpoints.insert(endpoint.announcement.endpoint.clone(), endpoint);
+        let slots = slots_of(&announcement);
+        match self.endpoints.get_mut(&announcement.endpoint) {
+            Some(known) => {
+                known.limit.set_slots(slots);
+                known.lapses_at = lapses_at;
+                known.leaving = false;
+                known.announcement = announcement;
+            }
+            None => {
+                let endpoint = AnnouncedEndpoint {
+                    lapses_at,
+                    leaving: false,
+                    in_flight: 0,
+                    limit: ConcurrencyLimit::new(slots, now),
+                    is_adaptive: false,
+                    announcement,
+                };
+                self.endpoints.insert(endpoint.announcement.endpoint.clone(), endpoint);
+            }
+        }
     }
 
     /// Marks an endpoint as leaving. Gives whether it was known.
@@ -90,7 +132,8 @@
         known.map(|endpoint| endpoint.leaving = true).is_some()
     }
 
-    /// Takes a slot for a dispatch.
+    /// Takes a slot for a dispatch; `is_adaptive` says whether the service's slots are bounded by
+    /// what was learned of the endpoint.
     ///
     /// # Errors
     ///
@@ -100,12 +143,13 @@
     /// # use std::time::Instant;
     /// # use greengagearch::connection::announcement::EndpointTable;
     /// # use greengagearch::request::outcome::NotRunReason;
-    /// let taken = EndpointTable::default().take_slot("r1", Instant::now());
+    /// let taken = EndpointTable::default().take_slot("r1", true, Instant::now());
     /// assert_eq!(taken, Err(NotRunReason::EndpointLeaving));
     /// ```
     pub fn take_slot(
         &mut self,
         endpoint: &str,
+        is_adaptive: bool,
         now: Instant,
     ) -> Result<EndpointTarget, NotRunReason> {
         let Some(known) = self.endpoints.get_mut(endpoint) else {
@@ -114,25 +158,35 @@
         if known.leaving || now >= known.lapses_at {
             return Err(NotRunReason::EndpointLeaving);
         }
-        if known.in_flight >= known.announcement.slots {
+        known.is_adaptive = is_adaptive;
+        if known.in_flight >= known.slots() {
             return Err(NotRunReason::SlotsFull);
         }
         known.in_flight += 1;
         Ok(EndpointTarget {
             address: known.announcement.address.clone(),
-            connections: known.announcement.connections,
+            in_flight: known.in_flight,
         })
     }
 
     /// Gives a slot back.
     ///
     /// ```
-    /// greengagearch::connection::announcement::EndpointTable::default().release_slot("r1");
+    /// # use std::time::Instant;
+    /// # use greengagearch::connection::announcement::{EndpointTable, SlotUse};
+    /// let ended = SlotUse { in_flight: 1, answered: None };
+    /// EndpointTable::default().release_slot("r1", ended, Instant::now());
     /// ```
-    pub fn release_slot(&mut self, endpoint: &str) {
-        if let Some(known) = self.endpoints.get_mut(endpoint) {
-            known.in_flight = known.in_flight.saturating_sub(1);
+    pub fn release_slot(&mut self, endpoint: &str, ended: SlotUse, now: Instant) {
+        let Some(known) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(time) = ended.answered {
+            // Half-way between the requests beside it at its beginning and at its end.
+            let level = (ended.in_flight + known.in_flight).div_ceil(2);
+            known.limit.on_answer(level, time, now);
         }
+        known.in_flight = known.in_flight.saturating_sub(1);
     }
 
     /// Requests in flight at all endpoints.
@@ -144,14 +198,15 @@
         self.endpoints.values().map(|endpoint| endpoint.in_flight).sum()
     }
 
-    /// Requests in flight at one endpoint.
+    /// What one endpoint runs and may run.
     ///
     /// ```
     /// # use greengagearch::connection::announcement::EndpointTable;
-    /// assert_eq!(EndpointTable::default().in_flight_at("r1"), 0);
+    /// assert_eq!(EndpointTable::default().load_of("r1"), None);
     /// ```
-    pub fn in_flight_at(&self, endpoint: &str) -> u32 {
-        self.endpoints.get(endpoint).map_or(0, |endpoint| endpoint.in_flight)
+    pub fn load_of(&self, endpoint: &str) -> Option<EndpointLoad> {
+        let known = self.endpoints.get(endpoint)?;
+        Some(EndpointLoad { slots: known.slots(), in_flight: known.in_flight })
     }
 
     /// What the heartbeat says of each endpoint. A lapsed one counts as leaving; it is forgotten
@@ -168,7 +223,7 @@
         let reports = self.endpoints.values().map(|endpoint| EndpointReport {
             endpoint: endpoint.announcement.endpoint.clone(),
             service: endpoint.announcement.service.clone(),
-            slots: endpoint.announcement.slots,
+            slots: endpoint.slots(),
             in_flight: endpoint.in_flight,
             leaving: endpoint.leaving || now >= endpoint.lapses_at,
         });
@@ -196,9 +251,9 @@
         let now = Instant::now();
         let mut table = EndpointTable::default();
         table.announce(announcement(), now);
-        table.take_slot("r1", now).unwrap();
+        table.take_slot("r1", false, now).unwrap();
         table.announce(announcement(), now);
-        assert_eq!(table.take_slot("r1", now), Err(NotRunReason::SlotsFull));
+        assert_eq!(table.take_slot("r1", false, now), Err(NotRunReason::SlotsFull));
     }
 
     #[test]
@@ -208,10 +263,10 @@
         table.announce(announcement(), now);
         table.leave("r1");
         table.announce(announcement(), now);
-        assert_eq!(table.take_slot("r1", now), Err(NotRunReason::EndpointLeaving));
+        assert_eq!(table.take_slot("r1", false, now), Err(NotRunReason::EndpointLeaving));
         let later = now + Duration::from_secs(1);
         table.announce(announcement(), later);
-        assert!(table.take_slot("r1", later).is_ok());
+        assert!(table.take_slot("r1", false, later).is_ok());
     }
 
     #[test]
@@ -219,11 +274,42 @@
         let now = Instant::now();
         let mut table = EndpointTable::default();
         table.announce(announcement(), now);
-        table.take_slot("r1", now).unwrap();
+        table.take_slot("r1", false, now).unwrap();
         let later = now + Duration::from_secs(60);
         assert!(table.reports(later)[0].leaving);
-        assert_eq!(table.take_slot("r1", later), Err(NotRunReason::EndpointLeaving));
-        table.release_slot("r1");
+        assert_eq!(table.take_slot("r1", false, later), Err(NotRunReason::EndpointLeaving));
+        table.release_slot("r1", SlotUse { in_flight: 1, answered: None }, later);
         assert!(table.reports(later).is_empty());
     }
+
+    #[test]
+    fn slots_are_bounded_by_connections_and_by_what_was_learned() {
+        let start = Instant::now();
+        let mut table = EndpointTable::default();
+        table.announce(EndpointAnnouncement { slots: 8, ..announcement() }, start);
+        assert_eq!(table.load_of("r1").unwrap().slots, 4, "connections are fewer");
+        let announcement = EndpointAnnouncement {
+            slots: 8,
+            connections: 64,
+            ttl_millis: 60_000,
+            ..announcement()
+        };
+        table.announce(announcement, start);
+        // Two cores: beyond two in flight each further request only makes the others slower.
+        for step in 0..4_000_u64 {
+            let now = start + Duration::from_millis(step * 10);
+            let wanted = 1 + step % 8;
+            let taken = (0..wanted).filter(|_| table.take_slot("r1", true, now).is_ok()).count();
+            for in_flight in (1..=taken).rev() {
+                let time = Duration::from_millis(20).mul_f64((in_flight as f64 / 2.0).max(1.0));
+                let ended = SlotUse { in_flight: in_flight as u32, answered: Some(time) };
+                table.release_slot("r1", ended, now);
+            }
+        }
+        let slots = table.load_of("r1").unwrap().slots;
+        assert!(slots <= 4, "{slots}");
+        assert_eq!(table.reports(start)[0].slots, slots);
+        assert!(table.take_slot("r1", false, start).is_ok());
+        assert_eq!(table.load_of("r1").unwrap().slots, 8, "without the guard all slots count");
+    }
 }
--- a/src/connection/cluster_view.rs
+++ b/src/connection/cluster_view.rs
@@ -305,12 +305,16 @@
     /// under way while the row can be read, and a lease that lapsed for want of a grant may be granted
     /// anew while all members are heard of.
     pub fn has_prospect(&self, now: Instant) -> bool {
-        let freshness = self.map.timing.partition_lease().freshness;
-        let is_recent = |at: &Instant, limit| now.saturating_duration_since(*at) <= limit;
-        let reads = self.row_read.as_ref().is_some_and(|read| is_recent(read, freshness));
         let limit = self.removal_limit();
         let others = self.heard.iter().filter(|(run, _)| **run != self.own.incarnation);
-        reads || others.map(|(_, heard)| heard).all(|heard| is_recent(heard, limit))
+        let mut heard = others.map(|(_, heard)| now.saturating_duration_since(*heard));
+        self.reads_row(now) || heard.all(|ago| ago <= limit)
+    }
+
+    /// Whether the row was read so lately that the table service counts as answering.
+    pub fn reads_row(&self, now: Instant) -> bool {
+        let freshness = self.map.timing.partition_lease().freshness;
+        self.row_read.is_some_and(|read| now.saturating_duration_since(read) <= freshness)
     }
 
     /// Longest time from the death of a member until its partitions are served again.
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -20,11 +20,13 @@
 use crate::ids::LeaseEpoch;
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
+use crate::ids::TeamName;
 use crate::ids::WorkerId;
 use crate::platform::worker::ResourceAmount;
 use crate::process::interference::InterferenceSample;
 use crate::process::interference::KindName;
 use crate::request::outcome::RequestOutcome;
+use crate::request::pool_endpoint::EndpointLoad;
 use crate::request::pool_endpoint::EndpointReport;
 use crate::request::request_journal::SettleAnswer;
 use crate::version::catalog::DocumentSet;
@@ -200,8 +202,8 @@
 pub struct DispatchReply {
     /// How the request ended.
     pub outcome: RequestOutcome,
-    /// Requests in flight at the endpoint, of all entries.
-    pub in_flight: u32,
+    /// What the endpoint runs and may run; nothing when the agent does not know it.
+    pub load: Option<EndpointLoad>,
 }
 
 /// A question about an id that an earlier owner may have run.
@@ -215,6 +217,21 @@
     pub window: Duration,
 }
 
+/// The queue of one team, as the entry that schedules it knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamQueue {
+    /// The team.
+    pub team: TeamName,
+    /// Tasks that wait for a worker.
+    pub queued: u32,
+    /// Those of them that are urgent.
+    pub urgent: u32,
+    /// Tasks that are committed on a worker.
+    pub running: u32,
+    /// How long the oldest waiting task has waited.
+    pub longest_wait: Duration,
+}
+
 /// What an entry tells of itself and of the processes it hears from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProcessReport {
@@ -249,6 +266,8 @@
     async fn documents(since: GenerationNumber) -> DocumentSet;
     /// How long ago the entry heard of a worker's agent; nothing when it never did.
     async fn heard_of(worker: WorkerId) -> Option<Duration>;
+    /// The queues of the teams whose partitions this entry acts for.
+    async fn team_queues() -> Vec<TeamQueue>;
     /// Says that a job was submitted or cancelled.
     async fn job_changed(job: JobId);
     /// Says that tasks of these jobs ended on a worker.
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod report;
+pub mod status;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use crate::ctl::cli::CtlConfig;
 use crate::ctl::report::html_report;
 use crate::ctl::report::text_report;
+use crate::ctl::status::status_text;
 use crate::error::Error;
 use crate::findings::ConfigFinding;
 use crate::findings::FindingList;
@@ -26,6 +28,7 @@
 use crate::process::entry::operator_http::ClusterReport;
 use crate::process::entry::operator_http::KEY_HEADER;
 use crate::process::entry::operator_http::TEAM_HEADER;
+use crate::process::entry::status_desk::StatusReport;
 use crate::version::catalog::DocumentRow;
 use crate::version::document::ServiceDocument;
 
@@ -203,6 +206,9 @@
         let kind = if process.is_entry { "entry" } else { "agent" };
         println!("{kind} {} generation {} {}", process.id, process.generation, process.domain);
     }
+    let url = format!("http://{}/v1/status", config.entry);
+    let status: StatusReport = fetch(&client, &url).await?;
+    print!("{}", status_text(&status));
     Ok(())
 }
 
--- a/src/process/agent/dispatcher.rs
+++ b/src/process/agent/dispatcher.rs
@@ -8,6 +8,7 @@
 use reqwest::header::CONTENT_TYPE;
 use tokio::sync::watch;
 
+use crate::connection::announcement::SlotUse;
 use crate::connection::protocol::DispatchOrder;
 use crate::connection::protocol::DispatchReply;
 use crate::connection::protocol::SettleQuestion;
@@ -37,8 +38,8 @@
     // A task of its own: when the entry hangs up, the request and its record must go on.
     let run = tokio::spawn(dispatch_once(shared.clone(), order));
     let outcome = run.await.unwrap_or(RequestOutcome::Unknown(UnknownReason::AnswerLost));
-    let in_flight = shared.endpoints().in_flight_at(&endpoint);
-    DispatchReply { outcome, in_flight }
+    let load = shared.endpoints().load_of(&endpoint);
+    DispatchReply { outcome, load }
 }
 
 async fn dispatch_once(shared: Arc<AgentShared>, order: DispatchOrder) -> RequestOutcome {
@@ -130,23 +131,29 @@
 }
 
 async fn run_on_endpoint(shared: &AgentShared, order: &DispatchOrder) -> RequestOutcome {
-    let taken = shared.endpoints().take_slot(&order.endpoint, Instant::now());
+    let service = &order.request.service;
+    let is_adaptive = shared.is_limit_adaptive(service);
+    let started = Instant::now();
+    let taken = shared.endpoints().take_slot(&order.endpoint, is_adaptive, started);
     let target = match taken {
         Ok(target) => target,
         Err(reason) => return RequestOutcome::not_run(reason),
     };
-    let started = Instant::now();
     let outcome = call_endpoint(shared, order, &target.address).await;
-    shared.endpoints().release_slot(&order.endpoint);
-    if let RequestOutcome::Answered(answer) = &outcome
-        && answer.status < 500
-    {
-        let now = Instant::now();
-        shared.observer().on_answer(&order.request.service, now - started, now);
+    let now = Instant::now();
+    let answered = is_good(&outcome).then_some(now - started);
+    let ended = SlotUse { in_flight: target.in_flight, answered };
+    shared.endpoints().release_slot(&order.endpoint, ended, now);
+    if let Some(time) = answered {
+        shared.observer().on_answer(service, time, now);
     }
     outcome
 }
 
+fn is_good(outcome: &RequestOutcome) -> bool {
+    matches!(outcome, RequestOutcome::Answered(answer) if answer.status < 500)
+}
+
 async fn call_endpoint(
     shared: &AgentShared,
     order: &DispatchOrder,
--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -27,6 +27,7 @@
 use crate::process::agent::shared::AgentShared;
 use crate::process::entry::listen;
 use crate::process::entry::local_address;
+use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
 use crate::process::logging::log_event;
 use crate::process::settings::AgentSettings;
@@ -86,7 +87,7 @@
         reconciler::spawn_ticks(shared.clone(), reconciler.clone());
         let (close, closed) = StopSwitch::new();
         let router = announce_http::router(shared.clone());
-        let server = spawn_http_server(endpoints, router, closed);
+        let server = spawn_http_server(endpoints, router, HttpLimits::default(), closed);
         let running = tokio::spawn(async move {
             stop.raised().await;
             drain(&shared, &reconciler).await;
--- a/src/process/agent/shared.rs
+++ b/src/process/agent/shared.rs
@@ -208,6 +208,12 @@
         document.map_or(Duration::ZERO, |one| id_window(one.requests.largest_deadline))
     }
 
+    /// Whether the slots of a service are bounded by what is learned of its endpoints.
+    pub fn is_limit_adaptive(&self, service: &str) -> bool {
+        let document = self.catalog().document(service);
+        document.is_some_and(|one| one.requests.adaptive_limit)
+    }
+
     /// The objective of a service, by the documents in force here.
     pub fn objective_of(&self, service: &str) -> Option<ServiceObjective> {
         self.catalog().document(service).map(|document| document.objective.clone())
--- a/src/process/burn_cause.rs
+++ b/src/process/burn_cause.rs
@@ -25,12 +25,16 @@
     Interference(KindName),
     /// The endpoint took too long by itself, or answered with an error.
     Endpoint,
-    /// No endpoint was left: gone, leaving or ejected.
+    /// No endpoint was left: gone or leaving.
     NoEndpoint,
+    /// Every endpoint was ejected because it failed repeatedly.
+    Ejection,
     /// A process of the system was lost or not reached.
     Process,
-    /// Ownership of the id was not valid, such as in an outage of the table service.
+    /// Ownership of the id was not valid, while the table service answered.
     Ownership,
+    /// Ownership of the id was not valid, while the table service gave no answer.
+    Store,
 }
 
 impl fmt::Display for BurnCause {
@@ -40,6 +44,8 @@
             BurnCause::Interference(kind) => write!(f, "interference/{kind}"),
             BurnCause::Endpoint => write!(f, "endpoint"),
             BurnCause::NoEndpoint => write!(f, "no_endpoint"),
+            BurnCause::Ejection => write!(f, "ejection"),
+            BurnCause::Store => write!(f, "store"),
             BurnCause::Process => write!(f, "process"),
             BurnCause::Ownership => write!(f, "ownership"),
         }
@@ -57,6 +63,8 @@
     pub queued: Duration,
     /// The kind of tasks that slows its endpoint most, with the slowdown.
     pub neighbour: Option<(KindName, f64)>,
+    /// Whether the table service gives no answers.
+    pub store_silent: bool,
 }
 
 /// Whether an event is good, or what made it bad. Nothing for requests that say nothing about the
@@ -77,6 +85,7 @@
 ///     time: Duration::ZERO,
 ///     queued: Duration::ZERO,
 ///     neighbour: None,
+///     store_silent: false,
 /// };
 /// assert_eq!(judge(&ended, Duration::from_secs(1)), Some(Err(BurnCause::Queueing)));
 /// ```
@@ -85,8 +94,20 @@
         RequestOutcome::Answered(answer) if answer.status >= 500 => Some(Err(BurnCause::Endpoint)),
         RequestOutcome::Answered(_) if ended.time <= objective => Some(Ok(())),
         RequestOutcome::Answered(_) => Some(Err(cause_of_lateness(ended))),
-        RequestOutcome::NotRun { reason, .. } => cause_of_refusal(*reason).map(Err),
-        RequestOutcome::Unknown(reason) => cause_of_doubt(*reason).map(Err),
+        RequestOutcome::NotRun { reason, .. } => {
+            cause_of_refusal(*reason).map(|cause| Err(behind(cause, ended)))
+        }
+        RequestOutcome::Unknown(reason) => {
+            cause_of_doubt(*reason).map(|cause| Err(behind(cause, ended)))
+        }
+    }
+}
+
+/// The cause behind a cause: without the table service ownership cannot be renewed.
+fn behind(cause: BurnCause, ended: &EndedRequest<'_>) -> BurnCause {
+    match cause {
+        BurnCause::Ownership if ended.store_silent => BurnCause::Store,
+        cause => cause,
     }
 }
 
@@ -111,6 +132,7 @@
         NotRunReason::NoEndpoint | NotRunReason::EndpointLeaving | NotRunReason::ConnectFailed => {
             Some(BurnCause::NoEndpoint)
         }
+        NotRunReason::EndpointsEjected => Some(BurnCause::Ejection),
         NotRunReason::NoOwner | NotRunReason::LeaseLapsed | NotRunReason::AgentNotReady => {
             Some(BurnCause::Ownership)
         }
@@ -151,6 +173,7 @@
             time: Duration::from_millis(300),
             queued: Duration::from_millis(queued),
             neighbour: neighbour.map(|(kind, slowdown)| (kind.to_string(), slowdown)),
+            store_silent: false,
         };
         let cause = |ended| judge(&ended, Duration::from_millis(100)).unwrap().unwrap_err();
         assert_eq!(cause(late(200, None)), BurnCause::Queueing);
@@ -158,4 +181,19 @@
         assert_eq!(cause(late(10, Some(("roster", 0.5)))), roster);
         assert_eq!(cause(late(10, Some(("roster", 0.01)))), BurnCause::Endpoint);
     }
+
+    #[test]
+    fn a_lapsed_lease_is_blamed_on_the_store_while_it_is_silent() {
+        let outcome = RequestOutcome::not_run(NotRunReason::LeaseLapsed);
+        let refused = |store_silent| EndedRequest {
+            outcome: &outcome,
+            time: Duration::ZERO,
+            queued: Duration::ZERO,
+            neighbour: None,
+            store_silent,
+        };
+        let objective = Duration::from_secs(1);
+        assert_eq!(judge(&refused(true), objective), Some(Err(BurnCause::Store)));
+        assert_eq!(judge(&refused(false), objective), Some(Err(BurnCause::Ownership)));
+    }
 }
--- a/src/process/entry/broker.rs
+++ b/src/process/entry/broker.rs
@@ -21,6 +21,7 @@
 use crate::request::outcome::RequestOutcome;
 use crate::request::outcome::UnknownReason;
 use crate::request::pool_endpoint::EndpointKey;
+use crate::request::pool_endpoint::EndpointLoad;
 use crate::request::pool_endpoint::SlotResult;
 use crate::request::request_id::CLOCK_SKEW;
 use crate::request::request_id::IdAge;
@@ -210,6 +211,7 @@
 struct TryResult {
     outcome: RequestOutcome,
     slot: SlotResult,
+    load: Option<EndpointLoad>,
 }
 
 /// Sends a request to endpoints until one answers, its fate is unknown, or it is given up.
@@ -248,7 +250,7 @@
         };
         trace.worker = Some(key.worker.clone());
         let result = try_endpoint(shared, document, &request, &key, epoch, deadline).await;
-        shared.pools.release(&document.name, &key, result.slot);
+        shared.pools.release(&document.name, &key, result.slot, result.load);
         match result.outcome {
             RequestOutcome::NotRun { reason, .. } if reason.is_retryable() => {
                 // Other entries were quicker, or the agent is about to get its lease: that is a
@@ -323,13 +325,11 @@
     let sent = Instant::now();
     let answer = client.dispatch(call_within(time_left + ANSWER_GRACE), order).await;
     let Ok(reply) = answer else {
-        let outcome = RequestOutcome::Unknown(UnknownReason::AgentSilent);
-        return TryResult { outcome, slot: SlotResult::Failure };
+        return unknown(UnknownReason::AgentSilent);
     };
     let slot = match &reply.outcome {
         RequestOutcome::Answered(answer) if !answer.is_whole() => {
-            let outcome = RequestOutcome::Unknown(UnknownReason::AnswerLost);
-            return TryResult { outcome, slot: SlotResult::Failure };
+            return unknown(UnknownReason::AnswerLost);
         }
         RequestOutcome::Answered(answer) if answer.status >= 500 => SlotResult::Failure,
         RequestOutcome::Answered(_) => SlotResult::Success(sent.elapsed()),
@@ -345,9 +345,14 @@
         RequestOutcome::NotRun { .. } => SlotResult::Neutral,
         RequestOutcome::Unknown(_) => SlotResult::Failure,
     };
-    TryResult { outcome: reply.outcome, slot }
+    TryResult { outcome: reply.outcome, slot, load: reply.load }
 }
 
 fn not_sent(reason: NotRunReason, slot: SlotResult) -> TryResult {
-    TryResult { outcome: RequestOutcome::not_run(reason), slot }
+    TryResult { outcome: RequestOutcome::not_run(reason), slot, load: None }
+}
+
+fn unknown(reason: UnknownReason) -> TryResult {
+    let outcome = RequestOutcome::Unknown(reason);
+    TryResult { outcome, slot: SlotResult::Failure, load: None }
 }
--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -197,6 +197,7 @@
     let is_late = time > objective;
     let worker = ended.trace.worker.as_ref().filter(|_| is_late);
     let event = EndedRequest {
+        store_silent: !shared.view().reads_row(Instant::now()),
         outcome: &ended.outcome,
         time,
         queued: ended.trace.queued,
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod settlement;
 pub mod shared;
 pub mod start_batch;
+pub mod status_desk;
 pub mod task_board;
 pub mod worker_desk;
 
@@ -37,6 +38,7 @@
 use crate::process::entry::membership::MembershipActor;
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::shared::EntryShared;
+use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
 use crate::process::logging::log_event;
 use crate::process::settings::EntrySettings;
@@ -101,9 +103,11 @@
         burn_desk::spawn_flushes(shared.clone());
         let (close, closed) = StopSwitch::new();
         let caller_router = caller_http::router(shared.clone(), scheduler);
-        let caller_server = spawn_http_server(callers, caller_router, closed.clone());
+        let limits = shared.settings.caller_limits;
+        let caller_server = spawn_http_server(callers, caller_router, limits, closed.clone());
         let operator_router = operator_http::router(shared.clone());
-        let operator_server = spawn_http_server(operators, operator_router, closed);
+        let limits = HttpLimits::default();
+        let operator_server = spawn_http_server(operators, operator_router, limits, closed);
         let running = tokio::spawn(async move {
             stop.raised().await;
             drain(&shared, &membership).await;
--- a/src/process/entry/operator_http.rs
+++ b/src/process/entry/operator_http.rs
@@ -30,6 +30,7 @@
 use crate::process::entry::document_desk::DocumentApply;
 use crate::process::entry::document_desk::apply;
 use crate::process::entry::shared::EntryShared;
+use crate::process::entry::status_desk::handle_status;
 use crate::version::catalog::DocumentCatalog;
 use crate::version::catalog::DocumentRow;
 
@@ -74,6 +75,7 @@
     Router::new()
         .route("/v1/documents/{service}", get(handle_show).put(handle_apply))
         .route("/v1/cluster", get(handle_cluster))
+        .route("/v1/status", get(handle_status))
         .route("/v1/workers", get(handle_workers))
         .route("/v1/interference", get(handle_interference))
         .route("/v1/burn", get(handle_burn))
--- a/src/process/entry/pool_set.rs
+++ b/src/process/entry/pool_set.rs
@@ -19,8 +19,10 @@
 use crate::request::deadline_queue::TicketNumber;
 use crate::request::pool_endpoint::AgentPlace;
 use crate::request::pool_endpoint::EndpointKey;
+use crate::request::pool_endpoint::EndpointLoad;
 use crate::request::pool_endpoint::EndpointReport;
 use crate::request::pool_endpoint::SlotResult;
+use crate::request::service_pool::EndpointStatus;
 use crate::request::service_pool::ServicePool;
 use crate::request::service_pool::SlotDecision;
 use crate::request::service_pool::TicketResult;
@@ -97,14 +99,23 @@
         })
     }
 
-    /// Gives a slot back and passes freed slots on.
-    pub fn release(&self, service: &str, key: &EndpointKey, result: SlotResult) {
+    /// Gives a slot back, takes in what the answer says of its endpoint, and passes freed slots on.
+    pub fn release(
+        &self,
+        service: &str,
+        key: &EndpointKey,
+        result: SlotResult,
+        load: Option<EndpointLoad>,
+    ) {
         let now = Instant::now();
         let mut state = self.lock();
         let Some(pool) = state.pools.get_mut(service) else {
             return;
         };
         pool.release(key, result, now);
+        if let Some(load) = load {
+            pool.on_load(key, load, now);
+        }
         let results = pool.poll(now, &mut rand::rng());
         state.deliver(service, results);
     }
@@ -132,6 +143,15 @@
         }
     }
 
+    /// The endpoints of all services as operators see them.
+    pub fn endpoint_statuses(&self) -> Vec<EndpointStatus> {
+        let now = Instant::now();
+        let state = self.lock();
+        let mut services: Vec<(&ServiceName, &ServicePool)> = state.pools.iter().collect();
+        services.sort_by_key(|(service, _)| *service);
+        services.iter().flat_map(|(service, pool)| pool.statuses(service, now)).collect()
+    }
+
     /// Drops the endpoints of a worker whose agent is silent.
     pub fn forget_worker(&self, worker: &str) {
         for pool in self.lock().pools.values_mut() {
--- a/src/process/entry/rpc.rs
+++ b/src/process/entry/rpc.rs
@@ -20,6 +20,7 @@
 use crate::connection::protocol::EntryRpc;
 use crate::connection::protocol::JoinReply;
 use crate::connection::protocol::ServiceRequest;
+use crate::connection::protocol::TeamQueue;
 use crate::connection::protocol::TracedOutcome;
 use crate::connection::protocol::WorkerClaim;
 use crate::connection::rpc_client::framed;
@@ -194,6 +195,10 @@
         self.shared.agents().get(&worker).map(|agent| agent.heard.elapsed())
     }
 
+    async fn team_queues(self, _: Context) -> Vec<TeamQueue> {
+        self.shared.queues()
+    }
+
     async fn job_changed(self, _: Context, job: JobId) {
         // A full mailbox means that a look is due anyway.
         let _ = self.scheduler.tell(SchedulerNews::JobChanged(job)).await;
--- a/src/process/entry/scheduler.rs
+++ b/src/process/entry/scheduler.rs
@@ -120,6 +120,7 @@
             Err(error) => self.note_failure(&error),
         }
         self.read_tasks().await?;
+        self.shared.set_queues(self.board.team_queues(self.shared.clock.wall_millis()));
         self.learn();
         self.close_jobs().await?;
         self.stop_cancelled().await?;
--- a/src/process/entry/shared.rs
+++ b/src/process/entry/shared.rs
@@ -22,6 +22,7 @@
 use crate::connection::protocol::EntryRpcClient;
 use crate::connection::protocol::KindSlowdown;
 use crate::connection::protocol::ProcessReport;
+use crate::connection::protocol::TeamQueue;
 use crate::connection::rpc_client::ConnectionCache;
 use crate::connection::worker_row::WORKER_PREFIX;
 use crate::connection::worker_row::WorkerRow;
@@ -113,6 +114,7 @@
     catalog: RwLock<DocumentCatalog>,
     model: Mutex<Arc<InterferenceModel>>,
     burn: Mutex<BurnLedger>,
+    queues: Mutex<Vec<TeamQueue>>,
     worker_rows: tokio::sync::Mutex<Option<(Instant, Arc<Vec<WorkerRow>>)>>,
     in_flight: AtomicU64,
     catalog_ready: AtomicBool,
@@ -160,6 +162,7 @@
             catalog: RwLock::default(),
             model: Mutex::default(),
             burn: Mutex::default(),
+            queues: Mutex::default(),
             worker_rows: tokio::sync::Mutex::default(),
             in_flight: AtomicU64::new(0),
             catalog_ready: AtomicBool::new(false),
@@ -233,6 +236,16 @@
         slowdowns.collect()
     }
 
+    /// Queues of the teams that this entry schedules, as of its last step.
+    pub fn queues(&self) -> Vec<TeamQueue> {
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Makes known what the scheduler's step found.
+    pub fn set_queues(&self, queues: Vec<TeamQueue>) {
+        *self.queues.lock().unwrap_or_else(PoisonError::into_inner) = queues;
+    }
+
     /// Rows of all workers, read at `since` or later.
     ///
     /// # Errors
--- a/src/process/entry/task_board.rs
+++ b/src/process/entry/task_board.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::protocol::TeamQueue;
 use crate::ids::JobId;
 use crate::ids::PartitionId;
 use crate::ids::RowVersion;
+use crate::ids::TeamName;
 use crate::ids::WorkerId;
 use crate::platform::table::TableError;
 use crate::platform::table::TableRow;
@@ -171,6 +173,31 @@
         })
     }
 
+    /// The queues of all teams that have tasks here, at a time of the wall clock.
+    pub fn team_queues(&self, now_millis: u64) -> Vec<TeamQueue> {
+        let mut queues: BTreeMap<TeamName, TeamQueue> = BTreeMap::new();
+        for task in self.tasks() {
+            let queue = queues
+                .entry(task.team.clone())
+                .or_insert_with(|| TeamQueue { team: task.team.clone(), ..TeamQueue::default() });
+            queue.running += u32::from(matches!(task.state, TaskState::Committed { .. }));
+        }
+        for (_, task) in self.queued() {
+            let Some(queue) = queues.get_mut(&task.team) else {
+                continue;
+            };
+            let waited = now_millis.saturating_sub(task.submitted_millis);
+            queue.queued += 1;
+            queue.urgent += u32::from(task.urgent);
+            queue.longest_wait = queue.longest_wait.max(Duration::from_millis(waited));
+        }
+        queues.into_values().collect()
+    }
+
+    fn tasks(&self) -> impl Iterator<Item = &TaskRow> {
+        self.partitions.values().flat_map(|known| known.tasks.values().map(|task| &task.row))
+    }
+
     /// Running tasks of cancelled jobs, by worker.
     pub fn cancelled_running(&self) -> BTreeMap<WorkerId, Vec<(JobId, u32)>> {
         let mut by_worker: BTreeMap<WorkerId, Vec<(JobId, u32)>> = BTreeMap::new();
@@ -338,6 +365,22 @@
         assert!(board.finished_jobs().is_empty());
     }
 
+    #[test]
+    fn queues_count_what_waits_and_what_runs() {
+        let mut tasks = rows(3);
+        tasks[0].state = TaskState::Committed { worker: "w".to_string() };
+        tasks[1].urgent = true;
+        let queues = board(&tasks).team_queues(5_000);
+        let expected = TeamQueue {
+            team: "t".to_string(),
+            queued: 2,
+            urgent: 1,
+            running: 1,
+            longest_wait: Duration::from_secs(5),
+        };
+        assert_eq!(queues, [expected]);
+    }
+
     #[test]
     fn a_partition_is_due_when_unknown_old_or_distrusted() {
         let now = Instant::now();
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
@@ -15,21 +16,49 @@
 use axum::middleware::from_fn;
 use axum::response::Response;
 use futures::StreamExt;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
 use crate::process::stop_signal::StopSignal;
 
+/// Pause after a connection could not be accepted, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a listener bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpLimits {
+    /// Longest time for a peer to send a request's headers, and to leave its connection idle.
+    pub header_timeout: Duration,
+    /// Connections that are open at once; more wait to be accepted.
+    pub connections: usize,
+}
+
+impl Default for HttpLimits {
+    fn default() -> HttpLimits {
+        HttpLimits { header_timeout: Duration::from_secs(60), connections: 2_000 }
+    }
+}
+
 /// Serves `router` on `listener` until `stop` is raised and the requests in flight have ended.
 ///
 /// ```
+/// use greengagearch::process::http_server::HttpLimits;
 /// use greengagearch::process::http_server::spawn_http_server;
 /// use greengagearch::process::stop_signal::StopSwitch;
 ///
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
 /// let (switch, signal) = StopSwitch::new();
-/// let server = spawn_http_server(listener, axum::Router::new(), signal);
+/// let limits = HttpLimits::default();
+/// let server = spawn_http_server(listener, axum::Router::new(), limits, signal);
 /// switch.stop();
 /// server.await.unwrap();
 /// # });
@@ -37,20 +66,59 @@
 pub fn spawn_http_server(
     listener: TcpListener,
     router: Router,
+    limits: HttpLimits,
     stop: StopSignal,
 ) -> JoinHandle<()> {
+    let router = router.layer(from_fn(close_after_unread));
     tokio::spawn(async move {
-        let listener = axum::serve::ListenerExt::tap_io(listener, |stream| {
-            // The peer has gone already when this fails.
-            let _ = stream.set_nodelay(true);
-        });
-        let serve = axum::serve(listener, router.layer(from_fn(close_after_unread)));
-        let graceful = serve.with_graceful_shutdown(async move { stop.raised().await });
-        // The server never gives an error; the type is for other kinds of listeners.
-        let _ = graceful.await;
+        let connections = GracefulShutdown::new();
+        let accepting = accept_all(&listener, &router, limits, &connections);
+        tokio::select! {
+            () = accepting => {}
+            () = stop.raised() => {}
+        }
+        drop(listener);
+        connections.shutdown().await;
     })
 }
 
+/// Serves each connection in a task of its own.
+async fn accept_all(
+    listener: &TcpListener,
+    router: &Router,
+    limits: HttpLimits,
+    connections: &GracefulShutdown,
+) {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    // The semaphore is never closed.
+    while let Ok(permit) = permits.clone().acquire_owned().await {
+        match listener.accept().await {
+            Ok((stream, _)) => serve(stream, router.clone(), limits, connections, permit),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    router: Router,
+    limits: HttpLimits,
+    connections: &GracefulShutdown,
+    permit: OwnedSemaphorePermit,
+) {
+    // The peer has gone already when this fails.
+    let _ = stream.set_nodelay(true);
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(limits.header_timeout);
+    let service = TowerToHyperService::new(router);
+    let connection = connections.watch(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::spawn(async move {
+        // Errors are the peer's: it went away, was too slow, or sent no HTTP.
+        let _ = connection.await;
+        drop(permit);
+    });
+}
+
 /// Tells the peer to use its connection no more when it is answered before its body was read: what
 /// is left of the body may end the connection under its next request, whose fate it could not tell.
 async fn close_after_unread(request: Request, next: Next) -> Response {
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -10,6 +10,7 @@
 use crate::ids::EntryId;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
+use crate::process::http_server::HttpLimits;
 use crate::process::ini_reader::IniReader;
 use crate::request::placement::PlacementWay;
 
@@ -20,6 +21,8 @@
 /// Writes a second that entries together may send, without a setting: half of what the platform's
 /// service is assumed to bear, since agents write the ends of tasks besides.
 const WRITE_RATE: u64 = 200;
+/// Most connections of callers that a setting may allow.
+const LARGEST_CONNECTIONS: u64 = 1_000_000;
 /// Rates of writes that are allowed.
 const WRITE_RANGE: std::ops::RangeInclusive<u64> = 10..=1_000_000;
 
@@ -50,6 +53,8 @@
     pub write_rate: u64,
     /// Way of choosing a worker for a task.
     pub placement: PlacementWay,
+    /// What the callers' listener bears.
+    pub caller_limits: HttpLimits,
     /// Longest wait for requests in flight when stopping.
     pub drain_limit: Duration,
 }
@@ -82,6 +87,7 @@
             timing: read_timing(&mut reader),
             write_rate: reader.number("platform", "writes-per-second", WRITE_RATE, WRITE_RANGE),
             placement: reader.value("batch", "placement", PlacementWay::default()),
+            caller_limits: read_limits(&mut reader),
             drain_limit: reader.span("entry", "drain-limit", Duration::from_secs(30)),
         };
         reader.finish().or_value(settings)
@@ -176,6 +182,17 @@
         .unwrap_or_default()
 }
 
+fn read_limits(reader: &mut IniReader) -> HttpLimits {
+    let default = HttpLimits::default();
+    let header_timeout = reader.span("entry", "header-timeout", default.header_timeout);
+    if header_timeout.is_zero() {
+        reader.report("entry", "header-timeout", "must be longer than 0s");
+    }
+    let most = default.connections as u64;
+    let connections = reader.number("entry", "connections", most, 1..=LARGEST_CONNECTIONS);
+    HttpLimits { header_timeout, connections: connections as usize }
+}
+
 fn read_key_hashes(reader: &mut IniReader) -> BTreeMap<TeamName, String> {
     let mut hashes = BTreeMap::new();
     for team in reader.keys("team-keys") {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a request or an attempt of a task.
 
+pub mod concurrency_limit;
 pub mod deadline_queue;
 pub mod ejection;
 pub mod id_memory;
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -71,6 +71,8 @@
     UnknownService,
     /// No endpoint of the service is announced.
     NoEndpoint,
+    /// Every endpoint of the service failed repeatedly and is ejected for a while.
+    EndpointsEjected,
     /// The queue is so long that the deadline would pass in it.
     Overloaded,
     /// The caller already has more than its share of a busy queue.
@@ -119,6 +121,7 @@
         match self {
             NotRunReason::UnknownService => "unknown_service",
             NotRunReason::NoEndpoint => "no_endpoint",
+            NotRunReason::EndpointsEjected => "endpoints_ejected",
             NotRunReason::Overloaded => "overloaded",
             NotRunReason::CallerShare => "caller_share",
             NotRunReason::DeadlinePassed => "deadline_passed",
--- a/src/request/pool_endpoint.rs
+++ b/src/request/pool_endpoint.rs
@@ -45,6 +45,15 @@
     pub leaving: bool,
 }
 
+/// What an endpoint runs and may run, as its agent's answers say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// Requests it may run at once at present.
+    pub slots: u32,
+    /// Requests it runs now, of all entries.
+    pub in_flight: u32,
+}
+
 /// Places of one agent's endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgentPlace {
@@ -56,6 +65,17 @@
     pub domain: DomainName,
 }
 
+/// Whether an endpoint takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndpointState {
+    /// It does.
+    Open,
+    /// It failed repeatedly, and gets none or one to probe it.
+    Ejected,
+    /// It is leaving or its announcement lapsed.
+    Leaving,
+}
+
 /// How a request at an endpoint ended, as far as the pool cares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotResult {
@@ -119,6 +139,22 @@
         self.leaving
     }
 
+    /// Requests it may run at once, as last reported.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Whether it takes new requests.
+    pub fn state(&self) -> EndpointState {
+        if self.leaving {
+            EndpointState::Leaving
+        } else if self.is_ejected() {
+            EndpointState::Ejected
+        } else {
+            EndpointState::Open
+        }
+    }
+
     /// Whether it is ejected or being probed.
     pub fn is_ejected(&self) -> bool {
         self.health.is_ejected()
@@ -141,9 +177,14 @@
 
     /// Takes in its agent's report.
     pub fn on_report(&mut self, report: &EndpointReport, now: Instant) {
-        self.slots = report.slots;
         self.leaving = report.leaving;
-        self.foreign = report.in_flight.saturating_sub(self.own);
+        self.on_load(EndpointLoad { slots: report.slots, in_flight: report.in_flight }, now);
+    }
+
+    /// Takes in what an answer says of the endpoint.
+    pub fn on_load(&mut self, load: EndpointLoad, now: Instant) {
+        self.slots = load.slots;
+        self.foreign = load.in_flight.saturating_sub(self.own);
         self.foreign_until = now + REPORT_LIFE;
     }
 
@@ -179,7 +220,8 @@
         }
     }
 
-    fn in_use(&self, now: Instant) -> u32 {
+    /// Requests in flight, of this entry and, as far as they are known, of others.
+    pub fn in_use(&self, now: Instant) -> u32 {
         let foreign = if now < self.foreign_until { self.foreign } else { 0 };
         self.own + foreign
     }
--- a/src/request/service_pool.rs
+++ b/src/request/service_pool.rs
@@ -5,15 +5,20 @@
 use std::time::Instant;
 
 use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::ids::DomainName;
+use crate::ids::ServiceName;
 use crate::request::deadline_queue::DeadlineQueue;
 use crate::request::deadline_queue::QueuedRequest;
 use crate::request::deadline_queue::TicketNumber;
 use crate::request::outcome::NotRunReason;
 use crate::request::pool_endpoint::AgentPlace;
 use crate::request::pool_endpoint::EndpointKey;
+use crate::request::pool_endpoint::EndpointLoad;
 use crate::request::pool_endpoint::EndpointReport;
+use crate::request::pool_endpoint::EndpointState;
 use crate::request::pool_endpoint::PoolEndpoint;
 use crate::request::pool_endpoint::SlotResult;
 use crate::request::pool_endpoint::blend;
@@ -60,6 +65,21 @@
     pub decision: SlotDecision,
 }
 
+/// An endpoint as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// The service it serves.
+    pub service: ServiceName,
+    /// Where it is announced.
+    pub key: EndpointKey,
+    /// Requests it may run at once at present.
+    pub slots: u32,
+    /// Requests it runs, as far as this entry knows.
+    pub in_flight: u32,
+    /// Whether it takes new requests.
+    pub state: EndpointState,
+}
+
 /// Endpoints and queue of one service.
 #[derive(Debug)]
 pub struct ServicePool {
@@ -130,6 +150,26 @@
         self.endpoints.values().filter(|endpoint| !endpoint.is_leaving()).count()
     }
 
+    /// The endpoints as operators see them, under the name of the service.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// assert!(pool.statuses("spots", Instant::now()).is_empty());
+    /// ```
+    pub fn statuses(&self, service: &str, now: Instant) -> Vec<EndpointStatus> {
+        let all = self.endpoints.iter().map(|(key, endpoint)| EndpointStatus {
+            service: service.to_string(),
+            key: key.clone(),
+            slots: endpoint.slots(),
+            in_flight: endpoint.in_use(now),
+            state: endpoint.state(),
+        });
+        all.collect()
+    }
+
     /// Takes in an agent's report of its endpoints of this service; those it leaves out, and those
     /// of the agent's earlier runs, are gone.
     ///
@@ -194,7 +234,7 @@
         }
         let slots = self.usable_slots(now);
         if slots == 0 {
-            return (refused(NotRunReason::NoEndpoint, NO_ENDPOINT_HINT), None);
+            return (self.refuse_without_slots(), None);
         }
         self.enqueue(request, slots, now)
     }
@@ -222,6 +262,23 @@
         }
     }
 
+    /// Takes in what an answer says of its endpoint.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use greengagearch::request::routing::RoutingWay;
+    /// # use greengagearch::request::pool_endpoint::{EndpointKey, EndpointLoad};
+    /// # use greengagearch::request::service_pool::ServicePool;
+    /// let mut pool = ServicePool::new(RoutingWay::Random, "wien-a".into(), 0.1);
+    /// let key = EndpointKey { worker: "w1".into(), endpoint: "r1".into(), incarnation: 1 };
+    /// pool.on_load(&key, EndpointLoad { slots: 8, in_flight: 3 }, Instant::now());
+    /// ```
+    pub fn on_load(&mut self, key: &EndpointKey, load: EndpointLoad, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.on_load(load, now);
+        }
+    }
+
     /// Gives free slots to waiting requests and refuses those whose time is up.
     ///
     /// ```
@@ -330,13 +387,23 @@
 
     fn refuse_waiting(&self, ticket: TicketNumber, now: Instant) -> TicketResult {
         let decision = if self.usable_slots(now) == 0 {
-            refused(NotRunReason::NoEndpoint, NO_ENDPOINT_HINT)
+            self.refuse_without_slots()
         } else {
             refused(NotRunReason::DeadlinePassed, self.mean_time())
         };
         TicketResult { ticket, decision }
     }
 
+    fn refuse_without_slots(&self) -> SlotDecision {
+        let is_ejected = |one: &PoolEndpoint| one.state() == EndpointState::Ejected;
+        let reason = if self.endpoints.values().any(is_ejected) {
+            NotRunReason::EndpointsEjected
+        } else {
+            NotRunReason::NoEndpoint
+        };
+        refused(reason, NO_ENDPOINT_HINT)
+    }
+
     fn usable_slots(&self, now: Instant) -> u32 {
         self.endpoints.values().map(|one| one.usable_slots(now)).sum()
     }
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -40,6 +40,8 @@
     pub largest_body: usize,
     /// Way of choosing an endpoint.
     pub routing: RoutingWay,
+    /// Whether an endpoint's slots are bounded by what is learned of it.
+    pub adaptive_limit: bool,
     /// Retries after lost answers, as a share of the requests.
     pub retry_share: f64,
 }
@@ -125,6 +127,7 @@
         largest_deadline,
         largest_body: reader.number("requests", "largest-body", 65_536, 1..=LARGEST_BODY) as usize,
         routing: reader.value("guards", "routing", RoutingWay::default()),
+        adaptive_limit: reader.flag("guards", "adaptive-limit", false),
         retry_share,
     }
 }
--- a/standins/src/bin/gga-experiment.rs
+++ b/standins/src/bin/gga-experiment.rs
@@ -8,7 +8,8 @@
 use greengagearch::cli::version_text;
 use greengagearch::error::Error;
 use greengagearch::process::program::finish;
-use greengagearch_standins::experiments;
+use greengagearch_standins::experiments::batch;
+use greengagearch_standins::experiments::requests;
 
 const BRIEF: &str = "Runs experiments with real processes on this machine.
 
@@ -19,8 +20,10 @@
     routing    ways of choosing an endpoint, at 50, 80 and 95 % of all slots
     routing-slow  the same with a slow endpoint only
     overload   answers in time at three times the capacity
+    limit      answers in time of endpoints that declare more slots than they have cores
     takeover   time until a dead entry's partitions are served again
     documents  time until a document is in force everywhere
+    documents-outage  the same, with the table service down after the acceptance
     placement  ways of choosing a worker, beside services that suffer
     placement-short  the same, at one size
     placement-steady two of them, with pairs that do not drift
@@ -50,18 +53,20 @@
     }
     for name in &matches.free {
         match name.as_str() {
-            "latency" => experiments::latency().await,
-            "rate" => experiments::rate().await,
-            "routing" => experiments::routing().await,
-            "routing-slow" => experiments::routing_slow().await,
-            "overload" => experiments::overload().await,
-            "takeover" => experiments::takeover().await,
-            "documents" => experiments::documents().await,
-            "placement" => experiments::placement().await,
-            "placement-steady" => experiments::placement_steady().await,
-            "placement-short" => experiments::placement_short().await,
-            "urgent" => experiments::urgent().await,
-            "recovery" => experiments::recovery().await,
+            "latency" => requests::latency().await,
+            "rate" => requests::rate().await,
+            "routing" => requests::routing().await,
+            "routing-slow" => requests::routing_slow().await,
+            "overload" => requests::overload().await,
+            "limit" => requests::limit().await,
+            "takeover" => requests::takeover().await,
+            "documents" => requests::documents().await,
+            "documents-outage" => requests::documents_outage().await,
+            "placement" => batch::placement().await,
+            "placement-steady" => batch::placement_steady().await,
+            "placement-short" => batch::placement_short().await,
+            "urgent" => batch::urgent().await,
+            "recovery" => batch::recovery().await,
             other => {
                 return Err(Error::Usage { message: format!("unknown experiment '{other}'") });
             }
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -71,6 +71,7 @@
             time: Duration::from_millis(10),
             spread: Duration::ZERO,
             fails: false,
+            ..Default::default()
         };
         DeploymentPlan {
             entries: 1,
--- a/standins/src/local.rs
+++ b/standins/src/local.rs
@@ -135,8 +135,12 @@
             AgentSettings::parse("local", &text).map_err(|findings| Error::Invalid { findings })?;
         let control = Arc::new(HttpWorker::open(&worker.address.to_string()));
         let agent = AgentProcess::bind(settings, table, Some(control), stop).await?;
-        let behaviour =
-            RunnerBehaviour { time: REQUEST_TIME, spread: REQUEST_SPREAD, fails: false };
+        let behaviour = RunnerBehaviour {
+            time: REQUEST_TIME,
+            spread: REQUEST_SPREAD,
+            fails: false,
+            ..Default::default()
+        };
         for service in &self.services {
             let endpoint = format!("{name}-{service}");
             let journal = self.requests.clone();
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -28,7 +28,7 @@
 const ANNOUNCEMENT_TTL: Duration = Duration::from_millis(3_000);
 
 /// How a runner behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RunnerBehaviour {
     /// Shortest time for a request.
     pub time: Duration,
@@ -36,6 +36,15 @@
     pub spread: Duration,
     /// Whether every request fails at once.
     pub fails: bool,
+    /// Cores that the requests in flight share; nothing when each has one of its own.
+    pub cores: Option<u32>,
+}
+
+impl RunnerBehaviour {
+    /// By how much a request takes longer with this many in flight.
+    fn crowding(&self, in_flight: u64) -> f64 {
+        self.cores.map_or(1.0, |cores| (in_flight as f64 / f64::from(cores)).max(1.0))
+    }
 }
 
 /// How tasks on the same worker slow a runner down: each kind by its true slowdown.
@@ -222,7 +231,7 @@
     let spread = behaviour.spread.as_micros() as u64;
     let extra = if spread == 0 { 0 } else { rand::random_range(0..spread) };
     let work = behaviour.time + Duration::from_micros(extra);
-    let work = work.mul_f64(runner.factor());
+    let work = work.mul_f64(runner.factor() * behaviour.crowding(in_flight));
     if !work.is_zero() {
         tokio::time::sleep(work).await;
     }
--- a/tests/colocation.rs
+++ b/tests/colocation.rs
@@ -141,7 +141,12 @@
         let answer = caller.send(entry.address("callers"), "spots", None, limit, "b").await;
         assert!(answer.is_own_answer(), "{answer:?}");
     }
-    let fails = RunnerBehaviour { time: Duration::ZERO, spread: Duration::ZERO, fails: true };
+    let fails = RunnerBehaviour {
+        time: Duration::ZERO,
+        spread: Duration::ZERO,
+        fails: true,
+        ..Default::default()
+    };
     runner.set_behaviour(fails);
     let failed = caller.send(entry.address("callers"), "spots", None, limit, "b").await;
     assert_eq!(failed.status, 500);
--- a/tests/document_faults.rs
+++ b/tests/document_faults.rs
@@ -4,6 +4,7 @@
 
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
 use env::DOCUMENT;
 use env::TEAM_KEY;
@@ -11,6 +12,8 @@
 use env::apply;
 use env::apply_as;
 use env::get;
+use env::job;
+use env::submit;
 use env::until;
 use greengagearch_standins::processes::ProductProcess;
 use greengagearch_standins::table_service::TableFault;
@@ -246,6 +249,40 @@
     assert!(refused.err.contains("unavailable"), "{}", refused.err);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn ctl_shows_endpoints_workers_and_queues_and_what_is_missing() {
+    let (mut env, entries) = open(2).await;
+    env.apply_document(&entries[0]).await;
+    let host = env.spawn_host("w1").await;
+    let runner = env.spawn_runner(&host, Duration::ZERO).await;
+    env.until_serving(&entries[0]).await;
+    let callers = entries[0].address("callers");
+    // The host has room for four of them.
+    assert_eq!(submit(callers, &job("j", 6, 60_000)).await.0, 201);
+    let operators = entries[0].address("operators").to_string();
+    let expected = [
+        "endpoint service=spots worker=w1 name=w1-r state=open slots=8",
+        "worker name=w1 domain=wien-a rack=r1 heard=true tasks=4 free=0.0c",
+        "queue team=traffic queued=2 urgent=0 running=4",
+    ];
+    until("all is shown", async || {
+        let shown = ctl(&["show", "--entry", &operators]).await.out;
+        expected.iter().all(|line| shown.contains(line))
+    })
+    .await;
+    runner.leave(host.agent.address("endpoints")).await;
+    until("the endpoint is shown as leaving", async || {
+        ctl(&["show", "--entry", &operators]).await.out.contains("name=w1-r state=leaving")
+    })
+    .await;
+    env.table.set_fault(TableFault::Down);
+    until("the gap is shown", async || {
+        let shown = ctl(&["show", "--entry", &operators]).await;
+        shown.status == 0 && shown.out.contains("missing workers reason=table_service")
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_are_checked_as_a_whole() {
     let file =
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod bookings;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -44,6 +46,8 @@
     pub requests: RunJournal,
     /// What workers ran.
     pub tasks: TaskJournal,
+    /// Lines of the entry's own section in the settings of each entry.
+    pub entry_keys: String,
     /// Lines that the settings of each entry end with.
     pub entry_lines: String,
     folder: SettingsFolder,
@@ -66,6 +70,7 @@
             balancer: FaultProxy::bind(&[]).await,
             requests: RunJournal::default(),
             tasks: TaskJournal::default(),
+            entry_keys: String::new(),
             entry_lines:
                 "[timing]\nentry-beat = 100ms\nagent-beat = 200ms\nlongest-grant-only = 8s\n"
                     .to_string(),
@@ -96,9 +101,9 @@
     fn spawn_entry_with(&mut self, id: &str, table: SocketAddr, lines: &str) -> ProductProcess {
         let hash = key_hash(TEAM_KEY.as_bytes());
         let text = format!(
-            "[entry]\nid = {id}\ndomain = wien-a\nbalancer = {}\n{lines}[platform]\ntable = {table}\n\
-             [team-keys]\ntraffic = {hash}\nplanning = {hash}\n{}",
-            self.balancer.address, self.entry_lines,
+            "[entry]\nid = {id}\ndomain = wien-a\nbalancer = {}\n{lines}{}[platform]\n\
+             table = {table}\n[team-keys]\ntraffic = {hash}\nplanning = {hash}\n{}",
+            self.balancer.address, self.entry_keys, self.entry_lines,
         );
         let file = self.folder.write(&text);
         ProductProcess::spawn(Path::new(env!("CARGO_BIN_EXE_gga-entry")), &file)
@@ -135,7 +140,8 @@
 
     /// Starts a runner of the service `spots` beside an agent.
     pub async fn spawn_runner(&self, host: &TestHost, time: Duration) -> Runner {
-        let behaviour = RunnerBehaviour { time, spread: Duration::ZERO, fails: false };
+        let behaviour =
+            RunnerBehaviour { time, spread: Duration::ZERO, fails: false, ..Default::default() };
         let agent = host.agent.address("endpoints");
         let name = format!("{}-r", host.name);
         Runner::spawn(&name, "spots", 8, agent, behaviour, self.requests.clone()).await
