Put accepted documents in force at once, and number heartbeats

Cause: the new experiment with the table service down right after the acceptance never ended. The entry that accepted a change read it back from the table service like everybody else, so that a change accepted right before an outage was in force nowhere until it was over.

Change: the entry catches up to the generation before, commits, and adopts the change itself; peers and agents get it from there.

Cause, found by printing who was behind: one entry kept some agents at the old generation until their next heartbeat. Calls of one connection run side by side and the newest starts first, so that the heartbeat an agent sends when it is told overtakes nothing, but is overtaken by the one it sends with the change. Ruled out: the push to agents, and the entries, which all had the change within 10 ms. Heartbeats are numbered now, the number being taken before the state is read; entries' generations only rise. The same had put back other state, such as an endpoint's leaving, for one heartbeat; agents refuse to those by themselves, so that no promise was broken.

An entry sends a heartbeat as soon as a change is in force there.

--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -38,6 +38,9 @@
     pub worker: WorkerId,
     /// The run of its agent.
     pub incarnation: IncarnationId,
+    /// Position among the heartbeats of this run. The state in a heartbeat is no older than that in any
+    /// with a smaller number; heartbeats may overtake each other.
+    pub number: u64,
     /// Epoch of the worker's lease as the agent knows it; zero before it has one.
     pub epoch: LeaseEpoch,
     /// Failure domain of the worker.
--- a/src/process/agent/heartbeat.rs
+++ b/src/process/agent/heartbeat.rs
@@ -64,6 +64,8 @@
 }
 
 fn beat_of(shared: &AgentShared, samples: Vec<InterferenceSample>) -> AgentBeat {
+    // Before any state is read, so that a higher number never carries older state.
+    let number = shared.next_beat_number();
     let mut endpoints = shared.endpoints().reports(Instant::now());
     if shared.is_draining() {
         endpoints.iter_mut().for_each(|endpoint| endpoint.leaving = true);
@@ -71,6 +73,7 @@
     AgentBeat {
         worker: shared.settings.worker.clone(),
         incarnation: shared.incarnation,
+        number,
         epoch: shared.epoch(),
         domain: shared.settings.domain.clone(),
         group: shared.settings.domain.clone(),
--- a/src/process/agent/shared.rs
+++ b/src/process/agent/shared.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -79,6 +80,7 @@
     pub entry_connections: ConnectionCache<EntryRpcClient>,
     /// Asks for a heartbeat out of turn.
     pub beat_now: Notify,
+    beat_count: AtomicU64,
     endpoints: Mutex<EndpointTable>,
     journal: Mutex<RequestJournal>,
     running: Mutex<HashMap<RequestId, watch::Receiver<Option<RequestOutcome>>>>,
@@ -113,6 +115,7 @@
             metrics: ProcessMetrics::open(),
             entry_connections: ConnectionCache::default(),
             beat_now: Notify::new(),
+            beat_count: AtomicU64::new(0),
             endpoints: Mutex::default(),
             journal: Mutex::new(RequestJournal::new(clock.wall())),
             clock,
@@ -283,6 +286,11 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Number of the next heartbeat.
+    pub fn next_beat_number(&self) -> u64 {
+        self.beat_count.fetch_add(1, Ordering::AcqRel) + 1
+    }
+
     /// Time between two heartbeats.
     pub fn beat_interval(&self) -> Duration {
         self.map().timing.agent_beat()
--- a/src/process/entry/catalog_sync.rs
+++ b/src/process/entry/catalog_sync.rs
@@ -49,14 +49,34 @@
     let Some(set) = set else {
         return false;
     };
+    put_in_force(shared, set);
+    shared.set_catalog_ready();
+    true
+}
+
+/// Brings the documents up to date with the table service, so that a change can be put in force right
+/// after it is committed.
+///
+/// # Errors
+///
+/// As the table service gives them.
+pub async fn catch_up(shared: &Arc<EntryShared>) -> Result<(), TableError> {
+    let own = shared.with_catalog(DocumentCatalog::generation);
+    let set = read_table(shared, own).await?;
+    put_in_force(shared, set);
+    Ok(())
+}
+
+/// Puts newer documents in force and tells peers and agents.
+pub fn put_in_force(shared: &Arc<EntryShared>, set: DocumentSet) {
     let generation = set.generation;
     if shared.change_catalog(|catalog| catalog.adopt(set)) {
         shared.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         log_event(Level::Info, "in_force", &[("generation", &generation)]);
         tell_agents(shared, generation);
+        // Peers learn of it, or hear that it is in force here too.
+        shared.beat_members();
     }
-    shared.set_catalog_ready();
-    true
 }
 
 /// Tells the agents of the workers that this entry looks after; the others, and those that miss it,
--- a/src/process/entry/document_desk.rs
+++ b/src/process/entry/document_desk.rs
@@ -1,5 +1,7 @@
 //! Applies documents by compare-and-swap on their revision.
 
+use std::sync::Arc;
+
 use snafu::Snafu;
 
 use crate::findings::ConfigFinding;
@@ -11,9 +13,13 @@
 use crate::platform::table::TableRow;
 use crate::platform::table::TableTransaction;
 use crate::platform::write_budget::WritePriority;
+use crate::process::entry::catalog_sync::catch_up;
+use crate::process::entry::catalog_sync::put_in_force;
 use crate::process::entry::shared::EntryShared;
+use crate::version::catalog::DocumentCatalog;
 use crate::version::catalog::DocumentChange;
 use crate::version::catalog::DocumentRow;
+use crate::version::catalog::DocumentSet;
 use crate::version::catalog::GENERATION_KEY;
 use crate::version::catalog::document_key;
 use crate::version::document::ServiceDocument;
@@ -97,7 +103,7 @@
 ///
 /// Why it was not accepted; [`ApplyError::Ambiguous`] when that is not known.
 pub async fn apply(
-    shared: &EntryShared,
+    shared: &Arc<EntryShared>,
     apply: &DocumentApply,
 ) -> Result<AcceptedChange, ApplyError> {
     let document = ServiceDocument::parse(&apply.service, &apply.text)
@@ -123,10 +129,7 @@
         }
         let version = current.map_or(0, |row| row.version);
         match commit(shared, apply, row, version).await {
-            Ok(accepted) => {
-                shared.catalog_news.notify_one();
-                return Ok(accepted);
-            }
+            Ok(accepted) => return Ok(accepted),
             // The next round reads what came of it.
             Err(TableError::Ambiguous) => is_ambiguous = true,
             Err(TableError::Conflict { .. }) => {}
@@ -173,14 +176,19 @@
 }
 
 async fn commit(
-    shared: &EntryShared,
+    shared: &Arc<EntryShared>,
     apply: &DocumentApply,
     mut row: DocumentRow,
     version: u64,
 ) -> Result<AcceptedChange, TableError> {
+    // Everything before the change must be in force here, so that the change itself can be.
+    catch_up(shared).await?;
     let current = shared.table.get(GENERATION_KEY).await?;
     let generation: GenerationNumber =
         current.as_ref().map(TableRow::decode).transpose()?.unwrap_or(0);
+    if generation != shared.with_catalog(DocumentCatalog::generation) {
+        return Err(TableError::Conflict { key: GENERATION_KEY.to_string() });
+    }
     let accepted = AcceptedChange { revision: row.revision() + 1, generation: generation + 1 };
     row.text = apply.text.clone();
     row.history.push(DocumentChange {
@@ -197,5 +205,7 @@
     let generation_version = current.map_or(0, |row| row.version);
     transaction.put(GENERATION_KEY, generation_version, &accepted.generation);
     shared.table.commit(transaction).await?;
+    // From here on the table service may be gone: peers and agents get the change from this entry.
+    put_in_force(shared, DocumentSet { generation: accepted.generation, rows: vec![row] });
     Ok(accepted)
 }
--- a/src/process/entry/membership.rs
+++ b/src/process/entry/membership.rs
@@ -234,8 +234,8 @@
     let beat_shared = shared.clone();
     tokio::spawn(async move {
         loop {
-            let beat = beat_of(&beat_shared);
-            beat_shared.beat_members(beat).await;
+            beat_shared.beat_members();
+            tokio::time::sleep(beat_shared.beat_interval()).await;
         }
     });
     tokio::spawn(async move {
@@ -266,8 +266,9 @@
         view.map().timing.entry_beat()
     }
 
-    /// Sends one heartbeat to each other member without waiting for the answers, then pauses.
-    async fn beat_members(self: &Arc<Self>, beat: EntryBeat) {
+    /// Sends one heartbeat to each other member without waiting for the answers.
+    pub fn beat_members(self: &Arc<Self>) {
+        let beat = beat_of(self);
         let members = self.view().map().members.clone();
         for member in members {
             if member.incarnation != self.member.incarnation {
@@ -283,7 +284,6 @@
                 }
             }
         }
-        tokio::time::sleep(self.beat_interval()).await;
     }
 
     async fn beat_member(&self, member: &EntryMember, beat: EntryBeat) {
--- a/src/process/entry/rpc.rs
+++ b/src/process/entry/rpc.rs
@@ -38,7 +38,6 @@
 use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::AgentNews;
 use crate::process::entry::shared::EntryShared;
-use crate::process::entry::shared::PeerNews;
 use crate::process::rpc_server::spawn_accept_loop;
 use crate::request::outcome::RequestOutcome;
 use crate::request::outcome::UnknownReason;
@@ -102,10 +101,12 @@
         }
     }
 
-    /// Records what a heartbeat tells of its agent; gives whether the agent is the newest run.
+    /// Records what a heartbeat tells of its agent; gives whether it is the newest of the
+    /// agent's newest run.
     fn take_news(&self, beat: &AgentBeat, place: &AgentPlace) -> bool {
-        let news = AgentNews {
+        let mut news = AgentNews {
             place: place.clone(),
+            number: beat.number,
             address: beat.address.clone(),
             epoch: beat.epoch,
             generation: beat.generation,
@@ -114,18 +115,15 @@
             services: beat.endpoints.iter().map(|one| one.service.clone()).collect(),
             heard: Instant::now(),
         };
-        let mut news = news;
         let mut agents = self.shared.agents();
         if let Some(known) = agents.get(&beat.worker) {
+            if !news.replaces(known) {
+                return false;
+            }
             if beat.samples.is_empty() {
                 news.kinds.clone_from(&known.kinds);
             }
-            let is_other = known.place.incarnation != beat.incarnation;
-            // A run that lost its worker's lease may still be sending.
-            if is_other && known.registered && beat.epoch < known.epoch {
-                return false;
-            }
-            if is_other {
+            if known.place.incarnation != beat.incarnation {
                 self.shared.agent_connections.drop_client(&known.address);
             }
         }
@@ -154,8 +152,7 @@
 
     async fn entry_beat(self, _: Context, beat: EntryBeat) -> BeatReply {
         let now = Instant::now();
-        let news = PeerNews { id: beat.member.id.clone(), generation: beat.generation, heard: now };
-        self.shared.peers().insert(beat.member.incarnation, news);
+        self.shared.on_peer_beat(&beat, now);
         self.shared.view().on_heard(beat.member.incarnation, now);
         let lease = entry_lease(&beat.member);
         let request = GrantRequest { lease: &lease, epoch: 0, generation: beat.map_generation };
--- a/src/process/entry/shared.rs
+++ b/src/process/entry/shared.rs
@@ -19,6 +19,7 @@
 use crate::connection::cluster_map::EntryMember;
 use crate::connection::cluster_view::ClusterView;
 use crate::connection::protocol::AgentRpcClient;
+use crate::connection::protocol::EntryBeat;
 use crate::connection::protocol::EntryRpcClient;
 use crate::connection::protocol::KindSlowdown;
 use crate::connection::protocol::ProcessReport;
@@ -57,6 +58,8 @@
 pub struct AgentNews {
     /// Worker, incarnation and domain.
     pub place: AgentPlace,
+    /// Number of the heartbeat.
+    pub number: u64,
     /// Address of its internal listener.
     pub address: String,
     /// Epoch of its worker's lease.
@@ -73,6 +76,18 @@
     pub heard: Instant,
 }
 
+impl AgentNews {
+    /// Whether these news are newer than the known ones of the same worker: from a later heartbeat of
+    /// the same run, or from another run that does not hold an older lease than the known one.
+    pub fn replaces(&self, known: &AgentNews) -> bool {
+        if self.place.incarnation == known.place.incarnation {
+            return self.number > known.number;
+        }
+        // A run that lost its worker's lease may still be sending.
+        !known.registered || self.epoch >= known.epoch
+    }
+}
+
 /// What an entry last heard of another entry.
 #[derive(Clone, Debug)]
 pub struct PeerNews {
@@ -186,6 +201,16 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in what another entry's heartbeat tells of it; heartbeats may overtake each other, and
+    /// generations only rise.
+    pub fn on_peer_beat(&self, beat: &EntryBeat, now: Instant) {
+        let mut peers = self.peers();
+        let known = peers.get(&beat.member.incarnation).map_or(0, |known| known.generation);
+        let generation = known.max(beat.generation);
+        let news = PeerNews { id: beat.member.id.clone(), generation, heard: now };
+        peers.insert(beat.member.incarnation, news);
+    }
+
     /// Reads the documents in force.
     pub fn with_catalog<T>(&self, read: impl FnOnce(&DocumentCatalog) -> T) -> T {
         read(&self.catalog.read().unwrap_or_else(PoisonError::into_inner))
@@ -369,3 +394,35 @@
 pub fn new_incarnation() -> IncarnationId {
     rand::random_range(1..=IncarnationId::MAX)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn news(incarnation: IncarnationId, number: u64, epoch: LeaseEpoch) -> AgentNews {
+        AgentNews {
+            place: AgentPlace { worker: "w".to_string(), incarnation, domain: String::new() },
+            number,
+            address: String::new(),
+            epoch,
+            generation: 0,
+            registered: true,
+            kinds: BTreeMap::new(),
+            services: Vec::new(),
+            heard: Instant::now(),
+        }
+    }
+
+    #[test]
+    fn a_heartbeat_that_was_overtaken_says_nothing_new() {
+        assert!(news(1, 3, 1).replaces(&news(1, 2, 1)));
+        assert!(!news(1, 2, 1).replaces(&news(1, 3, 1)));
+        assert!(!news(1, 3, 1).replaces(&news(1, 3, 1)));
+    }
+
+    #[test]
+    fn a_new_run_replaces_the_old_one_and_not_the_other_way_round() {
+        assert!(news(2, 1, 2).replaces(&news(1, 9, 1)));
+        assert!(!news(1, 10, 1).replaces(&news(2, 1, 2)));
+    }
+}
--- a/tests/document_faults.rs
+++ b/tests/document_faults.rs
@@ -100,6 +100,29 @@
     until_generation(&entries[1], 2).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_document_comes_into_force_though_the_table_service_goes_down_at_once() {
+    let (mut env, entries) = open(2).await;
+    env.apply_document(&entries[0]).await;
+    let host = env.spawn_host("w1").await;
+    until_generation(&entries[1], 1).await;
+    for base in 1..10 {
+        let operators = entries[base % 2].address("operators");
+        let (text, token) = (edited(&base.to_string()), base.to_string());
+        let accepted = apply(operators, "spots", &text, base as u64, &token).await;
+        env.table.set_fault(TableFault::Down);
+        assert_eq!(accepted.0, 200, "{accepted:?}");
+        for entry in &entries {
+            until_generation(entry, base as u64 + 1).await;
+        }
+        until("the agent has it too", async || {
+            host.agent.metric("endpoints", "gga_generation").await == base as f64 + 1.0
+        })
+        .await;
+        env.table.set_fault(TableFault::None);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_that_starts_in_an_outage_takes_the_newest_documents_of_its_peers() {
     let (mut env, entries) = open(2).await;
