--- a/src/process/entry/catalog_sync.rs
+++ b/src/process/entry/catalog_sync.rs
@@ -138,6 +138,10 @@
         .collect();
     // A new process knows no members while the table service is down.
     addresses.extend(shared.settings.balancer.map(|address| address.to_string()));
+    if let Some(balancer) = shared.settings.balancer {
+        // It shall choose anew: the last choice may have been this entry itself.
+        shared.entry_connections.drop_client(&balancer.to_string());
+    }
     let mut newest: Option<DocumentSet> = None;
     for address in addresses {
         let Ok(client) = shared.entry_connections.client(&address).await else {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod proxy;
 pub mod runner;
 pub mod table_service;
+pub mod traffic;
 pub mod worker;
--- a/standins/src/local.rs
+++ b/standins/src/local.rs
@@ -37,7 +37,7 @@
 /// Slots of a runner.
 pub const RUNNER_SLOTS: u32 = 8;
 /// What a worker has.
-const HOST: ResourceAmount =
+pub const HOST: ResourceAmount =
     ResourceAmount { millicores: 16_000, memory_mib: 60_000, accelerators: 0 };
 /// Shortest time of a request at a runner.
 const REQUEST_TIME: Duration = Duration::from_millis(5);
