Give what entries hear of processes a module of its own

Change: AgentNews and PeerNews with their rule and tests are process_news.rs; EndpointStatus stands with the endpoint.

--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod operator_http;
 pub mod pool_set;
+pub mod process_news;
 pub mod rpc;
 pub mod scheduler;
 pub mod settlement;
--- a/src/process/entry/shared.rs
+++ b/src/process/entry/shared.rs
@@ -27,10 +27,7 @@
 use crate::connection::rpc_client::ConnectionCache;
 use crate::connection::worker_row::WORKER_PREFIX;
 use crate::connection::worker_row::WorkerRow;
-use crate::ids::GenerationNumber;
 use crate::ids::IncarnationId;
-use crate::ids::LeaseEpoch;
-use crate::ids::ServiceName;
 use crate::ids::WorkerId;
 use crate::platform::paced_table::PacedTable;
 use crate::platform::table::TableError;
@@ -39,12 +36,13 @@
 use crate::process::clock::SteadyClock;
 use crate::process::entry::ledger_desk::LedgerDesk;
 use crate::process::entry::pool_set::PoolSet;
+use crate::process::entry::process_news::AgentNews;
+use crate::process::entry::process_news::PeerNews;
 use crate::process::interference::InterferenceModel;
 use crate::process::interference::InterferenceSample;
 use crate::process::interference::KindName;
 use crate::process::metrics::ProcessMetrics;
 use crate::process::settings::EntrySettings;
-use crate::request::pool_endpoint::AgentPlace;
 use crate::version::catalog::DocumentCatalog;
 
 /// Time after which an entry that was not heard of is forgotten.
@@ -53,52 +51,6 @@
 /// Smallest rate of writes in writes a second that an entry gets, however many there are.
 const SMALLEST_WRITE_SHARE: f64 = 4.0;
 
-/// What an entry last heard of an agent.
-#[derive(Clone, Debug)]
-pub struct AgentNews {
-    /// Worker, incarnation and domain.
-    pub place: AgentPlace,
-    /// Number of the heartbeat.
-    pub number: u64,
-    /// Address of its internal listener.
-    pub address: String,
-    /// Epoch of its worker's lease.
-    pub epoch: LeaseEpoch,
-    /// Generation in force there.
-    pub generation: GenerationNumber,
-    /// Whether it may take non-idempotent requests.
-    pub registered: bool,
-    /// Kinds of the tasks that ran on its worker at its newest sample, with the number of each.
-    pub kinds: BTreeMap<KindName, u32>,
-    /// Services of its endpoints.
-    pub services: Vec<ServiceName>,
-    /// When it was heard of.
-    pub heard: Instant,
-}
-
-impl AgentNews {
-    /// Whether these news are newer than the known ones of the same worker: from a later heartbeat of
-    /// the same run, or from another run that does not hold an older lease than the known one.
-    pub fn replaces(&self, known: &AgentNews) -> bool {
-        if self.place.incarnation == known.place.incarnation {
-            return self.number > known.number;
-        }
-        // A run that lost its worker's lease may still be sending.
-        !known.registered || self.epoch >= known.epoch
-    }
-}
-
-/// What an entry last heard of another entry.
-#[derive(Clone, Debug)]
-pub struct PeerNews {
-    /// Its name.
-    pub id: String,
-    /// Generation in force there.
-    pub generation: GenerationNumber,
-    /// When it was heard of.
-    pub heard: Instant,
-}
-
 /// State that the parts of an entry share.
 pub struct EntryShared {
     /// Settings of the entry.
@@ -394,35 +346,3 @@
 pub fn new_incarnation() -> IncarnationId {
     rand::random_range(1..=IncarnationId::MAX)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn news(incarnation: IncarnationId, number: u64, epoch: LeaseEpoch) -> AgentNews {
-        AgentNews {
-            place: AgentPlace { worker: "w".to_string(), incarnation, domain: String::new() },
-            number,
-            address: String::new(),
-            epoch,
-            generation: 0,
-            registered: true,
-            kinds: BTreeMap::new(),
-            services: Vec::new(),
-            heard: Instant::now(),
-        }
-    }
-
-    #[test]
-    fn a_heartbeat_that_was_overtaken_says_nothing_new() {
-        assert!(news(1, 3, 1).replaces(&news(1, 2, 1)));
-        assert!(!news(1, 2, 1).replaces(&news(1, 3, 1)));
-        assert!(!news(1, 3, 1).replaces(&news(1, 3, 1)));
-    }
-
-    #[test]
-    fn a_new_run_replaces_the_old_one_and_not_the_other_way_round() {
-        assert!(news(2, 1, 2).replaces(&news(1, 9, 1)));
-        assert!(!news(1, 10, 1).replaces(&news(2, 1, 2)));
-    }
-}
--- a/src/process/entry/status_desk.rs
+++ b/src/process/entry/status_desk.rs
@@ -18,7 +18,7 @@
 use crate::ids::WorkerId;
 use crate::platform::worker::ResourceAmount;
 use crate::process::entry::shared::EntryShared;
-use crate::request::service_pool::EndpointStatus;
+use crate::request::pool_endpoint::EndpointStatus;
 
 /// Longest wait for another entry's queues.
 const PEER_CALL: Duration = Duration::from_secs(1);
--- a/src/request/pool_endpoint.rs
+++ b/src/request/pool_endpoint.rs
@@ -9,6 +9,7 @@
 use crate::ids::DomainName;
 use crate::ids::EndpointId;
 use crate::ids::IncarnationId;
+use crate::ids::ServiceName;
 use crate::ids::WorkerId;
 use crate::request::ejection::EndpointHealth;
 
@@ -76,6 +77,21 @@
     Leaving,
 }
 
+/// An endpoint as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// The service it serves.
+    pub service: ServiceName,
+    /// Where it is announced.
+    pub key: EndpointKey,
+    /// Requests it may run at once at present.
+    pub slots: u32,
+    /// Requests it runs, as far as this entry knows.
+    pub in_flight: u32,
+    /// Whether it takes new requests.
+    pub state: EndpointState,
+}
+
 /// How a request at an endpoint ended, as far as the pool cares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotResult {
--- a/src/request/service_pool.rs
+++ b/src/request/service_pool.rs
@@ -5,11 +5,8 @@
 use std::time::Instant;
 
 use rand::Rng;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::ids::DomainName;
-use crate::ids::ServiceName;
 use crate::request::deadline_queue::DeadlineQueue;
 use crate::request::deadline_queue::QueuedRequest;
 use crate::request::deadline_queue::TicketNumber;
@@ -19,6 +16,7 @@
 use crate::request::pool_endpoint::EndpointLoad;
 use crate::request::pool_endpoint::EndpointReport;
 use crate::request::pool_endpoint::EndpointState;
+use crate::request::pool_endpoint::EndpointStatus;
 use crate::request::pool_endpoint::PoolEndpoint;
 use crate::request::pool_endpoint::SlotResult;
 use crate::request::pool_endpoint::blend;
@@ -65,21 +63,6 @@
     pub decision: SlotDecision,
 }
 
-/// An endpoint as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointStatus {
-    /// The service it serves.
-    pub service: ServiceName,
-    /// Where it is announced.
-    pub key: EndpointKey,
-    /// Requests it may run at once at present.
-    pub slots: u32,
-    /// Requests it runs, as far as this entry knows.
-    pub in_flight: u32,
-    /// Whether it takes new requests.
-    pub state: EndpointState,
-}
-
 /// Endpoints and queue of one service.
 #[derive(Debug)]
 pub struct ServicePool {
