Let the requests' route say by itself when a body was not read

Cause: the time added to a call had risen.

Change: the layer is around the other routes only; the requests' handler knows where it answers without having read the body, and says so. bad_input asserts it for three kinds of answers.

--- a/src/process/agent/announce_http.rs
+++ b/src/process/agent/announce_http.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::announcement::EndpointAnnouncement;
 use crate::process::agent::shared::AgentShared;
+use crate::process::http_server::closing_after_unread;
 
 /// Most slots that one endpoint may announce.
 const LARGEST_SLOTS: u32 = 4_096;
@@ -23,13 +24,14 @@
 
 /// The routes of the endpoints' listener.
 pub fn router(shared: Arc<AgentShared>) -> Router {
-    Router::new()
+    let router = Router::new()
         .route("/v1/endpoints", post(handle_announce))
         .route("/v1/endpoints/{endpoint}", delete(handle_leave))
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(handle_ready))
         .route("/metrics", get(handle_metrics))
-        .with_state(shared)
+        .with_state(shared);
+    closing_after_unread(router)
 }
 
 async fn handle_announce(
--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -33,6 +33,8 @@
 use crate::process::entry::job_desk;
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::shared::EntryShared;
+use crate::process::http_server::closing_after_unread;
+use crate::process::http_server::with_close;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::RequestOutcome;
 use crate::request::outcome::UnknownReason;
@@ -79,13 +81,12 @@
 
 /// The routes of the callers' listener.
 pub fn router(shared: Arc<EntryShared>, scheduler: ActorRef<SchedulerActor>) -> Router {
-    Router::new()
+    let jobs = Router::new().route("/v1/jobs", post(job_desk::handle_submit)).route(
+        "/v1/jobs/{team}/{job}",
+        get(job_desk::handle_status).delete(job_desk::handle_cancel),
+    );
+    closing_after_unread(jobs)
         .route("/v1/services/{service}/requests", post(handle_request))
-        .route("/v1/jobs", post(job_desk::handle_submit))
-        .route(
-            "/v1/jobs/{team}/{job}",
-            get(job_desk::handle_status).delete(job_desk::handle_cancel),
-        )
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(handle_ready))
         .with_state(CallerState { shared, scheduler })
@@ -119,19 +120,19 @@
     if !shared.is_catalog_ready() || shared.is_draining() {
         let is_repeatable = headers.contains_key(REQUEST_ID_HEADER);
         let refusal = refusal(NotRunReason::Draining);
-        return respond(if is_repeatable { vouched(refusal) } else { refusal });
+        return with_close(respond(if is_repeatable { vouched(refusal) } else { refusal }));
     }
     let document = shared.with_catalog(|catalog| catalog.document(&service));
     let Some(document) = document else {
-        return refuse(NotRunReason::UnknownService);
+        return with_close(refuse(NotRunReason::UnknownService));
     };
     let parsed = match parse_headers(&headers, &document) {
         Ok(parsed) => parsed,
-        Err(message) => return bad_request(StatusCode::BAD_REQUEST, &message),
+        Err(message) => return with_close(bad_request(StatusCode::BAD_REQUEST, &message)),
     };
     let body = match read_body(body, &headers, document.requests.largest_body).await {
         Ok(body) => body,
-        Err(answer) => return answer,
+        Err(answer) => return with_close(answer),
     };
     let request = ServiceRequest {
         id: parsed.id.unwrap_or_else(RequestId::now_v7),
--- a/src/process/entry/operator_http.rs
+++ b/src/process/entry/operator_http.rs
@@ -31,6 +31,7 @@
 use crate::process::entry::document_desk::apply;
 use crate::process::entry::shared::EntryShared;
 use crate::process::entry::status_desk::handle_status;
+use crate::process::http_server::closing_after_unread;
 use crate::version::catalog::DocumentCatalog;
 use crate::version::catalog::DocumentRow;
 
@@ -72,7 +73,7 @@
 
 /// The routes of the operators' listener.
 pub fn router(shared: Arc<EntryShared>) -> Router {
-    Router::new()
+    let router = Router::new()
         .route("/v1/documents/{service}", get(handle_show).put(handle_apply))
         .route("/v1/cluster", get(handle_cluster))
         .route("/v1/status", get(handle_status))
@@ -80,7 +81,8 @@
         .route("/v1/interference", get(handle_interference))
         .route("/v1/burn", get(handle_burn))
         .route("/metrics", get(handle_metrics))
-        .with_state(shared)
+        .with_state(shared);
+    closing_after_unread(router)
 }
 
 async fn handle_show(
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -69,7 +69,6 @@
     limits: HttpLimits,
     stop: StopSignal,
 ) -> JoinHandle<()> {
-    let router = router.layer(from_fn(close_after_unread));
     tokio::spawn(async move {
         let connections = GracefulShutdown::new();
         let accepting = accept_all(&listener, &router, limits, &connections);
@@ -119,8 +118,17 @@
     });
 }
 
-/// Tells the peer to use its connection no more when it is answered before its body was read: what
-/// is left of the body may end the connection under its next request, whose fate it could not tell.
+/// A router whose answers given before the request's body was read tell the peer to use its connection no
+/// more: what is left of the body may end the connection under its next request, whose fate it could
+/// not tell. Routes where every microsecond counts say so themselves, by [`with_close`].
+///
+/// ```
+/// greengagearch::process::http_server::closing_after_unread(axum::Router::<()>::new());
+/// ```
+pub fn closing_after_unread<S: Clone + Send + Sync + 'static>(router: Router<S>) -> Router<S> {
+    router.layer(from_fn(close_after_unread))
+}
+
 async fn close_after_unread(request: Request, next: Next) -> Response {
     if request.body().is_end_stream() {
         return next.run(request).await;
@@ -139,7 +147,14 @@
     Body::from_stream(body.into_data_stream().chain(end))
 }
 
-fn with_close(mut response: Response) -> Response {
+/// The answer, with the word that the connection ends after it.
+///
+/// ```
+/// let response = axum::response::Response::default();
+/// let response = greengagearch::process::http_server::with_close(response);
+/// assert_eq!(response.headers()["connection"], "close");
+/// ```
+pub fn with_close(mut response: Response) -> Response {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/tests/caller_faults.rs
+++ b/tests/caller_faults.rs
@@ -117,7 +117,13 @@
     assert_eq!(large.status(), 413);
     assert_eq!(large.headers()["connection"], "close", "its body was not read");
     let unknown = url.replace("spots", "nothing");
-    assert_eq!(client.post(&unknown).send().await.unwrap().status(), 404);
+    let unknown = client.post(&unknown).body("b").send().await.unwrap();
+    assert_eq!(unknown.status(), 404);
+    assert_eq!(unknown.headers()["connection"], "close", "its body was not read");
+    let jobs = format!("http://{entry}/v1/jobs");
+    let plain = client.post(&jobs).body("no media type").send().await.unwrap();
+    assert_eq!(plain.status(), 400);
+    assert_eq!(plain.headers()["connection"], "close", "its body was not read");
 
     let caller = Caller::open("desk");
     let id = Some(Uuid::now_v7());
