Accept, trust and first epochs in one place each, and less work on the requests' path

Written twice: the loop that accepts connections (HTTP and RPC listeners), the rule that an agent is the live holder of its worker's lease (scheduler and status), the first epoch of a lease (broker and lease keeper). Each stands once now: accept.rs, AgentNews::is_live_holder, lease.rs.

On the requests' path without need: the shared view was locked for every answer to learn whether the table service is silent, which only refusals ask for; the learned limit was fed where its guard is off. A limit that is switched on therefore starts from the declared slots.

Speeds were not measured again.

--- a/src/connection/announcement.rs
+++ b/src/connection/announcement.rs
@@ -181,7 +181,7 @@
         let Some(known) = self.endpoints.get_mut(endpoint) else {
             return;
         };
-        if let Some(time) = ended.answered {
+        if let Some(time) = ended.answered.filter(|_| known.is_adaptive) {
             // Half-way between the requests beside it at its beginning and at its end.
             let level = (ended.in_flight + known.in_flight).div_ceil(2);
             known.limit.on_answer(level, time, now);
--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -21,6 +21,9 @@
 use crate::ids::IncarnationId;
 use crate::ids::LeaseEpoch;
 
+/// Epoch of a lease that nobody held before.
+pub const FIRST_EPOCH: LeaseEpoch = 1;
+
 /// The time spans of one kind of lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTiming {
--- a/src/process/agent/lease_keeper.rs
+++ b/src/process/agent/lease_keeper.rs
@@ -6,6 +6,7 @@
 
 use log::Level;
 
+use crate::connection::lease::FIRST_EPOCH;
 use crate::connection::lease::LeaseHolder;
 use crate::connection::protocol::ClaimReply;
 use crate::connection::protocol::WorkerClaim;
@@ -23,8 +24,6 @@
 use crate::process::logging::log_event;
 use crate::request::request_journal::JournalHandover;
 
-/// Epoch of a worker's lease that no run held before; orders need the lease.
-const FIRST_EPOCH: LeaseEpoch = 1;
 /// Longest wait for an entry's answer to a claim.
 const CLAIM_CALL: Duration = Duration::from_secs(3);
 /// Pause between two claims.
--- a/src/process/entry/broker.rs
+++ b/src/process/entry/broker.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::cluster_map::partition_of_request;
 use crate::connection::cluster_view::ActingRight;
+use crate::connection::lease::FIRST_EPOCH;
 use crate::connection::protocol::AgentRpcClient;
 use crate::connection::protocol::DispatchOrder;
 use crate::connection::protocol::RequestTrace;
@@ -195,9 +196,6 @@
     dispatch(shared, document, request, right.epoch).await
 }
 
-/// Epoch of a partition that nobody owned before.
-const FIRST_EPOCH: LeaseEpoch = 1;
-
 async fn run_idempotent(shared: &Arc<EntryShared>, request: ServiceRequest) -> TracedOutcome {
     let _flight = shared.begin_flight();
     let document = shared.with_catalog(|catalog| catalog.document(&request.service));
--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -197,8 +197,10 @@
     let Some(objective) = objective else { return };
     let is_late = time > objective;
     let worker = ended.trace.worker.as_ref().filter(|_| is_late);
+    let is_answered = matches!(ended.outcome, RequestOutcome::Answered(_));
     let event = EndedRequest {
-        store_silent: !shared.view().reads_row(Instant::now()),
+        // Of no account for answers, and the view is shared by all requests.
+        store_silent: !is_answered && !shared.view().reads_row(Instant::now()),
         outcome: &ended.outcome,
         time,
         queued: ended.trace.queued,
--- a/src/process/entry/process_news.rs
+++ b/src/process/entry/process_news.rs
@@ -1,8 +1,10 @@
 //! What an entry last heard of the processes that send it heartbeats.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::worker_row::WorkerRow;
 use crate::ids::GenerationNumber;
 use crate::ids::LeaseEpoch;
 use crate::ids::ServiceName;
@@ -33,6 +35,11 @@
 }
 
 impl AgentNews {
+    /// Whether this is the run that holds the worker's lease, and it was heard of within `limit`.
+    pub fn is_live_holder(&self, row: &WorkerRow, limit: Duration) -> bool {
+        self.place.incarnation == row.holder && self.heard.elapsed() <= limit
+    }
+
     /// Whether these news are newer than the known ones of the same worker: from a later heartbeat of
     /// the same run, or from another run that does not hold an older lease than the known one.
     pub fn replaces(&self, known: &AgentNews) -> bool {
--- a/src/process/entry/scheduler.rs
+++ b/src/process/entry/scheduler.rs
@@ -62,7 +62,7 @@
 /// Starts that are planned in one step.
 const STARTS_PER_STEP: usize = 32;
 /// Heartbeats of an agent that may be lost before nothing more is started on its worker.
-const BEATS_TO_TRUST: u32 = 2;
+pub const BEATS_TO_TRUST: u32 = 2;
 /// Longest wait for an agent to take a note of its changed row.
 const NUDGE_CALL: Duration = Duration::from_millis(500);
 
@@ -300,9 +300,7 @@
         let limit = self.shared.view().map().timing.agent_beat() * BEATS_TO_TRUST;
         let agents = self.shared.agents();
         let trusted = self.fleet.workers().filter(|row| {
-            agents.get(&row.worker).is_some_and(|agent| {
-                agent.place.incarnation == row.holder && agent.heard.elapsed() <= limit
-            })
+            agents.get(&row.worker).is_some_and(|agent| agent.is_live_holder(row, limit))
         });
         trusted
             .map(|row| WorkerView {
--- a/src/process/entry/status_desk.rs
+++ b/src/process/entry/status_desk.rs
@@ -17,6 +17,7 @@
 use crate::ids::EntryId;
 use crate::ids::WorkerId;
 use crate::platform::worker::ResourceAmount;
+use crate::process::entry::scheduler::BEATS_TO_TRUST;
 use crate::process::entry::shared::EntryShared;
 use crate::request::pool_endpoint::EndpointStatus;
 
@@ -79,10 +80,10 @@
 }
 
 fn worker_status(shared: &EntryShared, row: &WorkerRow) -> WorkerStatusRow {
-    let limit = shared.view().map().timing.agent_beat() * 2;
-    let is_heard = shared.agents().get(&row.worker).is_some_and(|agent| {
-        agent.place.incarnation == row.holder && agent.heard.elapsed() <= limit
-    });
+    let limit = shared.view().map().timing.agent_beat() * BEATS_TO_TRUST;
+    let agents = shared.agents();
+    let agent = agents.get(&row.worker);
+    let is_heard = agent.is_some_and(|agent| agent.is_live_holder(row, limit));
     WorkerStatusRow {
         worker: row.worker.clone(),
         domain: row.domain.clone(),
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -27,11 +27,9 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
+use crate::process::accept::next_stream;
 use crate::process::stop_signal::StopSignal;
 
-/// Pause after a connection could not be accepted, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// What a listener bears.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -91,10 +89,8 @@
     let permits = Arc::new(Semaphore::new(limits.connections));
     // The semaphore is never closed.
     while let Ok(permit) = permits.clone().acquire_owned().await {
-        match listener.accept().await {
-            Ok((stream, _)) => serve(stream, router.clone(), limits, connections, permit),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
+        let stream = next_stream(listener).await;
+        serve(stream, router.clone(), limits, connections, permit);
     }
 }
 
@@ -105,8 +101,6 @@
     connections: &GracefulShutdown,
     permit: OwnedSemaphorePermit,
 ) {
-    // The peer has gone already when this fails.
-    let _ = stream.set_nodelay(true);
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(limits.header_timeout);
     let service = TowerToHyperService::new(router);
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a process: settings, logging, metrics, the programs' parts.
 
+pub mod accept;
 pub mod agent;
 pub mod burn_cause;
 pub mod burn_ledger;
--- a/src/process/rpc_server.rs
+++ b/src/process/rpc_server.rs
@@ -1,12 +1,9 @@
 //! Accepts connections of other processes of the system.
 
-use std::time::Duration;
-
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-/// Pause after a connection could not be accepted, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+use crate::process::accept::next_stream;
 
 /// Hands each connection that `listener` accepts to `serve`, until the process ends.
 ///
@@ -22,13 +19,8 @@
 {
     tokio::spawn(async move {
         loop {
-            match listener.accept().await {
-                // Without the option answers may wait for the peer's delayed acknowledgement.
-                Ok((stream, _)) if stream.set_nodelay(true).is_ok() => serve(stream),
-                // The peer has gone already.
-                Ok(_) => {}
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-            }
+            let stream = next_stream(&listener).await;
+            serve(stream);
         }
     });
 }
