Move the product's own traits and clients from platform/ to external/

The folder platform/ is to hold only what translates the users' platform. The traits for tables and workers and the clients of the product's own stand-ins are the product's, so they get a folder of their own.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -10,7 +10,7 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
-use greengagearch::platform::worker::ResourceAmount;
+use greengagearch::external::worker::ResourceAmount;
 use greengagearch::process::interference::InterferenceModel;
 use greengagearch::process::interference::InterferenceSample;
 use greengagearch::request::deadline_queue::QueuedRequest;
--- a/src/bin/gga-entry.rs
+++ b/src/bin/gga-entry.rs
@@ -6,7 +6,7 @@
 use greengagearch::cli::ProgramCommand;
 use greengagearch::cli::parse_program;
 use greengagearch::error::Error;
-use greengagearch::platform::http_table::HttpTable;
+use greengagearch::external::http_table::HttpTable;
 use greengagearch::process::entry::EntryProcess;
 use greengagearch::process::logging::open_log;
 use greengagearch::process::program::finish;
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -11,6 +11,7 @@
 
 use crate::connection::cluster_map::ClusterMap;
 use crate::connection::cluster_map::EntryMember;
+use crate::external::worker::ResourceAmount;
 use crate::ids::BodyDigest;
 use crate::ids::DomainName;
 use crate::ids::EndpointId;
@@ -22,7 +23,6 @@
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
-use crate::platform::worker::ResourceAmount;
 use crate::process::interference::InterferenceSample;
 use crate::process::interference::KindName;
 use crate::request::outcome::RequestOutcome;
--- a/src/connection/worker_row.rs
+++ b/src/connection/worker_row.rs
@@ -5,14 +5,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::external::worker::AttemptKey;
+use crate::external::worker::ResourceAmount;
 use crate::ids::AttemptNumber;
 use crate::ids::DomainName;
 use crate::ids::IncarnationId;
 use crate::ids::LeaseEpoch;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
-use crate::platform::worker::AttemptKey;
-use crate::platform::worker::ResourceAmount;
 use crate::process::interference::KindName;
 
 /// Prefix of the keys of worker rows.
@@ -121,7 +121,7 @@
     ///
     /// ```
     /// use greengagearch::connection::worker_row::WorkerRow;
-    /// use greengagearch::platform::worker::AttemptKey;
+    /// use greengagearch::external::worker::AttemptKey;
     ///
     /// let key = AttemptKey { job: "night".into(), task: 0, attempt: 1 };
     /// assert!(!WorkerRow::default().is_urgent(&key));
@@ -134,7 +134,7 @@
     ///
     /// ```
     /// use greengagearch::connection::worker_row::WorkerRow;
-    /// use greengagearch::platform::worker::AttemptKey;
+    /// use greengagearch::external::worker::AttemptKey;
     ///
     /// let key = AttemptKey { job: "night".into(), task: 0, attempt: 1 };
     /// assert!(!WorkerRow::default().has_attempt(&key));
--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use crate::platform::worker::ResourceAmount;
+use crate::external::worker::ResourceAmount;
 use crate::process::entry::status_desk::StatusGap;
 use crate::process::entry::status_desk::StatusReport;
 
--- a/src/platform/http_table.rs
+++ b/src/external/http_table.rs
@@ -6,11 +6,11 @@
 use reqwest::Client;
 use reqwest::StatusCode;
 
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::table::TableStore;
+use crate::external::table::TableTransaction;
 use crate::ids::RowVersion;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::table::TableStore;
-use crate::platform::table::TableTransaction;
 
 /// Longest wait for an answer; a slow service must not hold the caller's other work up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -28,7 +28,7 @@
     /// Makes a client for the service at `address`, an IP address with a port.
     ///
     /// ```
-    /// use greengagearch::platform::http_table::HttpTable;
+    /// use greengagearch::external::http_table::HttpTable;
     ///
     /// let table = HttpTable::open("127.0.0.1:7000");
     /// ```
--- a/src/platform/http_worker.rs
+++ b/src/external/http_worker.rs
@@ -8,11 +8,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::platform::worker::AttemptKey;
-use crate::platform::worker::TaskStart;
-use crate::platform::worker::WorkerControl;
-use crate::platform::worker::WorkerError;
-use crate::platform::worker::WorkerStatus;
+use crate::external::worker::AttemptKey;
+use crate::external::worker::TaskStart;
+use crate::external::worker::WorkerControl;
+use crate::external::worker::WorkerError;
+use crate::external::worker::WorkerStatus;
 
 /// Longest wait for a worker's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -46,7 +46,7 @@
     /// Makes a client for the worker at `address`, an IP address with a port.
     ///
     /// ```
-    /// use greengagearch::platform::http_worker::HttpWorker;
+    /// use greengagearch::external::http_worker::HttpWorker;
     ///
     /// let worker = HttpWorker::open("127.0.0.1:7100");
     /// ```
--- a/src/platform/memory_table.rs
+++ b/src/external/memory_table.rs
@@ -7,11 +7,11 @@
 
 use async_trait::async_trait;
 
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::table::TableStore;
+use crate::external::table::TableTransaction;
 use crate::ids::RowVersion;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::table::TableStore;
-use crate::platform::table::TableTransaction;
 
 #[derive(Debug, Default)]
 struct TableState {
@@ -33,8 +33,8 @@
     /// [`TableError::Conflict`] when a check fails.
     ///
     /// ```
-    /// use greengagearch::platform::memory_table::MemoryTable;
-    /// use greengagearch::platform::table::TableTransaction;
+    /// use greengagearch::external::memory_table::MemoryTable;
+    /// use greengagearch::external::table::TableTransaction;
     ///
     /// let table = MemoryTable::default();
     /// let mut transaction = TableTransaction::default();
@@ -69,7 +69,7 @@
     /// Reads one row at once.
     ///
     /// ```
-    /// use greengagearch::platform::memory_table::MemoryTable;
+    /// use greengagearch::external::memory_table::MemoryTable;
     ///
     /// assert!(MemoryTable::default().row("a").is_none());
     /// ```
@@ -80,7 +80,7 @@
     /// Reads the rows under a prefix at once.
     ///
     /// ```
-    /// use greengagearch::platform::memory_table::MemoryTable;
+    /// use greengagearch::external::memory_table::MemoryTable;
     ///
     /// assert!(MemoryTable::default().rows("a").is_empty());
     /// ```
--- a/src/platform/paced_table.rs
+++ b/src/external/paced_table.rs
@@ -10,13 +10,13 @@
 use async_trait::async_trait;
 use log::Level;
 
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::table::TableStore;
+use crate::external::table::TableTransaction;
+use crate::external::write_budget::WriteBudget;
+use crate::external::write_budget::WritePriority;
 use crate::ids::RowVersion;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::table::TableStore;
-use crate::platform::table::TableTransaction;
-use crate::platform::write_budget::WriteBudget;
-use crate::platform::write_budget::WritePriority;
 use crate::process::logging::log_event;
 
 /// Longest time that a write waits for its turn; then it is given up, and nothing took effect.
@@ -34,8 +34,8 @@
     /// ```
     /// use std::sync::Arc;
     ///
-    /// use greengagearch::platform::memory_table::MemoryTable;
-    /// use greengagearch::platform::paced_table::PacedTable;
+    /// use greengagearch::external::memory_table::MemoryTable;
+    /// use greengagearch::external::paced_table::PacedTable;
     ///
     /// let table = PacedTable::open(Arc::new(MemoryTable::default()), 200.0);
     /// ```
@@ -94,7 +94,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::platform::memory_table::MemoryTable;
+    use crate::external::memory_table::MemoryTable;
 
     #[tokio::test]
     async fn a_write_without_prospect_of_a_turn_takes_no_effect_and_a_lease_goes_through() {
--- a/src/platform/table.rs
+++ b/src/external/table.rs
@@ -6,8 +6,8 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::external::write_budget::WritePriority;
 use crate::ids::RowVersion;
-use crate::platform::write_budget::WritePriority;
 
 /// One row as it was read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,7 +28,7 @@
     /// [`TableError::Malformed`] when the value is not of that type.
     ///
     /// ```
-    /// use greengagearch::platform::table::TableRow;
+    /// use greengagearch::external::table::TableRow;
     ///
     /// let row = TableRow { key: "n".into(), version: 1, value: "7".into() };
     /// assert_eq!(row.decode::<u32>().unwrap(), 7);
@@ -75,8 +75,8 @@
     /// An empty transaction of this priority.
     ///
     /// ```
-    /// use greengagearch::platform::table::TableTransaction;
-    /// use greengagearch::platform::write_budget::WritePriority;
+    /// use greengagearch::external::table::TableTransaction;
+    /// use greengagearch::external::write_budget::WritePriority;
     ///
     /// let transaction = TableTransaction::of(WritePriority::Start);
     /// assert!(transaction.writes.is_empty());
@@ -88,7 +88,7 @@
     /// Adds a check without a write.
     ///
     /// ```
-    /// use greengagearch::platform::table::TableTransaction;
+    /// use greengagearch::external::table::TableTransaction;
     ///
     /// let mut transaction = TableTransaction::default();
     /// transaction.check("a", 3);
@@ -101,7 +101,7 @@
     /// Adds a write that needs the row to be at `version`.
     ///
     /// ```
-    /// use greengagearch::platform::table::TableTransaction;
+    /// use greengagearch::external::table::TableTransaction;
     ///
     /// let mut transaction = TableTransaction::default();
     /// transaction.put("a", 0, &"first");
@@ -116,7 +116,7 @@
     /// Adds the removal of a row that must be at `version`.
     ///
     /// ```
-    /// use greengagearch::platform::table::TableTransaction;
+    /// use greengagearch::external::table::TableTransaction;
     ///
     /// let mut transaction = TableTransaction::default();
     /// transaction.remove("a", 3);
--- a/src/platform/worker.rs
+++ b/src/external/worker.rs
@@ -29,7 +29,7 @@
     /// Whether an amount of `other` fits into this one.
     ///
     /// ```
-    /// use greengagearch::platform::worker::ResourceAmount;
+    /// use greengagearch::external::worker::ResourceAmount;
     ///
     /// let host = ResourceAmount { millicores: 16_000, memory_mib: 60_000, accelerators: 0 };
     /// assert!(host.contains(&ResourceAmount { millicores: 500, ..host }));
@@ -44,7 +44,7 @@
     /// The sum of both amounts.
     ///
     /// ```
-    /// use greengagearch::platform::worker::ResourceAmount;
+    /// use greengagearch::external::worker::ResourceAmount;
     ///
     /// let one = ResourceAmount { millicores: 1, memory_mib: 2, accelerators: 0 };
     /// assert_eq!(one.plus(&one).memory_mib, 4);
@@ -60,7 +60,7 @@
     /// This amount less the other, never below zero.
     ///
     /// ```
-    /// use greengagearch::platform::worker::ResourceAmount;
+    /// use greengagearch::external::worker::ResourceAmount;
     ///
     /// let one = ResourceAmount { millicores: 1, memory_mib: 2, accelerators: 0 };
     /// assert_eq!(one.minus(&one), ResourceAmount::default());
--- a/src/platform/write_budget.rs
+++ b/src/external/write_budget.rs
@@ -64,8 +64,8 @@
     /// ```
     /// use std::time::Instant;
     ///
-    /// use greengagearch::platform::write_budget::WriteBudget;
-    /// use greengagearch::platform::write_budget::WritePriority;
+    /// use greengagearch::external::write_budget::WriteBudget;
+    /// use greengagearch::external::write_budget::WritePriority;
     ///
     /// let now = Instant::now();
     /// let mut budget = WriteBudget::new(10.0, now);
@@ -79,7 +79,7 @@
     ///
     /// ```
     /// # use std::time::Instant;
-    /// # use greengagearch::platform::write_budget::WriteBudget;
+    /// # use greengagearch::external::write_budget::WriteBudget;
     /// let now = Instant::now();
     /// WriteBudget::new(10.0, now).set_rate(20.0, now);
     /// ```
@@ -97,8 +97,8 @@
     ///
     /// ```
     /// # use std::time::Instant;
-    /// # use greengagearch::platform::write_budget::WriteBudget;
-    /// # use greengagearch::platform::write_budget::WritePriority;
+    /// # use greengagearch::external::write_budget::WriteBudget;
+    /// # use greengagearch::external::write_budget::WritePriority;
     /// let now = Instant::now();
     /// let mut budget = WriteBudget::new(10.0, now);
     /// while budget.try_take(WritePriority::Start, now).is_ok() {}
@@ -118,8 +118,8 @@
     ///
     /// ```
     /// # use std::time::Instant;
-    /// # use greengagearch::platform::write_budget::WriteBudget;
-    /// # use greengagearch::platform::write_budget::WritePriority;
+    /// # use greengagearch::external::write_budget::WriteBudget;
+    /// # use greengagearch::external::write_budget::WritePriority;
     /// let now = Instant::now();
     /// assert!(WriteBudget::new(10.0, now).allows(WritePriority::Report, now));
     /// ```
--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -20,8 +20,8 @@
 use tokio::task::JoinHandle;
 
 use crate::error::Error;
-use crate::platform::table::TableStore;
-use crate::platform::worker::WorkerControl;
+use crate::external::table::TableStore;
+use crate::external::worker::WorkerControl;
 use crate::process::agent::reconciler::ReconcileActor;
 use crate::process::agent::reconciler::ReleaseLease;
 use crate::process::agent::shared::AgentShared;
--- a/src/process/agent/reactor.rs
+++ b/src/process/agent/reactor.rs
@@ -7,11 +7,11 @@
 
 use log::Level;
 
+use crate::external::worker::AttemptReport;
+use crate::external::worker::AttemptState;
+use crate::external::worker::WorkerControl;
+use crate::external::worker::WorkerStatus;
 use crate::ids::ServiceName;
-use crate::platform::worker::AttemptReport;
-use crate::platform::worker::AttemptState;
-use crate::platform::worker::WorkerControl;
-use crate::platform::worker::WorkerStatus;
 use crate::process::agent::shared::AgentShared;
 use crate::process::interference::KindName;
 use crate::process::logging::log_event;
--- a/src/process/agent/renewal.rs
+++ b/src/process/agent/renewal.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::platform::worker::AttemptKey;
-use crate::platform::worker::AttemptState;
-use crate::platform::worker::WorkerControl;
-use crate::platform::worker::WorkerStatus;
+use crate::external::worker::AttemptKey;
+use crate::external::worker::AttemptState;
+use crate::external::worker::WorkerControl;
+use crate::external::worker::WorkerStatus;
 use crate::process::agent::shared::AgentShared;
 
 /// Longest time between two renewals.
@@ -63,7 +63,7 @@
 /// use std::time::Duration;
 /// use std::time::Instant;
 ///
-/// use greengagearch::platform::worker::WorkerStatus;
+/// use greengagearch::external::worker::WorkerStatus;
 /// use greengagearch::process::agent::renewal::lease_end;
 ///
 /// let status =
--- a/src/process/entry/burn_desk.rs
+++ b/src/process/entry/burn_desk.rs
@@ -10,11 +10,11 @@
 use log::Level;
 
 use crate::connection::cluster_map::partition_of_team;
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::table::TableTransaction;
+use crate::external::write_budget::WritePriority;
 use crate::ids::RowVersion;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::table::TableTransaction;
-use crate::platform::write_budget::WritePriority;
 use crate::process::burn_ledger::BurnHour;
 use crate::process::burn_ledger::BurnObjective;
 use crate::process::burn_ledger::ServiceBurn;
--- a/src/process/entry/catalog_sync.rs
+++ b/src/process/entry/catalog_sync.rs
@@ -9,8 +9,8 @@
 
 use crate::connection::cluster_map::partition_of_worker;
 use crate::connection::rpc_client::call_within;
+use crate::external::table::TableError;
 use crate::ids::GenerationNumber;
-use crate::platform::table::TableError;
 use crate::process::entry::shared::EntryShared;
 use crate::process::logging::log_event;
 use crate::version::catalog::DOCUMENT_PREFIX;
--- a/src/process/entry/document_desk.rs
+++ b/src/process/entry/document_desk.rs
@@ -4,15 +4,15 @@
 
 use snafu::Snafu;
 
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::table::TableTransaction;
+use crate::external::write_budget::WritePriority;
 use crate::findings::ConfigFinding;
 use crate::findings::FindingList;
 use crate::ids::GenerationNumber;
 use crate::ids::RevisionNumber;
 use crate::ids::TeamName;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::table::TableTransaction;
-use crate::platform::write_budget::WritePriority;
 use crate::process::entry::catalog_sync::catch_up;
 use crate::process::entry::catalog_sync::put_in_force;
 use crate::process::entry::shared::EntryShared;
--- a/src/process/entry/fleet_board.rs
+++ b/src/process/entry/fleet_board.rs
@@ -6,12 +6,12 @@
 use std::time::Instant;
 
 use crate::connection::worker_row::WorkerRow;
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::worker::ResourceAmount;
 use crate::ids::RowVersion;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::worker::ResourceAmount;
 use crate::process::entry::task_board::VersionedRow;
 
 /// The workers as their rows were last read or written.
--- a/src/process/entry/job_desk.rs
+++ b/src/process/entry/job_desk.rs
@@ -13,9 +13,9 @@
 use snafu::Snafu;
 
 use crate::connection::rpc_client::call_within;
-use crate::platform::table::TableError;
-use crate::platform::table::TableTransaction;
-use crate::platform::write_budget::WritePriority;
+use crate::external::table::TableError;
+use crate::external::table::TableTransaction;
+use crate::external::write_budget::WritePriority;
 use crate::process::entry::caller_http::CallerState;
 use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::EntryShared;
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -33,7 +33,7 @@
 
 use crate::error::Error;
 use crate::error::ListenSnafu;
-use crate::platform::table::TableStore;
+use crate::external::table::TableStore;
 use crate::process::entry::burn_desk::BurnFlush;
 use crate::process::entry::membership::LeaveCluster;
 use crate::process::entry::membership::MembershipActor;
--- a/src/process/entry/start_batch.rs
+++ b/src/process/entry/start_batch.rs
@@ -9,10 +9,10 @@
 use crate::connection::worker_row::WorkerRow;
 use crate::connection::worker_row::task_name;
 use crate::connection::worker_row::worker_key;
+use crate::external::table::TableTransaction;
+use crate::external::write_budget::WritePriority;
 use crate::ids::RowVersion;
 use crate::ids::WorkerId;
-use crate::platform::table::TableTransaction;
-use crate::platform::write_budget::WritePriority;
 use crate::process::entry::fleet_board::FleetBoard;
 use crate::process::entry::task_board::TaskBoard;
 use crate::request::job::TaskRow;
@@ -157,8 +157,8 @@
     use std::time::Instant;
 
     use super::*;
-    use crate::platform::table::TableRow;
-    use crate::platform::worker::ResourceAmount;
+    use crate::external::table::TableRow;
+    use crate::external::worker::ResourceAmount;
     use crate::request::job::JobSpec;
     use crate::request::job::TaskSpec;
     use crate::request::job::job_partition;
--- a/src/process/entry/task_board.rs
+++ b/src/process/entry/task_board.rs
@@ -7,14 +7,14 @@
 use std::time::Instant;
 
 use crate::connection::protocol::TeamQueue;
+use crate::external::table::TableError;
+use crate::external::table::TableRow;
+use crate::external::worker::ResourceAmount;
 use crate::ids::JobId;
 use crate::ids::PartitionId;
 use crate::ids::RowVersion;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
-use crate::platform::table::TableError;
-use crate::platform::table::TableRow;
-use crate::platform::worker::ResourceAmount;
 use crate::process::interference::KindName;
 use crate::request::job::TaskEnd;
 use crate::request::job::TaskRow;
--- a/src/process/reaction.rs
+++ b/src/process/reaction.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::platform::worker::AttemptKey;
+use crate::external::worker::AttemptKey;
 use crate::process::interference::KindName;
 
 /// Looks in a row that must miss the objective before the first step.
--- a/src/process/size_learner.rs
+++ b/src/process/size_learner.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use crate::platform::worker::ResourceAmount;
+use crate::external::worker::ResourceAmount;
 use crate::process::interference::KindName;
 
 /// Tasks of a kind that are remembered.
@@ -44,7 +44,7 @@
     /// accelerators always as declared.
     ///
     /// ```
-    /// use greengagearch::platform::worker::ResourceAmount;
+    /// use greengagearch::external::worker::ResourceAmount;
     /// use greengagearch::process::size_learner::SizeLearner;
     ///
     /// let declared = ResourceAmount { millicores: 8_000, memory_mib: 100, accelerators: 0 };
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -4,14 +4,14 @@
 use serde::Serialize;
 
 use crate::connection::cluster_map::partition_of_team;
+use crate::external::worker::AttemptKey;
+use crate::external::worker::ResourceAmount;
 use crate::ids::AttemptNumber;
 use crate::ids::JobId;
 use crate::ids::PartitionId;
 use crate::ids::TaskIndex;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
-use crate::platform::worker::AttemptKey;
-use crate::platform::worker::ResourceAmount;
 
 /// Largest number of tasks of one job.
 pub const LARGEST_JOB: usize = 256;
@@ -144,7 +144,7 @@
     /// Whether `attempt` on `worker` is the one that counts.
     ///
     /// ```
-    /// # use greengagearch::platform::worker::AttemptKey;
+    /// # use greengagearch::external::worker::AttemptKey;
     /// # use greengagearch::request::job::{JobSpec, TaskSpec, task_rows};
     /// # let task = TaskSpec { resources: Default::default(), run_millis: 1, input: String::new() };
     /// # let spec = JobSpec { id: "night".into(), team: "planning".into(), kind: "roster".into(),
--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -10,10 +10,10 @@
 use rand::RngExt;
 use snafu::Snafu;
 
+use crate::external::worker::ResourceAmount;
 use crate::ids::DomainName;
 use crate::ids::ServiceName;
 use crate::ids::WorkerId;
-use crate::platform::worker::ResourceAmount;
 use crate::process::interference::InterferenceModel;
 use crate::process::interference::KindName;
 
@@ -101,7 +101,7 @@
     /// Whether a task of this size may be started here.
     ///
     /// ```
-    /// use greengagearch::platform::worker::ResourceAmount;
+    /// use greengagearch::external::worker::ResourceAmount;
     /// use greengagearch::request::placement::WorkerView;
     ///
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
@@ -136,7 +136,7 @@
     /// Resource Fairness", NSDI 2011).
     ///
     /// ```
-    /// use greengagearch::platform::worker::ResourceAmount;
+    /// use greengagearch::external::worker::ResourceAmount;
     /// use greengagearch::request::placement::WorkerView;
     ///
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
@@ -151,7 +151,7 @@
     /// Takes a task into the view.
     ///
     /// ```
-    /// # use greengagearch::platform::worker::ResourceAmount;
+    /// # use greengagearch::external::worker::ResourceAmount;
     /// # use greengagearch::request::placement::WorkerView;
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
     /// let mut view = WorkerView::empty("w1", host);
@@ -168,7 +168,7 @@
 /// The largest share that `amount` is of any resource of `whole`.
 ///
 /// ```
-/// use greengagearch::platform::worker::ResourceAmount;
+/// use greengagearch::external::worker::ResourceAmount;
 /// use greengagearch::request::placement::dominant_share;
 ///
 /// let whole = ResourceAmount { millicores: 4, memory_mib: 8, accelerators: 0 };
@@ -305,7 +305,7 @@
 /// Chooses a worker with room for `amount`; those in `avoid` only when there is no other.
 ///
 /// ```
-/// use greengagearch::platform::worker::ResourceAmount;
+/// use greengagearch::external::worker::ResourceAmount;
 /// use greengagearch::request::placement::FirstFit;
 /// use greengagearch::request::placement::place;
 ///
--- a/src/request/task_plan.rs
+++ b/src/request/task_plan.rs
@@ -10,9 +10,9 @@
 
 use rand::Rng;
 
+use crate::external::worker::ResourceAmount;
 use crate::ids::TeamName;
 use crate::ids::WorkerId;
-use crate::platform::worker::ResourceAmount;
 use crate::process::interference::KindName;
 use crate::request::placement::PlacementPolicy;
 use crate::request::placement::WorkerView;
--- a/src/version/catalog.rs
+++ b/src/version/catalog.rs
@@ -6,11 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::external::worker::ResourceAmount;
 use crate::ids::GenerationNumber;
 use crate::ids::RevisionNumber;
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
-use crate::platform::worker::ResourceAmount;
 use crate::version::document::ServiceDocument;
 
 /// Key of the row that holds the generation.
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use crate::external::worker::ResourceAmount;
 use crate::findings::FindingList;
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
-use crate::platform::worker::ResourceAmount;
 use crate::process::ini_reader::IniReader;
 use crate::request::routing::RoutingWay;
 
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -7,7 +7,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use greengagearch::platform::worker::ResourceAmount;
+use greengagearch::external::worker::ResourceAmount;
 use greengagearch::process::entry::operator_http::key_hash;
 use serde_json::Value;
 
--- a/standins/src/local.rs
+++ b/standins/src/local.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use greengagearch::error::Error;
-use greengagearch::platform::http_worker::HttpWorker;
-use greengagearch::platform::memory_table::MemoryTable;
-use greengagearch::platform::worker::ResourceAmount;
+use greengagearch::external::http_worker::HttpWorker;
+use greengagearch::external::memory_table::MemoryTable;
+use greengagearch::external::worker::ResourceAmount;
 use greengagearch::process::agent::AgentProcess;
 use greengagearch::process::entry::EntryAddresses;
 use greengagearch::process::entry::EntryProcess;
--- a/standins/src/table_service.rs
+++ b/standins/src/table_service.rs
@@ -17,9 +17,9 @@
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
-use greengagearch::platform::memory_table::MemoryTable;
-use greengagearch::platform::table::TableError;
-use greengagearch::platform::table::TableTransaction;
+use greengagearch::external::memory_table::MemoryTable;
+use greengagearch::external::table::TableError;
+use greengagearch::external::table::TableTransaction;
 use serde::Deserialize;
 use tokio::net::TcpListener;
 
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -15,14 +15,14 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::routing::post;
-use greengagearch::platform::http_worker::RenewalBody;
-use greengagearch::platform::http_worker::ThrottleBody;
-use greengagearch::platform::worker::AttemptKey;
-use greengagearch::platform::worker::AttemptReport;
-use greengagearch::platform::worker::AttemptState;
-use greengagearch::platform::worker::ResourceAmount;
-use greengagearch::platform::worker::TaskStart;
-use greengagearch::platform::worker::WorkerStatus;
+use greengagearch::external::http_worker::RenewalBody;
+use greengagearch::external::http_worker::ThrottleBody;
+use greengagearch::external::worker::AttemptKey;
+use greengagearch::external::worker::AttemptReport;
+use greengagearch::external::worker::AttemptState;
+use greengagearch::external::worker::ResourceAmount;
+use greengagearch::external::worker::TaskStart;
+use greengagearch::external::worker::WorkerStatus;
 use tokio::net::TcpListener;
 
 /// Time between two looks at the running tasks.
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use greengagearch::platform::worker::ResourceAmount;
+use greengagearch::external::worker::ResourceAmount;
 use greengagearch::process::entry::operator_http::key_hash;
 use greengagearch_standins::caller::Caller;
 use greengagearch_standins::processes::ProductProcess;
