--- /dev/null
+++ b/src/bin/gga-planner.rs
@@ -0,0 +1,45 @@
+//! Runs a planner process.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use greengagearch::cli::ProgramCommand;
+use greengagearch::cli::parse_program;
+use greengagearch::error::Error;
+use greengagearch::platform::store_client::StoreClient;
+use greengagearch::process::logging::open_queued_log;
+use greengagearch::process::planning::PlannerProcess;
+use greengagearch::process::planning::settings::PlannerSettings;
+use greengagearch::process::program::finish;
+use greengagearch::process::program::print_findings;
+use greengagearch::process::stop_signal::listen;
+
+const PURPOSE: &str = "Takes callers' jobs and plans them on the workers of a shared platform.";
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    finish(run().await)
+}
+
+async fn run() -> Result<(), Error> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let file = match parse_program("gga-planner", PURPOSE, &args)? {
+        ProgramCommand::Print(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        ProgramCommand::Check(file) => {
+            return print_findings(PlannerSettings::parse(&file.name, &file.text).err());
+        }
+        ProgramCommand::Run(file) => file,
+    };
+    let settings = PlannerSettings::parse(&file.name, &file.text)
+        .map_err(|findings| Error::Invalid { findings })?;
+    open_queued_log(log::LevelFilter::Info);
+    let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
+    let store = Arc::new(StoreClient::open(&settings.store));
+    let process = PlannerProcess::bind(settings, store, stop).await?;
+    process.stopped().await;
+    log::logger().flush();
+    Ok(())
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -45,6 +45,12 @@
 pub fn parse_program(name: &str, purpose: &str, args: &[String]) -> Result<ProgramCommand, Error> {
     let mut options = Options::new();
     options.optopt("s", "settings", "read the settings of this INI file", "FILE");
+    options.optopt(
+        "",
+        "settings-from",
+        "read the file that this environment variable names",
+        "NAME",
+    );
     options.optflag("c", "check", "check the settings and exit");
     add_common(&mut options);
     let matches = parse(&options, args)?;
@@ -58,7 +64,8 @@
     if let Some(surplus) = matches.free.first() {
         return Err(Error::Usage { message: format!("unexpected argument '{surplus}'") });
     }
-    let Some(file) = matches.opt_str("settings") else {
+    let named = matches.opt_str("settings-from").and_then(|name| std::env::var(name).ok());
+    let Some(file) = matches.opt_str("settings").or(named) else {
         return Err(Error::Usage { message: "--settings FILE is missing".to_string() });
     };
     let text = read_file(&file)?;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -6,6 +6,8 @@
 pub mod counted_stream;
 pub mod grant_desk;
 pub mod lease;
+pub mod node_protocol;
+pub mod planner_protocol;
 pub mod protocol;
 pub mod rpc_client;
 pub mod worker_row;
--- /dev/null
+++ b/src/connection/node_protocol.rs
@@ -0,0 +1,223 @@
+//! Messages between the planner and the node agents.
+//!
+//! The planner dials the agents. Calls carry the planner's epoch and the number of the link; an agent
+//! refuses everything that is older than what it has seen.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+use crate::ids::CheckpointRef;
+use crate::ids::DomainName;
+use crate::ids::InstanceId;
+use crate::ids::PlannerEpoch;
+use crate::ids::RunNumber;
+use crate::ids::ServiceName;
+use crate::workflow::progress::RunEnd;
+use crate::workflow::spec::RoomAmount;
+use crate::workflow::spec::TaskName;
+
+/// Identifies the sender of a call and its place among the calls that an agent gets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LinkStamp {
+    /// Epoch of the planner.
+    pub epoch: PlannerEpoch,
+    /// Number of the planner's connection to this agent, rising.
+    pub link: u64,
+}
+
+/// The planner's consent that the leases of everything on a worker are extended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseGrant {
+    /// Time of the agent's own clock that `span` counts from; the agent sent it.
+    pub since: Duration,
+    /// How long after `since` leases may last.
+    pub span: Duration,
+}
+
+/// Asks an agent for its state; the answer waits for news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncCall {
+    /// The sender.
+    pub stamp: LinkStamp,
+    /// Extension of leases; nothing on the first call of a link.
+    pub grant: Option<LeaseGrant>,
+    /// The runner's life that `seen` belongs to.
+    pub instance: Option<InstanceId>,
+    /// Number of the last end that is stored for good.
+    pub seen: u64,
+    /// How long the answer may wait for news.
+    pub wait: Duration,
+}
+
+/// What a runner says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerStatus {
+    /// Its life.
+    pub instance: InstanceId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// What it can hold.
+    pub capacity: RoomAmount,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// A run that a worker has, or is about to have.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PresentRun {
+    /// The task.
+    pub task: TaskName,
+    /// The run.
+    pub run: RunNumber,
+    /// Its newest saved work.
+    pub checkpoint: CheckpointRef,
+    /// Share of its speed at which it may work, in percent.
+    pub percent: u32,
+    /// Tail latency in milliseconds of a task that serves, else thousandths of a core in use.
+    pub usage: u64,
+}
+
+/// A run that has ended on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRun {
+    /// Number of the end in this life of the runner.
+    pub number: u64,
+    /// The task.
+    pub task: TaskName,
+    /// The run.
+    pub run: RunNumber,
+    /// How it ended.
+    pub end: RunEnd,
+    /// Its newest saved work.
+    pub checkpoint: CheckpointRef,
+}
+
+/// Why a worker did not take a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RejectReason {
+    /// It has no room.
+    Room,
+    /// It had this run or a later one of the task already.
+    Old,
+    /// The order's lease had expired when it arrived.
+    Late,
+    /// It is not healthy.
+    Unwell,
+    /// It is leaving, or the order was for another life of it.
+    Leaving,
+    /// It does not understand the order.
+    Malformed,
+}
+
+/// A run that a worker did not take.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectedRun {
+    /// The task.
+    pub task: TaskName,
+    /// The run.
+    pub run: RunNumber,
+    /// Why.
+    pub reason: RejectReason,
+}
+
+/// What the agent saw when it last looked at its runner.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerLook {
+    /// All runs that the runner has or may still take.
+    pub present: Vec<PresentRun>,
+    /// Ends that are not stored yet.
+    pub ended: Vec<EndedRun>,
+    /// Runs that the runner refused.
+    pub rejected: Vec<RejectedRun>,
+    /// The last order that is settled in this look.
+    pub orders_seen: u64,
+}
+
+/// An agent's state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Time of the agent's steady clock when it sent this.
+    pub now: Duration,
+    /// The runner; nothing when none is known.
+    pub runner: Option<RunnerStatus>,
+    /// Earlier lives of the runner, which run nothing any more.
+    pub former: Vec<InstanceId>,
+    /// The newest look; nothing when the runner did not answer lately.
+    pub look: Option<RunnerLook>,
+}
+
+/// What the agent has to know of a task besides the order, to watch and pace it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskTraits {
+    /// The task.
+    pub task: TaskName,
+    /// What it runs.
+    pub image: String,
+    /// Bound on its tail latency in milliseconds; zero for a task that does not serve.
+    pub target_ms: u64,
+    /// Whether it fills what others leave.
+    pub fills: bool,
+}
+
+/// Orders that a task is started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// The run.
+    pub run: RunNumber,
+    /// Text for the task.
+    pub payload: String,
+    /// Saved work to resume from.
+    pub checkpoint: CheckpointRef,
+    /// Permission of the advice service, if the queue needs one.
+    pub ticket: Option<String>,
+    /// What the agent has to know of the task.
+    pub traits: TaskTraits,
+}
+
+/// One order for a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NodeOrder {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run; it saves its work first, if it can.
+    Stop(TaskName, RunNumber),
+    /// Know these tasks, which run already.
+    Describe(TaskTraits),
+}
+
+/// Orders for one life of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCall {
+    /// The sender.
+    pub stamp: LinkStamp,
+    /// The life that is meant.
+    pub instance: InstanceId,
+    /// Number of the last of these orders; numbers rise.
+    pub number: u64,
+    /// The orders.
+    pub orders: Vec<NodeOrder>,
+}
+
+/// The caller is no longer the planner, or has a newer connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+#[snafu(display("epoch {} link {} was replaced", newest.epoch, newest.link))]
+pub struct StaleLink {
+    /// The newest sender that the agent knows.
+    pub newest: LinkStamp,
+}
+
+/// Services that a node agent offers to the planner.
+#[tarpc::service]
+pub trait NodeRpc {
+    /// Asks for the agent's state.
+    async fn sync(call: SyncCall) -> Result<NodeReport, StaleLink>;
+    /// Hands over orders.
+    async fn order(call: OrderCall) -> Result<(), StaleLink>;
+}
--- a/src/connection/rpc_client.rs
+++ b/src/connection/rpc_client.rs
@@ -25,6 +25,8 @@
 use tokio::time::timeout;
 
 use crate::connection::counted_stream::CountedStream;
+use crate::connection::node_protocol::NodeRpcClient;
+use crate::connection::planner_protocol::PlannerRpcClient;
 use crate::connection::protocol::AgentRpcClient;
 use crate::connection::protocol::EntryRpcClient;
 
@@ -86,6 +88,8 @@
 }
 
 impl_connection!(AgentRpcClient);
+impl_connection!(NodeRpcClient);
+impl_connection!(PlannerRpcClient);
 impl_connection!(EntryRpcClient);
 
 #[derive(Debug)]
--- a/src/external/mod.rs
+++ b/src/external/mod.rs
@@ -1,9 +1,11 @@
-//! The traits through which the platform is reached, and their adapters.
+//! The outside systems: the traits that the product owns, and clients of its own stand-ins.
 
 pub mod http_table;
 pub mod http_worker;
 pub mod memory_table;
 pub mod paced_table;
+pub mod row_store;
+pub mod runner_control;
 pub mod table;
 pub mod worker;
 pub mod write_budget;
--- /dev/null
+++ b/src/external/runner_control.rs
@@ -0,0 +1,129 @@
+//! Control of the runner on the agent's own host.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use snafu::Snafu;
+
+use crate::connection::node_protocol::EndedRun;
+use crate::connection::node_protocol::PresentRun;
+use crate::connection::node_protocol::RejectReason;
+use crate::connection::node_protocol::StartOrder;
+use crate::ids::InstanceId;
+use crate::ids::PlannerEpoch;
+use crate::ids::RunNumber;
+use crate::workflow::spec::TaskName;
+
+/// Time of a runner's own steady clock, in milliseconds.
+pub type RunnerMillis = u64;
+
+/// The runner that is meant, and under whose authority.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerTarget {
+    /// Address of the runner.
+    pub address: String,
+    /// The life that is meant; any other refuses.
+    pub instance: InstanceId,
+    /// Epoch of the planner, as fencing token.
+    pub epoch: PlannerEpoch,
+}
+
+/// What a look at a runner shows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerLists {
+    /// Time of the runner's clock.
+    pub clock: RunnerMillis,
+    /// What it runs.
+    pub running: Vec<PresentRun>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<EndedRun>,
+}
+
+/// How a look is taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunnerHold {
+    /// Up to when everything on the runner may run; nothing to leave leases as they are.
+    pub lease_end: Option<RunnerMillis>,
+    /// Number of the last end that may be forgotten.
+    pub seen: u64,
+    /// How long the answer may wait for an end.
+    pub wait: Duration,
+}
+
+/// Why a call of a runner did not succeed.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum RunnerError {
+    /// The runner refused for this reason and did nothing.
+    #[snafu(display("refused: {reason:?}"))]
+    Rejected {
+        /// Why.
+        reason: RejectReason,
+    },
+    /// The runner has seen a later epoch.
+    #[snafu(display("the runner knows a later epoch"))]
+    Fenced,
+    /// Another life of the runner answers at the address.
+    #[snafu(display("another life of the runner answers"))]
+    OtherLife,
+    /// Nobody listens at the runner's address on this host, so that no life of it runs there.
+    #[snafu(display("the runner is not running"))]
+    NotRunning,
+    /// No answer; the call may have been carried out, or may yet be.
+    #[snafu(display("no answer: {reason}"))]
+    NoAnswer {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Calls of a runner.
+#[async_trait]
+pub trait RunnerControl: Send + Sync {
+    /// Starts a run. Repeating it is harmless.
+    ///
+    /// # Errors
+    ///
+    /// See [`RunnerError`].
+    async fn start(
+        &self,
+        target: &RunnerTarget,
+        order: &StartOrder,
+        lease_end: RunnerMillis,
+    ) -> Result<(), RunnerError>;
+
+    /// Stops a run. A run that has not begun will never begin.
+    ///
+    /// # Errors
+    ///
+    /// See [`RunnerError`].
+    async fn stop(
+        &self,
+        target: &RunnerTarget,
+        task: &TaskName,
+        run: RunNumber,
+    ) -> Result<(), RunnerError>;
+
+    /// Lets a run work at a share of its speed.
+    ///
+    /// # Errors
+    ///
+    /// See [`RunnerError`].
+    async fn pace(
+        &self,
+        target: &RunnerTarget,
+        task: &TaskName,
+        run: RunNumber,
+        percent: u32,
+    ) -> Result<(), RunnerError>;
+
+    /// Looks at a runner and extends its leases.
+    ///
+    /// # Errors
+    ///
+    /// See [`RunnerError`].
+    async fn hold(
+        &self,
+        target: &RunnerTarget,
+        hold: RunnerHold,
+    ) -> Result<RunnerLists, RunnerError>;
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -34,3 +34,15 @@
 pub type RowVersion = u64;
 /// Digest of a request's or an answer's body.
 pub type BodyDigest = u64;
+/// Name of a queue of jobs, as the operator's configuration gives it.
+pub type QueueName = String;
+/// Identifier of one life of a runner; a restart makes a new one.
+pub type InstanceId = String;
+/// Number of a start of a task; it only rises, and fences earlier starts.
+pub type RunNumber = u32;
+/// Epoch of the planner's ownership; each takeover raises it by one.
+pub type PlannerEpoch = u64;
+/// Reference to saved work of a task, opaque to the product; empty when there is none.
+pub type CheckpointRef = String;
+/// Name of a rack.
+pub type RackName = String;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod external;
 pub mod findings;
 pub mod ids;
+pub mod platform;
 pub mod process;
 pub mod request;
 pub mod version;
+pub mod workflow;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! Translates between the users' platform and the product's own types.
+//!
+//! Only this folder knows the platform's paths and field names. It decides nothing and keeps nothing.
+
+pub mod caller_gate;
+pub mod configuration;
+pub mod http_client;
+pub mod runner_client;
+pub mod runner_registry;
+pub mod store_client;
--- /dev/null
+++ b/src/platform/runner_client.rs
@@ -0,0 +1,252 @@
+//! The platform's runners, as the product's [`RunnerControl`].
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use reqwest::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::connection::node_protocol::EndedRun;
+use crate::connection::node_protocol::PresentRun;
+use crate::connection::node_protocol::RejectReason;
+use crate::connection::node_protocol::StartOrder;
+use crate::external::runner_control::RunnerControl;
+use crate::external::runner_control::RunnerError;
+use crate::external::runner_control::RunnerHold;
+use crate::external::runner_control::RunnerLists;
+use crate::external::runner_control::RunnerMillis;
+use crate::external::runner_control::RunnerTarget;
+use crate::ids::PlannerEpoch;
+use crate::ids::RunNumber;
+use crate::platform::http_client::CallResult;
+use crate::platform::http_client::PlatformHttp;
+use crate::workflow::progress::RunEnd;
+use crate::workflow::spec::TaskName;
+
+/// Header that names the life of a runner that a call is meant for.
+const EXPECT_INSTANCE: &str = "X-Greengagearch-Expect-Instance";
+/// Time for the answer to an order; the runner is on the same host, so that a longer silence means
+/// that the order is delayed or lost and has to be repeated.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
+/// Time beyond the asked wait within which a look must be answered.
+const HOLD_SLACK: Duration = Duration::from_millis(600);
+
+#[derive(Debug, Serialize)]
+struct WireStart<'a> {
+    #[serde(rename = "Task")]
+    task: String,
+    #[serde(rename = "Run")]
+    run: RunNumber,
+    #[serde(rename = "Spec")]
+    payload: &'a str,
+    #[serde(rename = "UntilMs")]
+    lease_end: RunnerMillis,
+    #[serde(rename = "Fence")]
+    epoch: PlannerEpoch,
+    #[serde(rename = "LastCheckpoint", skip_serializing_if = "str::is_empty")]
+    checkpoint: &'a str,
+    #[serde(rename = "Ticket", skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize)]
+struct WireStop {
+    #[serde(rename = "Task")]
+    task: String,
+    #[serde(rename = "Run")]
+    run: RunNumber,
+    #[serde(rename = "Percent", skip_serializing_if = "Option::is_none")]
+    percent: Option<u32>,
+    #[serde(rename = "Fence")]
+    epoch: PlannerEpoch,
+}
+
+#[derive(Debug, Serialize)]
+struct WireHold {
+    #[serde(rename = "UntilMs", skip_serializing_if = "Option::is_none")]
+    lease_end: Option<RunnerMillis>,
+    #[serde(rename = "Fence")]
+    epoch: PlannerEpoch,
+    #[serde(rename = "LastSeen")]
+    seen: u64,
+    #[serde(rename = "WaitMs")]
+    wait_ms: u64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct WireRefusal {
+    #[serde(rename = "Reason", default)]
+    reason: String,
+}
+
+/// A run at work: task, run, saved work, percent of its speed, and its usage.
+type WireRunning = (String, RunNumber, Option<String>, f64, Option<f64>);
+/// An end: number, task, run, how, saved work.
+type WireEnded = (u64, String, RunNumber, String, Option<String>);
+
+#[derive(Debug, Deserialize)]
+struct WireLists {
+    #[serde(rename = "ClockMs")]
+    clock: RunnerMillis,
+    #[serde(rename = "Running", default)]
+    running: Vec<WireRunning>,
+    #[serde(rename = "Ended", default)]
+    ended: Vec<WireEnded>,
+}
+
+/// Any answer that says no more than that an order was carried out.
+#[derive(Debug, Deserialize)]
+struct WireDone {}
+
+/// A client of the runner on this host.
+#[derive(Debug)]
+pub struct RunnerClient {
+    http: PlatformHttp,
+}
+
+impl RunnerClient {
+    /// Opens a client.
+    ///
+    /// ```
+    /// greengagearch::platform::runner_client::RunnerClient::open();
+    /// ```
+    pub fn open() -> RunnerClient {
+        RunnerClient { http: PlatformHttp::open() }
+    }
+
+    async fn call<B: Serialize + Sync, T: DeserializeOwned>(
+        &self,
+        target: &RunnerTarget,
+        name: &str,
+        body: &B,
+        limit: Duration,
+    ) -> Result<T, RunnerError> {
+        let request = self
+            .http
+            .client()
+            .post(format!("http://{}/-/{name}", target.address))
+            .header(EXPECT_INSTANCE, &target.instance)
+            .json(body);
+        decode(self.http.send(request, limit).await)
+    }
+}
+
+#[async_trait]
+impl RunnerControl for RunnerClient {
+    async fn start(
+        &self,
+        target: &RunnerTarget,
+        order: &StartOrder,
+        lease_end: RunnerMillis,
+    ) -> Result<(), RunnerError> {
+        let body = WireStart {
+            task: order.traits.task.to_string(),
+            run: order.run,
+            payload: &order.payload,
+            lease_end,
+            epoch: target.epoch,
+            checkpoint: &order.checkpoint,
+            ticket: order.ticket.as_deref(),
+        };
+        self.call(target, "run-start", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
+    }
+
+    async fn stop(
+        &self,
+        target: &RunnerTarget,
+        task: &TaskName,
+        run: RunNumber,
+    ) -> Result<(), RunnerError> {
+        let body = WireStop { task: task.to_string(), run, percent: None, epoch: target.epoch };
+        self.call(target, "run-stop", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
+    }
+
+    async fn pace(
+        &self,
+        target: &RunnerTarget,
+        task: &TaskName,
+        run: RunNumber,
+        percent: u32,
+    ) -> Result<(), RunnerError> {
+        let percent = Some(percent);
+        let body = WireStop { task: task.to_string(), run, percent, epoch: target.epoch };
+        self.call(target, "pace", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
+    }
+
+    async fn hold(
+        &self,
+        target: &RunnerTarget,
+        hold: RunnerHold,
+    ) -> Result<RunnerLists, RunnerError> {
+        let wait_ms = u64::try_from(hold.wait.as_millis()).unwrap_or(0);
+        let body =
+            WireHold { lease_end: hold.lease_end, epoch: target.epoch, seen: hold.seen, wait_ms };
+        let lists: WireLists = self.call(target, "hold", &body, hold.wait + HOLD_SLACK).await?;
+        Ok(RunnerLists {
+            clock: lists.clock,
+            running: lists.running.into_iter().filter_map(decode_running).collect(),
+            ended: lists.ended.into_iter().filter_map(decode_ended).collect(),
+        })
+    }
+}
+
+fn decode<T: DeserializeOwned>(result: CallResult) -> Result<T, RunnerError> {
+    let (status, body) = match result {
+        CallResult::Answer(status, body) => (status, body),
+        CallResult::Refused => return Err(RunnerError::NotRunning),
+        CallResult::NotSent(reason) | CallResult::NoAnswer(reason) => {
+            return Err(RunnerError::NoAnswer { reason });
+        }
+    };
+    match status {
+        StatusCode::OK => serde_json::from_slice(&body)
+            .map_err(|error| RunnerError::NoAnswer { reason: error.to_string() }),
+        StatusCode::MISDIRECTED_REQUEST => Err(RunnerError::OtherLife),
+        StatusCode::CONFLICT => Err(decode_refusal(&body)),
+        StatusCode::BAD_REQUEST => Err(RunnerError::Rejected { reason: RejectReason::Malformed }),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Err(RunnerError::Rejected { reason: RejectReason::Unwell })
+        }
+        other => Err(RunnerError::NoAnswer { reason: format!("status {}", other.as_u16()) }),
+    }
+}
+
+fn decode_refusal(body: &[u8]) -> RunnerError {
+    // A refusal without a reason that is known counts as one for a malformed order.
+    let refusal: WireRefusal = serde_json::from_slice(body).unwrap_or_default();
+    let reason = match refusal.reason.as_str() {
+        "fence" => return RunnerError::Fenced,
+        "old" => RejectReason::Old,
+        "late" => RejectReason::Late,
+        "room" => RejectReason::Room,
+        _ => RejectReason::Malformed,
+    };
+    RunnerError::Rejected { reason }
+}
+
+fn decode_running(running: WireRunning) -> Option<PresentRun> {
+    let (task, run, checkpoint, percent, usage) = running;
+    Some(PresentRun {
+        task: task.parse().ok()?,
+        run,
+        checkpoint: checkpoint.unwrap_or_default(),
+        percent: percent as u32,
+        usage: usage.unwrap_or(0.0) as u64,
+    })
+}
+
+fn decode_ended(ended: WireEnded) -> Option<EndedRun> {
+    let (number, task, run, how, checkpoint) = ended;
+    let end = match how.as_str() {
+        "done" => RunEnd::Done,
+        "failed" => RunEnd::Failed,
+        "stopped" => RunEnd::Stopped,
+        "broken" => RunEnd::Broken,
+        "alone" => RunEnd::Alone,
+        _ => RunEnd::Lapsed,
+    };
+    let checkpoint = checkpoint.unwrap_or_default();
+    Some(EndedRun { number, task: task.parse().ok()?, run, end, checkpoint })
+}
--- /dev/null
+++ b/src/platform/runner_registry.rs
@@ -0,0 +1,110 @@
+//! The listener at which the runner on this host registers itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::put;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::connection::node_protocol::RunnerStatus;
+use crate::ids::InstanceId;
+use crate::workflow::spec::RoomAmount;
+
+/// What a runner says of itself at a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerBeat {
+    /// Its state.
+    pub status: RunnerStatus,
+    /// Where it takes orders.
+    pub address: String,
+    /// Number of the heartbeat, rising in one life.
+    pub sequence: u64,
+}
+
+/// Takes what runners say.
+pub trait RunnerRegistry: Send + Sync {
+    /// Takes a heartbeat.
+    fn on_beat(&self, beat: RunnerBeat);
+    /// Takes note that a life of the runner has ended.
+    fn on_leave(&self, instance: &str);
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct WireRoom {
+    #[serde(rename = "Cpu", default)]
+    millicores: u64,
+    #[serde(rename = "MemMb", default)]
+    memory_mib: u64,
+    #[serde(rename = "Gpu", default)]
+    accelerators: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireBeat {
+    #[serde(rename = "Service")]
+    service: String,
+    #[serde(rename = "Address")]
+    address: SocketAddr,
+    #[serde(rename = "Zone", default)]
+    domain: String,
+    #[serde(rename = "State", default)]
+    state: String,
+    #[serde(rename = "Capacity", default)]
+    capacity: WireRoom,
+    #[serde(rename = "Labels", default)]
+    labels: Vec<String>,
+    #[serde(rename = "Sequence", default)]
+    sequence: u64,
+}
+
+type SharedRegistry = Arc<dyn RunnerRegistry>;
+
+/// The routes of the listener.
+///
+/// ```no_run
+/// # use std::sync::Arc;
+/// # fn f(registry: Arc<dyn greengagearch::platform::runner_registry::RunnerRegistry>) {
+/// let router = greengagearch::platform::runner_registry::router(registry);
+/// # }
+/// ```
+pub fn router(registry: SharedRegistry) -> Router {
+    Router::new()
+        .route("/-/instances/{instance}", put(take_beat).delete(take_leave))
+        .with_state(registry)
+}
+
+async fn take_beat(
+    State(registry): State<SharedRegistry>,
+    Path(instance): Path<InstanceId>,
+    Json(beat): Json<WireBeat>,
+) -> Json<Value> {
+    let status = RunnerStatus {
+        instance,
+        service: beat.service,
+        domain: beat.domain,
+        capacity: RoomAmount {
+            millicores: beat.capacity.millicores,
+            memory_mib: beat.capacity.memory_mib,
+            accelerators: beat.capacity.accelerators,
+        },
+        labels: beat.labels,
+        draining: beat.state != "ready",
+    };
+    let address = beat.address.to_string();
+    registry.on_beat(RunnerBeat { status, address, sequence: beat.sequence });
+    Json(Value::Object(serde_json::Map::new()))
+}
+
+async fn take_leave(
+    State(registry): State<SharedRegistry>,
+    Path(instance): Path<InstanceId>,
+) -> StatusCode {
+    registry.on_leave(&instance);
+    StatusCode::OK
+}
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -1,4 +1,4 @@
-//! Logs: one line of `key=value` pairs for each event, on standard error.
+//! Logs: one line of `key=value` pairs for each event, on standard error or standard output.
 
 use std::fmt::Display;
 use std::fmt::Write;
@@ -10,12 +10,28 @@
 use simplelog::ConfigBuilder;
 use simplelog::WriteLogger;
 
+use crate::process::line_queue::LineQueue;
+
 /// Opens the log of this process. Later calls change nothing.
 ///
 /// ```
 /// greengagearch::process::logging::open_log(log::LevelFilter::Info);
 /// ```
 pub fn open_log(filter: LevelFilter) {
+    open_log_on(filter, std::io::stderr());
+}
+
+/// Opens the log on standard output, behind a bounded queue, so that a slow reader of the output never
+/// holds up the process. Lines that find the queue full are dropped and counted.
+///
+/// ```no_run
+/// greengagearch::process::logging::open_queued_log(log::LevelFilter::Info);
+/// ```
+pub fn open_queued_log(filter: LevelFilter) {
+    open_log_on(filter, LineQueue::spawn(std::io::stdout()));
+}
+
+fn open_log_on<W: std::io::Write + Send + 'static>(filter: LevelFilter, output: W) {
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
@@ -25,7 +41,7 @@
         .add_filter_allow_str("greengagearch")
         .build();
     // A second logger is refused, and the first one stays.
-    let _ = WriteLogger::init(filter, config, std::io::stderr());
+    let _ = WriteLogger::init(filter, config, output);
 }
 
 /// Writes one event.
--- /dev/null
+++ b/src/process/node/mod.rs
@@ -0,0 +1,93 @@
+//! The node agent: the one process that calls the runner on its host, at the planner's orders.
+
+pub mod orders;
+pub mod rpc;
+pub mod shared;
+pub mod state;
+pub mod watcher;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use tokio::task::JoinHandle;
+
+use crate::error::Error;
+use crate::external::row_store::RowName;
+use crate::external::row_store::RowStore;
+use crate::external::row_store::RowTransaction;
+use crate::external::runner_control::RunnerControl;
+use crate::platform::runner_registry;
+use crate::process::entry::listen;
+use crate::process::http_server::HttpLimits;
+use crate::process::http_server::spawn_http_server;
+use crate::process::logging::log_event;
+use crate::process::node::shared::NodeShared;
+use crate::process::planning::rows::NODE_TABLE;
+use crate::process::planning::rows::NodeRow;
+use crate::process::planning::rows::PARTITION;
+use crate::process::planning::rows::encode;
+use crate::process::planning::settings::NodeSettings;
+use crate::process::stop_signal::StopSignal;
+
+/// Pause before the agent's row is written again after a failure.
+const REGISTER_PAUSE: Duration = Duration::from_millis(300);
+/// Time for answers that are under way at a stop.
+const LAST_ANSWER: Duration = Duration::from_millis(150);
+
+/// A running node agent.
+#[derive(Debug)]
+pub struct NodeProcess {
+    running: JoinHandle<()>,
+}
+
+impl NodeProcess {
+    /// Listens on all addresses and starts.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`].
+    pub async fn bind(
+        settings: NodeSettings,
+        store: Arc<dyn RowStore>,
+        control: Arc<dyn RunnerControl>,
+        stop: StopSignal,
+    ) -> Result<NodeProcess, Error> {
+        let registry = listen(settings.registry_listen).await?;
+        let internal = listen(settings.internal_listen).await?;
+        let shared = Arc::new(NodeShared::new(control));
+        rpc::spawn_node_rpc(internal, shared.clone());
+        watcher::spawn_watcher(shared.clone());
+        let router = runner_registry::router(shared);
+        spawn_http_server(registry, router, HttpLimits::default(), stop.clone());
+        tokio::spawn(register(settings, store));
+        let running = tokio::spawn(async move {
+            stop.raised().await;
+            log_event(Level::Info, "stopping", &[]);
+            // The runner goes on under its leases; the next agent here finds what runs.
+            tokio::time::sleep(LAST_ANSWER).await;
+            log_event(Level::Info, "stopped", &[]);
+        });
+        Ok(NodeProcess { running })
+    }
+
+    /// Waits until the process has stopped.
+    pub async fn stopped(self) {
+        // A panic of the task has been printed by then.
+        let _ = self.running.await;
+    }
+}
+
+/// Writes the agent's address, so that the planner finds it. The row is the same at each start.
+async fn register(settings: NodeSettings, store: Arc<dyn RowStore>) {
+    let address = settings.internal_listen.to_string();
+    let row = NodeRow { id: settings.id, address: address.clone() };
+    let name = RowName::new(NODE_TABLE, PARTITION, &address);
+    let transaction =
+        RowTransaction { puts: vec![(name, encode(&row))], ..RowTransaction::default() };
+    while let Err(error) = store.commit(&transaction).await {
+        log_event(Level::Warn, "register_failed", &[("error", &error)]);
+        tokio::time::sleep(REGISTER_PAUSE).await;
+    }
+    log_event(Level::Info, "registered", &[("address", &address)]);
+}
--- /dev/null
+++ b/src/process/node/orders.rs
@@ -0,0 +1,151 @@
+//! Carries orders out on the runner, each repeated until its fate is known.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::Level;
+
+use crate::connection::node_protocol::NodeOrder;
+use crate::connection::node_protocol::OrderCall;
+use crate::connection::node_protocol::RejectReason;
+use crate::connection::node_protocol::StartOrder;
+use crate::external::runner_control::RunnerError;
+use crate::external::runner_control::RunnerTarget;
+use crate::process::logging::log_event;
+use crate::process::node::shared::NodeShared;
+use crate::workflow::worker_board::RunKey;
+
+/// Pause before an order without an answer is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(30);
+/// How long a start waits for a lease on a new link.
+const LEASE_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause between two looks whether there is a lease.
+const LEASE_POLL: Duration = Duration::from_millis(15);
+
+/// Takes orders for the present life of the runner; orders for another life are only counted, since the
+/// next report names the present one.
+pub fn take_orders(shared: &Arc<NodeShared>, call: OrderCall) {
+    let target = shared.state().target().filter(|target| target.instance == call.instance);
+    for order in call.orders {
+        match (&target, order) {
+            (Some(target), NodeOrder::Start(order)) => take_start(shared, target, order),
+            (Some(target), NodeOrder::Stop(task, run)) => take_stop(shared, target, (task, run)),
+            (Some(_), NodeOrder::Describe(traits)) => {
+                shared.state().traits.insert(traits.task.clone(), traits);
+            }
+            (None, _) => {}
+        }
+    }
+    shared.state().on_orders(call.number);
+}
+
+fn take_start(shared: &Arc<NodeShared>, target: &RunnerTarget, order: StartOrder) {
+    let key = (order.traits.task.clone(), order.run);
+    if !shared.state().begin_start(&key, &order.traits) {
+        return;
+    }
+    let (shared, target) = (shared.clone(), target.clone());
+    tokio::spawn(async move {
+        let refused = start(&shared, &target, &order, &key).await;
+        let mut state = shared.state();
+        if state.is_target(&target) {
+            state.settle_start(&key, refused);
+        }
+        drop(state);
+        let outcome = refused.map_or("settled".to_string(), |reason| format!("{reason:?}"));
+        log_event(
+            Level::Info,
+            "task_start",
+            &[
+                ("task", &key.0),
+                ("run", &key.1),
+                ("epoch", &target.epoch),
+                ("instance", &target.instance),
+                ("outcome", &outcome),
+            ],
+        );
+    });
+}
+
+/// Sends a start until it is answered; gives the reason when it was refused.
+async fn start(
+    shared: &NodeShared,
+    target: &RunnerTarget,
+    order: &StartOrder,
+    key: &RunKey,
+) -> Option<RejectReason> {
+    let arrived = Instant::now();
+    loop {
+        let now = Instant::now();
+        let (may_start, lease_end) = {
+            let mut state = shared.state();
+            if !state.is_target(target) || state.is_stopping(key) {
+                return None;
+            }
+            if state.is_draining() {
+                return Some(RejectReason::Leaving);
+            }
+            let may_start = state.may_start(now);
+            if may_start == Some(true) {
+                state.on_lease_sent();
+            }
+            (may_start, state.lease_end())
+        };
+        match (may_start, lease_end) {
+            (Some(true), Some(lease_end)) => {
+                match shared.control.start(target, order, lease_end).await {
+                    Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => return None,
+                    Err(RunnerError::NotRunning) => tokio::time::sleep(REPEAT_PAUSE).await,
+                    Err(RunnerError::Rejected { reason }) => return Some(reason),
+                    Err(RunnerError::NoAnswer { .. }) => tokio::time::sleep(REPEAT_PAUSE).await,
+                }
+            }
+            _ if now.saturating_duration_since(arrived) > LEASE_WAIT => {
+                // A try without an answer may still be carried out; only a stop rules that out.
+                return refuse_late(shared, target, key).await;
+            }
+            _ => tokio::time::sleep(LEASE_POLL).await,
+        }
+    }
+}
+
+/// Gives a start up for want of a lease, once the runner can no longer carry it out.
+async fn refuse_late(
+    shared: &NodeShared,
+    target: &RunnerTarget,
+    key: &RunKey,
+) -> Option<RejectReason> {
+    stop(shared, target, key).await;
+    Some(RejectReason::Late)
+}
+
+fn take_stop(shared: &Arc<NodeShared>, target: &RunnerTarget, key: RunKey) {
+    if !shared.state().begin_stop(&key) {
+        return;
+    }
+    let (shared, target) = (shared.clone(), target.clone());
+    tokio::spawn(async move {
+        stop(&shared, &target, &key).await;
+        let mut state = shared.state();
+        if state.is_target(&target) {
+            state.settle_stop(&key);
+        }
+        drop(state);
+        log_event(
+            Level::Info,
+            "task_stop",
+            &[("task", &key.0), ("run", &key.1), ("epoch", &target.epoch)],
+        );
+    });
+}
+
+/// Sends a stop until it is answered, or the runner's life or the planner has changed.
+async fn stop(shared: &NodeShared, target: &RunnerTarget, key: &RunKey) {
+    while shared.state().is_target(target) {
+        match shared.control.stop(target, &key.0, key.1).await {
+            Err(RunnerError::NoAnswer { .. }) => tokio::time::sleep(REPEAT_PAUSE).await,
+            Ok(()) | Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/src/process/node/rpc.rs
@@ -0,0 +1,85 @@
+//! The calls that a node agent serves for the planner.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+use crate::connection::node_protocol::LinkStamp;
+use crate::connection::node_protocol::NodeReport;
+use crate::connection::node_protocol::NodeRpc;
+use crate::connection::node_protocol::OrderCall;
+use crate::connection::node_protocol::StaleLink;
+use crate::connection::node_protocol::SyncCall;
+use crate::connection::rpc_client::framed;
+use crate::process::logging::log_event;
+use crate::process::node::orders::take_orders;
+use crate::process::node::shared::NodeShared;
+use crate::process::rpc_server::spawn_accept_loop;
+
+#[derive(Clone)]
+struct NodeServer {
+    shared: Arc<NodeShared>,
+}
+
+/// Serves the planner.
+pub fn spawn_node_rpc(listener: TcpListener, shared: Arc<NodeShared>) {
+    let server = NodeServer { shared };
+    spawn_accept_loop(listener, move |stream| {
+        let channel = BaseChannel::with_defaults(framed(stream));
+        let calls = channel.execute(server.clone().serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    });
+}
+
+impl NodeServer {
+    fn admit(&self, stamp: LinkStamp) -> Result<(), StaleLink> {
+        let admitted = self.shared.state().admit(stamp);
+        match admitted {
+            Ok(false) => Ok(()),
+            Ok(true) => {
+                log_event(
+                    log::Level::Info,
+                    "planner_link",
+                    &[("epoch", &stamp.epoch), ("link", &stamp.link)],
+                );
+                self.shared.look.notify_one();
+                Ok(())
+            }
+            Err(newest) => Err(StaleLink { newest }),
+        }
+    }
+}
+
+impl NodeRpc for NodeServer {
+    async fn sync(self, _: Context, call: SyncCall) -> Result<NodeReport, StaleLink> {
+        self.admit(call.stamp)?;
+        self.shared.state().on_sync(&call);
+        let news = async {
+            while !self.shared.state().has_news() {
+                self.shared.news.notified().await;
+            }
+        };
+        // The wait is over when there is news or when it has been long enough.
+        let _ = timeout(call.wait, news).await;
+        let mut state = self.shared.state();
+        if !state.is_current(call.stamp) {
+            // A look that is taken out here would be missing in the answer to the newer link.
+            return Err(StaleLink { newest: call.stamp });
+        }
+        Ok(state.report(Instant::now()))
+    }
+
+    async fn order(self, _: Context, call: OrderCall) -> Result<(), StaleLink> {
+        self.admit(call.stamp)?;
+        take_orders(&self.shared, call);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/process/node/shared.rs
@@ -0,0 +1,69 @@
+//! What the parts of a node agent share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+
+use crate::external::runner_control::RunnerControl;
+use crate::platform::runner_registry::RunnerBeat;
+use crate::platform::runner_registry::RunnerRegistry;
+use crate::process::logging::log_event;
+use crate::process::node::state::KnownRunner;
+use crate::process::node::state::NodeState;
+
+/// State that lives as long as the process.
+pub struct NodeShared {
+    /// The runner's control.
+    pub control: Arc<dyn RunnerControl>,
+    /// Wakes answers that wait for news.
+    pub news: Notify,
+    /// Wakes the loop that looks at the runner.
+    pub look: Notify,
+    state: Mutex<NodeState>,
+}
+
+impl NodeShared {
+    /// State of a process that has just started.
+    pub fn new(control: Arc<dyn RunnerControl>) -> NodeShared {
+        NodeShared {
+            control,
+            news: Notify::new(),
+            look: Notify::new(),
+            state: Mutex::new(NodeState::new(Instant::now())),
+        }
+    }
+
+    /// The state.
+    pub fn state(&self) -> MutexGuard<'_, NodeState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl RunnerRegistry for NodeShared {
+    fn on_beat(&self, beat: RunnerBeat) {
+        let instance = beat.status.instance.clone();
+        let draining = beat.status.draining;
+        let runner =
+            KnownRunner { status: beat.status, address: beat.address, sequence: beat.sequence };
+        if self.state().on_beat(runner) {
+            log_event(
+                log::Level::Info,
+                "runner_changed",
+                &[("instance", &instance), ("sequence", &beat.sequence), ("draining", &draining)],
+            );
+            self.news.notify_one();
+            self.look.notify_one();
+        }
+    }
+
+    fn on_leave(&self, instance: &str) {
+        if self.state().on_leave(instance) {
+            log_event(log::Level::Info, "runner_left", &[("instance", &instance)]);
+            self.news.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/src/process/node/state.rs
@@ -0,0 +1,391 @@
+//! What a node agent knows: its runner, the planner that it obeys, and what it has ordered.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::connection::node_protocol::LinkStamp;
+use crate::connection::node_protocol::NodeReport;
+use crate::connection::node_protocol::PresentRun;
+use crate::connection::node_protocol::RejectReason;
+use crate::connection::node_protocol::RejectedRun;
+use crate::connection::node_protocol::RunnerLook;
+use crate::connection::node_protocol::RunnerStatus;
+use crate::connection::node_protocol::SyncCall;
+use crate::connection::node_protocol::TaskTraits;
+use crate::external::runner_control::RunnerHold;
+use crate::external::runner_control::RunnerLists;
+use crate::external::runner_control::RunnerMillis;
+use crate::external::runner_control::RunnerTarget;
+use crate::ids::InstanceId;
+use crate::workflow::grant::surely_expired;
+use crate::workflow::pacing::PaceControl;
+use crate::workflow::spec::TaskName;
+use crate::workflow::worker_board::RunKey;
+
+/// Earlier lives of the runner that are remembered, for heartbeats and orders that come late.
+const FORMER_LIVES: usize = 8;
+/// A start is not tried with less than this left of the lease.
+const LEAST_LEASE: Duration = Duration::from_millis(150);
+
+/// A runner that has not answered for so long gets no longer leases.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The runner on this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownRunner {
+    /// What it says of itself.
+    pub status: RunnerStatus,
+    /// Where it takes orders.
+    pub address: String,
+    /// Number of its newest heartbeat.
+    pub sequence: u64,
+}
+
+/// An order to start that this agent has on its way, or that the newest look may not show yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LocalStart {
+    /// It is being sent.
+    Sending,
+    /// Its fate is known; looks with a higher number than this show it.
+    Settled(u64),
+}
+
+/// The state of a node agent.
+#[derive(Debug)]
+pub struct NodeState {
+    started: Instant,
+    stamp: LinkStamp,
+    runner: Option<KnownRunner>,
+    candidate: Option<KnownRunner>,
+    former: VecDeque<InstanceId>,
+    answered: Instant,
+    sent_until: Option<Instant>,
+    lease_until: Option<Instant>,
+    clock: Option<(RunnerMillis, Instant)>,
+    seen: u64,
+    starts: HashMap<RunKey, LocalStart>,
+    stops: HashMap<RunKey, bool>,
+    rejected: Vec<RejectedRun>,
+    orders_seen: u64,
+    looks: u64,
+    fresh_look: Option<RunnerLook>,
+    reported_ends: u64,
+    has_news: bool,
+    /// What is known of tasks.
+    pub traits: HashMap<TaskName, TaskTraits>,
+    /// Decides how fast tasks may work.
+    pub pace: PaceControl,
+}
+
+impl NodeState {
+    /// The state of an agent that has just started.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// assert!(greengagearch::process::node::state::NodeState::new(Instant::now()).target().is_none());
+    /// ```
+    pub fn new(started: Instant) -> NodeState {
+        NodeState {
+            started,
+            stamp: LinkStamp::default(),
+            runner: None,
+            candidate: None,
+            former: VecDeque::new(),
+            answered: started,
+            sent_until: None,
+            lease_until: None,
+            clock: None,
+            seen: 0,
+            starts: HashMap::new(),
+            stops: HashMap::new(),
+            rejected: Vec::new(),
+            orders_seen: 0,
+            looks: 0,
+            fresh_look: None,
+            reported_ends: 0,
+            has_news: false,
+            traits: HashMap::new(),
+            pace: PaceControl::default(),
+        }
+    }
+
+    /// Obeys a sender if it is not older than the newest one. Says whether it is a new link.
+    pub fn admit(&mut self, stamp: LinkStamp) -> Result<bool, LinkStamp> {
+        if stamp < self.stamp {
+            return Err(self.stamp);
+        }
+        let is_new = stamp > self.stamp;
+        if is_new {
+            // What the planner knows of orders and ends starts anew with each link.
+            self.stamp = stamp;
+            self.orders_seen = 0;
+            self.reported_ends = 0;
+            self.fresh_look = None;
+            self.has_news = true;
+        }
+        Ok(is_new)
+    }
+
+    /// Whether a sender is still the newest.
+    pub fn is_current(&self, stamp: LinkStamp) -> bool {
+        stamp == self.stamp
+    }
+
+    /// Takes a heartbeat of the runner. Says whether the planner should hear of it at once.
+    pub fn on_beat(&mut self, runner: KnownRunner) -> bool {
+        let instance = &runner.status.instance;
+        if self.former.contains(instance) {
+            return false;
+        }
+        match &self.runner {
+            Some(known) if known.status.instance == *instance => {
+                if runner.sequence <= known.sequence {
+                    return false;
+                }
+                let is_news = known.status != runner.status;
+                self.has_news |= is_news;
+                self.runner = Some(runner);
+                is_news
+            }
+            Some(_) => {
+                // Either the known life has ended or this heartbeat is an old one that was held up; the
+                // next look at the known life tells.
+                self.candidate = Some(runner);
+                false
+            }
+            None => {
+                self.install(runner);
+                true
+            }
+        }
+    }
+
+    fn install(&mut self, runner: KnownRunner) {
+        self.runner = Some(runner);
+        self.has_news = true;
+    }
+
+    /// Takes note that the known life does not answer. One that has registered since takes its place;
+    /// without one, and with leases that have surely expired, the life is given up.
+    pub fn on_no_answer(&mut self, now: Instant) -> bool {
+        if let Some(candidate) = self.candidate.take() {
+            self.retire();
+            self.install(candidate);
+            return true;
+        }
+        let Some(until) = self.sent_until else {
+            return false;
+        };
+        let left = until.saturating_duration_since(self.answered);
+        let is_expired = now >= surely_expired(self.answered, left);
+        if is_expired && now.saturating_duration_since(self.answered) > SILENCE_LIMIT {
+            self.retire();
+            self.has_news = true;
+            return true;
+        }
+        false
+    }
+
+    /// Takes note that a life of the runner has ended.
+    pub fn on_leave(&mut self, instance: &str) -> bool {
+        let is_known = self.runner.as_ref().is_some_and(|known| known.status.instance == instance);
+        if is_known {
+            self.retire();
+            self.has_news = true;
+            if let Some(candidate) = self.candidate.take() {
+                self.install(candidate);
+            }
+        }
+        is_known
+    }
+
+    /// Puts the present life of the runner among the former ones.
+    fn retire(&mut self) {
+        let Some(runner) = self.runner.take() else {
+            return;
+        };
+        self.former.push_back(runner.status.instance);
+        if self.former.len() > FORMER_LIVES {
+            self.former.pop_front();
+        }
+        self.lease_until = None;
+        self.sent_until = None;
+        self.clock = None;
+        self.seen = 0;
+        self.starts.clear();
+        self.stops.clear();
+        self.rejected.clear();
+        self.fresh_look = None;
+        self.reported_ends = 0;
+        self.pace = PaceControl::default();
+    }
+
+    /// Where orders go, and under which epoch; nothing without a runner or a planner.
+    pub fn target(&self) -> Option<RunnerTarget> {
+        let runner = self.runner.as_ref().filter(|_| self.stamp.epoch > 0)?;
+        Some(RunnerTarget {
+            address: runner.address.clone(),
+            instance: runner.status.instance.clone(),
+            epoch: self.stamp.epoch,
+        })
+    }
+
+    /// Whether a target is still the present one.
+    pub fn is_target(&self, target: &RunnerTarget) -> bool {
+        self.target().as_ref() == Some(target)
+    }
+
+    /// Whether the runner is leaving.
+    pub fn is_draining(&self) -> bool {
+        self.runner.as_ref().is_some_and(|runner| runner.status.draining)
+    }
+
+    /// Extends the leases as the planner allows. The span counts from a time that this agent sent.
+    pub fn on_sync(&mut self, call: &SyncCall) {
+        let instance = self.runner.as_ref().map(|runner| &runner.status.instance);
+        if call.instance.is_none() || call.instance.as_ref() != instance {
+            return;
+        }
+        self.seen = self.seen.max(call.seen);
+        if let Some(grant) = call.grant {
+            let until = self.started + grant.since + grant.span;
+            self.lease_until = Some(self.lease_until.map_or(until, |known| known.max(until)));
+        }
+    }
+
+    /// Up to when everything may run, on the runner's clock; nothing while that is not known.
+    pub fn lease_end(&self) -> Option<RunnerMillis> {
+        let (clock, read_at) = self.clock?;
+        let left = self.lease_until?.checked_duration_since(read_at)?;
+        Some(clock + u64::try_from(left.as_millis()).ok()?)
+    }
+
+    /// Whether a start may be tried at `now`: nothing while no lease is known, else whether enough is left.
+    pub fn may_start(&self, now: Instant) -> Option<bool> {
+        self.lease_end()?;
+        let is_silent = now.saturating_duration_since(self.answered) > SILENCE_LIMIT;
+        self.lease_until.map(|until| now + LEAST_LEASE < until && !is_silent)
+    }
+
+    /// Takes note that a start carries the lease to the runner.
+    pub fn on_lease_sent(&mut self) {
+        self.sent_until = self.sent_until.max(self.lease_until);
+    }
+
+    /// Takes note of a start that is about to be sent. Says whether it is new.
+    pub fn begin_start(&mut self, key: &RunKey, traits: &TaskTraits) -> bool {
+        self.traits.insert(key.0.clone(), traits.clone());
+        if self.starts.contains_key(key) || self.stops.contains_key(key) {
+            return false;
+        }
+        self.starts.insert(key.clone(), LocalStart::Sending);
+        true
+    }
+
+    /// Takes note that a start's fate is known: it was carried out, refused, or given up after a stop.
+    pub fn settle_start(&mut self, key: &RunKey, refused: Option<RejectReason>) {
+        if let Some(start) = self.starts.get_mut(key) {
+            *start = LocalStart::Settled(self.looks);
+        }
+        if let Some(reason) = refused {
+            self.starts.remove(key);
+            self.rejected.push(RejectedRun { task: key.0.clone(), run: key.1, reason });
+            self.has_news = true;
+        }
+    }
+
+    /// Takes note of a stop that is about to be sent. Says whether it is new.
+    pub fn begin_stop(&mut self, key: &RunKey) -> bool {
+        self.stops.insert(key.clone(), false).is_none()
+    }
+
+    /// Takes note that a stop was carried out: the run has ended, will end, or never begins.
+    pub fn settle_stop(&mut self, key: &RunKey) {
+        self.stops.insert(key.clone(), true);
+    }
+
+    /// Whether a run is to stop.
+    pub fn is_stopping(&self, key: &RunKey) -> bool {
+        self.stops.contains_key(key)
+    }
+
+    /// Takes note of the last order that came, all orders of which are known here by now.
+    pub fn on_orders(&mut self, number: u64) {
+        self.orders_seen = self.orders_seen.max(number);
+    }
+
+    /// How the next look is to be taken, and its number.
+    pub fn next_hold(&mut self, wait: Duration, now: Instant) -> (u64, RunnerHold) {
+        self.looks += 1;
+        // A life that does not answer is not kept alive by calls that may be carried out late.
+        let is_silent = now.saturating_duration_since(self.answered) > SILENCE_LIMIT;
+        let lease_end = self.lease_end().filter(|_| !is_silent);
+        if lease_end.is_some() {
+            self.sent_until = self.sent_until.max(self.lease_until);
+        }
+        (self.looks, RunnerHold { lease_end, seen: self.seen, wait })
+    }
+
+    /// Takes in a look that was sent under a number and answered now. Says whether it brings news.
+    pub fn on_lists(&mut self, number: u64, lists: RunnerLists, now: Instant) -> bool {
+        self.clock = Some((lists.clock, now));
+        self.answered = now;
+        if let Some(stale) = self.candidate.take() {
+            // The known life has answered after this one's heartbeat came.
+            self.former.push_back(stale.status.instance);
+        }
+        let mut present = lists.running;
+        self.starts.retain(|key, start| {
+            let is_running = present.iter().any(|run| run.task == key.0 && run.run == key.1);
+            let is_shown = matches!(start, LocalStart::Settled(after) if number > *after);
+            if !is_running && !is_shown {
+                present.push(unseen(key));
+            }
+            !is_shown
+        });
+        self.stops.retain(|key, is_done| {
+            let is_running = present.iter().any(|run| run.task == key.0 && run.run == key.1);
+            !*is_done || is_running
+        });
+        self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
+        let last = lists.ended.last().map_or(0, |ended| ended.number);
+        let is_news = last > self.reported_ends || !self.rejected.is_empty() || self.has_news;
+        self.fresh_look = Some(RunnerLook {
+            present,
+            ended: lists.ended,
+            rejected: Vec::new(),
+            orders_seen: self.orders_seen,
+        });
+        self.has_news = is_news;
+        is_news
+    }
+
+    /// Whether the planner should hear of something at once.
+    pub fn has_news(&self) -> bool {
+        self.has_news && self.fresh_look.is_some()
+    }
+
+    /// What the planner is told: the newest look, once.
+    pub fn report(&mut self, now: Instant) -> NodeReport {
+        let mut look = self.fresh_look.take();
+        if let Some(look) = &mut look {
+            look.rejected = std::mem::take(&mut self.rejected);
+            let last = look.ended.last().map_or(0, |ended| ended.number);
+            self.reported_ends = self.reported_ends.max(last);
+            self.has_news = false;
+        }
+        NodeReport {
+            now: now.saturating_duration_since(self.started),
+            runner: self.runner.as_ref().map(|runner| runner.status.clone()),
+            former: self.former.iter().cloned().collect(),
+            look,
+        }
+    }
+}
+
+fn unseen(key: &RunKey) -> PresentRun {
+    PresentRun { task: key.0.clone(), run: key.1, checkpoint: String::new(), percent: 0, usage: 0 }
+}
--- /dev/null
+++ b/src/process/node/watcher.rs
@@ -0,0 +1,113 @@
+//! Looks at the runner without pause: extends its leases, learns of ends, paces what disturbs.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::Level;
+
+use crate::external::runner_control::RunnerError;
+use crate::external::runner_control::RunnerTarget;
+use crate::process::logging::log_event;
+use crate::process::node::shared::NodeShared;
+use crate::workflow::pacing::PaceStep;
+
+/// Longest wait of a look for an end: as often tails are measured and leases extended.
+const LOOK_WAIT: Duration = Duration::from_millis(250);
+/// Pause after a look that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Starts looking.
+pub fn spawn_watcher(shared: Arc<NodeShared>) {
+    tokio::spawn(async move {
+        let mut has_failed = false;
+        loop {
+            let target = shared.state().target();
+            let Some(target) = target else {
+                shared.look.notified().await;
+                continue;
+            };
+            match look(&shared, &target).await {
+                Ok(()) => {
+                    if std::mem::take(&mut has_failed) {
+                        log_event(Level::Info, "runner_regained", &[]);
+                    }
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut has_failed, true) {
+                        log_event(Level::Warn, "runner_lost", &[("error", &error)]);
+                    }
+                    if on_error(&shared, &target, &error) {
+                        log_event(Level::Info, "runner_ended", &[("instance", &target.instance)]);
+                        shared.news.notify_one();
+                    }
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    });
+}
+
+/// Decides what an unanswered look says of the runner. Says whether its life has ended.
+fn on_error(shared: &NodeShared, target: &RunnerTarget, error: &RunnerError) -> bool {
+    let mut state = shared.state();
+    if !state.is_target(target) {
+        return false;
+    }
+    match error {
+        RunnerError::OtherLife | RunnerError::NotRunning => state.on_leave(&target.instance),
+        RunnerError::NoAnswer { .. } => state.on_no_answer(Instant::now()),
+        RunnerError::Fenced | RunnerError::Rejected { .. } => false,
+    }
+}
+
+async fn look(shared: &Arc<NodeShared>, target: &RunnerTarget) -> Result<(), RunnerError> {
+    let (number, hold) = {
+        let mut state = shared.state();
+        // Without a lease on record the first look only reads the runner's clock.
+        let wait = if state.lease_end().is_some() { LOOK_WAIT } else { Duration::ZERO };
+        state.next_hold(wait, Instant::now())
+    };
+    let lists = shared.control.hold(target, hold).await?;
+    let steps = {
+        let mut state = shared.state();
+        if !state.is_target(target) {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let steps = {
+            let state = &mut *state;
+            state.pace.look(&lists.running, &state.traits, now)
+        };
+        if state.on_lists(number, lists, now) {
+            shared.news.notify_one();
+        }
+        steps
+    };
+    for step in steps {
+        let (shared, target) = (shared.clone(), target.clone());
+        tokio::spawn(async move { pace(&shared, &target, step).await });
+    }
+    if hold.lease_end.is_none() {
+        // The lease comes with the planner's next call.
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn pace(shared: &NodeShared, target: &RunnerTarget, step: PaceStep) {
+    let (task, run) = &step.key;
+    let result = shared.control.pace(target, task, *run, step.percent).await;
+    let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "done".to_string());
+    log_event(
+        Level::Info,
+        "task_paced",
+        &[
+            ("task", task),
+            ("run", run),
+            ("percent", &step.percent),
+            ("pressure", &format!("{:.2}", step.pressure)),
+            ("outcome", &outcome),
+        ],
+    );
+}
--- /dev/null
+++ b/src/process/planning/job_desk.rs
@@ -0,0 +1,200 @@
+//! Takes callers' jobs: stores them, tells their states, cancels them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use log::Level;
+
+use crate::connection::planner_protocol::StatusAnswer;
+use crate::external::row_store::RowError;
+use crate::external::row_store::RowTransaction;
+use crate::external::row_store::StoredRow;
+use crate::process::gate::CallDeadline;
+use crate::process::gate::JobGate;
+use crate::process::gate::JobRefusal;
+use crate::process::logging::log_event;
+use crate::process::planning::planner_client::PlannerClient;
+use crate::process::planning::rows::decode;
+use crate::process::planning::rows::encode;
+use crate::process::planning::rows::job_row;
+use crate::process::planning::shared::PlannerShared;
+use crate::version::queue_table::QueueTable;
+use crate::workflow::progress::JobEnd;
+use crate::workflow::progress::JobRecord;
+use crate::workflow::progress::JobStatus;
+use crate::workflow::progress::spec_digest;
+use crate::workflow::spec::WorkflowSpec;
+
+/// Pause before a call whose answer was lost is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(60);
+/// Kept of the caller's time, so that an answer still reaches it.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
+/// The job desk of a planner process.
+pub struct JobDesk {
+    shared: Arc<PlannerShared>,
+    planner: PlannerClient,
+}
+
+impl JobDesk {
+    /// Opens the desk.
+    pub fn open(shared: Arc<PlannerShared>) -> JobDesk {
+        JobDesk { planner: PlannerClient::open(shared.clone()), shared }
+    }
+
+    /// Stores a job; a lost answer is settled by repeating the call, whose condition allows it once.
+    async fn store(
+        &self,
+        job: &str,
+        record: &JobRecord,
+        deadline: CallDeadline,
+    ) -> Result<(), JobRefusal> {
+        let name = job_row(job);
+        let transaction = RowTransaction {
+            expected: vec![(name.clone(), 0)],
+            puts: vec![(name, encode(record))],
+            removes: Vec::new(),
+        };
+        let mut may_be_stored = false;
+        loop {
+            match self.shared.store.commit(&transaction).await {
+                Ok(_) => return Ok(()),
+                Err(RowError::Conflict { rows }) => return check_same(&rows, record),
+                Err(RowError::Refused { reason }) if !may_be_stored => {
+                    return Err(JobRefusal::NotRun { reason });
+                }
+                Err(error) => {
+                    may_be_stored |= !matches!(error, RowError::Refused { .. });
+                    if deadline.left() < ANSWER_RESERVE + REPEAT_PAUSE {
+                        return Err(JobRefusal::Unknown { reason: error.to_string() });
+                    }
+                }
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    async fn read(&self, job: &str) -> Result<Option<StoredRow>, JobRefusal> {
+        let row = self.shared.store.get(&job_row(job)).await;
+        row.map_err(|error| JobRefusal::NotRun { reason: error.to_string() })
+    }
+
+    /// Marks a job as cancelled. Says whether there is such a job.
+    async fn mark_cancelled(&self, job: &str, deadline: CallDeadline) -> Result<bool, JobRefusal> {
+        let mut may_be_stored = false;
+        loop {
+            let row = self.read(job).await;
+            let outcome = match row {
+                Ok(row) => self.try_cancel(row).await,
+                Err(refusal) => Err(RowError::Refused { reason: refusal.to_string() }),
+            };
+            match outcome {
+                Ok(known) => return Ok(known),
+                Err(RowError::Conflict { .. }) => {}
+                Err(RowError::Refused { reason }) if !may_be_stored => {
+                    return Err(JobRefusal::NotRun { reason });
+                }
+                Err(error) => {
+                    may_be_stored = true;
+                    if deadline.left() < ANSWER_RESERVE + REPEAT_PAUSE {
+                        return Err(JobRefusal::Unknown { reason: error.to_string() });
+                    }
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn try_cancel(&self, row: Option<StoredRow>) -> Result<bool, RowError> {
+        let Some(row) = row else {
+            return Ok(false);
+        };
+        let Some(JobRecord::Live { spec, cancelled: false }) = decode(&row) else {
+            return Ok(true);
+        };
+        let record = JobRecord::Live { spec, cancelled: true };
+        let transaction = RowTransaction {
+            expected: vec![(row.name.clone(), row.version)],
+            puts: vec![(row.name, encode(&record))],
+            removes: Vec::new(),
+        };
+        self.shared.store.commit(&transaction).await.map(|_| true)
+    }
+}
+
+/// A name that is taken belongs to the same job, or the submission is refused.
+fn check_same(rows: &[StoredRow], record: &JobRecord) -> Result<(), JobRefusal> {
+    let stored: Option<JobRecord> = rows.iter().find_map(decode);
+    match stored {
+        Some(stored) if stored.digest() != record.digest() => Err(JobRefusal::OtherJob),
+        _ => Ok(()),
+    }
+}
+
+#[async_trait]
+impl JobGate for JobDesk {
+    fn is_ready(&self) -> bool {
+        !self.shared.is_stopping() && self.shared.queues.borrow().is_some()
+    }
+
+    fn queues(&self) -> Option<Arc<QueueTable>> {
+        self.shared.queues.borrow().clone()
+    }
+
+    fn wall_millis(&self) -> u64 {
+        self.shared.clock.wall_millis()
+    }
+
+    async fn submit(
+        &self,
+        job: &str,
+        spec: WorkflowSpec,
+        deadline: CallDeadline,
+    ) -> Result<(), JobRefusal> {
+        let queue = spec.policy.queue.clone();
+        let digest = spec_digest(&spec);
+        let record = JobRecord::Live { spec, cancelled: false };
+        let result = self.store(job, &record, deadline).await;
+        let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "accepted".to_string());
+        log_event(
+            Level::Info,
+            "job_submitted",
+            &[("job", &job), ("queue", &queue), ("digest", &digest), ("outcome", &outcome)],
+        );
+        result
+    }
+
+    async fn status(
+        &self,
+        job: &str,
+        _deadline: CallDeadline,
+    ) -> Result<Option<JobStatus>, JobRefusal> {
+        if let StatusAnswer::Known(status) = self.planner.status(job).await {
+            return Ok(Some(status));
+        }
+        let row = self.read(job).await?;
+        Ok(row.as_ref().and_then(decode).map(|record| match record {
+            JobRecord::Ended { end, .. } => JobStatus::Ended(end),
+            JobRecord::Live { cancelled: true, .. } => JobStatus::Ended(JobEnd::Cancelled),
+            JobRecord::Live { .. } => JobStatus::Queued,
+        }))
+    }
+
+    async fn cancel(&self, job: &str, deadline: CallDeadline) -> Result<bool, JobRefusal> {
+        let result = self.mark_cancelled(job, deadline).await;
+        let outcome = match &result {
+            Ok(true) => "cancelled".to_string(),
+            Ok(false) => "no such job".to_string(),
+            Err(refusal) => refusal.to_string(),
+        };
+        log_event(Level::Info, "job_cancelled", &[("job", &job), ("outcome", &outcome)]);
+        result
+    }
+
+    fn pending(&self, queue: &str) -> u64 {
+        let owned = self.shared.owned().as_ref().map(|owned| owned.planner.pending());
+        let pending = owned.unwrap_or_else(|| self.shared.view().pulse.pending.clone());
+        pending.get(queue).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/process/planning/mod.rs
@@ -0,0 +1,98 @@
+//! The planner process: takes callers' jobs; one of these processes plans for all.
+
+pub mod commit_writer;
+pub mod job_desk;
+pub mod node_link;
+pub mod office;
+pub mod planner_client;
+pub mod planner_loop;
+pub mod queue_watch;
+pub mod rows;
+pub mod settings;
+pub mod shared;
+pub mod table_feed;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use tokio::task::JoinHandle;
+
+use crate::error::Error;
+use crate::external::row_store::RowStore;
+use crate::platform::caller_gate;
+use crate::process::entry::listen;
+use crate::process::gate::JobGate;
+use crate::process::http_server::HttpLimits;
+use crate::process::http_server::spawn_http_server;
+use crate::process::logging::log_event;
+use crate::process::planning::job_desk::JobDesk;
+use crate::process::planning::office::OwnershipOffice;
+use crate::process::planning::settings::PlannerSettings;
+use crate::process::planning::shared::PlannerShared;
+use crate::process::stop_signal::StopSignal;
+use crate::process::stop_signal::StopSwitch;
+
+/// Time between the fall of readiness and the close of connections: two looks of the balancer, one
+/// a second, and some.
+const READINESS_NOTICE: Duration = Duration::from_millis(2_300);
+
+/// A running planner process.
+#[derive(Debug)]
+pub struct PlannerProcess {
+    running: JoinHandle<()>,
+}
+
+impl PlannerProcess {
+    /// Listens on all addresses and starts.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`].
+    pub async fn bind(
+        settings: PlannerSettings,
+        store: Arc<dyn RowStore>,
+        stop: StopSignal,
+    ) -> Result<PlannerProcess, Error> {
+        let callers = listen(settings.caller_listen).await?;
+        let ready = listen(settings.ready_listen).await?;
+        let internal = listen(settings.internal_listen).await?;
+        let drain_limit = settings.drain_limit;
+        let shared = Arc::new(PlannerShared::new(settings, store));
+        queue_watch::spawn_queue_watch(shared.clone());
+        planner_client::spawn_planner_rpc(internal, shared.clone());
+        let gate: Arc<dyn JobGate> = Arc::new(JobDesk::open(shared.clone()));
+        let (close, closed) = StopSwitch::new();
+        let limits = HttpLimits::default();
+        let router = caller_gate::router(gate.clone());
+        let server = spawn_http_server(callers, router, limits, closed);
+        // It answers until the process ends, so that the balancer learns of the stop.
+        let (kept, never) = StopSwitch::new();
+        spawn_http_server(ready, caller_gate::ready_router(gate), limits, never);
+        let office = OwnershipOffice::spawn(shared.clone());
+        let running = tokio::spawn(async move {
+            stop.raised().await;
+            log_event(Level::Info, "stopping", &[("id", &shared.settings.id)]);
+            shared.set_stopping();
+            let drain = async {
+                tokio::time::sleep(READINESS_NOTICE).await;
+                close.stop();
+                // The server's task ends when its last connection has; a panic has been printed.
+                let _ = server.await;
+                let _ = office.await;
+            };
+            if tokio::time::timeout(drain_limit, drain).await.is_err() {
+                log_event(Level::Error, "drain_limit_passed", &[("id", &shared.settings.id)]);
+            }
+            log_event(Level::Info, "stopped", &[("id", &shared.settings.id)]);
+            drop(kept);
+        });
+        Ok(PlannerProcess { running })
+    }
+
+    /// Waits until the process has stopped.
+    pub async fn stopped(self) {
+        // A panic of the task has been printed by then.
+        let _ = self.running.await;
+    }
+}
--- /dev/null
+++ b/src/process/planning/office.rs
@@ -0,0 +1,203 @@
+//! Ownership of planning: one process at a time, by a row of the store.
+//!
+//! Every write of the planner is bound to the version of the owner's row, and every order carries its
+//! epoch; so two processes that both believe to own planning do no harm. The pulse only tells when to
+//! take over.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::Level;
+
+use crate::external::row_store::RowError;
+use crate::external::row_store::RowTransaction;
+use crate::external::row_store::StoredRow;
+use crate::ids::RowVersion;
+use crate::process::logging::log_event;
+use crate::process::planning::planner_loop::PlannerLoop;
+use crate::process::planning::rows::OWNER_KEY;
+use crate::process::planning::rows::OWNER_TABLE;
+use crate::process::planning::rows::OwnerRow;
+use crate::process::planning::rows::PARTITION;
+use crate::process::planning::rows::PULSE_KEY;
+use crate::process::planning::rows::decode;
+use crate::process::planning::rows::encode;
+use crate::process::planning::rows::owner_row;
+use crate::process::planning::shared::PlannerShared;
+
+/// Silence of the pulse, of about a second, after which another process takes over.
+const TAKEOVER_AFTER: Duration = Duration::from_millis(2_200);
+/// Added for a process without any share of a core, in proportion less for others, so that the one with
+/// the most processor time comes first.
+const SHARE_STAGGER: Duration = Duration::from_millis(400);
+/// Longest wait for news in one call.
+const FEED_WAIT: Duration = Duration::from_millis(1_200);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// An ownership that the store has confirmed.
+#[derive(Clone, Debug)]
+pub struct OwnerProof {
+    /// The row.
+    pub owner: OwnerRow,
+    /// Its version, which binds the planner's writes.
+    pub version: RowVersion,
+    /// When the call was sent that showed it.
+    pub sent: Instant,
+    /// When it was answered.
+    pub answered: Instant,
+    /// Whether there was a planner before.
+    pub has_predecessor: bool,
+}
+
+/// Watches the ownership, and takes it when nobody has it.
+pub struct OwnershipOffice {
+    shared: Arc<PlannerShared>,
+    owner: Option<(OwnerRow, RowVersion)>,
+    changed: Instant,
+    after: Option<RowVersion>,
+}
+
+impl OwnershipOffice {
+    /// Starts watching. The task ends when the process stops.
+    pub fn spawn(shared: Arc<PlannerShared>) -> tokio::task::JoinHandle<()> {
+        let office = OwnershipOffice { shared, owner: None, changed: Instant::now(), after: None };
+        tokio::spawn(office.run())
+    }
+
+    async fn run(mut self) {
+        while !self.shared.is_stopping() {
+            let sent = Instant::now();
+            let shared = self.shared.clone();
+            let watched = tokio::select! {
+                watched = self.watch() => watched,
+                () = shared.wake.notified() => continue,
+            };
+            if let Err(error) = watched {
+                self.on_failure(&error).await;
+                continue;
+            }
+            if let Some(proof) = self.proof(sent) {
+                self.own(proof).await;
+            } else if self.is_vacant() {
+                self.take_over().await;
+            }
+        }
+    }
+
+    /// Reads the rows, or waits for changes of them.
+    async fn watch(&mut self) -> Result<(), RowError> {
+        let store = self.shared.store.clone();
+        let (rows, version) = match self.after {
+            Some(after) => {
+                let wait = FEED_WAIT.min(self.until_vacant()).max(Duration::from_millis(1));
+                let page = store.feed(OWNER_TABLE, after, wait).await?;
+                (page.rows, page.version)
+            }
+            None => {
+                let page = store.range(OWNER_TABLE, PARTITION, "").await?;
+                (page.rows, page.version)
+            }
+        };
+        self.after = Some(version);
+        for row in rows {
+            self.adopt(&row);
+        }
+        Ok(())
+    }
+
+    fn adopt(&mut self, row: &StoredRow) {
+        self.changed = Instant::now();
+        if row.name.key == PULSE_KEY {
+            self.shared.view().pulse = decode(row).unwrap_or_default();
+        }
+        if row.name.key == OWNER_KEY {
+            let is_older = self.owner.as_ref().is_some_and(|(_, version)| *version > row.version);
+            if let (Some(owner), false) = (decode::<OwnerRow>(row), is_older) {
+                self.shared.view().owner = Some(owner.clone());
+                self.owner = Some((owner, row.version));
+            }
+        }
+    }
+
+    async fn on_failure(&mut self, error: &RowError) {
+        // While the store is away nobody can renew; the pulse counts anew from its return.
+        self.changed = Instant::now();
+        if *error == RowError::HistoryGone {
+            self.after = None;
+        }
+        log_event(Level::Warn, "ownership_watch_failed", &[("error", error)]);
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+
+    fn silence_limit(&self) -> Duration {
+        let share = self.shared.settings.processor_share.clamp(0.0, 1.0);
+        TAKEOVER_AFTER + SHARE_STAGGER.mul_f64(1.0 - share)
+    }
+
+    fn until_vacant(&self) -> Duration {
+        (self.changed + self.silence_limit()).saturating_duration_since(Instant::now())
+    }
+
+    fn is_vacant(&self) -> bool {
+        match &self.owner {
+            None => true,
+            Some((owner, _)) => owner.released || self.until_vacant().is_zero(),
+        }
+    }
+
+    /// The proof that this process is the owner, when the row says so.
+    fn proof(&self, sent: Instant) -> Option<OwnerProof> {
+        let (owner, version) = self.owner.as_ref()?;
+        let is_mine = owner.holder == self.shared.holder && !owner.released;
+        is_mine.then(|| OwnerProof {
+            owner: owner.clone(),
+            version: *version,
+            sent,
+            answered: Instant::now(),
+            has_predecessor: owner.epoch > 1,
+        })
+    }
+
+    async fn take_over(&mut self) {
+        let before = self.owner.clone();
+        let epoch = before.as_ref().map_or(0, |(owner, _)| owner.epoch) + 1;
+        let owner = OwnerRow {
+            epoch,
+            holder: self.shared.holder.clone(),
+            address: self.shared.settings.internal_listen.to_string(),
+            released: false,
+        };
+        let transaction = RowTransaction {
+            expected: vec![(owner_row(), before.map_or(0, |(_, version)| version))],
+            puts: vec![(owner_row(), encode(&owner))],
+            removes: Vec::new(),
+        };
+        let sent = Instant::now();
+        match self.shared.store.commit(&transaction).await {
+            Ok(version) => {
+                self.owner = Some((owner.clone(), version));
+                self.shared.view().owner = Some(owner);
+                if let Some(proof) = self.proof(sent) {
+                    self.own(proof).await;
+                }
+            }
+            Err(RowError::Conflict { rows }) => rows.iter().for_each(|row| self.adopt(row)),
+            // If it was written all the same, the next look at the row shows it.
+            Err(error) => self.on_failure(&error).await,
+        }
+    }
+
+    /// Plans until the ownership is lost or the process stops.
+    async fn own(&mut self, proof: OwnerProof) {
+        let epoch = proof.owner.epoch;
+        log_event(Level::Info, "planning_started", &[("epoch", &epoch)]);
+        let reason = PlannerLoop::run(self.shared.clone(), proof).await;
+        *self.shared.owned() = None;
+        log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
+        self.after = None;
+        self.owner = None;
+        self.changed = Instant::now();
+    }
+}
--- /dev/null
+++ b/src/process/planning/planner_client.rs
@@ -0,0 +1,86 @@
+//! Asks the planner for states of jobs, in this process or another.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+
+use crate::connection::planner_protocol::PlannerRpc;
+use crate::connection::planner_protocol::PlannerRpcClient;
+use crate::connection::planner_protocol::StatusAnswer;
+use crate::connection::rpc_client::ConnectionCache;
+use crate::connection::rpc_client::call_within;
+use crate::connection::rpc_client::framed;
+use crate::ids::JobId;
+use crate::process::planning::shared::PlannerShared;
+use crate::process::rpc_server::spawn_accept_loop;
+
+/// Time for the planner's answer; after it the store is asked.
+const STATUS_LIMIT: Duration = Duration::from_millis(300);
+
+/// Client of whoever plans.
+pub struct PlannerClient {
+    shared: Arc<PlannerShared>,
+    connections: ConnectionCache<PlannerRpcClient>,
+}
+
+impl PlannerClient {
+    /// Opens a client.
+    pub fn open(shared: Arc<PlannerShared>) -> PlannerClient {
+        PlannerClient { shared, connections: ConnectionCache::default() }
+    }
+
+    /// The state of a job, as far as the planner knows and answers.
+    pub async fn status(&self, job: &str) -> StatusAnswer {
+        if let Some(owned) = self.shared.owned().as_ref() {
+            return known(owned.planner.status(job));
+        }
+        let owner = self.shared.view().owner.clone();
+        let Some(owner) = owner.filter(|owner| !owner.released) else {
+            return StatusAnswer::Unknown;
+        };
+        let Ok(client) = self.connections.client(&owner.address).await else {
+            return StatusAnswer::Unknown;
+        };
+        match client.status(call_within(STATUS_LIMIT), job.to_string()).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                // The connection may have gone silent; the store answers instead.
+                self.connections.drop_client(&owner.address);
+                StatusAnswer::Unknown
+            }
+        }
+    }
+}
+
+fn known(status: Option<crate::workflow::progress::JobStatus>) -> StatusAnswer {
+    status.map_or(StatusAnswer::Unknown, StatusAnswer::Known)
+}
+
+#[derive(Clone)]
+struct PlannerServer {
+    shared: Arc<PlannerShared>,
+}
+
+impl PlannerRpc for PlannerServer {
+    async fn status(self, _: Context, job: JobId) -> StatusAnswer {
+        let owned = self.shared.owned();
+        known(owned.as_ref().and_then(|owned| owned.planner.status(&job)))
+    }
+}
+
+/// Serves other planner processes.
+pub fn spawn_planner_rpc(listener: TcpListener, shared: Arc<PlannerShared>) {
+    let server = PlannerServer { shared };
+    spawn_accept_loop(listener, move |stream| {
+        let channel = BaseChannel::with_defaults(framed(stream));
+        let calls = channel.execute(server.clone().serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    });
+}
--- /dev/null
+++ b/src/process/planning/queue_watch.rs
@@ -0,0 +1,85 @@
+//! Follows the operator's configuration; the version in force only rises.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+
+use crate::external::row_store::RowError;
+use crate::external::row_store::RowName;
+use crate::external::row_store::StoredRow;
+use crate::ids::RowVersion;
+use crate::platform::configuration::CONFIGURATION_KEY;
+use crate::platform::configuration::OPERATOR_TABLE;
+use crate::platform::configuration::decode;
+use crate::process::logging::log_event;
+use crate::process::planning::shared::PlannerShared;
+
+/// Longest wait for news in one call, so that a connection that went silent is noticed well within the
+/// two seconds in which a configuration has to be in force.
+const FEED_WAIT: Duration = Duration::from_millis(700);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts following the configuration.
+pub fn spawn_queue_watch(shared: Arc<PlannerShared>) {
+    tokio::spawn(async move {
+        let mut after = None;
+        loop {
+            match follow(&shared, after).await {
+                Ok(version) => after = Some(version),
+                Err(error) => {
+                    if after.is_some() {
+                        log_event(Level::Warn, "configuration_watch_failed", &[("error", &error)]);
+                    }
+                    if error == RowError::HistoryGone {
+                        after = None;
+                    }
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    });
+}
+
+/// Reads the configuration, or waits for the next one.
+async fn follow(shared: &PlannerShared, after: Option<RowVersion>) -> Result<RowVersion, RowError> {
+    let (rows, version) = match after {
+        Some(after) => {
+            let page = shared.store.feed(OPERATOR_TABLE, after, FEED_WAIT).await?;
+            (page.rows, page.version)
+        }
+        None => {
+            let page = shared.store.range(OPERATOR_TABLE, "", CONFIGURATION_KEY).await?;
+            (page.rows, page.version)
+        }
+    };
+    let name = RowName::new(OPERATOR_TABLE, "", CONFIGURATION_KEY);
+    if let Some(row) = rows.iter().rev().find(|row| row.name == name) {
+        adopt(shared, row);
+    }
+    Ok(version)
+}
+
+fn adopt(shared: &PlannerShared, row: &StoredRow) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    let table = match decode(value) {
+        Ok(table) => table,
+        Err(error) => {
+            log_event(Level::Error, "configuration_malformed", &[("error", &error)]);
+            return;
+        }
+    };
+    let known = shared.queues.borrow().as_ref().map_or(0, |table| table.version);
+    if table.version <= known {
+        return;
+    }
+    log_event(
+        Level::Info,
+        "configuration_in_force",
+        &[("version", &table.version), ("before", &known), ("queues", &table.len())],
+    );
+    shared.queues.send_replace(Some(Arc::new(table)));
+}
--- /dev/null
+++ b/src/process/planning/rows.rs
@@ -0,0 +1,143 @@
+//! The rows that planners and their entries keep in the store, and their encoding.
+
+use std::collections::BTreeMap;
+
+use log::Level;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::external::row_store::RowName;
+use crate::external::row_store::RowTransaction;
+use crate::external::row_store::StoredRow;
+use crate::ids::JobId;
+use crate::ids::PlannerEpoch;
+use crate::ids::QueueName;
+use crate::ids::RowVersion;
+use crate::process::logging::log_event;
+use crate::workflow::planner_batch::PlanBatch;
+use crate::workflow::planner_batch::PlanWrite;
+use crate::workflow::progress::JobRecord;
+
+/// Partition of all rows: a transaction binds the owner's row with those of jobs.
+pub const PARTITION: &str = "main";
+/// Table of jobs: what was submitted, and how it ended.
+pub const JOB_TABLE: &str = "jobs";
+/// Table of jobs' progress, which the planner alone writes.
+pub const PROGRESS_TABLE: &str = "progress";
+/// Table of the planner's ownership and its pulse.
+pub const OWNER_TABLE: &str = "ownership";
+/// Key of the ownership.
+pub const OWNER_KEY: &str = "planner";
+/// Key of the pulse.
+pub const PULSE_KEY: &str = "pulse";
+/// Table of the node agents' addresses.
+pub const NODE_TABLE: &str = "nodes";
+
+/// Who plans.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRow {
+    /// Epoch of the ownership.
+    pub epoch: PlannerEpoch,
+    /// The run of the process that plans.
+    pub holder: String,
+    /// Its address for other processes of the system.
+    pub address: String,
+    /// Whether it has given the ownership back.
+    pub released: bool,
+}
+
+/// What the planner shows about once a second, which also shows that it lives.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PulseRow {
+    /// Epoch of the planner.
+    pub epoch: PlannerEpoch,
+    /// Jobs of each queue of which no task has started.
+    pub pending: BTreeMap<QueueName, u64>,
+}
+
+/// Where a node agent is reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRow {
+    /// Name of its host.
+    pub id: String,
+    /// Its address for the planner.
+    pub address: String,
+}
+
+/// The row of a job.
+pub fn job_row(job: &str) -> RowName {
+    RowName::new(JOB_TABLE, PARTITION, job)
+}
+
+/// The row of the ownership.
+pub fn owner_row() -> RowName {
+    RowName::new(OWNER_TABLE, PARTITION, OWNER_KEY)
+}
+
+/// Encodes a row's value.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    // The rows' types have text or numbers as map keys only, so that they always serialize.
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+/// Decodes a row's value. A removed row, and one that cannot be read, which is logged, give nothing.
+pub fn decode<T: DeserializeOwned>(row: &StoredRow) -> Option<T> {
+    let value = row.value.as_ref()?;
+    match serde_json::from_slice(value) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            log_event(
+                Level::Error,
+                "row_malformed",
+                &[("table", &row.name.table), ("key", &row.name.key), ("error", &error)],
+            );
+            None
+        }
+    }
+}
+
+/// The transaction that stores a batch under an ownership.
+pub fn batch_transaction(batch: &PlanBatch, owner_version: RowVersion) -> RowTransaction {
+    let mut transaction = RowTransaction::default();
+    transaction.expected.push((owner_row(), owner_version));
+    for write in &batch.writes {
+        match write {
+            PlanWrite::Progress(job, version, progress) => {
+                let name = RowName::new(PROGRESS_TABLE, PARTITION, job);
+                transaction.expected.push((name.clone(), *version));
+                match progress {
+                    Some(progress) => transaction.puts.push((name, encode(progress))),
+                    None => transaction.removes.push(name),
+                }
+            }
+            PlanWrite::End(job, version, record) => {
+                transaction.expected.push((job_row(job), *version));
+                transaction.puts.push((job_row(job), encode(record)));
+            }
+        }
+    }
+    transaction
+}
+
+/// Whether rows are as a transaction would have made them, which tells that it was applied although
+/// its answer was lost. Gives the version that it had.
+pub fn applied_version(transaction: &RowTransaction, rows: &[StoredRow]) -> Option<RowVersion> {
+    let find = |name: &RowName| rows.iter().find(|row| row.name == *name);
+    let mut version = 0;
+    for (name, value) in &transaction.puts {
+        let row = find(name)?;
+        if row.value.as_ref() != Some(value) {
+            return None;
+        }
+        version = row.version;
+    }
+    let is_gone = |name: &RowName| find(name).is_none_or(|row| row.value.is_none());
+    transaction.removes.iter().all(is_gone).then_some(version)
+}
+
+/// The records of jobs among rows.
+pub fn job_records(rows: &[StoredRow]) -> Vec<(JobId, RowVersion, JobRecord)> {
+    let jobs = rows.iter().filter(|row| row.name.table == JOB_TABLE);
+    jobs.filter_map(|row| Some((row.name.key.clone(), row.version, decode(row)?))).collect()
+}
--- /dev/null
+++ b/src/process/planning/settings.rs
@@ -0,0 +1,121 @@
+//! Settings of a planner process and of a node agent, read from INI text and checked as a whole.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::findings::FindingList;
+use crate::ids::DomainName;
+use crate::process::ini_reader::IniReader;
+
+/// Time between the request to stop and the end by force, without a setting.
+const STOP_GRACE: Duration = Duration::from_secs(6);
+/// Kept of that time, so that a process that drains until the last moment still ends by itself.
+const STOP_RESERVE: Duration = Duration::from_millis(700);
+/// How long the state of an ended job is kept, without a setting.
+const KEPT_FOR: Duration = Duration::from_secs(120);
+
+/// Settings of a planner process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannerSettings {
+    /// Name of the process's host.
+    pub id: String,
+    /// Failure domain of the host.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub caller_listen: SocketAddr,
+    /// Address at which the balancer asks whether the process is ready.
+    pub ready_listen: SocketAddr,
+    /// Address for other processes of the system.
+    pub internal_listen: SocketAddr,
+    /// Address of the store.
+    pub store: String,
+    /// Longest time for a graceful stop.
+    pub drain_limit: Duration,
+    /// Share of a core that the process may use; those with more plan first.
+    pub processor_share: f64,
+    /// How long the state of an ended job is kept.
+    pub kept_for: Duration,
+}
+
+impl PlannerSettings {
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// All findings, each with its line.
+    ///
+    /// ```
+    /// use greengagearch::process::planning::settings::PlannerSettings;
+    ///
+    /// assert!(PlannerSettings::parse("planner.ini", "").is_err());
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<PlannerSettings, FindingList> {
+        let mut reader = IniReader::open(file, text);
+        let settings = PlannerSettings {
+            id: reader.required("planner", "id"),
+            domain: reader.required("planner", "domain"),
+            caller_listen: read_address(&mut reader, "planner", "caller-listen"),
+            ready_listen: read_address(&mut reader, "planner", "ready-listen"),
+            internal_listen: read_address(&mut reader, "planner", "internal-listen"),
+            store: reader.required("store", "address"),
+            drain_limit: reader
+                .span("planner", "stop-grace", STOP_GRACE)
+                .saturating_sub(STOP_RESERVE),
+            processor_share: reader.value("planner", "processor-share", 1.0),
+            kept_for: reader.span("jobs", "kept-for", KEPT_FOR),
+        };
+        reader.finish().or_value(settings)
+    }
+}
+
+/// Settings of a node agent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Name of the host.
+    pub id: String,
+    /// Failure domain of the host.
+    pub domain: DomainName,
+    /// Address at which the host's runner registers.
+    pub registry_listen: SocketAddr,
+    /// Address for the planner.
+    pub internal_listen: SocketAddr,
+    /// Address of the store.
+    pub store: String,
+}
+
+impl NodeSettings {
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// All findings, each with its line.
+    ///
+    /// ```
+    /// use greengagearch::process::planning::settings::NodeSettings;
+    ///
+    /// assert!(NodeSettings::parse("node.ini", "").is_err());
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<NodeSettings, FindingList> {
+        let mut reader = IniReader::open(file, text);
+        let settings = NodeSettings {
+            id: reader.required("node", "id"),
+            domain: reader.required("node", "domain"),
+            registry_listen: read_address(&mut reader, "node", "registry-listen"),
+            internal_listen: read_address(&mut reader, "node", "internal-listen"),
+            store: reader.required("store", "address"),
+        };
+        reader.finish().or_value(settings)
+    }
+}
+
+fn read_address(reader: &mut IniReader, section: &str, key: &str) -> SocketAddr {
+    let text = reader.required(section, key);
+    let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+    if text.is_empty() {
+        return unset;
+    }
+    text.parse().unwrap_or_else(|_| {
+        reader.report(section, key, &format!("'{text}' is no address with a port"));
+        unset
+    })
+}
--- /dev/null
+++ b/src/process/planning/table_feed.rs
@@ -0,0 +1,99 @@
+//! Follows a table of the store: all its rows first, then every change.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::external::row_store::RowError;
+use crate::external::row_store::RowStore;
+use crate::external::row_store::StoredRow;
+use crate::external::row_store::read_all;
+use crate::ids::RowVersion;
+use crate::process::logging::log_event;
+use crate::process::planning::rows::PARTITION;
+
+/// Longest wait for changes in one call; a connection that went silent costs no more than this.
+const FEED_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A table that is followed; it ends when it is dropped.
+#[derive(Debug)]
+pub struct TableFeed {
+    rows: mpsc::UnboundedReceiver<Vec<StoredRow>>,
+    running: JoinHandle<()>,
+}
+
+impl Drop for TableFeed {
+    fn drop(&mut self) {
+        self.running.abort();
+    }
+}
+
+impl TableFeed {
+    /// Starts following a table after a version; without one all its rows come first.
+    pub fn spawn(
+        store: Arc<dyn RowStore>,
+        table: &'static str,
+        after: Option<RowVersion>,
+    ) -> TableFeed {
+        let (sender, rows) = mpsc::unbounded_channel();
+        TableFeed { rows, running: tokio::spawn(follow(store, table, after, sender)) }
+    }
+
+    /// The next rows: changed ones, or all after a gap in the history.
+    pub async fn next(&mut self) -> Vec<StoredRow> {
+        match self.rows.recv().await {
+            Some(rows) => rows,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+async fn follow(
+    store: Arc<dyn RowStore>,
+    table: &'static str,
+    mut after: Option<RowVersion>,
+    sender: mpsc::UnboundedSender<Vec<StoredRow>>,
+) {
+    let mut has_failed = false;
+    loop {
+        match next_rows(store.as_ref(), table, after).await {
+            Ok((rows, version)) => {
+                if std::mem::take(&mut has_failed) {
+                    log_event(Level::Info, "feed_regained", &[("table", &table)]);
+                }
+                after = Some(version);
+                if !rows.is_empty() && sender.send(rows).is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut has_failed, true) {
+                    log_event(Level::Warn, "feed_lost", &[("table", &table), ("error", &error)]);
+                }
+                if error == RowError::HistoryGone {
+                    after = None;
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn next_rows(
+    store: &dyn RowStore,
+    table: &str,
+    after: Option<RowVersion>,
+) -> Result<(Vec<StoredRow>, RowVersion), RowError> {
+    match after {
+        Some(after) => {
+            let page = store.feed(table, after, FEED_WAIT).await?;
+            Ok((page.rows, page.version))
+        }
+        None => read_all(store, table, PARTITION).await,
+    }
+}
--- a/src/process/stop_signal.rs
+++ b/src/process/stop_signal.rs
@@ -1,10 +1,12 @@
 //! Graceful stop: the first signal asks for it, the second one ends the process at once.
 
+use log::Level;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
 
 use crate::exit_codes::ExitCode;
+use crate::process::logging::log_event;
 
 /// A flag that is raised once, when the process shall stop.
 #[derive(Clone, Debug)]
@@ -87,6 +89,7 @@
 pub fn listen() -> std::io::Result<StopSignal> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    ignore_hangups()?;
     let (switch, stop) = StopSwitch::new();
     tokio::spawn(async move {
         for is_first in [true, false] {
@@ -102,3 +105,15 @@
     });
     Ok(stop)
 }
+
+/// Takes note of hangup signals, which tell that the settings file was written anew. Everything that can
+/// change while a process runs comes from the store, so that nothing is read again.
+fn ignore_hangups() -> std::io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            log_event(Level::Info, "settings_unchanged", &[("signal", &"hangup")]);
+        }
+    });
+    Ok(())
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod catalog;
 pub mod document;
+pub mod queue_table;
--- /dev/null
+++ b/src/workflow/mod.rs
@@ -0,0 +1,13 @@
+//! Jobs of several steps: the model, the decisions of the planner and of the node agents.
+//!
+//! Nothing here does input or output or reads a clock; times are arguments.
+
+pub mod grant;
+pub mod pacing;
+pub mod placement;
+pub mod planner;
+pub mod planner_batch;
+pub mod planner_rounds;
+pub mod progress;
+pub mod spec;
+pub mod worker_board;
--- /dev/null
+++ b/src/workflow/planner_rounds.rs
@@ -0,0 +1,183 @@
+//! A round of planning: in which order jobs get workers, and which tasks start.
+
+use std::time::Instant;
+
+use crate::ids::InstanceId;
+use crate::ids::JobId;
+use crate::ids::RunNumber;
+use crate::workflow::placement::PlacementNeed;
+use crate::workflow::placement::choose;
+use crate::workflow::planner::JobEntry;
+use crate::workflow::planner::Planner;
+use crate::workflow::progress::RunAttempt;
+use crate::workflow::spec::StepSpec;
+use crate::workflow::spec::TaskName;
+
+/// Multiple of the objective after which a job's end is worth nothing to its caller, from the
+/// users' sheets; such jobs come last.
+const WORTHLESS_AFTER: u64 = 3;
+
+/// Place of a job in a round: smaller comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct JobUrgency {
+    is_worthless: bool,
+    priority: u32,
+    deadline_ms: u64,
+}
+
+impl JobUrgency {
+    fn of(entry: &JobEntry, wall_ms: u64) -> JobUrgency {
+        let spec = &entry.spec;
+        let first_open = entry.progress.open.keys().next().copied().unwrap_or(0);
+        let due_ms = spec.due_ms(first_open);
+        let objective_ms = spec.objective_ms();
+        let lasts = spec.steps.iter().any(|step| step.long_running);
+        JobUrgency {
+            is_worthless: !lasts && wall_ms > due_ms + WORTHLESS_AFTER * objective_ms,
+            priority: spec.policy.priority,
+            deadline_ms: due_ms + objective_ms,
+        }
+    }
+}
+
+impl Planner {
+    /// Gives tasks that can start to workers that have room. Says how many were given.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert_eq!(planner.plan(Instant::now(), 0), 0);
+    /// ```
+    pub fn plan(&mut self, now: Instant, wall_ms: u64) -> usize {
+        let open = self.jobs.iter().filter(|(_, entry)| entry.end.is_none());
+        let mut order: Vec<(JobUrgency, JobId)> =
+            open.map(|(job, entry)| (JobUrgency::of(entry, wall_ms), job.clone())).collect();
+        order.sort();
+        order.iter().map(|(_, job)| self.plan_job(job, now)).sum()
+    }
+
+    fn plan_job(&mut self, job: &str, now: Instant) -> usize {
+        let mut started = 0;
+        for (occurrence, step) in self.ready_steps(job) {
+            let Some(spec) =
+                self.jobs.get(job).and_then(|entry| entry.spec.steps.get(step as usize))
+            else {
+                continue;
+            };
+            let spec = spec.clone();
+            let names = self.startable(job, occurrence, step, &spec);
+            started += if spec.gang {
+                self.start_gang(&names, &spec, now)
+            } else {
+                self.start_each(&names, &spec, now)
+            };
+        }
+        started
+    }
+
+    /// Steps whose turn has come.
+    fn ready_steps(&self, job: &str) -> Vec<(u32, u32)> {
+        let Some(entry) = self.jobs.get(job) else {
+            return Vec::new();
+        };
+        let mut ready = Vec::new();
+        for occurrence in entry.progress.open.keys() {
+            for (number, step) in (0..).zip(&entry.spec.steps) {
+                if entry.progress.is_ready(*occurrence, step) {
+                    ready.push((*occurrence, number));
+                }
+            }
+        }
+        ready
+    }
+
+    /// Tasks of a step that are neither done nor running; of a gang all or none.
+    fn startable(&self, job: &str, occurrence: u32, step: u32, spec: &StepSpec) -> Vec<TaskName> {
+        let tasks = self.jobs.get(job).and_then(|entry| entry.progress.open.get(&occurrence));
+        let Some(tasks) = tasks.and_then(|steps| steps.get(step as usize)) else {
+            return Vec::new();
+        };
+        let is_running = tasks.iter().any(|task| !task.attempts.is_empty());
+        if spec.gang && is_running {
+            return Vec::new();
+        }
+        let idle = (0..).zip(tasks).filter(|(_, task)| !task.done && task.attempts.is_empty());
+        idle.map(|(index, _)| TaskName { job: job.to_string(), occurrence, step, index }).collect()
+    }
+
+    fn start_each(&mut self, names: &[TaskName], spec: &StepSpec, now: Instant) -> usize {
+        for (started, name) in names.iter().enumerate() {
+            let Some(worker) = self.choose_worker(name, spec, now) else {
+                // The tasks of a step are alike; where this one finds no room, none does.
+                return started;
+            };
+            let run = self.last_run(name) + 1;
+            self.assign(name, run, worker, spec, now);
+        }
+        names.len()
+    }
+
+    /// Starts all members of a gang under one run, or none.
+    fn start_gang(&mut self, names: &[TaskName], spec: &StepSpec, now: Instant) -> usize {
+        let run = names.iter().map(|name| self.last_run(name)).max().unwrap_or(0) + 1;
+        let mut given: Vec<(InstanceId, &TaskName)> = Vec::new();
+        for name in names {
+            let Some(worker) = self.choose_worker(name, spec, now) else {
+                for (worker, name) in given {
+                    self.board.release(&worker, &(name.clone(), run));
+                }
+                return 0;
+            };
+            self.board.assign(&worker, (name.clone(), run), spec, now, self.inherited_end);
+            given.push((worker, name));
+        }
+        for (worker, name) in given {
+            self.board.release(&worker, &(name.clone(), run));
+            self.assign(name, run, worker, spec, now);
+        }
+        names.len()
+    }
+
+    fn choose_worker(&self, name: &TaskName, spec: &StepSpec, now: Instant) -> Option<InstanceId> {
+        let entry = self.jobs.get(&name.job)?;
+        let avoid = entry.failed_on.get(&(name.occurrence, name.step, name.index));
+        let need = PlacementNeed {
+            task: name,
+            step: spec,
+            service: &entry.spec.policy.service,
+            avoid: avoid.map_or(&[], Vec::as_slice),
+        };
+        choose(&need, &self.board, &self.suspicion, now)
+    }
+
+    fn last_run(&self, name: &TaskName) -> RunNumber {
+        let entry = self.jobs.get(&name.job);
+        entry.and_then(|entry| entry.progress.task(name)).map_or(0, |task| task.last_run)
+    }
+
+    /// Gives a run to a worker; its order waits until the store has it.
+    pub(crate) fn assign(
+        &mut self,
+        name: &TaskName,
+        run: RunNumber,
+        worker: InstanceId,
+        spec: &StepSpec,
+        now: Instant,
+    ) {
+        let key = (name.clone(), run);
+        let Some(entry) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        entry.progress.begun = true;
+        let Some(task) = entry.progress.task_mut(name) else {
+            return;
+        };
+        task.last_run = run;
+        task.attempts.push(RunAttempt { run, worker: worker.clone() });
+        self.board.assign(&worker, key.clone(), spec, now, self.inherited_end);
+        self.suspicion.on_start(&worker, now);
+        self.dirty.insert(name.job.clone());
+        self.held_starts.entry(name.job.clone()).or_default().push((worker, key));
+    }
+}
--- /dev/null
+++ b/src/workflow/worker_board.rs
@@ -0,0 +1,329 @@
+//! What the planner knows of the workers: what runs where, how much room is left, who is silent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::connection::node_protocol::PresentRun;
+use crate::connection::node_protocol::RunnerStatus;
+use crate::ids::InstanceId;
+use crate::ids::JobId;
+use crate::ids::RunNumber;
+use crate::workflow::spec::RoomAmount;
+use crate::workflow::spec::StepSpec;
+use crate::workflow::spec::TaskName;
+
+/// A worker that was silent for so long gets no new work: two waits of a sync call and some.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// After a worker refused a start for want of room it is left alone for this long; its view of its
+/// room is then that of the planner again.
+const ROOM_PAUSE: Duration = Duration::from_millis(300);
+/// Share of its declared processor time that a serving task is taken to use, for what it leaves to
+/// tasks that fill. From the users' sheets; what is really left is seen by the fills' own usage.
+const SERVING_USE: f64 = 0.6;
+
+/// Identifies a run of a task.
+pub type RunKey = (TaskName, RunNumber);
+
+/// A run that the planner has given to a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AssignedRun {
+    /// What it takes of the guarded capacity.
+    pub counted: RoomAmount,
+    /// Processor time that it would use at most, in thousandths of a core.
+    pub millicores: u64,
+    /// Whether it fills what others leave.
+    pub fills: bool,
+    /// Whether it serves users of its own.
+    pub serves: bool,
+    /// Number of the order that carried it; nothing while the order waits for the store.
+    pub order: Option<u64>,
+    /// When it was assigned.
+    pub since: Instant,
+    /// What the worker last said of it.
+    pub seen: Option<PresentRun>,
+    /// Whether it was ordered to stop.
+    pub stopping: bool,
+}
+
+/// One life of a runner.
+#[derive(Clone, Debug)]
+pub struct WorkerEntry {
+    /// What it said of itself; nothing while its agent was not heard.
+    pub status: Option<RunnerStatus>,
+    /// What was given to it.
+    pub assigned: BTreeMap<RunKey, AssignedRun>,
+    /// When the leases of everything on it have surely expired, if nothing more is granted.
+    pub lease_end: Instant,
+    /// When its agent was last heard.
+    pub heard: Option<Instant>,
+    /// Until when it gets nothing because it refused for want of room.
+    pub full_until: Option<Instant>,
+    /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
+    pub resync: bool,
+    /// Number of the last order.
+    pub last_order: u64,
+    used: RoomAmount,
+}
+
+impl WorkerEntry {
+    fn new(lease_end: Instant) -> WorkerEntry {
+        WorkerEntry {
+            status: None,
+            assigned: BTreeMap::new(),
+            lease_end,
+            heard: None,
+            full_until: None,
+            resync: true,
+            last_order: 0,
+            used: RoomAmount::default(),
+        }
+    }
+
+    /// Guarded capacity that nothing was given to.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// let entry = board.entry("i-1", Instant::now());
+    /// assert_eq!(entry.free_room().millicores, 0);
+    /// ```
+    pub fn free_room(&self) -> RoomAmount {
+        self.status.as_ref().map(|status| status.capacity.minus(&self.used)).unwrap_or_default()
+    }
+
+    /// Whether it may get new work at `now`.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(!board.entry("i-1", Instant::now()).is_open(Instant::now()));
+    /// ```
+    pub fn is_open(&self, now: Instant) -> bool {
+        let is_heard =
+            self.heard.is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE_LIMIT);
+        let is_full = self.full_until.is_some_and(|until| now < until);
+        let is_leaving = self.status.as_ref().is_none_or(|status| status.draining);
+        is_heard && !is_full && !is_leaving && !self.resync
+    }
+
+    /// Processor time that tasks that fill may expect to share, in thousandths of a core.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert_eq!(board.entry("i-1", Instant::now()).fill_room(), 0.0);
+    /// ```
+    pub fn fill_room(&self) -> f64 {
+        let Some(status) = &self.status else {
+            return 0.0;
+        };
+        let use_of = |run: &AssignedRun| {
+            let share = if run.serves { SERVING_USE } else { 1.0 };
+            run.millicores as f64 * share
+        };
+        let others = self.assigned.values().filter(|run| !run.fills);
+        let used: f64 = others.map(use_of).sum();
+        (status.capacity.millicores as f64 - used).max(0.0)
+    }
+
+    /// Processor time that the tasks that fill here would use, in thousandths of a core.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert_eq!(board.entry("i-1", Instant::now()).fill_demand(), 0.0);
+    /// ```
+    pub fn fill_demand(&self) -> f64 {
+        let fills = self.assigned.values().filter(|run| run.fills);
+        fills.map(|run| run.millicores as f64).sum()
+    }
+
+    /// Number of runs of a step of one occurrence here.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// let name = "a.0.0.0".parse().unwrap();
+    /// assert_eq!(board.entry("i-1", Instant::now()).of_step(&name), 0);
+    /// ```
+    pub fn of_step(&self, name: &TaskName) -> u32 {
+        let is_same = |key: &&RunKey| {
+            key.0.job == name.job && key.0.occurrence == name.occurrence && key.0.step == name.step
+        };
+        u32::try_from(self.assigned.keys().filter(is_same).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes note of an order that leaves for the worker, and gives its number.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert_eq!(board.entry("i-1", Instant::now()).number_order(), 1);
+    /// ```
+    pub fn number_order(&mut self) -> u64 {
+        self.last_order += 1;
+        self.last_order
+    }
+}
+
+/// All workers, by the life of their runner.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerBoard {
+    workers: BTreeMap<InstanceId, WorkerEntry>,
+}
+
+impl WorkerBoard {
+    /// The entry of a life, made when it is new. `lease_end` bounds what earlier planners granted.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.entry("i-1", Instant::now()).status.is_none());
+    /// ```
+    pub fn entry(&mut self, instance: &str, lease_end: Instant) -> &mut WorkerEntry {
+        let made = || WorkerEntry::new(lease_end);
+        self.workers.entry(instance.to_string()).or_insert_with(made)
+    }
+
+    /// A worker, if it is known.
+    ///
+    /// ```
+    /// assert!(greengagearch::workflow::worker_board::WorkerBoard::default().get("i-1").is_none());
+    /// ```
+    pub fn get(&self, instance: &str) -> Option<&WorkerEntry> {
+        self.workers.get(instance)
+    }
+
+    /// A worker to be changed, if it is known.
+    ///
+    /// ```
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.get_mut("i-1").is_none());
+    /// ```
+    pub fn get_mut(&mut self, instance: &str) -> Option<&mut WorkerEntry> {
+        self.workers.get_mut(instance)
+    }
+
+    /// All workers.
+    ///
+    /// ```
+    /// let board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert_eq!(board.iter().count(), 0);
+    /// ```
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &WorkerEntry)> {
+        self.workers.iter()
+    }
+
+    /// Gives a run to a worker.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::spec::StepSpec;
+    ///
+    /// let now = Instant::now();
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// board.assign("i-1", ("a.0.0.0".parse().unwrap(), 1), &StepSpec::default(), now, now);
+    /// assert_eq!(board.get("i-1").unwrap().assigned.len(), 1);
+    /// ```
+    pub fn assign(
+        &mut self,
+        instance: &str,
+        key: RunKey,
+        step: &StepSpec,
+        now: Instant,
+        lease_end: Instant,
+    ) {
+        let worker = self.entry(instance, lease_end);
+        let run = AssignedRun {
+            counted: step.counted_room(),
+            millicores: step.room.millicores,
+            fills: step.fills,
+            serves: step.target_ms > 0,
+            order: None,
+            since: now,
+            seen: None,
+            stopping: false,
+        };
+        worker.used = worker.used.plus(&run.counted);
+        worker.assigned.insert(key, run);
+    }
+
+    /// Takes a run from a worker, since it has ended there.
+    ///
+    /// ```
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.release("i-1", &("a.0.0.0".parse().unwrap(), 1)).is_none());
+    /// ```
+    pub fn release(&mut self, instance: &str, key: &RunKey) -> Option<AssignedRun> {
+        let worker = self.workers.get_mut(instance)?;
+        let run = worker.assigned.remove(key)?;
+        worker.used = worker.used.minus(&run.counted);
+        Some(run)
+    }
+
+    /// Forgets a life of a runner; gives the runs that it had.
+    ///
+    /// ```
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.forget("i-1").is_empty());
+    /// ```
+    pub fn forget(&mut self, instance: &str) -> Vec<RunKey> {
+        let worker = self.workers.remove(instance);
+        worker.into_iter().flat_map(|worker| worker.assigned.into_keys()).collect()
+    }
+
+    /// Lives whose leases have surely expired and whose agents are silent.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.expired(Instant::now()).is_empty());
+    /// ```
+    pub fn expired(&self, now: Instant) -> Vec<InstanceId> {
+        let is_expired = |entry: &(&InstanceId, &WorkerEntry)| {
+            let heard = entry.1.heard;
+            let is_silent =
+                heard.is_none_or(|at| now.saturating_duration_since(at) >= SILENCE_LIMIT);
+            is_silent && now >= entry.1.lease_end
+        };
+        self.workers.iter().filter(is_expired).map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Takes note that a worker refused a start for want of room.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// board.on_full("i-1", Instant::now());
+    /// ```
+    pub fn on_full(&mut self, instance: &str, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(instance) {
+            worker.full_until = Some(now + ROOM_PAUSE);
+        }
+    }
+
+    /// Jobs that have a run on a worker.
+    ///
+    /// ```
+    /// let board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.jobs_on("i-1").is_empty());
+    /// ```
+    pub fn jobs_on(&self, instance: &str) -> Vec<JobId> {
+        let worker = self.workers.get(instance);
+        let keys = worker.into_iter().flat_map(|worker| worker.assigned.keys());
+        let mut jobs: Vec<JobId> = keys.map(|key| key.0.job.clone()).collect();
+        jobs.dedup();
+        jobs
+    }
+}
