Pack what serves; let fills run only where nothing serves

Serving tasks were spread over all workers, every fill stood beside one, tails went to 2.5 to 8 times their target within half a second, and fills were paced down to a tenth. Ruled out: room (fills ask for 67 cores, 133 are left); short jobs (164 of 165 in time). Change: tasks that serve, and all that do not fill, go to the fullest worker that serves already; fills go where nothing serves. At most four orders are on their way to a runner, over connections that are kept.

--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -10,10 +10,11 @@
 
 /// Time for a connection to be made; hosts without power do not refuse it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Unused connections are closed after this time, below the platform's idle limits.
-const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// Unused connections are closed after this time. New connections are priced; one that went silent
+/// meanwhile costs one call's time limit.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Unused connections that are kept for each address.
-const IDLE_CONNECTIONS: usize = 4;
+const IDLE_CONNECTIONS: usize = 16;
 
 /// What came back of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -94,7 +94,10 @@
         };
         match (may_start, lease_end) {
             (Some(true), Some(lease_end)) => {
-                match shared.control.start(target, order, lease_end).await {
+                let slot = shared.order_slots.acquire().await;
+                let started = shared.control.start(target, order, lease_end).await;
+                drop(slot);
+                match started {
                     Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => return None,
                     Err(RunnerError::NotRunning) => tokio::time::sleep(REPEAT_PAUSE).await,
                     Err(RunnerError::Rejected { reason }) => return Some(reason),
@@ -143,7 +146,10 @@
 /// Sends a stop until it is answered, or the runner's life or the planner has changed.
 async fn stop(shared: &NodeShared, target: &RunnerTarget, key: &RunKey) {
     while shared.state().is_target(target) {
-        match shared.control.stop(target, &key.0, key.1).await {
+        let slot = shared.order_slots.acquire().await;
+        let stopped = shared.control.stop(target, &key.0, key.1).await;
+        drop(slot);
+        match stopped {
             Err(RunnerError::NoAnswer { .. }) => tokio::time::sleep(REPEAT_PAUSE).await,
             Ok(()) | Err(_) => return,
         }
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 
 use crate::external::runner_control::RunnerControl;
 use crate::platform::runner_registry::RunnerBeat;
@@ -15,10 +16,16 @@
 use crate::process::node::state::KnownRunner;
 use crate::process::node::state::NodeState;
 
+/// Orders on their way to the runner at once: each takes a connection, and new ones are priced. More than
+/// one, so that an order without an answer does not hold up the others.
+const ORDERS_AT_ONCE: usize = 4;
+
 /// State that lives as long as the process.
 pub struct NodeShared {
     /// The runner's control.
     pub control: Arc<dyn RunnerControl>,
+    /// Bounds the orders that are on their way to the runner at once.
+    pub order_slots: Semaphore,
     /// Wakes answers that wait for news.
     pub news: Notify,
     /// Wakes the loop that looks at the runner.
@@ -31,6 +38,7 @@
     pub fn new(control: Arc<dyn RunnerControl>) -> NodeShared {
         NodeShared {
             control,
+            order_slots: Semaphore::new(ORDERS_AT_ONCE),
             news: Notify::new(),
             look: Notify::new(),
             state: Mutex::new(NodeState::new(Instant::now())),
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -97,7 +97,9 @@
 
 async fn pace(shared: &NodeShared, target: &RunnerTarget, step: PaceStep) {
     let (task, run) = &step.key;
+    let slot = shared.order_slots.acquire().await;
     let result = shared.control.pace(target, task, *run, step.percent).await;
+    drop(slot);
     let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "done".to_string());
     log_event(
         Level::Info,
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -15,8 +15,11 @@
 /// Added to the cost of a worker off the preferred rack, in shares of its capacity: as much as the
 /// longest run there costs.
 const OFF_RACK_COST: f64 = 0.5;
+/// Added to the cost of a worker on which nothing serves, for work that does not fill: more than any
+/// difference in load.
+const NOT_SERVING_COST: f64 = 1.0;
 /// Added to the cost of a worker that has failed tasks of late.
-const FAILED_COST: f64 = 1.0;
+const FAILED_COST: f64 = 3.0;
 
 /// What a task needs, and where it must not go.
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +85,7 @@
     if step.max_per_worker > 0 && worker.of_step(need.task) >= step.max_per_worker {
         return None;
     }
-    let mut cost = if step.fills { fill_cost(step, worker)? } else { load_cost(worker) };
+    let mut cost = if step.fills { fill_cost(step, worker)? } else { packed_cost(worker) };
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
         cost += OFF_RACK_COST;
     }
@@ -92,14 +95,19 @@
     Some(cost)
 }
 
-/// Share of the guarded processor time that is taken.
-fn load_cost(worker: &WorkerEntry) -> f64 {
+/// Share of the guarded processor time that is left, so that the fullest worker is filled first. Work
+/// that serves is kept together, because tasks that fill are only let loose where nothing serves.
+fn packed_cost(worker: &WorkerEntry) -> f64 {
     let capacity = worker.status.as_ref().map_or(0, |status| status.capacity.millicores);
-    1.0 - worker.free_room().millicores as f64 / capacity.max(1) as f64
+    let left = worker.free_room().millicores as f64 / capacity.max(1) as f64;
+    if worker.is_serving() { left } else { left + NOT_SERVING_COST }
 }
 
 /// Demand of fills against what is left to them, with this one.
 fn fill_cost(step: &StepSpec, worker: &WorkerEntry) -> Option<f64> {
+    if worker.is_serving() {
+        return None;
+    }
     let room = worker.fill_room();
     let wanted = step.room.millicores as f64;
     let demand = worker.fill_demand();
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -143,6 +143,18 @@
         fills.map(|run| run.millicores as f64).sum()
     }
 
+    /// Whether a task that serves has been given to it.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(!board.entry("i-1", Instant::now()).is_serving());
+    /// ```
+    pub fn is_serving(&self) -> bool {
+        self.assigned.values().any(|run| run.serves)
+    }
+
     /// Number of runs of a step of one occurrence here.
     ///
     /// ```
