--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -164,6 +164,8 @@
     pub target_ms: u64,
     /// Whether it fills what others leave.
     pub fills: bool,
+    /// How much longer it is expected to make the tails of the tasks that serve on its worker, in percent.
+    pub disturbance_percent: u32,
 }
 
 /// Orders that a task is started.
@@ -199,8 +201,10 @@
     pub stamp: LinkStamp,
     /// The life that is meant.
     pub instance: InstanceId,
-    /// Number of the last of these orders; numbers rise.
+    /// Number of these orders; numbers rise.
     pub number: u64,
+    /// Number of the orders before them over this link, zero for the first. Calls may overtake each other.
+    pub previous: u64,
     /// The orders.
     pub orders: Vec<NodeOrder>,
 }
--- a/src/process/interference.rs
+++ b/src/process/interference.rs
@@ -18,20 +18,38 @@
 /// Name of a kind of batch tasks.
 pub type KindName = String;
 
-/// Slowdown that is assumed of a pair before any pair was seen.
-const FIRST_SLOWDOWN: f64 = 0.05;
-/// Variance of an unseen pair's slowdown.
-const FIRST_VARIANCE: f64 = 0.04;
 /// Variance of a sample over the number of requests in it.
 const SAMPLE_VARIANCE: f64 = 0.5;
-/// Variance that a sample has however many requests are in it.
-const SMALLEST_SAMPLE_VARIANCE: f64 = 0.005;
-/// Growth of a pair's variance a second.
-const DRIFT_VARIANCE: f64 = 0.00002;
 /// Weight of the newest sample in a service's base time.
 const BASE_WEIGHT: f64 = 0.05;
-/// Largest slowdown of one sample that is believed; a stall is not interference.
-const LARGEST_SLOWDOWN: f64 = 10.0;
+
+/// What is assumed of slowdowns before and beside the samples.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct InterferenceTuning {
+    /// Slowdown that is assumed of a pair before any pair was seen.
+    pub first_slowdown: f64,
+    /// Variance of an unseen pair's slowdown.
+    pub first_variance: f64,
+    /// Variance that a sample has however many requests are in it.
+    pub sample_variance: f64,
+    /// Growth of a pair's variance a second.
+    pub drift_variance: f64,
+    /// Largest slowdown of one sample that is believed; a stall is not interference.
+    pub largest_slowdown: f64,
+}
+
+impl Default for InterferenceTuning {
+    /// For mean times of requests, which a task changes by a fraction.
+    fn default() -> InterferenceTuning {
+        InterferenceTuning {
+            first_slowdown: 0.05,
+            first_variance: 0.04,
+            sample_variance: 0.005,
+            drift_variance: 0.00002,
+            largest_slowdown: 10.0,
+        }
+    }
+}
 
 /// How long requests of a service took while certain kinds ran beside it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,6 +84,7 @@
 /// Slowdowns of all pairs.
 #[derive(Clone, Debug, Default)]
 pub struct InterferenceModel {
+    tuning: InterferenceTuning,
     base_seconds: BTreeMap<ServiceName, f64>,
     pairs: BTreeMap<ServiceName, BTreeMap<KindName, PairState>>,
     /// Sum of the slowdowns of all pairs, and their number.
@@ -74,6 +93,19 @@
 }
 
 impl InterferenceModel {
+    /// A model that has seen nothing.
+    ///
+    /// ```
+    /// use greengagearch::process::interference::InterferenceModel;
+    /// use greengagearch::process::interference::InterferenceTuning;
+    ///
+    /// let model = InterferenceModel::new(InterferenceTuning::default());
+    /// assert_eq!(model.pair_count(), 0);
+    /// ```
+    pub fn new(tuning: InterferenceTuning) -> InterferenceModel {
+        InterferenceModel { tuning, ..InterferenceModel::default() }
+    }
+
     /// Takes in a sample.
     ///
     /// ```
@@ -112,10 +144,32 @@
         }
         // A base that was guessed beside tasks is too high; the lowest time is nearer to it.
         *base = base.min(time);
-        let measured = (time / *base - 1.0).min(LARGEST_SLOWDOWN);
+        let measured = (time / *base - 1.0).min(self.tuning.largest_slowdown);
         self.update(sample, measured);
     }
 
+    /// The time of a service's requests when nothing disturbs them; nothing before its first sample.
+    ///
+    /// ```
+    /// use greengagearch::process::interference::InterferenceModel;
+    ///
+    /// assert_eq!(InterferenceModel::default().base("spots"), None);
+    /// ```
+    pub fn base(&self, service: &str) -> Option<Duration> {
+        self.base_seconds.get(service).map(|seconds| Duration::from_secs_f64(*seconds))
+    }
+
+    /// Whether a pair was seen.
+    ///
+    /// ```
+    /// use greengagearch::process::interference::InterferenceModel;
+    ///
+    /// assert!(!InterferenceModel::default().knows("spots", "roster"));
+    /// ```
+    pub fn knows(&self, service: &str, kind: &str) -> bool {
+        self.pairs.get(service).is_some_and(|kinds| kinds.contains_key(kind))
+    }
+
     /// What is known of a pair.
     ///
     /// ```
@@ -176,16 +230,20 @@
 
     /// Mean over all pairs, for one that was never seen.
     fn prior(&self) -> PairEstimate {
-        let slowdown =
-            if self.count > 0 { self.sum / f64::from(self.count) } else { FIRST_SLOWDOWN };
-        PairEstimate { slowdown, variance: FIRST_VARIANCE }
+        let slowdown = if self.count > 0 {
+            self.sum / f64::from(self.count)
+        } else {
+            self.tuning.first_slowdown
+        };
+        PairEstimate { slowdown, variance: self.tuning.first_variance }
     }
 
     fn update(&mut self, sample: &InterferenceSample, measured: f64) {
         let prior = self.prior();
+        let tuning = self.tuning;
         let pairs = self.pairs.entry(sample.service.clone()).or_default();
         let mut expected = 0.0;
-        let mut spread = SAMPLE_VARIANCE / f64::from(sample.requests) + SMALLEST_SAMPLE_VARIANCE;
+        let mut spread = SAMPLE_VARIANCE / f64::from(sample.requests) + tuning.sample_variance;
         for (kind, count) in &sample.kinds {
             let first = PairState { estimate: prior, at_millis: sample.at_millis };
             let state = pairs.entry(kind.clone()).or_insert_with(|| {
@@ -195,8 +253,8 @@
             });
             // A sample that was overtaken by a newer one makes the pair no surer than it is.
             let passed = sample.at_millis.saturating_sub(state.at_millis) as f64 / 1_000.0;
-            state.estimate.variance =
-                (state.estimate.variance + DRIFT_VARIANCE * passed).min(FIRST_VARIANCE);
+            state.estimate.variance = (state.estimate.variance + tuning.drift_variance * passed)
+                .min(tuning.first_variance);
             state.at_millis = state.at_millis.max(sample.at_millis);
             let count = f64::from(*count);
             expected += count * state.estimate.slowdown;
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -37,7 +37,7 @@
             (None, _) => {}
         }
     }
-    shared.state().on_orders(call.number);
+    shared.state().on_orders(call.previous, call.number);
 }
 
 fn take_start(shared: &Arc<NodeShared>, target: &RunnerTarget, order: StartOrder) {
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -69,6 +69,8 @@
     stops: HashMap<RunKey, bool>,
     rejected: Vec<RejectedRun>,
     orders_seen: u64,
+    /// Orders that came before earlier ones: their number, by that of the ones before.
+    early_orders: HashMap<u64, u64>,
     looks: u64,
     fresh_look: Option<RunnerLook>,
     reported_ends: u64,
@@ -103,6 +105,7 @@
             stops: HashMap::new(),
             rejected: Vec::new(),
             orders_seen: 0,
+            early_orders: HashMap::new(),
             looks: 0,
             fresh_look: None,
             reported_ends: 0,
@@ -122,6 +125,7 @@
             // What the planner knows of orders and ends starts anew with each link.
             self.stamp = stamp;
             self.orders_seen = 0;
+            self.early_orders.clear();
             self.reported_ends = 0;
             self.fresh_look = None;
             self.has_news = true;
@@ -312,9 +316,13 @@
         self.stops.contains_key(key)
     }
 
-    /// Takes note of the last order that came, all orders of which are known here by now.
-    pub fn on_orders(&mut self, number: u64) {
-        self.orders_seen = self.orders_seen.max(number);
+    /// Takes note of orders that came, all of which are known here by now. They count as seen when those
+    /// before them have come as well.
+    pub fn on_orders(&mut self, previous: u64, number: u64) {
+        self.early_orders.insert(previous, number);
+        while let Some(number) = self.early_orders.remove(&self.orders_seen) {
+            self.orders_seen = number;
+        }
     }
 
     /// How the next look is to be taken, and its number.
--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -86,12 +86,15 @@
         news: mpsc::UnboundedSender<LinkNews>,
     ) -> NodeLink {
         let (orders, parcels) = mpsc::unbounded_channel();
-        let worker = LinkWorker { shared, address, news, stamp: LinkStamp { epoch, link: 0 } };
+        let worker =
+            LinkWorker { last_sent: 0, shared, address, news, stamp: LinkStamp { epoch, link: 0 } };
         NodeLink { orders, running: tokio::spawn(worker.run(parcels)) }
     }
 }
 
 struct LinkWorker {
+    /// Number of the last orders that were sent over the present link.
+    last_sent: u64,
     shared: Arc<PlannerShared>,
     address: String,
     news: mpsc::UnboundedSender<LinkNews>,
@@ -103,6 +106,7 @@
         let mut was_up = true;
         loop {
             self.stamp.link += 1;
+            self.last_sent = 0;
             let opened = Instant::now();
             let reason = match self.connect().await {
                 Some(client) => {
@@ -134,7 +138,7 @@
 
     /// Asks again and again; gives the reason when the link has broken.
     async fn serve(
-        &self,
+        &mut self,
         client: &NodeRpcClient,
         parcels: &mut mpsc::UnboundedReceiver<OrderParcel>,
     ) -> String {
@@ -163,7 +167,7 @@
 
     /// Sends one call, and orders while it waits.
     async fn exchange(
-        &self,
+        &mut self,
         client: &NodeRpcClient,
         parcels: &mut mpsc::UnboundedReceiver<OrderParcel>,
         call: SyncCall,
@@ -190,11 +194,12 @@
         }
     }
 
-    fn send(&self, client: &NodeRpcClient, parcel: OrderParcel) {
+    fn send(&mut self, client: &NodeRpcClient, parcel: OrderParcel) {
         let call = OrderCall {
             stamp: self.stamp,
             instance: parcel.instance,
             number: parcel.number,
+            previous: std::mem::replace(&mut self.last_sent, parcel.number),
             orders: parcel.orders,
         };
         let client = client.clone();
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -139,10 +139,10 @@
         for (job, version, record) in job_records(&jobs) {
             planner.on_record(&job, version, record);
         }
-        let now = Instant::now();
+        planner.set_time(Instant::now(), self.shared.clock.wall_millis());
         for row in &progress {
             if let Some(known) = decode(row) {
-                planner.on_progress(&row.name.key, row.version, known, now);
+                planner.on_progress(&row.name.key, row.version, known);
             }
         }
         log_event(
@@ -170,8 +170,13 @@
         }
     }
 
+    /// Lets the planner decide at the present time.
     fn with_planner<T>(&self, act: impl FnOnce(&mut Planner) -> T) -> Option<T> {
-        self.shared.owned().as_mut().map(|owned| act(&mut owned.planner))
+        let (now, wall_ms) = (Instant::now(), self.shared.clock.wall_millis());
+        let mut owned = self.shared.owned();
+        let planner = &mut owned.as_mut()?.planner;
+        planner.set_time(now, wall_ms);
+        Some(act(planner))
     }
 
     fn on_jobs(&mut self, rows: &[StoredRow]) {
@@ -203,8 +208,7 @@
                 if let Some(runner) = &report.runner {
                     self.agents.insert(runner.instance.clone(), address);
                 }
-                let now = Instant::now();
-                self.with_planner(|planner| planner.on_report(*report, is_new_link, now));
+                self.with_planner(|planner| planner.on_report(*report, is_new_link));
                 Ok(())
             }
             LinkNews::Replaced(newest) if newest.epoch > self.proof.owner.epoch => {
@@ -216,8 +220,7 @@
     }
 
     fn on_tick(&mut self) {
-        let (now, wall_ms) = (Instant::now(), self.shared.clock.wall_millis());
-        self.with_planner(|planner| planner.on_tick(now, wall_ms));
+        self.with_planner(Planner::on_tick);
     }
 
     fn on_written(&mut self, written: (WritePurpose, RowTransaction, CommitFate)) -> StepResult {
@@ -273,25 +276,25 @@
 
     /// Plans, starts the next write, and sends what may be sent.
     fn plan(&mut self) {
-        let (now, wall_ms) = (Instant::now(), self.shared.clock.wall_millis());
-        self.with_planner(|planner| planner.plan(now, wall_ms));
+        self.with_planner(Planner::plan);
         if self.write.is_none() {
-            self.write = self.next_write(now, wall_ms);
+            self.write = self.next_write();
         }
         self.send_orders();
     }
 
-    fn next_write(&mut self, now: Instant, wall_ms: u64) -> Option<WriteTask> {
-        if let Some(batch) = self.with_planner(|planner| planner.take_batch(wall_ms)).flatten() {
+    fn next_write(&mut self) -> Option<WriteTask> {
+        if let Some(batch) = self.with_planner(Planner::take_batch).flatten() {
             let transaction = batch_transaction(&batch, self.proof.version);
             return Some(self.spawn_write(WritePurpose::Batch(batch), transaction));
         }
+        let now = Instant::now();
         if now < self.pulse_due {
             return None;
         }
         self.pulse_due = now + PULSE;
         let kept_for = self.shared.settings.kept_for;
-        let expired = self.with_planner(|planner| planner.expired_records(wall_ms, kept_for));
+        let expired = self.with_planner(|planner| planner.expired_records(kept_for));
         let expired = expired.unwrap_or_default();
         if !expired.is_empty() {
             return Some(self.write_forget(expired));
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -18,11 +18,15 @@
 /// Share of the target below which fills may work faster again.
 const EASE_SHARE: f64 = 0.7;
 /// What a step lets fills work faster, in percent of their full speed.
-const EASE_STEP: f64 = 12.0;
+const EASE_STEP: f64 = 25.0;
 /// Time between two steps: the measured span and the time until a new pace has its effect.
 const STEP_PAUSE: Duration = Duration::from_millis(500);
 /// Least change of pace that is ordered, in percent.
 const LEAST_CHANGE: u32 = 4;
+/// Share of the largest expected disturbance from which on a fill is slowed with the one that has it.
+const CULPRIT_SHARE: f64 = 0.4;
+/// Added to every expected disturbance, in percent, for what is not known of it.
+const LEAST_WEIGHT: f64 = 10.0;
 /// Full speed.
 const FULL: f64 = 100.0;
 
@@ -37,18 +41,18 @@
     pub pressure: f64,
 }
 
-/// The pace of all fills on one worker.
-#[derive(Clone, Debug)]
+/// The pace of the fills on one worker.
+#[derive(Clone, Debug, Default)]
 pub struct PaceControl {
-    percent: f64,
     stepped: Option<Instant>,
-    ordered: HashMap<RunKey, u32>,
+    paces: HashMap<RunKey, RunPace>,
 }
 
-impl Default for PaceControl {
-    fn default() -> PaceControl {
-        PaceControl { percent: FULL, stepped: None, ordered: HashMap::new() }
-    }
+/// The pace of one run, in percent: what it should be, and what was ordered last.
+#[derive(Clone, Copy, Debug)]
+struct RunPace {
+    wanted: f64,
+    ordered: u32,
 }
 
 impl PaceControl {
@@ -69,40 +73,67 @@
         traits: &HashMap<TaskName, TaskTraits>,
         now: Instant,
     ) -> Vec<PaceStep> {
+        self.follow(running, traits);
         let pressure = worst_pressure(running, traits);
         let may_step =
             self.stepped.is_none_or(|at| now.saturating_duration_since(at) >= STEP_PAUSE);
-        if may_step {
-            self.step(pressure, now);
+        if may_step && self.step(pressure, traits) {
+            self.stepped = Some(now);
         }
-        let fills = running.iter().filter(|run| traits.get(&run.task).is_some_and(|t| t.fills));
-        let percent = self.percent.round() as u32;
         let mut steps = Vec::new();
-        let mut ordered = HashMap::new();
-        for run in fills {
-            let key = (run.task.clone(), run.run);
-            let known = self.ordered.get(&key).copied().unwrap_or(100);
-            if known.abs_diff(percent) >= LEAST_CHANGE {
+        for (key, pace) in &mut self.paces {
+            let percent = pace.wanted.round() as u32;
+            let is_whole = percent == 100 && pace.ordered != 100;
+            if pace.ordered.abs_diff(percent) >= LEAST_CHANGE || is_whole {
+                pace.ordered = percent;
                 steps.push(PaceStep { key: key.clone(), percent, pressure });
-                ordered.insert(key, percent);
-            } else {
-                ordered.insert(key, known);
             }
         }
-        self.ordered = ordered;
         steps
     }
 
-    fn step(&mut self, pressure: f64, now: Instant) {
+    /// Keeps the paces of the fills that run, and starts those of new ones at full speed.
+    fn follow(&mut self, running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) {
+        let fills = running.iter().filter(|run| traits.get(&run.task).is_some_and(|t| t.fills));
+        let mut paces = HashMap::new();
+        for run in fills {
+            let key = (run.task.clone(), run.run);
+            let first = RunPace { wanted: FULL, ordered: FULL as u32 };
+            let pace = self.paces.get(&key).copied().unwrap_or(first);
+            paces.insert(key, pace);
+        }
+        self.paces = paces;
+    }
+
+    /// Changes the wanted paces. Says whether it did.
+    fn step(&mut self, pressure: f64, traits: &HashMap<TaskName, TaskTraits>) -> bool {
         if pressure > AIM_SHARE {
-            // What exceeds the aim is taken off in proportion, at least a quarter.
+            // Tails grow faster than the pace, so that the excess is taken off squared.
             let factor = (AIM_SHARE / pressure).powi(2).min(0.75);
-            self.percent *= factor;
-            self.stepped = Some(now);
-        } else if pressure < EASE_SHARE && self.percent < FULL {
-            self.percent = (self.percent + EASE_STEP).min(FULL);
-            self.stepped = Some(now);
+            return self.slow_culprits(factor, traits);
+        }
+        let is_slow = self.paces.values().any(|pace| pace.wanted < FULL);
+        if pressure < EASE_SHARE && is_slow {
+            let each = self.paces.values_mut();
+            each.for_each(|pace| pace.wanted = (pace.wanted + EASE_STEP).min(FULL));
+            return true;
+        }
+        false
+    }
+
+    /// Slows the fills that are expected to disturb most among those that still work.
+    fn slow_culprits(&mut self, factor: f64, traits: &HashMap<TaskName, TaskTraits>) -> bool {
+        let weight = |key: &RunKey, pace: &RunPace| {
+            let expected = traits.get(&key.0).map_or(0, |traits| traits.disturbance_percent);
+            (f64::from(expected) + LEAST_WEIGHT) * pace.wanted
+        };
+        let most = self.paces.iter().map(|(key, pace)| weight(key, pace)).fold(0.0, f64::max);
+        for (key, pace) in &mut self.paces {
+            if weight(key, pace) >= most * CULPRIT_SHARE {
+                pace.wanted *= factor;
+            }
         }
+        most > 0.0
     }
 }
 
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -1,9 +1,11 @@
 //! Which worker gets a task of a step.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::InstanceId;
 use crate::process::suspicion::WorkerSuspicion;
+use crate::workflow::disturbance::DisturbanceModel;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::spec::TaskName;
 use crate::workflow::worker_board::WorkerBoard;
@@ -18,6 +20,11 @@
 /// Added to the cost of a worker on which nothing serves, for work that does not fill: more than any
 /// difference in load.
 const NOT_SERVING_COST: f64 = 1.0;
+/// Cost of a tail at its target, in shares of a worker's load.
+const RISK_COST: f64 = 1.0;
+/// Time since the last change of fills on a worker after which a pair that was never seen may be tried
+/// there, so that what it does is told apart.
+const EXPLORE_PAUSE: Duration = Duration::from_millis(1_200);
 /// Added to the cost of a worker that has failed tasks of late.
 const FAILED_COST: f64 = 3.0;
 
@@ -32,6 +39,32 @@
     pub service: &'a str,
     /// Workers on which it has failed or runs already.
     pub avoid: &'a [InstanceId],
+    /// How far a task that fills may put tasks that serve at risk.
+    pub risk: RiskLimit,
+}
+
+/// How far a task that fills may put the tasks that serve on its worker at risk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RiskLimit {
+    /// Only where its image is known to be light beside theirs.
+    Known,
+    /// Also where its image was never seen beside theirs, on one worker at a time.
+    Explore,
+    /// Anywhere, because its job has waited long; the pace protects what serves.
+    Any,
+}
+
+/// What a choice is made by.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementView<'a> {
+    /// The workers.
+    pub board: &'a WorkerBoard,
+    /// Workers that fail what they start.
+    pub suspicion: &'a WorkerSuspicion,
+    /// What images do to each other.
+    pub disturbance: &'a DisturbanceModel,
+    /// The time.
+    pub now: Instant,
 }
 
 /// The best worker for a task, if any has room.
@@ -40,29 +73,32 @@
 /// use std::time::Instant;
 ///
 /// use greengagearch::process::suspicion::WorkerSuspicion;
+/// use greengagearch::workflow::disturbance::DisturbanceModel;
 /// use greengagearch::workflow::placement::PlacementNeed;
+/// use greengagearch::workflow::placement::PlacementView;
+/// use greengagearch::workflow::placement::RiskLimit;
 /// use greengagearch::workflow::placement::choose;
 /// use greengagearch::workflow::spec::StepSpec;
 /// use greengagearch::workflow::worker_board::WorkerBoard;
 ///
 /// let task = "a.0.0.0".parse().unwrap();
 /// let step = StepSpec::default();
-/// let need = PlacementNeed { task: &task, step: &step, service: "s", avoid: &[] };
-/// let board = WorkerBoard::default();
-/// assert_eq!(choose(&need, &board, &WorkerSuspicion::default(), Instant::now()), None);
+/// let risk = RiskLimit::Known;
+/// let need = PlacementNeed { task: &task, step: &step, service: "s", avoid: &[], risk };
+/// let (board, suspicion) = (WorkerBoard::default(), WorkerSuspicion::default());
+/// let disturbance = DisturbanceModel::default();
+/// let now = Instant::now();
+/// let view =
+///     PlacementView { board: &board, suspicion: &suspicion, disturbance: &disturbance, now };
+/// assert_eq!(choose(&need, &view), None);
 /// ```
-pub fn choose(
-    need: &PlacementNeed<'_>,
-    board: &WorkerBoard,
-    suspicion: &WorkerSuspicion,
-    now: Instant,
-) -> Option<InstanceId> {
+pub fn choose(need: &PlacementNeed<'_>, view: &PlacementView<'_>) -> Option<InstanceId> {
     let mut best: Option<(f64, &InstanceId)> = None;
-    for (instance, worker) in board.iter() {
-        if !worker.is_open(now) || suspicion.starts_left(instance, now) == Some(0) {
+    for (instance, worker) in view.board.iter() {
+        if !worker.is_open(view.now) || view.suspicion.starts_left(instance, view.now) == Some(0) {
             continue;
         }
-        let Some(cost) = cost(need, instance, worker) else {
+        let Some(cost) = cost(need, view, instance, worker) else {
             continue;
         };
         if best.is_none_or(|(least, _)| cost < least) {
@@ -73,7 +109,12 @@
 }
 
 /// What it costs to put a task on a worker; nothing when it cannot go there.
-fn cost(need: &PlacementNeed<'_>, instance: &str, worker: &WorkerEntry) -> Option<f64> {
+fn cost(
+    need: &PlacementNeed<'_>,
+    view: &PlacementView<'_>,
+    instance: &str,
+    worker: &WorkerEntry,
+) -> Option<f64> {
     let status = worker.status.as_ref()?;
     let step = need.step;
     if status.service != need.service || !worker.free_room().contains(&step.counted_room()) {
@@ -85,7 +126,7 @@
     if step.max_per_worker > 0 && worker.of_step(need.task) >= step.max_per_worker {
         return None;
     }
-    let mut cost = if step.fills { fill_cost(step, worker)? } else { packed_cost(worker) };
+    let mut cost = if step.fills { fill_cost(need, view, worker)? } else { packed_cost(worker) };
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
         cost += OFF_RACK_COST;
     }
@@ -103,17 +144,31 @@
     if worker.is_serving() { left } else { left + NOT_SERVING_COST }
 }
 
-/// Demand of fills against what is left to them, with this one.
-fn fill_cost(step: &StepSpec, worker: &WorkerEntry) -> Option<f64> {
-    if worker.is_serving() {
-        return None;
-    }
+/// Demand of fills against what is left to them, with this one, and the risk for what serves.
+fn fill_cost(
+    need: &PlacementNeed<'_>,
+    view: &PlacementView<'_>,
+    worker: &WorkerEntry,
+) -> Option<f64> {
     let room = worker.fill_room();
-    let wanted = step.room.millicores as f64;
+    let wanted = need.step.room.millicores as f64;
     let demand = worker.fill_demand();
     let is_alone = demand == 0.0 && room > 0.0;
-    if room - demand < wanted * LEAST_FILL && !is_alone {
+    if room - demand < wanted * LEAST_FILL && !is_alone && need.risk != RiskLimit::Any {
         return None;
     }
-    Some((demand + wanted) / room.max(1.0))
+    let load = (demand + wanted) / room.max(1.0);
+    if !worker.is_serving() {
+        return Some(load);
+    }
+    let risk = view.disturbance.risk(worker, &need.step.image);
+    let is_allowed = match need.risk {
+        RiskLimit::Known => !risk.is_unseen && risk.is_low(),
+        RiskLimit::Explore => {
+            let is_calm = view.now.saturating_duration_since(worker.fills_changed) > EXPLORE_PAUSE;
+            (!risk.is_unseen && risk.is_low()) || (risk.is_unseen && is_calm)
+        }
+        RiskLimit::Any => true,
+    };
+    is_allowed.then_some(load + risk.pressure * RISK_COST)
 }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -24,6 +24,7 @@
 use crate::ids::QueueName;
 use crate::ids::RowVersion;
 use crate::process::suspicion::WorkerSuspicion;
+use crate::workflow::disturbance::DisturbanceModel;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobProgress;
@@ -55,11 +56,14 @@
     pub failed_on: HashMap<(u32, u32, u32), Vec<InstanceId>>,
     /// The next occurrence to open.
     pub next_occurrence: u32,
+    /// When a run of it last started or ended, in milliseconds since the Unix epoch.
+    pub last_run_ms: u64,
 }
 
 impl JobEntry {
     fn new(spec: WorkflowSpec, record_version: RowVersion) -> JobEntry {
         JobEntry {
+            last_run_ms: spec.accepted_ms,
             spec,
             record_version,
             progress: JobProgress::default(),
@@ -103,10 +107,15 @@
 /// What the planner knows and has decided.
 #[derive(Clone, Debug)]
 pub struct Planner {
+    /// The time at which the planner decides.
+    pub(crate) now: Instant,
+    /// The same on the wall clock, in milliseconds since the Unix epoch.
+    pub(crate) wall_ms: u64,
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) ended: BTreeMap<JobId, EndedJob>,
     pub(crate) board: WorkerBoard,
     pub(crate) suspicion: WorkerSuspicion,
+    pub(crate) disturbance: DisturbanceModel,
     pub(crate) dirty: BTreeSet<JobId>,
     pub(crate) held_starts: BTreeMap<JobId, Vec<(InstanceId, RunKey)>>,
     pub(crate) held_acks: BTreeMap<InstanceId, u64>,
@@ -127,10 +136,13 @@
     /// ```
     pub fn new(inherited_end: Instant) -> Planner {
         Planner {
+            now: inherited_end,
+            wall_ms: 0,
             jobs: BTreeMap::new(),
             ended: BTreeMap::new(),
             board: WorkerBoard::default(),
             suspicion: WorkerSuspicion::default(),
+            disturbance: DisturbanceModel::default(),
             dirty: BTreeSet::new(),
             held_starts: BTreeMap::new(),
             held_acks: BTreeMap::new(),
@@ -140,6 +152,19 @@
         }
     }
 
+    /// Sets the time at which the planner decides next.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// greengagearch::workflow::planner::Planner::new(now).set_time(now, 0);
+    /// ```
+    pub fn set_time(&mut self, now: Instant, wall_ms: u64) {
+        self.now = now;
+        self.wall_ms = wall_ms;
+    }
+
     /// Takes in the row of a job, new or changed. Rows older than what is known say nothing.
     ///
     /// ```
@@ -198,15 +223,9 @@
     /// use std::time::Instant;
     ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// planner.on_progress("unknown", 1, Default::default(), Instant::now());
+    /// planner.on_progress("unknown", 1, Default::default());
     /// ```
-    pub fn on_progress(
-        &mut self,
-        job: &str,
-        version: RowVersion,
-        progress: JobProgress,
-        now: Instant,
-    ) {
+    pub fn on_progress(&mut self, job: &str, version: RowVersion, progress: JobProgress) {
         if let Some(ended) = self.ended.get(job).copied() {
             self.jobs.entry(job.to_string()).or_insert_with(|| {
                 let mut entry = JobEntry::new(WorkflowSpec::unknown(), ended.version);
@@ -226,7 +245,7 @@
         for (name, attempt) in entry.progress.attempts(job) {
             let step = entry.step(&name).unwrap_or(&unknown);
             let key = (name, attempt.run);
-            self.board.assign(&attempt.worker, key.clone(), step, now, self.inherited_end);
+            self.board.assign(&attempt.worker, key.clone(), step, self.now, self.inherited_end);
             if let Some(worker) = self.board.get_mut(&attempt.worker)
                 && let Some(run) = worker.assigned.get_mut(&key)
             {
@@ -251,11 +270,11 @@
     ///
     /// let mut planner = Planner::new(Instant::now());
     /// let report = NodeReport { now: Duration::ZERO, runner: None, former: vec![], look: None };
-    /// planner.on_report(report, true, Instant::now());
+    /// planner.on_report(report, true);
     /// ```
-    pub fn on_report(&mut self, report: NodeReport, is_new_link: bool, now: Instant) {
+    pub fn on_report(&mut self, report: NodeReport, is_new_link: bool) {
         for former in &report.former {
-            self.lose(former, now);
+            self.lose(former);
         }
         let Some(status) = report.runner else {
             return;
@@ -263,23 +282,23 @@
         let instance = status.instance.clone();
         let worker = self.board.entry(&instance, self.inherited_end);
         worker.status = Some(status);
-        worker.heard = Some(now);
+        worker.heard = Some(self.now);
         worker.resync |= is_new_link;
         if let Some(look) = report.look {
-            self.on_look(&instance, look, now);
+            self.on_look(&instance, look);
         }
     }
 
-    fn on_look(&mut self, instance: &str, look: RunnerLook, now: Instant) {
+    fn on_look(&mut self, instance: &str, look: RunnerLook) {
         let last = look.ended.last().map(|ended| ended.number);
         for ended in look.ended {
-            self.on_ended(instance, ended, now);
+            self.on_ended(instance, ended);
         }
         if let Some(last) = last {
             self.held_acks.insert(instance.to_string(), last);
         }
         for rejected in look.rejected {
-            self.on_rejected(instance, &rejected, now);
+            self.on_rejected(instance, &rejected);
         }
         let mut present: BTreeMap<RunKey, _> = BTreeMap::new();
         for run in look.present {
@@ -291,20 +310,25 @@
         };
         let resync = std::mem::take(&mut worker.resync);
         let mut absent = Vec::new();
+        let mut changed = false;
         for (key, run) in &mut worker.assigned {
             match present.remove(key) {
-                Some(seen) => run.seen = Some(seen),
+                Some(seen) => changed |= run.on_seen(seen, self.now) && run.fills,
                 None if run.order.is_some_and(|order| order <= look.orders_seen || resync) => {
                     absent.push(key.clone());
                 }
                 None => {}
             }
         }
+        if changed {
+            worker.fills_changed = self.now;
+        }
+        self.disturbance.learn(worker, self.now, self.wall_ms);
         for key in absent {
             if resync {
                 self.resend(instance, &key);
             } else {
-                self.end_run(instance, &key, RunEnd::Lost, "", now);
+                self.end_run(instance, &key, RunEnd::Lost, "");
             }
         }
         if resync {
@@ -325,18 +349,20 @@
         worker.lease_end = worker.lease_end.max(surely_expired);
     }
 
-    /// Opens occurrences that are due and gives up what silent workers had.
+    /// Opens occurrences that are due, gives up what silent workers had, and moves tasks that are held up.
     ///
     /// ```
     /// use std::time::Instant;
     ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// planner.on_tick(Instant::now(), 0);
+    /// planner.on_tick();
     /// ```
-    pub fn on_tick(&mut self, now: Instant, wall_ms: u64) {
+    pub fn on_tick(&mut self) {
+        let (now, wall_ms) = (self.now, self.wall_ms);
         for instance in self.board.expired(now) {
-            self.lose(&instance, now);
+            self.lose(&instance);
         }
+        self.move_held_up();
         for entry in self.jobs.values_mut() {
             let spec = &entry.spec;
             while entry.next_occurrence < spec.times
@@ -427,47 +453,40 @@
         Some(number)
     }
 
-    fn on_ended(&mut self, instance: &str, ended: EndedRun, now: Instant) {
+    fn on_ended(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
         match ended.end {
             RunEnd::Done => self.suspicion.on_success(instance),
-            RunEnd::Failed => self.on_failure(instance, &key.0, now),
+            RunEnd::Failed => self.on_failure(instance, &key.0),
             _ => {}
         }
-        self.end_run(instance, &key, ended.end, &ended.checkpoint, now);
+        self.end_run(instance, &key, ended.end, &ended.checkpoint);
     }
 
-    fn on_failure(&mut self, instance: &str, name: &TaskName, now: Instant) {
-        self.suspicion.on_failure(instance, &name.to_string(), now);
+    fn on_failure(&mut self, instance: &str, name: &TaskName) {
+        self.suspicion.on_failure(instance, &name.to_string(), self.now);
         if let Some(entry) = self.jobs.get_mut(&name.job) {
             let place = (name.occurrence, name.step, name.index);
             entry.failed_on.entry(place).or_default().push(instance.to_string());
         }
     }
 
-    fn on_rejected(&mut self, instance: &str, rejected: &RejectedRun, now: Instant) {
+    fn on_rejected(&mut self, instance: &str, rejected: &RejectedRun) {
         match rejected.reason {
-            RejectReason::Room => self.board.on_full(instance, now),
-            RejectReason::Unwell => self.on_failure(instance, &rejected.task, now),
+            RejectReason::Room => self.board.on_full(instance, self.now),
+            RejectReason::Unwell => self.on_failure(instance, &rejected.task),
             RejectReason::Old
             | RejectReason::Late
             | RejectReason::Leaving
             | RejectReason::Malformed => {}
         }
         let key = (rejected.task.clone(), rejected.run);
-        self.end_run(instance, &key, RunEnd::Lost, "", now);
+        self.end_run(instance, &key, RunEnd::Lost, "");
     }
 
     /// Takes a run off its worker and its job.
-    pub(crate) fn end_run(
-        &mut self,
-        instance: &str,
-        key: &RunKey,
-        end: RunEnd,
-        checkpoint: &str,
-        _now: Instant,
-    ) {
-        let released = self.board.release(instance, key);
+    pub(crate) fn end_run(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
+        let released = self.board.release(instance, key, self.now);
         let seen = released.and_then(|run| run.seen).map(|seen| seen.checkpoint);
         let known = seen.unwrap_or_default();
         let checkpoint = if checkpoint.is_empty() { known.as_str() } else { checkpoint };
@@ -475,6 +494,7 @@
             return;
         };
         let step = entry.step(&key.0).cloned().unwrap_or_default();
+        entry.last_run_ms = self.wall_ms;
         if !entry.progress.on_end(&key.0, key.1, end, checkpoint, &step) {
             return;
         }
@@ -552,7 +572,7 @@
             }
             return;
         }
-        self.board.release(instance, &key);
+        self.board.release(instance, &key, self.now);
         if let Some(entry) = self.jobs.get_mut(&key.0.job)
             && let Some(task) = entry.progress.task_mut(&key.0)
         {
@@ -574,12 +594,12 @@
     /// Sends the order of a run again, over a new link that has not carried it.
     fn resend(&mut self, instance: &str, key: &RunKey) {
         let is_ended = self.jobs.get(&key.0.job).is_none_or(|entry| entry.end.is_some());
-        match self.start_order(key) {
+        match self.start_order(instance, key) {
             Some(order) if !is_ended => {
                 self.outbox.push((instance.to_string(), NodeOrder::Start(order)));
             }
             // Nobody needs the run, and the agent's look shows that it does not exist.
-            _ => self.end_run(instance, key, RunEnd::Lost, "", self.inherited_end),
+            _ => self.end_run(instance, key, RunEnd::Lost, ""),
         }
     }
 
@@ -589,7 +609,8 @@
             return;
         };
         let known = worker.assigned.iter().filter(|(_, run)| run.seen.is_some());
-        let traits: Vec<TaskTraits> = known.filter_map(|(key, _)| self.traits(&key.0)).collect();
+        let traits: Vec<TaskTraits> =
+            known.filter_map(|(key, _)| self.traits(instance, &key.0)).collect();
         let stopping: Vec<RunKey> = worker
             .assigned
             .iter()
@@ -620,18 +641,21 @@
         }
     }
 
-    fn traits(&self, name: &TaskName) -> Option<TaskTraits> {
+    fn traits(&self, instance: &str, name: &TaskName) -> Option<TaskTraits> {
         let step = self.jobs.get(&name.job)?.step(name)?;
+        let worker = self.board.get(instance);
+        let weight = worker.map_or(0.0, |worker| self.disturbance.weight(worker, &step.image));
         Some(TaskTraits {
             task: name.clone(),
             image: step.image.clone(),
             target_ms: step.target_ms,
             fills: step.fills,
+            disturbance_percent: (weight * 100.0) as u32,
         })
     }
 
     /// The order that starts a run.
-    pub(crate) fn start_order(&self, key: &RunKey) -> Option<StartOrder> {
+    pub(crate) fn start_order(&self, instance: &str, key: &RunKey) -> Option<StartOrder> {
         let entry = self.jobs.get(&key.0.job)?;
         let task = entry.progress.task(&key.0)?;
         Some(StartOrder {
@@ -639,18 +663,18 @@
             payload: entry.spec.payload.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: None,
-            traits: self.traits(&key.0)?,
+            traits: self.traits(instance, &key.0)?,
         })
     }
 
     /// Gives up everything on a life of a runner that has surely ended.
-    fn lose(&mut self, instance: &str, now: Instant) {
+    fn lose(&mut self, instance: &str) {
         let Some(worker) = self.board.get(instance) else {
             return;
         };
         let keys: Vec<RunKey> = worker.assigned.keys().cloned().collect();
         for key in keys {
-            self.end_run(instance, &key, RunEnd::Lost, "", now);
+            self.end_run(instance, &key, RunEnd::Lost, "");
         }
         self.board.forget(instance);
         self.held_acks.remove(instance);
@@ -664,11 +688,11 @@
     /// use std::time::Instant;
     ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert!(planner.expired_records(0, Duration::ZERO).is_empty());
+    /// assert!(planner.expired_records(Duration::ZERO).is_empty());
     /// ```
-    pub fn expired_records(&self, wall_ms: u64, kept_for: Duration) -> Vec<(JobId, RowVersion)> {
+    pub fn expired_records(&self, kept_for: Duration) -> Vec<(JobId, RowVersion)> {
         let kept_ms = u64::try_from(kept_for.as_millis()).unwrap_or(u64::MAX);
-        let is_expired = |ended: &EndedJob| wall_ms.saturating_sub(ended.ended_ms) > kept_ms;
+        let is_expired = |ended: &EndedJob| self.wall_ms.saturating_sub(ended.ended_ms) > kept_ms;
         let expired = self.ended.iter().filter(|(_, ended)| is_expired(ended));
         expired.map(|(job, ended)| (job.clone(), ended.version)).collect()
     }
@@ -679,9 +703,9 @@
     /// use std::time::Instant;
     ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert!(planner.take_batch(0).is_none());
+    /// assert!(planner.take_batch().is_none());
     /// ```
-    pub fn take_batch(&mut self, wall_ms: u64) -> Option<PlanBatch> {
-        PlanBatch::take(self, wall_ms)
+    pub fn take_batch(&mut self) -> Option<PlanBatch> {
+        PlanBatch::take(self)
     }
 }
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -40,7 +40,7 @@
 
 impl PlanBatch {
     /// Takes what has changed out of the planner.
-    pub(crate) fn take(planner: &mut Planner, wall_ms: u64) -> Option<PlanBatch> {
+    pub(crate) fn take(planner: &mut Planner) -> Option<PlanBatch> {
         let jobs: Vec<JobId> = planner.dirty.iter().take(LARGEST_BATCH).cloned().collect();
         let mut batch = PlanBatch::default();
         for job in &jobs {
@@ -48,7 +48,7 @@
             let Some(entry) = planner.jobs.get(job) else {
                 continue;
             };
-            batch.writes.extend(writes(job, entry, wall_ms));
+            batch.writes.extend(writes(job, entry, planner.wall_ms));
             batch.starts.extend(planner.held_starts.remove(job).unwrap_or_default());
         }
         if planner.dirty.is_empty() {
@@ -149,7 +149,7 @@
         if !is_wanted {
             return;
         }
-        if let Some(order) = self.start_order(key) {
+        if let Some(order) = self.start_order(&instance, key) {
             // Until it has its number the order counts as sent, so that it is stopped, not taken back.
             if let Some(worker) = self.board.get_mut(&instance)
                 && let Some(run) = worker.assigned.get_mut(key)
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -1,11 +1,11 @@
 //! A round of planning: in which order jobs get workers, and which tasks start.
 
-use std::time::Instant;
-
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RunNumber;
 use crate::workflow::placement::PlacementNeed;
+use crate::workflow::placement::PlacementView;
+use crate::workflow::placement::RiskLimit;
 use crate::workflow::placement::choose;
 use crate::workflow::planner::JobEntry;
 use crate::workflow::planner::Planner;
@@ -17,6 +17,10 @@
 /// users' sheets; such jobs come last.
 const WORTHLESS_AFTER: u64 = 3;
 
+/// Time without a run after which a job's tasks that fill take any room, in milliseconds: well below the
+/// three seconds that users bear to see a job stand still beside free room.
+const STARVED_AFTER_MS: u64 = 1_200;
+
 /// Place of a job in a round: smaller comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct JobUrgency {
@@ -47,17 +51,17 @@
     /// use std::time::Instant;
     ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert_eq!(planner.plan(Instant::now(), 0), 0);
+    /// assert_eq!(planner.plan(), 0);
     /// ```
-    pub fn plan(&mut self, now: Instant, wall_ms: u64) -> usize {
+    pub fn plan(&mut self) -> usize {
         let open = self.jobs.iter().filter(|(_, entry)| entry.end.is_none());
         let mut order: Vec<(JobUrgency, JobId)> =
-            open.map(|(job, entry)| (JobUrgency::of(entry, wall_ms), job.clone())).collect();
+            open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job.clone())).collect();
         order.sort();
-        order.iter().map(|(_, job)| self.plan_job(job, now)).sum()
+        order.iter().map(|(_, job)| self.plan_job(job)).sum()
     }
 
-    fn plan_job(&mut self, job: &str, now: Instant) -> usize {
+    fn plan_job(&mut self, job: &str) -> usize {
         let mut started = 0;
         for (occurrence, step) in self.ready_steps(job) {
             let Some(spec) =
@@ -68,9 +72,9 @@
             let spec = spec.clone();
             let names = self.startable(job, occurrence, step, &spec);
             started += if spec.gang {
-                self.start_gang(&names, &spec, now)
+                self.start_gang(&names, &spec)
             } else {
-                self.start_each(&names, &spec, now)
+                self.start_each(&names, &spec)
             };
         }
         started
@@ -106,40 +110,40 @@
         idle.map(|(index, _)| TaskName { job: job.to_string(), occurrence, step, index }).collect()
     }
 
-    fn start_each(&mut self, names: &[TaskName], spec: &StepSpec, now: Instant) -> usize {
+    fn start_each(&mut self, names: &[TaskName], spec: &StepSpec) -> usize {
         for (started, name) in names.iter().enumerate() {
-            let Some(worker) = self.choose_worker(name, spec, now) else {
+            let Some(worker) = self.choose_worker(name, spec) else {
                 // The tasks of a step are alike; where this one finds no room, none does.
                 return started;
             };
             let run = self.last_run(name) + 1;
-            self.assign(name, run, worker, spec, now);
+            self.assign(name, run, worker, spec);
         }
         names.len()
     }
 
     /// Starts all members of a gang under one run, or none.
-    fn start_gang(&mut self, names: &[TaskName], spec: &StepSpec, now: Instant) -> usize {
+    fn start_gang(&mut self, names: &[TaskName], spec: &StepSpec) -> usize {
         let run = names.iter().map(|name| self.last_run(name)).max().unwrap_or(0) + 1;
         let mut given: Vec<(InstanceId, &TaskName)> = Vec::new();
         for name in names {
-            let Some(worker) = self.choose_worker(name, spec, now) else {
+            let Some(worker) = self.choose_worker(name, spec) else {
                 for (worker, name) in given {
-                    self.board.release(&worker, &(name.clone(), run));
+                    self.board.release(&worker, &(name.clone(), run), self.now);
                 }
                 return 0;
             };
-            self.board.assign(&worker, (name.clone(), run), spec, now, self.inherited_end);
+            self.board.assign(&worker, (name.clone(), run), spec, self.now, self.inherited_end);
             given.push((worker, name));
         }
         for (worker, name) in given {
-            self.board.release(&worker, &(name.clone(), run));
-            self.assign(name, run, worker, spec, now);
+            self.board.release(&worker, &(name.clone(), run), self.now);
+            self.assign(name, run, worker, spec);
         }
         names.len()
     }
 
-    fn choose_worker(&self, name: &TaskName, spec: &StepSpec, now: Instant) -> Option<InstanceId> {
+    fn choose_worker(&self, name: &TaskName, spec: &StepSpec) -> Option<InstanceId> {
         let entry = self.jobs.get(&name.job)?;
         let avoid = entry.failed_on.get(&(name.occurrence, name.step, name.index));
         let need = PlacementNeed {
@@ -147,8 +151,26 @@
             step: spec,
             service: &entry.spec.policy.service,
             avoid: avoid.map_or(&[], Vec::as_slice),
+            risk: self.risk_limit(entry),
         };
-        choose(&need, &self.board, &self.suspicion, now)
+        choose(&need, &self.placement_view())
+    }
+
+    /// What workers are chosen by.
+    pub(crate) fn placement_view(&self) -> PlacementView<'_> {
+        PlacementView {
+            board: &self.board,
+            suspicion: &self.suspicion,
+            disturbance: &self.disturbance,
+            now: self.now,
+        }
+    }
+
+    /// How far a job's tasks that fill may go: a job of which nothing has run for a while takes any room.
+    fn risk_limit(&self, entry: &JobEntry) -> RiskLimit {
+        let idle_ms = self.wall_ms.saturating_sub(entry.last_run_ms);
+        let is_idle = entry.progress.is_idle();
+        if is_idle && idle_ms > STARVED_AFTER_MS { RiskLimit::Any } else { RiskLimit::Explore }
     }
 
     fn last_run(&self, name: &TaskName) -> RunNumber {
@@ -163,20 +185,20 @@
         run: RunNumber,
         worker: InstanceId,
         spec: &StepSpec,
-        now: Instant,
     ) {
         let key = (name.clone(), run);
         let Some(entry) = self.jobs.get_mut(&name.job) else {
             return;
         };
         entry.progress.begun = true;
+        entry.last_run_ms = self.wall_ms;
         let Some(task) = entry.progress.task_mut(name) else {
             return;
         };
         task.last_run = run;
         task.attempts.push(RunAttempt { run, worker: worker.clone() });
-        self.board.assign(&worker, key.clone(), spec, now, self.inherited_end);
-        self.suspicion.on_start(&worker, now);
+        self.board.assign(&worker, key.clone(), spec, self.now, self.inherited_end);
+        self.suspicion.on_start(&worker, self.now);
         self.dirty.insert(name.job.clone());
         self.held_starts.entry(name.job.clone()).or_default().push((worker, key));
     }
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -319,6 +319,15 @@
         found
     }
 
+    /// Whether nothing of the job may run at present.
+    ///
+    /// ```
+    /// assert!(greengagearch::workflow::progress::JobProgress::default().is_idle());
+    /// ```
+    pub fn is_idle(&self) -> bool {
+        self.open.values().flatten().flatten().all(|task| task.attempts.is_empty())
+    }
+
     /// The largest number of failures of any task.
     ///
     /// ```
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -22,6 +22,9 @@
 /// tasks that fill. From the users' sheets; what is really left is seen by the fills' own usage.
 const SERVING_USE: f64 = 0.6;
 
+/// Pace at which a task that fills counts as held up, in percent.
+const SLOW_PERCENT: u32 = 30;
+
 /// Identifies a run of a task.
 pub type RunKey = (TaskName, RunNumber);
 
@@ -34,18 +37,52 @@
     pub millicores: u64,
     /// Whether it fills what others leave.
     pub fills: bool,
-    /// Whether it serves users of its own.
-    pub serves: bool,
+    /// What it runs.
+    pub image: String,
+    /// Bound on its tail latency in milliseconds; zero for a run that does not serve.
+    pub target_ms: u64,
+    /// Whether it saves its work.
+    pub checkpoints: bool,
     /// Number of the order that carried it; nothing while the order waits for the store.
     pub order: Option<u64>,
     /// When it was assigned.
     pub since: Instant,
     /// What the worker last said of it.
     pub seen: Option<PresentRun>,
+    /// Since when it may work only slowly, because it disturbs what serves.
+    pub slow_since: Option<Instant>,
     /// Whether it was ordered to stop.
     pub stopping: bool,
 }
 
+impl AssignedRun {
+    /// Takes in what the worker says of it. Says whether its pace has changed.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::node_protocol::PresentRun;
+    /// use greengagearch::workflow::spec::StepSpec;
+    /// use greengagearch::workflow::worker_board::WorkerBoard;
+    ///
+    /// let now = Instant::now();
+    /// let mut board = WorkerBoard::default();
+    /// let key: (greengagearch::workflow::spec::TaskName, u32) = ("a.0.0.0".parse().unwrap(), 1);
+    /// board.assign("i-1", key.clone(), &StepSpec::default(), now, now);
+    /// let run = board.get_mut("i-1").unwrap().assigned.get_mut(&key).unwrap();
+    /// let checkpoint = String::new();
+    /// let seen = PresentRun { task: key.0, run: 1, checkpoint, percent: 10, usage: 0 };
+    /// assert!(run.on_seen(seen, now));
+    /// ```
+    pub fn on_seen(&mut self, seen: PresentRun, now: Instant) -> bool {
+        let is_new_pace = self.seen.as_ref().map(|known| known.percent) != Some(seen.percent);
+        let is_slow = self.fills && seen.percent <= SLOW_PERCENT;
+        self.slow_since = if is_slow { self.slow_since.or(Some(now)) } else { None };
+        self.seen = Some(seen);
+        is_new_pace
+    }
+}
+
 /// One life of a runner.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
@@ -59,6 +96,8 @@
     pub heard: Option<Instant>,
     /// Until when it gets nothing because it refused for want of room.
     pub full_until: Option<Instant>,
+    /// When tasks that fill were last given, taken or paced here.
+    pub fills_changed: Instant,
     /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
     pub resync: bool,
     /// Number of the last order.
@@ -74,6 +113,7 @@
             lease_end,
             heard: None,
             full_until: None,
+            fills_changed: lease_end,
             resync: true,
             last_order: 0,
             used: RoomAmount::default(),
@@ -122,7 +162,7 @@
             return 0.0;
         };
         let use_of = |run: &AssignedRun| {
-            let share = if run.serves { SERVING_USE } else { 1.0 };
+            let share = if run.target_ms > 0 { SERVING_USE } else { 1.0 };
             run.millicores as f64 * share
         };
         let others = self.assigned.values().filter(|run| !run.fills);
@@ -152,7 +192,7 @@
     /// assert!(!board.entry("i-1", Instant::now()).is_serving());
     /// ```
     pub fn is_serving(&self) -> bool {
-        self.assigned.values().any(|run| run.serves)
+        self.assigned.values().any(|run| run.target_ms > 0)
     }
 
     /// Number of runs of a step of one occurrence here.
@@ -259,13 +299,19 @@
             counted: step.counted_room(),
             millicores: step.room.millicores,
             fills: step.fills,
-            serves: step.target_ms > 0,
+            image: step.image.clone(),
+            target_ms: step.target_ms,
+            checkpoints: step.checkpoints,
             order: None,
             since: now,
             seen: None,
+            slow_since: None,
             stopping: false,
         };
         worker.used = worker.used.plus(&run.counted);
+        if run.fills {
+            worker.fills_changed = now;
+        }
         worker.assigned.insert(key, run);
     }
 
@@ -273,11 +319,15 @@
     ///
     /// ```
     /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
-    /// assert!(board.release("i-1", &("a.0.0.0".parse().unwrap(), 1)).is_none());
+    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// assert!(board.release("i-1", &key, std::time::Instant::now()).is_none());
     /// ```
-    pub fn release(&mut self, instance: &str, key: &RunKey) -> Option<AssignedRun> {
+    pub fn release(&mut self, instance: &str, key: &RunKey, now: Instant) -> Option<AssignedRun> {
         let worker = self.workers.get_mut(instance)?;
         let run = worker.assigned.remove(key)?;
+        if run.fills {
+            worker.fills_changed = now;
+        }
         worker.used = worker.used.minus(&run.counted);
         Some(run)
     }
--- /dev/null
+++ b/tests/node_state.rs
@@ -0,0 +1,179 @@
+//! The state of a node agent: orders and looks that overtake each other, lives of the runner, leases.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use greengagearch::connection::node_protocol::LeaseGrant;
+use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::connection::node_protocol::TaskTraits;
+use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::process::node::state::KnownRunner;
+use greengagearch::process::node::state::NodeState;
+use greengagearch::workflow::spec::RoomAmount;
+use greengagearch::workflow::worker_board::RunKey;
+
+const STAMP: LinkStamp = LinkStamp { epoch: 3, link: 1 };
+
+fn runner(instance: &str, sequence: u64) -> KnownRunner {
+    let status = RunnerStatus {
+        instance: instance.to_string(),
+        service: "s".to_string(),
+        domain: "d".to_string(),
+        capacity: RoomAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+    };
+    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence }
+}
+
+fn lists(clock: u64) -> RunnerLists {
+    RunnerLists { clock, running: Vec::new(), ended: Vec::new() }
+}
+
+fn linked(now: Instant) -> NodeState {
+    let mut state = NodeState::new(now);
+    state.on_beat(runner("i-1", 1));
+    state.admit(STAMP).unwrap();
+    state
+}
+
+fn key(text: &str) -> RunKey {
+    (text.parse().unwrap(), 1)
+}
+
+fn traits(key: &RunKey) -> TaskTraits {
+    TaskTraits {
+        task: key.0.clone(),
+        image: String::new(),
+        target_ms: 0,
+        fills: false,
+        disturbance_percent: 0,
+    }
+}
+
+/// Seen on a day with slow hosts: the second of two orders came first, its number made the first one
+/// count as seen, and the planner took the run that it carried for lost.
+#[test]
+fn orders_that_overtake_others_do_not_count_as_seen() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.begin_start(&key("a.0.0.1"), &traits(&key("a.0.0.1")));
+    state.on_orders(1, 2);
+    state.on_lists(number, lists(0), now);
+    assert_eq!(state.report(now).look.unwrap().orders_seen, 0);
+
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.begin_start(&key("a.0.0.0"), &traits(&key("a.0.0.0")));
+    state.on_orders(0, 1);
+    state.on_lists(number, lists(0), now);
+    let look = state.report(now).look.unwrap();
+    assert_eq!(look.orders_seen, 2);
+    assert_eq!(look.present.len(), 2);
+}
+
+#[test]
+fn a_start_counts_as_present_until_a_look_that_was_sent_after_it() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let key = key("a.0.0.0");
+    let (early, _) = state.next_hold(Duration::ZERO, now);
+    state.begin_start(&key, &traits(&key));
+    state.settle_start(&key, None);
+    state.on_lists(early, lists(0), now);
+    assert_eq!(state.report(now).look.unwrap().present.len(), 1);
+
+    let (late, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(late, lists(0), now);
+    assert!(state.report(now).look.unwrap().present.is_empty());
+}
+
+#[test]
+fn a_heartbeat_that_was_held_up_does_not_replace_the_present_life() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    state.on_beat(runner("i-0", 9));
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    assert_eq!(state.target().unwrap().instance, "i-1");
+    assert!(!state.on_beat(runner("i-0", 10)));
+}
+
+#[test]
+fn a_new_life_takes_over_when_the_known_one_answers_no_more() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    state.on_beat(runner("i-2", 1));
+    assert!(state.on_no_answer(now));
+    assert_eq!(state.target().unwrap().instance, "i-2");
+    assert_eq!(state.report(now).former, ["i-1"]);
+}
+
+#[test]
+fn an_older_planner_and_an_older_link_are_refused() {
+    let mut state = linked(Instant::now());
+    assert!(state.admit(LinkStamp { epoch: 2, link: 9 }).is_err());
+    assert!(state.admit(LinkStamp { epoch: 3, link: 0 }).is_err());
+    assert_eq!(state.admit(LinkStamp { epoch: 4, link: 1 }), Ok(true));
+}
+
+/// However late a grant arrives, it counts from the time that the agent has sent.
+#[test]
+fn a_grant_that_comes_late_extends_nothing() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(500), now);
+    state.on_sync(&SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
+        instance: Some("i-1".to_string()),
+        seen: 0,
+        wait: Duration::ZERO,
+    });
+    assert_eq!(state.lease_end(), Some(9_500));
+    assert_eq!(state.may_start(now), Some(true));
+    assert_eq!(state.may_start(now + Duration::from_secs(10)), Some(false));
+}
+
+#[test]
+fn a_grant_for_an_earlier_life_extends_nothing() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(500), now);
+    state.on_sync(&SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
+        instance: Some("i-0".to_string()),
+        seen: 7,
+        wait: Duration::ZERO,
+    });
+    assert_eq!(state.lease_end(), None);
+}
+
+/// A runner that does not answer gets no longer leases, so that they end at a known time.
+#[test]
+fn a_silent_life_is_given_up_when_its_leases_have_surely_expired() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(500), now);
+    let call = |since: u64| SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since: Duration::from_secs(since), span: Duration::from_secs(9) }),
+        instance: Some("i-1".to_string()),
+        seen: 0,
+        wait: Duration::ZERO,
+    };
+    state.on_sync(&call(0));
+    assert!(state.next_hold(Duration::ZERO, now).1.lease_end.is_some());
+    let later = now + Duration::from_secs(3);
+    state.on_sync(&call(3));
+    assert_eq!(state.next_hold(Duration::ZERO, later).1.lease_end, None);
+    assert!(!state.on_no_answer(now + Duration::from_secs(9)));
+    assert!(state.on_no_answer(now + Duration::from_secs(10)));
+    assert!(state.target().is_none());
+}
