Learn tails from what ran in the measured half second

Cause: no pair was ever learned. A sample needed 0.9 s without any change of fills, which a worker with three fills of two seconds each hardly has, so every placement beside what serves was a trial. Change: a fill counts with its highest pace when it ran for 0.2 s of the measured half second, not when for less than 0.05 s; ended ones are remembered for that. The learner takes weights in place of counts.

--- a/src/process/interference.rs
+++ b/src/process/interference.rs
@@ -66,6 +66,21 @@
     pub at_millis: u64,
 }
 
+/// A sample in which tasks count in part: one at half its pace for one half.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightedSample<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Kinds that ran on the same worker at the time, with the number of tasks of each at full pace.
+    pub kinds: &'a BTreeMap<KindName, f64>,
+    /// Time of a request.
+    pub time: Duration,
+    /// Number of requests.
+    pub requests: u32,
+    /// When it was measured, in milliseconds of the wall clock since the Unix epoch.
+    pub at_millis: u64,
+}
+
 /// What is known of one pair.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PairEstimate {
@@ -133,11 +148,39 @@
     /// assert!((learned - 0.5).abs() < 0.1, "{learned}");
     /// ```
     pub fn learn(&mut self, sample: &InterferenceSample) {
+        let weights = sample.kinds.iter().map(|(kind, count)| (kind.clone(), f64::from(*count)));
+        self.learn_weighted(&WeightedSample {
+            service: &sample.service,
+            kinds: &weights.collect(),
+            time: sample.mean_time,
+            requests: sample.requests,
+            at_millis: sample.at_millis,
+        });
+    }
+
+    /// Takes in a sample in which tasks may count in part.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch::process::interference::InterferenceModel;
+    /// use greengagearch::process::interference::WeightedSample;
+    ///
+    /// let mut model = InterferenceModel::default();
+    /// let kinds = BTreeMap::new();
+    /// let time = Duration::from_millis(10);
+    /// let sample =
+    ///     WeightedSample { service: "spots", kinds: &kinds, time, requests: 9, at_millis: 0 };
+    /// model.learn_weighted(&sample);
+    /// assert_eq!(model.base("spots"), Some(time));
+    /// ```
+    pub fn learn_weighted(&mut self, sample: &WeightedSample<'_>) {
         if sample.requests == 0 {
             return;
         }
-        let time = sample.mean_time.as_secs_f64();
-        let base = self.base_seconds.entry(sample.service.clone()).or_insert(time);
+        let time = sample.time.as_secs_f64();
+        let base = self.base_seconds.entry(sample.service.to_string()).or_insert(time);
         if sample.kinds.is_empty() {
             *base += BASE_WEIGHT * (time - *base);
             return;
@@ -238,13 +281,13 @@
         PairEstimate { slowdown, variance: self.tuning.first_variance }
     }
 
-    fn update(&mut self, sample: &InterferenceSample, measured: f64) {
+    fn update(&mut self, sample: &WeightedSample<'_>, measured: f64) {
         let prior = self.prior();
         let tuning = self.tuning;
-        let pairs = self.pairs.entry(sample.service.clone()).or_default();
+        let pairs = self.pairs.entry(sample.service.to_string()).or_default();
         let mut expected = 0.0;
         let mut spread = SAMPLE_VARIANCE / f64::from(sample.requests) + tuning.sample_variance;
-        for (kind, count) in &sample.kinds {
+        for (kind, count) in sample.kinds {
             let first = PairState { estimate: prior, at_millis: sample.at_millis };
             let state = pairs.entry(kind.clone()).or_insert_with(|| {
                 self.sum += first.estimate.slowdown;
@@ -256,14 +299,14 @@
             state.estimate.variance = (state.estimate.variance + tuning.drift_variance * passed)
                 .min(tuning.first_variance);
             state.at_millis = state.at_millis.max(sample.at_millis);
-            let count = f64::from(*count);
+            let count = *count;
             expected += count * state.estimate.slowdown;
             spread += count * count * state.estimate.variance;
         }
         let surprise = measured - expected;
-        for (kind, count) in &sample.kinds {
+        for (kind, count) in sample.kinds {
             let Some(state) = pairs.get_mut(kind) else { continue };
-            let count = f64::from(*count);
+            let count = *count;
             let gain = count * state.estimate.variance / spread;
             let before = state.estimate.slowdown;
             state.estimate.slowdown = (before + gain * surprise).max(0.0);
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -300,6 +300,7 @@
             return Some(self.write_forget(expired));
         }
         let pending = self.with_planner(|planner| planner.pending()).unwrap_or_default();
+        self.log_load();
         let pulse = PulseRow { epoch: self.proof.owner.epoch, pending };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         let mut transaction = self.bound_transaction();
@@ -307,6 +308,27 @@
         Some(self.spawn_write(WritePurpose::Pulse, transaction))
     }
 
+    fn log_load(&self) {
+        let pairs = self.with_planner(|planner| planner.learned_pairs()).unwrap_or_default();
+        log_event(Level::Info, "learned_pairs", &[("pairs", &pairs)]);
+        let load = self.with_planner(|planner| planner.load()).unwrap_or_default();
+        log_event(
+            Level::Info,
+            "planner_load",
+            &[
+                ("epoch", &self.proof.owner.epoch),
+                ("jobs", &load.jobs),
+                ("waiting", &load.waiting),
+                ("serving", &load.serving),
+                ("filling", &load.filling),
+                ("slowed", &load.slowed),
+                ("others", &load.others),
+                ("workers", &load.workers),
+                ("serving_workers", &load.serving_workers),
+            ],
+        );
+    }
+
     fn write_forget(&self, mut expired: Vec<(JobId, RowVersion)>) -> WriteTask {
         expired.truncate(FORGET_AT_ONCE);
         let mut transaction = self.bound_transaction();
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -8,19 +8,18 @@
 use std::time::Instant;
 
 use crate::process::interference::InterferenceModel;
-use crate::process::interference::InterferenceSample;
 use crate::process::interference::InterferenceTuning;
 use crate::process::interference::KindName;
+use crate::process::interference::WeightedSample;
 use crate::workflow::worker_board::AssignedRun;
 use crate::workflow::worker_board::WorkerEntry;
 
-/// Time for which the same tasks must have run at the same pace before a tail counts as a sample: the
-/// span that runners measure over, and the age of what they report.
-const STEADY_FOR: Duration = Duration::from_millis(900);
-/// Paces above this count as full speed, those below the next as standing still.
-const FULL_PERCENT: u32 = 70;
-/// Paces below this count as standing still; samples with tasks between both are not used.
-const STILL_PERCENT: u32 = 25;
+/// Span over which runners measure tails.
+const MEASURED_SPAN: Duration = Duration::from_millis(500);
+/// Part of the span from which on a task counts in full, since a tail shows the worst part of it.
+const FULL_OVERLAP: Duration = Duration::from_millis(200);
+/// Part of the span below which a task does not count; samples with tasks between both are not used.
+const LEAST_OVERLAP: Duration = Duration::from_millis(50);
 /// Requests that one reported tail is taken to stand for.
 const TAIL_REQUESTS: u32 = 50;
 /// Share of the target up to which a tail may be expected when a task that fills is placed.
@@ -84,10 +83,7 @@
     /// DisturbanceModel::default().learn(board.entry("i-1", Instant::now()), Instant::now(), 0);
     /// ```
     pub fn learn(&mut self, worker: &WorkerEntry, now: Instant, at_millis: u64) {
-        if now.saturating_duration_since(worker.fills_changed) < STEADY_FOR {
-            return;
-        }
-        let Some(kinds) = steady_kinds(worker) else {
+        let Some(kinds) = measured_kinds(worker, now) else {
             return;
         };
         for run in worker.assigned.values().filter(|run| run.target_ms > 0) {
@@ -95,10 +91,10 @@
             if tail == 0 {
                 continue;
             }
-            self.model.learn(&InterferenceSample {
-                service: run.image.clone(),
-                kinds: kinds.clone(),
-                mean_time: Duration::from_millis(tail),
+            self.model.learn_weighted(&WeightedSample {
+                service: &run.image,
+                kinds: &kinds,
+                time: Duration::from_millis(tail),
                 requests: TAIL_REQUESTS,
                 at_millis,
             });
@@ -151,6 +147,19 @@
         serving.map(|run| self.slowdown(&run.image, image)).fold(0.0, f64::max)
     }
 
+    /// All pairs that were learned, as `serving/filling=slowdown`, for the log.
+    ///
+    /// ```
+    /// let model = greengagearch::workflow::disturbance::DisturbanceModel::default();
+    /// assert_eq!(model.summary(), "");
+    /// ```
+    pub fn summary(&self) -> String {
+        let pairs = self.model.pairs().map(|(serving, filling, estimate)| {
+            format!("{serving}/{filling}={:.2}", estimate.slowdown)
+        });
+        pairs.collect::<Vec<String>>().join(" ")
+    }
+
     fn slowdown(&self, serving: &str, image: &str) -> f64 {
         if !self.model.knows(serving, image) {
             return UNSEEN_SLOWDOWN;
@@ -169,16 +178,26 @@
     }
 }
 
-/// Tasks that fill on a worker, by image; nothing when one of them works at a pace in between.
-fn steady_kinds(worker: &WorkerEntry) -> Option<BTreeMap<KindName, u32>> {
+/// Tasks that filled on a worker in the span that its newest tails tell of, by image; nothing when one of
+/// them counts neither in full nor not at all.
+fn measured_kinds(worker: &WorkerEntry, now: Instant) -> Option<BTreeMap<KindName, f64>> {
+    let span_start = now.checked_sub(MEASURED_SPAN)?;
     let mut kinds = BTreeMap::new();
+    let mut add = |image: &str, begin: Instant, end: Instant, percent: u32| {
+        let overlap = end.min(now).saturating_duration_since(begin.max(span_start));
+        if overlap >= FULL_OVERLAP {
+            *kinds.entry(image.to_string()).or_default() += f64::from(percent) / 100.0;
+        }
+        overlap >= FULL_OVERLAP || overlap < LEAST_OVERLAP
+    };
+    let mut is_clear = true;
     for run in worker.assigned.values().filter(|run| run.fills) {
-        let percent = run.seen.as_ref().map_or(0, |seen| seen.percent);
-        if percent >= FULL_PERCENT {
-            *kinds.entry(run.image.clone()).or_default() += 1;
-        } else if percent > STILL_PERCENT {
-            return None;
+        if let Some(begin) = run.seen_since {
+            is_clear &= add(&run.image, begin, now, run.peak_percent(now, MEASURED_SPAN));
         }
     }
-    Some(kinds)
+    for ended in &worker.ended_fills {
+        is_clear &= add(&ended.image, ended.begin, ended.end, ended.percent);
+    }
+    is_clear.then_some(kinds)
 }
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -22,6 +22,9 @@
 /// tasks that fill. From the users' sheets; what is really left is seen by the fills' own usage.
 const SERVING_USE: f64 = 0.6;
 
+/// How long runs that filled and have ended are remembered: the span over which tails are measured and
+/// the age of a report.
+pub const ENDED_KEPT: Duration = Duration::from_millis(1_000);
 /// Pace at which a task that fills counts as held up, in percent.
 const SLOW_PERCENT: u32 = 30;
 
@@ -49,6 +52,10 @@
     pub since: Instant,
     /// What the worker last said of it.
     pub seen: Option<PresentRun>,
+    /// When the worker first said that it runs.
+    pub seen_since: Option<Instant>,
+    /// Its pace before the newest one, in percent, and when that changed.
+    pub pace_before: Option<(u32, Instant)>,
     /// Since when it may work only slowly, because it disturbs what serves.
     pub slow_since: Option<Instant>,
     /// Whether it was ordered to stop.
@@ -75,12 +82,58 @@
     /// assert!(run.on_seen(seen, now));
     /// ```
     pub fn on_seen(&mut self, seen: PresentRun, now: Instant) -> bool {
-        let is_new_pace = self.seen.as_ref().map(|known| known.percent) != Some(seen.percent);
+        let before = self.seen.as_ref().map(|known| known.percent);
+        let is_new_pace = before != Some(seen.percent);
+        if let (Some(before), true) = (before, is_new_pace) {
+            self.pace_before = Some((before, now));
+        }
+        if seen.percent > 0 {
+            self.seen_since.get_or_insert(now);
+        }
         let is_slow = self.fills && seen.percent <= SLOW_PERCENT;
         self.slow_since = if is_slow { self.slow_since.or(Some(now)) } else { None };
         self.seen = Some(seen);
         is_new_pace
     }
+
+    /// The highest pace within a span before `now`, in percent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::spec::StepSpec;
+    /// use greengagearch::workflow::spec::TaskName;
+    /// use greengagearch::workflow::worker_board::WorkerBoard;
+    ///
+    /// let now = Instant::now();
+    /// let mut board = WorkerBoard::default();
+    /// let name: TaskName = "a.0.0.0".parse().unwrap();
+    /// board.assign("i-1", (name.clone(), 1), &StepSpec::default(), now, now);
+    /// let run = &board.get("i-1").unwrap().assigned[&(name, 1)];
+    /// assert_eq!(run.peak_percent(now, Duration::from_secs(1)), 0);
+    /// ```
+    pub fn peak_percent(&self, now: Instant, span: Duration) -> u32 {
+        let newest = self.seen.as_ref().map_or(0, |seen| seen.percent);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < span;
+        match self.pace_before {
+            Some((before, at)) if is_recent(at) => before.max(newest),
+            _ => newest,
+        }
+    }
+}
+
+/// A run that filled and has ended of late.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedFill {
+    /// What it ran.
+    pub image: String,
+    /// When it began.
+    pub begin: Instant,
+    /// When it ended.
+    pub end: Instant,
+    /// Its last pace, in percent.
+    pub percent: u32,
 }
 
 /// One life of a runner.
@@ -98,6 +151,8 @@
     pub full_until: Option<Instant>,
     /// When tasks that fill were last given, taken or paced here.
     pub fills_changed: Instant,
+    /// Runs that filled and have ended within [`ENDED_KEPT`].
+    pub ended_fills: Vec<EndedFill>,
     /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
     pub resync: bool,
     /// Number of the last order.
@@ -114,6 +169,7 @@
             heard: None,
             full_until: None,
             fills_changed: lease_end,
+            ended_fills: Vec::new(),
             resync: true,
             last_order: 0,
             used: RoomAmount::default(),
@@ -305,6 +361,8 @@
             order: None,
             since: now,
             seen: None,
+            seen_since: None,
+            pace_before: None,
             slow_since: None,
             stopping: false,
         };
@@ -327,6 +385,15 @@
         let run = worker.assigned.remove(key)?;
         if run.fills {
             worker.fills_changed = now;
+            worker
+                .ended_fills
+                .retain(|ended| now.saturating_duration_since(ended.end) < ENDED_KEPT);
+            worker.ended_fills.extend(run.seen_since.map(|begin| EndedFill {
+                image: run.image.clone(),
+                begin,
+                end: now,
+                percent: run.peak_percent(now, ENDED_KEPT),
+            }));
         }
         worker.used = worker.used.minus(&run.counted);
         Some(run)
