--- a/src/connection/planner_protocol.rs
+++ b/src/connection/planner_protocol.rs
@@ -3,7 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::external::row_store::RowError;
+use crate::external::row_store::RowName;
+use crate::external::row_store::RowTransaction;
+use crate::external::row_store::StoredRow;
 use crate::ids::JobId;
+use crate::ids::RowVersion;
 use crate::workflow::progress::JobStatus;
 
 /// What a planner process knows of a job.
@@ -20,4 +25,8 @@
 pub trait PlannerRpc {
     /// The state of a job.
     async fn status(job: JobId) -> StatusAnswer;
+    /// Applies a transaction for a process that does not reach the store.
+    async fn relay_commit(transaction: RowTransaction) -> Result<RowVersion, RowError>;
+    /// Reads a row for a process that does not reach the store.
+    async fn relay_get(name: RowName) -> Result<Option<StoredRow>, RowError>;
 }
--- a/src/external/row_store.rs
+++ b/src/external/row_store.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use serde::Deserialize;
+use serde::Serialize;
 use snafu::Snafu;
 
 use crate::ids::RowVersion;
 
 /// Place of a row.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RowName {
     /// Its table.
     pub table: String,
@@ -31,7 +33,7 @@
 }
 
 /// A row as it was read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredRow {
     /// Its place.
     pub name: RowName,
@@ -42,7 +44,7 @@
 }
 
 /// A change of several rows at once, under conditions.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowTransaction {
     /// Versions that rows must have; zero for a row that must not exist.
     pub expected: Vec<(RowName, RowVersion)>,
@@ -73,7 +75,7 @@
 }
 
 /// Why a call of the store did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum RowError {
     /// The store has done nothing, and never will for this call.
     #[snafu(display("the store refused the call: {reason}"))]
--- a/src/process/planning/job_desk.rs
+++ b/src/process/planning/job_desk.rs
@@ -19,6 +19,7 @@
 use crate::process::planning::rows::encode;
 use crate::process::planning::rows::job_row;
 use crate::process::planning::shared::PlannerShared;
+use crate::process::planning::store_access::StoreAccess;
 use crate::version::queue_table::QueueTable;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobRecord;
@@ -35,12 +36,17 @@
 pub struct JobDesk {
     shared: Arc<PlannerShared>,
     planner: PlannerClient,
+    store: StoreAccess,
 }
 
 impl JobDesk {
     /// Opens the desk.
     pub fn open(shared: Arc<PlannerShared>) -> JobDesk {
-        JobDesk { planner: PlannerClient::open(shared.clone()), shared }
+        JobDesk {
+            planner: PlannerClient::open(shared.clone()),
+            store: StoreAccess::open(shared.clone()),
+            shared,
+        }
     }
 
     /// Stores a job; a lost answer is settled by repeating the call, whose condition allows it once.
@@ -58,7 +64,7 @@
         };
         let mut may_be_stored = false;
         loop {
-            match self.shared.store.commit(&transaction).await {
+            match self.store.commit(&transaction).await {
                 Ok(_) => return Ok(()),
                 Err(RowError::Conflict { rows }) => return check_same(&rows, record),
                 Err(RowError::Refused { reason }) if !may_be_stored => {
@@ -76,7 +82,7 @@
     }
 
     async fn read(&self, job: &str) -> Result<Option<StoredRow>, JobRefusal> {
-        let row = self.shared.store.get(&job_row(job)).await;
+        let row = self.store.get(&job_row(job)).await;
         row.map_err(|error| JobRefusal::NotRun { reason: error.to_string() })
     }
 
@@ -119,7 +125,7 @@
             puts: vec![(row.name, encode(&record))],
             removes: Vec::new(),
         };
-        self.shared.store.commit(&transaction).await.map(|_| true)
+        self.store.commit(&transaction).await.map(|_| true)
     }
 }
 
@@ -135,7 +141,9 @@
 #[async_trait]
 impl JobGate for JobDesk {
     fn is_ready(&self) -> bool {
-        !self.shared.is_stopping() && self.shared.queues.borrow().is_some()
+        !self.shared.is_stopping()
+            && self.shared.queues.borrow().is_some()
+            && self.shared.is_store_near()
     }
 
     fn queues(&self) -> Option<Arc<QueueTable>> {
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -4,12 +4,14 @@
 pub mod job_desk;
 pub mod node_link;
 pub mod office;
+pub mod peer_watch;
 pub mod planner_client;
 pub mod planner_loop;
 pub mod queue_watch;
 pub mod rows;
 pub mod settings;
 pub mod shared;
+pub mod store_access;
 pub mod table_feed;
 
 use std::sync::Arc;
@@ -60,6 +62,7 @@
         let drain_limit = settings.drain_limit;
         let shared = Arc::new(PlannerShared::new(settings, store));
         queue_watch::spawn_queue_watch(shared.clone());
+        peer_watch::spawn_peer_watch(shared.clone());
         planner_client::spawn_planner_rpc(internal, shared.clone());
         let gate: Arc<dyn JobGate> = Arc::new(JobDesk::open(shared.clone()));
         let (close, closed) = StopSwitch::new();
--- a/src/process/planning/office.rs
+++ b/src/process/planning/office.rs
@@ -26,8 +26,9 @@
 use crate::process::planning::rows::owner_row;
 use crate::process::planning::shared::PlannerShared;
 
-/// Silence of the pulse, of about a second, after which another process takes over.
-const TAKEOVER_AFTER: Duration = Duration::from_millis(2_200);
+/// Silence of the pulse, which comes every 0.4 s, after which another process takes over: longer than
+/// one pulse takes at a store that is sixty times slower than usual.
+const TAKEOVER_AFTER: Duration = Duration::from_millis(1_400);
 /// Added for a process without any share of a core, in proportion less for others, so that the one with
 /// the most processor time comes first.
 const SHARE_STAGGER: Duration = Duration::from_millis(400);
@@ -143,7 +144,11 @@
     fn is_vacant(&self) -> bool {
         match &self.owner {
             None => true,
-            Some((owner, _)) => owner.released || self.until_vacant().is_zero(),
+            Some((owner, _)) => {
+                // Of processes at one address only the newest lives.
+                let is_own_past = owner.address == self.shared.settings.internal_listen.to_string();
+                owner.released || is_own_past || self.until_vacant().is_zero()
+            }
         }
     }
 
--- a/src/process/planning/planner_client.rs
+++ b/src/process/planning/planner_client.rs
@@ -15,7 +15,12 @@
 use crate::connection::rpc_client::ConnectionCache;
 use crate::connection::rpc_client::call_within;
 use crate::connection::rpc_client::framed;
+use crate::external::row_store::RowError;
+use crate::external::row_store::RowName;
+use crate::external::row_store::RowTransaction;
+use crate::external::row_store::StoredRow;
 use crate::ids::JobId;
+use crate::ids::RowVersion;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::rpc_server::spawn_accept_loop;
 
@@ -71,6 +76,28 @@
         let owned = self.shared.owned();
         known(owned.as_ref().and_then(|owned| owned.planner.status(&job)))
     }
+
+    async fn relay_commit(
+        self,
+        _: Context,
+        transaction: RowTransaction,
+    ) -> Result<RowVersion, RowError> {
+        if !self.shared.is_store_near() {
+            return Err(out_of_reach());
+        }
+        self.shared.store.commit(&transaction).await
+    }
+
+    async fn relay_get(self, _: Context, name: RowName) -> Result<Option<StoredRow>, RowError> {
+        if !self.shared.is_store_near() {
+            return Err(out_of_reach());
+        }
+        self.shared.store.get(&name).await
+    }
+}
+
+fn out_of_reach() -> RowError {
+    RowError::Refused { reason: "the store does not answer there either".to_string() }
 }
 
 /// Serves other planner processes.
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -48,7 +48,9 @@
 /// Time between two looks at what is due by the clock.
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two pulses.
-const PULSE: Duration = Duration::from_millis(1_000);
+const PULSE: Duration = Duration::from_millis(400);
+/// Time between two lines of the log that tell what waits and runs.
+const LOAD_LOG: Duration = Duration::from_secs(2);
 /// Pause before rows that could not be read at a takeover are read again.
 const READ_PAUSE: Duration = Duration::from_millis(150);
 /// Time for giving the ownership back at a graceful stop.
@@ -75,6 +77,7 @@
     news: mpsc::UnboundedSender<LinkNews>,
     write: Option<WriteTask>,
     pulse_due: Instant,
+    load_log_due: Instant,
 }
 
 /// How a step of the loop ended.
@@ -92,6 +95,7 @@
             news,
             write: None,
             pulse_due: Instant::now(),
+            load_log_due: Instant::now(),
         };
         match planning.work(received).await {
             Ok(()) => {
@@ -300,7 +304,10 @@
             return Some(self.write_forget(expired));
         }
         let pending = self.with_planner(|planner| planner.pending()).unwrap_or_default();
-        self.log_load();
+        if now >= self.load_log_due {
+            self.load_log_due = now + LOAD_LOG;
+            self.log_load();
+        }
         let pulse = PulseRow { epoch: self.proof.owner.epoch, pending };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         let mut transaction = self.bound_transaction();
--- a/src/process/planning/queue_watch.rs
+++ b/src/process/planning/queue_watch.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::Level;
 
@@ -27,7 +28,10 @@
         let mut after = None;
         loop {
             match follow(&shared, after).await {
-                Ok(version) => after = Some(version),
+                Ok(version) => {
+                    shared.on_store_answer(Instant::now());
+                    after = Some(version);
+                }
                 Err(error) => {
                     if after.is_some() {
                         log_event(Level::Warn, "configuration_watch_failed", &[("error", &error)]);
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -34,6 +34,9 @@
 /// Table of the node agents' addresses.
 pub const NODE_TABLE: &str = "nodes";
 
+/// Table of the planner processes' addresses.
+pub const PEER_TABLE: &str = "peers";
+
 /// Who plans.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRow {
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -1,11 +1,13 @@
 //! What the parts of a planner process share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::Notify;
@@ -20,6 +22,10 @@
 use crate::version::queue_table::QueueTable;
 use crate::workflow::planner::Planner;
 
+/// Silence of the store after which it counts as out of reach: a wait of the watch of the configuration,
+/// which calls it without pause, and some.
+const STORE_SILENCE: Duration = Duration::from_millis(1_300);
+
 /// The planner while this process is the owner, and what proves it.
 #[derive(Debug)]
 pub struct OwnedPlanner {
@@ -53,6 +59,8 @@
     /// Wakes the planner's loop.
     pub wake: Notify,
     is_stopping: AtomicBool,
+    store_answered: Mutex<Instant>,
+    peers: Mutex<BTreeSet<String>>,
     view: Mutex<OwnershipView>,
     owned: Mutex<Option<OwnedPlanner>>,
 }
@@ -68,6 +76,8 @@
             queues: watch::channel(None).0,
             wake: Notify::new(),
             is_stopping: AtomicBool::new(false),
+            store_answered: Mutex::new(Instant::now()),
+            peers: Mutex::new(BTreeSet::new()),
             view: Mutex::new(OwnershipView::default()),
             owned: Mutex::new(None),
         }
@@ -83,6 +93,37 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes note that the store has answered a call of this process.
+    pub fn on_store_answer(&self, now: Instant) {
+        *self.store_answered.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+
+    /// Whether the store has answered this process of late.
+    pub fn is_store_near(&self) -> bool {
+        let answered = *self.store_answered.lock().unwrap_or_else(PoisonError::into_inner);
+        answered.elapsed() < STORE_SILENCE
+    }
+
+    /// Addresses of other planner processes; that of the planner first.
+    pub fn peers(&self) -> Vec<String> {
+        let own = self.settings.internal_listen.to_string();
+        let owner = self.view().owner.as_ref().map(|owner| owner.address.clone());
+        let known = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let others = known.iter().filter(|peer| Some(*peer) != owner.as_ref()).cloned();
+        let all = owner.iter().cloned().chain(others);
+        all.filter(|peer| *peer != own).collect()
+    }
+
+    /// Adds another planner process.
+    pub fn add_peer(&self, address: String) {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner).insert(address);
+    }
+
+    /// Removes a planner process that is gone.
+    pub fn remove_peer(&self, address: &str) {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
+    }
+
     /// Whether the process is about to stop.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Acquire)
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -80,6 +80,21 @@
         self.spec.steps.get(name.step as usize)
     }
 
+    /// The longest chain of estimated work of an occurrence whose steps are not done, in milliseconds.
+    pub(crate) fn rest_of_chain_ms(&self, occurrence: u32) -> u64 {
+        let Some(steps) = self.progress.open.get(&occurrence) else {
+            return 0;
+        };
+        let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+        for (step, tasks) in self.spec.steps.iter().zip(steps) {
+            let begin = step.after.iter().filter_map(|before| ends.get(*before)).max();
+            let is_done = tasks.iter().all(|task| task.done);
+            let span = if is_done { 0 } else { step.estimate_ms };
+            ends.push(begin.copied().unwrap_or(0) + span);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
     fn counts(&self) -> Vec<u32> {
         self.spec.steps.iter().map(|step| step.count).collect()
     }
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -17,6 +17,8 @@
 /// users' sheets; such jobs come last.
 const WORTHLESS_AFTER: u64 = 3;
 
+/// Share of the estimated rest of a job that it takes at least; estimates are off by half.
+const SURE_SHARE: f64 = 0.5;
 /// Time without a run after which a job's tasks that fill take any room, in milliseconds: well below the
 /// three seconds that users bear to see a job stand still beside free room.
 const STARVED_AFTER_MS: u64 = 1_200;
@@ -25,6 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct JobUrgency {
     is_worthless: bool,
+    is_late: bool,
     priority: u32,
     deadline_ms: u64,
 }
@@ -36,8 +39,12 @@
         let due_ms = spec.due_ms(first_open);
         let objective_ms = spec.objective_ms();
         let lasts = spec.steps.iter().any(|step| step.long_running);
+        let rest_ms = (entry.rest_of_chain_ms(first_open) as f64 * SURE_SHARE) as u64;
+        let is_past =
+            |multiple: u64| !lasts && wall_ms + rest_ms > due_ms + multiple * objective_ms;
         JobUrgency {
-            is_worthless: !lasts && wall_ms > due_ms + WORTHLESS_AFTER * objective_ms,
+            is_worthless: is_past(WORTHLESS_AFTER),
+            is_late: is_past(1),
             priority: spec.policy.priority,
             deadline_ms: due_ms + objective_ms,
         }
