Number orders over all workers, so that a new life of a runner does not count orders as seen

Ruled out: orders overtaking each other (the chain of numbers was whole), a takeover (epoch 2 all the time). Change: one rising number over all workers.

--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -147,6 +147,7 @@
     pub(crate) now: Instant,
     /// The same on the wall clock, in milliseconds since the Unix epoch.
     pub(crate) wall_ms: u64,
+    pub(crate) last_order: u64,
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) ended: BTreeMap<JobId, EndedJob>,
     pub(crate) board: WorkerBoard,
@@ -174,6 +175,7 @@
         Planner {
             now: inherited_end,
             wall_ms: 0,
+            last_order: 0,
             jobs: BTreeMap::new(),
             ended: BTreeMap::new(),
             board: WorkerBoard::default(),
@@ -522,7 +524,9 @@
     /// ```
     pub fn number_order(&mut self, instance: &str, orders: &[NodeOrder]) -> Option<u64> {
         let worker = self.board.get_mut(instance)?;
-        let number = worker.number_order();
+        // Numbers rise over all workers: an agent counts them over the lives of its runner.
+        self.last_order += 1;
+        let number = self.last_order;
         for order in orders {
             if let NodeOrder::Start(start) = order {
                 let key = (start.traits.task.clone(), start.run);
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -155,8 +155,6 @@
     pub ended_fills: Vec<EndedFill>,
     /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
     pub resync: bool,
-    /// Number of the last order.
-    pub last_order: u64,
     used: RoomAmount,
 }
 
@@ -171,7 +169,6 @@
             fills_changed: lease_end,
             ended_fills: Vec::new(),
             resync: true,
-            last_order: 0,
             used: RoomAmount::default(),
         }
     }
@@ -266,19 +263,6 @@
         };
         u32::try_from(self.assigned.keys().filter(is_same).count()).unwrap_or(u32::MAX)
     }
-
-    /// Takes note of an order that leaves for the worker, and gives its number.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
-    /// assert_eq!(board.entry("i-1", Instant::now()).number_order(), 1);
-    /// ```
-    pub fn number_order(&mut self) -> u64 {
-        self.last_order += 1;
-        self.last_order
-    }
 }
 
 /// All workers, by the life of their runner.
