Refuse at once when no process reaches the store

Change: 0.1 s for a connection, no relays for 0.4 s after a round in vain, no repeats while the store is out of reach, silence noted at the first unanswered call.

--- a/src/process/planning/job_desk.rs
+++ b/src/process/planning/job_desk.rs
@@ -72,7 +72,7 @@
                 }
                 Err(error) => {
                     may_be_stored |= !matches!(error, RowError::Refused { .. });
-                    if deadline.left() < ANSWER_RESERVE + REPEAT_PAUSE {
+                    if !self.may_repeat(deadline) {
                         return Err(JobRefusal::Unknown { reason: error.to_string() });
                     }
                 }
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Whether a call without a known fate is worth another try: while the store is out of reach the
+    /// caller is told at once, and may ask again.
+    fn may_repeat(&self, deadline: CallDeadline) -> bool {
+        self.shared.is_store_near() && deadline.left() >= ANSWER_RESERVE + REPEAT_PAUSE
+    }
+
     async fn read(&self, job: &str) -> Result<Option<StoredRow>, JobRefusal> {
         let row = self.store.get(&job_row(job)).await;
         row.map_err(|error| JobRefusal::NotRun { reason: error.to_string() })
@@ -103,7 +109,7 @@
                 }
                 Err(error) => {
                     may_be_stored = true;
-                    if deadline.left() < ANSWER_RESERVE + REPEAT_PAUSE {
+                    if !self.may_repeat(deadline) {
                         return Err(JobRefusal::Unknown { reason: error.to_string() });
                     }
                     tokio::time::sleep(REPEAT_PAUSE).await;
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -98,6 +98,12 @@
         *self.store_answered.lock().unwrap_or_else(PoisonError::into_inner) = now;
     }
 
+    /// Takes note that the store did not answer a call of this process.
+    pub fn on_store_silence(&self) {
+        let mut answered = self.store_answered.lock().unwrap_or_else(PoisonError::into_inner);
+        *answered = answered.checked_sub(STORE_SILENCE).unwrap_or(*answered);
+    }
+
     /// Whether the store has answered this process of late.
     pub fn is_store_near(&self) -> bool {
         let answered = *self.store_answered.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/process/planning/store_access.rs
+++ b/src/process/planning/store_access.rs
@@ -4,6 +4,8 @@
 //! watches, which call it all the time, so that no caller has to wait to find out.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,68 +22,87 @@
 use crate::process::planning::shared::PlannerShared;
 
 /// Time for a direct call of the desk: a store that is sixty times slower than usual takes 0.4 s.
-const DIRECT_LIMIT: Duration = Duration::from_millis(700);
+const DIRECT_LIMIT: Duration = Duration::from_millis(600);
 /// Time for a call through another process.
-const RELAY_LIMIT: Duration = Duration::from_millis(800);
+const RELAY_LIMIT: Duration = Duration::from_millis(650);
+/// Time for a connection to another process; processes are a millisecond apart.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Time after a round through the other processes that was in vain in which none is tried.
+const VAIN_PAUSE: Duration = Duration::from_millis(400);
 
 /// Access of a job desk to the store.
 pub struct StoreAccess {
     shared: Arc<PlannerShared>,
     peers: ConnectionCache<PlannerRpcClient>,
+    vain_since: Mutex<Option<Instant>>,
 }
 
 impl StoreAccess {
     /// Opens the access.
     pub fn open(shared: Arc<PlannerShared>) -> StoreAccess {
-        StoreAccess { shared, peers: ConnectionCache::default() }
+        StoreAccess { shared, peers: ConnectionCache::default(), vain_since: Mutex::new(None) }
     }
 
     /// Applies a transaction. A conflict after an ambiguous try may be that try's own doing.
     pub async fn commit(&self, transaction: &RowTransaction) -> Result<RowVersion, RowError> {
-        let direct = async {
-            let commit = self.shared.store.commit(transaction);
-            timeout(DIRECT_LIMIT, commit).await.unwrap_or_else(|_| Err(no_answer()))
+        let direct = self.direct(self.shared.store.commit(transaction)).await;
+        let relay = |client: PlannerRpcClient| async move {
+            client.relay_commit(call_within(RELAY_LIMIT), transaction.clone()).await
         };
-        let mut failure = match self.direct(direct).await {
-            Err(error) if is_worth_a_relay(&error) => error,
-            settled => return settled,
-        };
-        for address in self.shared.peers() {
-            let Ok(client) = self.peers.client(&address).await else {
-                continue;
-            };
-            let call = client.relay_commit(call_within(RELAY_LIMIT), transaction.clone()).await;
-            match self.settle(&address, call) {
-                Err(error) if is_worth_a_relay(&error) => failure = worse(failure, error),
-                settled => return settled,
-            }
-        }
-        Err(failure)
+        self.or_relay(direct, relay).await
     }
 
     /// Reads a row.
     pub async fn get(&self, name: &RowName) -> Result<Option<StoredRow>, RowError> {
-        let direct = async {
-            let get = self.shared.store.get(name);
-            timeout(DIRECT_LIMIT, get).await.unwrap_or_else(|_| Err(no_answer()))
+        let direct = self.direct(self.shared.store.get(name)).await;
+        let relay = |client: PlannerRpcClient| async move {
+            client.relay_get(call_within(RELAY_LIMIT), name.clone()).await
         };
-        let mut failure = match self.direct(direct).await {
+        self.or_relay(direct, relay).await
+    }
+
+    /// Repeats a call that the store did not answer here through the other processes, one after another.
+    async fn or_relay<T, E, F, C>(
+        &self,
+        direct: Result<T, RowError>,
+        relay: F,
+    ) -> Result<T, RowError>
+    where
+        F: Fn(PlannerRpcClient) -> C,
+        C: Future<Output = Result<Result<T, RowError>, E>>,
+    {
+        let mut failure = match direct {
             Err(error) if is_worth_a_relay(&error) => error,
             settled => return settled,
         };
+        if self.is_relay_vain() {
+            return Err(failure);
+        }
         for address in self.shared.peers() {
-            let Ok(client) = self.peers.client(&address).await else {
+            let connected = timeout(CONNECT_LIMIT, self.peers.client(&address)).await;
+            let Ok(Ok(client)) = connected else {
                 continue;
             };
-            let call = client.relay_get(call_within(RELAY_LIMIT), name.clone()).await;
-            match self.settle(&address, call) {
+            let answer = relay(client).await.unwrap_or_else(|_| {
+                // The connection may have gone silent.
+                self.peers.drop_client(&address);
+                Err(no_answer())
+            });
+            match answer {
                 Err(error) if is_worth_a_relay(&error) => failure = worse(failure, error),
                 settled => return settled,
             }
         }
+        *self.vain_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         Err(failure)
     }
 
+    /// Whether no other process reached the store either a moment ago; then callers are told at once.
+    fn is_relay_vain(&self) -> bool {
+        let since = *self.vain_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.is_some_and(|since| since.elapsed() < VAIN_PAUSE)
+    }
+
     /// Calls the store itself, unless it is known not to answer here.
     async fn direct<T>(
         &self,
@@ -90,24 +111,16 @@
         if !self.shared.is_store_near() {
             return Err(RowError::Refused { reason: "the store does not answer here".into() });
         }
-        let result = call.await;
-        if !matches!(result, Err(RowError::Ambiguous { .. } | RowError::Refused { .. })) {
+        let Ok(result) = timeout(DIRECT_LIMIT, call).await else {
+            // Others need not wait to find out; the watches find the store again.
+            self.shared.on_store_silence();
+            return Err(no_answer());
+        };
+        if !result.as_ref().is_err_and(is_worth_a_relay) {
             self.shared.on_store_answer(Instant::now());
         }
         result
     }
-
-    fn settle<T, E>(
-        &self,
-        address: &str,
-        call: Result<Result<T, RowError>, E>,
-    ) -> Result<T, RowError> {
-        call.unwrap_or_else(|_| {
-            // The connection may have gone silent.
-            self.peers.drop_client(address);
-            Err(no_answer())
-        })
-    }
 }
 
 fn no_answer() -> RowError {
