Tell progress from pace: the runner's fourth figure is the share of work that is done

Cause: new fills counted as held up and were moved, and pairs were learned with wrong weights; fills on quiet workers showed 13, 87, 92 percent side by side while nothing was paced. Change: the field is progress; agents report the pace they ordered.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -78,8 +78,10 @@
     pub run: RunNumber,
     /// Its newest saved work.
     pub checkpoint: CheckpointRef,
-    /// Share of its speed at which it may work, in percent.
-    pub percent: u32,
+    /// Share of its work that is done, in percent; of a task that lasts, 100 when it is at work.
+    pub progress_percent: u32,
+    /// Share of its speed at which the agent lets it work, in percent.
+    pub pace_percent: u32,
     /// Tail latency in milliseconds of a task that serves, else thousandths of a core in use.
     pub usage: u64,
 }
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -30,6 +30,8 @@
 /// Time for the answer to an order; the runner is on the same host, so that a longer silence means
 /// that the order is delayed or lost and has to be repeated.
 const ORDER_LIMIT: Duration = Duration::from_millis(400);
+/// Pace at which runs start, in percent; runners do not tell the pace that was ordered since.
+const FULL_PACE: u32 = 100;
 /// Time beyond the asked wait within which a look must be answered.
 const HOLD_SLACK: Duration = Duration::from_millis(600);
 
@@ -81,7 +83,7 @@
     reason: String,
 }
 
-/// A run at work: task, run, saved work, percent of its speed, and its usage.
+/// A run at work: task, run, saved work, percent of its work that is done, and its usage.
 type WireRunning = (String, RunNumber, Option<String>, f64, Option<f64>);
 /// An end: number, task, run, how, saved work.
 type WireEnded = (u64, String, RunNumber, String, Option<String>);
@@ -227,12 +229,13 @@
 }
 
 fn decode_running(running: WireRunning) -> Option<PresentRun> {
-    let (task, run, checkpoint, percent, usage) = running;
+    let (task, run, checkpoint, progress, usage) = running;
     Some(PresentRun {
         task: task.parse().ok()?,
         run,
         checkpoint: checkpoint.unwrap_or_default(),
-        percent: percent as u32,
+        progress_percent: progress as u32,
+        pace_percent: FULL_PACE,
         usage: usage.unwrap_or(0.0) as u64,
     })
 }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -346,6 +346,9 @@
             self.former.push_back(stale.status.instance);
         }
         let mut present = lists.running;
+        for run in &mut present {
+            run.pace_percent = self.pace.ordered(&(run.task.clone(), run.run));
+        }
         self.starts.retain(|key, start| {
             let is_running = present.iter().any(|run| run.task == key.0 && run.run == key.1);
             let is_shown = matches!(start, LocalStart::Settled(after) if number > *after);
@@ -395,5 +398,12 @@
 }
 
 fn unseen(key: &RunKey) -> PresentRun {
-    PresentRun { task: key.0.clone(), run: key.1, checkpoint: String::new(), percent: 0, usage: 0 }
+    PresentRun {
+        task: key.0.clone(),
+        run: key.1,
+        checkpoint: String::new(),
+        progress_percent: 0,
+        pace_percent: 100,
+        usage: 0,
+    }
 }
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -92,6 +92,17 @@
         steps
     }
 
+    /// The pace that was ordered for a run last, in percent.
+    ///
+    /// ```
+    /// use greengagearch::workflow::pacing::PaceControl;
+    ///
+    /// assert_eq!(PaceControl::default().ordered(&("a.0.0.0".parse().unwrap(), 1)), 100);
+    /// ```
+    pub fn ordered(&self, key: &RunKey) -> u32 {
+        self.paces.get(key).map_or(FULL as u32, |pace| pace.ordered)
+    }
+
     /// Keeps the paces of the fills that run, and starts those of new ones at full speed.
     fn follow(&mut self, running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) {
         let fills = running.iter().filter(|run| traits.get(&run.task).is_some_and(|t| t.fills));
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -78,19 +78,19 @@
     /// board.assign("i-1", key.clone(), &StepSpec::default(), now, now);
     /// let run = board.get_mut("i-1").unwrap().assigned.get_mut(&key).unwrap();
     /// let checkpoint = String::new();
-    /// let seen = PresentRun { task: key.0, run: 1, checkpoint, percent: 10, usage: 0 };
+    /// let (progress_percent, pace_percent, usage) = (0, 10, 0);
+    /// let seen =
+    ///     PresentRun { task: key.0, run: 1, checkpoint, progress_percent, pace_percent, usage };
     /// assert!(run.on_seen(seen, now));
     /// ```
     pub fn on_seen(&mut self, seen: PresentRun, now: Instant) -> bool {
-        let before = self.seen.as_ref().map(|known| known.percent);
-        let is_new_pace = before != Some(seen.percent);
+        let before = self.seen.as_ref().map(|known| known.pace_percent);
+        let is_new_pace = before != Some(seen.pace_percent);
         if let (Some(before), true) = (before, is_new_pace) {
             self.pace_before = Some((before, now));
         }
-        if seen.percent > 0 {
-            self.seen_since.get_or_insert(now);
-        }
-        let is_slow = self.fills && seen.percent <= SLOW_PERCENT;
+        self.seen_since.get_or_insert(now);
+        let is_slow = self.fills && seen.pace_percent <= SLOW_PERCENT;
         self.slow_since = if is_slow { self.slow_since.or(Some(now)) } else { None };
         self.seen = Some(seen);
         is_new_pace
@@ -114,7 +114,7 @@
     /// assert_eq!(run.peak_percent(now, Duration::from_secs(1)), 0);
     /// ```
     pub fn peak_percent(&self, now: Instant, span: Duration) -> u32 {
-        let newest = self.seen.as_ref().map_or(0, |seen| seen.percent);
+        let newest = self.seen.as_ref().map_or(0, |seen| seen.pace_percent);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < span;
         match self.pace_before {
             Some((before, at)) if is_recent(at) => before.max(newest),
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -268,7 +268,14 @@
 
 pub fn present(key: &RunKey) -> PresentRun {
     let checkpoint = String::new();
-    PresentRun { task: key.0.clone(), run: key.1, checkpoint, percent: 100, usage: 0 }
+    PresentRun {
+        task: key.0.clone(),
+        run: key.1,
+        checkpoint,
+        progress_percent: 0,
+        pace_percent: 100,
+        usage: 0,
+    }
 }
 
 pub fn policy() -> QueuePolicy {
