--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -166,8 +166,11 @@
     pub target_ms: u64,
     /// Whether it fills what others leave.
     pub fills: bool,
-    /// How much longer it is expected to make the tails of the tasks that serve on its worker, in percent.
-    pub disturbance_percent: u32,
+    /// What it adds at full pace to the load of the most sensitive task that serves on its worker, in
+    /// thousandths.
+    pub added_permille: u32,
+    /// Tail latency of a task that serves when nothing loads it, in milliseconds; zero when not known.
+    pub idle_tail_ms: u32,
 }
 
 /// Orders that a task is started.
--- a/src/process/interference.rs
+++ b/src/process/interference.rs
@@ -18,38 +18,20 @@
 /// Name of a kind of batch tasks.
 pub type KindName = String;
 
+/// Slowdown that is assumed of a pair before any pair was seen.
+const FIRST_SLOWDOWN: f64 = 0.05;
+/// Variance of an unseen pair's slowdown.
+const FIRST_VARIANCE: f64 = 0.04;
 /// Variance of a sample over the number of requests in it.
 const SAMPLE_VARIANCE: f64 = 0.5;
+/// Variance that a sample has however many requests are in it.
+const SMALLEST_SAMPLE_VARIANCE: f64 = 0.005;
+/// Growth of a pair's variance a second.
+const DRIFT_VARIANCE: f64 = 0.00002;
 /// Weight of the newest sample in a service's base time.
 const BASE_WEIGHT: f64 = 0.05;
-
-/// What is assumed of slowdowns before and beside the samples.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct InterferenceTuning {
-    /// Slowdown that is assumed of a pair before any pair was seen.
-    pub first_slowdown: f64,
-    /// Variance of an unseen pair's slowdown.
-    pub first_variance: f64,
-    /// Variance that a sample has however many requests are in it.
-    pub sample_variance: f64,
-    /// Growth of a pair's variance a second.
-    pub drift_variance: f64,
-    /// Largest slowdown of one sample that is believed; a stall is not interference.
-    pub largest_slowdown: f64,
-}
-
-impl Default for InterferenceTuning {
-    /// For mean times of requests, which a task changes by a fraction.
-    fn default() -> InterferenceTuning {
-        InterferenceTuning {
-            first_slowdown: 0.05,
-            first_variance: 0.04,
-            sample_variance: 0.005,
-            drift_variance: 0.00002,
-            largest_slowdown: 10.0,
-        }
-    }
-}
+/// Largest slowdown of one sample that is believed; a stall is not interference.
+const LARGEST_SLOWDOWN: f64 = 10.0;
 
 /// How long requests of a service took while certain kinds ran beside it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,21 +48,6 @@
     pub at_millis: u64,
 }
 
-/// A sample in which tasks count in part: one at half its pace for one half.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct WeightedSample<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// Kinds that ran on the same worker at the time, with the number of tasks of each at full pace.
-    pub kinds: &'a BTreeMap<KindName, f64>,
-    /// Time of a request.
-    pub time: Duration,
-    /// Number of requests.
-    pub requests: u32,
-    /// When it was measured, in milliseconds of the wall clock since the Unix epoch.
-    pub at_millis: u64,
-}
-
 /// What is known of one pair.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PairEstimate {
@@ -99,7 +66,6 @@
 /// Slowdowns of all pairs.
 #[derive(Clone, Debug, Default)]
 pub struct InterferenceModel {
-    tuning: InterferenceTuning,
     base_seconds: BTreeMap<ServiceName, f64>,
     pairs: BTreeMap<ServiceName, BTreeMap<KindName, PairState>>,
     /// Sum of the slowdowns of all pairs, and their number.
@@ -108,19 +74,6 @@
 }
 
 impl InterferenceModel {
-    /// A model that has seen nothing.
-    ///
-    /// ```
-    /// use greengagearch::process::interference::InterferenceModel;
-    /// use greengagearch::process::interference::InterferenceTuning;
-    ///
-    /// let model = InterferenceModel::new(InterferenceTuning::default());
-    /// assert_eq!(model.pair_count(), 0);
-    /// ```
-    pub fn new(tuning: InterferenceTuning) -> InterferenceModel {
-        InterferenceModel { tuning, ..InterferenceModel::default() }
-    }
-
     /// Takes in a sample.
     ///
     /// ```
@@ -148,71 +101,21 @@
     /// assert!((learned - 0.5).abs() < 0.1, "{learned}");
     /// ```
     pub fn learn(&mut self, sample: &InterferenceSample) {
-        let weights = sample.kinds.iter().map(|(kind, count)| (kind.clone(), f64::from(*count)));
-        self.learn_weighted(&WeightedSample {
-            service: &sample.service,
-            kinds: &weights.collect(),
-            time: sample.mean_time,
-            requests: sample.requests,
-            at_millis: sample.at_millis,
-        });
-    }
-
-    /// Takes in a sample in which tasks may count in part.
-    ///
-    /// ```
-    /// use std::collections::BTreeMap;
-    /// use std::time::Duration;
-    ///
-    /// use greengagearch::process::interference::InterferenceModel;
-    /// use greengagearch::process::interference::WeightedSample;
-    ///
-    /// let mut model = InterferenceModel::default();
-    /// let kinds = BTreeMap::new();
-    /// let time = Duration::from_millis(10);
-    /// let sample =
-    ///     WeightedSample { service: "spots", kinds: &kinds, time, requests: 9, at_millis: 0 };
-    /// model.learn_weighted(&sample);
-    /// assert_eq!(model.base("spots"), Some(time));
-    /// ```
-    pub fn learn_weighted(&mut self, sample: &WeightedSample<'_>) {
         if sample.requests == 0 {
             return;
         }
-        let time = sample.time.as_secs_f64();
-        let base = self.base_seconds.entry(sample.service.to_string()).or_insert(time);
+        let time = sample.mean_time.as_secs_f64();
+        let base = self.base_seconds.entry(sample.service.clone()).or_insert(time);
         if sample.kinds.is_empty() {
             *base += BASE_WEIGHT * (time - *base);
             return;
         }
         // A base that was guessed beside tasks is too high; the lowest time is nearer to it.
         *base = base.min(time);
-        let measured = (time / *base - 1.0).min(self.tuning.largest_slowdown);
+        let measured = (time / *base - 1.0).min(LARGEST_SLOWDOWN);
         self.update(sample, measured);
     }
 
-    /// The time of a service's requests when nothing disturbs them; nothing before its first sample.
-    ///
-    /// ```
-    /// use greengagearch::process::interference::InterferenceModel;
-    ///
-    /// assert_eq!(InterferenceModel::default().base("spots"), None);
-    /// ```
-    pub fn base(&self, service: &str) -> Option<Duration> {
-        self.base_seconds.get(service).map(|seconds| Duration::from_secs_f64(*seconds))
-    }
-
-    /// Whether a pair was seen.
-    ///
-    /// ```
-    /// use greengagearch::process::interference::InterferenceModel;
-    ///
-    /// assert!(!InterferenceModel::default().knows("spots", "roster"));
-    /// ```
-    pub fn knows(&self, service: &str, kind: &str) -> bool {
-        self.pairs.get(service).is_some_and(|kinds| kinds.contains_key(kind))
-    }
-
     /// What is known of a pair.
     ///
     /// ```
@@ -273,21 +176,17 @@
 
     /// Mean over all pairs, for one that was never seen.
     fn prior(&self) -> PairEstimate {
-        let slowdown = if self.count > 0 {
-            self.sum / f64::from(self.count)
-        } else {
-            self.tuning.first_slowdown
-        };
-        PairEstimate { slowdown, variance: self.tuning.first_variance }
+        let slowdown =
+            if self.count > 0 { self.sum / f64::from(self.count) } else { FIRST_SLOWDOWN };
+        PairEstimate { slowdown, variance: FIRST_VARIANCE }
     }
 
-    fn update(&mut self, sample: &WeightedSample<'_>, measured: f64) {
+    fn update(&mut self, sample: &InterferenceSample, measured: f64) {
         let prior = self.prior();
-        let tuning = self.tuning;
-        let pairs = self.pairs.entry(sample.service.to_string()).or_default();
+        let pairs = self.pairs.entry(sample.service.clone()).or_default();
         let mut expected = 0.0;
-        let mut spread = SAMPLE_VARIANCE / f64::from(sample.requests) + tuning.sample_variance;
-        for (kind, count) in sample.kinds {
+        let mut spread = SAMPLE_VARIANCE / f64::from(sample.requests) + SMALLEST_SAMPLE_VARIANCE;
+        for (kind, count) in &sample.kinds {
             let first = PairState { estimate: prior, at_millis: sample.at_millis };
             let state = pairs.entry(kind.clone()).or_insert_with(|| {
                 self.sum += first.estimate.slowdown;
@@ -296,17 +195,17 @@
             });
             // A sample that was overtaken by a newer one makes the pair no surer than it is.
             let passed = sample.at_millis.saturating_sub(state.at_millis) as f64 / 1_000.0;
-            state.estimate.variance = (state.estimate.variance + tuning.drift_variance * passed)
-                .min(tuning.first_variance);
+            state.estimate.variance =
+                (state.estimate.variance + DRIFT_VARIANCE * passed).min(FIRST_VARIANCE);
             state.at_millis = state.at_millis.max(sample.at_millis);
-            let count = *count;
+            let count = f64::from(*count);
             expected += count * state.estimate.slowdown;
             spread += count * count * state.estimate.variance;
         }
         let surprise = measured - expected;
-        for (kind, count) in sample.kinds {
+        for (kind, count) in &sample.kinds {
             let Some(state) = pairs.get_mut(kind) else { continue };
-            let count = *count;
+            let count = f64::from(*count);
             let gain = count * state.estimate.variance / spread;
             let before = state.estimate.slowdown;
             state.estimate.slowdown = (before + gain * surprise).max(0.0);
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -108,7 +108,7 @@
             ("task", task),
             ("run", run),
             ("percent", &step.percent),
-            ("pressure", &format!("{:.2}", step.pressure)),
+            ("excess", &format!("{:.2}", step.excess)),
             ("outcome", &outcome),
         ],
     );
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -1,45 +1,82 @@
 //! How much tasks that fill disturb tasks that serve beside them, learned by pairs of images.
 //!
-//! The learner is that of services and kinds of tasks; here a service is the image of tasks that serve,
-//! a kind the image of tasks that fill, and the time the tail latency that runners report.
+//! A serving task's tail latency behaves like that of a queue: tail = idle tail / (1 − load), where tasks that
+//! fill add to the load. So everything adds up in terms of load = 1 − idle tail / tail. Each
+//! serving run keeps its own load, which drifts within seconds, and each pair of images what one filling task
+//! at full pace adds; both are updated by a Kalman filter with a diagonal covariance.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::process::interference::InterferenceModel;
-use crate::process::interference::InterferenceTuning;
-use crate::process::interference::KindName;
-use crate::process::interference::WeightedSample;
 use crate::workflow::worker_board::AssignedRun;
+use crate::workflow::worker_board::RunKey;
 use crate::workflow::worker_board::WorkerEntry;
 
+/// Name of what a task runs.
+pub type ImageName = String;
+
 /// Span over which runners measure tails.
 const MEASURED_SPAN: Duration = Duration::from_millis(500);
 /// Part of the span from which on a task counts in full, since a tail shows the worst part of it.
 const FULL_OVERLAP: Duration = Duration::from_millis(200);
 /// Part of the span below which a task does not count; samples with tasks between both are not used.
 const LEAST_OVERLAP: Duration = Duration::from_millis(50);
-/// Requests that one reported tail is taken to stand for.
-const TAIL_REQUESTS: u32 = 50;
-/// Share of the target up to which a tail may be expected when a task that fills is placed.
-const ALLOWED_PRESSURE: f64 = 0.8;
-/// Slowdown that is assumed of a pair that was never seen.
-const UNSEEN_SLOWDOWN: f64 = 2.0;
-/// A tail is multiplied by 1.1 to 10 by one task that disturbs, not by fractions as a mean is; and it
-/// changes within seconds.
-const TAIL_TUNING: InterferenceTuning = InterferenceTuning {
-    first_slowdown: 1.0,
-    first_variance: 4.0,
-    sample_variance: 0.2,
-    drift_variance: 0.02,
-    largest_slowdown: 12.0,
-};
+/// Idle tail as a share of the least tail that was seen, since some load was there then as well.
+const IDLE_SHARE: f64 = 0.85;
+/// Idle tail as a share of the target before any tail was seen.
+const FIRST_IDLE_SHARE: f64 = 0.2;
+/// Load of a serving run before anything was seen of it.
+const FIRST_LOAD: f64 = 0.45;
+/// Variance of that load.
+const FIRST_LOAD_VARIANCE: f64 = 0.04;
+/// Growth of the variance of a run's load a second: it swings by a quarter within seconds.
+const LOAD_DRIFT: f64 = 0.01;
+/// What a filling task adds to a load before its pair was seen.
+const FIRST_ADDED: f64 = 0.15;
+/// Variance of that.
+const FIRST_ADDED_VARIANCE: f64 = 0.04;
+/// Growth of a pair's variance a second.
+const ADDED_DRIFT: f64 = 0.0005;
+/// Variance of a measured load, whatever its size.
+const SAMPLE_VARIANCE: f64 = 0.002;
+/// Standard deviation of a tail as a share of it.
+const TAIL_NOISE: f64 = 0.1;
+/// Largest load that a tail is believed to show.
+const LARGEST_LOAD: f64 = 0.98;
+/// Room that is left for a load to swing after a task is placed.
+const SWING_ROOM: f64 = 0.06;
+/// Share of the load at the target up to which a load may be expected when a task that fills is placed.
+const ALLOWED_PRESSURE: f64 = 0.95;
+
+/// A value and how sure it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Estimate {
+    value: f64,
+    variance: f64,
+    at: Instant,
+}
+
+impl Estimate {
+    fn drift(&mut self, now: Instant, growth: f64, largest: f64) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.variance = (self.variance + growth * passed).min(largest);
+        self.at = now;
+    }
+
+    /// Takes in the part of a surprise that falls on this value, which counted with `weight`.
+    fn correct(&mut self, surprise: f64, weight: f64, spread: f64, limits: (f64, f64)) {
+        let gain = weight * self.variance / spread;
+        self.value = (self.value + gain * surprise).clamp(limits.0, limits.1);
+        self.variance *= 1.0 - gain * weight;
+    }
+}
 
 /// What a task that fills would do to the tasks that serve on a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementRisk {
-    /// The worst tail that is expected, as a share of its target.
+    /// The worst load that is expected, as a share of the load at the target.
     pub pressure: f64,
     /// Whether a pair that was never seen is among those that decide it.
     pub is_unseen: bool,
@@ -59,15 +96,11 @@
 }
 
 /// The learner.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct DisturbanceModel {
-    model: InterferenceModel,
-}
-
-impl Default for DisturbanceModel {
-    fn default() -> DisturbanceModel {
-        DisturbanceModel { model: InterferenceModel::new(TAIL_TUNING) }
-    }
+    least_tails: BTreeMap<ImageName, f64>,
+    loads: HashMap<RunKey, Estimate>,
+    pairs: BTreeMap<(ImageName, ImageName), Estimate>,
 }
 
 impl DisturbanceModel {
@@ -80,25 +113,94 @@
     /// use greengagearch::workflow::worker_board::WorkerBoard;
     ///
     /// let mut board = WorkerBoard::default();
-    /// DisturbanceModel::default().learn(board.entry("i-1", Instant::now()), Instant::now(), 0);
-    /// ```
-    pub fn learn(&mut self, worker: &WorkerEntry, now: Instant, at_millis: u64) {
-        let Some(kinds) = measured_kinds(worker, now) else {
-            return;
-        };
-        for run in worker.assigned.values().filter(|run| run.target_ms > 0) {
-            let tail = run.seen.as_ref().map_or(0, |seen| seen.usage);
-            if tail == 0 {
+    /// DisturbanceModel::default().learn(board.entry("i-1", Instant::now()), Instant::now());
+    /// ```
+    pub fn learn(&mut self, worker: &WorkerEntry, now: Instant) {
+        for (key, run) in worker.assigned.iter().filter(|(_, run)| run.target_ms > 0) {
+            let tail = run.seen.as_ref().map_or(0, |seen| seen.usage) as f64;
+            if tail <= 0.0 {
                 continue;
             }
-            self.model.learn_weighted(&WeightedSample {
-                service: &run.image,
-                kinds: &kinds,
-                time: Duration::from_millis(tail),
-                requests: TAIL_REQUESTS,
-                at_millis,
-            });
+            let least = self.least_tails.entry(run.image.clone()).or_insert(tail);
+            *least = least.min(tail);
+            if let Some(fills) = measured_fills(worker, now) {
+                self.learn_run(key, run, tail, &fills, now);
+            }
+        }
+    }
+
+    fn learn_run(
+        &mut self,
+        key: &RunKey,
+        run: &AssignedRun,
+        tail: f64,
+        fills: &BTreeMap<ImageName, f64>,
+        now: Instant,
+    ) {
+        let measured = (1.0 - self.idle_tail(run) / tail).clamp(0.0, LARGEST_LOAD);
+        let first = Estimate { value: FIRST_LOAD, variance: FIRST_LOAD_VARIANCE, at: now };
+        let load = self.loads.entry(key.clone()).or_insert(first);
+        load.drift(now, LOAD_DRIFT, FIRST_LOAD_VARIANCE);
+        let noise = SAMPLE_VARIANCE + (TAIL_NOISE * (1.0 - measured)).powi(2);
+        let (mut expected, mut spread) = (load.value, load.variance + noise);
+        for (image, weight) in fills {
+            let first = Estimate { value: FIRST_ADDED, variance: FIRST_ADDED_VARIANCE, at: now };
+            let pair = self.pairs.entry((run.image.clone(), image.clone())).or_insert(first);
+            pair.drift(now, ADDED_DRIFT, FIRST_ADDED_VARIANCE);
+            expected += weight * pair.value;
+            spread += weight * weight * pair.variance;
         }
+        let surprise = measured - expected;
+        load.correct(surprise, 1.0, spread, (0.0, LARGEST_LOAD));
+        for (image, weight) in fills {
+            if let Some(pair) = self.pairs.get_mut(&(run.image.clone(), image.clone())) {
+                pair.correct(surprise, *weight, spread, (0.0, 2.0));
+            }
+        }
+    }
+
+    /// Forgets a serving run that has ended.
+    ///
+    /// ```
+    /// use greengagearch::workflow::disturbance::DisturbanceModel;
+    ///
+    /// DisturbanceModel::default().forget_run(&("a.0.0.0".parse().unwrap(), 1));
+    /// ```
+    pub fn forget_run(&mut self, key: &RunKey) {
+        self.loads.remove(key);
+    }
+
+    /// The tail of a serving run without any load, in milliseconds.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::disturbance::DisturbanceModel;
+    /// use greengagearch::workflow::spec::StepSpec;
+    /// use greengagearch::workflow::spec::TaskName;
+    /// use greengagearch::workflow::worker_board::WorkerBoard;
+    ///
+    /// let now = Instant::now();
+    /// let mut board = WorkerBoard::default();
+    /// let step = StepSpec { target_ms: 50, ..StepSpec::default() };
+    /// let key: (TaskName, u32) = ("a.0.0.0".parse().unwrap(), 1);
+    /// board.assign("i-1", key.clone(), &step, now, now);
+    /// let run = &board.get("i-1").unwrap().assigned[&key];
+    /// assert_eq!(DisturbanceModel::default().idle_tail(run), 10.0);
+    /// ```
+    pub fn idle_tail(&self, run: &AssignedRun) -> f64 {
+        let least = self.least_tails.get(&run.image);
+        least.map_or(run.target_ms as f64 * FIRST_IDLE_SHARE, |least| least * IDLE_SHARE)
+    }
+
+    /// The tail of an image that serves without any load, in milliseconds; zero when none was seen.
+    ///
+    /// ```
+    /// let model = greengagearch::workflow::disturbance::DisturbanceModel::default();
+    /// assert_eq!(model.idle_tail_of("x"), 0.0);
+    /// ```
+    pub fn idle_tail_of(&self, image: &str) -> f64 {
+        self.least_tails.get(image).map_or(0.0, |least| least * IDLE_SHARE)
     }
 
     /// What a task of an image that fills would do on a worker.
@@ -114,23 +216,19 @@
     /// assert_eq!(risk.pressure, 0.0);
     /// ```
     pub fn risk(&self, worker: &WorkerEntry, image: &str) -> PlacementRisk {
-        let mut fills: BTreeMap<KindName, u32> = BTreeMap::new();
-        for run in worker.assigned.values().filter(|run| run.fills) {
-            *fills.entry(run.image.clone()).or_default() += 1;
-        }
-        *fills.entry(image.to_string()).or_default() += 1;
         let mut risk = PlacementRisk { pressure: 0.0, is_unseen: false };
-        for run in worker.assigned.values().filter(|run| run.target_ms > 0) {
-            let pressure = self.pressure(run, &fills);
-            if pressure > risk.pressure {
-                risk.pressure = pressure;
-            }
-            risk.is_unseen |= !self.model.knows(&run.image, image);
+        for (key, run) in worker.assigned.iter().filter(|(_, run)| run.target_ms > 0) {
+            let load = self.loads.get(key).map_or(FIRST_LOAD, |load| load.value);
+            let fills = worker.assigned.values().filter(|other| other.fills);
+            let added: f64 = fills.map(|other| self.added(&run.image, &other.image)).sum();
+            let expected = load + SWING_ROOM + added + self.added(&run.image, image);
+            risk.pressure = risk.pressure.max(expected / self.target_load(run));
+            risk.is_unseen |= !self.pairs.contains_key(&(run.image.clone(), image.to_string()));
         }
         risk
     }
 
-    /// The slowdown that one task of an image causes to the most sensitive task that serves on a worker.
+    /// What one task of an image adds to the load of the most sensitive task that serves on a worker.
     ///
     /// ```
     /// use std::time::Instant;
@@ -144,49 +242,43 @@
     /// ```
     pub fn weight(&self, worker: &WorkerEntry, image: &str) -> f64 {
         let serving = worker.assigned.values().filter(|run| run.target_ms > 0);
-        serving.map(|run| self.slowdown(&run.image, image)).fold(0.0, f64::max)
+        serving.map(|run| self.added(&run.image, image)).fold(0.0, f64::max)
     }
 
-    /// All pairs that were learned, as `serving/filling=slowdown`, for the log.
+    /// All pairs that were learned, as `serving/filling=load`, for the log.
     ///
     /// ```
     /// let model = greengagearch::workflow::disturbance::DisturbanceModel::default();
     /// assert_eq!(model.summary(), "");
     /// ```
     pub fn summary(&self) -> String {
-        let pairs = self.model.pairs().map(|(serving, filling, estimate)| {
-            format!("{serving}/{filling}={:.2}", estimate.slowdown)
-        });
+        let pairs = self
+            .pairs
+            .iter()
+            .map(|((serving, filling), pair)| format!("{serving}/{filling}={:.2}", pair.value));
         pairs.collect::<Vec<String>>().join(" ")
     }
 
-    fn slowdown(&self, serving: &str, image: &str) -> f64 {
-        if !self.model.knows(serving, image) {
-            return UNSEEN_SLOWDOWN;
-        }
-        self.model.estimate(serving, image).slowdown
+    fn added(&self, serving: &str, image: &str) -> f64 {
+        let pair = self.pairs.get(&(serving.to_string(), image.to_string()));
+        pair.map_or(FIRST_ADDED, |pair| pair.value)
     }
 
-    fn pressure(&self, run: &AssignedRun, fills: &BTreeMap<KindName, u32>) -> f64 {
-        let target = run.target_ms as f64;
-        let base_ms = self.model.base(&run.image).map_or(0.0, |base| base.as_secs_f64() * 1_000.0);
-        let slowdowns =
-            fills.iter().map(|(image, count)| f64::from(*count) * self.slowdown(&run.image, image));
-        let expected = base_ms * (1.0 + slowdowns.sum::<f64>());
-        let measured = run.seen.as_ref().map_or(0.0, |seen| seen.usage as f64);
-        expected.max(measured) / target
+    /// The load at which a run's tail is at its target.
+    fn target_load(&self, run: &AssignedRun) -> f64 {
+        (1.0 - self.idle_tail(run) / run.target_ms as f64).max(0.1)
     }
 }
 
-/// Tasks that filled on a worker in the span that its newest tails tell of, by image; nothing when one of
-/// them counts neither in full nor not at all.
-fn measured_kinds(worker: &WorkerEntry, now: Instant) -> Option<BTreeMap<KindName, f64>> {
+/// Tasks that filled on a worker in the span that its newest tails tell of, by image, one at half pace as one
+/// half; nothing when one of them ran for a part of the span that counts neither in full nor not at all.
+fn measured_fills(worker: &WorkerEntry, now: Instant) -> Option<BTreeMap<ImageName, f64>> {
     let span_start = now.checked_sub(MEASURED_SPAN)?;
-    let mut kinds = BTreeMap::new();
+    let mut fills = BTreeMap::new();
     let mut add = |image: &str, begin: Instant, end: Instant, percent: u32| {
         let overlap = end.min(now).saturating_duration_since(begin.max(span_start));
         if overlap >= FULL_OVERLAP {
-            *kinds.entry(image.to_string()).or_default() += f64::from(percent) / 100.0;
+            *fills.entry(image.to_string()).or_default() += f64::from(percent) / 100.0;
         }
         overlap >= FULL_OVERLAP || overlap < LEAST_OVERLAP
     };
@@ -199,5 +291,5 @@
     for ended in &worker.ended_fills {
         is_clear &= add(&ended.image, ended.begin, ended.end, ended.percent);
     }
-    is_clear.then_some(kinds)
+    is_clear.then_some(fills)
 }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -361,7 +361,7 @@
         if changed {
             worker.fills_changed = self.now;
         }
-        self.disturbance.learn(worker, self.now, self.wall_ms);
+        self.disturbance.learn(worker, self.now);
         for key in absent {
             if resync {
                 self.resend(instance, &key);
@@ -572,6 +572,7 @@
     /// Takes a run off its worker and its job.
     pub(crate) fn end_run(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
         let released = self.board.release(instance, key, self.now);
+        self.disturbance.forget_run(key);
         let seen = released.and_then(|run| run.seen).map(|seen| seen.checkpoint);
         let known = seen.unwrap_or_default();
         let checkpoint = if checkpoint.is_empty() { known.as_str() } else { checkpoint };
@@ -735,7 +736,8 @@
             image: step.image.clone(),
             target_ms: step.target_ms,
             fills: step.fills,
-            disturbance_percent: (weight * 100.0) as u32,
+            added_permille: (weight * 1_000.0) as u32,
+            idle_tail_ms: self.disturbance.idle_tail_of(&step.image).round() as u32,
         })
     }
 
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -49,7 +49,8 @@
         image: String::new(),
         target_ms: 0,
         fills: false,
-        disturbance_percent: 0,
+        added_permille: 0,
+        idle_tail_ms: 0,
     }
 }
 
