Tell refusals only with a look that was sent after them

Change: a refusal waits for a look sent after it, and the run counts as present until then. Test a_refusal_is_told_only_with_a_look_that_was_sent_after_it failed first.

--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -67,7 +67,10 @@
     seen: u64,
     starts: HashMap<RunKey, LocalStart>,
     stops: HashMap<RunKey, bool>,
-    rejected: Vec<RejectedRun>,
+    /// Refused starts, with the number of the newest look when each was refused.
+    rejected: Vec<(u64, RejectedRun)>,
+    /// Refused starts that a look sent after the refusal has not shown.
+    reportable: Vec<RejectedRun>,
     orders_seen: u64,
     /// Orders that came before earlier ones: their number, by that of the ones before.
     early_orders: HashMap<u64, u64>,
@@ -104,6 +107,7 @@
             starts: HashMap::new(),
             stops: HashMap::new(),
             rejected: Vec::new(),
+            reportable: Vec::new(),
             orders_seen: 0,
             early_orders: HashMap::new(),
             looks: 0,
@@ -222,6 +226,7 @@
         self.starts.clear();
         self.stops.clear();
         self.rejected.clear();
+        self.reportable.clear();
         self.fresh_look = None;
         self.reported_ends = 0;
         self.pace = PaceControl::default();
@@ -295,9 +300,8 @@
             *start = LocalStart::Settled(self.looks);
         }
         if let Some(reason) = refused {
-            self.starts.remove(key);
-            self.rejected.push(RejectedRun { task: key.0.clone(), run: key.1, reason });
-            self.has_news = true;
+            let run = RejectedRun { task: key.0.clone(), run: key.1, reason };
+            self.rejected.push((self.looks, run));
         }
     }
 
@@ -361,9 +365,14 @@
             let is_running = present.iter().any(|run| run.task == key.0 && run.run == key.1);
             !*is_done || is_running
         });
+        let (shown, later) =
+            self.rejected.drain(..).partition(|(after, _): &(u64, RejectedRun)| number > *after);
+        self.rejected = later;
+        let shown: Vec<(u64, RejectedRun)> = shown;
+        self.reportable.extend(shown.into_iter().map(|(_, run)| run));
         self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
         let last = lists.ended.last().map_or(0, |ended| ended.number);
-        let is_news = last > self.reported_ends || !self.rejected.is_empty() || self.has_news;
+        let is_news = last > self.reported_ends || !self.reportable.is_empty() || self.has_news;
         self.fresh_look = Some(RunnerLook {
             present,
             ended: lists.ended,
@@ -383,7 +392,7 @@
     pub fn report(&mut self, now: Instant) -> NodeReport {
         let mut look = self.fresh_look.take();
         if let Some(look) = &mut look {
-            look.rejected = std::mem::take(&mut self.rejected);
+            look.rejected = std::mem::take(&mut self.reportable);
             let last = look.ended.last().map_or(0, |ended| ended.number);
             self.reported_ends = self.reported_ends.max(last);
             self.has_news = false;
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -5,6 +5,7 @@
 
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::connection::node_protocol::TaskTraits;
@@ -178,3 +179,25 @@
     assert!(state.on_no_answer(now + Duration::from_secs(10)));
     assert!(state.target().is_none());
 }
+
+/// Seen on a day with lost answers: a start was carried out without an answer, ended as done, and its
+/// repeat was refused as old; the refusal was told before the end, and the task was started again.
+#[test]
+fn a_refusal_is_told_only_with_a_look_that_was_sent_after_it() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let key = key("a.0.0.0");
+    state.begin_start(&key, &traits(&key));
+    let (early, _) = state.next_hold(Duration::ZERO, now);
+    state.settle_start(&key, Some(RejectReason::Old));
+    state.on_lists(early, lists(0), now);
+    let look = state.report(now).look.unwrap();
+    assert!(look.rejected.is_empty());
+    assert_eq!(look.present.len(), 1, "until then the run may be there");
+
+    let (late, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(late, lists(0), now);
+    let look = state.report(now).look.unwrap();
+    assert_eq!(look.rejected.len(), 1);
+    assert!(look.present.is_empty());
+}
