--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -108,7 +108,7 @@
             ("task", task),
             ("run", run),
             ("percent", &step.percent),
-            ("excess", &format!("{:.2}", step.excess)),
+            ("pressure", &format!("{:.2}", step.pressure)),
             ("outcome", &outcome),
         ],
     );
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -34,7 +34,7 @@
 /// Growth of the variance of a run's load a second: it swings by a quarter within seconds.
 const LOAD_DRIFT: f64 = 0.01;
 /// What a filling task adds to a load before its pair was seen.
-const FIRST_ADDED: f64 = 0.15;
+const FIRST_ADDED: f64 = 0.12;
 /// Variance of that.
 const FIRST_ADDED_VARIANCE: f64 = 0.04;
 /// Growth of a pair's variance a second.
@@ -46,9 +46,9 @@
 /// Largest load that a tail is believed to show.
 const LARGEST_LOAD: f64 = 0.98;
 /// Room that is left for a load to swing after a task is placed.
-const SWING_ROOM: f64 = 0.06;
+const SWING_ROOM: f64 = 0.03;
 /// Share of the load at the target up to which a load may be expected when a task that fills is placed.
-const ALLOWED_PRESSURE: f64 = 0.95;
+const ALLOWED_PRESSURE: f64 = 0.97;
 
 /// A value and how sure it is.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -1,10 +1,8 @@
 //! How fast tasks that fill may work beside tasks that serve.
 //!
-//! The tail of a serving task's response times must stay below its target. In terms of load (see
-//! [`crate::workflow::disturbance`]) what fills add is proportional to their pace, so that the
-//! excess or the slack over the aim says by how much paces have to change: those that add most are slowed
-//! first, those that add least are let up first. The measured tail is that of the last half second, so
-//! that a step shows only in the looks after it.
+//! The tail of a serving task's response times must stay below its target. The measured tail is that of the
+//! last half second, so that a step shows only in the looks after it. Fills are slowed at once in
+//! proportion to the excess, and let up by small steps.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,23 +13,22 @@
 use crate::workflow::spec::TaskName;
 use crate::workflow::worker_board::RunKey;
 
-/// Share of the load at the target that a load should not exceed; the rest is for what changes between
-/// two looks.
-const AIM_SHARE: f64 = 0.9;
-/// Idle tail as a share of the target, where it is not known.
-const FIRST_IDLE_SHARE: f64 = 0.2;
-/// Least that a fill is taken to add to a load at full pace, for what is not known of it.
-const LEAST_ADDED: f64 = 0.03;
-/// How much more than the excess is taken off, because what fills add may be underrated.
-const SLOW_FACTOR: f64 = 1.3;
-/// Part of the slack that is given back in one step.
-const EASE_FACTOR: f64 = 0.5;
-/// Slack below which paces stay as they are.
-const LEAST_SLACK: f64 = 0.04;
+/// Share of the target that a tail should not exceed; the rest is for what changes within a look.
+const AIM_SHARE: f64 = 0.85;
+/// Share of the target below which fills may work faster again.
+const EASE_SHARE: f64 = 0.7;
+/// What a step lets fills work faster, in percent of their full speed.
+const EASE_STEP: f64 = 25.0;
 /// Time between two steps: the measured span and the time until a new pace has its effect.
-const STEP_PAUSE: Duration = Duration::from_millis(550);
+const STEP_PAUSE: Duration = Duration::from_millis(500);
 /// Least change of pace that is ordered, in percent.
 const LEAST_CHANGE: u32 = 4;
+/// Share of the largest expected disturbance from which on a fill is slowed with the one that has it.
+const CULPRIT_SHARE: f64 = 0.4;
+/// Added to every expected disturbance, in thousandths of a load, for what is not known of it.
+const LEAST_WEIGHT: f64 = 30.0;
+/// Full speed.
+const FULL: f64 = 100.0;
 
 /// A run that should work at another speed.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,8 +37,8 @@
     pub key: RunKey,
     /// Share of its full speed, in percent.
     pub percent: u32,
-    /// The worst excess of a load over its aim, which decided it; below zero for slack.
-    pub excess: f64,
+    /// The worst tail as a share of its target, which decided it.
+    pub pressure: f64,
 }
 
 /// The pace of the fills on one worker.
@@ -51,12 +48,11 @@
     paces: HashMap<RunKey, RunPace>,
 }
 
-/// The pace of one run: what it should be, from 0 to 1, and what was ordered last, in percent.
+/// The pace of one run, in percent: what it should be, and what was ordered last.
 #[derive(Clone, Copy, Debug)]
 struct RunPace {
     wanted: f64,
     ordered: u32,
-    added: f64,
 }
 
 impl PaceControl {
@@ -78,19 +74,19 @@
         now: Instant,
     ) -> Vec<PaceStep> {
         self.follow(running, traits);
-        let excess = worst_excess(running, traits);
+        let pressure = worst_pressure(running, traits);
         let may_step =
             self.stepped.is_none_or(|at| now.saturating_duration_since(at) >= STEP_PAUSE);
-        if may_step && self.step(excess) {
+        if may_step && self.step(pressure, traits) {
             self.stepped = Some(now);
         }
         let mut steps = Vec::new();
         for (key, pace) in &mut self.paces {
-            let percent = (pace.wanted * 100.0).round() as u32;
+            let percent = pace.wanted.round() as u32;
             let is_whole = percent == 100 && pace.ordered != 100;
             if pace.ordered.abs_diff(percent) >= LEAST_CHANGE || is_whole {
                 pace.ordered = percent;
-                steps.push(PaceStep { key: key.clone(), percent, excess });
+                steps.push(PaceStep { key: key.clone(), percent, pressure });
             }
         }
         steps
@@ -104,60 +100,59 @@
     /// assert_eq!(PaceControl::default().ordered(&("a.0.0.0".parse().unwrap(), 1)), 100);
     /// ```
     pub fn ordered(&self, key: &RunKey) -> u32 {
-        self.paces.get(key).map_or(100, |pace| pace.ordered)
+        self.paces.get(key).map_or(FULL as u32, |pace| pace.ordered)
     }
 
     /// Keeps the paces of the fills that run, and starts those of new ones at full speed.
     fn follow(&mut self, running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) {
+        let fills = running.iter().filter(|run| traits.get(&run.task).is_some_and(|t| t.fills));
         let mut paces = HashMap::new();
-        for run in running {
-            let Some(traits) = traits.get(&run.task).filter(|traits| traits.fills) else {
-                continue;
-            };
+        for run in fills {
             let key = (run.task.clone(), run.run);
-            let added = (f64::from(traits.added_permille) / 1_000.0).max(LEAST_ADDED);
-            let first = RunPace { wanted: 1.0, ordered: 100, added };
+            let first = RunPace { wanted: FULL, ordered: FULL as u32 };
             let pace = self.paces.get(&key).copied().unwrap_or(first);
-            paces.insert(key, RunPace { added, ..pace });
+            paces.insert(key, pace);
         }
         self.paces = paces;
     }
 
     /// Changes the wanted paces. Says whether it did.
-    fn step(&mut self, excess: f64) -> bool {
-        let mut paces: Vec<&mut RunPace> = self.paces.values_mut().collect();
-        paces.sort_by(|a, b| b.added.total_cmp(&a.added));
-        if excess > 0.0 {
-            let mut left = excess * SLOW_FACTOR;
-            for pace in paces {
-                let taken = (left / pace.added).min(pace.wanted);
-                pace.wanted -= taken;
-                left -= taken * pace.added;
-            }
-            return true;
+    fn step(&mut self, pressure: f64, traits: &HashMap<TaskName, TaskTraits>) -> bool {
+        if pressure > AIM_SHARE {
+            // Tails grow faster than the pace, so that the excess is taken off squared.
+            let factor = (AIM_SHARE / pressure).powi(2).min(0.75);
+            return self.slow_culprits(factor, traits);
         }
-        let mut slack = -excess * EASE_FACTOR;
-        if -excess < LEAST_SLACK || paces.iter().all(|pace| pace.wanted >= 1.0) {
-            return false;
+        let is_slow = self.paces.values().any(|pace| pace.wanted < FULL);
+        if pressure < EASE_SHARE && is_slow {
+            let each = self.paces.values_mut();
+            each.for_each(|pace| pace.wanted = (pace.wanted + EASE_STEP).min(FULL));
+            return true;
         }
-        for pace in paces.into_iter().rev() {
-            let given = (slack / pace.added).min(1.0 - pace.wanted);
-            pace.wanted += given;
-            slack -= given * pace.added;
+        false
+    }
+
+    /// Slows the fills that are expected to disturb most among those that still work.
+    fn slow_culprits(&mut self, factor: f64, traits: &HashMap<TaskName, TaskTraits>) -> bool {
+        let weight = |key: &RunKey, pace: &RunPace| {
+            let expected = traits.get(&key.0).map_or(0, |traits| traits.added_permille);
+            (f64::from(expected) + LEAST_WEIGHT) * pace.wanted
+        };
+        let most = self.paces.iter().map(|(key, pace)| weight(key, pace)).fold(0.0, f64::max);
+        for (key, pace) in &mut self.paces {
+            if weight(key, pace) >= most * CULPRIT_SHARE {
+                pace.wanted *= factor;
+            }
         }
-        true
+        most > 0.0
     }
 }
 
-/// The worst excess of a serving task's load over its aim; a large slack when none serves.
-fn worst_excess(running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) -> f64 {
-    let excess = |run: &PresentRun| {
-        let traits = traits.get(&run.task).filter(|traits| traits.target_ms > 0)?;
-        let target = traits.target_ms as f64;
-        let known = f64::from(traits.idle_tail_ms);
-        let idle = if known > 0.0 { known } else { target * FIRST_IDLE_SHARE };
-        let load = 1.0 - idle / (run.usage as f64).max(idle);
-        Some(load - (1.0 - idle / target) * AIM_SHARE)
+/// The worst tail of a serving task, as a share of its target; zero when none serves.
+fn worst_pressure(running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) -> f64 {
+    let pressure = |run: &PresentRun| {
+        let target_ms = traits.get(&run.task).map_or(0, |traits| traits.target_ms);
+        if target_ms == 0 { 0.0 } else { run.usage as f64 / target_ms as f64 }
     };
-    running.iter().filter_map(excess).fold(-1.0, f64::max)
+    running.iter().map(pressure).fold(0.0, f64::max)
 }
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -24,7 +24,7 @@
 const RISK_COST: f64 = 1.0;
 /// Time since the last change of fills on a worker after which a pair that was never seen may be tried
 /// there, so that what it does is told apart.
-const EXPLORE_PAUSE: Duration = Duration::from_millis(1_200);
+const EXPLORE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Added to the cost of a worker that has failed tasks of late.
 const FAILED_COST: f64 = 3.0;
 
