--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::workflow::worker_board::AssignedRun;
+use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::worker_board::RunKey;
 use crate::workflow::worker_board::WorkerEntry;
 
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -2,13 +2,17 @@
 //!
 //! Nothing here does input or output or reads a clock; times are arguments.
 
+pub mod assigned_run;
 pub mod disturbance;
 pub mod grant;
 pub mod pacing;
 pub mod placement;
 pub mod planner;
 pub mod planner_batch;
+pub mod planner_jobs;
+pub mod planner_load;
 pub mod planner_moves;
+pub mod planner_reports;
 pub mod planner_rounds;
 pub mod progress;
 pub mod spec;
--- /dev/null
+++ b/src/workflow/planner_load.rs
@@ -0,0 +1,90 @@
+//! Numbers of what the planner has in hand, for the pulse and the log.
+
+use std::collections::BTreeMap;
+
+use crate::ids::QueueName;
+use crate::workflow::planner::Planner;
+
+/// Numbers of what a planner has in hand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlannerLoad {
+    /// Jobs that are not forgotten.
+    pub jobs: usize,
+    /// Tasks whose turn has come and that do not run.
+    pub waiting: usize,
+    /// Runs that serve.
+    pub serving: usize,
+    /// Runs that fill.
+    pub filling: usize,
+    /// Runs that fill and are held up.
+    pub slowed: usize,
+    /// Other runs.
+    pub others: usize,
+    /// Workers that take new work.
+    pub workers: usize,
+    /// Workers on which something serves.
+    pub serving_workers: usize,
+}
+
+impl Planner {
+    /// Jobs of each queue of which no task has started.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// assert!(greengagearch::workflow::planner::Planner::new(Instant::now()).pending().is_empty());
+    /// ```
+    pub fn pending(&self) -> BTreeMap<QueueName, u64> {
+        let mut counts = BTreeMap::new();
+        let waiting = self.jobs.values().filter(|job| job.end.is_none() && !job.progress.begun);
+        for job in waiting {
+            *counts.entry(job.spec.policy.queue.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// What waits and what runs, for the log.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert_eq!(planner.load().jobs, 0);
+    /// ```
+    pub fn load(&self) -> PlannerLoad {
+        let mut load = PlannerLoad { jobs: self.jobs.len(), ..PlannerLoad::default() };
+        for entry in self.jobs.values().filter(|entry| entry.end.is_none()) {
+            for (occurrence, steps) in &entry.progress.open {
+                for (tasks, step) in steps.iter().zip(&entry.spec.steps) {
+                    let idle = tasks.iter().filter(|task| !task.done && task.attempts.is_empty());
+                    if entry.progress.is_ready(*occurrence, step) {
+                        load.waiting += idle.count();
+                    }
+                }
+            }
+        }
+        for (_, worker) in self.board.iter() {
+            load.workers += usize::from(worker.is_open(self.now));
+            load.serving_workers += usize::from(worker.is_serving());
+            for run in worker.assigned.values() {
+                load.serving += usize::from(run.target_ms > 0);
+                load.filling += usize::from(run.fills);
+                load.slowed += usize::from(run.slow_since.is_some());
+                load.others += usize::from(!run.fills && run.target_ms == 0);
+            }
+        }
+        load
+    }
+
+    /// What was learned of images that disturb each other, for the log.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert_eq!(planner.learned_pairs(), "");
+    /// ```
+    pub fn learned_pairs(&self) -> String {
+        self.disturbance.summary()
+    }
+}
--- /dev/null
+++ b/src/workflow/planner_reports.rs
@@ -0,0 +1,186 @@
+//! What the planner makes of the agents' reports: ends, refusals, runs that are missing or that nobody
+//! knows.
+
+use std::collections::BTreeMap;
+
+use crate::connection::node_protocol::EndedRun;
+use crate::connection::node_protocol::NodeOrder;
+use crate::connection::node_protocol::NodeReport;
+use crate::connection::node_protocol::RejectReason;
+use crate::connection::node_protocol::RejectedRun;
+use crate::connection::node_protocol::RunnerLook;
+use crate::connection::node_protocol::TaskTraits;
+use crate::workflow::planner::Planner;
+use crate::workflow::progress::RunEnd;
+use crate::workflow::spec::TaskName;
+use crate::workflow::worker_board::RunKey;
+
+impl Planner {
+    /// Takes in what an agent reports, and whether it came over a new link.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::node_protocol::NodeReport;
+    /// use greengagearch::workflow::planner::Planner;
+    ///
+    /// let mut planner = Planner::new(Instant::now());
+    /// let report = NodeReport { now: Duration::ZERO, runner: None, former: vec![], look: None };
+    /// planner.on_report(report, true);
+    /// ```
+    pub fn on_report(&mut self, report: NodeReport, is_new_link: bool) {
+        for former in &report.former {
+            self.lose(former);
+        }
+        let Some(status) = report.runner else {
+            return;
+        };
+        let instance = status.instance.clone();
+        let worker = self.board.entry(&instance, self.inherited_end);
+        worker.status = Some(status);
+        worker.heard = Some(self.now);
+        worker.resync |= is_new_link;
+        if let Some(look) = report.look {
+            self.on_look(&instance, look);
+        }
+    }
+
+    fn on_look(&mut self, instance: &str, look: RunnerLook) {
+        let last = look.ended.last().map(|ended| ended.number);
+        for ended in look.ended {
+            self.on_ended(instance, ended);
+        }
+        if let Some(last) = last {
+            self.held_acks.insert(instance.to_string(), last);
+        }
+        for rejected in look.rejected {
+            self.on_rejected(instance, &rejected);
+        }
+        let mut present: BTreeMap<RunKey, _> = BTreeMap::new();
+        for run in look.present {
+            present.insert((run.task.clone(), run.run), run);
+        }
+        self.stop_strangers(instance, &present);
+        let Some(worker) = self.board.get_mut(instance) else {
+            return;
+        };
+        let resync = std::mem::take(&mut worker.resync);
+        let mut absent = Vec::new();
+        let mut changed = false;
+        for (key, run) in &mut worker.assigned {
+            match present.remove(key) {
+                Some(seen) => changed |= run.on_seen(seen, self.now) && run.fills,
+                None if run.order.is_some_and(|order| order <= look.orders_seen || resync) => {
+                    absent.push(key.clone());
+                }
+                None => {}
+            }
+        }
+        if changed {
+            worker.fills_changed = self.now;
+        }
+        self.disturbance.learn(worker, self.now);
+        for key in absent {
+            if resync {
+                self.resend(instance, &key);
+            } else {
+                self.end_run(instance, &key, RunEnd::Lost, "");
+            }
+        }
+        if resync {
+            self.describe_all(instance);
+        }
+    }
+
+    fn on_ended(&mut self, instance: &str, ended: EndedRun) {
+        let key = (ended.task, ended.run);
+        match ended.end {
+            RunEnd::Done => self.suspicion.on_success(instance),
+            RunEnd::Failed => self.on_failure(instance, &key.0),
+            _ => {}
+        }
+        self.end_run(instance, &key, ended.end, &ended.checkpoint);
+    }
+
+    pub(crate) fn on_failure(&mut self, instance: &str, name: &TaskName) {
+        self.suspicion.on_failure(instance, &name.to_string(), self.now);
+        if let Some(entry) = self.jobs.get_mut(&name.job) {
+            let place = (name.occurrence, name.step, name.index);
+            entry.failed_on.entry(place).or_default().push(instance.to_string());
+        }
+    }
+
+    fn on_rejected(&mut self, instance: &str, rejected: &RejectedRun) {
+        match rejected.reason {
+            RejectReason::Room => self.board.on_full(instance, self.now),
+            RejectReason::Unwell => self.on_failure(instance, &rejected.task),
+            RejectReason::Old
+            | RejectReason::Late
+            | RejectReason::Leaving
+            | RejectReason::Malformed => {}
+        }
+        let key = (rejected.task.clone(), rejected.run);
+        self.end_run(instance, &key, RunEnd::Lost, "");
+    }
+
+    /// Stops runs that the worker has and the planner does not know there.
+    pub(crate) fn stop_strangers<V>(&mut self, instance: &str, present: &BTreeMap<RunKey, V>) {
+        let Some(worker) = self.board.get(instance) else {
+            return;
+        };
+        let strangers = present.keys().filter(|key| !worker.assigned.contains_key(key));
+        let stops = strangers.map(|key| NodeOrder::Stop(key.0.clone(), key.1));
+        self.outbox.extend(stops.map(|stop| (instance.to_string(), stop)));
+    }
+
+    /// Sends the order of a run again, over a new link that has not carried it.
+    pub(crate) fn resend(&mut self, instance: &str, key: &RunKey) {
+        let is_ended = self.jobs.get(&key.0.job).is_none_or(|entry| entry.end.is_some());
+        match self.start_order(instance, key) {
+            Some(order) if !is_ended => {
+                self.outbox.push((instance.to_string(), NodeOrder::Start(order)));
+            }
+            // Nobody needs the run, and the agent's look shows that it does not exist.
+            _ => self.end_run(instance, key, RunEnd::Lost, ""),
+        }
+    }
+
+    /// Tells an agent what it has to know of the runs that it has.
+    pub(crate) fn describe_all(&mut self, instance: &str) {
+        let Some(worker) = self.board.get(instance) else {
+            return;
+        };
+        let known = worker.assigned.iter().filter(|(_, run)| run.seen.is_some());
+        let traits: Vec<TaskTraits> =
+            known.filter_map(|(key, _)| self.traits(instance, &key.0)).collect();
+        let stopping: Vec<RunKey> = worker
+            .assigned
+            .iter()
+            .filter(|(_, run)| run.stopping)
+            .map(|(key, _)| key.clone())
+            .collect();
+        let described = traits.into_iter().map(NodeOrder::Describe);
+        self.outbox.extend(described.map(|order| (instance.to_string(), order)));
+        let stops = stopping.into_iter().map(|key| NodeOrder::Stop(key.0, key.1));
+        self.outbox.extend(stops.map(|order| (instance.to_string(), order)));
+        self.stop_unwanted(instance);
+    }
+
+    /// Stops runs of ended jobs, which a planner before may not have done.
+    fn stop_unwanted(&mut self, instance: &str) {
+        let Some(worker) = self.board.get(instance) else {
+            return;
+        };
+        let is_over = |key: &&RunKey| {
+            self.jobs.get(&key.0.job).is_none_or(|entry| {
+                let is_done = entry.progress.task(&key.0).is_some_and(|task| task.done);
+                entry.end.is_some() || is_done
+            })
+        };
+        let unwanted: Vec<RunKey> = worker.assigned.keys().filter(is_over).cloned().collect();
+        for key in unwanted {
+            self.stop_run(instance, key);
+        }
+    }
+}
