--- a/src/bin/gga-node.rs
+++ b/src/bin/gga-node.rs
@@ -40,6 +40,8 @@
     let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
     let store = Arc::new(StoreClient::open(&settings.store));
     let process = NodeProcess::bind(settings, store, Arc::new(RunnerClient::open()), stop).await?;
+    let addresses = process.addresses;
+    println!("listening registry={} internal={}", addresses.registry, addresses.internal);
     process.stopped().await;
     log::logger().flush();
     Ok(())
--- a/src/bin/gga-planner.rs
+++ b/src/bin/gga-planner.rs
@@ -39,6 +39,11 @@
     let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
     let store = Arc::new(StoreClient::open(&settings.store));
     let process = PlannerProcess::bind(settings, store, stop).await?;
+    let addresses = process.addresses;
+    println!(
+        "listening callers={} ready={} internal={}",
+        addresses.callers, addresses.ready, addresses.internal
+    );
     process.stopped().await;
     log::logger().flush();
     Ok(())
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -6,6 +6,7 @@
 pub mod state;
 pub mod watcher;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use crate::external::runner_control::RunnerControl;
 use crate::platform::runner_registry;
 use crate::process::entry::listen;
+use crate::process::entry::local_address;
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
 use crate::process::logging::log_event;
@@ -35,9 +37,20 @@
 /// Time for answers that are under way at a stop.
 const LAST_ANSWER: Duration = Duration::from_millis(150);
 
+/// The addresses on which a node agent listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeAddresses {
+    /// For the host's runner.
+    pub registry: SocketAddr,
+    /// For the planner.
+    pub internal: SocketAddr,
+}
+
 /// A running node agent.
 #[derive(Debug)]
 pub struct NodeProcess {
+    /// Where it listens.
+    pub addresses: NodeAddresses,
     running: JoinHandle<()>,
 }
 
@@ -48,13 +61,18 @@
     ///
     /// [`Error::Listen`].
     pub async fn bind(
-        settings: NodeSettings,
+        mut settings: NodeSettings,
         store: Arc<dyn RowStore>,
         control: Arc<dyn RunnerControl>,
         stop: StopSignal,
     ) -> Result<NodeProcess, Error> {
         let registry = listen(settings.registry_listen).await?;
         let internal = listen(settings.internal_listen).await?;
+        let addresses = NodeAddresses {
+            registry: local_address(&registry)?,
+            internal: local_address(&internal)?,
+        };
+        settings.internal_listen = addresses.internal;
         let shared = Arc::new(NodeShared::new(control));
         rpc::spawn_node_rpc(internal, shared.clone());
         watcher::spawn_watcher(shared.clone());
@@ -68,7 +86,7 @@
             tokio::time::sleep(LAST_ANSWER).await;
             log_event(Level::Info, "stopped", &[]);
         });
-        Ok(NodeProcess { running })
+        Ok(NodeProcess { addresses, running })
     }
 
     /// Waits until the process has stopped.
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -14,6 +14,7 @@
 pub mod store_access;
 pub mod table_feed;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use crate::external::row_store::RowStore;
 use crate::platform::caller_gate;
 use crate::process::entry::listen;
+use crate::process::entry::local_address;
 use crate::process::gate::JobGate;
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
@@ -39,9 +41,22 @@
 /// a second, and some.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_300);
 
+/// The addresses on which a planner process listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannerAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether the process is ready.
+    pub ready: SocketAddr,
+    /// For other processes of the system.
+    pub internal: SocketAddr,
+}
+
 /// A running planner process.
 #[derive(Debug)]
 pub struct PlannerProcess {
+    /// Where it listens.
+    pub addresses: PlannerAddresses,
     running: JoinHandle<()>,
 }
 
@@ -52,13 +67,19 @@
     ///
     /// [`Error::Listen`].
     pub async fn bind(
-        settings: PlannerSettings,
+        mut settings: PlannerSettings,
         store: Arc<dyn RowStore>,
         stop: StopSignal,
     ) -> Result<PlannerProcess, Error> {
         let callers = listen(settings.caller_listen).await?;
         let ready = listen(settings.ready_listen).await?;
         let internal = listen(settings.internal_listen).await?;
+        let addresses = PlannerAddresses {
+            callers: local_address(&callers)?,
+            ready: local_address(&ready)?,
+            internal: local_address(&internal)?,
+        };
+        settings.internal_listen = addresses.internal;
         let drain_limit = settings.drain_limit;
         let shared = Arc::new(PlannerShared::new(settings, store));
         queue_watch::spawn_queue_watch(shared.clone());
@@ -90,7 +111,7 @@
             log_event(Level::Info, "stopped", &[("id", &shared.settings.id)]);
             drop(kept);
         });
-        Ok(PlannerProcess { running })
+        Ok(PlannerProcess { addresses, running })
     }
 
     /// Waits until the process has stopped.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod experiments;
 pub mod load;
 pub mod local;
+pub mod platform_runner;
+pub mod platform_store;
 pub mod processes;
 pub mod proxy;
 pub mod runner;
--- /dev/null
+++ b/standins/src/platform_runner.rs
@@ -0,0 +1,351 @@
+//! The users' platform's runner, as far as the product calls it, with its faults and a journal.
+//!
+//! A task's text says what it does: `run_ms=200`, and `fail` for one that fails.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::post;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Time between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+/// Time for which a lost answer is held back.
+const HANG: Duration = Duration::from_secs(30);
+
+/// What happened to a run, for audits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The task.
+    pub task: String,
+    /// The run.
+    pub run: u32,
+    /// The life of the runner.
+    pub instance: String,
+    /// When it began.
+    pub began: Instant,
+    /// When and how it ended.
+    pub ended: Option<(Instant, String)>,
+}
+
+/// The runs of all runners of a test.
+#[derive(Clone, Default)]
+pub struct RunJournal {
+    records: Arc<Mutex<Vec<RunRecord>>>,
+}
+
+impl RunJournal {
+    /// All records so far.
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.lock().clone()
+    }
+
+    /// Tasks of which two runs were at work at the same time, or that ran after they were done.
+    pub fn doubled(&self) -> Vec<String> {
+        let records = self.records();
+        let overlap = |a: &RunRecord, b: &RunRecord| {
+            let ends_before = |one: &RunRecord, at: Instant| {
+                one.ended.as_ref().is_some_and(|(end, _)| *end <= at)
+            };
+            let is_done = |one: &RunRecord| matches!(&one.ended, Some((_, how)) if how == "done");
+            let starts_later = b.began >= a.began;
+            starts_later && (!ends_before(a, b.began) || is_done(a))
+        };
+        let mut doubled = Vec::new();
+        for (position, a) in records.iter().enumerate() {
+            for b in records.iter().skip(position + 1).filter(|b| b.task == a.task) {
+                if overlap(a, b) {
+                    doubled.push(format!("{} runs {} and {}", a.task, a.run, b.run));
+                }
+            }
+        }
+        doubled
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<RunRecord>> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn begin(&self, task: &str, run: u32, instance: &str) {
+        let record = RunRecord {
+            task: task.to_string(),
+            run,
+            instance: instance.to_string(),
+            began: Instant::now(),
+            ended: None,
+        };
+        self.lock().push(record);
+    }
+
+    fn end(&self, task: &str, run: u32, instance: &str, how: &str) {
+        let mut records = self.lock();
+        let found = records
+            .iter_mut()
+            .find(|record| record.task == task && record.run == run && record.instance == instance);
+        if let Some(record) = found {
+            record.ended = Some((Instant::now(), how.to_string()));
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RunnerLife {
+    running: BTreeMap<(String, u32), Instant>,
+    highest: BTreeMap<String, u32>,
+    ended: Vec<(u64, String, u32, String, String)>,
+    ends: u64,
+    fence: u64,
+    until_ms: u64,
+    lost_answers: u32,
+}
+
+/// A running stand-in; it is one life of a runner.
+#[derive(Clone)]
+pub struct PlatformRunner {
+    /// Its life.
+    pub instance: String,
+    started: Instant,
+    journal: RunJournal,
+    life: Arc<Mutex<RunnerLife>>,
+    ended: Arc<Notify>,
+}
+
+impl PlatformRunner {
+    /// Starts a runner that registers at an agent.
+    pub async fn spawn(
+        instance: &str,
+        registry: SocketAddr,
+        journal: RunJournal,
+    ) -> PlatformRunner {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        let runner = PlatformRunner {
+            instance: instance.to_string(),
+            started: Instant::now(),
+            journal,
+            life: Arc::default(),
+            ended: Arc::default(),
+        };
+        let router = Router::new()
+            .route("/-/run-start", post(take_start))
+            .route("/-/run-stop", post(take_stop))
+            .route("/-/hold", post(take_hold))
+            .route("/-/pace", post(take_pace))
+            .with_state(runner.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        tokio::spawn(beat(runner.clone(), registry, address));
+        tokio::spawn(expire(runner.clone()));
+        runner
+    }
+
+    /// Loses the answers to this many starts, which are carried out.
+    pub fn lose_answers(&self, count: u32) {
+        self.lock().lost_answers = count;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RunnerLife> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn end(&self, task: &str, run: u32, how: &str) {
+        let mut life = self.lock();
+        if life.running.remove(&(task.to_string(), run)).is_none() {
+            return;
+        }
+        self.journal.end(task, run, &self.instance, how);
+        life.ends += 1;
+        let number = life.ends;
+        life.ended.push((number, task.to_string(), run, how.to_string(), String::new()));
+        drop(life);
+        self.ended.notify_waiters();
+    }
+
+    fn refuse(&self, reason: &str) -> Response {
+        let body = json!({ "ClockMs": self.clock_ms(), "Reason": reason });
+        (StatusCode::CONFLICT, Json(body)).into_response()
+    }
+
+    fn answer(&self) -> Response {
+        Json(json!({ "ClockMs": self.clock_ms() })).into_response()
+    }
+
+    /// Whether a call is meant for this life.
+    fn is_meant(&self, headers: &HeaderMap) -> bool {
+        let meant = headers.get("X-Greengagearch-Expect-Instance");
+        meant.is_none_or(|meant| meant.as_bytes() == self.instance.as_bytes())
+    }
+}
+
+async fn beat(runner: PlatformRunner, registry: SocketAddr, address: SocketAddr) {
+    let client = reqwest::Client::new();
+    let url = format!("http://{registry}/-/instances/{}", runner.instance);
+    for sequence in 1_u64.. {
+        let body = json!({
+            "Service": "svc", "Address": address.to_string(), "Zone": "z", "State": "ready",
+            "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", "r1"],
+            "Sequence": sequence,
+        });
+        // An agent that is down is called again with the next heartbeat.
+        let _ = client.put(&url).json(&body).send().await;
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+/// Ends everything when the lease has expired.
+async fn expire(runner: PlatformRunner) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let lapsed: Vec<(String, u32)> = {
+            let life = runner.lock();
+            let is_over = runner.clock_ms() > life.until_ms;
+            if is_over { life.running.keys().cloned().collect() } else { Vec::new() }
+        };
+        lapsed.iter().for_each(|(task, run)| runner.end(task, *run, "lapsed"));
+    }
+}
+
+#[derive(Deserialize)]
+struct StartBody {
+    #[serde(rename = "Task")]
+    task: String,
+    #[serde(rename = "Run")]
+    run: u32,
+    #[serde(rename = "Spec", default)]
+    payload: String,
+    #[serde(rename = "UntilMs", default)]
+    until_ms: u64,
+    #[serde(rename = "Fence", default)]
+    fence: u64,
+}
+
+async fn take_start(
+    State(runner): State<PlatformRunner>,
+    headers: HeaderMap,
+    Json(body): Json<StartBody>,
+) -> Response {
+    if !runner.is_meant(&headers) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
+    let is_lost = {
+        let mut life = runner.lock();
+        if body.fence < life.fence {
+            return runner.refuse("fence");
+        }
+        life.fence = body.fence;
+        if body.until_ms < runner.clock_ms() {
+            return runner.refuse("late");
+        }
+        life.until_ms = life.until_ms.max(body.until_ms);
+        let key = (body.task.clone(), body.run);
+        if life.running.contains_key(&key) {
+            return runner.answer();
+        }
+        if life.highest.get(&body.task).is_some_and(|highest| body.run <= *highest) {
+            return runner.refuse("old");
+        }
+        life.highest.insert(body.task.clone(), body.run);
+        life.running.insert(key, Instant::now());
+        runner.journal.begin(&body.task, body.run, &runner.instance);
+        let is_lost = life.lost_answers > 0;
+        life.lost_answers = life.lost_answers.saturating_sub(1);
+        is_lost
+    };
+    tokio::spawn(work(runner.clone(), body.task, body.run, body.payload));
+    if is_lost {
+        tokio::time::sleep(HANG).await;
+    }
+    runner.answer()
+}
+
+async fn work(runner: PlatformRunner, task: String, run: u32, payload: String) {
+    let words = payload.split_whitespace();
+    let millis = words.filter_map(|word| word.strip_prefix("run_ms=")?.parse().ok()).next();
+    tokio::time::sleep(Duration::from_millis(millis.unwrap_or(50))).await;
+    runner.end(&task, run, if payload.contains("fail") { "failed" } else { "done" });
+}
+
+async fn take_stop(
+    State(runner): State<PlatformRunner>,
+    headers: HeaderMap,
+    Json(body): Json<StartBody>,
+) -> Response {
+    if !runner.is_meant(&headers) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
+    {
+        let mut life = runner.lock();
+        if body.fence < life.fence {
+            return runner.refuse("fence");
+        }
+        let highest = life.highest.entry(body.task.clone()).or_default();
+        *highest = body.run.max(*highest);
+    }
+    runner.end(&body.task, body.run, "stopped");
+    runner.answer()
+}
+
+async fn take_pace(State(runner): State<PlatformRunner>) -> Response {
+    runner.answer()
+}
+
+#[derive(Deserialize)]
+struct HoldBody {
+    #[serde(rename = "Fence", default)]
+    fence: u64,
+    #[serde(rename = "LastSeen", default)]
+    seen: u64,
+    #[serde(rename = "UntilMs", default)]
+    until_ms: u64,
+    #[serde(rename = "WaitMs", default)]
+    wait_ms: u64,
+}
+
+async fn take_hold(
+    State(runner): State<PlatformRunner>,
+    headers: HeaderMap,
+    Json(body): Json<HoldBody>,
+) -> Response {
+    if !runner.is_meant(&headers) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
+    let has_ends = {
+        let mut life = runner.lock();
+        if body.fence < life.fence {
+            return runner.refuse("fence");
+        }
+        life.fence = body.fence;
+        life.until_ms = life.until_ms.max(body.until_ms);
+        life.ended.retain(|ended| ended.0 > body.seen);
+        !life.ended.is_empty()
+    };
+    if !has_ends {
+        // The wait is over when something ends or when it has been long enough.
+        let _ = timeout(Duration::from_millis(body.wait_ms), runner.ended.notified()).await;
+    }
+    let life = runner.lock();
+    let running: Vec<_> =
+        life.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
+    Json(json!({ "ClockMs": runner.clock_ms(), "Running": running, "Ended": life.ended }))
+        .into_response()
+}
