Log each decision of the planner; gga-ctl explain

Each task given to a worker, each end of a run, each move, each end of a job and each lost worker is a line with epoch, age and reason. gga-ctl explain JOB LOG... puts a job's lines of all hosts in order, with what processes came to believe meanwhile, and names the cause. Tests: refused, failed, late, unknown.

--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -16,7 +16,8 @@
     gga-ctl check PATH...
     gga-ctl apply PATH... --entry ADDRESS --team TEAM --key-file FILE [--wait SPAN]
     gga-ctl show [SERVICE] --entry ADDRESS
-    gga-ctl report burn [SERVICE] --entry ADDRESS [--html FILE]";
+    gga-ctl report burn [SERVICE] --entry ADDRESS [--html FILE]
+    gga-ctl explain JOB LOG...";
 
 /// What `gga-ctl` was asked to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,6 +39,8 @@
     Show,
     /// Report on service-level burn.
     ReportBurn,
+    /// Explain from logs what became of a job.
+    Explain,
 }
 
 /// The parsed command line.
@@ -91,6 +94,7 @@
         Some("check") => CtlAction::Check,
         Some("apply") => CtlAction::Apply,
         Some("show") => CtlAction::Show,
+        Some("explain") => CtlAction::Explain,
         Some("report") => match operands.next().as_deref() {
             Some("burn") => CtlAction::ReportBurn,
             _ => return usage("report: the only report is 'burn'"),
@@ -119,6 +123,13 @@
 }
 
 fn check_config(config: CtlConfig) -> Result<CtlCommand, Error> {
+    if config.action == CtlAction::Explain {
+        return if config.operands.len() < 2 {
+            usage("explain needs JOB and at least one LOG")
+        } else {
+            Ok(CtlCommand::Run(config))
+        };
+    }
     let needs_entry = config.action != CtlAction::Check;
     let takes_paths = matches!(config.action, CtlAction::Check | CtlAction::Apply);
     if takes_paths && config.operands.is_empty() {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' command: checks, applies and shows documents.
 
 pub mod cli;
+pub mod explain;
 pub mod report;
 pub mod status;
 
@@ -15,6 +16,7 @@
 use crate::cli::read_file;
 use crate::ctl::cli::CtlAction;
 use crate::ctl::cli::CtlConfig;
+use crate::ctl::explain::explain;
 use crate::ctl::report::html_report;
 use crate::ctl::report::text_report;
 use crate::ctl::status::status_text;
@@ -60,10 +62,21 @@
         CtlAction::Apply => apply_all(config).await,
         CtlAction::Show => show(config).await,
         CtlAction::ReportBurn => report_burn(config).await,
+        CtlAction::Explain => explain_job(&config.operands),
     }
 }
 
 /// Reads and checks files; findings of all files come together.
+/// Explains a job, the first operand, from the logs in the files that follow.
+fn explain_job(operands: &[String]) -> Result<(), Error> {
+    let (Some(job), logs) = (operands.first(), operands.get(1..).unwrap_or_default()) else {
+        return Ok(());
+    };
+    let texts: Vec<String> = logs.iter().map(|log| read_file(log)).collect::<Result<_, _>>()?;
+    print!("{}", explain(job, &texts));
+    Ok(())
+}
+
 fn load(paths: &[String]) -> Result<Vec<LoadedDocument>, Error> {
     let mut findings = FindingList::default();
     let mut loaded = Vec::new();
--- /dev/null
+++ b/src/process/planning/decision_log.rs
@@ -0,0 +1,80 @@
+//! Lines of the log for what the planner decides.
+
+use log::Level;
+
+use crate::ids::PlannerEpoch;
+use crate::process::logging::log_event;
+use crate::workflow::plan_decision::PlanDecision;
+use crate::workflow::planner::Planner;
+
+/// Logs one decision, with the epoch under which it was made.
+pub fn log_decision(epoch: PlannerEpoch, decision: &PlanDecision) {
+    match decision {
+        PlanDecision::Assigned { task, run, worker, age_ms, failures } => log_event(
+            Level::Info,
+            "task_assigned",
+            &[
+                ("task", task),
+                ("run", run),
+                ("worker", worker),
+                ("age_ms", age_ms),
+                ("failures", failures),
+                ("epoch", &epoch),
+            ],
+        ),
+        PlanDecision::RunEnded { task, run, worker, end, ran_ms } => log_event(
+            Level::Info,
+            "run_ended",
+            &[
+                ("task", task),
+                ("run", run),
+                ("worker", worker),
+                ("end", &format!("{end:?}")),
+                ("ran_ms", ran_ms),
+                ("epoch", &epoch),
+            ],
+        ),
+        PlanDecision::Moved { task, run, worker } => log_event(
+            Level::Info,
+            "task_moved",
+            &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
+        ),
+        PlanDecision::JobEnded { job, end, age_ms, objective_ms } => log_event(
+            Level::Info,
+            "job_ended",
+            &[
+                ("job", job),
+                ("end", &format!("{end:?}")),
+                ("age_ms", age_ms),
+                ("objective_ms", objective_ms),
+                ("epoch", &epoch),
+            ],
+        ),
+        PlanDecision::WorkerLost { worker, runs } => log_event(
+            Level::Warn,
+            "worker_lost",
+            &[("worker", worker), ("runs", runs), ("epoch", &epoch)],
+        ),
+    }
+}
+
+/// Logs what waits and runs, and what was learned of images that disturb each other.
+pub fn log_load(epoch: PlannerEpoch, planner: &Planner) {
+    let load = planner.load();
+    log_event(
+        Level::Info,
+        "planner_load",
+        &[
+            ("epoch", &epoch),
+            ("jobs", &load.jobs),
+            ("waiting", &load.waiting),
+            ("serving", &load.serving),
+            ("filling", &load.filling),
+            ("slowed", &load.slowed),
+            ("others", &load.others),
+            ("workers", &load.workers),
+            ("serving_workers", &load.serving_workers),
+        ],
+    );
+    log_event(Level::Info, "learned_pairs", &[("pairs", &planner.learned_pairs())]);
+}
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -1,6 +1,7 @@
 //! The planner process: takes callers' jobs; one of these processes plans for all.
 
 pub mod commit_writer;
+pub mod decision_log;
 pub mod job_desk;
 pub mod node_link;
 pub mod office;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -20,6 +20,8 @@
 use crate::process::logging::log_event;
 use crate::process::planning::commit_writer::CommitFate;
 use crate::process::planning::commit_writer::commit;
+use crate::process::planning::decision_log::log_decision;
+use crate::process::planning::decision_log::log_load;
 use crate::process::planning::node_link::LinkNews;
 use crate::process::planning::node_link::NodeLink;
 use crate::process::planning::node_link::OrderParcel;
@@ -285,6 +287,8 @@
             self.write = self.next_write();
         }
         self.send_orders();
+        let decisions = self.with_planner(Planner::take_decisions).unwrap_or_default();
+        decisions.iter().for_each(|decision| log_decision(self.proof.owner.epoch, decision));
     }
 
     fn next_write(&mut self) -> Option<WriteTask> {
@@ -306,7 +310,9 @@
         let pending = self.with_planner(|planner| planner.pending()).unwrap_or_default();
         if now >= self.load_log_due {
             self.load_log_due = now + LOAD_LOG;
-            self.log_load();
+            if let Some(owned) = self.shared.owned().as_ref() {
+                log_load(self.proof.owner.epoch, &owned.planner);
+            }
         }
         let pulse = PulseRow { epoch: self.proof.owner.epoch, pending };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
@@ -315,27 +321,6 @@
         Some(self.spawn_write(WritePurpose::Pulse, transaction))
     }
 
-    fn log_load(&self) {
-        let pairs = self.with_planner(|planner| planner.learned_pairs()).unwrap_or_default();
-        log_event(Level::Info, "learned_pairs", &[("pairs", &pairs)]);
-        let load = self.with_planner(|planner| planner.load()).unwrap_or_default();
-        log_event(
-            Level::Info,
-            "planner_load",
-            &[
-                ("epoch", &self.proof.owner.epoch),
-                ("jobs", &load.jobs),
-                ("waiting", &load.waiting),
-                ("serving", &load.serving),
-                ("filling", &load.filling),
-                ("slowed", &load.slowed),
-                ("others", &load.others),
-                ("workers", &load.workers),
-                ("serving_workers", &load.serving_workers),
-            ],
-        );
-    }
-
     fn write_forget(&self, mut expired: Vec<(JobId, RowVersion)>) -> WriteTask {
         expired.truncate(FORGET_AT_ONCE);
         let mut transaction = self.bound_transaction();
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -7,6 +7,7 @@
 pub mod grant;
 pub mod pacing;
 pub mod placement;
+pub mod plan_decision;
 pub mod planner;
 pub mod planner_batch;
 pub mod planner_jobs;
--- /dev/null
+++ b/src/workflow/plan_decision.rs
@@ -0,0 +1,66 @@
+//! What the planner has decided or come to believe, for the log.
+
+use crate::ids::InstanceId;
+use crate::ids::JobId;
+use crate::ids::RunNumber;
+use crate::workflow::progress::JobEnd;
+use crate::workflow::progress::RunEnd;
+use crate::workflow::spec::TaskName;
+
+/// One decision, or one change of what the planner believes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlanDecision {
+    /// A task was given to a worker.
+    Assigned {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: InstanceId,
+        /// Time since its job was due, in milliseconds.
+        age_ms: u64,
+        /// Failed attempts before.
+        failures: u32,
+    },
+    /// A run is over.
+    RunEnded {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: InstanceId,
+        /// How it ended.
+        end: RunEnd,
+        /// Time since it was given to the worker, in milliseconds.
+        ran_ms: u64,
+    },
+    /// A run is stopped, to go on elsewhere, because it is held up where it is.
+    Moved {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: InstanceId,
+    },
+    /// A job has come to its end.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        end: JobEnd,
+        /// Time since it was accepted, in milliseconds.
+        age_ms: u64,
+        /// The time within which it should have ended, in milliseconds.
+        objective_ms: u64,
+    },
+    /// Everything that a life of a runner had is given up.
+    WorkerLost {
+        /// The life.
+        worker: InstanceId,
+        /// Runs that it had.
+        runs: usize,
+    },
+}
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -16,6 +16,7 @@
 use crate::ids::JobId;
 use crate::process::suspicion::WorkerSuspicion;
 use crate::workflow::disturbance::DisturbanceModel;
+use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
@@ -44,6 +45,7 @@
     pub(crate) held_starts: BTreeMap<JobId, Vec<(InstanceId, RunKey)>>,
     pub(crate) held_acks: BTreeMap<InstanceId, u64>,
     pub(crate) outbox: Vec<AddressedOrder>,
+    pub(crate) decisions: Vec<PlanDecision>,
     pub(crate) stored_ends: BTreeMap<InstanceId, u64>,
     /// When leases that earlier planners granted have surely expired.
     pub(crate) inherited_end: Instant,
@@ -72,6 +74,7 @@
             held_starts: BTreeMap::new(),
             held_acks: BTreeMap::new(),
             outbox: Vec::new(),
+            decisions: Vec::new(),
             stored_ends: BTreeMap::new(),
             inherited_end,
         }
@@ -129,6 +132,18 @@
         }
     }
 
+    /// What was decided since the last call, for the log.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.take_decisions().is_empty());
+    /// ```
+    pub fn take_decisions(&mut self) -> Vec<PlanDecision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Orders that may leave now.
     ///
     /// ```
@@ -181,6 +196,16 @@
     pub(crate) fn end_run(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
         let released = self.board.release(instance, key, self.now);
         self.disturbance.forget_run(key);
+        if let Some(run) = &released {
+            let ran = self.now.saturating_duration_since(run.since);
+            self.decisions.push(PlanDecision::RunEnded {
+                task: key.0.clone(),
+                run: key.1,
+                worker: instance.to_string(),
+                end,
+                ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
+            });
+        }
         let seen = released.and_then(|run| run.seen).map(|seen| seen.checkpoint);
         let known = seen.unwrap_or_default();
         let checkpoint = if checkpoint.is_empty() { known.as_str() } else { checkpoint };
@@ -255,6 +280,8 @@
             return;
         };
         let keys: Vec<RunKey> = worker.assigned.keys().cloned().collect();
+        let lost = PlanDecision::WorkerLost { worker: instance.to_string(), runs: keys.len() };
+        self.decisions.push(lost);
         for key in keys {
             self.end_run(instance, &key, RunEnd::Lost, "");
         }
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -6,6 +6,7 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobProgress;
@@ -220,6 +221,12 @@
             return;
         }
         entry.end = Some(end);
+        self.decisions.push(PlanDecision::JobEnded {
+            job: job.to_string(),
+            end,
+            age_ms: self.wall_ms.saturating_sub(entry.spec.accepted_ms),
+            objective_ms: entry.spec.objective_ms(),
+        });
         self.dirty.insert(job.to_string());
         for (name, attempt) in entry.progress.attempts(job) {
             self.stop_run(&attempt.worker, (name, attempt.run));
--- a/src/workflow/planner_moves.rs
+++ b/src/workflow/planner_moves.rs
@@ -6,6 +6,7 @@
 use crate::workflow::placement::PlacementNeed;
 use crate::workflow::placement::RiskLimit;
 use crate::workflow::placement::choose;
+use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::worker_board::RunKey;
 
@@ -24,6 +25,11 @@
         let movable = held_up.into_iter().filter(|(instance, key)| self.has_place(instance, key));
         let moves: Vec<(InstanceId, RunKey)> = movable.take(MOVES_AT_ONCE).collect();
         for (instance, key) in moves {
+            self.decisions.push(PlanDecision::Moved {
+                task: key.0.clone(),
+                run: key.1,
+                worker: instance.clone(),
+            });
             self.stop_run(&instance, key);
         }
     }
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -7,6 +7,7 @@
 use crate::workflow::placement::PlacementView;
 use crate::workflow::placement::RiskLimit;
 use crate::workflow::placement::choose;
+use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::planner_jobs::JobEntry;
 use crate::workflow::progress::RunAttempt;
@@ -198,11 +199,19 @@
             return;
         };
         entry.progress.begun = true;
+        let due_ms = entry.spec.due_ms(name.occurrence);
         entry.last_run_ms = self.wall_ms;
         let Some(task) = entry.progress.task_mut(name) else {
             return;
         };
         task.last_run = run;
+        self.decisions.push(PlanDecision::Assigned {
+            task: name.clone(),
+            run,
+            worker: worker.clone(),
+            age_ms: self.wall_ms.saturating_sub(due_ms),
+            failures: task.failures,
+        });
         task.attempts.push(RunAttempt { run, worker: worker.clone() });
         self.board.assign(&worker, key.clone(), spec, self.now, self.inherited_end);
         self.suspicion.on_start(&worker, self.now);
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,52 @@
+//! Explaining failed jobs from logs.
+
+use greengagearch::ctl::explain::explain;
+
+fn told(lines: &[&str]) -> String {
+    explain("a1", &[lines.join("\n")])
+}
+
+#[test]
+fn a_refused_job_names_the_last_reason() {
+    let told = told(&[
+        "time=5.000 level=info event=job_submitted job=a1 outcome=\"not run: status 503\"",
+        "time=5.900 level=info event=job_submitted job=a1 outcome=\"not run: nobody listens\"",
+    ]);
+    assert!(
+        told.ends_with("refused at every try, the last time: not run: nobody listens\n"),
+        "{told}"
+    );
+}
+
+#[test]
+fn a_failed_job_names_the_workers() {
+    let told = told(&[
+        "time=5.000 level=info event=job_submitted job=a1 outcome=accepted",
+        "time=5.100 level=info event=run_ended task=a1.0.0.0 run=1 worker=i-1 end=Failed ran_ms=90",
+        "time=5.300 level=info event=run_ended task=a1.0.0.0 run=2 worker=i-2 end=Failed ran_ms=90",
+        "time=5.300 level=info event=job_ended job=a1 end=Failed age_ms=300 objective_ms=900",
+    ]);
+    assert!(told.contains("failed on i-1, i-2"), "{told}");
+}
+
+#[test]
+fn a_late_job_tells_where_its_time_went_and_what_happened_meanwhile() {
+    let told = told(&[
+        "  1.5 front-1 time=5.000 level=info event=job_submitted job=a1 outcome=accepted",
+        "  1.9 front-1 time=5.400 level=info event=task_assigned task=a1.0.0.0 run=1 age_ms=400",
+        "  2.0 front-1 time=6.000 level=warn event=worker_lost worker=i-1 runs=3",
+        "  2.0 front-1 time=6.000 level=info event=run_ended task=a1.0.0.0 run=1 end=Lost ran_ms=600",
+        "  2.0 front-1 time=6.100 level=info event=run_ended task=b2.0.0.0 run=1 end=Lost ran_ms=600",
+        "  9.0 front-1 time=9.000 level=info event=job_ended job=a1 end=Completed age_ms=4000 \
+         objective_ms=900",
+    ]);
+    assert!(told.contains("worker_lost worker=i-1"), "{told}");
+    assert!(!told.contains("b2"), "{told}");
+    assert!(told.contains("late: 4000 ms of 900 ms; first start after 400 ms"), "{told}");
+    assert!(told.contains("1 runs lost"), "{told}");
+}
+
+#[test]
+fn a_job_that_no_line_names_is_told_so() {
+    assert!(told(&["time=1.0 level=info event=stopped"]).contains("no line names it"));
+}
