--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -79,7 +79,7 @@
     let mut lines: Vec<LogLine> = lines.filter_map(LogLine::parse).collect();
     lines.sort_by(|a, b| a.seconds.total_cmp(&b.seconds));
     let own = || lines.iter().filter(|line| line.is_of(job));
-    let (Some(first), Some(last)) = (own().next(), own().last()) else {
+    let (Some(first), Some(last)) = (own().next(), own().next_back()) else {
         return format!("{job}: no line names it; was every host's log given?\n");
     };
     let is_belief = |line: &LogLine| BELIEFS.contains(&line.get("event"));
@@ -97,14 +97,14 @@
 
 fn cause(lines: &[&LogLine]) -> String {
     let of_event =
-        |event: &str| lines.iter().copied().filter(move |line| line.get("event") == event);
+        |event: &'static str| lines.iter().copied().filter(move |line| line.get("event") == event);
     let accepted = of_event("job_submitted").any(|line| line.get("outcome") == "accepted");
-    if !accepted && let Some(refused) = of_event("job_submitted").last() {
+    if !accepted && let Some(refused) = of_event("job_submitted").next_back() {
         return format!("refused at every try, the last time: {}", refused.get("outcome"));
     }
     let ended_as =
         |end: &'static str| of_event("run_ended").filter(move |line| line.get("end") == end);
-    let Some(end) = of_event("job_ended").last() else {
+    let Some(end) = of_event("job_ended").next_back() else {
         return unfinished(lines);
     };
     if end.get("end") == "Failed" {
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,5 +1,9 @@
 //! Metrics in the Prometheus text format.
 
+use std::net::SocketAddr;
+
+use axum::Router;
+use axum::routing::get;
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -10,6 +14,11 @@
 use prometheus::TextEncoder;
 
 use crate::connection::counted_stream::byte_counts;
+use crate::error::Error;
+use crate::process::entry::listen;
+use crate::process::http_server::HttpLimits;
+use crate::process::http_server::spawn_http_server;
+use crate::process::stop_signal::StopSwitch;
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
@@ -108,6 +117,31 @@
     }
 }
 
+/// Serves metrics at `/metrics` of an address until the process ends.
+///
+/// # Errors
+///
+/// [`Error::Listen`].
+///
+/// ```no_run
+/// # async fn f(metrics: greengagearch::process::metrics::ProcessMetrics) {
+/// let address = "127.0.0.1:0".parse().unwrap();
+/// greengagearch::process::metrics::serve_metrics(address, metrics).await.unwrap();
+/// # }
+/// ```
+pub async fn serve_metrics(address: SocketAddr, metrics: ProcessMetrics) -> Result<(), Error> {
+    let listener = listen(address).await?;
+    let router = Router::new().route("/metrics", get(async move || metrics.render()));
+    let (switch, never) = StopSwitch::new();
+    let server = spawn_http_server(listener, router, HttpLimits::default(), never);
+    tokio::spawn(async move {
+        // The switch lives as long as the server, which it never stops.
+        let _ = server.await;
+        drop(switch);
+    });
+    Ok(())
+}
+
 fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), labels).expect("constant names are valid")
 }
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -24,6 +24,7 @@
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
 use crate::process::logging::log_event;
+use crate::process::metrics::serve_metrics;
 use crate::process::node::shared::NodeShared;
 use crate::process::planning::rows::NODE_TABLE;
 use crate::process::planning::rows::NodeRow;
@@ -74,6 +75,9 @@
         };
         settings.internal_listen = addresses.internal;
         let shared = Arc::new(NodeShared::new(control));
+        if let Some(address) = settings.metrics_listen {
+            serve_metrics(address, shared.metrics.clone()).await?;
+        }
         rpc::spawn_node_rpc(internal, shared.clone());
         watcher::spawn_watcher(shared.clone());
         let router = runner_registry::router(shared);
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -47,6 +47,7 @@
     }
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
+        let arrived = Instant::now();
         let refused = start(&shared, &target, &order, &key).await;
         let mut state = shared.state();
         if state.is_target(&target) {
@@ -54,6 +55,8 @@
         }
         drop(state);
         let outcome = refused.map_or("settled".to_string(), |reason| format!("{reason:?}"));
+        shared.metrics.latency.observe(arrived.elapsed().as_secs_f64());
+        shared.metrics.tasks.with_label_values(&[outcome.as_str()]).inc();
         log_event(
             Level::Info,
             "task_start",
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -13,6 +13,7 @@
 use crate::platform::runner_registry::RunnerBeat;
 use crate::platform::runner_registry::RunnerRegistry;
 use crate::process::logging::log_event;
+use crate::process::metrics::ProcessMetrics;
 use crate::process::node::state::KnownRunner;
 use crate::process::node::state::NodeState;
 
@@ -26,6 +27,8 @@
     pub control: Arc<dyn RunnerControl>,
     /// Bounds the orders that are on their way to the runner at once.
     pub order_slots: Semaphore,
+    /// Counters and histograms.
+    pub metrics: ProcessMetrics,
     /// Wakes answers that wait for news.
     pub news: Notify,
     /// Wakes the loop that looks at the runner.
@@ -39,6 +42,7 @@
         NodeShared {
             control,
             order_slots: Semaphore::new(ORDERS_AT_ONCE),
+            metrics: ProcessMetrics::open(),
             news: Notify::new(),
             look: Notify::new(),
             state: Mutex::new(NodeState::new(Instant::now())),
--- a/src/process/planning/job_desk.rs
+++ b/src/process/planning/job_desk.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use log::Level;
@@ -135,6 +136,16 @@
     }
 }
 
+/// The outcome of a submission, as a metric's label.
+fn outcome_label(result: &Result<(), JobRefusal>) -> &'static str {
+    match result {
+        Ok(()) => "accepted",
+        Err(JobRefusal::NotRun { .. }) => "not_run",
+        Err(JobRefusal::OtherJob) => "other_job",
+        Err(JobRefusal::Unknown { .. }) => "unknown",
+    }
+}
+
 /// A name that is taken belongs to the same job, or the submission is refused.
 fn check_same(rows: &[StoredRow], record: &JobRecord) -> Result<(), JobRefusal> {
     let stored: Option<JobRecord> = rows.iter().find_map(decode);
@@ -168,9 +179,13 @@
     ) -> Result<(), JobRefusal> {
         let queue = spec.policy.queue.clone();
         let digest = spec_digest(&spec);
+        let begun = Instant::now();
         let record = JobRecord::Live { spec, cancelled: false };
         let result = self.store(job, &record, deadline).await;
         let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "accepted".to_string());
+        let metrics = &self.shared.metrics;
+        metrics.latency.observe(begun.elapsed().as_secs_f64());
+        metrics.outcomes.with_label_values(&[queue.as_str(), outcome_label(&result), ""]).inc();
         log_event(
             Level::Info,
             "job_submitted",
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -31,6 +31,7 @@
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
 use crate::process::logging::log_event;
+use crate::process::metrics::serve_metrics;
 use crate::process::planning::job_desk::JobDesk;
 use crate::process::planning::office::OwnershipOffice;
 use crate::process::planning::settings::PlannerSettings;
@@ -83,6 +84,9 @@
         settings.internal_listen = addresses.internal;
         let drain_limit = settings.drain_limit;
         let shared = Arc::new(PlannerShared::new(settings, store));
+        if let Some(address) = shared.settings.metrics_listen {
+            serve_metrics(address, shared.metrics.clone()).await?;
+        }
         queue_watch::spawn_queue_watch(shared.clone());
         peer_watch::spawn_peer_watch(shared.clone());
         planner_client::spawn_planner_rpc(internal, shared.clone());
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -288,7 +288,10 @@
         }
         self.send_orders();
         let decisions = self.with_planner(Planner::take_decisions).unwrap_or_default();
-        decisions.iter().for_each(|decision| log_decision(self.proof.owner.epoch, decision));
+        for decision in &decisions {
+            self.shared.metrics.tasks.with_label_values(&[decision.label()]).inc();
+            log_decision(self.proof.owner.epoch, decision);
+        }
     }
 
     fn next_write(&mut self) -> Option<WriteTask> {
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -27,6 +27,8 @@
     pub ready_listen: SocketAddr,
     /// Address for other processes of the system.
     pub internal_listen: SocketAddr,
+    /// Address at which the metrics are served; nothing to serve none.
+    pub metrics_listen: Option<SocketAddr>,
     /// Address of the store.
     pub store: String,
     /// Longest time for a graceful stop.
@@ -57,6 +59,7 @@
             caller_listen: read_address(&mut reader, "planner", "caller-listen"),
             ready_listen: read_address(&mut reader, "planner", "ready-listen"),
             internal_listen: read_address(&mut reader, "planner", "internal-listen"),
+            metrics_listen: read_optional_address(&mut reader, "planner", "metrics-listen"),
             store: reader.required("store", "address"),
             drain_limit: reader
                 .span("planner", "stop-grace", STOP_GRACE)
@@ -79,6 +82,8 @@
     pub registry_listen: SocketAddr,
     /// Address for the planner.
     pub internal_listen: SocketAddr,
+    /// Address at which the metrics are served; nothing to serve none.
+    pub metrics_listen: Option<SocketAddr>,
     /// Address of the store.
     pub store: String,
 }
@@ -102,12 +107,22 @@
             domain: reader.required("node", "domain"),
             registry_listen: read_address(&mut reader, "node", "registry-listen"),
             internal_listen: read_address(&mut reader, "node", "internal-listen"),
+            metrics_listen: read_optional_address(&mut reader, "node", "metrics-listen"),
             store: reader.required("store", "address"),
         };
         reader.finish().or_value(settings)
     }
 }
 
+fn read_optional_address(reader: &mut IniReader, section: &str, key: &str) -> Option<SocketAddr> {
+    let text = reader.text(section, key).filter(|text| !text.is_empty())?;
+    let address = text.parse().ok();
+    if address.is_none() {
+        reader.report(section, key, &format!("'{text}' is no address with a port"));
+    }
+    address
+}
+
 fn read_address(reader: &mut IniReader, section: &str, key: &str) -> SocketAddr {
     let text = reader.required(section, key);
     let unset = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -16,6 +16,7 @@
 
 use crate::external::row_store::RowStore;
 use crate::process::clock::SteadyClock;
+use crate::process::metrics::ProcessMetrics;
 use crate::process::planning::rows::OwnerRow;
 use crate::process::planning::rows::PulseRow;
 use crate::process::planning::settings::PlannerSettings;
@@ -52,6 +53,8 @@
     pub store: Arc<dyn RowStore>,
     /// Names this run of the process.
     pub holder: String,
+    /// Counters and histograms.
+    pub metrics: ProcessMetrics,
     /// The wall clock.
     pub clock: SteadyClock,
     /// The queues in force.
@@ -72,6 +75,7 @@
             settings,
             store,
             holder: Uuid::new_v4().to_string(),
+            metrics: ProcessMetrics::open(),
             clock: SteadyClock::start(),
             queues: watch::channel(None).0,
             wake: Notify::new(),
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -64,3 +64,26 @@
         runs: usize,
     },
 }
+
+impl PlanDecision {
+    /// The decision's kind, as a metric's label.
+    ///
+    /// ```
+    /// use greengagearch::workflow::plan_decision::PlanDecision;
+    ///
+    /// let lost = PlanDecision::WorkerLost { worker: "i-1".into(), runs: 2 };
+    /// assert_eq!(lost.label(), "worker_lost");
+    /// ```
+    pub fn label(&self) -> &'static str {
+        match self {
+            PlanDecision::Assigned { .. } => "assigned",
+            PlanDecision::RunEnded { end: RunEnd::Done, .. } => "done",
+            PlanDecision::RunEnded { end: RunEnd::Failed, .. } => "failed",
+            PlanDecision::RunEnded { end: RunEnd::Stopped, .. } => "stopped",
+            PlanDecision::RunEnded { .. } => "lost",
+            PlanDecision::Moved { .. } => "moved",
+            PlanDecision::JobEnded { .. } => "job_ended",
+            PlanDecision::WorkerLost { .. } => "worker_lost",
+        }
+    }
+}
