--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -14,7 +14,7 @@
     "node_link_lost",
     "feed_lost",
     "commit_failed",
-    "ownership_watch_failed",
+    "ownership_watch_lost",
 ];
 
 /// One line of a log: its time in seconds and its pairs.
--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -117,7 +117,8 @@
                 None => "connect".to_string(),
             };
             let is_up = opened.elapsed() > CONNECT_TIMEOUT;
-            if was_up || is_up {
+            // A link that cannot be made again and again is told once.
+            if was_up {
                 log_event(
                     Level::Warn,
                     "node_link_lost",
--- a/src/process/planning/office.rs
+++ b/src/process/planning/office.rs
@@ -58,6 +58,7 @@
     owner: Option<(OwnerRow, RowVersion)>,
     changed: Instant,
     after: Option<RowVersion>,
+    has_failed: bool,
 }
 
 impl OwnershipOffice {
@@ -102,6 +103,9 @@
             }
         };
         self.after = Some(version);
+        if std::mem::take(&mut self.has_failed) {
+            log_event(Level::Info, "ownership_watch_regained", &[("version", &version)]);
+        }
         for row in rows {
             self.adopt(&row);
         }
@@ -128,7 +132,9 @@
         if *error == RowError::HistoryGone {
             self.after = None;
         }
-        log_event(Level::Warn, "ownership_watch_failed", &[("error", error)]);
+        if !std::mem::replace(&mut self.has_failed, true) {
+            log_event(Level::Warn, "ownership_watch_lost", &[("error", error)]);
+        }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 
--- a/src/process/planning/queue_watch.rs
+++ b/src/process/planning/queue_watch.rs
@@ -26,15 +26,23 @@
 pub fn spawn_queue_watch(shared: Arc<PlannerShared>) {
     tokio::spawn(async move {
         let mut after = None;
+        let mut has_failed = false;
         loop {
             match follow(&shared, after).await {
                 Ok(version) => {
                     shared.on_store_answer(Instant::now());
+                    if std::mem::take(&mut has_failed) {
+                        log_event(
+                            Level::Info,
+                            "configuration_watch_regained",
+                            &[("version", &version)],
+                        );
+                    }
                     after = Some(version);
                 }
                 Err(error) => {
-                    if after.is_some() {
-                        log_event(Level::Warn, "configuration_watch_failed", &[("error", &error)]);
+                    if !std::mem::replace(&mut has_failed, true) {
+                        log_event(Level::Warn, "configuration_watch_lost", &[("error", &error)]);
                     }
                     if error == RowError::HistoryGone {
                         after = None;
