--- a/src/process/planning/office.rs
+++ b/src/process/planning/office.rs
@@ -64,7 +64,13 @@
 impl OwnershipOffice {
     /// Starts watching. The task ends when the process stops.
     pub fn spawn(shared: Arc<PlannerShared>) -> tokio::task::JoinHandle<()> {
-        let office = OwnershipOffice { shared, owner: None, changed: Instant::now(), after: None };
+        let office = OwnershipOffice {
+            shared,
+            owner: None,
+            changed: Instant::now(),
+            after: None,
+            has_failed: false,
+        };
         tokio::spawn(office.run())
     }
 
