Test an agent's death with its successor, as the platform restarts it

Chain: the killed agent never came back in the test; its runner's tasks ended as done, nobody took note, and after the leases had surely expired they ran elsewhere. That is what the platform's rules allow, since such an end was never taken note of; the test's audit did not. It passed before because all tasks had been on the paused agent's worker. Change: the test starts the agent anew, as the platform does. As strict: every end has to be told by the successor.

--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -28,6 +28,7 @@
     journal: RunJournal,
     planners: Vec<(ProductProcess, StoreListener)>,
     nodes: Vec<(ProductProcess, PlatformRunner)>,
+    node_stores: Vec<StoreListener>,
     client: reqwest::Client,
 }
 
@@ -40,6 +41,7 @@
             journal: RunJournal::default(),
             planners: Vec::new(),
             nodes: Vec::new(),
+            node_stores: Vec::new(),
             client: reqwest::Client::builder().no_proxy().build().unwrap(),
         };
         env.configure(1, &["q"]);
@@ -93,6 +95,23 @@
         let registry = process.address("registry");
         let runner = PlatformRunner::spawn(instance, registry, self.journal.clone()).await;
         self.nodes.push((process, runner));
+        self.node_stores.push(listener);
+    }
+
+    /// Starts an agent anew at the addresses that it had, as the platform does with a process that died.
+    fn restart_agent(&mut self, node: usize) {
+        let listener = &self.node_stores[node];
+        let process = &self.nodes[node].0;
+        let text = format!(
+            "[node]\nid = n\ndomain = d\nregistry-listen = {}\ninternal-listen = {}\n\
+             [store]\naddress = {}\n",
+            process.address("registry"),
+            process.address("internal"),
+            listener.address
+        );
+        let settings = self.folder.write(&text);
+        let program = Path::new(env!("CARGO_BIN_EXE_gga-node"));
+        self.nodes[node].0 = ProductProcess::spawn(program, &settings);
     }
 
     async fn until_ready(&self, planner: usize) {
@@ -266,6 +285,8 @@
     env.nodes[0].0.kill();
     env.nodes[1].0.signal("STOP");
     tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // What ended meanwhile is told by the agent's successor.
+    env.restart_agent(0);
     env.nodes[1].0.signal("CONT");
     for number in 0..4 {
         env.until_state(0, &name(number), "completed").await;
