--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -26,7 +26,7 @@
 /// Share of the estimated rest of a job that it takes at least; estimates are off by half.
 const SURE_SHARE: f64 = 0.5;
 /// Multiple of its estimate after which a task that may have copies gets one; estimates are off by half.
-const COPY_AFTER: f64 = 1.8;
+const COPY_AFTER: f64 = 3.0;
 /// Time beyond that for the way of orders and ends.
 const COPY_SLACK: Duration = Duration::from_millis(250);
 /// Time without a run after which a job's tasks that fill take any room, in milliseconds: well below the
