--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -26,6 +26,9 @@
 /// Time since the last change of fills on a worker after which a pair that was never seen may be tried
 /// there, so that what it does is told apart.
 const EXPLORE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Thousandths of a core that make up one unit of cost; larger than any worker, so that size only
+/// decides between workers that are equally free.
+const SIZE_UNIT: f64 = 1_000_000.0;
 /// Added to the cost of a worker that has failed tasks of late.
 const FAILED_COST: f64 = 3.0;
 
@@ -176,7 +179,9 @@
 fn packed_cost(worker: &WorkerEntry) -> f64 {
     let capacity = worker.status.as_ref().map_or(0, |status| status.capacity.millicores);
     let left = worker.free_room().millicores as f64 / capacity.max(1) as f64;
-    if worker.is_serving() { left } else { left + NOT_SERVING_COST }
+    // Of workers on which nothing serves the largest is opened first, so that few have to be.
+    let size = capacity as f64 / SIZE_UNIT;
+    if worker.is_serving() { left } else { left + NOT_SERVING_COST - size }
 }
 
 /// Demand of fills against what is left to them, with this one, and the risk for what serves.
