Split the planner's writes from its loop, the known runner from the agent's state; no list is read in part

Names and places only, but for two mends found in reading: a stale sync names the newest link instead of its own, and a runner's list with a name that is no task counts as no answer in place of being read without it.

--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -24,6 +24,7 @@
 use crate::platform::http_client::PlatformHttp;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::spec::TaskName;
+use crate::workflow::spec::UnknownTask;
 
 /// Header that names the life of a runner that a call is meant for.
 const EXPECT_INSTANCE: &str = "X-Greengagearch-Expect-Instance";
@@ -188,8 +189,8 @@
         let lists: WireLists = self.call(target, "hold", &body, hold.wait + HOLD_SLACK).await?;
         Ok(RunnerLists {
             clock: lists.clock,
-            running: lists.running.into_iter().filter_map(decode_running).collect(),
-            ended: lists.ended.into_iter().filter_map(decode_ended).collect(),
+            running: lists.running.into_iter().map(decode_running).collect::<Result<_, _>>()?,
+            ended: lists.ended.into_iter().map(decode_ended).collect::<Result<_, _>>()?,
         })
     }
 }
@@ -229,10 +230,10 @@
     RunnerError::Rejected { reason }
 }
 
-fn decode_running(running: WireRunning) -> Option<PresentRun> {
+fn decode_running(running: WireRunning) -> Result<PresentRun, RunnerError> {
     let (task, run, checkpoint, progress, usage) = running;
-    Some(PresentRun {
-        task: task.parse().ok()?,
+    Ok(PresentRun {
+        task: decode_task(&task)?,
         run,
         checkpoint: checkpoint.unwrap_or_default(),
         progress_percent: progress as u32,
@@ -241,7 +242,7 @@
     })
 }
 
-fn decode_ended(ended: WireEnded) -> Option<EndedRun> {
+fn decode_ended(ended: WireEnded) -> Result<EndedRun, RunnerError> {
     let (number, task, run, how, checkpoint) = ended;
     let end = match how.as_str() {
         "done" => RunEnd::Done,
@@ -252,5 +253,10 @@
         _ => RunEnd::Lapsed,
     };
     let checkpoint = checkpoint.unwrap_or_default();
-    Some(EndedRun { number, task: task.parse().ok()?, run, end, checkpoint })
+    Ok(EndedRun { number, task: decode_task(&task)?, run, end, checkpoint })
+}
+
+/// A list that names something else than tasks is no answer that anything may be concluded from.
+fn decode_task(text: &str) -> Result<TaskName, RunnerError> {
+    text.parse().map_err(|error: UnknownTask| RunnerError::NoAnswer { reason: error.to_string() })
 }
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -1,5 +1,6 @@
 //! The node agent: the one process that calls the runner on its host, at the planner's orders.
 
+pub mod known_runner;
 pub mod orders;
 pub mod rpc;
 pub mod shared;
--- a/src/process/node/rpc.rs
+++ b/src/process/node/rpc.rs
@@ -72,7 +72,7 @@
         let mut state = self.shared.state();
         if !state.is_current(call.stamp) {
             // A look that is taken out here would be missing in the answer to the newer link.
-            return Err(StaleLink { newest: call.stamp });
+            return Err(StaleLink { newest: state.newest_stamp() });
         }
         Ok(state.report(Instant::now()))
     }
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -14,7 +14,7 @@
 use crate::platform::runner_registry::RunnerRegistry;
 use crate::process::logging::log_event;
 use crate::process::metrics::ProcessMetrics;
-use crate::process::node::state::KnownRunner;
+use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::state::NodeState;
 
 /// Orders on their way to the runner at once: each takes a connection, and new ones are priced. More than
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -11,7 +11,6 @@
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::RejectedRun;
 use crate::connection::node_protocol::RunnerLook;
-use crate::connection::node_protocol::RunnerStatus;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
 use crate::external::runner_control::RunnerHold;
@@ -19,6 +18,7 @@
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
 use crate::ids::InstanceId;
+use crate::process::node::known_runner::KnownRunner;
 use crate::workflow::grant::surely_expired;
 use crate::workflow::pacing::PaceControl;
 use crate::workflow::spec::TaskName;
@@ -32,17 +32,6 @@
 /// A runner that has not answered for so long gets no longer leases.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// The runner on this host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KnownRunner {
-    /// What it says of itself.
-    pub status: RunnerStatus,
-    /// Where it takes orders.
-    pub address: String,
-    /// Number of its newest heartbeat.
-    pub sequence: u64,
-}
-
 /// An order to start that this agent has on its way, or that the newest look may not show yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LocalStart {
@@ -137,6 +126,11 @@
         Ok(is_new)
     }
 
+    /// The newest sender.
+    pub fn newest_stamp(&self) -> LinkStamp {
+        self.stamp
+    }
+
     /// Whether a sender is still the newest.
     pub fn is_current(&self, stamp: LinkStamp) -> bool {
         stamp == self.stamp
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -8,6 +8,7 @@
 pub mod peer_watch;
 pub mod planner_client;
 pub mod planner_loop;
+pub mod planner_writes;
 pub mod queue_watch;
 pub mod rows;
 pub mod settings;
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -10,7 +10,7 @@
 use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerLists;
-use greengagearch::process::node::state::KnownRunner;
+use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::state::NodeState;
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::worker_board::RunKey;
