Take a new epoch whenever planning starts anew

Found in reading: after a refused write a process that still held the row planned again under its old epoch, with link numbers that began anew; agents refused them until they had passed the old ones, and a write of the loop before could meet those of the new one. Change: whoever starts to plan writes a higher epoch first. Ruled out: keeping link numbers, which leaves the old writes.

--- a/src/process/planning/office.rs
+++ b/src/process/planning/office.rs
@@ -76,7 +76,6 @@
 
     async fn run(mut self) {
         while !self.shared.is_stopping() {
-            let sent = Instant::now();
             let shared = self.shared.clone();
             let watched = tokio::select! {
                 watched = self.watch() => watched,
@@ -86,9 +85,7 @@
                 self.on_failure(&error).await;
                 continue;
             }
-            if let Some(proof) = self.proof(sent) {
-                self.own(proof).await;
-            } else if self.is_vacant() {
+            if self.is_vacant() {
                 self.take_over().await;
             }
         }
@@ -158,25 +155,13 @@
             None => true,
             Some((owner, _)) => {
                 // Of processes at one address only the newest lives.
+                // The same goes for a row that names this process while it does not plan.
                 let is_own_past = owner.address == self.shared.settings.internal_listen.to_string();
                 owner.released || is_own_past || self.until_vacant().is_zero()
             }
         }
     }
 
-    /// The proof that this process is the owner, when the row says so.
-    fn proof(&self, sent: Instant) -> Option<OwnerProof> {
-        let (owner, version) = self.owner.as_ref()?;
-        let is_mine = owner.holder == self.shared.holder && !owner.released;
-        is_mine.then(|| OwnerProof {
-            owner: owner.clone(),
-            version: *version,
-            sent,
-            answered: Instant::now(),
-            has_predecessor: owner.epoch > 1,
-        })
-    }
-
     async fn take_over(&mut self) {
         let before = self.owner.clone();
         let epoch = before.as_ref().map_or(0, |(owner, _)| owner.epoch) + 1;
@@ -194,11 +179,10 @@
         let sent = Instant::now();
         match self.shared.store.commit(&transaction).await {
             Ok(version) => {
-                self.owner = Some((owner.clone(), version));
-                self.shared.view().owner = Some(owner);
-                if let Some(proof) = self.proof(sent) {
-                    self.own(proof).await;
-                }
+                self.shared.view().owner = Some(owner.clone());
+                let answered = Instant::now();
+                let has_predecessor = owner.epoch > 1;
+                self.own(OwnerProof { owner, version, sent, answered, has_predecessor }).await;
             }
             Err(RowError::Conflict { rows }) => rows.iter().for_each(|row| self.adopt(row)),
             // If it was written all the same, the next look at the row shows it.
