Send orders again after an agent came back before its runner

Cause: a link counted as new for one report only. A restarted agent whose runner had not registered yet gave a report without a runner, so the planner never compared its runs, and orders of the link before were neither sent again nor given up. Found with the processes' logs, which the test tool now reads to their end (GGA_TEST_LOG shows them); before, it closed the pipe. Ruled out: ports taken by another test (the successor listened in each of the failed runs). Also: an order that is not answered ends the link.

--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -6,6 +6,7 @@
 
 use log::Level;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -56,7 +57,7 @@
         address: String,
         /// What it said.
         report: Box<NodeReport>,
-        /// Whether it is the first report over its link.
+        /// Whether it is the first report over its link that names a runner, or one before that.
         is_new_link: bool,
     },
     /// An agent knows a later planner.
@@ -86,8 +87,14 @@
         news: mpsc::UnboundedSender<LinkNews>,
     ) -> NodeLink {
         let (orders, parcels) = mpsc::unbounded_channel();
-        let worker =
-            LinkWorker { last_sent: 0, shared, address, news, stamp: LinkStamp { epoch, link: 0 } };
+        let worker = LinkWorker {
+            last_sent: 0,
+            shared,
+            address,
+            news,
+            stamp: LinkStamp { epoch, link: 0 },
+            order_lost: Arc::default(),
+        };
         NodeLink { orders, running: tokio::spawn(worker.run(parcels)) }
     }
 }
@@ -99,6 +106,8 @@
     address: String,
     news: mpsc::UnboundedSender<LinkNews>,
     stamp: LinkStamp,
+    /// Tells that an order of the present link was not answered.
+    order_lost: Arc<Notify>,
 }
 
 impl LinkWorker {
@@ -107,6 +116,7 @@
         loop {
             self.stamp.link += 1;
             self.last_sent = 0;
+            self.order_lost = Arc::default();
             let opened = Instant::now();
             let reason = match self.connect().await {
                 Some(client) => {
@@ -157,9 +167,11 @@
                 Err(reason) => return reason,
             };
             call = self.next_call(&report);
+            // An agent that has just started may not have heard of its runner yet.
+            let names_runner = report.runner.is_some();
             let report = Box::new(report);
             let news = LinkNews::Report { address: self.address.clone(), report, is_new_link };
-            is_new_link = false;
+            is_new_link &= !names_runner;
             if self.news.send(news).is_err() {
                 return "planning ended".to_string();
             }
@@ -190,6 +202,9 @@
                     Err(error) => Err(CallError::from(error).to_string()),
                 },
                 Some(parcel) = parcels.recv() => self.send(client, parcel),
+                // The agent counts orders in their sequence: one that is missing holds up all later
+                // ones, until a new link begins the sequence anew.
+                () = self.order_lost.notified() => return Err("an order was not answered".to_string()),
                 () = &mut limit => return Err("no answer in time".to_string()),
             }
         }
@@ -203,10 +218,12 @@
             previous: std::mem::replace(&mut self.last_sent, parcel.number),
             orders: parcel.orders,
         };
-        let client = client.clone();
+        let (client, order_lost) = (client.clone(), self.order_lost.clone());
         tokio::spawn(async move {
-            // A lost order is found by the next report, which does not count its number.
-            let _ = client.order(call_within(ANSWER_SLACK), call).await;
+            // That the agent obeys a later link is told to the calls that ask for its state as well.
+            if client.order(call_within(ANSWER_SLACK), call).await.is_err() {
+                order_lost.notify_one();
+            }
         });
     }
 
--- a/standins/src/processes.rs
+++ b/standins/src/processes.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
+use std::process::ChildStdout;
 use std::process::Command;
 use std::process::Stdio;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 const END_LIMIT: Duration = Duration::from_secs(60);
 /// Pause between two looks at a process.
 const POLL: Duration = Duration::from_millis(20);
-/// Variable that lets processes write their logs to the standard error.
+/// Variable that lets the logs of processes show on the standard error.
 const LOG_VARIABLE: &str = "GGA_TEST_LOG";
 
 /// A process of the product that ends with its handle.
@@ -33,8 +34,11 @@
         }
         let mut child = command.spawn().expect("the program can be started");
         let stdout = child.stdout.take().expect("stdout is piped");
+        let mut lines = BufReader::new(stdout);
         let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line).expect("the program prints its addresses");
+        lines.read_line(&mut line).expect("the program prints its addresses");
+        assert!(!line.is_empty(), "{} ended before it printed its addresses", program.display());
+        std::thread::spawn(move || drain(lines));
         let words = line.split_whitespace().filter_map(|word| word.split_once('='));
         let addresses = words.map(|(name, address)| {
             (name.to_string(), address.parse().expect("the program prints addresses"))
@@ -112,6 +116,14 @@
     }
 }
 
+/// Reads the structured log to its end, as a platform does; a test shows it if it is asked to.
+fn drain(lines: BufReader<ChildStdout>) {
+    let shows = std::env::var_os(LOG_VARIABLE).is_some();
+    for line in lines.lines().map_while(Result::ok).filter(|_| shows) {
+        eprintln!("{line}");
+    }
+}
+
 impl Drop for ProductProcess {
     fn drop(&mut self) {
         self.kill();
