Log what fills want and get

Cause: whether fills are held by placement, pace or contention could not be read from the logs. Change: planner_load shows the processor time that fills would use at their pace, and what they use.

--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -71,6 +71,8 @@
             ("serving", &load.serving),
             ("filling", &load.filling),
             ("slowed", &load.slowed),
+            ("fill_wanted", &load.fill_wanted),
+            ("fill_used", &load.fill_used),
             ("others", &load.others),
             ("workers", &load.workers),
             ("serving_workers", &load.serving_workers),
--- a/src/workflow/planner_load.rs
+++ b/src/workflow/planner_load.rs
@@ -20,6 +20,10 @@
     pub filling: usize,
     /// Runs that fill and are held up.
     pub slowed: usize,
+    /// Processor time that runs that fill would use at their present pace, in thousandths of a core.
+    pub fill_wanted: u64,
+    /// Processor time that they use, in thousandths of a core.
+    pub fill_used: u64,
     /// Other runs.
     pub others: usize,
     /// Workers that take new work.
@@ -72,6 +76,10 @@
                 load.serving += usize::from(run.target_ms > 0);
                 load.filling += usize::from(run.fills);
                 load.slowed += usize::from(run.slow_since.is_some());
+                if let Some(seen) = run.seen.as_ref().filter(|_| run.fills) {
+                    load.fill_wanted += run.millicores * u64::from(seen.pace_percent) / 100;
+                    load.fill_used += seen.usage;
+                }
                 load.others += usize::from(!run.fills && run.target_ms == 0);
             }
         }
