Pace fills by the load model

Found by looking at all tails: tasks of a step swing alike, tails are renewed every half second, fills are bound by what serves and not by room. Change: agents hold each group of siblings below its target by what the fills beside it add, the heaviest cut first, rises once a measured span; loads are learned by step instead of by run; agents are told what was learned; serving jobs are placed by image; demand counts by pace.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -104,6 +104,8 @@
     pub progress_percent: u32,
     /// Share of its speed at which the agent lets it work, in percent.
     pub pace_percent: u32,
+    /// The mean of that over the span that the tails of this look tell of, in percent.
+    pub measured_percent: u32,
     /// Tail latency in milliseconds of a task that serves, else thousandths of a core in use.
     pub usage: u64,
 }
@@ -179,6 +181,15 @@
     pub look: Option<RunnerLook>,
 }
 
+/// What a task that fills adds to the load of tasks of one image that serve.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ImageEffect {
+    /// The image that serves.
+    pub serving: String,
+    /// The load, in thousandths.
+    pub added_permille: u32,
+}
+
 /// What the agent has to know of a task besides the order, to watch and pace it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskTraits {
@@ -190,13 +201,35 @@
     pub target_ms: u64,
     /// Whether it fills what others leave.
     pub fills: bool,
-    /// What it adds at full pace to the load of the most sensitive task that serves on its worker, in
-    /// thousandths.
-    pub added_permille: u32,
+    /// What it adds at full pace to the loads of tasks that serve, by their images.
+    pub effects: Vec<ImageEffect>,
     /// Tail latency of a task that serves when nothing loads it, in milliseconds; zero when not known.
     pub idle_tail_ms: u32,
 }
 
+impl TaskTraits {
+    /// What the task adds at full pace to the load of tasks of an image, if that is known.
+    ///
+    /// ```
+    /// use greengagearch::connection::node_protocol::ImageEffect;
+    /// use greengagearch::connection::node_protocol::TaskTraits;
+    ///
+    /// let traits = TaskTraits {
+    ///     task: "a.0.0.0".parse().unwrap(),
+    ///     image: "f".to_string(),
+    ///     target_ms: 0,
+    ///     fills: true,
+    ///     effects: vec![ImageEffect { serving: "s".to_string(), added_permille: 40 }],
+    ///     idle_tail_ms: 0,
+    /// };
+    /// assert_eq!(traits.added("s"), Some(0.04));
+    /// ```
+    pub fn added(&self, serving: &str) -> Option<f64> {
+        let effect = self.effects.iter().find(|effect| effect.serving == serving)?;
+        Some(f64::from(effect.added_permille) / 1_000.0)
+    }
+}
+
 /// Orders that a task is started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -345,7 +345,9 @@
         }
         let mut present = lists.running;
         for run in &mut present {
-            run.pace_percent = self.pace.ordered(&(run.task.clone(), run.run));
+            let key = (run.task.clone(), run.run);
+            run.pace_percent = self.pace.ordered(&key);
+            run.measured_percent = self.pace.measured(&key, now);
         }
         self.starts.retain(|key, start| {
             let is_running = present.iter().any(|run| run.task == key.0 && run.run == key.1);
@@ -407,6 +409,7 @@
         checkpoint: String::new(),
         progress_percent: 0,
         pace_percent: 100,
+        measured_percent: 100,
         usage: 0,
     }
 }
--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -1,9 +1,9 @@
 //! A run as the planner sees it on its worker.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::connection::node_protocol::PresentRun;
+use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::spec::RoomAmount;
 
 /// Pace at which a task that fills counts as held up, in percent.
@@ -34,8 +34,8 @@
     pub seen: Option<PresentRun>,
     /// When the worker first said that it runs.
     pub seen_since: Option<Instant>,
-    /// Its pace before the newest one, in percent, and when that changed.
-    pub pace_before: Option<(u32, Instant)>,
+    /// What its agent was last told of it.
+    pub told: Option<TaskTraits>,
     /// Since when it may work only slowly, because it disturbs what serves.
     pub slow_since: Option<Instant>,
     /// Whether it was ordered to stop.
@@ -58,49 +58,27 @@
     /// board.assign("i-1", key.clone(), &StepSpec::default(), now, now);
     /// let run = board.get_mut("i-1").unwrap().assigned.get_mut(&key).unwrap();
     /// let checkpoint = String::new();
-    /// let (progress_percent, pace_percent, usage) = (0, 10, 0);
-    /// let seen =
-    ///     PresentRun { task: key.0, run: 1, checkpoint, progress_percent, pace_percent, usage };
+    /// let (progress_percent, pace_percent, measured_percent, usage) = (0, 10, 10, 0);
+    /// let seen = PresentRun {
+    ///     task: key.0,
+    ///     run: 1,
+    ///     checkpoint,
+    ///     progress_percent,
+    ///     pace_percent,
+    ///     measured_percent,
+    ///     usage,
+    /// };
     /// assert!(run.on_seen(seen, now));
     /// ```
     pub fn on_seen(&mut self, seen: PresentRun, now: Instant) -> bool {
         let before = self.seen.as_ref().map(|known| known.pace_percent);
         let is_new_pace = before != Some(seen.pace_percent);
-        if let (Some(before), true) = (before, is_new_pace) {
-            self.pace_before = Some((before, now));
-        }
         self.seen_since.get_or_insert(now);
         let is_slow = self.fills && seen.pace_percent <= SLOW_PERCENT;
         self.slow_since = if is_slow { self.slow_since.or(Some(now)) } else { None };
         self.seen = Some(seen);
         is_new_pace
     }
-
-    /// The highest pace within a span before `now`, in percent.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use std::time::Instant;
-    ///
-    /// use greengagearch::workflow::spec::StepSpec;
-    /// use greengagearch::workflow::spec::TaskName;
-    /// use greengagearch::workflow::worker_board::WorkerBoard;
-    ///
-    /// let now = Instant::now();
-    /// let mut board = WorkerBoard::default();
-    /// let name: TaskName = "a.0.0.0".parse().unwrap();
-    /// board.assign("i-1", (name.clone(), 1), &StepSpec::default(), now, now);
-    /// let run = &board.get("i-1").unwrap().assigned[&(name, 1)];
-    /// assert_eq!(run.peak_percent(now, Duration::from_secs(1)), 0);
-    /// ```
-    pub fn peak_percent(&self, now: Instant, span: Duration) -> u32 {
-        let newest = self.seen.as_ref().map_or(0, |seen| seen.pace_percent);
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < span;
-        match self.pace_before {
-            Some((before, at)) if is_recent(at) => before.max(newest),
-            _ => newest,
-        }
-    }
 }
 
 /// A run that filled and has ended of late.
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -1,24 +1,26 @@
 //! How much tasks that fill disturb tasks that serve beside them, learned by pairs of images.
 //!
 //! A serving task's tail latency behaves like that of a queue: tail = idle tail / (1 − load), where tasks that
-//! fill add to the load. So everything adds up in terms of load = 1 − idle tail / tail. Each
-//! serving run keeps its own load, which drifts within seconds, and each pair of images what one filling task
-//! at full pace adds; both are updated by a Kalman filter with a diagonal covariance.
+//! fill add to the load. So everything adds up in terms of load = 1 − idle tail / tail. The load that a step
+//! that serves has without them swings within seconds, for all its tasks alike wherever they run (seen in
+//! tails of bridgeway quiet-1); each pair of images has what one filling task at full pace adds. Both are
+//! updated by a Kalman filter with a diagonal covariance.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::node_protocol::ImageEffect;
+use crate::ids::JobId;
 use crate::workflow::assigned_run::AssignedRun;
-use crate::workflow::worker_board::RunKey;
+use crate::workflow::spec::TaskName;
 use crate::workflow::worker_board::WorkerEntry;
 
 /// Name of what a task runs.
 pub type ImageName = String;
 
 /// Span over which runners measure tails.
-const MEASURED_SPAN: Duration = Duration::from_millis(500);
+pub const MEASURED_SPAN: Duration = Duration::from_millis(500);
 /// Part of the span from which on a task counts in full, since a tail shows the worst part of it.
 const FULL_OVERLAP: Duration = Duration::from_millis(200);
 /// Part of the span below which a task does not count; samples with tasks between both are not used.
@@ -26,7 +28,7 @@
 /// Idle tail as a share of the least tail that was seen, since some load was there then as well.
 const IDLE_SHARE: f64 = 0.85;
 /// Idle tail as a share of the target before any tail was seen.
-const FIRST_IDLE_SHARE: f64 = 0.2;
+pub(crate) const FIRST_IDLE_SHARE: f64 = 0.2;
 /// Load of a serving run before anything was seen of it.
 const FIRST_LOAD: f64 = 0.45;
 /// Variance of that load.
@@ -34,7 +36,7 @@
 /// Growth of the variance of a run's load a second: it swings by a quarter within seconds.
 const LOAD_DRIFT: f64 = 0.01;
 /// What a filling task adds to a load before its pair was seen.
-const FIRST_ADDED: f64 = 0.12;
+pub(crate) const FIRST_ADDED: f64 = 0.12;
 /// Variance of that.
 const FIRST_ADDED_VARIANCE: f64 = 0.04;
 /// Growth of a pair's variance a second.
@@ -45,6 +47,10 @@
 const TAIL_NOISE: f64 = 0.1;
 /// Largest load that a tail is believed to show.
 const LARGEST_LOAD: f64 = 0.98;
+/// Load from which on a tail is taken to be cut off.
+const SATURATED_LOAD: f64 = 0.92;
+/// What a load that is cut off is taken to be beyond what its tail shows.
+const SATURATION_EXCESS: f64 = 0.25;
 /// Room that is left for a load to swing after a task is placed.
 const SWING_ROOM: f64 = 0.03;
 /// Share of the load at the target up to which a load may be expected when a task that fills is placed.
@@ -99,7 +105,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DisturbanceModel {
     pub(crate) least_tails: BTreeMap<ImageName, f64>,
-    loads: HashMap<RunKey, Estimate>,
+    loads: BTreeMap<(JobId, u32), Estimate>,
     pub(crate) pairs: BTreeMap<(ImageName, ImageName), Estimate>,
 }
 
@@ -116,22 +122,28 @@
     /// DisturbanceModel::default().learn(board.entry("i-1", Instant::now()), Instant::now());
     /// ```
     pub fn learn(&mut self, worker: &WorkerEntry, now: Instant) {
+        let mut tails: BTreeMap<(JobId, u32), Vec<(f64, &AssignedRun)>> = BTreeMap::new();
         for (key, run) in worker.assigned.iter().filter(|(_, run)| run.target_ms > 0) {
             let tail = run.seen.as_ref().map_or(0, |seen| seen.usage) as f64;
-            if tail <= 0.0 {
-                continue;
-            }
-            let least = self.least_tails.entry(run.image.clone()).or_insert(tail);
-            *least = least.min(tail);
-            if let Some(fills) = measured_fills(worker, now) {
-                self.learn_run(key, run, tail, &fills, now);
+            if tail > 0.0 {
+                let least = self.least_tails.entry(run.image.clone()).or_insert(tail);
+                *least = least.min(tail);
+                tails.entry(load_key(&key.0)).or_default().push((tail, run));
             }
         }
+        let Some(fills) = measured_fills(worker, now) else {
+            return;
+        };
+        for (key, mut tails) in tails {
+            tails.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let (tail, run) = tails[(tails.len() - 1) / 2];
+            self.learn_tail(key, run, tail, &fills, now);
+        }
     }
 
-    fn learn_run(
+    fn learn_tail(
         &mut self,
-        key: &RunKey,
+        key: (JobId, u32),
         run: &AssignedRun,
         tail: f64,
         fills: &BTreeMap<ImageName, f64>,
@@ -139,7 +151,7 @@
     ) {
         let measured = (1.0 - self.idle_tail(run) / tail).clamp(0.0, LARGEST_LOAD);
         let first = Estimate { value: FIRST_LOAD, variance: FIRST_LOAD_VARIANCE, at: now };
-        let load = self.loads.entry(key.clone()).or_insert(first);
+        let load = self.loads.entry(key).or_insert(first);
         load.drift(now, LOAD_DRIFT, FIRST_LOAD_VARIANCE);
         let noise = SAMPLE_VARIANCE + (TAIL_NOISE * (1.0 - measured)).powi(2);
         let (mut expected, mut spread) = (load.value, load.variance + noise);
@@ -150,7 +162,9 @@
             expected += weight * pair.value;
             spread += weight * weight * pair.variance;
         }
-        let surprise = measured - expected;
+        // Tails are cut off where queues grow without end; how far the load is beyond is not seen.
+        let is_saturated = measured > SATURATED_LOAD && expected < measured;
+        let surprise = measured - expected + if is_saturated { SATURATION_EXCESS } else { 0.0 };
         load.correct(surprise, 1.0, spread, (0.0, LARGEST_LOAD));
         for (image, weight) in fills {
             if let Some(pair) = self.pairs.get_mut(&(run.image.clone(), image.clone())) {
@@ -159,15 +173,15 @@
         }
     }
 
-    /// Forgets a serving run that has ended.
+    /// Forgets the loads of a job that has ended.
     ///
     /// ```
     /// use greengagearch::workflow::disturbance::DisturbanceModel;
     ///
-    /// DisturbanceModel::default().forget_run(&("a.0.0.0".parse().unwrap(), 1));
+    /// DisturbanceModel::default().forget_job("a");
     /// ```
-    pub fn forget_run(&mut self, key: &RunKey) {
-        self.loads.remove(key);
+    pub fn forget_job(&mut self, job: &str) {
+        self.loads.retain(|key, _| key.0 != job);
     }
 
     /// The tail of a serving run without any load, in milliseconds.
@@ -218,7 +232,7 @@
     pub fn risk(&self, worker: &WorkerEntry, image: &str) -> PlacementRisk {
         let mut risk = PlacementRisk { pressure: 0.0, is_unseen: false };
         for (key, run) in worker.assigned.iter().filter(|(_, run)| run.target_ms > 0) {
-            let load = self.loads.get(key).map_or(FIRST_LOAD, |load| load.value);
+            let load = self.loads.get(&load_key(&key.0)).map_or(FIRST_LOAD, |load| load.value);
             let fills = worker.assigned.values().filter(|other| other.fills);
             let added: f64 = fills.map(|other| self.added(&run.image, &other.image)).sum();
             let expected = load + SWING_ROOM + added + self.added(&run.image, image);
@@ -228,21 +242,19 @@
         risk
     }
 
-    /// What one task of an image adds to the load of the most sensitive task that serves on a worker.
+    /// What one task of an image that fills adds to the loads of the images that it was seen beside.
     ///
     /// ```
-    /// use std::time::Instant;
-    ///
-    /// use greengagearch::workflow::disturbance::DisturbanceModel;
-    /// use greengagearch::workflow::worker_board::WorkerBoard;
-    ///
-    /// let mut board = WorkerBoard::default();
-    /// let weight = DisturbanceModel::default().weight(board.entry("i-1", Instant::now()), "x");
-    /// assert_eq!(weight, 0.0);
+    /// let model = greengagearch::workflow::disturbance::DisturbanceModel::default();
+    /// assert!(model.effects("x").is_empty());
     /// ```
-    pub fn weight(&self, worker: &WorkerEntry, image: &str) -> f64 {
-        let serving = worker.assigned.values().filter(|run| run.target_ms > 0);
-        serving.map(|run| self.added(&run.image, image)).fold(0.0, f64::max)
+    pub fn effects(&self, image: &str) -> Vec<ImageEffect> {
+        let seen = self.pairs.iter().filter(|((_, filling), _)| filling == image);
+        let effects = seen.map(|((serving, _), pair)| ImageEffect {
+            serving: serving.clone(),
+            added_permille: (pair.value * 1_000.0) as u32,
+        });
+        effects.collect()
     }
 
     /// All pairs that were learned, as `serving/filling=load`, for the log.
@@ -270,6 +282,11 @@
     }
 }
 
+/// The step whose tasks share a load.
+fn load_key(name: &TaskName) -> (JobId, u32) {
+    (name.job.clone(), name.step)
+}
+
 /// Tasks that filled on a worker in the span that its newest tails tell of, by image, one at half pace as one
 /// half; nothing when one of them ran for a part of the span that counts neither in full nor not at all.
 fn measured_fills(worker: &WorkerEntry, now: Instant) -> Option<BTreeMap<ImageName, f64>> {
@@ -285,7 +302,8 @@
     let mut is_clear = true;
     for run in worker.assigned.values().filter(|run| run.fills) {
         if let Some(begin) = run.seen_since {
-            is_clear &= add(&run.image, begin, now, run.peak_percent(now, MEASURED_SPAN));
+            let measured = run.seen.as_ref().map_or(0, |seen| seen.measured_percent);
+            is_clear &= add(&run.image, begin, now, measured);
         }
     }
     for ended in &worker.ended_fills {
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -1,34 +1,37 @@
 //! How fast tasks that fill may work beside tasks that serve.
 //!
-//! The tail of a serving task's response times must stay below its target. The measured tail is that of the
-//! last half second, so that a step shows only in the looks after it. Fills are slowed at once in
-//! proportion to the excess, and let up by small steps.
+//! The tail of a serving task's response times must stay below its target. In terms of the load that a tail
+//! shows (see [`crate::workflow::disturbance`]) fills add up: what they may add is the load that is aimed at
+//! less the load that is there without them. That one is what was measured less what the fills have added
+//! over the measured span, each by its image and its pace. The fills that add most are slowed first.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::connection::node_protocol::PresentRun;
 use crate::connection::node_protocol::TaskTraits;
+use crate::workflow::disturbance::FIRST_ADDED;
+use crate::workflow::disturbance::FIRST_IDLE_SHARE;
+use crate::workflow::disturbance::MEASURED_SPAN;
 use crate::workflow::spec::TaskName;
 use crate::workflow::worker_board::RunKey;
 
-/// Share of the target that a tail should not exceed; the rest is for what changes within a look.
-const AIM_SHARE: f64 = 0.85;
-/// Share of the target below which fills may work faster again.
-const EASE_SHARE: f64 = 0.7;
-/// What a step lets fills work faster, in percent of their full speed.
-const EASE_STEP: f64 = 25.0;
-/// Time between two steps: the measured span and the time until a new pace has its effect.
-const STEP_PAUSE: Duration = Duration::from_millis(500);
-/// Least change of pace that is ordered, in percent.
-const LEAST_CHANGE: u32 = 4;
-/// Share of the largest expected disturbance from which on a fill is slowed with the one that has it.
-const CULPRIT_SHARE: f64 = 0.4;
-/// Added to every expected disturbance, in thousandths of a load, for what is not known of it.
-const LEAST_WEIGHT: f64 = 30.0;
-/// Full speed.
-const FULL: f64 = 100.0;
+/// Kept between the load that is aimed at and the load at the target: what a load swings by within a look and
+/// the measured span, and two standard deviations of a measured tail.
+const LOAD_MARGIN: f64 = 0.04;
+/// Part of a possible rise that is taken at once; the rest follows when tails have shown the first part.
+const RISE_SHARE: f64 = 0.7;
+/// Time between two rises: runners measure tails anew that often, and a pace needs some time to have its effect.
+const RISE_PAUSE: Duration = Duration::from_millis(620);
+/// Least load that a fill at full pace is taken to add.
+const LEAST_ADDED: f64 = 0.02;
+/// Time until an ordered pace has its effect: the platform's bound and a call on the own host.
+const PACE_LAG: Duration = Duration::from_millis(120);
+/// Least change of pace that is ordered.
+const LEAST_CHANGE: f64 = 0.05;
 
 /// A run that should work at another speed.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,15 +47,54 @@
 /// The pace of the fills on one worker.
 #[derive(Clone, Debug, Default)]
 pub struct PaceControl {
-    stepped: Option<Instant>,
+    /// When fills were last allowed to work faster.
+    rose: Option<Instant>,
     paces: HashMap<RunKey, RunPace>,
 }
 
-/// The pace of one run, in percent: what it should be, and what was ordered last.
-#[derive(Clone, Copy, Debug)]
+/// The pace of one run as a share of its full speed.
+#[derive(Clone, Debug)]
 struct RunPace {
     wanted: f64,
-    ordered: u32,
+    /// What was ordered last; nothing when that is not known.
+    ordered: Option<f64>,
+    /// Paces and since when each has its effect.
+    past: VecDeque<(Instant, f64)>,
+}
+
+impl RunPace {
+    fn started(now: Instant) -> RunPace {
+        RunPace { wanted: 1.0, ordered: Some(1.0), past: VecDeque::from([(now, 1.0)]) }
+    }
+
+    fn order(&mut self, pace: f64, now: Instant) {
+        self.wanted = pace;
+        self.ordered = Some(pace);
+        self.past.push_back((now + PACE_LAG, pace));
+        let span_start = now.checked_sub(MEASURED_SPAN).unwrap_or(now);
+        while self.past.get(1).is_some_and(|(since, _)| *since <= span_start) {
+            self.past.pop_front();
+        }
+    }
+
+    /// The mean pace over the measured span before `now`; before its start a run works at no pace.
+    fn mean(&self, now: Instant) -> f64 {
+        let span_start = now.checked_sub(MEASURED_SPAN).unwrap_or(now);
+        let ends = self.past.iter().skip(1).map(|(since, _)| *since).chain([now]);
+        let parts = self.past.iter().zip(ends).map(|((since, pace), end)| {
+            let begin = (*since).max(span_start);
+            pace * end.min(now).saturating_duration_since(begin).as_secs_f64()
+        });
+        parts.sum::<f64>() / MEASURED_SPAN.as_secs_f64()
+    }
+}
+
+/// Tasks of one job that serve on this worker; their load swings alike.
+struct ServingGroup {
+    image: String,
+    /// The load that is aimed at less the load that was measured.
+    room: f64,
+    pressure: f64,
 }
 
 impl PaceControl {
@@ -73,19 +115,30 @@
         traits: &HashMap<TaskName, TaskTraits>,
         now: Instant,
     ) -> Vec<PaceStep> {
-        self.follow(running, traits);
-        let pressure = worst_pressure(running, traits);
-        let may_step =
-            self.stepped.is_none_or(|at| now.saturating_duration_since(at) >= STEP_PAUSE);
-        if may_step && self.step(pressure, traits) {
-            self.stepped = Some(now);
-        }
+        self.follow(running, traits, now);
+        let groups = serving_groups(running, traits);
+        let pressure = groups.iter().map(|group| group.pressure).fold(0.0, f64::max);
+        let allowed = self.allowed(&groups, traits, now);
+        let may_rise = self.rose.is_none_or(|at| now.saturating_duration_since(at) >= RISE_PAUSE);
         let mut steps = Vec::new();
         for (key, pace) in &mut self.paces {
-            let percent = pace.wanted.round() as u32;
-            let is_whole = percent == 100 && pace.ordered != 100;
-            if pace.ordered.abs_diff(percent) >= LEAST_CHANGE || is_whole {
-                pace.ordered = percent;
+            let allowed = allowed.get(key).copied().unwrap_or(1.0);
+            let rise = (allowed - pace.wanted).max(0.0);
+            if rise > 0.0 && !may_rise {
+                continue;
+            }
+            let wanted =
+                if rise > LEAST_CHANGE { pace.wanted + rise * RISE_SHARE } else { allowed };
+            let is_change = pace.ordered.is_none_or(|ordered| {
+                let is_end = wanted != ordered && (wanted == 1.0 || wanted == 0.0);
+                (ordered - wanted).abs() >= LEAST_CHANGE || is_end
+            });
+            if is_change {
+                if rise > 0.0 {
+                    self.rose = Some(now);
+                }
+                pace.order(wanted, now);
+                let percent = (wanted * 100.0).round() as u32;
                 steps.push(PaceStep { key: key.clone(), percent, pressure });
             }
         }
@@ -100,59 +153,116 @@
     /// assert_eq!(PaceControl::default().ordered(&("a.0.0.0".parse().unwrap(), 1)), 100);
     /// ```
     pub fn ordered(&self, key: &RunKey) -> u32 {
-        self.paces.get(key).map_or(FULL as u32, |pace| pace.ordered)
+        let pace = self.paces.get(key).map_or(1.0, |pace| pace.ordered.unwrap_or(pace.wanted));
+        (pace * 100.0).round() as u32
+    }
+
+    /// The mean pace of a run over the span that a tail tells of, in percent.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::pacing::PaceControl;
+    ///
+    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// assert_eq!(PaceControl::default().measured(&key, Instant::now()), 0);
+    /// ```
+    pub fn measured(&self, key: &RunKey, now: Instant) -> u32 {
+        let mean = self.paces.get(key).map_or(0.0, |pace| pace.mean(now));
+        (mean * 100.0).round() as u32
+    }
+
+    /// Takes note that an ordered pace may not be in force; the next look orders it again.
+    ///
+    /// ```
+    /// use greengagearch::workflow::pacing::PaceControl;
+    ///
+    /// PaceControl::default().on_failed(&("a.0.0.0".parse().unwrap(), 1));
+    /// ```
+    pub fn on_failed(&mut self, key: &RunKey) {
+        if let Some(pace) = self.paces.get_mut(key) {
+            pace.ordered = None;
+        }
     }
 
     /// Keeps the paces of the fills that run, and starts those of new ones at full speed.
-    fn follow(&mut self, running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) {
+    fn follow(
+        &mut self,
+        running: &[PresentRun],
+        traits: &HashMap<TaskName, TaskTraits>,
+        now: Instant,
+    ) {
         let fills = running.iter().filter(|run| traits.get(&run.task).is_some_and(|t| t.fills));
         let mut paces = HashMap::new();
         for run in fills {
             let key = (run.task.clone(), run.run);
-            let first = RunPace { wanted: FULL, ordered: FULL as u32 };
-            let pace = self.paces.get(&key).copied().unwrap_or(first);
-            paces.insert(key, pace);
+            let known = self.paces.remove(&key);
+            paces.insert(key, known.unwrap_or_else(|| RunPace::started(now)));
         }
         self.paces = paces;
     }
 
-    /// Changes the wanted paces. Says whether it did.
-    fn step(&mut self, pressure: f64, traits: &HashMap<TaskName, TaskTraits>) -> bool {
-        if pressure > AIM_SHARE {
-            // Tails grow faster than the pace, so that the excess is taken off squared.
-            let factor = (AIM_SHARE / pressure).powi(2).min(0.75);
-            return self.slow_culprits(factor, traits);
-        }
-        let is_slow = self.paces.values().any(|pace| pace.wanted < FULL);
-        if pressure < EASE_SHARE && is_slow {
-            let each = self.paces.values_mut();
-            each.for_each(|pace| pace.wanted = (pace.wanted + EASE_STEP).min(FULL));
-            return true;
-        }
-        false
-    }
-
-    /// Slows the fills that are expected to disturb most among those that still work.
-    fn slow_culprits(&mut self, factor: f64, traits: &HashMap<TaskName, TaskTraits>) -> bool {
-        let weight = |key: &RunKey, pace: &RunPace| {
-            let expected = traits.get(&key.0).map_or(0, |traits| traits.added_permille);
-            (f64::from(expected) + LEAST_WEIGHT) * pace.wanted
-        };
-        let most = self.paces.iter().map(|(key, pace)| weight(key, pace)).fold(0.0, f64::max);
-        for (key, pace) in &mut self.paces {
-            if weight(key, pace) >= most * CULPRIT_SHARE {
-                pace.wanted *= factor;
+    /// The highest paces at which no group is expected above its aim.
+    fn allowed(
+        &self,
+        groups: &[ServingGroup],
+        traits: &HashMap<TaskName, TaskTraits>,
+        now: Instant,
+    ) -> BTreeMap<RunKey, f64> {
+        let mut allowed: BTreeMap<RunKey, f64> =
+            self.paces.keys().map(|key| (key.clone(), 1.0)).collect();
+        for group in groups {
+            let added = |key: &RunKey| {
+                let known = traits.get(&key.0).and_then(|traits| traits.added(&group.image));
+                known.unwrap_or(FIRST_ADDED).max(LEAST_ADDED)
+            };
+            let measured: f64 =
+                self.paces.iter().map(|(key, pace)| added(key) * pace.mean(now)).sum();
+            let budget = group.room + measured;
+            let mut excess: f64 =
+                allowed.iter().map(|(key, pace)| added(key) * pace).sum::<f64>() - budget;
+            let mut heaviest: Vec<(f64, RunKey)> =
+                allowed.keys().map(|key| (added(key), key.clone())).collect();
+            heaviest.sort_by(|a, b| b.0.total_cmp(&a.0));
+            for (added, key) in heaviest {
+                if excess <= 0.0 {
+                    break;
+                }
+                if let Some(pace) = allowed.get_mut(&key) {
+                    let cut = pace.min(excess / added);
+                    *pace -= cut;
+                    excess -= cut * added;
+                }
             }
         }
-        most > 0.0
+        allowed
     }
 }
 
-/// The worst tail of a serving task, as a share of its target; zero when none serves.
-fn worst_pressure(running: &[PresentRun], traits: &HashMap<TaskName, TaskTraits>) -> f64 {
-    let pressure = |run: &PresentRun| {
-        let target_ms = traits.get(&run.task).map_or(0, |traits| traits.target_ms);
-        if target_ms == 0 { 0.0 } else { run.usage as f64 / target_ms as f64 }
+/// The tasks that serve, by their job. One tail that stands out from those of its siblings says little.
+fn serving_groups(
+    running: &[PresentRun],
+    traits: &HashMap<TaskName, TaskTraits>,
+) -> Vec<ServingGroup> {
+    let mut tails: BTreeMap<(&str, u32), Vec<(f64, &TaskTraits)>> = BTreeMap::new();
+    for run in running {
+        let serving = traits.get(&run.task).filter(|traits| traits.target_ms > 0);
+        if let (Some(traits), true) = (serving, run.usage > 0) {
+            let group = tails.entry((run.task.job.as_str(), run.task.step)).or_default();
+            group.push((run.usage as f64, traits));
+        }
+    }
+    let group = |mut tails: Vec<(f64, &TaskTraits)>| {
+        tails.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (tail, traits) = tails[(tails.len() - 1) / 2];
+        let target = traits.target_ms as f64;
+        let idle = match traits.idle_tail_ms {
+            0 => target * FIRST_IDLE_SHARE,
+            known => f64::from(known),
+        };
+        // load = 1 − idle / tail, so that the difference of two loads needs no load at all.
+        let room = idle / tail - idle / target - LOAD_MARGIN;
+        ServingGroup { image: traits.image.clone(), room, pressure: tail / target }
     };
-    running.iter().map(pressure).fold(0.0, f64::max)
+    tails.into_values().map(group).collect()
 }
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -21,6 +21,9 @@
 /// Added to the cost of a worker on which nothing serves, for work that does not fill: more than any
 /// difference in load.
 const NOT_SERVING_COST: f64 = 1.0;
+/// Taken off the cost of a worker on which the same image serves: a fill finds more workers beside which it is
+/// light when each holds few images that serve.
+const SAME_IMAGE_GAIN: f64 = 0.5;
 /// Cost of a tail at its target, in shares of a worker's load.
 const RISK_COST: f64 = 1.0;
 /// Time since the last change of fills on a worker after which a pair that was never seen may be tried
@@ -164,7 +167,8 @@
     if step.max_per_worker > 0 && worker.of_step(need.task) >= step.max_per_worker {
         return None;
     }
-    let mut cost = if step.fills { fill_cost(need, view, worker)? } else { packed_cost(worker) };
+    let mut cost =
+        if step.fills { fill_cost(need, view, worker)? } else { packed_cost(need, worker) };
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
         cost += OFF_RACK_COST;
     }
@@ -176,12 +180,14 @@
 
 /// Share of the guarded processor time that is left, so that the fullest worker is filled first. Work
 /// that serves is kept together, because tasks that fill are only let loose where nothing serves.
-fn packed_cost(worker: &WorkerEntry) -> f64 {
+fn packed_cost(need: &PlacementNeed<'_>, worker: &WorkerEntry) -> f64 {
     let capacity = worker.status.as_ref().map_or(0, |status| status.capacity.millicores);
     let left = worker.free_room().millicores as f64 / capacity.max(1) as f64;
     // Of workers on which nothing serves the largest is opened first, so that few have to be.
     let size = capacity as f64 / SIZE_UNIT;
-    if worker.is_serving() { left } else { left + NOT_SERVING_COST - size }
+    let cost = if worker.is_serving() { left } else { left + NOT_SERVING_COST - size };
+    let is_alike = need.step.target_ms > 0 && worker.serves_image(&need.step.image);
+    if is_alike { cost - SAME_IMAGE_GAIN } else { cost }
 }
 
 /// Demand of fills against what is left to them, with this one, and the risk for what serves.
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -231,7 +231,6 @@
     /// Takes a run off its worker and its job.
     pub(crate) fn end_run(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
         let released = self.board.release(instance, key, self.now);
-        self.disturbance.forget_run(key);
         if let Some(run) = &released {
             let ran = self.now.saturating_duration_since(run.since);
             self.decisions.push(PlanDecision::RunEnded {
@@ -283,16 +282,14 @@
         }
     }
 
-    pub(crate) fn traits(&self, instance: &str, name: &TaskName) -> Option<TaskTraits> {
+    pub(crate) fn traits(&self, name: &TaskName) -> Option<TaskTraits> {
         let step = self.jobs.get(&name.job)?.step(name)?;
-        let worker = self.board.get(instance);
-        let weight = worker.map_or(0.0, |worker| self.disturbance.weight(worker, &step.image));
         Some(TaskTraits {
             task: name.clone(),
             image: step.image.clone(),
             target_ms: step.target_ms,
             fills: step.fills,
-            added_permille: (weight * 1_000.0) as u32,
+            effects: if step.fills { self.disturbance.effects(&step.image) } else { Vec::new() },
             idle_tail_ms: self.disturbance.idle_tail_of(&step.image).round() as u32,
         })
     }
@@ -306,7 +303,7 @@
             payload: entry.spec.payload.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: self.advice.ticket(&key.0.step_key(), instance, self.now).map(str::to_string),
-            traits: self.traits(instance, &key.0)?,
+            traits: self.traits(&key.0)?,
         })
     }
 
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -221,6 +221,7 @@
             return;
         }
         entry.end = Some(end);
+        self.disturbance.forget_job(job);
         self.decisions.push(PlanDecision::JobEnded {
             job: job.to_string(),
             end,
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -2,19 +2,40 @@
 //! knows.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::connection::node_protocol::EndedRun;
+use crate::connection::node_protocol::ImageEffect;
 use crate::connection::node_protocol::NodeOrder;
 use crate::connection::node_protocol::NodeReport;
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::RejectedRun;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::TaskTraits;
+use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::spec::TaskName;
 use crate::workflow::worker_board::RunKey;
 
+/// Least time between two messages that tell an agent what was learned of its runs.
+const DESCRIBE_PERIOD: Duration = Duration::from_millis(500);
+/// Change of a load, in thousandths, that an agent is told: half of what it keeps as margin.
+const TOLD_CHANGE: u32 = 30;
+
+/// Whether an agent has to be told anew of a run.
+fn is_changed(run: &AssignedRun, new: &TaskTraits) -> bool {
+    let Some(told) = &run.told else {
+        return true;
+    };
+    let known = |serving: &str| told.effects.iter().find(|effect| effect.serving == serving);
+    let is_other = |effect: &ImageEffect| {
+        known(&effect.serving)
+            .is_none_or(|old| old.added_permille.abs_diff(effect.added_permille) >= TOLD_CHANGE)
+    };
+    told.idle_tail_ms != new.idle_tail_ms || new.effects.iter().any(is_other)
+}
+
 impl Planner {
     /// Takes in what an agent reports, and whether it came over a new link.
     ///
@@ -81,6 +102,7 @@
             worker.fills_changed = self.now;
         }
         self.disturbance.learn(worker, self.now);
+        self.describe_changed(instance);
         for key in absent {
             if resync {
                 self.resend(instance, &key);
@@ -154,8 +176,7 @@
             return;
         };
         let known = worker.assigned.iter().filter(|(_, run)| run.seen.is_some());
-        let traits: Vec<TaskTraits> =
-            known.filter_map(|(key, _)| self.traits(instance, &key.0)).collect();
+        let traits: Vec<TaskTraits> = known.filter_map(|(key, _)| self.traits(&key.0)).collect();
         let stopping: Vec<RunKey> = worker
             .assigned
             .iter()
@@ -169,6 +190,34 @@
         self.stop_unwanted(instance);
     }
 
+    /// Tells an agent what has been learned of its runs since it was told.
+    fn describe_changed(&mut self, instance: &str) {
+        let Some(worker) = self.board.get(instance) else {
+            return;
+        };
+        if self.now.saturating_duration_since(worker.described) < DESCRIBE_PERIOD {
+            return;
+        }
+        let known = worker.assigned.iter().filter(|(_, run)| run.seen.is_some());
+        let watched = known.filter(|(_, run)| run.fills || run.target_ms > 0);
+        let mut changed: Vec<(RunKey, TaskTraits)> = Vec::new();
+        for (key, run) in watched {
+            if let Some(traits) = self.traits(&key.0).filter(|new| is_changed(run, new)) {
+                changed.push((key.clone(), traits));
+            }
+        }
+        let Some(worker) = self.board.get_mut(instance) else {
+            return;
+        };
+        worker.described = self.now;
+        for (key, traits) in changed {
+            if let Some(run) = worker.assigned.get_mut(&key) {
+                run.told = Some(traits.clone());
+            }
+            self.outbox.push((instance.to_string(), NodeOrder::Describe(traits)));
+        }
+    }
+
     /// Stops runs of ended jobs, which a planner before may not have done.
     fn stop_unwanted(&mut self, instance: &str) {
         let Some(worker) = self.board.get(instance) else {
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -33,13 +33,17 @@
 /// three seconds that users bear to see a job stand still beside free room.
 const STARVED_AFTER_MS: u64 = 1_200;
 
+/// Jobs that serve and are due within this span, in milliseconds, are placed by their images.
+const SERVING_SPAN_MS: u64 = 4_000;
 /// Place of a job in a round: smaller comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct JobUrgency {
     is_worthless: bool,
     is_late: bool,
     priority: u32,
     deadline_ms: u64,
+    /// What serves, so that jobs of one image that come together are placed one after another.
+    serving_image: String,
 }
 
 impl JobUrgency {
@@ -52,11 +56,16 @@
         let rest_ms = (entry.rest_of_chain_ms(first_open) as f64 * SURE_SHARE) as u64;
         let is_past =
             |multiple: u64| !lasts && wall_ms + rest_ms > due_ms + multiple * objective_ms;
+        let serving = spec.steps.iter().find(|step| step.target_ms > 0);
+        let deadline_ms = due_ms + objective_ms;
+        // What lasts has no end that could be late; a little later does no harm.
+        let span_ms = if serving.is_some() { SERVING_SPAN_MS } else { 1 };
         JobUrgency {
             is_worthless: is_past(WORTHLESS_AFTER),
             is_late: is_past(1),
             priority: spec.policy.priority,
-            deadline_ms: due_ms + objective_ms,
+            deadline_ms: deadline_ms - deadline_ms % span_ms,
+            serving_image: serving.map(|step| step.image.clone()).unwrap_or_default(),
         }
     }
 }
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -23,6 +23,8 @@
 /// tasks that fill. From the users' sheets; what is really left is seen by the fills' own usage.
 const SERVING_USE: f64 = 0.6;
 
+/// Least pace at which a task that fills counts with what it would use, since it may work faster again.
+const LEAST_PACE_COUNTED: f64 = 0.3;
 /// How long runs that filled and have ended are remembered: the span over which tails are measured and
 /// the age of a report.
 pub const ENDED_KEPT: Duration = Duration::from_millis(1_000);
@@ -46,6 +48,8 @@
     pub fills_changed: Instant,
     /// Runs that filled and have ended within [`ENDED_KEPT`].
     pub ended_fills: Vec<EndedFill>,
+    /// When its agent was last told what has changed of its runs.
+    pub described: Instant,
     /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
     pub resync: bool,
     used: RoomAmount,
@@ -61,6 +65,7 @@
             full_until: None,
             fills_changed: lease_end,
             ended_fills: Vec::new(),
+            described: lease_end,
             resync: true,
             used: RoomAmount::default(),
         }
@@ -126,7 +131,11 @@
     /// ```
     pub fn fill_demand(&self) -> f64 {
         let fills = self.assigned.values().filter(|run| run.fills);
-        fills.map(|run| run.millicores as f64).sum()
+        let share = |run: &AssignedRun| {
+            let pace = run.seen.as_ref().map_or(100, |seen| seen.pace_percent);
+            f64::from(pace) / 100.0
+        };
+        fills.map(|run| run.millicores as f64 * share(run).max(LEAST_PACE_COUNTED)).sum()
     }
 
     /// Whether a task that serves has been given to it.
@@ -141,6 +150,18 @@
         self.assigned.values().any(|run| run.target_ms > 0)
     }
 
+    /// Whether a task of an image serves here.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(!board.entry("i-1", Instant::now()).serves_image("x"));
+    /// ```
+    pub fn serves_image(&self, image: &str) -> bool {
+        self.assigned.values().any(|run| run.target_ms > 0 && run.image == image)
+    }
+
     /// Number of runs of a step of one occurrence here.
     ///
     /// ```
@@ -240,7 +261,7 @@
             since: now,
             seen: None,
             seen_since: None,
-            pace_before: None,
+            told: None,
             slow_since: None,
             stopping: false,
         };
@@ -270,7 +291,7 @@
                 image: run.image.clone(),
                 begin,
                 end: now,
-                percent: run.peak_percent(now, ENDED_KEPT),
+                percent: run.seen.as_ref().map_or(0, |seen| seen.pace_percent),
             }));
         }
         worker.used = worker.used.minus(&run.counted);
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -50,7 +50,7 @@
         image: String::new(),
         target_ms: 0,
         fills: false,
-        added_permille: 0,
+        effects: Vec::new(),
         idle_tail_ms: 0,
     }
 }
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -274,6 +274,7 @@
         checkpoint,
         progress_percent: 0,
         pace_percent: 100,
+        measured_percent: 100,
         usage: 0,
     }
 }
