Make room for what goes before others

Cause: a lasting task waits for room that tasks of lesser queues hold, fills above all with their memory; the users bear six seconds without it, however full the service is. Change: a task that found no room for 0.4 s stops the cheapest runs of lower priority on one worker, or fills for what lasts; what is stopping already counts, and a job does so once in 1.5 s. Within one priority what fills is placed last. Gangs displace nothing yet. Tests: tests/planner_preemption.rs; the first one failed until fills came last, the others with nothing displaced.

--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -39,6 +39,11 @@
             "task_moved",
             &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
         ),
+        PlanDecision::Displaced { task, run, worker, by } => log_event(
+            Level::Info,
+            "task_displaced",
+            &[("task", task), ("run", run), ("worker", worker), ("by", by), ("epoch", &epoch)],
+        ),
         PlanDecision::JobEnded { job, end, age_ms, objective_ms } => log_event(
             Level::Info,
             "job_ended",
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 pub mod planner_jobs;
 pub mod planner_load;
 pub mod planner_moves;
+pub mod planner_preemption;
 pub mod planner_reports;
 pub mod planner_rounds;
 pub mod progress;
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -125,15 +125,7 @@
 pub fn choose(need: &PlacementNeed<'_>, view: &PlacementView<'_>) -> Option<InstanceId> {
     let mut best: Option<(f64, &InstanceId)> = None;
     for (instance, worker) in view.board.iter() {
-        if need.not_on == Some(instance.as_str()) {
-            continue;
-        }
-        if !worker.is_open(view.now) || view.suspicion.starts_left(instance, view.now) == Some(0) {
-            continue;
-        }
-        if need.needs_ticket
-            && view.advice.ticket(&need.task.step_key(), instance, view.now).is_none()
-        {
+        if !fits_but_for_room(need, view, instance, worker) {
             continue;
         }
         let Some(cost) = cost(need, view, instance, worker) else {
@@ -146,7 +138,33 @@
     best.map(|(_, instance)| instance.clone())
 }
 
-/// What it costs to put a task on a worker; nothing when it cannot go there.
+/// Whether a worker may take a task, whether it has room or not.
+pub(crate) fn fits_but_for_room(
+    need: &PlacementNeed<'_>,
+    view: &PlacementView<'_>,
+    instance: &str,
+    worker: &WorkerEntry,
+) -> bool {
+    let Some(status) = worker.status.as_ref() else {
+        return false;
+    };
+    let step = need.step;
+    let is_open =
+        worker.is_open(view.now) && view.suspicion.starts_left(instance, view.now) != Some(0);
+    let has_label = step.required_label.is_empty() || status.labels.contains(&step.required_label);
+    let has_ticket = !need.needs_ticket
+        || view.advice.ticket(&need.task.step_key(), instance, view.now).is_some();
+    let is_bounded = step.max_per_worker > 0 && worker.of_step(need.task) >= step.max_per_worker;
+    is_open
+        && has_label
+        && has_ticket
+        && !is_bounded
+        && need.not_on != Some(instance)
+        && status.service == need.service
+        && need.rack.is_none_or(|rack| status.rack() == rack)
+}
+
+/// What it costs to put a task on a worker; nothing when it has no room.
 fn cost(
     need: &PlacementNeed<'_>,
     view: &PlacementView<'_>,
@@ -155,16 +173,7 @@
 ) -> Option<f64> {
     let status = worker.status.as_ref()?;
     let step = need.step;
-    if status.service != need.service || !worker.free_room().contains(&step.counted_room()) {
-        return None;
-    }
-    if !step.required_label.is_empty() && !status.labels.contains(&step.required_label) {
-        return None;
-    }
-    if need.rack.is_some_and(|rack| status.rack() != rack) {
-        return None;
-    }
-    if step.max_per_worker > 0 && worker.of_step(need.task) >= step.max_per_worker {
+    if !worker.free_room().contains(&step.counted_room()) {
         return None;
     }
     let mut cost =
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -45,6 +45,17 @@
         /// The worker.
         worker: InstanceId,
     },
+    /// A run is stopped to make room for a task that goes before it.
+    Displaced {
+        /// The task of the run.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: InstanceId,
+        /// The task that needs the room.
+        by: TaskName,
+    },
     /// A job has come to its end.
     JobEnded {
         /// The job.
@@ -82,6 +93,7 @@
             PlanDecision::RunEnded { end: RunEnd::Stopped, .. } => "stopped",
             PlanDecision::RunEnded { .. } => "lost",
             PlanDecision::Moved { .. } => "moved",
+            PlanDecision::Displaced { .. } => "displaced",
             PlanDecision::JobEnded { .. } => "job_ended",
             PlanDecision::WorkerLost { .. } => "worker_lost",
         }
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -37,6 +37,8 @@
     pub next_occurrence: u32,
     /// When a run of it last started or ended, in milliseconds since the Unix epoch.
     pub last_run_ms: u64,
+    /// When others were last stopped to make room for it, in milliseconds since the Unix epoch.
+    pub displaced_ms: u64,
 }
 
 impl JobEntry {
@@ -51,6 +53,7 @@
             end_stored: false,
             failed_on: HashMap::new(),
             next_occurrence: 0,
+            displaced_ms: 0,
         }
     }
 
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -41,6 +41,8 @@
     is_worthless: bool,
     is_late: bool,
     priority: u32,
+    /// Whether it takes what others leave.
+    fills: bool,
     deadline_ms: u64,
     /// What serves, so that jobs of one image that come together are placed one after another.
     serving_image: String,
@@ -64,6 +66,7 @@
             is_worthless: is_past(WORTHLESS_AFTER),
             is_late: is_past(1),
             priority: spec.policy.priority,
+            fills: spec.steps.iter().any(|step| step.fills),
             deadline_ms: deadline_ms - deadline_ms % span_ms,
             serving_image: serving.map(|step| step.image.clone()).unwrap_or_default(),
         }
@@ -164,6 +167,7 @@
         for (started, name) in names.iter().enumerate() {
             let Some(worker) = self.choose_worker(name, spec, None, None) else {
                 // The tasks of a step are alike; where this one finds no room, none does.
+                self.displace_for(name, spec);
                 return started;
             };
             let run = self.last_run(name) + 1;
@@ -261,9 +265,20 @@
         rack: Option<&str>,
         not_on: Option<&str>,
     ) -> Option<InstanceId> {
+        choose(&self.need(name, spec, rack, not_on)?, &self.placement_view())
+    }
+
+    /// What a task needs of its worker.
+    pub(crate) fn need<'a>(
+        &'a self,
+        name: &'a TaskName,
+        spec: &'a StepSpec,
+        rack: Option<&'a str>,
+        not_on: Option<&'a str>,
+    ) -> Option<PlacementNeed<'a>> {
         let entry = self.jobs.get(&name.job)?;
         let avoid = entry.failed_on.get(&(name.occurrence, name.step, name.index));
-        let need = PlacementNeed {
+        Some(PlacementNeed {
             task: name,
             step: spec,
             service: &entry.spec.policy.service,
@@ -272,8 +287,7 @@
             needs_ticket: entry.spec.policy.advice.is_some(),
             rack,
             not_on,
-        };
-        choose(&need, &self.placement_view())
+        })
     }
 
     /// What workers are chosen by.
