Add a fault soak of the real processes

It checks while it runs: nothing twice, no accepted job lost, refusals true, completed and failed with cause, ends final, nothing after a cancelling. The environment of tests/platform_path.rs moved to standins/src/platform_cluster.rs and is shared; runners got late orders, slow clocks and crashes, their doubled check of fence and life is one function; the store got slow and late writes. Agents can advertise another address. A run of 8 s with seed 1 is part of the tests.

--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -104,7 +104,8 @@
 
 /// Writes the agent's address, so that the planner finds it. The row is the same at each start.
 async fn register(settings: NodeSettings, store: Arc<dyn RowStore>) {
-    let address = settings.internal_listen.to_string();
+    let reached_at = settings.internal_advertise.unwrap_or(settings.internal_listen);
+    let address = reached_at.to_string();
     let row = NodeRow { id: settings.id, address: address.clone() };
     let name = RowName::new(NODE_TABLE, PARTITION, &address);
     let transaction =
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -85,6 +85,8 @@
     pub registry_listen: SocketAddr,
     /// Address for the planner.
     pub internal_listen: SocketAddr,
+    /// Address under which the planner reaches the one before, where that is another.
+    pub internal_advertise: Option<SocketAddr>,
     /// Address at which the metrics are served; nothing to serve none.
     pub metrics_listen: Option<SocketAddr>,
     /// Address of the store.
@@ -110,6 +112,7 @@
             domain: reader.required("node", "domain"),
             registry_listen: read_address(&mut reader, "node", "registry-listen"),
             internal_listen: read_address(&mut reader, "node", "internal-listen"),
+            internal_advertise: read_optional_address(&mut reader, "node", "internal-advertise"),
             metrics_listen: read_optional_address(&mut reader, "node", "metrics-listen"),
             store: reader.required("store", "address"),
         };
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -43,6 +43,8 @@
     pub began: Instant,
     /// When and how it ended.
     pub ended: Option<(Instant, String)>,
+    /// Whether the product has taken note of its end, before a lease lapsed.
+    pub noted: bool,
 }
 
 /// The runs of all runners of a test.
@@ -79,6 +81,41 @@
         doubled
     }
 
+    /// Tasks of which two runs were at work at the same time, or that ran after an end as done of which
+    /// the product took note then or later.
+    pub fn run_twice(&self) -> Vec<String> {
+        let mut by_task: BTreeMap<String, Vec<RunRecord>> = BTreeMap::new();
+        for record in self.records() {
+            by_task.entry(record.task.clone()).or_default().push(record);
+        }
+        let mut found = Vec::new();
+        for (task, records) in by_task {
+            for (position, first) in records.iter().enumerate() {
+                for second in &records[position + 1..] {
+                    let ended = first.ended.as_ref();
+                    let is_over = ended.is_some_and(|(end, _)| *end <= second.began);
+                    let is_done = first.noted && ended.is_some_and(|(_, how)| how == "done");
+                    if !is_over || is_done {
+                        found.push(format!("{task} runs {} and {}", first.run, second.run));
+                    }
+                }
+            }
+        }
+        found
+    }
+
+    fn note(&self, instance: &str, seen: &[(u64, String, u32, String, String)], lapsed: Instant) {
+        let mut records = self.lock();
+        for (_, task, run, _, _) in seen {
+            let is_it = |record: &&mut RunRecord| {
+                record.task == *task && record.run == *run && record.instance == instance
+            };
+            if let Some(record) = records.iter_mut().find(is_it) {
+                record.noted |= record.ended.as_ref().is_some_and(|(end, _)| *end > lapsed);
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<RunRecord>> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -90,6 +127,7 @@
             instance: instance.to_string(),
             began: Instant::now(),
             ended: None,
+            noted: false,
         };
         self.lock().push(record);
     }
@@ -114,6 +152,10 @@
     fence: u64,
     until_ms: u64,
     lost_answers: u32,
+    /// Orders that get no answer and are carried out after this time.
+    late_orders: Option<Duration>,
+    lapsed: Option<Instant>,
+    is_over: bool,
 }
 
 /// A running stand-in; it is one life of a runner.
@@ -122,6 +164,8 @@
     /// Its life.
     pub instance: String,
     started: Instant,
+    /// How fast its steady clock goes.
+    speed: f64,
     journal: RunJournal,
     life: Arc<Mutex<RunnerLife>>,
     ended: Arc<Notify>,
@@ -133,12 +177,23 @@
         instance: &str,
         registry: SocketAddr,
         journal: RunJournal,
+    ) -> PlatformRunner {
+        PlatformRunner::spawn_with_clock(instance, registry, journal, 1.0).await
+    }
+
+    /// The same with a steady clock that goes at `speed`.
+    pub async fn spawn_with_clock(
+        instance: &str,
+        registry: SocketAddr,
+        journal: RunJournal,
+        speed: f64,
     ) -> PlatformRunner {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound listener has an address");
         let runner = PlatformRunner {
             instance: instance.to_string(),
             started: Instant::now(),
+            speed,
             journal,
             life: Arc::default(),
             ended: Arc::default(),
@@ -160,12 +215,59 @@
         self.lock().lost_answers = count;
     }
 
+    /// Leaves orders unanswered and carries them out after a time, or no more.
+    pub fn set_late_orders(&self, delay: Option<Duration>) {
+        self.lock().late_orders = delay;
+    }
+
+    /// Ends this life: nothing runs any more, and nobody answers for it.
+    pub fn crash(&self) {
+        let running: Vec<(String, u32)> = {
+            let mut life = self.lock();
+            life.is_over = true;
+            std::mem::take(&mut life.running).into_keys().collect()
+        };
+        for (task, run) in running {
+            self.journal.end(&task, run, &self.instance, "crashed");
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.lock().is_over
+    }
+
+    /// Waits as long as orders are held up. Whether the caller gets an answer.
+    async fn hold_up(&self) -> bool {
+        let delay = self.lock().late_orders;
+        if let Some(delay) = delay {
+            tokio::time::sleep(delay).await;
+        }
+        delay.is_none()
+    }
+
+    /// Lets a call through that is meant for this life and comes from the newest planner.
+    fn admit(
+        &self,
+        headers: &HeaderMap,
+        fence: u64,
+    ) -> Result<MutexGuard<'_, RunnerLife>, Box<Response>> {
+        let mut life = self.lock();
+        if life.is_over || !self.is_meant(headers) {
+            return Err(Box::new(StatusCode::MISDIRECTED_REQUEST.into_response()));
+        }
+        if fence < life.fence {
+            return Err(Box::new(self.refuse("fence")));
+        }
+        life.fence = fence;
+        Ok(life)
+    }
+
     fn lock(&self) -> MutexGuard<'_, RunnerLife> {
         self.life.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn clock_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        (self.started.elapsed().as_secs_f64() * self.speed * 1_000.0) as u64
     }
 
     fn end(&self, task: &str, run: u32, how: &str) {
@@ -201,6 +303,9 @@
     let client = reqwest::Client::new();
     let url = format!("http://{registry}/-/instances/{}", runner.instance);
     for sequence in 1_u64.. {
+        if runner.is_over() {
+            return;
+        }
         let body = json!({
             "Service": "svc", "Address": address.to_string(), "Zone": "z", "State": "ready",
             "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", "r1"],
@@ -217,9 +322,16 @@
     loop {
         tokio::time::sleep(Duration::from_millis(20)).await;
         let lapsed: Vec<(String, u32)> = {
-            let life = runner.lock();
-            let is_over = runner.clock_ms() > life.until_ms;
-            if is_over { life.running.keys().cloned().collect() } else { Vec::new() }
+            let mut life = runner.lock();
+            if life.is_over {
+                return;
+            }
+            if runner.clock_ms() > life.until_ms {
+                life.lapsed = Some(Instant::now());
+                life.running.keys().cloned().collect()
+            } else {
+                Vec::new()
+            }
         };
         lapsed.iter().for_each(|(task, run)| runner.end(task, *run, "lapsed"));
     }
@@ -244,38 +356,47 @@
     headers: HeaderMap,
     Json(body): Json<StartBody>,
 ) -> Response {
-    if !runner.is_meant(&headers) {
-        return StatusCode::MISDIRECTED_REQUEST.into_response();
-    }
-    let is_lost = {
-        let mut life = runner.lock();
-        if body.fence < life.fence {
-            return runner.refuse("fence");
-        }
-        life.fence = body.fence;
-        if body.until_ms < runner.clock_ms() {
-            return runner.refuse("late");
-        }
-        life.until_ms = life.until_ms.max(body.until_ms);
-        let key = (body.task.clone(), body.run);
-        if life.running.contains_key(&key) {
-            return runner.answer();
+    // Carried out to its end, also when the caller gives up.
+    let started = tokio::spawn(async move {
+        let is_answered = runner.hold_up().await;
+        let answer = start(&runner, &headers, body).unwrap_or_else(|refusal| (*refusal, false));
+        (answer, is_answered)
+    });
+    match started.await {
+        Ok(((answer, false), true)) => answer,
+        _ => {
+            tokio::time::sleep(HANG).await;
+            StatusCode::SERVICE_UNAVAILABLE.into_response()
         }
-        if life.highest.get(&body.task).is_some_and(|highest| body.run <= *highest) {
-            return runner.refuse("old");
-        }
-        life.highest.insert(body.task.clone(), body.run);
-        life.running.insert(key, Instant::now());
-        runner.journal.begin(&body.task, body.run, &runner.instance);
-        let is_lost = life.lost_answers > 0;
-        life.lost_answers = life.lost_answers.saturating_sub(1);
-        is_lost
-    };
-    tokio::spawn(work(runner.clone(), body.task, body.run, body.payload));
-    if is_lost {
-        tokio::time::sleep(HANG).await;
     }
-    runner.answer()
+}
+
+/// Starts a run; gives the answer and whether it is lost.
+fn start(
+    runner: &PlatformRunner,
+    headers: &HeaderMap,
+    body: StartBody,
+) -> Result<(Response, bool), Box<Response>> {
+    let mut life = runner.admit(headers, body.fence)?;
+    if body.until_ms < runner.clock_ms() {
+        return Ok((runner.refuse("late"), false));
+    }
+    life.until_ms = life.until_ms.max(body.until_ms);
+    let key = (body.task.clone(), body.run);
+    if life.running.contains_key(&key) {
+        return Ok((runner.answer(), false));
+    }
+    if life.highest.get(&body.task).is_some_and(|highest| body.run <= *highest) {
+        return Ok((runner.refuse("old"), false));
+    }
+    life.highest.insert(body.task.clone(), body.run);
+    life.running.insert(key, Instant::now());
+    runner.journal.begin(&body.task, body.run, &runner.instance);
+    let is_lost = life.lost_answers > 0;
+    life.lost_answers = life.lost_answers.saturating_sub(1);
+    drop(life);
+    tokio::spawn(work(runner.clone(), body.task, body.run, body.payload));
+    Ok((runner.answer(), is_lost))
 }
 
 async fn work(runner: PlatformRunner, task: String, run: u32, payload: String) {
@@ -290,16 +411,12 @@
     headers: HeaderMap,
     Json(body): Json<StartBody>,
 ) -> Response {
-    if !runner.is_meant(&headers) {
-        return StatusCode::MISDIRECTED_REQUEST.into_response();
-    }
-    {
-        let mut life = runner.lock();
-        if body.fence < life.fence {
-            return runner.refuse("fence");
+    match runner.admit(&headers, body.fence) {
+        Ok(mut life) => {
+            let highest = life.highest.entry(body.task.clone()).or_default();
+            *highest = body.run.max(*highest);
         }
-        let highest = life.highest.entry(body.task.clone()).or_default();
-        *highest = body.run.max(*highest);
+        Err(refusal) => return *refusal,
     }
     runner.end(&body.task, body.run, "stopped");
     runner.answer()
@@ -326,17 +443,16 @@
     headers: HeaderMap,
     Json(body): Json<HoldBody>,
 ) -> Response {
-    if !runner.is_meant(&headers) {
-        return StatusCode::MISDIRECTED_REQUEST.into_response();
-    }
     let has_ends = {
-        let mut life = runner.lock();
-        if body.fence < life.fence {
-            return runner.refuse("fence");
-        }
-        life.fence = body.fence;
+        let mut life = match runner.admit(&headers, body.fence) {
+            Ok(life) => life,
+            Err(refusal) => return *refusal,
+        };
         life.until_ms = life.until_ms.max(body.until_ms);
-        life.ended.retain(|ended| ended.0 > body.seen);
+        let (seen, left) = life.ended.drain(..).partition(|ended| ended.0 <= body.seen);
+        life.ended = left;
+        let lapsed = life.lapsed.unwrap_or(runner.started);
+        runner.journal.note(&runner.instance, &seen, lapsed);
         !life.ended.is_empty()
     };
     if !has_ends {
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -43,6 +43,10 @@
     Silent,
     /// This many transactions are applied, and their answers never come.
     LoseAnswers(u32),
+    /// Every call takes this long.
+    Slow(Duration),
+    /// Writes get no answer and are carried out later, if their conditions still hold.
+    LateWrites(Duration),
 }
 
 /// Place of a row: table, partition, key.
@@ -195,11 +199,22 @@
                 tokio::time::sleep(HANG).await;
                 Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
             }
-            StoreFault::None | StoreFault::LoseAnswers(_) => None,
+            StoreFault::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                None
+            }
+            StoreFault::None | StoreFault::LoseAnswers(_) | StoreFault::LateWrites(_) => None,
         }
     }
 
     /// Whether the answer to a transaction that was applied is to be lost.
+    fn write_delay(&self) -> Option<Duration> {
+        match *self.fault.lock().unwrap_or_else(PoisonError::into_inner) {
+            StoreFault::LateWrites(delay) => Some(delay),
+            _ => None,
+        }
+    }
+
     fn loses_answer(&self) -> bool {
         let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match *fault {
@@ -219,6 +234,15 @@
     if let Some(refusal) = listener.refusal().await {
         return refusal;
     }
+    if let Some(delay) = listener.write_delay() {
+        // It goes on when the caller has given up, and nobody hears of it.
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = listener.store.apply(transaction);
+        });
+        tokio::time::sleep(HANG).await;
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let applied = listener.store.apply(transaction);
     if listener.loses_answer() {
         tokio::time::sleep(HANG).await;
--- a/standins/src/processes.rs
+++ b/standins/src/processes.rs
@@ -1,7 +1,9 @@
 //! Real processes of the product, for tests and experiments.
 
+use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -27,6 +29,11 @@
 impl ProductProcess {
     /// Starts a program with a settings file and reads the addresses that it prints.
     pub fn spawn(program: &Path, settings: &Path) -> ProductProcess {
+        ProductProcess::spawn_logged(program, settings, None)
+    }
+
+    /// The same, with its log added to a file.
+    pub fn spawn_logged(program: &Path, settings: &Path, log: Option<&Path>) -> ProductProcess {
         let mut command = Command::new(program);
         command.arg("--settings").arg(settings).stdout(Stdio::piped());
         if std::env::var_os(LOG_VARIABLE).is_none() {
@@ -38,7 +45,8 @@
         let mut line = String::new();
         lines.read_line(&mut line).expect("the program prints its addresses");
         assert!(!line.is_empty(), "{} ended before it printed its addresses", program.display());
-        std::thread::spawn(move || drain(lines));
+        let log = log.map(open_log_file);
+        std::thread::spawn(move || drain(lines, log));
         let words = line.split_whitespace().filter_map(|word| word.split_once('='));
         let addresses = words.map(|(name, address)| {
             (name.to_string(), address.parse().expect("the program prints addresses"))
@@ -117,13 +125,23 @@
 }
 
 /// Reads the structured log to its end, as a platform does; a test shows it if it is asked to.
-fn drain(lines: BufReader<ChildStdout>) {
+fn drain(lines: BufReader<ChildStdout>, mut log: Option<File>) {
     let shows = std::env::var_os(LOG_VARIABLE).is_some();
-    for line in lines.lines().map_while(Result::ok).filter(|_| shows) {
-        eprintln!("{line}");
+    for line in lines.lines().map_while(Result::ok) {
+        if let Some(log) = &mut log {
+            writeln!(log, "{line}").expect("the log can be written");
+        }
+        if shows {
+            eprintln!("{line}");
+        }
     }
 }
 
+fn open_log_file(path: &Path) -> File {
+    let opened = File::options().create(true).append(true).open(path);
+    opened.expect("the log can be opened")
+}
+
 impl Drop for ProductProcess {
     fn drop(&mut self) {
         self.kill();
@@ -144,6 +162,11 @@
         SettingsFolder { path, files: 0 }
     }
 
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Writes a file and gives its path.
     pub fn write(&mut self, text: &str) -> PathBuf {
         self.files += 1;
--- /dev/null
+++ b/standins/src/soak/faults.rs
@@ -0,0 +1,224 @@
+//! Faults from outside the processes, in overlapping series, all drawn from one seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::platform_store::StoreFault;
+use crate::proxy::ProxyFault;
+use crate::soak::NODES;
+use crate::soak::PLANNERS;
+use crate::soak::SoakShared;
+
+/// Longest time that an outage or a pause lasts.
+const LONGEST_MILLIS: u64 = 4_000;
+/// Longest time between two faults; they overlap.
+const LONGEST_PAUSE_MILLIS: u64 = 1_800;
+/// How much slower than the time a runner's clock may go.
+const SLOWEST_CLOCK: f64 = 0.98;
+
+pub(crate) struct FaultPlayer {
+    shared: Arc<SoakShared>,
+    rng: StdRng,
+    version: u64,
+    /// What has to be mended, and when.
+    mends: Vec<(Instant, Mend)>,
+}
+
+/// How a fault ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mend {
+    PlannerRuns(usize),
+    AgentRuns(usize),
+    PlannerLine(usize),
+    AgentLine(usize),
+    Store(usize),
+    AllStores,
+    Orders(usize),
+}
+
+impl FaultPlayer {
+    pub fn new(shared: Arc<SoakShared>, seed: u64) -> FaultPlayer {
+        FaultPlayer { shared, rng: StdRng::seed_from_u64(seed), version: 1, mends: Vec::new() }
+    }
+
+    /// Plays faults for a time, and mends what is broken at the end.
+    pub async fn play(mut self, length: Duration) {
+        let until = Instant::now() + length;
+        while Instant::now() < until {
+            self.strike().await;
+            let pause = Duration::from_millis(self.rng.random_range(50..LONGEST_PAUSE_MILLIS));
+            let next = Instant::now() + pause;
+            while Instant::now() < next {
+                self.mend(Instant::now()).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        self.mend(until + Duration::from_secs(3_600)).await;
+        self.shared.tell("all faults are over".to_string());
+    }
+
+    fn later(&mut self, mend: Mend) -> Duration {
+        let span = Duration::from_millis(self.rng.random_range(100..LONGEST_MILLIS));
+        self.mends.push((Instant::now() + span, mend));
+        span
+    }
+
+    async fn strike(&mut self) {
+        let planner = self.rng.random_range(0..PLANNERS);
+        let node = self.rng.random_range(0..NODES);
+        let text = match self.rng.random_range(0..16) {
+            0 => self.pause_planner(planner).await,
+            1 => self.pause_agent(node).await,
+            2 => self.kill_planner(planner).await,
+            3 => self.kill_agent(node).await,
+            4 => self.stop_planner(planner).await,
+            5 => self.crash_runner(node).await,
+            6 | 7 => self.break_planner_line(planner).await,
+            8 | 9 => self.break_agent_line(node).await,
+            10 => self.break_store(planner, false).await,
+            11 => self.break_store(planner, true).await,
+            12 => self.drop_history().await,
+            13 => self.hold_up_orders(node).await,
+            14 => self.lose_answers(node).await,
+            _ => self.configure().await,
+        };
+        self.shared.tell(text);
+    }
+
+    async fn pause_planner(&mut self, planner: usize) -> String {
+        let span = self.later(Mend::PlannerRuns(planner));
+        self.shared.cluster.lock().await.planners[planner].process.signal("STOP");
+        format!("planner {planner} stands still for {span:?}")
+    }
+
+    async fn pause_agent(&mut self, node: usize) -> String {
+        let span = self.later(Mend::AgentRuns(node));
+        self.shared.cluster.lock().await.nodes[node].process.signal("STOP");
+        format!("agent {node} stands still for {span:?}")
+    }
+
+    async fn kill_planner(&mut self, planner: usize) -> String {
+        self.shared.cluster.lock().await.restart_planner(planner);
+        format!("planner {planner} is killed and starts again")
+    }
+
+    async fn kill_agent(&mut self, node: usize) -> String {
+        self.shared.cluster.lock().await.restart_agent(node);
+        format!("agent {node} is killed and starts again")
+    }
+
+    /// A graceful stop: the process is waited for, and started again.
+    async fn stop_planner(&mut self, planner: usize) -> String {
+        let mut cluster = self.shared.cluster.lock().await;
+        let seat = &mut cluster.planners[planner];
+        seat.process.signal("CONT");
+        seat.process.signal("TERM");
+        seat.process.ended().await;
+        cluster.restart_planner(planner);
+        format!("planner {planner} is stopped and starts again")
+    }
+
+    async fn crash_runner(&mut self, node: usize) -> String {
+        let speed = self.rng.random_range(SLOWEST_CLOCK..=1.0);
+        self.shared.cluster.lock().await.replace_runner(node, speed).await;
+        format!("runner {node} crashes and starts again")
+    }
+
+    fn draw_line_fault(&mut self) -> ProxyFault {
+        match self.rng.random_range(0..4) {
+            0 => ProxyFault::Delay(Duration::from_millis(self.rng.random_range(5..300))),
+            1 => ProxyFault::HoldForward,
+            2 => ProxyFault::HoldBack,
+            _ => ProxyFault::Cut,
+        }
+    }
+
+    async fn break_planner_line(&mut self, planner: usize) -> String {
+        let fault = self.draw_line_fault();
+        let span = self.later(Mend::PlannerLine(planner));
+        self.shared.cluster.lock().await.planners[planner].line.set_fault(fault);
+        format!("line of planner {planner} to the store: {fault:?} for {span:?}")
+    }
+
+    async fn break_agent_line(&mut self, node: usize) -> String {
+        let fault = self.draw_line_fault();
+        let span = self.later(Mend::AgentLine(node));
+        self.shared.cluster.lock().await.nodes[node].line.set_fault(fault);
+        format!("line of the planner to agent {node}: {fault:?} for {span:?}")
+    }
+
+    /// The store misbehaves, for one entry or for all.
+    async fn break_store(&mut self, planner: usize, for_all: bool) -> String {
+        let fault = match self.rng.random_range(0..5) {
+            0 => StoreFault::Busy,
+            1 => StoreFault::Silent,
+            2 => StoreFault::LoseAnswers(self.rng.random_range(1..6)),
+            3 => StoreFault::Slow(Duration::from_millis(self.rng.random_range(50..400))),
+            _ => StoreFault::LateWrites(Duration::from_millis(self.rng.random_range(500..4_000))),
+        };
+        let span = self.later(if for_all { Mend::AllStores } else { Mend::Store(planner) });
+        let cluster = self.shared.cluster.lock().await;
+        let broken = cluster.planners.iter().enumerate();
+        for (_, seat) in broken.filter(|(number, _)| for_all || *number == planner) {
+            seat.listener.set_fault(fault);
+        }
+        let whom = if for_all { "all".to_string() } else { format!("planner {planner}") };
+        format!("store for {whom}: {fault:?} for {span:?}")
+    }
+
+    async fn drop_history(&mut self) -> String {
+        self.shared.cluster.lock().await.store.drop_history();
+        "the store drops its history".to_string()
+    }
+
+    async fn hold_up_orders(&mut self, node: usize) -> String {
+        let delay = Duration::from_millis(self.rng.random_range(500..6_000));
+        let span = self.later(Mend::Orders(node));
+        self.shared.cluster.lock().await.nodes[node].runner.set_late_orders(Some(delay));
+        format!("runner {node} carries orders out {delay:?} late for {span:?}")
+    }
+
+    async fn lose_answers(&mut self, node: usize) -> String {
+        let count = self.rng.random_range(1..5);
+        self.shared.cluster.lock().await.nodes[node].runner.lose_answers(count);
+        format!("runner {node} loses {count} answers")
+    }
+
+    async fn configure(&mut self) -> String {
+        self.version += self.rng.random_range(1..4);
+        self.shared.cluster.lock().await.configure(self.version, &["q", "other"]);
+        format!("configuration {}", self.version)
+    }
+
+    async fn mend(&mut self, now: Instant) {
+        let due: Vec<Mend> =
+            self.mends.extract_if(.., |(at, _)| *at <= now).map(|(_, mend)| mend).collect();
+        for mend in due {
+            // A later fault of the same kind may be under way; it ends with this one.
+            let cluster = self.shared.cluster.lock().await;
+            match mend {
+                Mend::PlannerRuns(planner) => cluster.planners[planner].process.signal("CONT"),
+                Mend::AgentRuns(node) => cluster.nodes[node].process.signal("CONT"),
+                Mend::PlannerLine(planner) => {
+                    cluster.planners[planner].line.set_fault(ProxyFault::None);
+                }
+                Mend::AgentLine(node) => cluster.nodes[node].line.set_fault(ProxyFault::None),
+                Mend::Store(planner) => {
+                    cluster.planners[planner].listener.set_fault(StoreFault::None);
+                }
+                Mend::AllStores => {
+                    cluster
+                        .planners
+                        .iter()
+                        .for_each(|one| one.listener.set_fault(StoreFault::None));
+                }
+                Mend::Orders(node) => cluster.nodes[node].runner.set_late_orders(None),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/soak/mod.rs
@@ -0,0 +1,147 @@
+//! A randomized soak: real processes on loopback, faults from outside them, and the promises checked while it
+//! runs from what callers and runners see.
+
+mod callers;
+mod faults;
+mod ledger;
+
+use std::fmt;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::watch;
+
+use crate::platform_cluster::PlatformCluster;
+use crate::soak::callers::spawn_callers;
+use crate::soak::faults::FaultPlayer;
+use crate::soak::ledger::SoakLedger;
+
+const PLANNERS: usize = 3;
+const NODES: usize = 4;
+const CALLERS: usize = 6;
+/// Time between two checks of the promises.
+const CHECK_EVERY: Duration = Duration::from_millis(250);
+/// Time between two lines of progress.
+const PROGRESS_EVERY: Duration = Duration::from_secs(10);
+/// Time in which everything has to come to its end when the faults are over: leases of lost workers last
+/// 10 s, and a machine beside load is slow.
+const CALM: Duration = Duration::from_secs(90);
+
+/// What a soak is to do.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// Decides the faults and the jobs.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+    /// Where the product's programs are.
+    pub programs: PathBuf,
+    /// Where the logs are kept.
+    pub logs: PathBuf,
+}
+
+/// Something that happened, by the time since the start.
+pub type TimelineEntry = (Duration, String);
+
+/// How a soak went.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// Its seed.
+    pub seed: u64,
+    /// Faults in their order.
+    pub timeline: Vec<TimelineEntry>,
+    /// The first promise that was broken, and when that was seen.
+    pub broken: Option<TimelineEntry>,
+    /// Numbers of what was done.
+    pub counts: String,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}: {}", self.seed, self.counts)?;
+        match &self.broken {
+            None => writeln!(f, "no promise was broken")?,
+            Some((at, text)) => writeln!(f, "broken at {:.1} s: {text}", at.as_secs_f64())?,
+        }
+        for (at, text) in &self.timeline {
+            writeln!(f, "{:>8.1} s  {text}", at.as_secs_f64())?;
+        }
+        Ok(())
+    }
+}
+
+/// What the parts of a soak share.
+pub(crate) struct SoakShared {
+    started: Instant,
+    cluster: tokio::sync::Mutex<PlatformCluster>,
+    ledger: Mutex<SoakLedger>,
+    timeline: Mutex<Vec<TimelineEntry>>,
+}
+
+impl SoakShared {
+    fn ledger(&self) -> std::sync::MutexGuard<'_, SoakLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self, text: String) {
+        let entry = (self.started.elapsed(), text);
+        self.timeline.lock().unwrap_or_else(PoisonError::into_inner).push(entry);
+    }
+}
+
+/// Plays a soak to its end, or to the first promise that is broken.
+pub async fn run_soak(plan: &SoakPlan, mut progress: impl FnMut(&str)) -> SoakReport {
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let logs = Some(plan.logs.clone());
+    let cluster = PlatformCluster::start(&plan.programs, logs, PLANNERS, NODES).await;
+    let journal = cluster.journal.clone();
+    let shared = Arc::new(SoakShared {
+        started: Instant::now(),
+        cluster: tokio::sync::Mutex::new(cluster),
+        ledger: Mutex::default(),
+        timeline: Mutex::default(),
+    });
+    let (stop, stopped) = watch::channel(false);
+    let callers = spawn_callers(&shared, CALLERS, rng.random(), &stopped).await;
+    let faults = tokio::spawn(FaultPlayer::new(shared.clone(), rng.random()).play(plan.length));
+    let mut broken = None;
+    let mut told = Instant::now();
+    while broken.is_none() && !faults.is_finished() {
+        tokio::time::sleep(CHECK_EVERY).await;
+        broken = shared.ledger().first_broken(&journal);
+        if told.elapsed() > PROGRESS_EVERY {
+            told = Instant::now();
+            progress(&format!(
+                "{:.0} s: {}",
+                shared.started.elapsed().as_secs_f64(),
+                shared.ledger().counts()
+            ));
+        }
+    }
+    faults.abort();
+    // Callers hand nothing in any more and ask for what they have until it has ended.
+    stop.send_replace(true);
+    let calm_until = Instant::now() + CALM;
+    while broken.is_none() && Instant::now() < calm_until {
+        tokio::time::sleep(CHECK_EVERY).await;
+        broken = shared.ledger().first_broken(&journal);
+        if callers.iter().all(tokio::task::JoinHandle::is_finished) {
+            break;
+        }
+    }
+    if broken.is_none() {
+        broken = shared.ledger().broken_at_end(&journal);
+    }
+    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    let broken = broken.map(|text| (shared.started.elapsed(), text));
+    let timeline = shared.timeline.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let counts = shared.ledger().counts();
+    SoakReport { seed: plan.seed, timeline, broken, counts }
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,22 @@
+//! A short soak with a fixed seed; longer ones are run by hand with `gga-soak`.
+
+use std::path::Path;
+use std::time::Duration;
+
+use greengagearch_standins::processes::SettingsFolder;
+use greengagearch_standins::soak::SoakPlan;
+use greengagearch_standins::soak::run_soak;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak() {
+    let logs = SettingsFolder::open();
+    let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap().to_path_buf();
+    let plan = SoakPlan {
+        seed: 1,
+        length: Duration::from_secs(8),
+        programs,
+        logs: logs.path().to_path_buf(),
+    };
+    let report = run_soak(&plan, |_| {}).await;
+    assert!(report.broken.is_none(), "{report}");
+}
