--- a/src/bin/gga-planner.rs
+++ b/src/bin/gga-planner.rs
@@ -46,8 +46,9 @@
         .map(|address| Arc::new(AdviceClient::open(address)) as Arc<dyn AdviceService>);
     let process = PlannerProcess::bind(settings, store, advice, stop).await?;
     let addresses = process.addresses;
+    let jobs = addresses.jobs.map(|jobs| format!(" jobs={jobs}")).unwrap_or_default();
     println!(
-        "listening callers={} ready={} internal={}",
+        "listening callers={} ready={} internal={}{jobs}",
         addresses.callers, addresses.ready, addresses.internal
     );
     process.stopped().await;
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -3,6 +3,7 @@
 pub mod commit_writer;
 pub mod decision_log;
 pub mod job_desk;
+pub mod job_http;
 pub mod node_link;
 pub mod office;
 pub mod peer_watch;
@@ -50,6 +51,8 @@
 pub struct PlannerAddresses {
     /// For callers.
     pub callers: SocketAddr,
+    /// For jobs by the product's own interface, if it is offered.
+    pub jobs: Option<SocketAddr>,
     /// For the balancer's question whether the process is ready.
     pub ready: SocketAddr,
     /// For other processes of the system.
@@ -79,8 +82,13 @@
         let callers = listen(settings.caller_listen).await?;
         let ready = listen(settings.ready_listen).await?;
         let internal = listen(settings.internal_listen).await?;
+        let jobs = match settings.job_listen {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
         let addresses = PlannerAddresses {
             callers: local_address(&callers)?,
+            jobs: jobs.as_ref().map(local_address).transpose()?,
             ready: local_address(&ready)?,
             internal: local_address(&internal)?,
         };
@@ -97,6 +105,9 @@
         let (close, closed) = StopSwitch::new();
         let limits = HttpLimits::default();
         let router = caller_gate::router(gate.clone());
+        if let Some(jobs) = jobs {
+            spawn_http_server(jobs, job_http::router(gate.clone()), limits, closed.clone());
+        }
         let server = spawn_http_server(callers, router, limits, closed);
         // It answers until the process ends, so that the balancer learns of the stop.
         let (kept, never) = StopSwitch::new();
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -23,6 +23,8 @@
     pub domain: DomainName,
     /// Address for callers.
     pub caller_listen: SocketAddr,
+    /// Address for jobs by the product's own interface; nothing to offer none.
+    pub job_listen: Option<SocketAddr>,
     /// Address at which the balancer asks whether the process is ready.
     pub ready_listen: SocketAddr,
     /// Address for other processes of the system.
@@ -59,6 +61,7 @@
             id: reader.required("planner", "id"),
             domain: reader.required("planner", "domain"),
             caller_listen: read_address(&mut reader, "planner", "caller-listen"),
+            job_listen: read_optional_address(&mut reader, "planner", "job-listen"),
             ready_listen: read_address(&mut reader, "planner", "ready-listen"),
             internal_listen: read_address(&mut reader, "planner", "internal-listen"),
             metrics_listen: read_optional_address(&mut reader, "planner", "metrics-listen"),
--- a/src/version/queue_table.rs
+++ b/src/version/queue_table.rs
@@ -71,6 +71,20 @@
         routes.iter().find_map(|route| Some((route, path.strip_prefix(route.prefix.as_str())?)))
     }
 
+    /// The policy of a queue by its name.
+    ///
+    /// ```
+    /// use greengagearch::version::queue_table::CallerLimits;
+    /// use greengagearch::version::queue_table::QueueTable;
+    ///
+    /// let table = QueueTable::new(1, CallerLimits { body_bytes: 1_000 }, Vec::new());
+    /// assert!(table.find_queue("logs").is_none());
+    /// ```
+    pub fn find_queue(&self, name: &str) -> Option<&QueuePolicy> {
+        let routes = self.routes.values().flatten();
+        routes.map(|route| &route.policy).find(|policy| policy.queue == name)
+    }
+
     /// Number of queues.
     ///
     /// ```
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -25,6 +25,21 @@
     Cancelled,
 }
 
+impl JobEnd {
+    /// The word that callers of the product's own interface are told.
+    ///
+    /// ```
+    /// assert_eq!(greengagearch::workflow::progress::JobEnd::Cancelled.word(), "cancelled");
+    /// ```
+    pub fn word(self) -> &'static str {
+        match self {
+            JobEnd::Completed => "completed",
+            JobEnd::Failed => "failed",
+            JobEnd::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// The state of a job as callers see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStatus {
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -20,13 +20,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoomAmount {
     /// Processor time in thousandths of a core.
-    #[serde(rename = "c", default)]
+    #[serde(rename = "c", alias = "millicores", default)]
     pub millicores: u64,
     /// Memory in mebibytes.
-    #[serde(rename = "m", default)]
+    #[serde(rename = "m", alias = "memory_mib", default)]
     pub memory_mib: u64,
     /// Whole accelerators.
-    #[serde(rename = "g", default)]
+    #[serde(rename = "g", alias = "accelerators", default)]
     pub accelerators: u64,
 }
 
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -101,16 +101,7 @@
 
     /// Writes a configuration with these queues.
     pub fn configure(&self, version: u64, queues: &[&str]) {
-        let route = |name: &&str| {
-            json!({
-                "Name": name, "Host": CALLER_HOST, "Prefix": format!("/{name}/"), "Service": "svc",
-                "Kind": "non_idempotent", "TargetDurationMs": 500, "Stretch": 2.0,
-                "MaxAttempts": ATTEMPTS, "Priority": 0,
-            })
-        };
-        let routes: Vec<Value> = queues.iter().map(route).collect();
-        let text = json!({ "Version": version, "Routes": routes }).to_string();
-        self.store.put("op", "", "config", STANDARD.encode(text));
+        self.store.put("op", "", "config", queue_configuration(version, queues));
     }
 
     fn spawn(&mut self, program: &str, text: &str, name: &str) -> ProductProcess {
@@ -253,6 +244,19 @@
     )
 }
 
+/// A configuration with queues of these names, as the store keeps it.
+pub fn queue_configuration(version: u64, queues: &[&str]) -> String {
+    let route = |name: &&str| {
+        json!({
+            "Name": name, "Host": CALLER_HOST, "Prefix": format!("/{name}/"), "Service": "svc",
+            "Kind": "non_idempotent", "TargetDurationMs": 500, "Stretch": 2.0,
+            "MaxAttempts": ATTEMPTS, "Priority": 0,
+        })
+    };
+    let routes: Vec<Value> = queues.iter().map(route).collect();
+    STANDARD.encode(json!({ "Version": version, "Routes": routes }).to_string())
+}
+
 /// The name of a job by its number.
 pub fn job_name(number: u64) -> String {
     format!("{number:016x}")
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -25,7 +25,7 @@
 
 const PLANNERS: usize = 3;
 const NODES: usize = 4;
-const CALLERS: usize = 6;
+const CALLERS: usize = 16;
 /// Time between two checks of the promises.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
 /// Time between two lines of progress.
