--- a/standins/src/bin/gga-local.rs
+++ b/standins/src/bin/gga-local.rs
@@ -18,13 +18,16 @@
 use greengagearch_standins::local::DocumentFile;
 use greengagearch_standins::local::LocalSystem;
 use greengagearch_standins::local_platform::LocalPlatform;
-use greengagearch_standins::local_platform::example_job;
 use greengagearch_standins::traffic::TrafficPlan;
 use greengagearch_standins::traffic::send_traffic;
 
 const PURPOSE: &str = "Runs entry, agents, runners and the platform's stand-ins in one process.\n\n\
     Usage: gga-local --documents FOLDER [--traffic SPAN] [--rate N]\n\
     \x20      gga-local --platform [--traffic SPAN]";
+/// A job to try with `--platform`.
+const PLATFORM_JOB: &str = r#"{"id":"first","queue":"logs","payload":"run_ms=300","steps":[
+    {"count":3,"room":{"millicores":300,"memory_mib":100},"estimate_ms":300},
+    {"count":1,"room":{"millicores":300,"memory_mib":100},"estimate_ms":300,"after":[0]}]}"#;
 /// Requests a second of `--traffic`.
 const DEFAULT_RATE: f64 = 300.0;
 
@@ -61,11 +64,9 @@
     let (switch, stop) = StopSwitch::new();
     let system = LocalPlatform::spawn(stop).await?;
     let url = format!("http://{}/v1/workflows", system.jobs);
-    let example = serde_json::to_string(&example_job("first")).unwrap_or_default();
     println!("jobs      {url}\n\nTry a job of two steps:");
-    println!(
-        "  curl -d '{example}' -H 'content-type: application/json' {url}\n  curl {url}/first\n"
-    );
+    println!("  curl -d '{PLATFORM_JOB}' -H 'content-type: application/json' {url}");
+    println!("  curl {url}/first\n");
     match traffic {
         Some(length) => {
             let (accepted, completed) = system.send_jobs(length).await;
