--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -17,7 +17,7 @@
 use crate::ids::ServiceName;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::spec::RoomAmount;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 
 /// Identifies the sender of a call and its place among the calls that an agent gets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/src/external/runner_control.rs
+++ b/src/external/runner_control.rs
@@ -12,7 +12,7 @@
 use crate::ids::InstanceId;
 use crate::ids::PlannerEpoch;
 use crate::ids::RunNumber;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 
 /// Time of a runner's own steady clock, in milliseconds.
 pub type RunnerMillis = u64;
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -23,8 +23,8 @@
 use crate::platform::http_client::CallResult;
 use crate::platform::http_client::PlatformHttp;
 use crate::workflow::progress::RunEnd;
-use crate::workflow::spec::TaskName;
-use crate::workflow::spec::UnknownTask;
+use crate::workflow::task_name::TaskName;
+use crate::workflow::task_name::UnknownTask;
 
 /// Header that names the life of a runner that a call is meant for.
 const EXPECT_INSTANCE: &str = "X-Greengagearch-Expect-Instance";
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -20,7 +20,7 @@
 use crate::process::node::local_runs::LookNumber;
 use crate::workflow::grant::surely_expired;
 use crate::workflow::pacing::PaceControl;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
 /// Earlier lives of the runner that are remembered, for heartbeats and orders that come late.
--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -54,7 +54,7 @@
     ///
     /// let now = Instant::now();
     /// let mut board = WorkerBoard::default();
-    /// let key: (greengagearch::workflow::spec::TaskName, u32) = ("a.0.0.0".parse().unwrap(), 1);
+    /// let key: (greengagearch::workflow::task_name::TaskName, u32) = ("a.0.0.0".parse().unwrap(), 1);
     /// board.assign("i-1", key.clone(), &StepSpec::default(), now, now);
     /// let run = board.get_mut("i-1").unwrap().assigned.get_mut(&key).unwrap();
     /// let checkpoint = String::new();
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -13,7 +13,7 @@
 use crate::connection::node_protocol::ImageEffect;
 use crate::ids::JobId;
 use crate::workflow::assigned_run::AssignedRun;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::WorkerEntry;
 
 /// Name of what a task runs.
@@ -191,7 +191,7 @@
     ///
     /// use greengagearch::workflow::disturbance::DisturbanceModel;
     /// use greengagearch::workflow::spec::StepSpec;
-    /// use greengagearch::workflow::spec::TaskName;
+    /// use greengagearch::workflow::task_name::TaskName;
     /// use greengagearch::workflow::worker_board::WorkerBoard;
     ///
     /// let now = Instant::now();
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -20,4 +20,5 @@
 pub mod planner_rounds;
 pub mod progress;
 pub mod spec;
+pub mod task_name;
 pub mod worker_board;
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -16,7 +16,7 @@
 use crate::workflow::disturbance::FIRST_ADDED;
 use crate::workflow::disturbance::FIRST_IDLE_SHARE;
 use crate::workflow::disturbance::MEASURED_SPAN;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
 /// Kept between the load that is aimed at and the load at the target: what a load swings by within a look and
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -8,7 +8,7 @@
 use crate::workflow::advice_book::AdviceBook;
 use crate::workflow::disturbance::DisturbanceModel;
 use crate::workflow::spec::StepSpec;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::WorkerBoard;
 use crate::workflow::worker_board::WorkerEntry;
 
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -5,7 +5,7 @@
 use crate::ids::RunNumber;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::RunEnd;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 
 /// One decision, or one change of what the planner believes.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -24,7 +24,7 @@
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
 use crate::workflow::progress::RunEnd;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 use crate::workflow::worker_board::WorkerBoard;
 
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -13,8 +13,8 @@
 use crate::workflow::progress::JobRecord;
 use crate::workflow::progress::JobStatus;
 use crate::workflow::spec::StepSpec;
-use crate::workflow::spec::TaskName;
 use crate::workflow::spec::WorkflowSpec;
+use crate::workflow::task_name::TaskName;
 
 /// A job that is worked on.
 #[derive(Clone, Debug)]
--- a/src/workflow/planner_preemption.rs
+++ b/src/workflow/planner_preemption.rs
@@ -8,7 +8,7 @@
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::spec::StepSpec;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 use crate::workflow::worker_board::WorkerEntry;
 
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -15,7 +15,7 @@
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
 /// Least time between two messages that tell an agent what was learned of its runs.
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -16,7 +16,7 @@
 use crate::workflow::planner_jobs::JobEntry;
 use crate::workflow::progress::RunAttempt;
 use crate::workflow::spec::StepSpec;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::WorkerEntry;
 
 /// Multiple of the objective after which a job's end is worth nothing to its caller, from the
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -11,8 +11,8 @@
 use crate::ids::InstanceId;
 use crate::ids::RunNumber;
 use crate::workflow::spec::StepSpec;
-use crate::workflow::spec::TaskName;
 use crate::workflow::spec::WorkflowSpec;
+use crate::workflow::task_name::TaskName;
 
 /// The final state of a job; it never changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -1,13 +1,8 @@
 //! What a caller submits: a job of steps, each with tasks of one kind.
 
-use std::fmt;
-use std::str::FromStr;
-
 use serde::Deserialize;
 use serde::Serialize;
-use snafu::Snafu;
 
-use crate::ids::JobId;
 use crate::ids::QueueName;
 use crate::ids::RackName;
 use crate::ids::ServiceName;
@@ -353,73 +348,3 @@
         findings
     }
 }
-
-/// The name of a task: its job, occurrence, step and position, written `ID.K.STEP.INDEX`.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(into = "String", try_from = "String")]
-pub struct TaskName {
-    /// The job.
-    pub job: JobId,
-    /// The occurrence, from zero.
-    pub occurrence: u32,
-    /// The step, from zero.
-    pub step: u32,
-    /// The position in the step, from zero.
-    pub index: u32,
-}
-
-impl TaskName {
-    /// The step that the task belongs to.
-    ///
-    /// ```
-    /// let name: greengagearch::workflow::spec::TaskName = "a.1.2.3".parse().unwrap();
-    /// assert_eq!(name.step_key(), ("a".to_string(), 1, 2));
-    /// ```
-    pub fn step_key(&self) -> (JobId, u32, u32) {
-        (self.job.clone(), self.occurrence, self.step)
-    }
-}
-
-impl fmt::Display for TaskName {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
-    }
-}
-
-/// A text that names no task.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("'{text}' names no task"))]
-pub struct UnknownTask {
-    /// The text.
-    text: String,
-}
-
-impl FromStr for TaskName {
-    type Err = UnknownTask;
-
-    fn from_str(text: &str) -> Result<TaskName, UnknownTask> {
-        let mut parts = text.rsplitn(4, '.');
-        let mut number = || parts.next().and_then(|part| part.parse().ok());
-        let (index, step, occurrence) = (number(), number(), number());
-        match (parts.next(), occurrence, step, index) {
-            (Some(job), Some(occurrence), Some(step), Some(index)) if !job.is_empty() => {
-                Ok(TaskName { job: job.to_string(), occurrence, step, index })
-            }
-            _ => Err(UnknownTask { text: text.to_string() }),
-        }
-    }
-}
-
-impl From<TaskName> for String {
-    fn from(task: TaskName) -> String {
-        task.to_string()
-    }
-}
-
-impl TryFrom<String> for TaskName {
-    type Error = UnknownTask;
-
-    fn try_from(text: String) -> Result<TaskName, UnknownTask> {
-        text.parse()
-    }
-}
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -12,7 +12,7 @@
 use crate::workflow::assigned_run::EndedFill;
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::spec::StepSpec;
-use crate::workflow::spec::TaskName;
+use crate::workflow::task_name::TaskName;
 
 /// A worker that was silent for so long gets no new work: two waits of a sync call and some.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -9,7 +9,7 @@
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::workflow::pacing::PaceControl;
 use greengagearch::workflow::pacing::PaceStep;
-use greengagearch::workflow::spec::TaskName;
+use greengagearch::workflow::task_name::TaskName;
 
 const IDLE_MS: f64 = 25.0;
 const TARGET_MS: u64 = 125;
--- a/tests/planning_world/runner.rs
+++ b/tests/planning_world/runner.rs
@@ -6,7 +6,7 @@
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::external::runner_control::RunnerLists;
 use greengagearch::workflow::progress::RunEnd;
-use greengagearch::workflow::spec::TaskName;
+use greengagearch::workflow::task_name::TaskName;
 use greengagearch::workflow::worker_board::RunKey;
 
 /// A run as it really was.
