--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod local;
 pub mod local_platform;
+pub mod platform_advice;
 pub mod platform_cluster;
 pub mod platform_runner;
 pub mod platform_store;
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -64,6 +64,7 @@
     programs: PathBuf,
     folder: SettingsFolder,
     logs: Option<PathBuf>,
+    advice: Option<SocketAddr>,
     client: reqwest::Client,
 }
 
@@ -84,6 +85,7 @@
             programs: programs.to_path_buf(),
             folder: SettingsFolder::open(),
             logs,
+            advice: None,
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
         };
         cluster.configure(1, &["q"]);
@@ -110,22 +112,35 @@
         ProductProcess::spawn_logged(&self.programs.join(program), &settings, log.as_deref())
     }
 
+    /// Lets entry hosts that are added from now on use an advice service.
+    pub fn use_advice(&mut self, address: SocketAddr) {
+        self.advice = Some(address);
+    }
+
     /// Adds an entry host.
     pub async fn add_planner(&mut self) {
         let listener = self.store.listen().await;
         let line = FaultProxy::bind(&[listener.address]).await;
         let number = self.planners.len();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let text = planner_settings(number, [any; 3], line.address);
+        let text = self.planner_settings(number, [any; 3], line.address);
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners.push(PlannerSeat { process, listener, line });
     }
 
+    fn planner_settings(&self, number: usize, of: [SocketAddr; 3], store: SocketAddr) -> String {
+        let text = planner_settings(number, of, store);
+        match self.advice {
+            Some(advice) => format!("{text}[advice]\naddress = {advice}\n"),
+            None => text,
+        }
+    }
+
     /// Starts an entry's process anew at the addresses that it had.
     pub fn restart_planner(&mut self, number: usize) {
         let seat = &self.planners[number];
         let addresses = ["callers", "ready", "internal"].map(|name| seat.process.address(name));
-        let text = planner_settings(number, addresses, seat.line.address);
+        let text = self.planner_settings(number, addresses, seat.line.address);
         self.planners[number].process.kill();
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners[number].process = process;
@@ -244,13 +259,16 @@
     )
 }
 
-/// A configuration with queues of these names, as the store keeps it.
+/// A configuration with queues of these names, as the store keeps it. Those whose name begins with `advised`
+/// need the advice service.
 pub fn queue_configuration(version: u64, queues: &[&str]) -> String {
     let route = |name: &&str| {
+        let advice = json!({ "DecideMs": 5, "EachMs": 1, "ValidityMs": 1_000 });
+        let advice = if name.starts_with("advised") { advice } else { Value::Null };
         json!({
             "Name": name, "Host": CALLER_HOST, "Prefix": format!("/{name}/"), "Service": "svc",
             "Kind": "non_idempotent", "TargetDurationMs": 500, "Stretch": 2.0,
-            "MaxAttempts": ATTEMPTS, "Priority": 0,
+            "MaxAttempts": ATTEMPTS, "Priority": 0, "Advice": advice,
         })
     };
     let routes: Vec<Value> = queues.iter().map(route).collect();
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -25,6 +25,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::platform_advice::PlatformAdvice;
+
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
 /// Time for which a lost answer is held back.
@@ -143,7 +145,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct RunnerLife {
     running: BTreeMap<(String, u32), Instant>,
     highest: BTreeMap<String, u32>,
@@ -154,6 +156,8 @@
     lost_answers: u32,
     /// Orders that get no answer and are carried out after this time.
     late_orders: Option<Duration>,
+    /// Tells which tickets are valid, where starts need one.
+    advice: Option<PlatformAdvice>,
     lapsed: Option<Instant>,
     is_over: bool,
 }
@@ -215,6 +219,11 @@
         self.lock().lost_answers = count;
     }
 
+    /// Starts only what carries a valid ticket from now on.
+    pub fn ask_for_tickets(&self, advice: PlatformAdvice) {
+        self.lock().advice = Some(advice);
+    }
+
     /// Leaves orders unanswered and carries them out after a time, or no more.
     pub fn set_late_orders(&self, delay: Option<Duration>) {
         self.lock().late_orders = delay;
@@ -349,6 +358,8 @@
     until_ms: u64,
     #[serde(rename = "Fence", default)]
     fence: u64,
+    #[serde(rename = "Ticket", default)]
+    ticket: String,
 }
 
 async fn take_start(
@@ -389,6 +400,13 @@
     if life.highest.get(&body.task).is_some_and(|highest| body.run <= *highest) {
         return Ok((runner.refuse("old"), false));
     }
+    let has_ticket = life
+        .advice
+        .as_ref()
+        .is_none_or(|advice| advice.is_valid(&body.task, &runner.instance, &body.ticket));
+    if !has_ticket {
+        return Ok((runner.refuse("ticket"), false));
+    }
     life.highest.insert(body.task.clone(), body.run);
     life.running.insert(key, Instant::now());
     runner.journal.begin(&body.task, body.run, &runner.instance);
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use greengagearch_standins::platform_advice::PlatformAdvice;
 use greengagearch_standins::platform_cluster::CALLER_HOST;
 use greengagearch_standins::platform_cluster::PlatformCluster;
 use greengagearch_standins::platform_cluster::job_name;
@@ -207,3 +208,26 @@
         env.until_state(0, &job_name(number), "completed").await;
     }
 }
+
+/// Tickets lapse after a second here, while the second step waits longer for the first.
+#[tokio::test]
+async fn a_queue_that_needs_advice_runs_where_the_service_allows_it() {
+    let mut env = start(0, 3).await;
+    let advice = PlatformAdvice::spawn(Duration::from_secs(1), &["i-1"]).await;
+    advice.refuse(2);
+    env.use_advice(advice.address);
+    env.configure(2, &["q", "advised"]);
+    env.nodes.iter().for_each(|seat| seat.runner.ask_for_tickets(advice.clone()));
+    env.add_planner().await;
+    env.until_ready(0).await;
+    let url = env.url(0, &format!("/advised/{}", job_name(1)));
+    let body = job_of_steps("run_ms=1500", &[3, 2]);
+    let submit = || env.client().post(&url).header("Host", CALLER_HOST).json(&body).send();
+    env.until(async || submit().await.is_ok_and(|one| one.status() == StatusCode::OK)).await;
+    env.until_state(0, &job_name(1), "completed").await;
+    let records = env.journal.records();
+    assert!(records.iter().all(|run| run.instance != "i-1"), "{records:?}");
+    assert_eq!(records.len(), 5);
+    assert!(advice.calls() >= 4, "two refused, one a step at least");
+    env.assert_nothing_doubled();
+}
