--- a/src/process/node/local_runs.rs
+++ b/src/process/node/local_runs.rs
@@ -206,7 +206,7 @@
     present.iter().any(|run| run.task == key.0 && run.run == key.1)
 }
 
-/// A run that was ordered and is not shown yet; nothing is known of its progress.
+/// A run that was ordered and is not shown yet.
 fn unseen(key: &RunKey) -> PresentRun {
     PresentRun {
         task: key.0.clone(),
@@ -214,7 +214,7 @@
         checkpoint: String::new(),
         progress_percent: 0,
         pace_percent: 100,
-        measured_percent: 0,
+        measured_percent: 100,
         usage: 0,
     }
 }
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -149,8 +149,8 @@
         return false;
     };
     let step = need.step;
-    let is_sound = worker.is_open(view.now) && !worker.is_stalled(view.now);
-    let is_open = is_sound && view.suspicion.starts_left(instance, view.now) != Some(0);
+    let is_open =
+        worker.is_open(view.now) && view.suspicion.starts_left(instance, view.now) != Some(0);
     let has_label = step.required_label.is_empty() || status.labels.contains(&step.required_label);
     let has_ticket = !need.needs_ticket
         || view.advice.ticket(&need.task.step_key(), instance, view.now).is_some();
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -128,7 +128,6 @@
         }
         self.move_held_up();
         self.evacuate();
-        self.leave_stalled();
         for entry in self.jobs.values_mut() {
             let spec = &entry.spec;
             while entry.next_occurrence < spec.times
--- a/src/workflow/planner_moves.rs
+++ b/src/workflow/planner_moves.rs
@@ -17,9 +17,6 @@
 const UNSAVED_AGE: Duration = Duration::from_millis(700);
 /// Progress in percent from which on a task is left to end on a leaving worker.
 const NEARLY_DONE: u32 = 60;
-/// Time for which a worker gets nothing after its runs stood still: half of what such trouble lasts in the
-/// users' sheets, then it is tried again.
-const STILL_PAUSE: Duration = Duration::from_millis(3_000);
 /// Tasks that are moved in one look at most, so that places are chosen one after another.
 const MOVES_AT_ONCE: usize = 3;
 
@@ -42,28 +39,6 @@
         self.stop_to_move(moves);
     }
 
-    /// Stops runs that stand still on workers on which everything does, where another worker would take them.
-    pub(crate) fn leave_stalled(&mut self) {
-        let stalled = self.stalled_runs();
-        let movable = stalled.into_iter().filter(|(instance, key)| self.has_place(instance, key));
-        let moves: Vec<(InstanceId, RunKey)> = movable.take(MOVES_AT_ONCE).collect();
-        for (instance, _) in &moves {
-            if let Some(worker) = self.board.get_mut(instance) {
-                worker.still_until = Some(self.now + STILL_PAUSE);
-            }
-        }
-        self.stop_to_move(moves);
-    }
-
-    fn stalled_runs(&self) -> Vec<(InstanceId, RunKey)> {
-        let mut found = Vec::new();
-        for (instance, worker) in self.board.iter().filter(|(_, one)| one.is_stalled(self.now)) {
-            let stalled = worker.assigned.iter().filter(|(_, run)| run.is_stalled(self.now));
-            found.extend(stalled.map(|(key, _)| (instance.clone(), key.clone())));
-        }
-        found
-    }
-
     fn stop_to_move(&mut self, moves: Vec<(InstanceId, RunKey)>) {
         for (instance, key) in moves {
             self.decisions.push(PlanDecision::Moved {
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -44,8 +44,6 @@
     pub heard: Option<Instant>,
     /// Until when it gets nothing because it refused for want of room.
     pub full_until: Option<Instant>,
-    /// Until when it gets nothing because what it had stood still.
-    pub still_until: Option<Instant>,
     /// When tasks that fill were last given, taken or paced here.
     pub fills_changed: Instant,
     /// Runs that filled and have ended within [`ENDED_KEPT`].
@@ -65,7 +63,6 @@
             lease_end,
             heard: None,
             full_until: None,
-            still_until: None,
             fills_changed: lease_end,
             ended_fills: Vec::new(),
             described: lease_end,
@@ -99,33 +96,8 @@
         let is_heard =
             self.heard.is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE_LIMIT);
         let is_full = self.full_until.is_some_and(|until| now < until);
-        let is_still = self.still_until.is_some_and(|until| now < until);
         let is_leaving = self.status.as_ref().is_none_or(|status| status.draining);
-        is_heard && !is_still && !is_full && !is_leaving && !self.resync
-    }
-
-    /// Whether everything here that should get on stands still.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
-    /// assert!(!board.entry("i-1", Instant::now()).is_stalled(Instant::now()));
-    /// ```
-    pub fn is_stalled(&self, now: Instant) -> bool {
-        let watched = |run: &&AssignedRun| run.seen_since.is_some() && !run.long_running;
-        let mut stalled = 0;
-        for run in self.assigned.values().filter(watched).filter(|run| !run.stopping) {
-            let is_new = run
-                .seen_since
-                .is_some_and(|since| now.saturating_duration_since(since) < SILENCE_LIMIT);
-            if run.is_stalled(now) {
-                stalled += 1;
-            } else if !is_new {
-                return false;
-            }
-        }
-        stalled > 0
+        is_heard && !is_full && !is_leaving && !self.resync
     }
 
     /// Processor time that tasks that fill may expect to share, in thousandths of a core.
@@ -291,8 +263,6 @@
             seen_since: None,
             told: None,
             slow_since: None,
-            estimate: Duration::from_millis(step.estimate_ms),
-            progressed: now,
             stopping: false,
         };
         worker.used = worker.used.plus(&run.counted);
