--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -67,6 +67,20 @@
         RunPace { wanted: 1.0, ordered: Some(1.0), past: VecDeque::from([(now, 1.0)]) }
     }
 
+    /// The pace to order next, if that is another one. Rises are taken in parts, and only when they may be.
+    fn next(&self, allowed: f64, may_rise: bool) -> Option<f64> {
+        let rise = (allowed - self.wanted).max(0.0);
+        if rise > 0.0 && !may_rise {
+            return None;
+        }
+        let wanted = if rise > LEAST_CHANGE { self.wanted + rise * RISE_SHARE } else { allowed };
+        let is_change = self.ordered.is_none_or(|ordered| {
+            let is_end = wanted != ordered && (wanted == 1.0 || wanted == 0.0);
+            (ordered - wanted).abs() >= LEAST_CHANGE || is_end
+        });
+        is_change.then_some(wanted)
+    }
+
     fn order(&mut self, pace: f64, now: Instant) {
         self.wanted = pace;
         self.ordered = Some(pace);
@@ -91,9 +105,11 @@
 
 /// Tasks of one job that serve on this worker; their load swings alike.
 struct ServingGroup {
+    /// What they run.
     image: String,
     /// The load that is aimed at less the load that was measured.
     room: f64,
+    /// The tail as a share of its target.
     pressure: f64,
 }
 
@@ -123,24 +139,15 @@
         let mut steps = Vec::new();
         for (key, pace) in &mut self.paces {
             let allowed = allowed.get(key).copied().unwrap_or(1.0);
-            let rise = (allowed - pace.wanted).max(0.0);
-            if rise > 0.0 && !may_rise {
+            let Some(wanted) = pace.next(allowed, may_rise) else {
                 continue;
+            };
+            if wanted > pace.wanted {
+                self.rose = Some(now);
             }
-            let wanted =
-                if rise > LEAST_CHANGE { pace.wanted + rise * RISE_SHARE } else { allowed };
-            let is_change = pace.ordered.is_none_or(|ordered| {
-                let is_end = wanted != ordered && (wanted == 1.0 || wanted == 0.0);
-                (ordered - wanted).abs() >= LEAST_CHANGE || is_end
-            });
-            if is_change {
-                if rise > 0.0 {
-                    self.rose = Some(now);
-                }
-                pace.order(wanted, now);
-                let percent = (wanted * 100.0).round() as u32;
-                steps.push(PaceStep { key: key.clone(), percent, pressure });
-            }
+            pace.order(wanted, now);
+            let percent = (wanted * 100.0).round() as u32;
+            steps.push(PaceStep { key: key.clone(), percent, pressure });
         }
         steps
     }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,8 +18,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::platform_cluster::PlatformCluster;
+use crate::platform_runner::RunJournal;
 use crate::soak::callers::spawn_callers;
 use crate::soak::faults::FaultPlayer;
 use crate::soak::ledger::SoakLedger;
@@ -86,7 +89,7 @@
 }
 
 impl SoakShared {
-    fn ledger(&self) -> std::sync::MutexGuard<'_, SoakLedger> {
+    fn ledger(&self) -> MutexGuard<'_, SoakLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -111,37 +114,45 @@
     let (stop, stopped) = watch::channel(false);
     let callers = spawn_callers(&shared, CALLERS, rng.random(), &stopped).await;
     let faults = tokio::spawn(FaultPlayer::new(shared.clone(), rng.random()).play(plan.length));
-    let mut broken = None;
     let mut told = Instant::now();
-    while broken.is_none() && !faults.is_finished() {
-        tokio::time::sleep(CHECK_EVERY).await;
-        broken = shared.ledger().first_broken(&journal);
+    let mut broken = check_until(&shared, &journal, || {
         if told.elapsed() > PROGRESS_EVERY {
             told = Instant::now();
-            progress(&format!(
-                "{:.0} s: {}",
-                shared.started.elapsed().as_secs_f64(),
-                shared.ledger().counts()
-            ));
+            let seconds = shared.started.elapsed().as_secs();
+            progress(&format!("{seconds} s: {}", shared.ledger().counts()));
         }
-    }
+        faults.is_finished()
+    })
+    .await;
     faults.abort();
     // Callers hand nothing in any more and ask for what they have until it has ended.
     stop.send_replace(true);
-    let calm_until = Instant::now() + CALM;
-    while broken.is_none() && Instant::now() < calm_until {
-        tokio::time::sleep(CHECK_EVERY).await;
-        broken = shared.ledger().first_broken(&journal);
-        if callers.iter().all(tokio::task::JoinHandle::is_finished) {
-            break;
-        }
-    }
     if broken.is_none() {
-        broken = shared.ledger().broken_at_end(&journal);
+        let calm_until = Instant::now() + CALM;
+        let have_ended = || callers.iter().all(JoinHandle::is_finished);
+        let is_over = || Instant::now() >= calm_until || have_ended();
+        broken = check_until(&shared, &journal, is_over).await;
     }
-    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    let broken = broken.or_else(|| shared.ledger().broken_at_end(&journal));
+    callers.iter().for_each(JoinHandle::abort);
     let broken = broken.map(|text| (shared.started.elapsed(), text));
     let timeline = shared.timeline.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let counts = shared.ledger().counts();
     SoakReport { seed: plan.seed, timeline, broken, counts }
 }
+
+/// Checks the promises again and again until something is over. Gives the first that is broken.
+async fn check_until(
+    shared: &SoakShared,
+    journal: &RunJournal,
+    mut is_over: impl FnMut() -> bool,
+) -> Option<String> {
+    while !is_over() {
+        tokio::time::sleep(CHECK_EVERY).await;
+        let broken = shared.ledger().first_broken(journal);
+        if broken.is_some() {
+            return broken;
+        }
+    }
+    None
+}
