--- a/src/bin/gga-agent.rs
+++ b/src/bin/gga-agent.rs
@@ -3,8 +3,6 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use greengagearch::cli::ProgramCommand;
-use greengagearch::cli::parse_program;
 use greengagearch::error::Error;
 use greengagearch::external::http_table::HttpTable;
 use greengagearch::external::http_worker::HttpWorker;
@@ -12,7 +10,7 @@
 use greengagearch::process::agent::AgentProcess;
 use greengagearch::process::logging::open_log;
 use greengagearch::process::program::finish;
-use greengagearch::process::program::print_findings;
+use greengagearch::process::program::settings_of;
 use greengagearch::process::settings::AgentSettings;
 use greengagearch::process::stop_signal::listen;
 
@@ -25,18 +23,9 @@
 
 async fn run() -> Result<(), Error> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let file = match parse_program("gga-agent", PURPOSE, &args)? {
-        ProgramCommand::Print(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        ProgramCommand::Check(file) => {
-            return print_findings(AgentSettings::parse(&file.name, &file.text).err());
-        }
-        ProgramCommand::Run(file) => file,
+    let Some(settings) = settings_of("gga-agent", PURPOSE, &args, AgentSettings::parse)? else {
+        return Ok(());
     };
-    let settings = AgentSettings::parse(&file.name, &file.text)
-        .map_err(|findings| Error::Invalid { findings })?;
     open_log(log::LevelFilter::Info);
     let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
     let table = Arc::new(HttpTable::open(&settings.table));
--- a/src/bin/gga-entry.rs
+++ b/src/bin/gga-entry.rs
@@ -3,14 +3,12 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use greengagearch::cli::ProgramCommand;
-use greengagearch::cli::parse_program;
 use greengagearch::error::Error;
 use greengagearch::external::http_table::HttpTable;
 use greengagearch::process::entry::EntryProcess;
 use greengagearch::process::logging::open_log;
 use greengagearch::process::program::finish;
-use greengagearch::process::program::print_findings;
+use greengagearch::process::program::settings_of;
 use greengagearch::process::settings::EntrySettings;
 use greengagearch::process::stop_signal::listen;
 
@@ -23,18 +21,9 @@
 
 async fn run() -> Result<(), Error> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let file = match parse_program("gga-entry", PURPOSE, &args)? {
-        ProgramCommand::Print(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        ProgramCommand::Check(file) => {
-            return print_findings(EntrySettings::parse(&file.name, &file.text).err());
-        }
-        ProgramCommand::Run(file) => file,
+    let Some(settings) = settings_of("gga-entry", PURPOSE, &args, EntrySettings::parse)? else {
+        return Ok(());
     };
-    let settings = EntrySettings::parse(&file.name, &file.text)
-        .map_err(|findings| Error::Invalid { findings })?;
     open_log(log::LevelFilter::Info);
     let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
     let table = Arc::new(HttpTable::open(&settings.table));
--- a/src/bin/gga-node.rs
+++ b/src/bin/gga-node.rs
@@ -3,8 +3,6 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use greengagearch::cli::ProgramCommand;
-use greengagearch::cli::parse_program;
 use greengagearch::error::Error;
 use greengagearch::platform::runner_client::RunnerClient;
 use greengagearch::platform::store_client::StoreClient;
@@ -12,7 +10,7 @@
 use greengagearch::process::node::NodeProcess;
 use greengagearch::process::planning::settings::NodeSettings;
 use greengagearch::process::program::finish;
-use greengagearch::process::program::print_findings;
+use greengagearch::process::program::settings_of;
 use greengagearch::process::stop_signal::listen;
 
 const PURPOSE: &str = "Runs tasks on its host's runner at the planner's orders.";
@@ -24,18 +22,9 @@
 
 async fn run() -> Result<(), Error> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let file = match parse_program("gga-node", PURPOSE, &args)? {
-        ProgramCommand::Print(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        ProgramCommand::Check(file) => {
-            return print_findings(NodeSettings::parse(&file.name, &file.text).err());
-        }
-        ProgramCommand::Run(file) => file,
+    let Some(settings) = settings_of("gga-node", PURPOSE, &args, NodeSettings::parse)? else {
+        return Ok(());
     };
-    let settings = NodeSettings::parse(&file.name, &file.text)
-        .map_err(|findings| Error::Invalid { findings })?;
     open_queued_log(log::LevelFilter::Info);
     let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
     let store = Arc::new(StoreClient::open(&settings.store));
--- a/src/bin/gga-planner.rs
+++ b/src/bin/gga-planner.rs
@@ -3,8 +3,6 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use greengagearch::cli::ProgramCommand;
-use greengagearch::cli::parse_program;
 use greengagearch::error::Error;
 use greengagearch::external::advice_service::AdviceService;
 use greengagearch::platform::advice_client::AdviceClient;
@@ -13,7 +11,7 @@
 use greengagearch::process::planning::PlannerProcess;
 use greengagearch::process::planning::settings::PlannerSettings;
 use greengagearch::process::program::finish;
-use greengagearch::process::program::print_findings;
+use greengagearch::process::program::settings_of;
 use greengagearch::process::stop_signal::listen;
 
 const PURPOSE: &str = "Takes callers' jobs and plans them on the workers of a shared platform.";
@@ -25,18 +23,9 @@
 
 async fn run() -> Result<(), Error> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let file = match parse_program("gga-planner", PURPOSE, &args)? {
-        ProgramCommand::Print(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        ProgramCommand::Check(file) => {
-            return print_findings(PlannerSettings::parse(&file.name, &file.text).err());
-        }
-        ProgramCommand::Run(file) => file,
+    let Some(settings) = settings_of("gga-planner", PURPOSE, &args, PlannerSettings::parse)? else {
+        return Ok(());
     };
-    let settings = PlannerSettings::parse(&file.name, &file.text)
-        .map_err(|findings| Error::Invalid { findings })?;
     open_queued_log(log::LevelFilter::Info);
     let stop = listen().map_err(|source| Error::Listen { address: "signals".into(), source })?;
     let store = Arc::new(StoreClient::open(&settings.store));
