Write a due pulse with whatever is written, and rest between searches for places

Searches for places ran once a report, 185 a second at 74 workers. Change: the pulse joins any transaction when it is due; a search is followed by a rest of three times its length, and is caught up after it. Tests: two in tests/platform_path.rs; the first saw 0 pulses in 150 batches before the change.

--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -40,6 +40,9 @@
 
 /// Time between two looks at what is due by the clock.
 const TICK: Duration = Duration::from_millis(100);
+/// Rest between two searches for places, as a multiple of the time that one takes: with thousands of tasks
+/// that wait, reports come faster than searches end, and pulses and orders have to go out in between.
+const PLAN_REST: u32 = 3;
 /// Pause before rows that could not be read at a takeover are read again.
 const READ_PAUSE: Duration = Duration::from_millis(150);
 /// Pause before the advice service is asked again after it did not answer.
@@ -57,6 +60,10 @@
     pub(super) learned_due: Instant,
     pub(super) learned: LearnedEffects,
     pub(super) load_log_due: Instant,
+    /// Before this the planner does not look for places again.
+    plan_after: Instant,
+    /// Whether something has happened since it did.
+    has_news: bool,
 }
 
 /// How a step of the loop ended.
@@ -77,6 +84,8 @@
             learned_due: Instant::now() + LEARNED_PERIOD,
             learned: LearnedEffects::default(),
             load_log_due: Instant::now(),
+            plan_after: Instant::now(),
+            has_news: false,
         };
         match planning.work(received).await {
             Ok(()) => {
@@ -95,6 +104,7 @@
         let mut tick = tokio::time::interval(TICK);
         while !self.shared.is_stopping() {
             let shared = self.shared.clone();
+            let plan_after = tokio::time::Instant::from_std(self.plan_after);
             tokio::select! {
                 rows = jobs.next() => self.on_jobs(&rows),
                 rows = nodes.next() => self.on_nodes(&rows),
@@ -107,6 +117,7 @@
                 written = written(&mut self.write) => self.on_written(written)?,
                 _ = tick.tick() => self.on_tick(),
                 () = shared.wake.notified() => {}
+                () = tokio::time::sleep_until(plan_after), if self.has_news => {}
             }
             self.plan();
         }
@@ -214,7 +225,13 @@
 
     /// Plans, starts the next write, and sends what may be sent.
     fn plan(&mut self) {
-        self.with_planner(Planner::plan);
+        self.has_news = true;
+        let started = Instant::now();
+        if started >= self.plan_after {
+            self.with_planner(Planner::plan);
+            self.plan_after = Instant::now() + started.elapsed() * PLAN_REST;
+            self.has_news = false;
+        }
         if self.write.is_none() {
             self.write = self.next_write();
         }
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -109,21 +109,33 @@
     }
 
     pub(super) fn next_write(&mut self) -> Option<WriteTask> {
+        let is_pulse_due = Instant::now() >= self.pulse_due;
         if let Some(batch) = self.with_planner(Planner::take_batch).flatten() {
-            let transaction = batch_transaction(&batch, self.proof.version);
+            let mut transaction = batch_transaction(&batch, self.proof.version);
+            if is_pulse_due {
+                // Batches may follow each other without a pause; others see only the pulse.
+                self.add_pulse(&mut transaction);
+            }
             return Some(self.spawn_write(WritePurpose::Batch(batch), transaction));
         }
-        let now = Instant::now();
-        if now < self.pulse_due {
+        if !is_pulse_due {
             return None;
         }
-        self.pulse_due = now + PULSE;
         let kept_for = self.shared.settings.kept_for;
         let expired = self.with_planner(|planner| planner.expired_records(kept_for));
         let expired = expired.unwrap_or_default();
         if !expired.is_empty() {
             return Some(self.write_forget(expired));
         }
+        let mut transaction = self.bound_transaction();
+        self.add_pulse(&mut transaction);
+        Some(self.spawn_write(WritePurpose::Pulse, transaction))
+    }
+
+    /// Adds the pulse, and what goes with it.
+    fn add_pulse(&mut self, transaction: &mut RowTransaction) {
+        let now = Instant::now();
+        self.pulse_due = now + PULSE;
         let pending = self.with_planner(|planner| planner.pending()).unwrap_or_default();
         if now >= self.load_log_due {
             self.load_log_due = now + LOAD_LOG;
@@ -133,13 +145,11 @@
         }
         let pulse = PulseRow { epoch: self.proof.owner.epoch, pending };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
-        let mut transaction = self.bound_transaction();
         transaction.puts.push((name, encode(&pulse)));
         if now >= self.learned_due {
             self.learned_due = now + LEARNED_PERIOD;
-            self.add_learned(&mut transaction);
+            self.add_learned(transaction);
         }
-        Some(self.spawn_write(WritePurpose::Pulse, transaction))
     }
 
     /// Adds what was learned of images, if that is something new.
@@ -152,9 +162,10 @@
         }
     }
 
-    pub(super) fn write_forget(&self, mut expired: Vec<(JobId, RowVersion)>) -> WriteTask {
+    pub(super) fn write_forget(&mut self, mut expired: Vec<(JobId, RowVersion)>) -> WriteTask {
         expired.truncate(FORGET_AT_ONCE);
         let mut transaction = self.bound_transaction();
+        self.add_pulse(&mut transaction);
         for (job, version) in &expired {
             let name = RowName::new(JOB_TABLE, PARTITION, job);
             transaction.expected.push((name.clone(), *version));
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -65,6 +65,7 @@
     folder: SettingsFolder,
     logs: Option<PathBuf>,
     advice: Option<SocketAddr>,
+    planner_lines: String,
     client: reqwest::Client,
 }
 
@@ -86,6 +87,7 @@
             folder: SettingsFolder::open(),
             logs,
             advice: None,
+            planner_lines: String::new(),
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
         };
         cluster.configure(1, &["q"]);
@@ -112,6 +114,11 @@
         ProductProcess::spawn_logged(&self.programs.join(program), &settings, log.as_deref())
     }
 
+    /// Adds lines to the settings of entry hosts that are added from now on.
+    pub fn add_planner_lines(&mut self, lines: &str) {
+        self.planner_lines.push_str(lines);
+    }
+
     /// Lets entry hosts that are added from now on use an advice service.
     pub fn use_advice(&mut self, address: SocketAddr) {
         self.advice = Some(address);
@@ -129,7 +136,7 @@
     }
 
     fn planner_settings(&self, number: usize, of: [SocketAddr; 3], store: SocketAddr) -> String {
-        let text = planner_settings(number, of, store);
+        let text = planner_settings(number, of, store) + &self.planner_lines;
         match self.advice {
             Some(advice) => format!("{text}[advice]\naddress = {advice}\n"),
             None => text,
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -148,6 +148,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Changes of a row, or of all rows of a table, since the history was last dropped.
+    pub fn changes_of(&self, table: &str, key: Option<&str>) -> usize {
+        let rows = self.lock();
+        let is_it = |row: &&WireRow| row.table == table && key.is_none_or(|key| row.key == key);
+        rows.changes.iter().filter(is_it).count()
+    }
+
     /// Keys of a table's rows.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let rows = self.lock();
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -231,3 +231,42 @@
     assert!(advice.calls() >= 4, "two refused, one a step at least");
     env.assert_nothing_doubled();
 }
+
+/// Seen on trouble-2 of sendeplan-grown: batches that followed each other without a pause left no room for the
+/// pulse, so that the entries took planning from each other every 1.5 s.
+#[tokio::test]
+async fn the_pulse_goes_on_while_batches_follow_each_other() {
+    let env = start(1, 2).await;
+    env.planners[0].listener.set_fault(StoreFault::Slow(Duration::from_millis(100)));
+    let before = env.store.changes_of("progress", None);
+    let pulses = env.store.changes_of("ownership", Some("pulse"));
+    let feed = async {
+        for number in 0.. {
+            env.submit(0, &job_name(number), &job_of_steps("run_ms=40", &[4, 4, 4])).await;
+        }
+    };
+    let batches = env.until(async || env.store.changes_of("progress", None) > before + 150);
+    tokio::select! { () = feed => {}, () = batches => {} }
+    let written = env.store.changes_of("ownership", Some("pulse")) - pulses;
+    assert!(written >= 3, "{written} pulses");
+}
+
+/// Found by reading, beside the test above: where jobs expire all the time, their removal took the pulse's turn.
+#[tokio::test]
+async fn the_pulse_goes_on_while_jobs_are_forgotten() {
+    let mut env = start(0, 2).await;
+    env.add_planner_lines("[jobs]\nkept-for = 1ms\n");
+    env.add_planner().await;
+    env.until_ready(0).await;
+    let pulses = env.store.changes_of("ownership", Some("pulse"));
+    let feed = async {
+        for number in 0.. {
+            env.submit(0, &job_name(number), &job_of_steps("run_ms=20", &[1])).await;
+        }
+    };
+    // A job's row is written at its submission and its end, and removed.
+    let forgotten = env.until(async || env.store.changes_of("jobs", None) > 600);
+    tokio::select! { () = feed => {}, () = forgotten => {} }
+    let written = env.store.changes_of("ownership", Some("pulse")) - pulses;
+    assert!(written >= 2, "{written} pulses");
+}
