--- a/src/cli.rs
+++ b/src/cli.rs
@@ -54,12 +54,9 @@
     options.optflag("c", "check", "check the settings and exit");
     add_common(&mut options);
     let matches = parse(&options, args)?;
-    if matches.opt_present("help") {
-        let brief = format!("{purpose}\n\nUsage: {name} --settings FILE [--check]");
-        return Ok(ProgramCommand::Print(options.usage(&brief)));
-    }
-    if matches.opt_present("version") {
-        return Ok(ProgramCommand::Print(version_text(name)));
+    let brief = format!("{purpose}\n\nUsage: {name} --settings FILE [--check]");
+    if let Some(text) = common_answer(name, &brief, &options, &matches) {
+        return Ok(ProgramCommand::Print(text));
     }
     if let Some(surplus) = matches.free.first() {
         return Err(Error::Usage { message: format!("unexpected argument '{surplus}'") });
@@ -103,6 +100,29 @@
     options.parse(args).map_err(|error| Error::Usage { message: error.to_string() })
 }
 
+/// What `--help` or `--version` asks for, if one of them was given.
+///
+/// ```
+/// use greengagearch::cli;
+///
+/// let mut options = getopts::Options::new();
+/// cli::add_common(&mut options);
+/// let matches = cli::parse(&options, &["--version".to_string()]).unwrap();
+/// let text = cli::common_answer("gga-ctl", "Acts.", &options, &matches);
+/// assert!(text.unwrap().starts_with("gga-ctl "));
+/// ```
+pub fn common_answer(
+    name: &str,
+    brief: &str,
+    options: &Options,
+    matches: &getopts::Matches,
+) -> Option<String> {
+    if matches.opt_present("help") {
+        return Some(options.usage(brief));
+    }
+    matches.opt_present("version").then(|| version_text(name))
+}
+
 /// The answer to `--version`.
 ///
 /// ```
--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -5,8 +5,8 @@
 use getopts::Options;
 
 use crate::cli::add_common;
+use crate::cli::common_answer;
 use crate::cli::parse;
-use crate::cli::version_text;
 use crate::error::Error;
 use crate::process::ini_reader::parse_span;
 
@@ -83,11 +83,8 @@
     options.optopt("w", "wait", "wait until the change is in force everywhere", "SPAN");
     add_common(&mut options);
     let matches = parse(&options, args)?;
-    if matches.opt_present("help") {
-        return Ok(CtlCommand::Print(options.usage(BRIEF)));
-    }
-    if matches.opt_present("version") {
-        return Ok(CtlCommand::Print(version_text("gga-ctl")));
+    if let Some(text) = common_answer("gga-ctl", BRIEF, &options, &matches) {
+        return Ok(CtlCommand::Print(text));
     }
     let mut operands = matches.free.iter().cloned();
     let action = match operands.next().as_deref() {
--- a/src/process/agent/rpc.rs
+++ b/src/process/agent/rpc.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use futures::StreamExt;
 use kameo::actor::ActorRef;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
@@ -19,7 +18,7 @@
 use crate::process::agent::reconciler::ReconcileActor;
 use crate::process::agent::reconciler::ReconcileTick;
 use crate::process::agent::shared::AgentShared;
-use crate::process::rpc_server::spawn_accept_loop;
+use crate::process::rpc_server::spawn_rpc_server;
 use crate::request::request_journal::SettleAnswer;
 
 #[derive(Clone)]
@@ -35,12 +34,8 @@
     reconciler: ActorRef<ReconcileActor>,
 ) {
     let server = AgentServer { shared, reconciler };
-    spawn_accept_loop(listener, move |stream| {
-        let channel = BaseChannel::with_defaults(framed(stream));
-        let calls = channel.execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async {
-            tokio::spawn(call);
-        }));
+    spawn_rpc_server(listener, move |stream| {
+        BaseChannel::with_defaults(framed(stream)).execute(server.clone().serve())
     });
 }
 
--- a/src/process/entry/rpc.rs
+++ b/src/process/entry/rpc.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures::StreamExt;
 use kameo::actor::ActorRef;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
@@ -38,7 +37,7 @@
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::EntryShared;
-use crate::process::rpc_server::spawn_accept_loop;
+use crate::process::rpc_server::spawn_rpc_server;
 use crate::request::outcome::RequestOutcome;
 use crate::request::outcome::UnknownReason;
 use crate::request::pool_endpoint::AgentPlace;
@@ -70,12 +69,8 @@
     scheduler: ActorRef<SchedulerActor>,
 ) {
     let server = EntryServer { shared, membership, scheduler };
-    spawn_accept_loop(listener, move |stream| {
-        let channel = BaseChannel::with_defaults(framed(stream));
-        let calls = channel.execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async {
-            tokio::spawn(call);
-        }));
+    spawn_rpc_server(listener, move |stream| {
+        BaseChannel::with_defaults(framed(stream)).execute(server.clone().serve())
     });
 }
 
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -16,9 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::error::Error;
-use crate::external::row_store::RowName;
 use crate::external::row_store::RowStore;
-use crate::external::row_store::RowTransaction;
 use crate::external::runner_control::RunnerControl;
 use crate::platform::runner_registry;
 use crate::process::entry::listen;
@@ -28,15 +26,11 @@
 use crate::process::logging::log_event;
 use crate::process::metrics::serve_metrics;
 use crate::process::node::shared::NodeShared;
+use crate::process::planning::registration::register;
 use crate::process::planning::rows::NODE_TABLE;
-use crate::process::planning::rows::NodeRow;
-use crate::process::planning::rows::PARTITION;
-use crate::process::planning::rows::encode;
 use crate::process::planning::settings::NodeSettings;
 use crate::process::stop_signal::StopSignal;
 
-/// Pause before the agent's row is written again after a failure.
-const REGISTER_PAUSE: Duration = Duration::from_millis(300);
 /// Time for answers that are under way at a stop.
 const LAST_ANSWER: Duration = Duration::from_millis(150);
 
@@ -64,7 +58,7 @@
     ///
     /// [`Error::Listen`].
     pub async fn bind(
-        mut settings: NodeSettings,
+        settings: NodeSettings,
         store: Arc<dyn RowStore>,
         control: Arc<dyn RunnerControl>,
         stop: StopSignal,
@@ -75,7 +69,6 @@
             registry: local_address(&registry)?,
             internal: local_address(&internal)?,
         };
-        settings.internal_listen = addresses.internal;
         let shared = Arc::new(NodeShared::new(control));
         if let Some(address) = settings.metrics_listen {
             serve_metrics(address, shared.metrics.clone()).await?;
@@ -84,7 +77,8 @@
         watcher::spawn_watcher(shared.clone());
         let router = runner_registry::router(shared);
         spawn_http_server(registry, router, HttpLimits::default(), stop.clone());
-        tokio::spawn(register(settings, store));
+        let reached_at = settings.internal_advertise.unwrap_or(addresses.internal);
+        tokio::spawn(register(store, NODE_TABLE, settings.id, reached_at.to_string()));
         let running = tokio::spawn(async move {
             stop.raised().await;
             log_event(Level::Info, "stopping", &[]);
@@ -101,18 +95,3 @@
         let _ = self.running.await;
     }
 }
-
-/// Writes the agent's address, so that the planner finds it. The row is the same at each start.
-async fn register(settings: NodeSettings, store: Arc<dyn RowStore>) {
-    let reached_at = settings.internal_advertise.unwrap_or(settings.internal_listen);
-    let address = reached_at.to_string();
-    let row = NodeRow { id: settings.id, address: address.clone() };
-    let name = RowName::new(NODE_TABLE, PARTITION, &address);
-    let transaction =
-        RowTransaction { puts: vec![(name, encode(&row))], ..RowTransaction::default() };
-    while let Err(error) = store.commit(&transaction).await {
-        log_event(Level::Warn, "register_failed", &[("error", &error)]);
-        tokio::time::sleep(REGISTER_PAUSE).await;
-    }
-    log_event(Level::Info, "registered", &[("address", &address)]);
-}
--- a/src/process/node/rpc.rs
+++ b/src/process/node/rpc.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -20,7 +19,7 @@
 use crate::process::logging::log_event;
 use crate::process::node::orders::take_orders;
 use crate::process::node::shared::NodeShared;
-use crate::process::rpc_server::spawn_accept_loop;
+use crate::process::rpc_server::spawn_rpc_server;
 
 #[derive(Clone)]
 struct NodeServer {
@@ -30,12 +29,8 @@
 /// Serves the planner.
 pub fn spawn_node_rpc(listener: TcpListener, shared: Arc<NodeShared>) {
     let server = NodeServer { shared };
-    spawn_accept_loop(listener, move |stream| {
-        let channel = BaseChannel::with_defaults(framed(stream));
-        let calls = channel.execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async {
-            tokio::spawn(call);
-        }));
+    spawn_rpc_server(listener, move |stream| {
+        BaseChannel::with_defaults(framed(stream)).execute(server.clone().serve())
     });
 }
 
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -11,6 +11,7 @@
 pub mod planner_loop;
 pub mod planner_writes;
 pub mod queue_watch;
+pub mod registration;
 pub mod rows;
 pub mod settings;
 pub mod shared;
--- a/src/process/planning/planner_client.rs
+++ b/src/process/planning/planner_client.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -22,7 +21,7 @@
 use crate::ids::JobId;
 use crate::ids::RowVersion;
 use crate::process::planning::shared::PlannerShared;
-use crate::process::rpc_server::spawn_accept_loop;
+use crate::process::rpc_server::spawn_rpc_server;
 
 /// Time for the planner's answer; after it the store is asked.
 const STATUS_LIMIT: Duration = Duration::from_millis(300);
@@ -103,11 +102,7 @@
 /// Serves other planner processes.
 pub fn spawn_planner_rpc(listener: TcpListener, shared: Arc<PlannerShared>) {
     let server = PlannerServer { shared };
-    spawn_accept_loop(listener, move |stream| {
-        let channel = BaseChannel::with_defaults(framed(stream));
-        let calls = channel.execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async {
-            tokio::spawn(call);
-        }));
+    spawn_rpc_server(listener, move |stream| {
+        BaseChannel::with_defaults(framed(stream)).execute(server.clone().serve())
     });
 }
--- a/standins/src/bin/gga-experiment.rs
+++ b/standins/src/bin/gga-experiment.rs
@@ -4,8 +4,8 @@
 
 use getopts::Options;
 use greengagearch::cli::add_common;
+use greengagearch::cli::common_answer;
 use greengagearch::cli::parse;
-use greengagearch::cli::version_text;
 use greengagearch::error::Error;
 use greengagearch::process::program::finish;
 use greengagearch_standins::experiments::batch;
@@ -40,12 +40,8 @@
     let mut options = Options::new();
     add_common(&mut options);
     let matches = parse(&options, &args)?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage(BRIEF));
-        return Ok(());
-    }
-    if matches.opt_present("version") {
-        print!("{}", version_text("gga-experiment"));
+    if let Some(text) = common_answer("gga-experiment", BRIEF, &options, &matches) {
+        print!("{text}");
         return Ok(());
     }
     if matches.free.is_empty() {
--- a/standins/src/bin/gga-local.rs
+++ b/standins/src/bin/gga-local.rs
@@ -6,9 +6,9 @@
 
 use getopts::Options;
 use greengagearch::cli::add_common;
+use greengagearch::cli::common_answer;
 use greengagearch::cli::parse;
 use greengagearch::cli::read_file;
-use greengagearch::cli::version_text;
 use greengagearch::error::Error;
 use greengagearch::process::ini_reader::parse_span;
 use greengagearch::process::logging::open_log;
@@ -107,12 +107,8 @@
     options.optopt("r", "rate", "requests a second of the load (default 300)", "N");
     add_common(&mut options);
     let matches = parse(&options, args)?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage(PURPOSE));
-        return Ok(None);
-    }
-    if matches.opt_present("version") {
-        print!("{}", version_text("gga-local"));
+    if let Some(text) = common_answer("gga-local", PURPOSE, &options, &matches) {
+        print!("{text}");
         return Ok(None);
     }
     let usage = |message: &str| Error::Usage { message: message.to_string() };
--- a/standins/src/bin/gga-soak.rs
+++ b/standins/src/bin/gga-soak.rs
@@ -6,8 +6,8 @@
 
 use getopts::Options;
 use greengagearch::cli::add_common;
+use greengagearch::cli::common_answer;
 use greengagearch::cli::parse;
-use greengagearch::cli::version_text;
 use greengagearch::error::Error;
 use greengagearch::process::program::finish;
 use greengagearch_standins::soak::SoakPlan;
@@ -72,12 +72,8 @@
     options.optopt("", "logs", "folder for logs and reports (soak-logs)", "FOLDER");
     add_common(&mut options);
     let matches = parse(&options, args)?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage(PURPOSE));
-        return Ok(None);
-    }
-    if matches.opt_present("version") {
-        println!("{}", version_text("gga-soak"));
+    if let Some(text) = common_answer("gga-soak", PURPOSE, &options, &matches) {
+        print!("{text}");
         return Ok(None);
     }
     let minutes: f64 = number(&matches, "minutes", DEFAULT_MINUTES)?;
