Tell an agent of its runs once after a new link

Cause: what describe_all sent after a new link was not remembered as told, so that the same was sent again within half a second. Change: both ways of telling go through one function that remembers. Fewer messages; what agents know is the same.

--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -176,15 +176,15 @@
             return;
         };
         let known = worker.assigned.iter().filter(|(_, run)| run.seen.is_some());
-        let traits: Vec<TaskTraits> = known.filter_map(|(key, _)| self.traits(&key.0)).collect();
+        let traits: Vec<(RunKey, TaskTraits)> =
+            known.filter_map(|(key, _)| Some((key.clone(), self.traits(&key.0)?))).collect();
         let stopping: Vec<RunKey> = worker
             .assigned
             .iter()
             .filter(|(_, run)| run.stopping)
             .map(|(key, _)| key.clone())
             .collect();
-        let described = traits.into_iter().map(NodeOrder::Describe);
-        self.outbox.extend(described.map(|order| (instance.to_string(), order)));
+        self.describe(instance, traits);
         let stops = stopping.into_iter().map(|key| NodeOrder::Stop(key.0, key.1));
         self.outbox.extend(stops.map(|order| (instance.to_string(), order)));
         self.stop_unwanted(instance);
@@ -206,11 +206,18 @@
                 changed.push((key.clone(), traits));
             }
         }
+        if let Some(worker) = self.board.get_mut(instance) {
+            worker.described = self.now;
+        }
+        self.describe(instance, changed);
+    }
+
+    /// Tells an agent of runs, and remembers what it was told.
+    fn describe(&mut self, instance: &str, runs: Vec<(RunKey, TaskTraits)>) {
         let Some(worker) = self.board.get_mut(instance) else {
             return;
         };
-        worker.described = self.now;
-        for (key, traits) in changed {
+        for (key, traits) in runs {
             if let Some(run) = worker.assigned.get_mut(&key) {
                 run.told = Some(traits.clone());
             }
