Make no names for tasks that find no place, and derive what was kept twice

Cause: each search for places made a name for every waiting task although it stops at the first without a place, copied every job's image to sort by it, and looked at labels and tickets of workers without room; a pace was kept twice; runs of which nothing is known were written out in four places; both moves repeated their choice. Change: positions in place of names, borrowed sort keys, room first; one pace with a mark of doubt; PresentRun::ordered; stop_to_move chooses. Whether the search costs less was not measured.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -110,6 +110,28 @@
     pub usage: u64,
 }
 
+impl PresentRun {
+    /// A run of which nothing is known but that it was ordered: it works at full pace.
+    ///
+    /// ```
+    /// use greengagearch::connection::node_protocol::PresentRun;
+    ///
+    /// let run = PresentRun::ordered("a.0.0.0".parse().unwrap(), 1);
+    /// assert_eq!((run.progress_percent, run.pace_percent), (0, 100));
+    /// ```
+    pub fn ordered(task: TaskName, run: RunNumber) -> PresentRun {
+        PresentRun {
+            task,
+            run,
+            checkpoint: CheckpointRef::new(),
+            progress_percent: 0,
+            pace_percent: 100,
+            measured_percent: 100,
+            usage: 0,
+        }
+    }
+}
+
 /// A run that has ended on a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
--- a/src/process/node/local_runs.rs
+++ b/src/process/node/local_runs.rs
@@ -162,7 +162,7 @@
         self.starts.retain(|key, start| {
             let is_shown = matches!(start, LocalStart::Settled(after) if look > *after);
             if !is_shown && !is_among(present, key) {
-                present.push(unseen(key));
+                present.push(PresentRun::ordered(key.0.clone(), key.1));
             }
             !is_shown
         });
@@ -205,16 +205,3 @@
 fn is_among(present: &[PresentRun], key: &RunKey) -> bool {
     present.iter().any(|run| run.task == key.0 && run.run == key.1)
 }
-
-/// A run that was ordered and is not shown yet.
-fn unseen(key: &RunKey) -> PresentRun {
-    PresentRun {
-        task: key.0.clone(),
-        run: key.1,
-        checkpoint: String::new(),
-        progress_percent: 0,
-        pace_percent: 100,
-        measured_percent: 100,
-        usage: 0,
-    }
-}
--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -57,17 +57,7 @@
     /// let key: (greengagearch::workflow::task_name::TaskName, u32) = ("a.0.0.0".parse().unwrap(), 1);
     /// board.assign("i-1", key.clone(), &StepSpec::default(), now, now);
     /// let run = board.get_mut("i-1").unwrap().assigned.get_mut(&key).unwrap();
-    /// let checkpoint = String::new();
-    /// let (progress_percent, pace_percent, measured_percent, usage) = (0, 10, 10, 0);
-    /// let seen = PresentRun {
-    ///     task: key.0,
-    ///     run: 1,
-    ///     checkpoint,
-    ///     progress_percent,
-    ///     pace_percent,
-    ///     measured_percent,
-    ///     usage,
-    /// };
+    /// let seen = PresentRun { pace_percent: 10, ..PresentRun::ordered(key.0, 1) };
     /// assert!(run.on_seen(seen, now));
     /// ```
     pub fn on_seen(&mut self, seen: PresentRun, now: Instant) -> bool {
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -55,35 +55,34 @@
 /// The pace of one run as a share of its full speed.
 #[derive(Clone, Debug)]
 struct RunPace {
-    wanted: f64,
-    /// What was ordered last; nothing when that is not known.
-    ordered: Option<f64>,
+    /// What was ordered last.
+    ordered: f64,
+    /// Whether that order may not have got through.
+    is_in_doubt: bool,
     /// Paces and since when each has its effect.
     past: VecDeque<(Instant, f64)>,
 }
 
 impl RunPace {
     fn started(now: Instant) -> RunPace {
-        RunPace { wanted: 1.0, ordered: Some(1.0), past: VecDeque::from([(now, 1.0)]) }
+        RunPace { ordered: 1.0, is_in_doubt: false, past: VecDeque::from([(now, 1.0)]) }
     }
 
     /// The pace to order next, if that is another one. Rises are taken in parts, and only when they may be.
     fn next(&self, allowed: f64, may_rise: bool) -> Option<f64> {
-        let rise = (allowed - self.wanted).max(0.0);
+        let rise = (allowed - self.ordered).max(0.0);
         if rise > 0.0 && !may_rise {
             return None;
         }
-        let wanted = if rise > LEAST_CHANGE { self.wanted + rise * RISE_SHARE } else { allowed };
-        let is_change = self.ordered.is_none_or(|ordered| {
-            let is_end = wanted != ordered && (wanted == 1.0 || wanted == 0.0);
-            (ordered - wanted).abs() >= LEAST_CHANGE || is_end
-        });
-        is_change.then_some(wanted)
+        let wanted = if rise > LEAST_CHANGE { self.ordered + rise * RISE_SHARE } else { allowed };
+        let is_end = wanted != self.ordered && (wanted == 1.0 || wanted == 0.0);
+        let is_change = (self.ordered - wanted).abs() >= LEAST_CHANGE || is_end;
+        (is_change || self.is_in_doubt).then_some(wanted)
     }
 
     fn order(&mut self, pace: f64, now: Instant) {
-        self.wanted = pace;
-        self.ordered = Some(pace);
+        self.ordered = pace;
+        self.is_in_doubt = false;
         self.past.push_back((now + PACE_LAG, pace));
         let span_start = now.checked_sub(MEASURED_SPAN).unwrap_or(now);
         while self.past.get(1).is_some_and(|(since, _)| *since <= span_start) {
@@ -142,7 +141,7 @@
             let Some(wanted) = pace.next(allowed, may_rise) else {
                 continue;
             };
-            if wanted > pace.wanted {
+            if wanted > pace.ordered {
                 self.rose = Some(now);
             }
             pace.order(wanted, now);
@@ -160,7 +159,7 @@
     /// assert_eq!(PaceControl::default().ordered(&("a.0.0.0".parse().unwrap(), 1)), 100);
     /// ```
     pub fn ordered(&self, key: &RunKey) -> u32 {
-        let pace = self.paces.get(key).map_or(1.0, |pace| pace.ordered.unwrap_or(pace.wanted));
+        let pace = self.paces.get(key).map_or(1.0, |pace| pace.ordered);
         (pace * 100.0).round() as u32
     }
 
@@ -188,7 +187,7 @@
     /// ```
     pub fn on_failed(&mut self, key: &RunKey) {
         if let Some(pace) = self.paces.get_mut(key) {
-            pace.ordered = None;
+            pace.is_in_doubt = true;
         }
     }
 
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -125,7 +125,8 @@
 pub fn choose(need: &PlacementNeed<'_>, view: &PlacementView<'_>) -> Option<InstanceId> {
     let mut best: Option<(f64, &InstanceId)> = None;
     for (instance, worker) in view.board.iter() {
-        if !fits_but_for_room(need, view, instance, worker) {
+        let has_room = worker.free_room().contains(&need.step.counted_room());
+        if !has_room || !fits_but_for_room(need, view, instance, worker) {
             continue;
         }
         let Some(cost) = cost(need, view, instance, worker) else {
@@ -149,22 +150,26 @@
         return false;
     };
     let step = need.step;
-    let is_open =
-        worker.is_open(view.now) && view.suspicion.starts_left(instance, view.now) != Some(0);
-    let has_label = step.required_label.is_empty() || status.labels.contains(&step.required_label);
-    let has_ticket = !need.needs_ticket
-        || view.advice.ticket(&need.task.step_key(), instance, view.now).is_some();
-    let is_bounded = step.max_per_worker > 0 && worker.of_step(need.task) >= step.max_per_worker;
-    is_open
-        && has_label
-        && has_ticket
-        && !is_bounded
-        && need.not_on != Some(instance)
+    let is_trusted = || view.suspicion.starts_left(instance, view.now) != Some(0);
+    let has_label =
+        || step.required_label.is_empty() || status.labels.contains(&step.required_label);
+    let has_ticket = || {
+        let ticket = || view.advice.ticket(&need.task.step_key(), instance, view.now);
+        !need.needs_ticket || ticket().is_some()
+    };
+    let is_below_bound =
+        || step.max_per_worker == 0 || worker.of_step(need.task) < step.max_per_worker;
+    need.not_on != Some(instance)
         && status.service == need.service
         && need.rack.is_none_or(|rack| status.rack() == rack)
+        && worker.is_open(view.now)
+        && is_trusted()
+        && has_label()
+        && has_ticket()
+        && is_below_bound()
 }
 
-/// What it costs to put a task on a worker; nothing when it has no room.
+/// What it costs to put a task on a worker that has room; nothing when that is too great a risk for others.
 fn cost(
     need: &PlacementNeed<'_>,
     view: &PlacementView<'_>,
@@ -173,9 +178,6 @@
 ) -> Option<f64> {
     let status = worker.status.as_ref()?;
     let step = need.step;
-    if !worker.free_room().contains(&step.counted_room()) {
-        return None;
-    }
     let mut cost =
         if step.fills { fill_cost(need, view, worker)? } else { packed_cost(need, worker) };
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
--- a/src/workflow/planner_moves.rs
+++ b/src/workflow/planner_moves.rs
@@ -24,22 +24,19 @@
     /// Stops tasks that were held up for long where another worker would take them; they save their work
     /// and start there.
     pub(crate) fn move_held_up(&mut self) {
-        let held_up = self.held_up();
-        let movable = held_up.into_iter().filter(|(instance, key)| self.has_place(instance, key));
-        let moves: Vec<(InstanceId, RunKey)> = movable.take(MOVES_AT_ONCE).collect();
-        self.stop_to_move(moves);
+        self.stop_to_move(self.held_up());
     }
 
     /// Stops what runs on leaving workers and can go on elsewhere: tasks that last, and those that save
     /// their work and are far from done.
     pub(crate) fn evacuate(&mut self) {
-        let leaving = self.leaving_runs();
-        let movable = leaving.into_iter().filter(|(instance, key)| self.has_place(instance, key));
-        let moves: Vec<(InstanceId, RunKey)> = movable.take(MOVES_AT_ONCE).collect();
-        self.stop_to_move(moves);
+        self.stop_to_move(self.leaving_runs());
     }
 
-    fn stop_to_move(&mut self, moves: Vec<(InstanceId, RunKey)>) {
+    /// Stops the first few runs that another worker would take.
+    fn stop_to_move(&mut self, found: Vec<(InstanceId, RunKey)>) {
+        let movable = found.into_iter().filter(|(instance, key)| self.has_place(instance, key));
+        let moves: Vec<(InstanceId, RunKey)> = movable.take(MOVES_AT_ONCE).collect();
         for (instance, key) in moves {
             self.decisions.push(PlanDecision::Moved {
                 task: key.0.clone(),
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -37,7 +37,7 @@
 const SERVING_SPAN_MS: u64 = 4_000;
 /// Place of a job in a round: smaller comes first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct JobUrgency {
+struct JobUrgency<'a> {
     is_worthless: bool,
     is_late: bool,
     priority: u32,
@@ -45,11 +45,11 @@
     fills: bool,
     deadline_ms: u64,
     /// What serves, so that jobs of one image that come together are placed one after another.
-    serving_image: String,
+    serving_image: &'a str,
 }
 
-impl JobUrgency {
-    fn of(entry: &JobEntry, wall_ms: u64) -> JobUrgency {
+impl<'a> JobUrgency<'a> {
+    fn of(entry: &'a JobEntry, wall_ms: u64) -> JobUrgency<'a> {
         let spec = &entry.spec;
         let first_open = entry.progress.open.keys().next().copied().unwrap_or(0);
         let due_ms = spec.due_ms(first_open);
@@ -68,11 +68,16 @@
             priority: spec.policy.priority,
             fills: spec.steps.iter().any(|step| step.fills),
             deadline_ms: deadline_ms - deadline_ms % span_ms,
-            serving_image: serving.map(|step| step.image.clone()).unwrap_or_default(),
+            serving_image: serving.map_or("", |step| step.image.as_str()),
         }
     }
 }
 
+fn name_of(step: &StepKey, index: u32) -> TaskName {
+    let (job, occurrence, step) = step.clone();
+    TaskName { job, occurrence, step, index }
+}
+
 impl Planner {
     /// Gives tasks that can start to workers that have room. Says how many were given.
     ///
@@ -84,10 +89,11 @@
     /// ```
     pub fn plan(&mut self) -> usize {
         let open = self.jobs.iter().filter(|(_, entry)| entry.end.is_none());
-        let mut order: Vec<(JobUrgency, JobId)> =
-            open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job.clone())).collect();
+        let mut order: Vec<(JobUrgency<'_>, &JobId)> =
+            open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job)).collect();
         order.sort();
-        order.iter().map(|(_, job)| self.plan_job(job)).sum()
+        let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
+        jobs.iter().map(|job| self.plan_job(job)).sum()
     }
 
     fn plan_job(&mut self, job: &str) -> usize {
@@ -99,14 +105,16 @@
                 continue;
             };
             let spec = spec.clone();
-            let names = self.startable(job, occurrence, step, &spec);
-            if !names.is_empty() {
-                self.seek_advice(&(job.to_string(), occurrence, step));
+            let indexes = self.startable(job, occurrence, step, &spec);
+            let key = (job.to_string(), occurrence, step);
+            if !indexes.is_empty() {
+                self.seek_advice(&key);
             }
+            let names = indexes.into_iter().map(|index| name_of(&key, index));
             started += if spec.gang {
-                self.start_gang(&names, &spec)
+                self.start_gang(&names.collect::<Vec<TaskName>>(), &spec)
             } else {
-                self.start_each(&names, &spec)
+                self.start_each(names, &spec)
             };
             if spec.speculative && !spec.gang {
                 started += self.start_copies(job, occurrence, step, &spec);
@@ -149,8 +157,8 @@
         ready
     }
 
-    /// Tasks of a step that are neither done nor running; of a gang all or none.
-    fn startable(&self, job: &str, occurrence: u32, step: u32, spec: &StepSpec) -> Vec<TaskName> {
+    /// Positions of a step's tasks that are neither done nor running; of a gang all or none.
+    fn startable(&self, job: &str, occurrence: u32, step: u32, spec: &StepSpec) -> Vec<u32> {
         let tasks = self.jobs.get(job).and_then(|entry| entry.progress.open.get(&occurrence));
         let Some(tasks) = tasks.and_then(|steps| steps.get(step as usize)) else {
             return Vec::new();
@@ -160,20 +168,22 @@
             return Vec::new();
         }
         let idle = (0..).zip(tasks).filter(|(_, task)| !task.done && task.attempts.is_empty());
-        idle.map(|(index, _)| TaskName { job: job.to_string(), occurrence, step, index }).collect()
+        idle.map(|(index, _)| index).collect()
     }
 
-    fn start_each(&mut self, names: &[TaskName], spec: &StepSpec) -> usize {
-        for (started, name) in names.iter().enumerate() {
-            let Some(worker) = self.choose_worker(name, spec, None, None) else {
+    fn start_each(&mut self, names: impl Iterator<Item = TaskName>, spec: &StepSpec) -> usize {
+        let mut started = 0;
+        for name in names {
+            let Some(worker) = self.choose_worker(&name, spec, None, None) else {
                 // The tasks of a step are alike; where this one finds no room, none does.
-                self.displace_for(name, spec);
-                return started;
+                self.displace_for(&name, spec);
+                break;
             };
-            let run = self.last_run(name) + 1;
-            self.assign(name, run, worker, spec);
+            let run = self.last_run(&name) + 1;
+            self.assign(&name, run, worker, spec);
+            started += 1;
         }
-        names.len()
+        started
     }
 
     /// Starts all members of a gang under one run, or none; on one rack where its members need that and
--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -109,15 +109,7 @@
 }
 
 fn run(task: &str, usage: u64) -> PresentRun {
-    PresentRun {
-        task: task.parse().unwrap(),
-        run: 1,
-        checkpoint: String::new(),
-        progress_percent: 100,
-        pace_percent: 100,
-        measured_percent: 100,
-        usage,
-    }
+    PresentRun { usage, ..PresentRun::ordered(task.parse().unwrap(), 1) }
 }
 
 #[test]
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -267,16 +267,7 @@
 }
 
 pub fn present(key: &RunKey) -> PresentRun {
-    let checkpoint = String::new();
-    PresentRun {
-        task: key.0.clone(),
-        run: key.1,
-        checkpoint,
-        progress_percent: 0,
-        pace_percent: 100,
-        measured_percent: 100,
-        usage: 0,
-    }
+    PresentRun::ordered(key.0.clone(), key.1)
 }
 
 pub fn policy() -> QueuePolicy {
--- a/tests/planning_world/runner.rs
+++ b/tests/planning_world/runner.rs
@@ -242,7 +242,8 @@
         }
         self.seen = self.seen.max(seen);
         self.ended.retain(|ended| ended.number > seen);
-        let running = self.running.keys().map(present).collect();
+        let running =
+            self.running.keys().map(|key| PresentRun::ordered(key.0.clone(), key.1)).collect();
         Some(RunnerLists { clock: self.clock(now), running, ended: self.ended.clone() })
     }
 
@@ -250,15 +251,3 @@
         self.running.is_empty()
     }
 }
-
-fn present(key: &RunKey) -> PresentRun {
-    PresentRun {
-        task: key.0.clone(),
-        run: key.1,
-        checkpoint: String::new(),
-        progress_percent: 0,
-        pace_percent: 100,
-        measured_percent: 100,
-        usage: 0,
-    }
-}
