--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod local_platform;
 pub mod platform_advice;
 pub mod platform_cluster;
+pub mod platform_journal;
 pub mod platform_runner;
 pub mod platform_store;
 pub mod processes;
--- a/standins/src/local_platform.rs
+++ b/standins/src/local_platform.rs
@@ -18,8 +18,8 @@
 use greengagearch::workflow::spec::StepSpec;
 
 use crate::platform_cluster::queue_configuration;
+use crate::platform_journal::RunJournal;
 use crate::platform_runner::PlatformRunner;
-use crate::platform_runner::RunJournal;
 use crate::platform_store::PlatformStore;
 
 /// Runners of the laptop's platform.
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::platform_journal::RunJournal;
 use crate::platform_runner::PlatformRunner;
-use crate::platform_runner::RunJournal;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::StoreListener;
 use crate::processes::ProductProcess;
@@ -64,7 +64,6 @@
     programs: PathBuf,
     folder: SettingsFolder,
     logs: Option<PathBuf>,
-    advice: Option<SocketAddr>,
     planner_lines: String,
     client: reqwest::Client,
 }
@@ -86,7 +85,6 @@
             programs: programs.to_path_buf(),
             folder: SettingsFolder::open(),
             logs,
-            advice: None,
             planner_lines: String::new(),
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
         };
@@ -119,35 +117,22 @@
         self.planner_lines.push_str(lines);
     }
 
-    /// Lets entry hosts that are added from now on use an advice service.
-    pub fn use_advice(&mut self, address: SocketAddr) {
-        self.advice = Some(address);
-    }
-
     /// Adds an entry host.
     pub async fn add_planner(&mut self) {
         let listener = self.store.listen().await;
         let line = FaultProxy::bind(&[listener.address]).await;
         let number = self.planners.len();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let text = self.planner_settings(number, [any; 3], line.address);
+        let text = planner_settings(number, [any; 3], line.address) + &self.planner_lines;
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners.push(PlannerSeat { process, listener, line });
     }
 
-    fn planner_settings(&self, number: usize, of: [SocketAddr; 3], store: SocketAddr) -> String {
-        let text = planner_settings(number, of, store) + &self.planner_lines;
-        match self.advice {
-            Some(advice) => format!("{text}[advice]\naddress = {advice}\n"),
-            None => text,
-        }
-    }
-
     /// Starts an entry's process anew at the addresses that it had.
     pub fn restart_planner(&mut self, number: usize) {
         let seat = &self.planners[number];
         let addresses = ["callers", "ready", "internal"].map(|name| seat.process.address(name));
-        let text = self.planner_settings(number, addresses, seat.line.address);
+        let text = planner_settings(number, addresses, seat.line.address) + &self.planner_lines;
         self.planners[number].process.kill();
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners[number].process = process;
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -1,4 +1,4 @@
-//! The users' platform's runner, as far as the product calls it, with its faults and a journal.
+//! The users' platform's runner, as far as the product calls it, with its faults.
 //!
 //! A task's text says what it does: `run_ms=200`, and `fail` for one that fails.
 
@@ -26,125 +26,13 @@
 use tokio::time::timeout;
 
 use crate::platform_advice::PlatformAdvice;
+use crate::platform_journal::RunJournal;
 
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
 /// Time for which a lost answer is held back.
 const HANG: Duration = Duration::from_secs(30);
 
-/// What happened to a run, for audits.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunRecord {
-    /// The task.
-    pub task: String,
-    /// The run.
-    pub run: u32,
-    /// The life of the runner.
-    pub instance: String,
-    /// When it began.
-    pub began: Instant,
-    /// When and how it ended.
-    pub ended: Option<(Instant, String)>,
-    /// Whether the product has taken note of its end, before a lease lapsed.
-    pub noted: bool,
-}
-
-/// The runs of all runners of a test.
-#[derive(Clone, Default)]
-pub struct RunJournal {
-    records: Arc<Mutex<Vec<RunRecord>>>,
-}
-
-impl RunJournal {
-    /// All records so far.
-    pub fn records(&self) -> Vec<RunRecord> {
-        self.lock().clone()
-    }
-
-    /// Tasks of which two runs were at work at the same time, or that ran after they were done.
-    pub fn doubled(&self) -> Vec<String> {
-        let records = self.records();
-        let overlap = |a: &RunRecord, b: &RunRecord| {
-            let ends_before = |one: &RunRecord, at: Instant| {
-                one.ended.as_ref().is_some_and(|(end, _)| *end <= at)
-            };
-            let is_done = |one: &RunRecord| matches!(&one.ended, Some((_, how)) if how == "done");
-            let starts_later = b.began >= a.began;
-            starts_later && (!ends_before(a, b.began) || is_done(a))
-        };
-        let mut doubled = Vec::new();
-        for (position, a) in records.iter().enumerate() {
-            for b in records.iter().skip(position + 1).filter(|b| b.task == a.task) {
-                if overlap(a, b) {
-                    doubled.push(format!("{} runs {} and {}", a.task, a.run, b.run));
-                }
-            }
-        }
-        doubled
-    }
-
-    /// Tasks of which two runs were at work at the same time, or that ran after an end as done of which
-    /// the product took note then or later.
-    pub fn run_twice(&self) -> Vec<String> {
-        let mut by_task: BTreeMap<String, Vec<RunRecord>> = BTreeMap::new();
-        for record in self.records() {
-            by_task.entry(record.task.clone()).or_default().push(record);
-        }
-        let mut found = Vec::new();
-        for (task, records) in by_task {
-            for (position, first) in records.iter().enumerate() {
-                for second in &records[position + 1..] {
-                    let ended = first.ended.as_ref();
-                    let is_over = ended.is_some_and(|(end, _)| *end <= second.began);
-                    let is_done = first.noted && ended.is_some_and(|(_, how)| how == "done");
-                    if !is_over || is_done {
-                        found.push(format!("{task} runs {} and {}", first.run, second.run));
-                    }
-                }
-            }
-        }
-        found
-    }
-
-    fn note(&self, instance: &str, seen: &[(u64, String, u32, String, String)], lapsed: Instant) {
-        let mut records = self.lock();
-        for (_, task, run, _, _) in seen {
-            let is_it = |record: &&mut RunRecord| {
-                record.task == *task && record.run == *run && record.instance == instance
-            };
-            if let Some(record) = records.iter_mut().find(is_it) {
-                record.noted |= record.ended.as_ref().is_some_and(|(end, _)| *end > lapsed);
-            }
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Vec<RunRecord>> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn begin(&self, task: &str, run: u32, instance: &str) {
-        let record = RunRecord {
-            task: task.to_string(),
-            run,
-            instance: instance.to_string(),
-            began: Instant::now(),
-            ended: None,
-            noted: false,
-        };
-        self.lock().push(record);
-    }
-
-    fn end(&self, task: &str, run: u32, instance: &str, how: &str) {
-        let mut records = self.lock();
-        let found = records
-            .iter_mut()
-            .find(|record| record.task == task && record.run == run && record.instance == instance);
-        if let Some(record) = found {
-            record.ended = Some((Instant::now(), how.to_string()));
-        }
-    }
-}
-
 #[derive(Default)]
 struct RunnerLife {
     running: BTreeMap<(String, u32), Instant>,
--- a/standins/src/soak/ledger.rs
+++ b/standins/src/soak/ledger.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use crate::platform_cluster::ATTEMPTS;
-use crate::platform_runner::RunJournal;
-use crate::platform_runner::RunRecord;
+use crate::platform_journal::RunJournal;
+use crate::platform_journal::RunRecord;
 
 /// Time after the answer to a cancelling in which orders that were on their way may still be carried out.
 const CANCEL_LATENCY: Duration = Duration::from_secs(15);
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -21,7 +21,7 @@
 use tokio::task::JoinHandle;
 
 use crate::platform_cluster::PlatformCluster;
-use crate::platform_runner::RunJournal;
+use crate::platform_journal::RunJournal;
 use crate::soak::callers::spawn_callers;
 use crate::soak::faults::FaultPlayer;
 use crate::soak::ledger::SoakLedger;
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -40,6 +40,18 @@
     state
 }
 
+/// A grant of nine seconds for a life, counted from a time that the agent has sent.
+fn grant(instance: &str, since_seconds: u64, seen: u64) -> SyncCall {
+    let since = Duration::from_secs(since_seconds);
+    SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since, span: Duration::from_secs(9) }),
+        instance: Some(instance.to_string()),
+        seen,
+        wait: Duration::ZERO,
+    }
+}
+
 fn key(text: &str) -> RunKey {
     (text.parse().unwrap(), 1)
 }
@@ -128,13 +140,7 @@
     let mut state = linked(now);
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(500), now);
-    state.on_sync(&SyncCall {
-        stamp: STAMP,
-        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
-        instance: Some("i-1".to_string()),
-        seen: 0,
-        wait: Duration::ZERO,
-    });
+    state.on_sync(&grant("i-1", 0, 0));
     assert_eq!(state.lease_end(), Some(9_500));
     assert_eq!(state.may_start(now), Some(true));
     assert_eq!(state.may_start(now + Duration::from_secs(10)), Some(false));
@@ -146,13 +152,7 @@
     let mut state = linked(now);
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(500), now);
-    state.on_sync(&SyncCall {
-        stamp: STAMP,
-        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
-        instance: Some("i-0".to_string()),
-        seen: 7,
-        wait: Duration::ZERO,
-    });
+    state.on_sync(&grant("i-0", 0, 7));
     assert_eq!(state.lease_end(), None);
 }
 
@@ -163,17 +163,10 @@
     let mut state = linked(now);
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(500), now);
-    let call = |since: u64| SyncCall {
-        stamp: STAMP,
-        grant: Some(LeaseGrant { since: Duration::from_secs(since), span: Duration::from_secs(9) }),
-        instance: Some("i-1".to_string()),
-        seen: 0,
-        wait: Duration::ZERO,
-    };
-    state.on_sync(&call(0));
+    state.on_sync(&grant("i-1", 0, 0));
     assert!(state.next_hold(Duration::ZERO, now).1.lease_end.is_some());
     let later = now + Duration::from_secs(3);
-    state.on_sync(&call(3));
+    state.on_sync(&grant("i-1", 3, 0));
     assert_eq!(state.next_hold(Duration::ZERO, later).1.lease_end, None);
     assert!(!state.on_no_answer(now + Duration::from_secs(9)));
     assert!(state.on_no_answer(now + Duration::from_secs(10)));
--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -53,8 +53,6 @@
     }
 }
 
-/// The runner's own fence is not among them: 6,000 schedules without it broke nothing, since agents refuse
-/// older epochs and runners lower numbers. It stays as a second line.
 #[test]
 fn each_mechanism_is_needed() {
     for missing in [
@@ -67,3 +65,12 @@
         assert!(found.is_some(), "nothing breaks without {missing:?}");
     }
 }
+
+/// The runners' own fence is a second line: agents refuse older epochs and runners lower numbers. 6,000 schedules
+/// without it broke nothing.
+#[test]
+fn agents_alone_keep_the_promises_where_runners_check_no_fence() {
+    for seed in 0..SCHEDULES {
+        assert_eq!(violations(seed, Missing::Fence), Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -215,7 +215,7 @@
     let mut env = start(0, 3).await;
     let advice = PlatformAdvice::spawn(Duration::from_secs(1), &["i-1"]).await;
     advice.refuse(2);
-    env.use_advice(advice.address);
+    env.add_planner_lines(&format!("[advice]\naddress = {}\n", advice.address));
     env.configure(2, &["q", "advised"]);
     env.nodes.iter().for_each(|seat| seat.runner.ask_for_tickets(advice.clone()));
     env.add_planner().await;
