Tell agents what is learned, and try unseen pairs, right after a takeover

Cause: a worker's entry began with the end of inherited leases, ten seconds ahead, as the time at which its agent was told last and its fills had changed last; until then agents were told nothing new of images, and no pair that was never seen was tried. Ruled out: that resync tells enough; it tells once, before the first tails are seen. Change: both times are unknown until something has happened. Tests: both failed before.

--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -222,7 +222,8 @@
     let is_allowed = match need.risk {
         RiskLimit::Known => !risk.is_unseen && risk.is_low(),
         RiskLimit::Explore => {
-            let is_calm = view.now.saturating_duration_since(worker.fills_changed) > EXPLORE_PAUSE;
+            let passed = |at: Instant| view.now.saturating_duration_since(at) > EXPLORE_PAUSE;
+            let is_calm = worker.fills_changed.is_none_or(passed);
             (!risk.is_unseen && risk.is_low()) || (risk.is_unseen && is_calm)
         }
         RiskLimit::Any => true,
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::connection::node_protocol::EndedRun;
 use crate::connection::node_protocol::ImageEffect;
@@ -99,7 +100,7 @@
             }
         }
         if changed {
-            worker.fills_changed = self.now;
+            worker.fills_changed = Some(self.now);
         }
         self.disturbance.learn(worker, self.now);
         self.describe_changed(instance);
@@ -195,7 +196,8 @@
         let Some(worker) = self.board.get(instance) else {
             return;
         };
-        if self.now.saturating_duration_since(worker.described) < DESCRIBE_PERIOD {
+        let is_recent = |at: Instant| self.now.saturating_duration_since(at) < DESCRIBE_PERIOD;
+        if worker.described.is_some_and(is_recent) {
             return;
         }
         let known = worker.assigned.iter().filter(|(_, run)| run.seen.is_some());
@@ -207,7 +209,7 @@
             }
         }
         if let Some(worker) = self.board.get_mut(instance) {
-            worker.described = self.now;
+            worker.described = Some(self.now);
         }
         self.describe(instance, changed);
     }
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -44,12 +44,12 @@
     pub heard: Option<Instant>,
     /// Until when it gets nothing because it refused for want of room.
     pub full_until: Option<Instant>,
-    /// When tasks that fill were last given, taken or paced here.
-    pub fills_changed: Instant,
+    /// When tasks that fill were last given, taken or paced here, as far as this planner knows.
+    pub fills_changed: Option<Instant>,
     /// Runs that filled and have ended within [`ENDED_KEPT`].
     pub ended_fills: Vec<EndedFill>,
     /// When its agent was last told what has changed of its runs.
-    pub described: Instant,
+    pub described: Option<Instant>,
     /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
     pub resync: bool,
     used: RoomAmount,
@@ -63,9 +63,9 @@
             lease_end,
             heard: None,
             full_until: None,
-            fills_changed: lease_end,
+            fills_changed: None,
             ended_fills: Vec::new(),
-            described: lease_end,
+            described: None,
             resync: true,
             used: RoomAmount::default(),
         }
@@ -267,7 +267,7 @@
         };
         worker.used = worker.used.plus(&run.counted);
         if run.fills {
-            worker.fills_changed = now;
+            worker.fills_changed = Some(now);
         }
         worker.assigned.insert(key, run);
     }
@@ -283,7 +283,7 @@
         let worker = self.workers.get_mut(instance)?;
         let run = worker.assigned.remove(key)?;
         if run.fills {
-            worker.fills_changed = now;
+            worker.fills_changed = Some(now);
             worker
                 .ended_fills
                 .retain(|ended| now.saturating_duration_since(ended.end) < ENDED_KEPT);
--- a/tests/planner_steps.rs
+++ b/tests/planner_steps.rs
@@ -243,3 +243,48 @@
     fleet.planner.adopt_learned(serde_json::from_slice(&stored).unwrap());
     assert_eq!(fleet.planner.learned_pairs(), known);
 }
+
+/// Tails that a planner sees right after it took over are told to agents at once, though leases of the
+/// planner before last on for ten seconds.
+#[test]
+fn a_planner_that_takes_over_tells_agents_at_once_what_it_learns() {
+    let mut fleet = PlannedFleet::new(&["i-1"]);
+    let serving =
+        StepSpec { long_running: true, target_ms: 50, image: "s".to_string(), ..step(1, 500) };
+    fleet.submit("s", job(vec![serving]));
+    fleet.round();
+    let inherited_end = fleet.now() + Duration::from_secs(10);
+    fleet.take_over(inherited_end);
+    fleet.report("i-1", true);
+    fleet.deliver();
+    let mut told = 0;
+    for _ in 0..8 {
+        for run in fleet.runners.get_mut("i-1").unwrap().present.values_mut() {
+            run.usage = 30;
+        }
+        fleet.pass(Duration::from_millis(100));
+        fleet.report_all();
+        fleet.plan();
+        let orders = fleet.deliver();
+        let describes = orders.iter().filter(|(_, order)| matches!(order, NodeOrder::Describe(_)));
+        told += describes.count();
+    }
+    assert!(told > 0, "the least tail of the image is new to the agent");
+}
+
+/// A pair of images that was never seen is tried right after a takeover as at any other time.
+#[test]
+fn a_planner_that_takes_over_tries_unseen_pairs_at_once() {
+    let mut fleet = PlannedFleet::new(&["i-1"]);
+    let serving =
+        StepSpec { long_running: true, target_ms: 50, image: "s".to_string(), ..step(1, 500) };
+    fleet.submit("s", job(vec![serving]));
+    fleet.round();
+    let inherited_end = fleet.now() + Duration::from_secs(10);
+    fleet.take_over(inherited_end);
+    fleet.report("i-1", true);
+    let fill = StepSpec { fills: true, image: "f".to_string(), ..step(1, 1_000) };
+    fleet.submit("a", job(vec![fill]));
+    fleet.round();
+    assert!(fleet.running().iter().any(|(_, key)| key.0.job == "a"));
+}
