Agents keep in the store which lives their runner had

Ruled out: shorter leases (an outage of the store of nine seconds would end them); the planner keeping the map of lives to hosts in its batches (transactions are at their limit of entries); holding reports back until the life is stored (agents must not need the store). Change: a row for each agent's address with its runner's lives, written once a life under its version; once the present life has answered a look, the others are over and the planner is told at once. Tests: a state test that failed without the step, one with a real agent that is killed together with its runner.

--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -1,6 +1,7 @@
 //! The node agent: the one process that calls the runner on its host, at the planner's orders.
 
 pub mod known_runner;
+pub mod life_keeper;
 pub mod local_runs;
 pub mod orders;
 pub mod rpc;
@@ -25,6 +26,7 @@
 use crate::process::http_server::spawn_http_server;
 use crate::process::logging::log_event;
 use crate::process::metrics::serve_metrics;
+use crate::process::node::life_keeper::LifeKeeper;
 use crate::process::node::shared::NodeShared;
 use crate::process::planning::registration::register;
 use crate::process::planning::rows::NODE_TABLE;
@@ -75,10 +77,11 @@
         }
         rpc::spawn_node_rpc(internal, shared.clone());
         watcher::spawn_watcher(shared.clone());
+        let reached_at = settings.internal_advertise.unwrap_or(addresses.internal).to_string();
+        LifeKeeper::spawn(shared.clone(), store.clone(), &reached_at);
         let router = runner_registry::router(shared);
         spawn_http_server(registry, router, HttpLimits::default(), stop.clone());
-        let reached_at = settings.internal_advertise.unwrap_or(addresses.internal);
-        tokio::spawn(register(store, NODE_TABLE, settings.id, reached_at.to_string()));
+        tokio::spawn(register(store, NODE_TABLE, settings.id, reached_at));
         let running = tokio::spawn(async move {
             stop.raised().await;
             log_event(Level::Info, "stopping", &[]);
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -33,6 +33,8 @@
     pub news: Notify,
     /// Wakes the loop that looks at the runner.
     pub look: Notify,
+    /// Tells that another life of the runner may have begun.
+    pub life_changed: Notify,
     state: Mutex<NodeState>,
 }
 
@@ -45,6 +47,7 @@
             metrics: ProcessMetrics::open(),
             news: Notify::new(),
             look: Notify::new(),
+            life_changed: Notify::new(),
             state: Mutex::new(NodeState::new(Instant::now())),
         }
     }
@@ -69,6 +72,7 @@
             );
             self.news.notify_one();
             self.look.notify_one();
+            self.life_changed.notify_one();
         }
     }
 
@@ -76,6 +80,7 @@
         if self.state().on_leave(instance) {
             log_event(log::Level::Info, "runner_left", &[("instance", &instance)]);
             self.news.notify_one();
+            self.life_changed.notify_one();
         }
     }
 }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -39,6 +39,8 @@
     runner: Option<KnownRunner>,
     candidate: Option<KnownRunner>,
     former: VecDeque<InstanceId>,
+    /// Lives that earlier agents here have stored; over, but for the present one, when that one answers.
+    earlier: Vec<InstanceId>,
     answered: Instant,
     sent_until: Option<Instant>,
     lease_until: Option<Instant>,
@@ -73,6 +75,7 @@
             runner: None,
             candidate: None,
             former: VecDeque::new(),
+            earlier: Vec::new(),
             answered: started,
             sent_until: None,
             lease_until: None,
@@ -193,10 +196,7 @@
         let Some(runner) = self.runner.take() else {
             return;
         };
-        self.former.push_back(runner.status.instance);
-        if self.former.len() > FORMER_LIVES {
-            self.former.pop_front();
-        }
+        self.add_former(runner.status.instance);
         self.lease_until = None;
         self.sent_until = None;
         self.clock = None;
@@ -207,6 +207,33 @@
         self.pace = PaceControl::default();
     }
 
+    fn add_former(&mut self, instance: InstanceId) {
+        self.former.push_back(instance);
+        if self.former.len() > FORMER_LIVES {
+            self.former.pop_front();
+        }
+    }
+
+    /// The present life of the runner.
+    pub fn present_life(&self) -> Option<&InstanceId> {
+        self.runner.as_ref().map(|runner| &runner.status.instance)
+    }
+
+    /// Takes in which lives earlier agents on this host have known.
+    pub fn on_earlier_lives(&mut self, lives: Vec<InstanceId>) {
+        self.earlier = lives;
+    }
+
+    /// A host has one life of a runner at a time: where one answers, those before it are over.
+    fn end_earlier_lives(&mut self) {
+        for life in std::mem::take(&mut self.earlier) {
+            if self.present_life() != Some(&life) && !self.former.contains(&life) {
+                self.add_former(life);
+                self.has_news = true;
+            }
+        }
+    }
+
     /// Where orders go, and under which epoch; nothing without a runner or a planner.
     pub fn target(&self) -> Option<RunnerTarget> {
         let runner = self.runner.as_ref().filter(|_| self.stamp.epoch > 0)?;
@@ -291,8 +318,9 @@
         self.answered = now;
         if let Some(stale) = self.candidate.take() {
             // The known life has answered after this one's heartbeat came.
-            self.former.push_back(stale.status.instance);
+            self.add_former(stale.status.instance);
         }
+        self.end_earlier_lives();
         let mut present = lists.running;
         for run in &mut present {
             let key = (run.task.clone(), run.run);
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -40,6 +40,7 @@
                     if on_error(&shared, &target, &error) {
                         log_event(Level::Info, "runner_ended", &[("instance", &target.instance)]);
                         shared.news.notify_one();
+                        shared.life_changed.notify_one();
                     }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -10,6 +10,7 @@
 use crate::external::row_store::RowName;
 use crate::external::row_store::RowTransaction;
 use crate::external::row_store::StoredRow;
+use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::PlannerEpoch;
 use crate::ids::QueueName;
@@ -37,7 +38,8 @@
 pub const IMAGES_KEY: &str = "images";
 /// Table of the node agents' addresses.
 pub const NODE_TABLE: &str = "nodes";
-
+/// Table of the lives that the runners of the node agents' hosts had.
+pub const LIFE_TABLE: &str = "lives";
 /// Table of the planner processes' addresses.
 pub const PEER_TABLE: &str = "peers";
 
@@ -72,6 +74,13 @@
     pub address: String,
 }
 
+/// Which lives the runner on a host had.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LifeRow {
+    /// The lives, the newest last.
+    pub lives: Vec<InstanceId>,
+}
+
 /// The row of a job.
 pub fn job_row(job: &str) -> RowName {
     RowName::new(JOB_TABLE, PARTITION, job)
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -220,3 +220,28 @@
 fn present(state: &mut NodeState, now: Instant) -> usize {
     state.report(now).look.map_or(0, |look| look.present.len())
 }
+
+/// After a loss of power agent and runner are new, and only the store knows what the host ran before.
+#[test]
+fn lives_before_the_present_one_are_over_when_that_one_has_answered() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    state.on_earlier_lives(vec!["i-0".to_string(), "i-1".to_string()]);
+    assert!(state.report(now).former.is_empty(), "a heartbeat alone may be an old one");
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    assert!(state.on_lists(number, lists(0), now), "the planner waits for this");
+    assert_eq!(state.report(now).former, ["i-0"]);
+}
+
+#[test]
+fn a_later_life_that_the_store_names_is_not_over_while_an_old_heartbeat_stands_for_the_runner() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    state.on_earlier_lives(vec!["i-1".to_string(), "i-2".to_string()]);
+    state.on_leave("i-1");
+    state.on_beat(runner("i-2", 1));
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    assert_eq!(state.report(now).former, ["i-1"]);
+    assert_eq!(state.target().unwrap().instance, "i-2");
+}
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -2,8 +2,14 @@
 //! lost answers, and a store that turns hosts away. No run is doubled and no accepted job is lost.
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
+use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::NodeRpcClient;
+use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::connection::rpc_client::RpcConnection;
+use greengagearch::connection::rpc_client::call_within;
 use greengagearch_standins::platform_advice::PlatformAdvice;
 use greengagearch_standins::platform_cluster::CALLER_HOST;
 use greengagearch_standins::platform_cluster::PlatformCluster;
@@ -12,6 +18,7 @@
 use greengagearch_standins::platform_store::StoreFault;
 use reqwest::StatusCode;
 use serde_json::json;
+use tokio::net::TcpStream;
 
 /// Starts the system with the programs of this build.
 async fn start(planners: usize, nodes: usize) -> PlatformCluster {
@@ -209,6 +216,33 @@
     }
 }
 
+/// A host that lost power: agent and runner are new, and the planner learns at once that what ran is gone.
+#[tokio::test]
+async fn an_agent_tells_of_lives_that_its_predecessor_knew() {
+    let mut env = start(0, 1).await;
+    let first = env.nodes[0].runner.instance.clone();
+    env.until(async || env.store.keys("lives").len() == 1).await;
+    env.nodes[0].process.kill();
+    env.nodes[0].runner.crash();
+    env.restart_agent(0);
+    env.replace_runner(0, 1.0).await;
+    let agent = env.nodes[0].process.address("internal");
+    let stream = TcpStream::connect(agent).await.unwrap();
+    let client = NodeRpcClient::spawn(stream, Arc::default());
+    let call = SyncCall {
+        stamp: LinkStamp { epoch: 1, link: 1 },
+        grant: None,
+        instance: None,
+        seen: 0,
+        wait: Duration::from_millis(200),
+    };
+    env.until(async || {
+        let report = client.sync(call_within(Duration::from_secs(2)), call.clone()).await;
+        report.unwrap().unwrap().former == [first.clone()]
+    })
+    .await;
+}
+
 /// Tickets lapse after a second here, while the second step waits longer for the first.
 #[tokio::test]
 async fn a_queue_that_needs_advice_runs_where_the_service_allows_it() {
@@ -258,6 +292,8 @@
     env.add_planner_lines("[jobs]\nkept-for = 1ms\n");
     env.add_planner().await;
     env.until_ready(0).await;
+    // So that the changes below take several periods of the pulse on a fast machine, too.
+    env.planners[0].listener.set_fault(StoreFault::Slow(Duration::from_millis(10)));
     let pulses = env.store.changes_of("ownership", Some("pulse"));
     let feed = async {
         for number in 0.. {
@@ -268,5 +304,5 @@
     let forgotten = env.until(async || env.store.changes_of("jobs", None) > 600);
     tokio::select! { () = feed => {}, () = forgotten => {} }
     let written = env.store.changes_of("ownership", Some("pulse")) - pulses;
-    assert!(written >= 2, "{written} pulses");
+    assert!(written >= 3, "{written} pulses");
 }
