--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -21,4 +21,5 @@
 pub mod progress;
 pub mod spec;
 pub mod task_name;
+mod urgency;
 pub mod worker_board;
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -17,14 +17,9 @@
 use crate::workflow::progress::RunAttempt;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::urgency::JobUrgency;
 use crate::workflow::worker_board::WorkerEntry;
 
-/// Multiple of the objective after which a job's end is worth nothing to its caller, from the
-/// users' sheets; such jobs come last.
-const WORTHLESS_AFTER: u64 = 3;
-
-/// Share of the estimated rest of a job that it takes at least; estimates are off by half.
-const SURE_SHARE: f64 = 0.5;
 /// Multiple of its estimate after which a task that may have copies gets one; estimates are off by half.
 const COPY_AFTER: f64 = 3.0;
 /// Time beyond that for the way of orders and ends.
@@ -33,46 +28,6 @@
 /// three seconds that users bear to see a job stand still beside free room.
 const STARVED_AFTER_MS: u64 = 1_200;
 
-/// Jobs that serve and are due within this span, in milliseconds, are placed by their images.
-const SERVING_SPAN_MS: u64 = 4_000;
-/// Place of a job in a round: smaller comes first.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct JobUrgency<'a> {
-    is_worthless: bool,
-    is_late: bool,
-    priority: u32,
-    /// Whether it takes what others leave.
-    fills: bool,
-    deadline_ms: u64,
-    /// What serves, so that jobs of one image that come together are placed one after another.
-    serving_image: &'a str,
-}
-
-impl<'a> JobUrgency<'a> {
-    fn of(entry: &'a JobEntry, wall_ms: u64) -> JobUrgency<'a> {
-        let spec = &entry.spec;
-        let first_open = entry.progress.open.keys().next().copied().unwrap_or(0);
-        let due_ms = spec.due_ms(first_open);
-        let objective_ms = spec.objective_ms();
-        let lasts = spec.steps.iter().any(|step| step.long_running);
-        let rest_ms = (entry.rest_of_chain_ms(first_open) as f64 * SURE_SHARE) as u64;
-        let is_past =
-            |multiple: u64| !lasts && wall_ms + rest_ms > due_ms + multiple * objective_ms;
-        let serving = spec.steps.iter().find(|step| step.target_ms > 0);
-        let deadline_ms = due_ms + objective_ms;
-        // What lasts has no end that could be late; a little later does no harm.
-        let span_ms = if serving.is_some() { SERVING_SPAN_MS } else { 1 };
-        JobUrgency {
-            is_worthless: is_past(WORTHLESS_AFTER),
-            is_late: is_past(1),
-            priority: spec.policy.priority,
-            fills: spec.steps.iter().any(|step| step.fills),
-            deadline_ms: deadline_ms - deadline_ms % span_ms,
-            serving_image: serving.map_or("", |step| step.image.as_str()),
-        }
-    }
-}
-
 fn name_of(step: &StepKey, index: u32) -> TaskName {
     let (job, occurrence, step) = step.clone();
     TaskName { job, occurrence, step, index }
