Count only failed probes against a suspected worker

Change: probes have a state of their own; what ran before counts no more, a probe that goes on allows the next.

--- a/src/process/entry/scheduler.rs
+++ b/src/process/entry/scheduler.rs
@@ -360,8 +360,9 @@
     fn keep_starts(&mut self, part: WorkerStarts, version: RowVersion) {
         let count = part.tasks.len() as u64;
         self.shared.metrics.tasks.with_label_values(&["started"]).inc_by(count);
-        self.suspicion.on_start(&part.row.worker, Instant::now());
+        let now = Instant::now();
         for task in part.tasks {
+            self.suspicion.on_start(&part.row.worker, &task.key, now);
             self.board.keep_task(task.key, VersionedRow { version, row: task.row });
         }
         self.after_worker_write(part.row, Ok(version));
--- a/src/process/suspicion.rs
+++ b/src/process/suspicion.rs
@@ -2,6 +2,7 @@
 //!
 //! Such a worker looks idle and would attract all work. After a run of failures of distinct tasks
 //! without a success it gets one probe at a time, at growing intervals, until a task succeeds there.
+//! Only what becomes of probes counts from then on: tasks that ran before may all fail in the same moment.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -12,16 +13,44 @@
 
 /// Distinct tasks in a row that must fail on a worker before it is suspected.
 const FAILURES_TO_SUSPECT: usize = 3;
-/// First pause between two probes.
-const FIRST_PAUSE: Duration = Duration::from_secs(5);
+/// Pause before the first probe: users' workers fail for five to seven seconds when they do.
+const FIRST_PAUSE: Duration = Duration::from_secs(2);
 /// Longest pause between two probes.
 const LONGEST_PAUSE: Duration = Duration::from_secs(300);
+/// Time after which a probe that has neither failed nor succeeded allows another: longer than most tasks take.
+const PROBE_LIMIT: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Debug, Default)]
 struct WorkerRecord {
     failed: BTreeSet<String>,
-    probe_at: Option<Instant>,
-    pauses: u32,
+    probing: Option<ProbeState>,
+}
+
+/// How a suspected worker is tried.
+#[derive(Clone, Debug)]
+struct ProbeState {
+    pause: Duration,
+    next_at: Instant,
+    /// The task that tries it now, and since when.
+    probe: Option<(String, Instant)>,
+}
+
+impl ProbeState {
+    fn new(now: Instant) -> ProbeState {
+        ProbeState { pause: FIRST_PAUSE, next_at: now + FIRST_PAUSE, probe: None }
+    }
+
+    fn on_failure(&mut self, task: &str, now: Instant) {
+        if self.probe.take_if(|(probe, _)| probe == task).is_some() {
+            self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+            self.next_at = now + self.pause;
+        }
+    }
+
+    fn may_probe(&self, now: Instant) -> bool {
+        let at = self.probe.as_ref().map_or(self.next_at, |(_, since)| *since + PROBE_LIMIT);
+        now >= at
+    }
 }
 
 /// What is held against each worker.
@@ -47,11 +76,12 @@
     /// ```
     pub fn on_failure(&mut self, worker: &str, task: &str, now: Instant) {
         let record = self.records.entry(worker.to_string()).or_default();
+        if let Some(probing) = &mut record.probing {
+            return probing.on_failure(task, now);
+        }
         record.failed.insert(task.to_string());
         if record.failed.len() >= FAILURES_TO_SUSPECT {
-            let pause = FIRST_PAUSE * 2_u32.saturating_pow(record.pauses.min(10));
-            record.probe_at = Some(now + pause.min(LONGEST_PAUSE));
-            record.pauses += 1;
+            record.probing = Some(ProbeState::new(now));
         }
     }
 
@@ -64,20 +94,19 @@
         self.records.remove(worker);
     }
 
-    /// Must be told of each start; a probe that was taken is not given again before its pause.
+    /// Must be told of each start; on a suspected worker the task is the probe from then on.
     ///
     /// ```
     /// use std::time::Instant;
     ///
     /// use greengagearch::process::suspicion::WorkerSuspicion;
     ///
-    /// WorkerSuspicion::default().on_start("w1", Instant::now());
+    /// WorkerSuspicion::default().on_start("w1", "a", Instant::now());
     /// ```
-    pub fn on_start(&mut self, worker: &str, now: Instant) {
-        if let Some(record) = self.records.get_mut(worker)
-            && record.probe_at.is_some()
-        {
-            record.probe_at = Some(now + LONGEST_PAUSE);
+    pub fn on_start(&mut self, worker: &str, task: &str, now: Instant) {
+        let record = self.records.get_mut(worker);
+        if let Some(probing) = record.and_then(|record| record.probing.as_mut()) {
+            probing.probe = Some((task.to_string(), now));
         }
     }
 
@@ -91,8 +120,8 @@
     /// assert_eq!(WorkerSuspicion::default().starts_left("w1", Instant::now()), None);
     /// ```
     pub fn starts_left(&self, worker: &str, now: Instant) -> Option<u32> {
-        let probe_at = self.records.get(worker)?.probe_at?;
-        Some(u32::from(now >= probe_at))
+        let probing = self.records.get(worker)?.probing.as_ref()?;
+        Some(u32::from(probing.may_probe(now)))
     }
 
     /// Forgets workers that are gone.
@@ -124,7 +153,7 @@
         ["a", "b", "c"].iter().for_each(|task| suspicion.on_failure("w", task, now));
         let later = now + FIRST_PAUSE;
         assert_eq!(suspicion.starts_left("w", later), Some(1));
-        suspicion.on_start("w", later);
+        suspicion.on_start("w", "d", later);
         assert_eq!(suspicion.starts_left("w", later), Some(0));
         suspicion.on_failure("w", "d", later);
         assert_eq!(suspicion.starts_left("w", later + FIRST_PAUSE), Some(0));
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -306,7 +306,7 @@
         });
         task.attempts.push(RunAttempt { run, worker: worker.clone() });
         self.board.assign(&worker, key.clone(), spec, self.now, self.inherited_end);
-        self.suspicion.on_start(&worker, self.now);
+        self.suspicion.on_start(&worker, &name.to_string(), self.now);
         self.dirty.insert(name.job.clone());
         self.held_starts.entry(name.job.clone()).or_default().push((worker, key));
     }
