Search once a round for places that are hopeless

Cause: with hundreds of jobs waiting a round of planning takes all that a weak entry host has; each job searched all workers, and every look at a pair of images made copies of two names. Ruled out: reports as the cost (2 us each at any number of workers). Change: pairs and loads are nested maps; of a serving step one task is looked at; a need that asks for as much as one that found nothing in the same round is not searched for again.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -46,3 +46,6 @@
 pub type CheckpointRef = String;
 /// Name of a rack.
 pub type RackName = String;
+
+/// Name of what a task runs.
+pub type ImageName = String;
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -11,14 +11,12 @@
 use std::time::Instant;
 
 use crate::connection::node_protocol::ImageEffect;
+use crate::ids::ImageName;
 use crate::ids::JobId;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::WorkerEntry;
 
-/// Name of what a task runs.
-pub type ImageName = String;
-
 /// Span over which runners measure tails.
 pub const MEASURED_SPAN: Duration = Duration::from_millis(500);
 /// Part of the span from which on a task counts in full, since a tail shows the worst part of it.
@@ -105,8 +103,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct DisturbanceModel {
     pub(crate) least_tails: BTreeMap<ImageName, f64>,
-    loads: BTreeMap<(JobId, u32), Estimate>,
-    pub(crate) pairs: BTreeMap<(ImageName, ImageName), Estimate>,
+    /// By job and step, whose tasks swing alike.
+    loads: BTreeMap<JobId, BTreeMap<u32, Estimate>>,
+    /// By the image that serves, then by the one that fills.
+    pub(crate) pairs: BTreeMap<ImageName, BTreeMap<ImageName, Estimate>>,
 }
 
 impl DisturbanceModel {
@@ -151,13 +151,15 @@
     ) {
         let measured = (1.0 - self.idle_tail(run) / tail).clamp(0.0, LARGEST_LOAD);
         let first = Estimate { value: FIRST_LOAD, variance: FIRST_LOAD_VARIANCE, at: now };
-        let load = self.loads.entry(key).or_insert(first);
+        let (job, step) = key;
+        let load = self.loads.entry(job).or_default().entry(step).or_insert(first);
         load.drift(now, LOAD_DRIFT, FIRST_LOAD_VARIANCE);
         let noise = SAMPLE_VARIANCE + (TAIL_NOISE * (1.0 - measured)).powi(2);
         let (mut expected, mut spread) = (load.value, load.variance + noise);
+        let pairs = self.pairs.entry(run.image.clone()).or_default();
         for (image, weight) in fills {
             let first = Estimate { value: FIRST_ADDED, variance: FIRST_ADDED_VARIANCE, at: now };
-            let pair = self.pairs.entry((run.image.clone(), image.clone())).or_insert(first);
+            let pair = pairs.entry(image.clone()).or_insert(first);
             pair.drift(now, ADDED_DRIFT, FIRST_ADDED_VARIANCE);
             expected += weight * pair.value;
             spread += weight * weight * pair.variance;
@@ -167,7 +169,7 @@
         let surprise = measured - expected + if is_saturated { SATURATION_EXCESS } else { 0.0 };
         load.correct(surprise, 1.0, spread, (0.0, LARGEST_LOAD));
         for (image, weight) in fills {
-            if let Some(pair) = self.pairs.get_mut(&(run.image.clone(), image.clone())) {
+            if let Some(pair) = pairs.get_mut(image) {
                 pair.correct(surprise, *weight, spread, (0.0, 2.0));
             }
         }
@@ -181,7 +183,7 @@
     /// DisturbanceModel::default().forget_job("a");
     /// ```
     pub fn forget_job(&mut self, job: &str) {
-        self.loads.retain(|key, _| key.0 != job);
+        self.loads.remove(job);
     }
 
     /// The tail of a serving run without any load, in milliseconds.
@@ -231,13 +233,19 @@
     /// ```
     pub fn risk(&self, worker: &WorkerEntry, image: &str) -> PlacementRisk {
         let mut risk = PlacementRisk { pressure: 0.0, is_unseen: false };
+        let mut last_step = None;
         for (key, run) in worker.assigned.iter().filter(|(_, run)| run.target_ms > 0) {
-            let load = self.loads.get(&load_key(&key.0)).map_or(FIRST_LOAD, |load| load.value);
+            // Tasks of one step come one after another, and one says what all do.
+            let step = Some((key.0.job.as_str(), key.0.step));
+            if std::mem::replace(&mut last_step, step) == step {
+                continue;
+            }
+            let load = self.load(&key.0).map_or(FIRST_LOAD, |load| load.value);
             let fills = worker.assigned.values().filter(|other| other.fills);
             let added: f64 = fills.map(|other| self.added(&run.image, &other.image)).sum();
             let expected = load + SWING_ROOM + added + self.added(&run.image, image);
             risk.pressure = risk.pressure.max(expected / self.target_load(run));
-            risk.is_unseen |= !self.pairs.contains_key(&(run.image.clone(), image.to_string()));
+            risk.is_unseen |= self.pair(&run.image, image).is_none();
         }
         risk
     }
@@ -249,12 +257,11 @@
     /// assert!(model.effects("x").is_empty());
     /// ```
     pub fn effects(&self, image: &str) -> Vec<ImageEffect> {
-        let seen = self.pairs.iter().filter(|((_, filling), _)| filling == image);
-        let effects = seen.map(|((serving, _), pair)| ImageEffect {
-            serving: serving.clone(),
-            added_permille: (pair.value * 1_000.0) as u32,
-        });
-        effects.collect()
+        let effect = |(serving, pairs): (&ImageName, &BTreeMap<ImageName, Estimate>)| {
+            let added_permille = (pairs.get(image)?.value * 1_000.0) as u32;
+            Some(ImageEffect { serving: serving.clone(), added_permille })
+        };
+        self.pairs.iter().filter_map(effect).collect()
     }
 
     /// All pairs that were learned, as `serving/filling=load`, for the log.
@@ -265,15 +272,28 @@
     /// ```
     pub fn summary(&self) -> String {
         let pairs = self
-            .pairs
-            .iter()
-            .map(|((serving, filling), pair)| format!("{serving}/{filling}={:.2}", pair.value));
+            .each_pair()
+            .map(|(serving, filling, pair)| format!("{serving}/{filling}={:.2}", pair.value));
         pairs.collect::<Vec<String>>().join(" ")
     }
 
+    /// All pairs: the image that serves, the one that fills, and what is known of them.
+    pub(crate) fn each_pair(&self) -> impl Iterator<Item = (&ImageName, &ImageName, &Estimate)> {
+        self.pairs.iter().flat_map(|(serving, pairs)| {
+            pairs.iter().map(move |(filling, pair)| (serving, filling, pair))
+        })
+    }
+
+    fn load(&self, task: &TaskName) -> Option<&Estimate> {
+        self.loads.get(&task.job)?.get(&task.step)
+    }
+
+    fn pair(&self, serving: &str, filling: &str) -> Option<&Estimate> {
+        self.pairs.get(serving)?.get(filling)
+    }
+
     fn added(&self, serving: &str, image: &str) -> f64 {
-        let pair = self.pairs.get(&(serving.to_string(), image.to_string()));
-        pair.map_or(FIRST_ADDED, |pair| pair.value)
+        self.pair(serving, image).map_or(FIRST_ADDED, |pair| pair.value)
     }
 
     /// The load at which a run's tail is at its target.
--- a/src/workflow/learned_effects.rs
+++ b/src/workflow/learned_effects.rs
@@ -5,9 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::ImageName;
 use crate::workflow::disturbance::DisturbanceModel;
 use crate::workflow::disturbance::Estimate;
-use crate::workflow::disturbance::ImageName;
 
 /// What was learned of a pair of images.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -48,7 +48,7 @@
     /// assert!(model.learned().pairs.is_empty());
     /// ```
     pub fn learned(&self) -> LearnedEffects {
-        let pairs = self.pairs.iter().map(|((serving, filling), pair)| PairEffect {
+        let pairs = self.each_pair().map(|(serving, filling, pair)| PairEffect {
             serving: serving.clone(),
             filling: filling.clone(),
             added_load: pair.value,
@@ -73,13 +73,12 @@
     /// assert_eq!(model.summary(), "");
     /// ```
     pub fn from_learned(learned: LearnedEffects, now: Instant) -> DisturbanceModel {
-        let pairs = learned.pairs.into_iter().map(|pair| {
-            let estimate = Estimate { value: pair.added_load, variance: pair.variance, at: now };
-            ((pair.serving, pair.filling), estimate)
-        });
         let tails = learned.least_tails.into_iter().map(|tail| (tail.image, tail.tail_ms));
         let mut model = DisturbanceModel::default();
-        model.pairs = pairs.collect();
+        for pair in learned.pairs {
+            let estimate = Estimate { value: pair.added_load, variance: pair.variance, at: now };
+            model.pairs.entry(pair.serving).or_default().insert(pair.filling, estimate);
+        }
         model.least_tails = tails.collect();
         model
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -6,6 +6,7 @@
 pub mod assigned_run;
 pub mod disturbance;
 pub mod grant;
+mod hopeless_needs;
 pub mod learned_effects;
 pub mod pacing;
 pub mod placement;
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -7,6 +7,7 @@
 use crate::ids::JobId;
 use crate::ids::RunNumber;
 use crate::workflow::advice_book::StepKey;
+use crate::workflow::hopeless_needs::HopelessNeeds;
 use crate::workflow::placement::PlacementNeed;
 use crate::workflow::placement::PlacementView;
 use crate::workflow::placement::RiskLimit;
@@ -48,10 +49,11 @@
             open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job)).collect();
         order.sort();
         let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
-        jobs.iter().map(|job| self.plan_job(job)).sum()
+        let mut hopeless = HopelessNeeds::default();
+        jobs.iter().map(|job| self.plan_job(job, &mut hopeless)).sum()
     }
 
-    fn plan_job(&mut self, job: &str) -> usize {
+    fn plan_job(&mut self, job: &str, hopeless: &mut HopelessNeeds) -> usize {
         let mut started = 0;
         for (occurrence, step) in self.ready_steps(job) {
             let Some(spec) =
@@ -69,7 +71,7 @@
             started += if spec.gang {
                 self.start_gang(&names.collect::<Vec<TaskName>>(), &spec)
             } else {
-                self.start_each(names, &spec)
+                self.start_each(names, &spec, hopeless)
             };
             if spec.speculative && !spec.gang {
                 started += self.start_copies(job, occurrence, step, &spec);
@@ -126,10 +128,15 @@
         idle.map(|(index, _)| index).collect()
     }
 
-    fn start_each(&mut self, names: impl Iterator<Item = TaskName>, spec: &StepSpec) -> usize {
+    fn start_each(
+        &mut self,
+        names: impl Iterator<Item = TaskName>,
+        spec: &StepSpec,
+        hopeless: &mut HopelessNeeds,
+    ) -> usize {
         let mut started = 0;
         for name in names {
-            let Some(worker) = self.choose_worker(&name, spec, None, None) else {
+            let Some(worker) = self.choose_if_hopeful(&name, spec, hopeless) else {
                 // The tasks of a step are alike; where this one finds no room, none does.
                 self.displace_for(&name, spec);
                 break;
@@ -233,6 +240,24 @@
         choose(&self.need(name, spec, rack, not_on)?, &self.placement_view())
     }
 
+    /// A worker for a task, unless this round has found none for a need of its kind.
+    fn choose_if_hopeful(
+        &self,
+        name: &TaskName,
+        spec: &StepSpec,
+        hopeless: &mut HopelessNeeds,
+    ) -> Option<InstanceId> {
+        let need = self.need(name, spec, None, None)?;
+        if hopeless.covers(&need) {
+            return None;
+        }
+        let chosen = choose(&need, &self.placement_view());
+        if chosen.is_none() {
+            hopeless.add(&need);
+        }
+        chosen
+    }
+
     /// What a task needs of its worker.
     pub(crate) fn need<'a>(
         &'a self,
