Place fills where they themselves are light

Cause: a fill was kept from a worker when the expected load was near that at the target, however little it would add, though the pace slows heavier fills first; and it went to the least loaded worker, also where it is heavy. Change: what adds 0.03 or less may go beside anything, and what a task itself adds counts three times in its cost.

--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -54,6 +54,9 @@
 /// Share of the load at the target up to which a load may be expected when a task that fills is placed.
 const ALLOWED_PRESSURE: f64 = 0.97;
 
+/// Load up to which a task that fills is placed whatever the pressure: heavier ones are slowed before it.
+const LIGHT_LOAD: f64 = 0.03;
+
 /// A value and how sure it is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Estimate {
@@ -82,6 +85,8 @@
 pub struct PlacementRisk {
     /// The worst load that is expected, as a share of the load at the target.
     pub pressure: f64,
+    /// The most that the task itself adds to a load.
+    pub own: f64,
     /// Whether a pair that was never seen is among those that decide it.
     pub is_unseen: bool,
 }
@@ -92,10 +97,10 @@
     /// ```
     /// use greengagearch::workflow::disturbance::PlacementRisk;
     ///
-    /// assert!(PlacementRisk { pressure: 0.5, is_unseen: false }.is_low());
+    /// assert!(PlacementRisk { pressure: 0.5, own: 0.1, is_unseen: false }.is_low());
     /// ```
     pub fn is_low(&self) -> bool {
-        self.pressure <= ALLOWED_PRESSURE
+        self.pressure <= ALLOWED_PRESSURE || self.own <= LIGHT_LOAD
     }
 }
 
@@ -232,7 +237,7 @@
     /// assert_eq!(risk.pressure, 0.0);
     /// ```
     pub fn risk(&self, worker: &WorkerEntry, image: &str) -> PlacementRisk {
-        let mut risk = PlacementRisk { pressure: 0.0, is_unseen: false };
+        let mut risk = PlacementRisk { pressure: 0.0, own: 0.0, is_unseen: false };
         let mut last_step = None;
         for (key, run) in worker.assigned.iter().filter(|(_, run)| run.target_ms > 0) {
             // Tasks of one step come one after another, and one says what all do.
@@ -243,7 +248,9 @@
             let load = self.load(&key.0).map_or(FIRST_LOAD, |load| load.value);
             let fills = worker.assigned.values().filter(|other| other.fills);
             let added: f64 = fills.map(|other| self.added(&run.image, &other.image)).sum();
-            let expected = load + SWING_ROOM + added + self.added(&run.image, image);
+            let own = self.added(&run.image, image);
+            let expected = load + SWING_ROOM + added + own;
+            risk.own = risk.own.max(own);
             risk.pressure = risk.pressure.max(expected / self.target_load(run));
             risk.is_unseen |= self.pair(&run.image, image).is_none();
         }
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -26,6 +26,9 @@
 const SAME_IMAGE_GAIN: f64 = 0.5;
 /// Cost of a tail at its target, in shares of a worker's load.
 const RISK_COST: f64 = 1.0;
+/// Cost of a load of one that a task itself adds: it goes where it is light, and leaves other workers to those that
+/// are light there. Three and eight were played, see docs/notes/fills.md.
+const OWN_COST: f64 = 3.0;
 /// Time since the last change of fills on a worker after which a pair that was never seen may be tried
 /// there, so that what it does is told apart.
 const EXPLORE_PAUSE: Duration = Duration::from_millis(1_000);
@@ -228,5 +231,5 @@
         }
         RiskLimit::Any => true,
     };
-    is_allowed.then_some(load + risk.pressure * RISK_COST)
+    is_allowed.then_some(load + risk.pressure * RISK_COST + risk.own * OWN_COST)
 }
