Log when a worker is suspected and trusted again, and which lives an agent read

Change: decisions WorkerSuspected and WorkerTrusted, the same events in the scheduler of the old way, lives_read at the agent.

--- a/src/process/entry/scheduler.rs
+++ b/src/process/entry/scheduler.rs
@@ -155,12 +155,20 @@
         for news in self.board.take_news() {
             match news {
                 TaskNews::Done { worker, kind, used } => {
-                    self.suspicion.on_success(&worker);
+                    if self.suspicion.on_success(&worker) {
+                        log_event(Level::Info, "worker_trusted", &[("worker", &worker)]);
+                    }
                     if let Some(used) = used {
                         self.sizes.on_end(&kind, used);
                     }
                 }
-                TaskNews::Failed { worker, key } => self.suspicion.on_failure(&worker, &key, now),
+                TaskNews::Failed { worker, key } => {
+                    if self.suspicion.on_failure(&worker, &key, now) {
+                        let inputs: [(&str, &dyn std::fmt::Display); 2] =
+                            [("worker", &worker), ("task", &key)];
+                        log_event(Level::Warn, "worker_suspected", &inputs);
+                    }
+                }
             }
         }
     }
--- a/src/process/node/life_keeper.rs
+++ b/src/process/node/life_keeper.rs
@@ -48,6 +48,12 @@
 
     async fn run(mut self) {
         self.read_until_known().await;
+        let newest = self.lives.last().map_or("", String::as_str);
+        log_event(
+            Level::Info,
+            "lives_read",
+            &[("lives", &self.lives.len()), ("newest", &newest), ("version", &self.version)],
+        );
         self.shared.state().on_earlier_lives(self.lives.clone());
         loop {
             self.shared.life_changed.notified().await;
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -55,6 +55,16 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::WorkerSuspected { worker, task } => log_event(
+            Level::Warn,
+            "worker_suspected",
+            &[("worker", worker), ("task", task), ("epoch", &epoch)],
+        ),
+        PlanDecision::WorkerTrusted { worker, task } => log_event(
+            Level::Info,
+            "worker_trusted",
+            &[("worker", worker), ("task", task), ("epoch", &epoch)],
+        ),
         PlanDecision::WorkerLost { worker, runs } => log_event(
             Level::Warn,
             "worker_lost",
--- a/src/process/suspicion.rs
+++ b/src/process/suspicion.rs
@@ -60,7 +60,7 @@
 }
 
 impl WorkerSuspicion {
-    /// Takes in a failure of a task, by its key.
+    /// Takes in a failure of a task, by its key. Says whether the worker is suspected from now on.
     ///
     /// ```
     /// use std::time::Instant;
@@ -74,24 +74,27 @@
     /// }
     /// assert_eq!(suspicion.starts_left("w1", now), Some(0));
     /// ```
-    pub fn on_failure(&mut self, worker: &str, task: &str, now: Instant) {
+    pub fn on_failure(&mut self, worker: &str, task: &str, now: Instant) -> bool {
         let record = self.records.entry(worker.to_string()).or_default();
         if let Some(probing) = &mut record.probing {
-            return probing.on_failure(task, now);
+            probing.on_failure(task, now);
+            return false;
         }
         record.failed.insert(task.to_string());
-        if record.failed.len() >= FAILURES_TO_SUSPECT {
+        let is_suspected = record.failed.len() >= FAILURES_TO_SUSPECT;
+        if is_suspected {
             record.probing = Some(ProbeState::new(now));
         }
+        is_suspected
     }
 
-    /// Takes in a success; it lifts the suspicion.
+    /// Takes in a success; it lifts the suspicion. Says whether there was one.
     ///
     /// ```
     /// greengagearch::process::suspicion::WorkerSuspicion::default().on_success("w1");
     /// ```
-    pub fn on_success(&mut self, worker: &str) {
-        self.records.remove(worker);
+    pub fn on_success(&mut self, worker: &str) -> bool {
+        self.records.remove(worker).is_some_and(|record| record.probing.is_some())
     }
 
     /// Must be told of each start; on a suspected worker the task is the probe from then on.
@@ -142,7 +145,7 @@
     fn one_task_that_fails_again_and_again_is_not_the_workers_fault() {
         let now = Instant::now();
         let mut suspicion = WorkerSuspicion::default();
-        (0..9).for_each(|_| suspicion.on_failure("w", "a", now));
+        (0..9).for_each(|_| assert!(!suspicion.on_failure("w", "a", now)));
         assert_eq!(suspicion.starts_left("w", now), None);
     }
 
@@ -150,7 +153,8 @@
     fn probes_come_one_at_a_time_and_rarer() {
         let now = Instant::now();
         let mut suspicion = WorkerSuspicion::default();
-        ["a", "b", "c"].iter().for_each(|task| suspicion.on_failure("w", task, now));
+        let told = ["a", "b", "c"].map(|task| suspicion.on_failure("w", task, now));
+        assert_eq!(told, [false, false, true]);
         let later = now + FIRST_PAUSE;
         assert_eq!(suspicion.starts_left("w", later), Some(1));
         suspicion.on_start("w", "d", later);
@@ -158,7 +162,7 @@
         suspicion.on_failure("w", "d", later);
         assert_eq!(suspicion.starts_left("w", later + FIRST_PAUSE), Some(0));
         assert_eq!(suspicion.starts_left("w", later + 2 * FIRST_PAUSE), Some(1));
-        suspicion.on_success("w");
+        assert!(suspicion.on_success("w"));
         assert_eq!(suspicion.starts_left("w", later), None);
     }
 }
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -67,6 +67,20 @@
         /// The time within which it should have ended, in milliseconds.
         objective_ms: u64,
     },
+    /// A worker has failed so many tasks that it is only tried now and then.
+    WorkerSuspected {
+        /// The worker.
+        worker: InstanceId,
+        /// The task that failed last.
+        task: TaskName,
+    },
+    /// A suspected worker has ended a task as done and takes work as before.
+    WorkerTrusted {
+        /// The worker.
+        worker: InstanceId,
+        /// The task.
+        task: TaskName,
+    },
     /// Everything that a life of a runner had is given up.
     WorkerLost {
         /// The life.
@@ -95,6 +109,8 @@
             PlanDecision::Moved { .. } => "moved",
             PlanDecision::Displaced { .. } => "displaced",
             PlanDecision::JobEnded { .. } => "job_ended",
+            PlanDecision::WorkerSuspected { .. } => "worker_suspected",
+            PlanDecision::WorkerTrusted { .. } => "worker_trusted",
             PlanDecision::WorkerLost { .. } => "worker_lost",
         }
     }
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -14,6 +14,7 @@
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::assigned_run::AssignedRun;
+use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
@@ -119,15 +120,25 @@
     fn on_ended(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
         match ended.end {
-            RunEnd::Done => self.suspicion.on_success(instance),
+            RunEnd::Done => self.on_success(instance, &key.0),
             RunEnd::Failed => self.on_failure(instance, &key.0),
             _ => {}
         }
         self.end_run(instance, &key, ended.end, &ended.checkpoint);
     }
 
+    fn on_success(&mut self, instance: &str, name: &TaskName) {
+        if self.suspicion.on_success(instance) {
+            let (worker, task) = (instance.to_string(), name.clone());
+            self.decisions.push(PlanDecision::WorkerTrusted { worker, task });
+        }
+    }
+
     pub(crate) fn on_failure(&mut self, instance: &str, name: &TaskName) {
-        self.suspicion.on_failure(instance, &name.to_string(), self.now);
+        if self.suspicion.on_failure(instance, &name.to_string(), self.now) {
+            let (worker, task) = (instance.to_string(), name.clone());
+            self.decisions.push(PlanDecision::WorkerSuspected { worker, task });
+        }
         if let Some(entry) = self.jobs.get_mut(&name.job) {
             let place = (name.occurrence, name.step, name.index);
             entry.failed_on.entry(place).or_default().push(instance.to_string());
--- a/tests/suspicion.rs
+++ b/tests/suspicion.rs
@@ -18,7 +18,8 @@
 
 fn suspected(now: Instant) -> WorkerSuspicion {
     let mut suspicion = WorkerSuspicion::default();
-    ["a", "b", "c"].iter().for_each(|task| suspicion.on_failure("w", task, now));
+    let told = ["a", "b", "c"].map(|task| suspicion.on_failure("w", task, now));
+    assert_eq!(told, [false, false, true]);
     suspicion
 }
 
@@ -29,7 +30,7 @@
     let now = Instant::now();
     let mut suspicion = suspected(now);
     for number in 0..12 {
-        suspicion.on_failure("w", &format!("old-{number}"), now);
+        assert!(!suspicion.on_failure("w", &format!("old-{number}"), now));
     }
     assert_eq!(suspicion.starts_left("w", now), Some(0));
     assert_eq!(suspicion.starts_left("w", now + AFTER_FIRST_PAUSE), Some(1));
