--- a/src/ids.rs
+++ b/src/ids.rs
@@ -46,6 +46,5 @@
 pub type CheckpointRef = String;
 /// Name of a rack.
 pub type RackName = String;
-
 /// Name of what a task runs.
 pub type ImageName = String;
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -92,7 +92,7 @@
 }
 
 impl PlacementRisk {
-    /// Whether no target is in danger.
+    /// Whether the task puts no target in danger.
     ///
     /// ```
     /// use greengagearch::workflow::disturbance::PlacementRisk;
--- a/tests/planner_steps.rs
+++ b/tests/planner_steps.rs
@@ -244,10 +244,9 @@
     assert_eq!(fleet.planner.learned_pairs(), known);
 }
 
-/// Tails that a planner sees right after it took over are told to agents at once, though leases of the
-/// planner before last on for ten seconds.
-#[test]
-fn a_planner_that_takes_over_tells_agents_at_once_what_it_learns() {
+/// A fleet on which a task serves, and whose planner has just taken over; leases of the planner before last on for
+/// ten seconds.
+fn taken_over_while_serving() -> PlannedFleet {
     let mut fleet = PlannedFleet::new(&["i-1"]);
     let serving =
         StepSpec { long_running: true, target_ms: 50, image: "s".to_string(), ..step(1, 500) };
@@ -256,6 +255,12 @@
     let inherited_end = fleet.now() + Duration::from_secs(10);
     fleet.take_over(inherited_end);
     fleet.report("i-1", true);
+    fleet
+}
+
+#[test]
+fn a_planner_that_takes_over_tells_agents_at_once_what_it_learns() {
+    let mut fleet = taken_over_while_serving();
     fleet.deliver();
     let mut told = 0;
     for _ in 0..8 {
@@ -275,14 +280,7 @@
 /// A pair of images that was never seen is tried right after a takeover as at any other time.
 #[test]
 fn a_planner_that_takes_over_tries_unseen_pairs_at_once() {
-    let mut fleet = PlannedFleet::new(&["i-1"]);
-    let serving =
-        StepSpec { long_running: true, target_ms: 50, image: "s".to_string(), ..step(1, 500) };
-    fleet.submit("s", job(vec![serving]));
-    fleet.round();
-    let inherited_end = fleet.now() + Duration::from_secs(10);
-    fleet.take_over(inherited_end);
-    fleet.report("i-1", true);
+    let mut fleet = taken_over_while_serving();
     let fill = StepSpec { fills: true, image: "f".to_string(), ..step(1, 1_000) };
     fleet.submit("a", job(vec![fill]));
     fleet.round();
