Name unknown fields of a submitted job with their places

Ruled out: deny_unknown_fields on steps, which are rows of the store as well and have to be read by older processes. Change: submissions are decoded with serde_ignored; 422 lists all unknown fields. Test: what_cannot_be_served_is_refused_with_its_reason asks for the text; it failed before (only the first field at the top, none in steps).

--- a/src/process/planning/job_http.rs
+++ b/src/process/planning/job_http.rs
@@ -17,6 +17,7 @@
 use axum::routing::post;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::ids::JobId;
 use crate::ids::QueueName;
@@ -39,7 +40,6 @@
 
 /// A submission.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct JobRequest {
     /// The caller's name for the job; a repeat gives the same job.
     pub id: JobId,
@@ -96,12 +96,16 @@
 
 async fn submit(
     State(gate): State<SharedGate>,
-    request: Result<Json<JobRequest>, JsonRejection>,
+    body: Result<Json<Value>, JsonRejection>,
 ) -> Response {
-    let request = match request {
-        Ok(Json(request)) => request,
+    let body = match body {
+        Ok(Json(body)) => body,
         Err(rejection) => return failure(rejection.status(), rejection.body_text()),
     };
+    let request = match decode_request(body) {
+        Ok(request) => request,
+        Err(text) => return failure(StatusCode::UNPROCESSABLE_ENTITY, text),
+    };
     if request.id.is_empty() || request.id.len() > LONGEST_NAME {
         let text = format!("id: give 1 to {LONGEST_NAME} bytes");
         return failure(StatusCode::BAD_REQUEST, text);
@@ -131,6 +135,17 @@
     }
 }
 
+/// Decodes a submission. The error names all fields that are unknown, with their places.
+fn decode_request(body: Value) -> Result<JobRequest, String> {
+    let mut unknown = Vec::new();
+    let request = serde_ignored::deserialize(body, |path| unknown.push(path.to_string()));
+    match request {
+        Ok(request) if unknown.is_empty() => Ok(request),
+        Ok(_) => Err(format!("unknown: {}", unknown.join(", "))),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 async fn status(State(gate): State<SharedGate>, Path(job): Path<JobId>) -> Response {
     match gate.status(&job, CallDeadline::after(CALL_WAIT)).await {
         Ok(Some(status)) => {
--- a/tests/job_interface.rs
+++ b/tests/job_interface.rs
@@ -114,6 +114,14 @@
     assert_eq!(desk.submit(&nameless).await, StatusCode::BAD_REQUEST);
     let strange = json!({ "id": "d", "queue": "logs", "steps": [], "colour": "red" });
     assert_eq!(desk.submit(&strange).await, StatusCode::UNPROCESSABLE_ENTITY);
+    let misspelt = json!({
+        "id": "d", "queue": "logs", "colour": "red",
+        "steps": [{ "count": 1 }, { "count": 1, "room": { "milicores": 5 }, "max_per_host": 1 }],
+    });
+    let answer = desk.client.post(desk.url("workflows")).json(&misspelt).send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::UNPROCESSABLE_ENTITY);
+    let error = answer.json::<JobAnswer>().await.unwrap().error.unwrap();
+    assert_eq!(error, "unknown: colour, steps.1.max_per_host, steps.1.room.milicores");
     let large = JobRequest { payload: "x".repeat(70_000), ..example_job("d") };
     assert_eq!(desk.submit(&large).await, StatusCode::PAYLOAD_TOO_LARGE);
     desk.submit_until_accepted(&example_job("d")).await;
