--- a/src/workflow/urgency.rs
+++ b/src/workflow/urgency.rs
@@ -11,6 +11,7 @@
 
 /// Jobs that serve and are due within this span, in milliseconds, are placed by their images.
 const SERVING_SPAN_MS: u64 = 4_000;
+
 /// Place of a job in a round: smaller comes first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct JobUrgency<'a> {
