Know a write with a pulse by the rows of its conditions

Ruled out: another planner (the row of the ownership was unchanged; the next epoch came after the end). Change: only conditions' rows are compared; those that the write does not touch must have their version. Test: failed before; two more hold what must not be taken for applied.

--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -136,20 +136,28 @@
     transaction
 }
 
-/// Whether rows are as a transaction would have made them, which tells that it was applied although
-/// its answer was lost. Gives the version that it had.
+/// Whether the rows of a transaction's conditions are as it would have made them, which tells that it was applied
+/// although its answer was lost. Gives the version that it had. What it writes without a condition is not among
+/// the rows that a conflict shows.
 pub fn applied_version(transaction: &RowTransaction, rows: &[StoredRow]) -> Option<RowVersion> {
-    let find = |name: &RowName| rows.iter().find(|row| row.name == *name);
-    let mut version = 0;
-    for (name, value) in &transaction.puts {
-        let row = find(name)?;
-        if row.value.as_ref() != Some(value) {
+    let mut applied = None;
+    for (name, version) in &transaction.expected {
+        let row = rows.iter().find(|row| row.name == *name);
+        let value = row.and_then(|row| row.value.as_ref());
+        let put = transaction.puts.iter().find(|(put, _)| put == name);
+        if let Some((_, written)) = put {
+            let row = row.filter(|_| value == Some(written))?;
+            applied = Some(row.version);
+        } else if transaction.removes.contains(name) {
+            if value.is_some() {
+                return None;
+            }
+            applied = applied.or(Some(0));
+        } else if row.map_or(0, |row| row.version) != *version {
             return None;
         }
-        version = row.version;
     }
-    let is_gone = |name: &RowName| find(name).is_none_or(|row| row.value.is_none());
-    transaction.removes.iter().all(is_gone).then_some(version)
+    applied
 }
 
 /// The records of jobs among rows.
