Learn how long a job's tasks take from the progress of its runs

Change: JobForecast takes each task's duration from its progress and the time at its pace, its siblings' from the geometric mean; JobOutlook keeps rest and objective of a job until the next tick or end. The rest counts with 0.85 instead of half.

--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -40,6 +40,21 @@
     pub slow_since: Option<Instant>,
     /// Whether it was ordered to stop.
     pub stopping: bool,
+    /// Its work since progress was first seen of it.
+    pub work: Option<RunWork>,
+}
+
+/// The work of a run since its progress was first seen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunWork {
+    /// Progress at the beginning, in percent.
+    pub from_percent: u32,
+    /// Newest progress, in percent.
+    pub to_percent: u32,
+    /// Time between both, in milliseconds at full pace.
+    pub full_ms: f64,
+    /// When the newest was seen.
+    pub seen_at: Instant,
 }
 
 impl AssignedRun {
@@ -61,6 +76,7 @@
     /// assert!(run.on_seen(seen, now));
     /// ```
     pub fn on_seen(&mut self, seen: PresentRun, now: Instant) -> bool {
+        self.follow_work(&seen, now);
         let before = self.seen.as_ref().map(|known| known.pace_percent);
         let is_new_pace = before != Some(seen.pace_percent);
         self.seen_since.get_or_insert(now);
@@ -69,6 +85,31 @@
         self.seen = Some(seen);
         is_new_pace
     }
+
+    /// Adds the time since the look before, at the pace that the run had then.
+    fn follow_work(&mut self, seen: &PresentRun, now: Instant) {
+        let percent = seen.progress_percent;
+        let pace = self.seen.as_ref().map_or(100, |known| known.pace_percent);
+        match &mut self.work {
+            Some(work) => {
+                let span = now.saturating_duration_since(work.seen_at).as_secs_f64();
+                work.full_ms += span * 10.0 * f64::from(pace);
+                work.to_percent = percent;
+                work.seen_at = now;
+            }
+            // A run that was only just ordered shows none yet.
+            None if percent > 0 => {
+                let work = RunWork {
+                    from_percent: percent,
+                    to_percent: percent,
+                    full_ms: 0.0,
+                    seen_at: now,
+                };
+                self.work = Some(work);
+            }
+            None => {}
+        }
+    }
 }
 
 /// A run that filled and has ended of late.
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -7,6 +7,8 @@
 pub mod disturbance;
 pub mod grant;
 mod hopeless_needs;
+pub mod job_forecast;
+pub mod job_outlook;
 pub mod learned_effects;
 pub mod pacing;
 pub mod placement;
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -129,6 +129,7 @@
         self.move_held_up();
         self.evacuate();
         for entry in self.jobs.values_mut() {
+            entry.outlook = None;
             let spec = &entry.spec;
             while entry.next_occurrence < spec.times
                 && spec.due_ms(entry.next_occurrence) <= wall_ms
@@ -249,6 +250,7 @@
         };
         let step = entry.step(&key.0).cloned().unwrap_or_default();
         entry.last_run_ms = self.wall_ms;
+        entry.outlook = None;
         if !entry.progress.on_end(&key.0, key.1, end, checkpoint, &step) {
             return;
         }
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -6,6 +6,8 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::workflow::job_forecast::JobForecast;
+use crate::workflow::job_outlook::JobOutlook;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::JobEnd;
@@ -39,6 +41,10 @@
     pub last_run_ms: u64,
     /// When others were last stopped to make room for it, in milliseconds since the Unix epoch.
     pub displaced_ms: u64,
+    /// What is known of how long its tasks take.
+    pub forecast: JobForecast,
+    /// What is left of it; nothing when that has to be worked out anew.
+    pub outlook: Option<JobOutlook>,
 }
 
 impl JobEntry {
@@ -54,6 +60,8 @@
             failed_on: HashMap::new(),
             next_occurrence: 0,
             displaced_ms: 0,
+            forecast: JobForecast::default(),
+            outlook: None,
         }
     }
 
@@ -62,19 +70,9 @@
         self.spec.steps.get(name.step as usize)
     }
 
-    /// The longest chain of estimated work of an occurrence whose steps are not done, in milliseconds.
-    pub(crate) fn rest_of_chain_ms(&self, occurrence: u32) -> u64 {
-        let Some(steps) = self.progress.open.get(&occurrence) else {
-            return 0;
-        };
-        let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-        for (step, tasks) in self.spec.steps.iter().zip(steps) {
-            let begin = step.after.iter().filter_map(|before| ends.get(*before)).max();
-            let is_done = tasks.iter().all(|task| task.done);
-            let span = if is_done { 0 } else { step.estimate_ms };
-            ends.push(begin.copied().unwrap_or(0) + span);
-        }
-        ends.into_iter().max().unwrap_or(0)
+    /// What is left of it, as of the last look at all jobs.
+    pub(crate) fn outlook(&self) -> JobOutlook {
+        self.outlook.unwrap_or_else(|| JobOutlook::of(self))
     }
 
     pub(crate) fn counts(&self) -> Vec<u32> {
@@ -229,7 +227,7 @@
             job: job.to_string(),
             end,
             age_ms: self.wall_ms.saturating_sub(entry.spec.accepted_ms),
-            objective_ms: entry.spec.objective_ms(),
+            objective_ms: JobOutlook::of(entry).objective_ms,
         });
         self.dirty.insert(job.to_string());
         for (name, attempt) in entry.progress.attempts(job) {
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -14,6 +14,7 @@
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::assigned_run::AssignedRun;
+use crate::workflow::assigned_run::RunWork;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
@@ -104,6 +105,10 @@
             worker.fills_changed = Some(self.now);
         }
         self.disturbance.learn(worker, self.now);
+        let works = worker.assigned.iter().filter(|(_, run)| !run.long_running);
+        let works = works.filter_map(|(key, run)| Some((key.0.clone(), run.work?)));
+        let works: Vec<(TaskName, RunWork)> = works.collect();
+        self.learn_durations(&works);
         self.describe_changed(instance);
         for key in absent {
             if resync {
@@ -117,6 +122,15 @@
         }
     }
 
+    fn learn_durations(&mut self, works: &[(TaskName, RunWork)]) {
+        for (name, work) in works {
+            if let Some(entry) = self.jobs.get_mut(&name.job) {
+                let span = (f64::from(work.from_percent), f64::from(work.to_percent));
+                entry.forecast.on_progress(name.into(), span, work.full_ms);
+            }
+        }
+    }
+
     fn on_ended(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
         match ended.end {
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -8,6 +8,7 @@
 use crate::ids::RunNumber;
 use crate::workflow::advice_book::StepKey;
 use crate::workflow::hopeless_needs::HopelessNeeds;
+use crate::workflow::job_outlook::JobOutlook;
 use crate::workflow::placement::PlacementNeed;
 use crate::workflow::placement::PlacementView;
 use crate::workflow::placement::RiskLimit;
@@ -44,6 +45,9 @@
     /// assert_eq!(planner.plan(), 0);
     /// ```
     pub fn plan(&mut self) -> usize {
+        for entry in self.jobs.values_mut().filter(|entry| entry.outlook.is_none()) {
+            entry.outlook = Some(JobOutlook::of(entry));
+        }
         let open = self.jobs.iter().filter(|(_, entry)| entry.end.is_none());
         let mut order: Vec<(JobUrgency<'_>, &JobId)> =
             open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job)).collect();
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -279,45 +279,6 @@
         }
     }
 
-    /// The longest chain of estimated work, in milliseconds.
-    ///
-    /// ```
-    /// # use greengagearch::workflow::spec::*;
-    /// # let policy = QueuePolicy { queue: "q".into(), service: "s".into(), priority: 0,
-    /// #     max_attempts: 2, stretch: 2.0, target_ms: 100, advice: None };
-    /// let steps = vec![
-    ///     StepSpec { estimate_ms: 300, ..StepSpec::default() },
-    ///     StepSpec { estimate_ms: 200, after: vec![0], ..StepSpec::default() },
-    /// ];
-    /// # let spec = WorkflowSpec { policy, payload: String::new(), steps, times: 0,
-    /// #     first_due_ms: 0, interval_ms: 0, accepted_ms: 0 };
-    /// assert_eq!(spec.longest_chain_ms(), 500);
-    /// ```
-    pub fn longest_chain_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let begin = step.after.iter().filter_map(|before| ends.get(*before)).max();
-            ends.push(begin.copied().unwrap_or(0) + step.estimate_ms);
-        }
-        ends.into_iter().max().unwrap_or(0)
-    }
-
-    /// The time within which an occurrence should be done, in milliseconds.
-    ///
-    /// ```
-    /// # use greengagearch::workflow::spec::*;
-    /// # let policy = QueuePolicy { queue: "q".into(), service: "s".into(), priority: 0,
-    /// #     max_attempts: 2, stretch: 2.0, target_ms: 100, advice: None };
-    /// let steps = vec![StepSpec { estimate_ms: 300, ..StepSpec::default() }];
-    /// # let spec = WorkflowSpec { policy, payload: String::new(), steps, times: 0,
-    /// #     first_due_ms: 0, interval_ms: 0, accepted_ms: 0 };
-    /// assert_eq!(spec.objective_ms(), 700);
-    /// ```
-    pub fn objective_ms(&self) -> u64 {
-        let stretched = self.longest_chain_ms() as f64 * self.policy.stretch;
-        stretched as u64 + self.policy.target_ms
-    }
-
     /// Everything that keeps the job from being accepted, one sentence each.
     ///
     /// ```
--- a/src/workflow/urgency.rs
+++ b/src/workflow/urgency.rs
@@ -6,8 +6,9 @@
 /// users' sheets; such jobs come last.
 const WORTHLESS_AFTER: u64 = 3;
 
-/// Share of the estimated rest of a job that it takes at least; estimates are off by half.
-const SURE_SHARE: f64 = 0.5;
+/// Share of the rest of a job that it takes at least: what is learned of durations is right to within a tenth, and
+/// siblings that are not seen yet differ.
+const SURE_SHARE: f64 = 0.85;
 
 /// Jobs that serve and are due within this span, in milliseconds, are placed by their images.
 const SERVING_SPAN_MS: u64 = 4_000;
@@ -31,9 +32,10 @@
         let spec = &entry.spec;
         let first_open = entry.progress.open.keys().next().copied().unwrap_or(0);
         let due_ms = spec.due_ms(first_open);
-        let objective_ms = spec.objective_ms();
+        let outlook = entry.outlook();
+        let objective_ms = outlook.objective_ms;
         let lasts = spec.steps.iter().any(|step| step.long_running);
-        let rest_ms = (entry.rest_of_chain_ms(first_open) as f64 * SURE_SHARE) as u64;
+        let rest_ms = (outlook.rest_ms as f64 * SURE_SHARE) as u64;
         let is_past =
             |multiple: u64| !lasts && wall_ms + rest_ms > due_ms + multiple * objective_ms;
         let serving = spec.steps.iter().find(|step| step.target_ms > 0);
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -264,6 +264,7 @@
             told: None,
             slow_since: None,
             stopping: false,
+            work: None,
         };
         worker.used = worker.used.plus(&run.counted);
         if run.fills {
