Let the job with the least work left go first

Cause: under more load than workers take in, jobs go by deadline, so that all get late together (processor sharing). Change: among jobs of one class (can be in time, late, worthless) and priority the one with the least core-seconds left goes first. Test: of_jobs_that_can_be_in_time_the_one_with_the_least_work_left_goes_first; by deadlines the large one goes first.

--- a/src/workflow/urgency.rs
+++ b/src/workflow/urgency.rs
@@ -1,4 +1,8 @@
 //! Which jobs go before others when workers are given out.
+//!
+//! When more is asked for than workers take in, equal shares make nearly all jobs late. Jobs that can still be in
+//! time go first, and of these the one with the least work left: a worker's time then brings the most jobs in time.
+//! Larger jobs are not starved for good: one of which nothing runs takes any room after a while.
 
 use crate::workflow::planner_jobs::JobEntry;
 
@@ -21,6 +25,9 @@
     priority: u32,
     /// Whether it takes what others leave.
     fills: bool,
+    /// Work that is left, so that of jobs that compete the shortest ends first (Schrage, "A Proof of the Optimality
+    /// of the Shortest Remaining Processing Time Discipline", 1968); zero for what lasts.
+    rest_work: u64,
     deadline_ms: u64,
     /// What serves, so that jobs of one image that come together are placed one after another.
     serving_image: &'a str,
@@ -47,6 +54,7 @@
             is_late: is_past(1),
             priority: spec.policy.priority,
             fills: spec.steps.iter().any(|step| step.fills),
+            rest_work: if lasts { 0 } else { outlook.rest_work },
             deadline_ms: deadline_ms - deadline_ms % span_ms,
             serving_image: serving.map_or("", |step| step.image.as_str()),
         }
--- a/tests/job_forecast.rs
+++ b/tests/job_forecast.rs
@@ -78,3 +78,18 @@
     assert_eq!(running.len(), 1);
     assert_eq!(running[0].1.0.job, "long", "the other one is late, this one can be in time");
 }
+
+#[test]
+fn of_jobs_that_can_be_in_time_the_one_with_the_least_work_left_goes_first() {
+    let mut fleet = PlannedFleet::new(&["i-1"]);
+    fleet.submit("first", job(vec![wide(1, 500)]));
+    fleet.round();
+    fleet.submit("large", job(vec![wide(6, 2_000)]));
+    fleet.submit("small", job(vec![wide(1, 2_000)]));
+    (0..2).for_each(|_| fleet.round());
+    fleet.end_all(RunEnd::Done);
+    (0..2).for_each(|_| fleet.round());
+    let running = fleet.running();
+    assert_eq!(running.len(), 1, "there is room for one at a time");
+    assert_eq!(running[0].1.0.job, "small");
+}
