Bring tasks that serve together, so that tasks that fill get room

A worker on which nothing serves runs 9 to 14 fills at full pace, one beside five jobs that serve one or two at part of it; and 39 tasks that serve, for which seven workers have room, were on ten of eleven, since jobs that had ended and hosts that came back one after another left them scattered. Change: while fills wait or are slowed, a worker with four tasks that serve or fewer is emptied where others have room, and single tasks go to where their job is or many jobs serve; each only while its whole step is at work.

--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -34,10 +34,17 @@
                 ("epoch", &epoch),
             ],
         ),
-        PlanDecision::Moved { task, run, worker } => log_event(
+        PlanDecision::Moved { task, run, worker, to, why } => log_event(
             Level::Info,
             "task_moved",
-            &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
+            &[
+                ("task", task),
+                ("run", run),
+                ("worker", worker),
+                ("to", to),
+                ("why", &format!("{why:?}")),
+                ("epoch", &epoch),
+            ],
         ),
         PlanDecision::Displaced { task, run, worker, by } => log_event(
             Level::Info,
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -35,6 +35,9 @@
 /// Thousandths of a core that make up one unit of cost; larger than any worker, so that size only
 /// decides between workers that are equally free.
 const SIZE_UNIT: f64 = 1_000_000.0;
+/// Added to the cost of a worker that is emptied, and taken off where room is kept for the task: more than all other
+/// costs together, since both were decided before.
+const DECIDED_COST: f64 = 10.0;
 /// Added to the cost of a worker that has failed tasks of late.
 const FAILED_COST: f64 = 3.0;
 
@@ -81,6 +84,8 @@
     pub disturbance: &'a DisturbanceModel,
     /// What the advice service has said.
     pub advice: &'a AdviceBook,
+    /// A worker that is emptied of what serves.
+    pub emptied: Option<&'a str>,
     /// The time.
     pub now: Instant,
 }
@@ -121,6 +126,7 @@
 ///     suspicion: &suspicion,
 ///     disturbance: &disturbance,
 ///     advice: &advice,
+///     emptied: None,
 ///     now: Instant::now(),
 /// };
 /// assert_eq!(choose(&need, &view), None);
@@ -128,7 +134,8 @@
 pub fn choose(need: &PlacementNeed<'_>, view: &PlacementView<'_>) -> Option<InstanceId> {
     let mut best: Option<(f64, &InstanceId)> = None;
     for (instance, worker) in view.board.iter() {
-        let has_room = worker.free_room().contains(&need.step.counted_room());
+        let room = worker.room_for(need.task, view.now);
+        let has_room = room.contains(&need.step.counted_room());
         if !has_room || !fits_but_for_room(need, view, instance, worker) {
             continue;
         }
@@ -189,6 +196,12 @@
     if need.avoid.iter().any(|avoided| avoided == instance) {
         cost += FAILED_COST;
     }
+    if step.long_running && view.emptied == Some(instance) {
+        cost += DECIDED_COST;
+    }
+    if worker.holds.is_for(need.task, view.now) {
+        cost -= DECIDED_COST;
+    }
     Some(cost)
 }
 
@@ -212,7 +225,7 @@
 ) -> Option<f64> {
     let room = worker.fill_room();
     let wanted = need.step.room.millicores as f64;
-    let demand = worker.fill_demand();
+    let demand = worker.fill_demand() + worker.holds.filling(need.task, view.now);
     let is_alone = demand == 0.0 && room > 0.0;
     if room - demand < wanted * LEAST_FILL && !is_alone && need.risk != RiskLimit::Any {
         return None;
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -7,6 +7,19 @@
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
 
+/// Why a task is moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveReason {
+    /// It was held up for what serves beside it.
+    HeldUp,
+    /// Its worker is leaving.
+    Leaving,
+    /// Its worker is emptied of what serves.
+    Emptied,
+    /// Others of its job serve elsewhere.
+    Gathered,
+}
+
 /// One decision, or one change of what the planner believes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlanDecision {
@@ -44,6 +57,10 @@
         run: RunNumber,
         /// The worker.
         worker: InstanceId,
+        /// The worker on which room is kept for it.
+        to: InstanceId,
+        /// Why.
+        why: MoveReason,
     },
     /// A run is stopped to make room for a task that goes before it.
     Displaced {
--- a/src/workflow/planner_moves.rs
+++ b/src/workflow/planner_moves.rs
@@ -7,6 +7,7 @@
 use crate::workflow::placement::PlacementNeed;
 use crate::workflow::placement::RiskLimit;
 use crate::workflow::placement::choose;
+use crate::workflow::plan_decision::MoveReason;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::worker_board::RunKey;
@@ -19,34 +20,52 @@
 const NEARLY_DONE: u32 = 60;
 /// Tasks that are moved in one look at most, so that places are chosen one after another.
 const MOVES_AT_ONCE: usize = 3;
+/// Time for which a place is kept: the longest stop that platforms allow, its way and the start.
+const HOLD_SPAN: Duration = Duration::from_millis(2_500);
 
 impl Planner {
     /// Stops tasks that were held up for long where another worker would take them; they save their work
     /// and start there.
     pub(crate) fn move_held_up(&mut self) {
-        self.stop_to_move(self.held_up());
+        self.move_some(self.held_up(), MoveReason::HeldUp);
     }
 
     /// Stops what runs on leaving workers and can go on elsewhere: tasks that last, and those that save
     /// their work and are far from done.
     pub(crate) fn evacuate(&mut self) {
-        self.stop_to_move(self.leaving_runs());
+        self.move_some(self.leaving_runs(), MoveReason::Leaving);
     }
 
-    /// Stops the first few runs that another worker would take.
-    fn stop_to_move(&mut self, found: Vec<(InstanceId, RunKey)>) {
-        let movable = found.into_iter().filter(|(instance, key)| self.has_place(instance, key));
-        let moves: Vec<(InstanceId, RunKey)> = movable.take(MOVES_AT_ONCE).collect();
-        for (instance, key) in moves {
-            self.decisions.push(PlanDecision::Moved {
-                task: key.0.clone(),
-                run: key.1,
-                worker: instance.clone(),
-            });
-            self.stop_run(&instance, key);
+    /// Moves the first few runs that another worker would take.
+    fn move_some(&mut self, found: Vec<(InstanceId, RunKey)>, why: MoveReason) {
+        let mut moves = 0;
+        for (instance, key) in found {
+            if moves == MOVES_AT_ONCE {
+                break;
+            }
+            if let Some(to) = self.place_for(&instance, &key) {
+                moves += 1;
+                self.move_run(&instance, key, &to, why);
+            }
         }
     }
 
+    /// Stops a run whose task is to go on elsewhere, and keeps its new place.
+    pub(crate) fn move_run(&mut self, from: &str, key: RunKey, to: &str, why: MoveReason) {
+        let step = self.jobs.get(&key.0.job).and_then(|entry| entry.step(&key.0)).cloned();
+        if let (Some(step), Some(worker)) = (step, self.board.get_mut(to)) {
+            worker.holds.keep(&key.0, &step, self.now + HOLD_SPAN);
+        }
+        self.decisions.push(PlanDecision::Moved {
+            task: key.0.clone(),
+            run: key.1,
+            worker: from.to_string(),
+            to: to.to_string(),
+            why,
+        });
+        self.stop_run(from, key);
+    }
+
     fn leaving_runs(&self) -> Vec<(InstanceId, RunKey)> {
         let mut found = Vec::new();
         for (instance, worker) in self.board.iter() {
@@ -80,14 +99,10 @@
         found
     }
 
-    /// Whether another worker would take a task without risk for what serves there.
-    fn has_place(&self, instance: &str, key: &RunKey) -> bool {
-        let Some(entry) = self.jobs.get(&key.0.job) else {
-            return false;
-        };
-        let Some(step) = entry.step(&key.0) else {
-            return false;
-        };
+    /// The worker that would take a task without risk for what serves there.
+    fn place_for(&self, instance: &str, key: &RunKey) -> Option<InstanceId> {
+        let entry = self.jobs.get(&key.0.job)?;
+        let step = entry.step(&key.0)?;
         let need = PlacementNeed {
             task: &key.0,
             step,
@@ -98,6 +113,6 @@
             rack: None,
             not_on: Some(instance),
         };
-        choose(&need, &self.placement_view()).is_some()
+        choose(&need, &self.placement_view())
     }
 }
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -291,6 +291,7 @@
             suspicion: &self.suspicion,
             disturbance: &self.disturbance,
             advice: &self.advice,
+            emptied: self.gathering.emptied(),
             now: self.now,
         }
     }
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -10,6 +10,7 @@
 use crate::ids::RunNumber;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::EndedFill;
+use crate::workflow::room_hold::RoomHolds;
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
@@ -52,6 +53,8 @@
     pub described: Option<Instant>,
     /// Whether its assigned runs have to be compared with what its agent knows, after a new link.
     pub resync: bool,
+    /// Room that is kept for tasks that are on their way.
+    pub holds: RoomHolds,
     used: RoomAmount,
 }
 
@@ -67,6 +70,7 @@
             ended_fills: Vec::new(),
             described: None,
             resync: true,
+            holds: RoomHolds::default(),
             used: RoomAmount::default(),
         }
     }
@@ -84,6 +88,19 @@
         self.status.as_ref().map(|status| status.capacity.minus(&self.used)).unwrap_or_default()
     }
 
+    /// Guarded capacity that a task may take: what is free, less what is kept for others.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// let room = board.entry("i-1", Instant::now()).room_for(&"a.0.0.0".parse().unwrap(), Instant::now());
+    /// assert_eq!(room.millicores, 0);
+    /// ```
+    pub fn room_for(&self, task: &TaskName, now: Instant) -> RoomAmount {
+        self.holds.leave(self.free_room(), task, now)
+    }
+
     /// Whether it may get new work at `now`.
     ///
     /// ```
@@ -267,6 +284,7 @@
             work: None,
         };
         worker.used = worker.used.plus(&run.counted);
+        worker.holds.drop_for(&key.0);
         if run.fills {
             worker.fills_changed = Some(now);
         }
