Ask in one place what a moved task needs, and drop what nobody calls

Moves of fills and of what serves built the same need apart; a moved fill now shuns workers on which it has failed, as any start does. WorkerBoard::jobs_on had no caller. Decisions else unchanged; planner, preemption, places and search tests pass.

--- a/src/workflow/planner_gathering.rs
+++ b/src/workflow/planner_gathering.rs
@@ -15,8 +15,6 @@
 
 use crate::ids::InstanceId;
 use crate::workflow::assigned_run::AssignedRun;
-use crate::workflow::placement::PlacementNeed;
-use crate::workflow::placement::RiskLimit;
 use crate::workflow::placement::fits_but_for_room;
 use crate::workflow::plan_decision::MoveReason;
 use crate::workflow::planner::Planner;
@@ -236,11 +234,6 @@
         best.map(|(lost, to)| (lost, to.clone()))
     }
 
-    fn move_need<'a>(&'a self, name: &'a TaskName, from: &'a str) -> Option<PlacementNeed<'a>> {
-        let step = self.jobs.get(&name.job)?.step(name)?;
-        Some(PlacementNeed { risk: RiskLimit::Known, ..self.need(name, step, None, Some(from))? })
-    }
-
     fn is_settled(&self, run: &AssignedRun) -> bool {
         !run.stopping && self.now.saturating_duration_since(run.since) >= LEAST_AGE
     }
--- a/src/workflow/planner_moves.rs
+++ b/src/workflow/planner_moves.rs
@@ -10,6 +10,7 @@
 use crate::workflow::plan_decision::MoveReason;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
 /// Time at a slow pace after which a task is moved: longer than a short burst of load takes.
@@ -101,18 +102,18 @@
 
     /// The worker that would take a task without risk for what serves there.
     fn place_for(&self, instance: &str, key: &RunKey) -> Option<InstanceId> {
-        let entry = self.jobs.get(&key.0.job)?;
-        let step = entry.step(&key.0)?;
-        let need = PlacementNeed {
-            task: &key.0,
-            step,
-            service: &entry.spec.policy.service,
-            avoid: &[],
-            risk: RiskLimit::Known,
-            needs_ticket: entry.spec.policy.advice.is_some(),
-            rack: None,
-            not_on: Some(instance),
-        };
+        let need = self.move_need(&key.0, instance)?;
         choose(&need, &self.placement_view())
     }
+
+    /// What a task needs of the worker that it is moved to.
+    pub(crate) fn move_need<'a>(
+        &'a self,
+        name: &'a TaskName,
+        from: &'a str,
+    ) -> Option<PlacementNeed<'a>> {
+        let step = self.jobs.get(&name.job)?.step(name)?;
+        let need = self.need(name, step, None, Some(from))?;
+        Some(PlacementNeed { risk: RiskLimit::Known, ..need })
+    }
 }
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -6,7 +6,6 @@
 
 use crate::connection::node_protocol::RunnerStatus;
 use crate::ids::InstanceId;
-use crate::ids::JobId;
 use crate::ids::RunNumber;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::EndedFill;
@@ -359,18 +358,4 @@
             worker.full_until = Some(now + ROOM_PAUSE);
         }
     }
-
-    /// Jobs that have a run on a worker.
-    ///
-    /// ```
-    /// let board = greengagearch::workflow::worker_board::WorkerBoard::default();
-    /// assert!(board.jobs_on("i-1").is_empty());
-    /// ```
-    pub fn jobs_on(&self, instance: &str) -> Vec<JobId> {
-        let worker = self.workers.get(instance);
-        let keys = worker.into_iter().flat_map(|worker| worker.assigned.keys());
-        let mut jobs: Vec<JobId> = keys.map(|key| key.0.job.clone()).collect();
-        jobs.dedup();
-        jobs
-    }
 }
