Forget room that was kept long enough

Cause: a hold whose task went elsewhere stayed in its worker's list for good, without effect on any choice but growing by one a move. Change: keeping room for one task drops what has expired; the time comes with the call. Test: room_that_was_kept_long_enough_is_forgotten.

--- a/src/workflow/room_hold.rs
+++ b/src/workflow/room_hold.rs
@@ -3,6 +3,7 @@
 //! A task that is moved is stopped first, which takes up to a second. Without its new place kept, others take it
 //! meanwhile, and the task has been stopped for nothing.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::workflow::spec::RoomAmount;
@@ -27,7 +28,7 @@
 }
 
 impl RoomHolds {
-    /// Keeps room for a task.
+    /// Keeps room for a task for some time, and forgets what was kept long enough.
     ///
     /// ```
     /// use std::time::Duration;
@@ -38,14 +39,15 @@
     ///
     /// let (now, task) = (Instant::now(), "a.0.0.0".parse().unwrap());
     /// let mut holds = RoomHolds::default();
-    /// holds.keep(&task, &StepSpec::default(), now + Duration::from_secs(1));
+    /// holds.keep(&task, &StepSpec::default(), now, Duration::from_secs(1));
     /// assert!(holds.is_for(&task, now));
     /// assert!(!holds.is_for(&task, now + Duration::from_secs(1)));
     /// ```
-    pub fn keep(&mut self, task: &TaskName, step: &StepSpec, until: Instant) {
-        self.drop_for(task);
+    pub fn keep(&mut self, task: &TaskName, step: &StepSpec, now: Instant, span: Duration) {
+        self.holds.retain(|hold| hold.until > now && hold.task != *task);
         let filling = if step.fills { step.room.millicores } else { 0 };
-        self.holds.push(RoomHold { task: task.clone(), room: step.counted_room(), filling, until });
+        let (room, until) = (step.counted_room(), now + span);
+        self.holds.push(RoomHold { task: task.clone(), room, filling, until });
     }
 
     /// Keeps nothing any more for a task that has come, or is not to come.
--- a/tests/planner_gathering.rs
+++ b/tests/planner_gathering.rs
@@ -126,14 +126,28 @@
     let mut holds = RoomHolds::default();
     let room = RoomAmount { millicores: 3_000, memory_mib: 100, accelerators: 0 };
     let free = RoomAmount { millicores: 4_000, memory_mib: 400, accelerators: 0 };
-    holds.keep(&mine, &StepSpec { room, ..StepSpec::default() }, now + Duration::from_secs(1));
+    let (step, span) = (StepSpec { room, ..StepSpec::default() }, Duration::from_secs(1));
+    holds.keep(&mine, &step, now, span);
     assert_eq!(holds.leave(free, &mine, now), free);
     assert_eq!(holds.leave(free, &other, now).millicores, 1_000);
-    assert_eq!(holds.leave(free, &other, now + Duration::from_secs(1)), free);
+    assert_eq!(holds.leave(free, &other, now + span), free);
     holds.drop_for(&mine);
     assert_eq!(holds.leave(free, &other, now), free);
 }
 
+#[test]
+fn room_that_was_kept_long_enough_is_forgotten() {
+    let now = Instant::now();
+    let (first, second) = ("a.0.0.0".parse().unwrap(), "a.0.0.1".parse().unwrap());
+    let (step, span) = (StepSpec::default(), Duration::from_secs(1));
+    let mut holds = RoomHolds::default();
+    holds.keep(&first, &step, now, span);
+    holds.keep(&second, &step, now + span, span);
+    let mut alone = RoomHolds::default();
+    alone.keep(&second, &step, now + span, span);
+    assert_eq!(holds, alone);
+}
+
 #[test]
 fn a_task_costs_nothing_beside_its_own_job_and_most_where_nothing_else_serves() {
     let now = Instant::now();
