Believe no agent that a life beside another agent is over

Cause: an agent that is sent heartbeats under the name of a runner beside another agent takes it for a former life of its own host as soon as its own runner answers, and tells the planner that it is over. The planner then gave the work of a living runner away. Ruled out: the leases (the runner kept its lease and was never silent). Change: a life that is known beside another agent is not over by what this one says; logged once. The stand-ins end their runners with their cluster. What is left: a heartbeat of another writer at an agent without any runner is still taken for its runner's.

--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -1,6 +1,8 @@
 //! The planner at work: takes news in, plans, stores, sends orders. Ends when the ownership is lost.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -47,6 +49,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(150);
 /// Pause before the advice service is asked again after it did not answer.
 const ADVICE_PAUSE: Duration = Duration::from_millis(300);
+/// Disputed lives that are remembered, so that each is logged once; more at a time would be a writer gone wild.
+const DISPUTES_KEPT: usize = 256;
 
 /// The planner's loop and what it holds.
 pub struct PlannerLoop {
@@ -54,6 +58,8 @@
     pub(super) proof: OwnerProof,
     links: BTreeMap<String, NodeLink>,
     agents: BTreeMap<InstanceId, String>,
+    /// Lives that an agent called over though they are beside another one, and that agent; each is logged once.
+    disputed: BTreeSet<(InstanceId, String)>,
     news: mpsc::UnboundedSender<LinkNews>,
     pub(super) write: Option<WriteTask>,
     pub(super) pulse_due: Instant,
@@ -78,6 +84,7 @@
             proof,
             links: BTreeMap::new(),
             agents: BTreeMap::new(),
+            disputed: BTreeSet::new(),
             news,
             write: None,
             pulse_due: Instant::now(),
@@ -204,7 +211,8 @@
 
     fn on_news(&mut self, news: LinkNews) -> StepResult {
         match news {
-            LinkNews::Report { address, report, is_new_link } => {
+            LinkNews::Report { address, mut report, is_new_link } => {
+                report.former.retain(|life| self.may_end(&address, life));
                 if let Some(runner) = &report.runner {
                     self.agents.insert(runner.instance.clone(), address);
                 }
@@ -219,6 +227,25 @@
         }
     }
 
+    /// Whether an agent may say that a life is over: not when the life is known to be beside another agent. A
+    /// heartbeat of another writer, or one that went to the wrong host, names such a life.
+    fn may_end(&mut self, address: &str, life: &InstanceId) -> bool {
+        let known = self.agents.get(life);
+        if known.is_none_or(|known| known == address) {
+            return true;
+        }
+        if self.disputed.len() >= DISPUTES_KEPT {
+            self.disputed.clear();
+        }
+        if self.disputed.insert((life.clone(), address.to_string())) {
+            let known = known.cloned().unwrap_or_default();
+            let fields: [(&str, &dyn Display); 3] =
+                [("instance", life), ("agent", &address), ("known_at", &known)];
+            log_event(Level::Warn, "foreign_life_ignored", &fields);
+        }
+        false
+    }
+
     fn on_tick(&mut self) {
         self.with_planner(Planner::on_tick);
     }
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -235,6 +235,13 @@
     }
 }
 
+impl Drop for PlatformCluster {
+    /// Ends the runners, whose heartbeats would go on to ports that others are given.
+    fn drop(&mut self) {
+        self.nodes.iter().for_each(|seat| seat.runner.crash());
+    }
+}
+
 fn planner_settings(number: usize, addresses: [SocketAddr; 3], store: SocketAddr) -> String {
     let [callers, ready, internal] = addresses;
     format!(
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -15,6 +15,8 @@
 use greengagearch_standins::platform_cluster::PlatformCluster;
 use greengagearch_standins::platform_cluster::job_name;
 use greengagearch_standins::platform_cluster::job_of_steps;
+use greengagearch_standins::platform_journal::RunJournal;
+use greengagearch_standins::platform_runner::PlatformRunner;
 use greengagearch_standins::platform_store::StoreFault;
 use reqwest::StatusCode;
 use serde_json::json;
@@ -42,6 +44,23 @@
     env.assert_nothing_doubled();
 }
 
+/// Another writer's heartbeats reach an agent under the name of a runner that lives beside another agent. The agent
+/// takes them for late ones of a former life of its own runner, and says that this life is over.
+#[tokio::test]
+async fn heartbeats_of_another_writer_under_the_name_of_a_living_runner_double_nothing() {
+    let env = start(1, 2).await;
+    let body = job_of_steps("run_ms=2500", &[6]);
+    env.submit_until_accepted(0, &job_name(1), &body).await;
+    env.until(async || env.journal.records().len() == 6).await;
+    let living = env.journal.records()[0].instance.clone();
+    let other = if living == "i-0" { 1 } else { 0 };
+    let registry = env.nodes[other].process.address("registry");
+    let stray = PlatformRunner::spawn(&living, registry, RunJournal::default()).await;
+    env.until_state(0, &job_name(1), "completed").await;
+    stray.crash();
+    env.assert_nothing_doubled();
+}
+
 #[tokio::test]
 async fn bad_input_gets_a_clear_refusal() {
     let env = start(1, 1).await;
