--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -31,6 +31,8 @@
     HoldBack,
     /// It passes nothing on and accepts nothing new: a cut line.
     Cut,
+    /// All its connections together pass this many bytes a second on from the targets: a thin link.
+    Thin(u32),
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +48,8 @@
     pub address: SocketAddr,
     state: Arc<Mutex<ProxyState>>,
     fault: watch::Sender<ProxyFault>,
+    /// Held by the piece of data that is on the thin link; pieces of all connections follow in turn.
+    link: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl FaultProxy {
@@ -58,6 +62,7 @@
             address: listener.local_addr().expect("a bound listener has an address"),
             state: Arc::new(Mutex::new(state)),
             fault,
+            link: Arc::default(),
         };
         let accepting = proxy.clone();
         tokio::spawn(async move {
@@ -99,39 +104,62 @@
             let _ = onward.set_nodelay(true);
             let (near_read, near_write) = stream.into_split();
             let (far_read, far_write) = onward.into_split();
-            let forth = pump(near_read, far_write, self.fault.subscribe(), ProxyFault::HoldForward);
-            let back = pump(far_read, near_write, self.fault.subscribe(), ProxyFault::HoldBack);
-            tokio::join!(forth, back);
+            let forth = LinePump {
+                fault: self.fault.subscribe(),
+                held_by: ProxyFault::HoldForward,
+                link: None,
+            };
+            let back = LinePump {
+                fault: self.fault.subscribe(),
+                held_by: ProxyFault::HoldBack,
+                link: Some(self.link.clone()),
+            };
+            tokio::join!(forth.run(near_read, far_write), back.run(far_read, near_write));
             return;
         }
     }
 }
 
-async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+/// One direction of a connection.
+struct LinePump {
     fault: watch::Receiver<ProxyFault>,
     held_by: ProxyFault,
-) {
-    let mut buffer = vec![0; 16_384];
-    while let Ok(length) = from.read(&mut buffer).await {
-        if length == 0 {
-            break;
+    /// The link that can be thin, where it is this direction's.
+    link: Option<Arc<tokio::sync::Mutex<()>>>,
+}
+
+impl LinePump {
+    async fn run(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        let mut buffer = vec![0; 16_384];
+        while let Ok(length) = from.read(&mut buffer).await {
+            if length == 0 {
+                break;
+            }
+            self.hold_back(length).await;
+            if to.write_all(&buffer[..length]).await.is_err() {
+                break;
+            }
         }
-        let now = *fault.borrow();
+        let _ = to.shutdown().await;
+    }
+
+    /// Waits as long as the fault keeps a piece of data of this length.
+    async fn hold_back(&self, length: usize) {
+        let now = *self.fault.borrow();
         if let ProxyFault::Delay(delay) = now {
             tokio::time::sleep(delay).await;
         }
+        if let (ProxyFault::Thin(rate), Some(link)) = (now, &self.link) {
+            let on_link = link.lock().await;
+            tokio::time::sleep(Duration::from_secs(length as u64) / rate).await;
+            drop(on_link);
+        }
         loop {
-            let now = *fault.borrow();
-            if now != held_by && now != ProxyFault::Cut {
+            let now = *self.fault.borrow();
+            if now != self.held_by && now != ProxyFault::Cut {
                 break;
             }
             tokio::time::sleep(HOLD_POLL).await;
         }
-        if to.write_all(&buffer[..length]).await.is_err() {
-            break;
-        }
     }
-    let _ = to.shutdown().await;
 }
