Start moved tasks at their kept places before their siblings are searched for

Cause: a step's search ends at its first task without a place, and needs like one that found none are skipped, so that a moved task waited behind siblings while its place stayed empty for 2.5 s. Change: tasks for which a worker keeps room start first.

--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -1,6 +1,7 @@
 //! A round of planning: in which order jobs get workers, and which tasks start.
 
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::ids::InstanceId;
@@ -53,11 +54,17 @@
             open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job)).collect();
         order.sort();
         let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
+        let kept = self.board.kept_tasks(self.now);
         let mut hopeless = HopelessNeeds::default();
-        jobs.iter().map(|job| self.plan_job(job, &mut hopeless)).sum()
+        jobs.iter().map(|job| self.plan_job(job, &kept, &mut hopeless)).sum()
     }
 
-    fn plan_job(&mut self, job: &str, hopeless: &mut HopelessNeeds) -> usize {
+    fn plan_job(
+        &mut self,
+        job: &str,
+        kept: &HashSet<TaskName>,
+        hopeless: &mut HopelessNeeds,
+    ) -> usize {
         let mut started = 0;
         for (occurrence, step) in self.ready_steps(job) {
             let Some(spec) =
@@ -75,7 +82,10 @@
             started += if spec.gang {
                 self.start_gang(&names.collect::<Vec<TaskName>>(), &spec)
             } else {
-                self.start_each(names, &spec, hopeless)
+                // Siblings that find no place say nothing of a task for which one is kept.
+                let (kept, others): (Vec<TaskName>, Vec<TaskName>) =
+                    names.partition(|name| kept.contains(name));
+                self.start_kept(kept, &spec) + self.start_each(others.into_iter(), &spec, hopeless)
             };
             if spec.speculative && !spec.gang {
                 started += self.start_copies(job, occurrence, step, &spec);
@@ -132,6 +142,20 @@
         idle.map(|(index, _)| index).collect()
     }
 
+    /// Starts tasks that were moved and have a place kept, before the search for others ends at the first that finds none. On
+    /// busy days nearly every moved task has siblings that wait, and would wait behind them while its place stays empty.
+    fn start_kept(&mut self, names: Vec<TaskName>, spec: &StepSpec) -> usize {
+        let mut started = 0;
+        for name in names {
+            if let Some(worker) = self.choose_worker(&name, spec, None, None) {
+                let run = self.last_run(&name) + 1;
+                self.assign(&name, run, worker, spec);
+                started += 1;
+            }
+        }
+        started
+    }
+
     fn start_each(
         &mut self,
         names: impl Iterator<Item = TaskName>,
--- a/src/workflow/room_hold.rs
+++ b/src/workflow/room_hold.rs
@@ -72,6 +72,18 @@
         self.holds.iter().any(|hold| hold.until > now && hold.task == *task)
     }
 
+    /// Tasks for which room is kept.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let holds = greengagearch::workflow::room_hold::RoomHolds::default();
+    /// assert_eq!(holds.tasks(Instant::now()).count(), 0);
+    /// ```
+    pub fn tasks(&self, now: Instant) -> impl Iterator<Item = &TaskName> {
+        self.holds.iter().filter(move |hold| hold.until > now).map(|hold| &hold.task)
+    }
+
     /// Of some room what is left to a task when room is kept for others.
     ///
     /// ```
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -1,6 +1,7 @@
 //! What the planner knows of the workers: what runs where, how much room is left, who is silent.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -244,6 +245,18 @@
         self.workers.iter()
     }
 
+    /// Tasks for which some worker keeps room.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert!(board.kept_tasks(Instant::now()).is_empty());
+    /// ```
+    pub fn kept_tasks(&self, now: Instant) -> HashSet<TaskName> {
+        self.workers.values().flat_map(|worker| worker.holds.tasks(now)).cloned().collect()
+    }
+
     /// Gives a run to a worker.
     ///
     /// ```
