--- a/src/workflow/planner_gathering.rs
+++ b/src/workflow/planner_gathering.rs
@@ -18,7 +18,6 @@
 use crate::workflow::placement::fits_but_for_room;
 use crate::workflow::plan_decision::MoveReason;
 use crate::workflow::planner::Planner;
-use crate::workflow::progress::TaskProgress;
 use crate::workflow::serving_layout::ServingLayout;
 use crate::workflow::serving_layout::lasting_room;
 use crate::workflow::serving_layout::serving_runs;
@@ -96,18 +95,8 @@
 
     /// Fills that are ready and wait, or are slowed.
     fn unmet_fills(&self) -> usize {
-        let mut unmet = 0;
-        for entry in self.jobs.values().filter(|entry| entry.end.is_none()) {
-            for (occurrence, steps) in &entry.progress.open {
-                for (tasks, step) in steps.iter().zip(&entry.spec.steps) {
-                    if step.fills && entry.progress.is_ready(*occurrence, step) {
-                        let is_waiting =
-                            |task: &&TaskProgress| !task.done && task.attempts.is_empty();
-                        unmet += tasks.iter().filter(is_waiting).count();
-                    }
-                }
-            }
-        }
+        let unmet: usize =
+            self.jobs.values().map(|entry| entry.waiting_tasks(|step| step.fills)).sum();
         let runs = self.board.iter().flat_map(|(_, worker)| worker.assigned.values());
         unmet + runs.filter(|run| run.slow_since.is_some()).count()
     }
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -48,6 +48,23 @@
 }
 
 impl JobEntry {
+    /// Tasks of the steps in question whose turn has come and that do not run; none of a job that has ended.
+    pub(crate) fn waiting_tasks(&self, is_asked: impl Fn(&StepSpec) -> bool) -> usize {
+        if self.end.is_some() {
+            return 0;
+        }
+        let mut waiting = 0;
+        for (occurrence, steps) in &self.progress.open {
+            for (tasks, step) in steps.iter().zip(&self.spec.steps) {
+                if is_asked(step) && self.progress.is_ready(*occurrence, step) {
+                    let idle = tasks.iter().filter(|task| !task.done && task.attempts.is_empty());
+                    waiting += idle.count();
+                }
+            }
+        }
+        waiting
+    }
+
     pub(crate) fn new(spec: WorkflowSpec, record_version: RowVersion) -> JobEntry {
         JobEntry {
             last_run_ms: spec.accepted_ms,
--- a/src/workflow/planner_load.rs
+++ b/src/workflow/planner_load.rs
@@ -59,16 +59,7 @@
     /// ```
     pub fn load(&self) -> PlannerLoad {
         let mut load = PlannerLoad { jobs: self.jobs.len(), ..PlannerLoad::default() };
-        for entry in self.jobs.values().filter(|entry| entry.end.is_none()) {
-            for (occurrence, steps) in &entry.progress.open {
-                for (tasks, step) in steps.iter().zip(&entry.spec.steps) {
-                    let idle = tasks.iter().filter(|task| !task.done && task.attempts.is_empty());
-                    if entry.progress.is_ready(*occurrence, step) {
-                        load.waiting += idle.count();
-                    }
-                }
-            }
-        }
+        load.waiting = self.jobs.values().map(|entry| entry.waiting_tasks(|_| true)).sum();
         for (_, worker) in self.board.iter() {
             load.workers += usize::from(worker.is_open(self.now));
             load.serving_workers += usize::from(worker.is_serving());
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod local;
 pub mod local_platform;
+pub mod partition_queues;
 pub mod platform_advice;
 pub mod platform_cluster;
 pub mod platform_journal;
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -10,8 +10,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Json;
@@ -31,12 +29,11 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::partition_queues::PartitionQueues;
+
 /// Time for which a silent listener holds an answer back.
 const HANG: Duration = Duration::from_secs(30);
 
-/// Time for which transactions wait at most.
-const LONGEST_QUEUE: Duration = Duration::from_secs(1);
-
 /// How a listener misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -99,6 +96,13 @@
     removes: Vec<WireRow>,
 }
 
+impl WireTransaction {
+    fn partitions(&self) -> BTreeSet<String> {
+        let rows = self.expected.iter().chain(&self.puts).chain(&self.removes);
+        rows.map(|row| row.part.clone()).collect()
+    }
+}
+
 #[derive(Debug, Default)]
 struct StoreRows {
     rows: BTreeMap<RowPlace, WireRow>,
@@ -116,16 +120,7 @@
     rows: Arc<Mutex<StoreRows>>,
     changed: Arc<Notify>,
     /// By partition, where transactions queue.
-    queues: Arc<Mutex<BTreeMap<String, Arc<PartitionQueue>>>>,
-}
-
-/// The transactions of a partition, which are carried out one after another.
-#[derive(Default)]
-struct PartitionQueue {
-    /// Held by the transaction that is carried out.
-    turn: tokio::sync::Mutex<()>,
-    /// Transactions that wait for their turn or have it.
-    waiting: AtomicU32,
+    queues: PartitionQueues,
 }
 
 /// A listener of the store.
@@ -198,14 +193,6 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The queues of all partitions that a transaction names, in their order.
-    fn queues_of(&self, transaction: &WireTransaction) -> Vec<Arc<PartitionQueue>> {
-        let rows = transaction.expected.iter().chain(&transaction.puts).chain(&transaction.removes);
-        let parts: BTreeSet<&String> = rows.map(|row| &row.part).collect();
-        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
-        parts.into_iter().map(|part| queues.entry(part.clone()).or_default().clone()).collect()
-    }
-
     fn apply(&self, transaction: WireTransaction) -> Result<u64, Vec<WireRow>> {
         let mut rows = self.lock();
         let version = |rows: &StoreRows, row: &WireRow| {
@@ -275,29 +262,10 @@
         let StoreFault::Queued { write, .. } = fault else {
             return Some(self.store.apply(transaction));
         };
-        let queues = self.store.queues_of(&transaction);
-        if queues.iter().any(|queue| write * queue.waiting.load(Ordering::Acquire) > LONGEST_QUEUE)
-        {
-            return None;
-        }
-        for queue in &queues {
-            queue.waiting.fetch_add(1, Ordering::AcqRel);
-        }
         let store = self.store.clone();
-        let carried_out = tokio::spawn(async move {
-            let mut turns = Vec::new();
-            for queue in &queues {
-                turns.push(queue.turn.lock().await);
-            }
-            tokio::time::sleep(write * if queues.len() > 1 { 2 } else { 1 }).await;
-            let applied = store.apply(transaction);
-            for queue in &queues {
-                queue.waiting.fetch_sub(1, Ordering::AcqRel);
-            }
-            drop(turns);
-            applied
-        });
-        Some(carried_out.await.expect("a transaction does not panic"))
+        let partitions = transaction.partitions();
+        let queues = &self.store.queues;
+        queues.carry_out(partitions, write, move || store.apply(transaction)).await
     }
 
     /// Whether the answer to a transaction that was applied is to be lost.
