--- a/src/connection/retry_pace.rs
+++ b/src/connection/retry_pace.rs
@@ -6,8 +6,8 @@
 //! failed together do not come back together.
 //!
 //! The load is 35 hosts with three watches each at a store that bears 160 reads a second, a hundredth of the usual. With a fixed
-//! pause of 0.1 s half of all calls are refused; with these rates less than a fifth, and each host is answered within 1.2 s
-//! (tests/retry_pace.rs, simulated).
+//! pause of 0.1 s the store refuses 78 % of all calls and answers 2,415 in 20 s; with these rates it refuses 41 % and answers
+//! 2,971, and no host waits longer than 1.8 s for an answer (tests/retry_pace.rs, simulated).
 
 use std::time::Duration;
 use std::time::Instant;
--- a/src/connection/store_health.rs
+++ b/src/connection/store_health.rs
@@ -1,4 +1,7 @@
 //! What a process knows of the store from its own calls: when it last answered, and when it last refused.
+//!
+//! It tells a store that turns this host away, which others get round, from one that is slow for all, where each call through another
+//! host is one more in the same queue.
 
 use std::time::Duration;
 use std::time::Instant;
--- a/src/external/observed_store.rs
+++ b/src/external/observed_store.rs
@@ -1,4 +1,4 @@
-//! The store with an eye on how it answers this process.
+//! A store that keeps its health as this process sees it, from the outcome of every call.
 
 use std::sync::Arc;
 use std::sync::Mutex;
