Store changed jobs in the order in which they changed, as many as a transaction holds

Cause: a batch took the first 24 changed jobs by name. While a write takes a second (a store a hundred times slower), 120 to 180 jobs change during it; those at the front of the alphabet change again and are first again, so that starts and ends of the others wait until the store is well. By the count of jobs alone a batch of large jobs could also pass the store's bound of 1 MB. Change: jobs wait in the order in which they changed; a batch holds 48 rows (100 entries of a transaction) and 6,000 tasks at most.

--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod advice_book;
 pub mod assigned_run;
+mod changed_jobs;
 pub mod disturbance;
 pub mod grant;
 mod hopeless_needs;
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -6,7 +6,6 @@
 //! worker before the store holds it.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +17,7 @@
 use crate::process::suspicion::WorkerSuspicion;
 use crate::workflow::advice_book::AdviceBook;
 use crate::workflow::advice_book::AdviceQuestion;
+use crate::workflow::changed_jobs::ChangedJobs;
 use crate::workflow::disturbance::DisturbanceModel;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner_batch::PlanBatch;
@@ -47,7 +47,7 @@
     pub(crate) disturbance: DisturbanceModel,
     pub(crate) advice: AdviceBook,
     pub(crate) questions: Vec<AdviceQuestion>,
-    pub(crate) dirty: BTreeSet<JobId>,
+    pub(crate) dirty: ChangedJobs,
     pub(crate) held_starts: BTreeMap<JobId, Vec<(InstanceId, RunKey)>>,
     pub(crate) held_acks: BTreeMap<InstanceId, u64>,
     pub(crate) outbox: Vec<AddressedOrder>,
@@ -79,7 +79,7 @@
             disturbance: DisturbanceModel::default(),
             advice: AdviceBook::default(),
             questions: Vec::new(),
-            dirty: BTreeSet::new(),
+            dirty: ChangedJobs::default(),
             held_starts: BTreeMap::new(),
             held_acks: BTreeMap::new(),
             outbox: Vec::new(),
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -14,9 +14,12 @@
 use crate::workflow::progress::spec_digest;
 use crate::workflow::worker_board::RunKey;
 
-/// Most jobs whose rows change in one batch: two rows each, as condition and as change, stay within
-/// the store's limit of 100 entries a transaction.
-const LARGEST_BATCH: usize = 24;
+/// Most rows that change in one batch: each is a condition and a change, and the owner's row, the pulse and what was learned come
+/// to them, within the store's limit of 100 entries a transaction.
+const MOST_ROWS: usize = 48;
+/// Most tasks whose state is written in one batch: at 120 bytes each, with worker and checkpoint, they stay within the store's limit of
+/// 1 MB a transaction.
+const MOST_TASKS: usize = 6_000;
 
 /// One row that a batch writes, under the condition that it has the version that is named.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,15 +44,22 @@
 impl PlanBatch {
     /// Takes what has changed out of the planner.
     pub(crate) fn take(planner: &mut Planner) -> Option<PlanBatch> {
-        let jobs: Vec<JobId> = planner.dirty.iter().take(LARGEST_BATCH).cloned().collect();
         let mut batch = PlanBatch::default();
-        for job in &jobs {
-            planner.dirty.remove(job);
-            let Some(entry) = planner.jobs.get(job) else {
-                continue;
-            };
-            batch.writes.extend(writes(job, entry, planner.wall_ms));
-            batch.starts.extend(planner.held_starts.remove(job).unwrap_or_default());
+        let mut tasks = 0;
+        while let Some(job) = planner.dirty.first().cloned() {
+            if let Some(entry) = planner.jobs.get(&job) {
+                let writes = writes(&job, entry, planner.wall_ms);
+                tasks += entry.progress.task_count();
+                let is_first = batch.writes.is_empty();
+                if !is_first
+                    && (batch.writes.len() + writes.len() > MOST_ROWS || tasks > MOST_TASKS)
+                {
+                    break;
+                }
+                batch.writes.extend(writes);
+                batch.starts.extend(planner.held_starts.remove(&job).unwrap_or_default());
+            }
+            planner.dirty.remove(&job);
         }
         if planner.dirty.is_empty() {
             // Everything that the ends have changed is in this batch or stored already.
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -343,6 +343,15 @@
         self.open.values().flatten().flatten().all(|task| task.attempts.is_empty())
     }
 
+    /// Tasks of all open occurrences.
+    ///
+    /// ```
+    /// assert_eq!(greengagearch::workflow::progress::JobProgress::default().task_count(), 0);
+    /// ```
+    pub fn task_count(&self) -> usize {
+        self.open.values().flatten().map(Vec::len).sum()
+    }
+
     /// The largest number of failures of any task.
     ///
     /// ```
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -145,23 +145,29 @@
 
     /// Stores all batches.
     pub fn store(&mut self) {
-        while let Some(batch) = self.planner.take_batch() {
-            self.version += 1;
-            for write in &batch.writes {
-                match write.clone() {
-                    PlanWrite::Progress(job, _, Some(progress)) => {
-                        self.progress.insert(job, (self.version, progress));
-                    }
-                    PlanWrite::Progress(job, _, None) => {
-                        self.progress.remove(&job);
-                    }
-                    PlanWrite::End(job, _, record) => {
-                        self.records.insert(job, record);
-                    }
+        while self.store_one().is_some() {}
+    }
+
+    /// Stores one batch; gives the number of its rows.
+    pub fn store_one(&mut self) -> Option<usize> {
+        let batch = self.planner.take_batch()?;
+        let rows = batch.writes.len();
+        self.version += 1;
+        for write in &batch.writes {
+            match write.clone() {
+                PlanWrite::Progress(job, _, Some(progress)) => {
+                    self.progress.insert(job, (self.version, progress));
+                }
+                PlanWrite::Progress(job, _, None) => {
+                    self.progress.remove(&job);
+                }
+                PlanWrite::End(job, _, record) => {
+                    self.records.insert(job, record);
                 }
             }
-            self.planner.on_committed(batch, self.version);
         }
+        self.planner.on_committed(batch, self.version);
+        Some(rows)
     }
 
     /// Delivers orders: runners take every start, and end every run that is stopped.
