Give the two modules called placement names that tell them apart; tests of two request modules into test files

No change of behaviour. `request::placement` chooses a worker for a task of the product's own way and is now `request::worker_choice`; `workflow::placement` keeps its name.

--- a/src/request/placement.rs
+++ b/src/request/worker_choice.rs
@@ -18,7 +18,7 @@
 use crate::process::interference::KindName;
 
 /// How much more loaded than the least loaded worker a worker may be to be chosen for its pairs.
-const LOAD_SLACK: f64 = 0.5;
+pub const LOAD_SLACK: f64 = 0.5;
 /// Widths of doubt by which an estimated slowdown is raised: a pair that is hardly known counts as
 /// worse than one that is known to be as bad.
 const DOUBT_WIDTHS: f64 = 0.5;
@@ -62,7 +62,7 @@
     /// ```
     /// use std::sync::Arc;
     ///
-    /// use greengagearch::request::placement::PlacementWay;
+    /// use greengagearch::request::worker_choice::PlacementWay;
     ///
     /// let policy = PlacementWay::Random.policy(Arc::default());
     /// ```
@@ -102,7 +102,7 @@
     ///
     /// ```
     /// use greengagearch::external::worker::ResourceAmount;
-    /// use greengagearch::request::placement::WorkerView;
+    /// use greengagearch::request::worker_choice::WorkerView;
     ///
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
     /// let view = WorkerView::empty("w1", host);
@@ -115,7 +115,7 @@
     /// A worker on which nothing runs.
     ///
     /// ```
-    /// use greengagearch::request::placement::WorkerView;
+    /// use greengagearch::request::worker_choice::WorkerView;
     ///
     /// assert_eq!(WorkerView::empty("w1", Default::default()).worker, "w1");
     /// ```
@@ -137,7 +137,7 @@
     ///
     /// ```
     /// use greengagearch::external::worker::ResourceAmount;
-    /// use greengagearch::request::placement::WorkerView;
+    /// use greengagearch::request::worker_choice::WorkerView;
     ///
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
     /// let mut view = WorkerView::empty("w1", host);
@@ -152,7 +152,7 @@
     ///
     /// ```
     /// # use greengagearch::external::worker::ResourceAmount;
-    /// # use greengagearch::request::placement::WorkerView;
+    /// # use greengagearch::request::worker_choice::WorkerView;
     /// let host = ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
     /// let mut view = WorkerView::empty("w1", host);
     /// view.take(&host, "roster");
@@ -169,7 +169,7 @@
 ///
 /// ```
 /// use greengagearch::external::worker::ResourceAmount;
-/// use greengagearch::request::placement::dominant_share;
+/// use greengagearch::request::worker_choice::dominant_share;
 ///
 /// let whole = ResourceAmount { millicores: 4, memory_mib: 8, accelerators: 0 };
 /// let amount = ResourceAmount { millicores: 1, memory_mib: 4, accelerators: 0 };
@@ -306,8 +306,8 @@
 ///
 /// ```
 /// use greengagearch::external::worker::ResourceAmount;
-/// use greengagearch::request::placement::FirstFit;
-/// use greengagearch::request::placement::place;
+/// use greengagearch::request::worker_choice::FirstFit;
+/// use greengagearch::request::worker_choice::place;
 ///
 /// let amount = ResourceAmount::default();
 /// assert_eq!(place(&FirstFit, &[], &amount, "roster", &[], &mut rand::rng()), None);
@@ -326,97 +326,3 @@
         roomy.iter().copied().filter(|(_, view)| !avoid.contains(&view.worker)).collect();
     policy.choose(if preferred.is_empty() { &roomy } else { &preferred }, kind, rng)
 }
-
-#[cfg(test)]
-mod tests {
-    use std::time::Duration;
-
-    use rand::SeedableRng;
-    use rand::rngs::StdRng;
-
-    use super::*;
-    use crate::process::interference::InterferenceSample;
-
-    const HOST: ResourceAmount =
-        ResourceAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 };
-    const TASK: ResourceAmount =
-        ResourceAmount { millicores: 100, memory_mib: 100, accelerators: 0 };
-
-    fn model(pairs: &[(&str, &str, f64)]) -> Arc<InterferenceModel> {
-        let mut model = InterferenceModel::default();
-        for (service, kind, slowdown) in pairs {
-            let mut sample = InterferenceSample {
-                service: service.to_string(),
-                kinds: BTreeMap::new(),
-                mean_time: Duration::from_millis(100),
-                requests: 1_000,
-                at_millis: 0,
-            };
-            model.learn(&sample);
-            sample.kinds.insert(kind.to_string(), 1);
-            sample.mean_time = Duration::from_secs_f64(0.1 * (1.0 + slowdown));
-            (0..50).for_each(|_| model.learn(&sample));
-        }
-        Arc::new(model)
-    }
-
-    fn views() -> Vec<WorkerView> {
-        let mut quiet = WorkerView::empty("w1", HOST);
-        quiet.services.push("tough".to_string());
-        let mut loud = WorkerView::empty("w2", HOST);
-        loud.services.push("tender".to_string());
-        vec![loud, quiet]
-    }
-
-    #[test]
-    fn a_task_goes_where_its_pair_is_mild() {
-        let pairs = [("tender", "roster", 0.8), ("tough", "roster", 0.01)];
-        let policy = PlacementWay::Pairwise.policy(model(&pairs));
-        let mut rng = StdRng::seed_from_u64(1);
-        let mut views = views();
-        policy.prepare(&mut views);
-        let chosen = place(policy.as_ref(), &views, &TASK, "roster", &[], &mut rng);
-        assert_eq!(chosen, Some(1));
-    }
-
-    #[test]
-    fn pairs_never_part_loads_by_more_than_the_slack() {
-        let pairs = [("tender", "roster", 2.0), ("tough", "roster", 0.0)];
-        let policy = PlacementWay::Pairwise.policy(model(&pairs));
-        let mut rng = StdRng::seed_from_u64(1);
-        let mut views = views();
-        policy.prepare(&mut views);
-        for _ in 0..14 {
-            let index = place(policy.as_ref(), &views, &TASK, "roster", &[], &mut rng).unwrap();
-            views[index].take(&TASK, "roster");
-            policy.on_taken(&mut views[index], "roster");
-            let apart = views[1].committed_share() - views[0].committed_share();
-            assert!(apart <= LOAD_SLACK + 0.1 + f64::EPSILON, "{apart}");
-        }
-        assert!(views[0].committed_share() > 0.3, "{}", views[0].committed_share());
-    }
-
-    #[test]
-    fn kept_slowdowns_are_those_of_the_model() {
-        let model = model(&[("tender", "roster", 0.8), ("tough", "roster", 0.01)]);
-        let policy = PairwisePlacement { model: model.clone() };
-        let mut views = views();
-        views[0].take(&TASK, "unseen");
-        policy.prepare(&mut views);
-        for kind in ["roster", "unseen", "roster"] {
-            views[0].take(&TASK, kind);
-            policy.on_taken(&mut views[0], kind);
-        }
-        let expected = model.slowdown("tender", &views[0].kinds);
-        assert!((views[0].slowdowns[0] - expected).abs() < 1e-9);
-    }
-
-    #[test]
-    fn a_worker_to_avoid_is_taken_only_when_alone() {
-        let mut rng = StdRng::seed_from_u64(1);
-        let avoid = ["w2".to_string()];
-        let views = views();
-        assert_eq!(place(&FirstFit, &views, &TASK, "k", &avoid, &mut rng), Some(1));
-        assert_eq!(place(&FirstFit, &views[..1], &TASK, "k", &avoid, &mut rng), Some(0));
-    }
-}
