--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -30,7 +30,7 @@
 use crate::process::burn_cause::EndedRequest;
 use crate::process::burn_cause::judge;
 use crate::process::entry::broker;
-use crate::process::entry::job_desk;
+use crate::process::entry::job_http;
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::shared::EntryShared;
 use crate::process::http_server::closing_after_unread;
@@ -81,9 +81,9 @@
 
 /// The routes of the callers' listener.
 pub fn router(shared: Arc<EntryShared>, scheduler: ActorRef<SchedulerActor>) -> Router {
-    let jobs = Router::new().route("/v1/jobs", post(job_desk::handle_submit)).route(
+    let jobs = Router::new().route("/v1/jobs", post(job_http::handle_submit)).route(
         "/v1/jobs/{team}/{job}",
-        get(job_desk::handle_status).delete(job_desk::handle_cancel),
+        get(job_http::handle_status).delete(job_http::handle_cancel),
     );
     closing_after_unread(jobs)
         .route("/v1/services/{service}/requests", post(handle_request))
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -6,7 +6,7 @@
 pub mod catalog_sync;
 pub mod document_desk;
 pub mod fleet_board;
-pub mod job_desk;
+pub mod job_http;
 pub mod ledger_desk;
 pub mod membership;
 pub mod operator_http;
