End the round through other hosts with the caller's time

Cause: up to three relays of 0.65 s each followed a call of up to 0.6 s whatever the caller had left. Change: each relay, and whether there is one, is bound by what the caller has left. Test: callers_are_answered_in_time_when_others_are_asked_in_vain (tests/slow_store.rs); before, it timed out.

--- a/src/process/planning/store_access.rs
+++ b/src/process/planning/store_access.rs
@@ -104,20 +104,22 @@
     {
         if !self.shared.is_store_near() {
             let away = RowError::Refused { reason: "the store does not answer here".into() };
-            return self.relayed(away, relay).await;
+            return self.relayed(away, relay, deadline).await;
         }
         let sent = Instant::now();
         tokio::pin!(direct);
         let first = timeout(PATIENCE.min(time_left(deadline)), &mut direct).await;
         if let Ok(result) = first {
             return match result {
-                Err(error) if is_worth_a_relay(&error) => self.relayed(error, relay).await,
+                Err(error) if is_worth_a_relay(&error) => {
+                    self.relayed(error, relay, deadline).await
+                }
                 settled => settled,
             };
         }
         if !self.shared.store.health().has_answered_since(sent) {
             self.shared.store.health().on_silence();
-            match self.relayed(no_answer(), relay).await {
+            match self.relayed(no_answer(), relay, deadline).await {
                 Err(error) if is_worth_a_relay(&error) => {}
                 settled => return settled,
             }
@@ -125,8 +127,14 @@
         timeout(time_left(deadline), direct).await.unwrap_or_else(|_| Err(no_answer()))
     }
 
-    /// Repeats a call that the store did not answer here through other processes, one after another.
-    async fn relayed<T, E, F, C>(&self, mut failure: RowError, relay: F) -> Result<T, RowError>
+    /// Repeats a call that the store did not answer here through other processes, one after another, as long as the caller
+    /// waits.
+    async fn relayed<T, E, F, C>(
+        &self,
+        mut failure: RowError,
+        relay: F,
+        deadline: CallDeadline,
+    ) -> Result<T, RowError>
     where
         F: Fn(PlannerRpcClient) -> C,
         C: Future<Output = Result<Result<T, RowError>, E>>,
@@ -135,15 +143,23 @@
             return Err(failure);
         }
         for address in self.relays() {
+            if time_left(deadline).is_zero() {
+                return Err(failure);
+            }
             let connected = timeout(CONNECT_LIMIT, self.peers.client(&address)).await;
             let Ok(Ok(client)) = connected else {
                 continue;
             };
-            let answer = relay(client).await.unwrap_or_else(|_| {
-                // The connection may have gone silent.
-                self.peers.drop_client(&address);
-                Err(no_answer())
-            });
+            let answer = match timeout(time_left(deadline), relay(client)).await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(_)) => {
+                    // The connection may have gone silent.
+                    self.peers.drop_client(&address);
+                    Err(no_answer())
+                }
+                // The caller's time is over, which says nothing of the connection.
+                Err(_) => Err(no_answer()),
+            };
             match answer {
                 Err(error) if is_worth_a_relay(&error) => failure = worse(failure, error),
                 settled => return settled,
--- a/tests/slow_store.rs
+++ b/tests/slow_store.rs
@@ -22,16 +22,16 @@
 /// Calls to write the row of one job, repeats after a time limit included: one of its first caller, and two more.
 const MOST_CALLS: usize = 3;
 
-/// Three entry hosts and a worker, with the programs of this build and these lines in the settings of entry hosts.
-async fn start(lines: &str) -> PlatformCluster {
+/// Entry hosts and a worker, with the programs of this build and these lines in the settings of entry hosts.
+async fn start(planners: usize, lines: &str) -> PlatformCluster {
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap();
     let mut env = PlatformCluster::start(programs, None, 0, 1).await;
     env.add_planner_lines(lines);
-    for planner in 0..3 {
+    for planner in 0..planners {
         env.add_planner().await;
         env.until_ready(planner).await;
     }
-    env.until(async || env.store.keys("peers").len() == 3).await;
+    env.until(async || env.store.keys("peers").len() == planners).await;
     env
 }
 
@@ -51,7 +51,7 @@
 /// call. Each caller is told the truth within its time, and has its job accepted when it comes back.
 #[tokio::test]
 async fn a_store_that_is_slow_for_all_is_waited_for() {
-    let env = start("").await;
+    let env = start(3, "").await;
     env.planners.iter().for_each(|seat| seat.listener.set_fault(SLOW_STORE));
     let statuses = submit_all(&env).await;
     let told =
@@ -73,7 +73,7 @@
 /// The same load with the jobs' rows in several partitions: no caller is turned away.
 #[tokio::test]
 async fn jobs_in_several_partitions_do_not_wait_for_each_other() {
-    let env = start("job-partitions = 16\n").await;
+    let env = start(3, "job-partitions = 16\n").await;
     env.planners.iter().for_each(|seat| seat.listener.set_fault(SLOW_STORE));
     assert_eq!(submit_all(&env).await, [StatusCode::OK; JOBS as usize]);
     env.planners.iter().for_each(|seat| seat.listener.set_fault(StoreFault::None));
@@ -86,7 +86,7 @@
 /// What was accepted is found by whoever plans next, in all partitions.
 #[tokio::test]
 async fn jobs_in_several_partitions_are_found_after_a_takeover() {
-    let mut env = start("job-partitions = 16\n").await;
+    let mut env = start(3, "job-partitions = 16\n").await;
     for number in 0..JOBS {
         let body = job_of_steps("run_ms=300", &[1, 1]);
         env.submit_until_accepted(1, &job_name(number), &body).await;
@@ -112,3 +112,18 @@
     );
     assert!(counts.values().all(|count| (60..150).contains(count)), "{counts:?}");
 }
+
+/// The load: a store that turns one host away and loses the answers to the others' writes, so that three are asked in vain. The
+/// caller is answered within its time all the same; it waits 1.2 s, and the round through the others alone would take 1.95 s.
+#[tokio::test]
+async fn callers_are_answered_in_time_when_others_are_asked_in_vain() {
+    let env = start(4, "").await;
+    env.planners[0].listener.set_fault(StoreFault::Busy);
+    let others = env.planners.iter().skip(1);
+    others.for_each(|seat| seat.listener.set_fault(StoreFault::LoseAnswers(u32::MAX)));
+    let call = env.client().post(env.url(0, &format!("/q/{}", job_name(1))));
+    let call = call.header("Host", CALLER_HOST).header("X-Greengagearch-Deadline-Ms", "1200");
+    let body = job_of_steps("run_ms=10", &[1]);
+    let answer = call.timeout(Duration::from_millis(1_800)).json(&body).send().await;
+    assert_eq!(answer.unwrap().status(), StatusCode::GATEWAY_TIMEOUT);
+}
