Tell of a call that went several ways the outcome that leaves most open

Cause: since calls to a slow store go on beside those through others, a late refusal of the first overwrote "unknown" of the others, and the caller was told "not run" of a job that was stored. Change: the round's failure is kept and the worse of both is told.

--- a/src/process/planning/store_access.rs
+++ b/src/process/planning/store_access.rs
@@ -103,8 +103,7 @@
         C: Future<Output = Result<Result<T, RowError>, E>>,
     {
         if !self.shared.is_store_near() {
-            let away = RowError::Refused { reason: "the store does not answer here".into() };
-            return self.relayed(away, relay, deadline).await;
+            return self.relayed(silent_here(), relay, deadline).await;
         }
         let sent = Instant::now();
         tokio::pin!(direct);
@@ -117,14 +116,19 @@
                 settled => settled,
             };
         }
+        let mut failure = silent_here();
         if !self.shared.store.health().has_answered_since(sent) {
             self.shared.store.health().on_silence();
-            match self.relayed(no_answer(), relay, deadline).await {
-                Err(error) if is_worth_a_relay(&error) => {}
+            failure = match self.relayed(failure, relay, deadline).await {
+                Err(error) if is_worth_a_relay(&error) => error,
                 settled => return settled,
-            }
+            };
+        }
+        match timeout(time_left(deadline), direct).await.unwrap_or_else(|_| Err(no_answer())) {
+            // That the store refuses the call here says nothing of what it did for the others.
+            Err(error) if is_worth_a_relay(&error) => Err(worse(failure, error)),
+            settled => settled,
         }
-        timeout(time_left(deadline), direct).await.unwrap_or_else(|_| Err(no_answer()))
     }
 
     /// Repeats a call that the store did not answer here through other processes, one after another, as long as the caller
@@ -193,6 +197,10 @@
     deadline.left().saturating_sub(ANSWER_RESERVE)
 }
 
+fn silent_here() -> RowError {
+    RowError::Refused { reason: "the store does not answer here".to_string() }
+}
+
 fn no_answer() -> RowError {
     RowError::Ambiguous { reason: "no answer in time".to_string() }
 }
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -42,6 +42,8 @@
     None,
     /// It refuses everything at once.
     Busy,
+    /// It refuses everything after this time.
+    BusyAfter(Duration),
     /// It answers nothing, and does nothing.
     Silent,
     /// This many transactions are applied, and their answers never come.
@@ -230,6 +232,10 @@
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match fault {
             StoreFault::Busy => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            StoreFault::BusyAfter(delay) => {
+                tokio::time::sleep(delay).await;
+                Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
+            }
             StoreFault::Silent => {
                 tokio::time::sleep(HANG).await;
                 Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
--- a/tests/slow_store.rs
+++ b/tests/slow_store.rs
@@ -127,3 +127,27 @@
     let answer = call.timeout(Duration::from_millis(1_800)).json(&body).send().await;
     assert_eq!(answer.unwrap().status(), StatusCode::GATEWAY_TIMEOUT);
 }
+
+/// The load: a store that refuses one host after a second of silence, while the others pass the call on and lose the answer. What a
+/// caller is told has not run must not be stored; calls come all the while, so that some meet the silence and not yet the refusal.
+#[tokio::test]
+async fn a_refusal_after_others_were_asked_is_true() {
+    let env = start(4, "").await;
+    env.planners[0].listener.set_fault(StoreFault::BusyAfter(Duration::from_secs(1)));
+    let others = env.planners.iter().skip(1);
+    others.for_each(|seat| seat.listener.set_fault(StoreFault::LoseAnswers(u32::MAX)));
+    let body = job_of_steps("run_ms=10", &[1]);
+    let submissions = (0..40_u64).map(|number| {
+        let (env, body) = (&env, &body);
+        async move {
+            tokio::time::sleep(Duration::from_millis(100) * number as u32).await;
+            env.submit(0, &job_name(number), body).await
+        }
+    });
+    let answers = join_all(submissions).await;
+    let stored = env.store.keys("jobs");
+    for (number, status) in (0..).zip(answers) {
+        let is_refused = status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(!(is_refused && stored.contains(&job_name(number))), "job {number}");
+    }
+}
