Give a worker whose fills are slowed no more of them

Cause: fills that agents had slowed counted for a third of what they would use, and light ones were placed whatever the pressure, so that more were started beside slowed ones the more they were slowed.

--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -234,6 +234,9 @@
     if !worker.is_serving() {
         return Some(load);
     }
+    if worker.holds_fills_back() && need.risk != RiskLimit::Any {
+        return None;
+    }
     let risk = view.disturbance.risk(worker, &need.step.image);
     let is_allowed = match need.risk {
         RiskLimit::Known => !risk.is_unseen && risk.is_low(),
--- a/tests/fill_places.rs
+++ b/tests/fill_places.rs
@@ -83,3 +83,31 @@
     fleet.round();
     assert_eq!(worker_of(&fleet, "fill"), light);
 }
+
+/// Fills that are slowed beside what serves leave no room for more, however light: all would only take longer.
+#[test]
+fn a_worker_whose_fills_are_slowed_gets_no_more_of_them() {
+    let mut fleet = PlannedFleet::new(&["i-1"]);
+    fleet.planner.adopt_learned(learned(vec![pair("s", "f", 0.02)]));
+    fleet.submit("serving", job(vec![serving("s")]));
+    serve(&mut fleet, TARGET_MS);
+    fleet.submit("first", job(vec![filling("f")]));
+    fleet.round();
+    assert_eq!(worker_of(&fleet, "first").as_deref(), Some("i-1"));
+    pace(&mut fleet, "first", 40);
+    fleet.submit("second", job(vec![filling("f")]));
+    fleet.round();
+    assert_eq!(worker_of(&fleet, "second"), None);
+    pace(&mut fleet, "first", 80);
+    (0..2).for_each(|_| fleet.round());
+    assert_eq!(worker_of(&fleet, "second").as_deref(), Some("i-1"));
+}
+
+/// Lets the agents slow the fills of a job, and report.
+fn pace(fleet: &mut PlannedFleet, job: &str, percent: u32) {
+    let runs = fleet.runners.values_mut().flat_map(|runner| &mut runner.present);
+    for (_, run) in runs.filter(|(key, _)| key.0.job == job) {
+        run.pace_percent = percent;
+    }
+    fleet.report_all();
+}
