--- a/standins/src/laboratory/shared_fleet.rs
+++ b/standins/src/laboratory/shared_fleet.rs
@@ -7,9 +7,9 @@
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::workflow::plan_decision::PlanDecision;
 use greengagearch::workflow::planner::Planner;
-use greengagearch::workflow::planner_load::PlannerLoad;
 use greengagearch::workflow::progress::JobRecord;
 use greengagearch::workflow::spec::RoomAmount;
+use greengagearch::workflow::spec::WorkflowSpec;
 use greengagearch::workflow::task_name::TaskName;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -113,6 +113,22 @@
     }
 
     /// Plays all that is offered.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use greengagearch_standins::laboratory::shared_fleet::SharedFleet;
+    /// use greengagearch_standins::laboratory::shared_fleet::WorldSettings;
+    ///
+    /// let settings = WorldSettings {
+    ///     workers: 1,
+    ///     serving_share: 0.0,
+    ///     jobs_per_s: 0.1,
+    ///     span: Duration::from_secs(1),
+    ///     rest: Duration::from_secs(1),
+    /// };
+    /// assert_eq!(SharedFleet::open(settings, 2).play().over_target, 0.0);
+    /// ```
     pub fn play(&mut self) -> GoodputReport {
         let end = LEAD + self.settings.span + self.settings.rest;
         while self.now < end {
@@ -121,19 +137,6 @@
         self.report()
     }
 
-    /// Plays for a span of time.
-    pub fn play_for(&mut self, span: Duration) {
-        let end = self.now + span;
-        while self.now < end {
-            self.step();
-        }
-    }
-
-    /// What the planner has in hand.
-    pub fn load(&self) -> PlannerLoad {
-        self.planner.load()
-    }
-
     fn open_workers(&mut self) {
         for number in 0..self.settings.workers {
             let name = format!("w-{number:03}");
@@ -226,10 +229,7 @@
 
     fn take_arrival(&mut self, wall_ms: u64) {
         if let Some(job) = self.arrivals.pop() {
-            let spec = greengagearch::workflow::spec::WorkflowSpec {
-                accepted_ms: wall_ms,
-                ..job.spec.clone()
-            };
+            let spec = WorkflowSpec { accepted_ms: wall_ms, ..job.spec.clone() };
             self.submit(&job.id, JobRecord::Live { spec, cancelled: false });
             self.offered.insert(job.id.clone(), job);
         }
--- a/standins/src/laboratory/shared_worker.rs
+++ b/standins/src/laboratory/shared_worker.rs
@@ -28,6 +28,8 @@
 
 /// Time between two looks of an agent, when no run ends.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
+/// Kind and rack of all workers: no job of the laboratory asks for one.
+const LABELS: [&str; 2] = ["a", "r1"];
 /// Span over which tails are measured.
 const TAIL_SPAN: Duration = Duration::from_millis(500);
 /// Time until an ordered pace has its effect.
@@ -93,7 +95,6 @@
 pub struct SharedWorker {
     name: String,
     room: RoomAmount,
-    rack: String,
     runs: BTreeMap<RunKey, WorkerRun>,
     control: PaceControl,
     traits: HashMap<TaskName, TaskTraits>,
@@ -113,13 +114,12 @@
     /// use greengagearch_standins::laboratory::shared_worker::SharedWorker;
     ///
     /// let worker = SharedWorker::open("w-1", RoomAmount::default(), std::time::Duration::ZERO);
-    /// assert_eq!(worker.fills(), (0, 0));
+    /// assert_eq!(worker.tally.filled, 0.0);
     /// ```
     pub fn open(name: &str, room: RoomAmount, look_due: Duration) -> SharedWorker {
         SharedWorker {
             name: name.to_string(),
             room,
-            rack: format!("rack-{}", name.len()),
             runs: BTreeMap::new(),
             control: PaceControl::default(),
             traits: HashMap::new(),
@@ -131,21 +131,6 @@
         }
     }
 
-    /// Runs that fill, and those of them that work at less than a third of their pace.
-    ///
-    /// ```
-    /// use greengagearch::workflow::spec::RoomAmount;
-    /// use greengagearch_standins::laboratory::shared_worker::SharedWorker;
-    ///
-    /// let worker = SharedWorker::open("w-1", RoomAmount::default(), std::time::Duration::ZERO);
-    /// assert_eq!(worker.fills().1, 0);
-    /// ```
-    pub fn fills(&self) -> (usize, usize) {
-        let fills = self.runs.values().filter(|run| run.truth.load.is_none());
-        let slow = fills.clone().filter(|run| run.pace < 0.33).count();
-        (fills.count(), slow)
-    }
-
     /// Takes note of the number of the newest orders.
     pub(crate) fn on_orders(&mut self, number: u64) {
         self.orders_seen = self.orders_seen.max(number);
@@ -282,7 +267,7 @@
             service: SERVICE.to_string(),
             domain: "one".to_string(),
             capacity: self.room,
-            labels: vec!["a".to_string(), self.rack.clone()],
+            labels: LABELS.map(str::to_string).to_vec(),
             draining: false,
         };
         let look = RunnerLook {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -1,10 +1,12 @@
 //! More work that fills is offered than the room beside tasks that serve takes in.
 //!
 //! Seen: on a fleet of 74 workers with tasks that serve on each of them, 14 of 128 jobs that fill ended in time, and a
-//! fifth of the worth was earned of which users are owed a quarter; fills worked as much as on calm days. How it came
-//! about: open jobs rose from 30 to 200 within twenty seconds, each with some tasks at work at part of their pace.
-//! What proves it: the same planner and paces in virtual time, without a network, give the same: nine tenths of the work
-//! are done, and a sixth of that in jobs that end in time.
+//! fifth of the worth was earned of which users are owed a quarter, while fills worked as much as on calm days.
+//! How it came about: fills that agents slow counted for a third of what they would use, so that the more they were
+//! slowed, the more were started beside them; open jobs rose from 30 to 200 within twenty seconds.
+//! Cause: work was admitted by what is used in place of what is wanted.
+//! What proves it: the same planner and paces in virtual time, where decisions take no time and the work that is done
+//! would be enough for 0.85 of the worth, earned 0.17 on these seeds; kept from workers whose fills are slowed, 0.28 to 0.33.
 
 use std::time::Duration;
 
