--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -30,7 +30,7 @@
 /// load that does not grow with their number: one more beside slowed ones only makes its own job late as well. In the
 /// laboratory 0.61 of the worth of bulk work is earned with it and 0.47 without (74 workers of which most serve, 16
 /// worlds), and 0.34 and 0.21 where 1.3 times the work that fits is offered. Beside another order of paces 0.5, 0.6 and 0.7
-/// earned the same within chance, 0.3 and 0.9 a tenth less.
+/// earned the same within chance, 0.3 a tenth less and 0.9 a twentieth.
 const LEAST_WORKING: f64 = 0.6;
 /// How long runs that filled and have ended are remembered: the span over which tails are measured and
 /// the age of a report.
