Tell of a worker that breaks off which runs had begun there shortly before

What an on-call engineer saw: worker_lost with a count, and run_ended Lost for each run, with the time since its assignment. After a worker's return all of these were alike, so that nobody could tell the run at fault from those beside it.

The agent notes when it sends each start and whether the runner began it; when a life breaks off without notice it tells the runs younger than a second with their ages, to the log (runner_ended young=...) and to the planner (worker_crashed young=...). Nothing is decided by it yet.

--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -94,7 +94,13 @@
             orders_seen: u64::MAX,
             ..RunnerLook::default()
         };
-        NodeReport { now: Duration::ZERO, runner: Some(status), former: vec![], look: Some(look) }
+        NodeReport {
+            now: Duration::ZERO,
+            runner: Some(status),
+            former: vec![],
+            crashes: vec![],
+            look: Some(look),
+        }
     }
 
     fn report_all(&mut self, is_new_link: bool) {
--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -19,6 +19,9 @@
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::task_name::TaskName;
 
+/// Young runs that a line of the log names.
+const YOUNG_SHOWN: usize = 6;
+
 /// Identifies the sender of a call and its place among the calls that an agent gets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LinkStamp {
@@ -190,6 +193,49 @@
     pub orders_seen: u64,
 }
 
+/// A run that a runner began, or may have begun, shortly before its life broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct YoungRun {
+    /// The task.
+    pub task: TaskName,
+    /// The run.
+    pub run: RunNumber,
+    /// Time from the start to the first sign that the life had broken off.
+    pub age: Duration,
+    /// Whether the runner had said that the run began.
+    pub is_certain: bool,
+}
+
+/// Runs with their ages for a line of the log, few enough to keep it short.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use greengagearch::connection::node_protocol::YoungRun;
+/// use greengagearch::connection::node_protocol::young_text;
+///
+/// let task = "a.0.0.0".parse().unwrap();
+/// let run = YoungRun { task, run: 2, age: Duration::from_millis(10), is_certain: true };
+/// assert_eq!(young_text(&[run]), "a.0.0.0/2:10");
+/// ```
+pub fn young_text(young: &[YoungRun]) -> String {
+    let text = |run: &YoungRun| {
+        let doubt = if run.is_certain { "" } else { "?" };
+        format!("{}/{}:{}{doubt}", run.task, run.run, run.age.as_millis())
+    };
+    let shown: Vec<String> = young.iter().take(YOUNG_SHOWN).map(text).collect();
+    shown.join(" ")
+}
+
+/// The end of a life that the runner did not announce.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerCrash {
+    /// The life.
+    pub instance: InstanceId,
+    /// Its newest runs, the youngest first.
+    pub young: Vec<YoungRun>,
+}
+
 /// An agent's state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -199,6 +245,8 @@
     pub runner: Option<RunnerStatus>,
     /// Earlier lives of the runner, which run nothing any more.
     pub former: Vec<InstanceId>,
+    /// Of these, lives that broke off of late.
+    pub crashes: Vec<RunnerCrash>,
     /// The newest look; nothing when the runner did not answer lately.
     pub look: Option<RunnerLook>,
 }
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -1,5 +1,6 @@
 //! The node agent: the one process that calls the runner on its host, at the planner's orders.
 
+pub mod begun_runs;
 pub mod known_runner;
 pub mod life_keeper;
 pub mod local_runs;
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -98,8 +98,10 @@
         match (may_start, lease_end) {
             (Some(true), Some(lease_end)) => {
                 let slot = shared.order_slots.acquire().await;
+                shared.state().begun.on_sending(key, Instant::now());
                 let started = shared.control.start(target, order, lease_end).await;
                 drop(slot);
+                note_begin(shared, target, key, &started);
                 match started {
                     Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => return None,
                     Err(RunnerError::NotRunning) => tokio::time::sleep(REPEAT_PAUSE).await,
@@ -116,6 +118,24 @@
     }
 }
 
+/// Takes note of whether a start that was sent has begun; without an answer nobody knows.
+fn note_begin(
+    shared: &NodeShared,
+    target: &RunnerTarget,
+    key: &RunKey,
+    started: &Result<(), RunnerError>,
+) {
+    let mut state = shared.state();
+    if !state.is_target(target) {
+        return;
+    }
+    match started {
+        Ok(()) => state.begun.on_begun(key),
+        Err(RunnerError::NoAnswer { .. }) => {}
+        Err(_) => state.begun.on_not_begun(key),
+    }
+}
+
 /// Gives a start up for want of a lease, once the runner can no longer carry it out.
 async fn refuse_late(
     shared: &NodeShared,
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -7,6 +7,7 @@
 
 use crate::connection::node_protocol::LinkStamp;
 use crate::connection::node_protocol::NodeReport;
+use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
@@ -15,6 +16,7 @@
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
 use crate::ids::InstanceId;
+use crate::process::node::begun_runs::BegunRuns;
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::local_runs::LocalRuns;
 use crate::process::node::local_runs::LookNumber;
@@ -31,6 +33,9 @@
 /// A runner that has not answered for so long gets no longer leases.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time for which the planner is told of a life that broke off: several links may break meanwhile.
+const CRASH_TOLD: Duration = Duration::from_secs(5);
+
 /// The state of a node agent.
 #[derive(Debug)]
 pub struct NodeState {
@@ -41,7 +46,11 @@
     former: VecDeque<InstanceId>,
     /// Lives that earlier agents here have stored; over, but for the present one, when that one answers.
     earlier: Vec<InstanceId>,
+    /// Lives that broke off, and when that was noticed.
+    crashes: Vec<(Instant, RunnerCrash)>,
     answered: Instant,
+    /// The first sign since the last answer that the present life has broken off.
+    silent_since: Option<Instant>,
     sent_until: Option<Instant>,
     lease_until: Option<Instant>,
     clock: Option<(RunnerMillis, Instant)>,
@@ -54,6 +63,8 @@
     has_news: bool,
     /// Starts and stops that looks do not show yet.
     pub runs: LocalRuns,
+    /// Runs that the present life has begun of late.
+    pub begun: BegunRuns,
     /// What is known of tasks.
     pub traits: HashMap<TaskName, TaskTraits>,
     /// Decides how fast tasks may work.
@@ -76,7 +87,9 @@
             candidate: None,
             former: VecDeque::new(),
             earlier: Vec::new(),
+            crashes: Vec::new(),
             answered: started,
+            silent_since: None,
             sent_until: None,
             lease_until: None,
             clock: None,
@@ -87,6 +100,7 @@
             reported_ends: 0,
             has_news: false,
             runs: LocalRuns::default(),
+            begun: BegunRuns::default(),
             traits: HashMap::new(),
             pace: PaceControl::default(),
         }
@@ -160,7 +174,9 @@
     /// Takes note that the known life does not answer. One that has registered since takes its place;
     /// without one, and with leases that have surely expired, the life is given up.
     pub fn on_no_answer(&mut self, now: Instant) -> bool {
+        self.silent_since.get_or_insert(now);
         if let Some(candidate) = self.candidate.take() {
+            self.note_crash(now);
             self.retire();
             self.install(candidate);
             return true;
@@ -191,6 +207,30 @@
         is_known
     }
 
+    /// Takes note that a life has broken off: nobody listens at its address, or another life does.
+    pub fn on_crash(&mut self, instance: &str, now: Instant) -> bool {
+        if self.present_life().is_some_and(|life| life == instance) {
+            self.silent_since.get_or_insert(now);
+            self.note_crash(now);
+        }
+        self.on_leave(instance)
+    }
+
+    /// Remembers what was young on the present life, which has broken off. A runner that is leaving ends as it said.
+    fn note_crash(&mut self, now: Instant) {
+        let crashed = self.silent_since.unwrap_or(now);
+        let young = self.begun.young_at(crashed);
+        if let Some(runner) = self.runner.as_ref().filter(|runner| !runner.status.draining) {
+            let instance = runner.status.instance.clone();
+            self.crashes.push((now, RunnerCrash { instance, young }));
+        }
+    }
+
+    /// The life that broke off last, for the log.
+    pub fn last_crash(&self) -> Option<&RunnerCrash> {
+        self.crashes.last().map(|(_, crash)| crash)
+    }
+
     /// Puts the present life of the runner among the former ones.
     fn retire(&mut self) {
         let Some(runner) = self.runner.take() else {
@@ -202,6 +242,8 @@
         self.clock = None;
         self.seen = 0;
         self.runs.clear();
+        self.begun = BegunRuns::default();
+        self.silent_since = None;
         self.fresh_look = None;
         self.reported_ends = 0;
         self.pace = PaceControl::default();
@@ -316,6 +358,8 @@
     pub fn on_lists(&mut self, number: LookNumber, lists: RunnerLists, now: Instant) -> bool {
         self.clock = Some((lists.clock, now));
         self.answered = now;
+        self.silent_since = None;
+        self.begun.on_look(&lists.running, now);
         if let Some(stale) = self.candidate.take() {
             // The known life has answered after this one's heartbeat came.
             self.add_former(stale.status.instance);
@@ -355,10 +399,12 @@
             self.reported_ends = self.reported_ends.max(last);
             self.has_news = false;
         }
+        self.crashes.retain(|(at, _)| now.saturating_duration_since(*at) < CRASH_TOLD);
         NodeReport {
             now: now.saturating_duration_since(self.started),
             runner: self.runner.as_ref().map(|runner| runner.status.clone()),
             former: self.former.iter().cloned().collect(),
+            crashes: self.crashes.iter().map(|(_, crash)| crash.clone()).collect(),
             look,
         }
     }
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -6,6 +6,7 @@
 
 use log::Level;
 
+use crate::connection::node_protocol::young_text;
 use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerTarget;
 use crate::process::logging::log_event;
@@ -38,7 +39,7 @@
                         log_event(Level::Warn, "runner_lost", &[("error", &error)]);
                     }
                     if on_error(&shared, &target, &error) {
-                        log_event(Level::Info, "runner_ended", &[("instance", &target.instance)]);
+                        log_end(&shared, &target);
                         shared.news.notify_one();
                         shared.life_changed.notify_one();
                     }
@@ -56,12 +57,27 @@
         return false;
     }
     match error {
-        RunnerError::OtherLife | RunnerError::NotRunning => state.on_leave(&target.instance),
+        RunnerError::OtherLife | RunnerError::NotRunning => {
+            state.on_crash(&target.instance, Instant::now())
+        }
         RunnerError::NoAnswer { .. } => state.on_no_answer(Instant::now()),
         RunnerError::Fenced | RunnerError::Rejected { .. } => false,
     }
 }
 
+/// Tells of a life that is over, and what had begun on it shortly before.
+fn log_end(shared: &NodeShared, target: &RunnerTarget) {
+    let state = shared.state();
+    let crash = state.last_crash().filter(|crash| crash.instance == target.instance);
+    let young = crash.map_or(String::new(), |crash| young_text(&crash.young));
+    drop(state);
+    log_event(
+        Level::Info,
+        "runner_ended",
+        &[("instance", &target.instance), ("young", &format!("{young:?}"))],
+    );
+}
+
 async fn look(shared: &Arc<NodeShared>, target: &RunnerTarget) -> Result<(), RunnerError> {
     let (number, hold) = {
         let mut state = shared.state();
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -2,6 +2,7 @@
 
 use log::Level;
 
+use crate::connection::node_protocol::young_text;
 use crate::ids::PlannerEpoch;
 use crate::process::logging::log_event;
 use crate::workflow::plan_decision::PlanDecision;
@@ -72,6 +73,15 @@
             "worker_trusted",
             &[("worker", worker), ("task", task), ("epoch", &epoch)],
         ),
+        PlanDecision::WorkerCrashed { worker, young } => log_event(
+            Level::Warn,
+            "worker_crashed",
+            &[
+                ("worker", worker),
+                ("young", &format!("{:?}", young_text(young))),
+                ("epoch", &epoch),
+            ],
+        ),
         PlanDecision::WorkerLost { worker, runs } => log_event(
             Level::Warn,
             "worker_lost",
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -236,6 +236,7 @@
         match news {
             LinkNews::Report { address, mut report, is_new_link } => {
                 report.former.retain(|life| self.may_end(&address, life));
+                report.crashes.retain(|crash| report.former.contains(&crash.instance));
                 if let Some(runner) = &report.runner {
                     self.agents.insert(runner.instance.clone(), address);
                 }
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -1,5 +1,6 @@
 //! What the planner has decided or come to believe, for the log.
 
+use crate::connection::node_protocol::YoungRun;
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RunNumber;
@@ -98,6 +99,13 @@
         /// The task.
         task: TaskName,
     },
+    /// A life of a runner has broken off.
+    WorkerCrashed {
+        /// The life.
+        worker: InstanceId,
+        /// Its newest runs, the youngest first.
+        young: Vec<YoungRun>,
+    },
     /// Everything that a life of a runner had is given up.
     WorkerLost {
         /// The life.
@@ -128,6 +136,7 @@
             PlanDecision::JobEnded { .. } => "job_ended",
             PlanDecision::WorkerSuspected { .. } => "worker_suspected",
             PlanDecision::WorkerTrusted { .. } => "worker_trusted",
+            PlanDecision::WorkerCrashed { .. } => "worker_crashed",
             PlanDecision::WorkerLost { .. } => "worker_lost",
         }
     }
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -11,6 +11,7 @@
 use crate::connection::node_protocol::NodeReport;
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::RejectedRun;
+use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::assigned_run::AssignedRun;
@@ -50,10 +51,19 @@
     /// use greengagearch::workflow::planner::Planner;
     ///
     /// let mut planner = Planner::new(Instant::now());
-    /// let report = NodeReport { now: Duration::ZERO, runner: None, former: vec![], look: None };
+    /// let report = NodeReport {
+    ///     now: Duration::ZERO,
+    ///     runner: None,
+    ///     former: vec![],
+    ///     crashes: vec![],
+    ///     look: None,
+    /// };
     /// planner.on_report(report, true);
     /// ```
     pub fn on_report(&mut self, report: NodeReport, is_new_link: bool) {
+        for crash in report.crashes {
+            self.on_crash(crash);
+        }
         for former in &report.former {
             self.lose(former);
         }
@@ -70,6 +80,15 @@
         }
     }
 
+    /// Takes in that a life has broken off; later reports tell of it again.
+    fn on_crash(&mut self, crash: RunnerCrash) {
+        if self.board.get(&crash.instance).is_none() {
+            return;
+        }
+        let (worker, young) = (crash.instance, crash.young);
+        self.decisions.push(PlanDecision::WorkerCrashed { worker, young });
+    }
+
     fn on_look(&mut self, instance: &str, look: RunnerLook) {
         let last = look.ended.last().map(|ended| ended.number);
         for ended in look.ended {
--- a/standins/src/laboratory/shared_worker.rs
+++ b/standins/src/laboratory/shared_worker.rs
@@ -276,7 +276,13 @@
             rejected: Vec::new(),
             orders_seen: self.orders_seen,
         };
-        Some(NodeReport { now, runner: Some(status), former: Vec::new(), look: Some(look) })
+        Some(NodeReport {
+            now,
+            runner: Some(status),
+            former: Vec::new(),
+            crashes: Vec::new(),
+            look: Some(look),
+        })
     }
 }
 
--- a/tests/node_link.rs
+++ b/tests/node_link.rs
@@ -50,7 +50,13 @@
             draining: false,
         };
         let runner = (!is_first).then_some(status);
-        Ok(NodeReport { now: Duration::ZERO, runner, former: Vec::new(), look: None })
+        Ok(NodeReport {
+            now: Duration::ZERO,
+            runner,
+            former: Vec::new(),
+            crashes: Vec::new(),
+            look: None,
+        })
     }
 
     async fn order(self, _: Context, _: OrderCall) -> Result<(), StaleLink> {
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -245,3 +245,42 @@
     assert_eq!(state.report(now).former, ["i-1"]);
     assert_eq!(state.target().unwrap().instance, "i-2");
 }
+
+/// After a loss the logs told when runs had been assigned, not which of them the worker had begun, and when.
+#[test]
+fn a_life_that_broke_off_is_told_with_the_runs_that_were_young() {
+    let now = Instant::now();
+    let at = |millis: u64| now + Duration::from_millis(millis);
+    let mut state = linked(now);
+    let (old, answered, unanswered) = (key("a.0.0.0"), key("a.0.0.1"), key("a.0.0.2"));
+    state.begun.on_sending(&old, now);
+    state.begun.on_begun(&old);
+    state.begun.on_sending(&answered, at(1_900));
+    state.begun.on_begun(&answered);
+    state.begun.on_sending(&unanswered, at(1_950));
+    state.on_no_answer(at(1_960));
+    // The next try finds nobody; the first one may have begun.
+    state.begun.on_sending(&unanswered, at(1_990));
+    state.begun.on_not_begun(&unanswered);
+    assert!(state.on_crash("i-1", at(2_020)));
+    let report = state.report(at(2_020));
+    assert_eq!(report.former, ["i-1"]);
+    let told: Vec<(String, u128, bool)> = report.crashes[0]
+        .young
+        .iter()
+        .map(|run| (run.task.to_string(), run.age.as_millis(), run.is_certain))
+        .collect();
+    assert_eq!(told, [("a.0.0.2".to_string(), 10, false), ("a.0.0.1".to_string(), 60, true)]);
+    assert!(state.report(at(8_000)).crashes.is_empty(), "told long enough");
+}
+
+#[test]
+fn a_runner_that_was_leaving_has_not_broken_off() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let mut leaving = runner("i-1", 2);
+    leaving.status.draining = true;
+    state.on_beat(leaving);
+    assert!(state.on_crash("i-1", now));
+    assert!(state.report(now).crashes.is_empty());
+}
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -121,7 +121,13 @@
             rejected: runner.rejected.clone(),
             orders_seen: runner.orders_seen,
         };
-        NodeReport { now: self.clock, runner: Some(status), former: vec![], look: Some(look) }
+        NodeReport {
+            now: self.clock,
+            runner: Some(status),
+            former: vec![],
+            crashes: vec![],
+            look: Some(look),
+        }
     }
 
     pub fn report(&mut self, instance: &str, is_new_link: bool) {
