Bring about a task that crashes its workers: in random schedules and on a fleet in virtual time

What callers saw: hardly an answer in time, because one task ended worker after worker and all that ran there.

The bound is the stated one: a task may be started twice more after three crashes, and none but the tasks at fault may be given up.

--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -12,6 +12,7 @@
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RejectedRun;
+use greengagearch::connection::node_protocol::RunnerCrash;
 use greengagearch::connection::node_protocol::RunnerLook;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::workflow::planner::Planner;
@@ -228,6 +229,19 @@
         self.store();
     }
 
+    /// An agent tells that the life of its runner has broken off; no other one has registered yet.
+    pub fn tell_crash(&mut self, crash: RunnerCrash) {
+        let report = NodeReport {
+            now: self.clock,
+            runner: None,
+            former: vec![crash.instance.clone()],
+            crashes: vec![crash],
+            look: None,
+        };
+        self.planner.set_time(self.now(), self.wall_ms);
+        self.planner.on_report(report, false);
+    }
+
     /// Everything that runs anywhere.
     pub fn running(&self) -> Vec<(String, RunKey)> {
         let each = self.runners.iter();
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -51,6 +51,9 @@
 
     fn on_beat(&mut self, agent: usize) {
         let one = &mut self.agents[agent];
+        if !one.life.is_alive {
+            return self.at(500, Event::Beat { agent });
+        }
         one.beats += 1;
         let status = RunnerStatus {
             instance: one.life.name.clone(),
@@ -184,6 +187,10 @@
         let due = self.now + self.rng.random_range(100..1_500);
         let (now, audit, life) = (self.now, &mut self.audit, &mut self.agents[agent].life);
         let is_there = life.is_alive && life.name == target.instance;
+        let begins = match &order {
+            Order::Start { key, .. } => Some(&key.0) == self.crasher.as_ref() && is_there,
+            _ => false,
+        };
         let answer = match &order {
             _ if !is_there => CallAnswer::Gone,
             Order::Start { key, lease_end, .. } => {
@@ -194,6 +201,9 @@
                 CallAnswer::Lists(life.hold(target.epoch, *lease_end, *seen, now, audit))
             }
         };
+        if begins && matches!(answer, CallAnswer::Order(RunnerAnswer::Done)) {
+            self.at(CRASH_AFTER, Event::Crash { agent, life: target.instance.clone() });
+        }
         if is_late {
             return;
         }
--- a/tests/planning_world/events.rs
+++ b/tests/planning_world/events.rs
@@ -41,6 +41,12 @@
                 self.agents[agent].life.pass(self.now, fails, &mut self.audit);
                 self.at(20, Event::Pass { agent });
             }
+            Event::Crash { agent, life } => self.on_crash(agent, &life),
+            Event::Back { agent, life } => {
+                if self.agents[agent].life.name == life {
+                    self.renew_runner(agent);
+                }
+            }
             event => self.at_agent(event),
         }
     }
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -1,5 +1,7 @@
 //! Planners, agents, runners and a store under random schedules: the real decision modules, played by events.
 
+#![allow(dead_code)]
+
 mod agents;
 mod events;
 mod runner;
@@ -33,6 +35,7 @@
 use greengagearch::workflow::progress::JobRecord;
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::spec::WorkflowSpec;
+use greengagearch::workflow::task_name::TaskName;
 use greengagearch::workflow::worker_board::RunKey;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -50,6 +53,9 @@
 const SYNC_LIMIT: u64 = 1_300;
 const ORDER_LIMIT: u64 = 900;
 const START_LIMIT: u64 = 2_000;
+/// Time from the start of a task that crashes its runner to the crash, and until that runner is back.
+const CRASH_AFTER: u64 = 10;
+const BACK_AFTER: u64 = 3_000;
 const WALL: u64 = 1_000_000;
 
 /// A mechanism that the search takes out, to see that it is needed.
@@ -78,29 +84,124 @@
 #[derive(Clone, Debug)]
 enum Event {
     Plan(usize),
-    Commit { planner: usize, number: u64, sent: u64 },
-    Committed { planner: usize, number: u64, fate: WriteFate },
-    Repeat { planner: usize, number: u64 },
-    News { planner: usize, job: String },
-    Sync { planner: usize, agent: usize, run: u64, link: u64, call: SyncCall },
-    Answer { planner: usize, agent: usize, link: u64, report: Result<NodeReport, LinkStamp> },
-    Deadline { planner: usize, agent: usize, link: u64, exchange: u64 },
-    Orders { planner: usize, agent: usize, run: u64, link: u64, call: OrderCall },
-    Ordered { planner: usize, agent: usize, link: u64, number: u64 },
-    OrderDeadline { planner: usize, agent: usize, link: u64, number: u64 },
-    Relink { planner: usize, agent: usize },
-    Reply { agent: usize, run: u64, stamp: LinkStamp, planner: usize, link: u64 },
-    Look { agent: usize, run: u64 },
-    Try { agent: usize, run: u64, target: RunnerTarget, key: RunKey, since: u64 },
-    Call { agent: usize, run: u64, target: RunnerTarget, order: Order, is_late: bool },
-    Returned { agent: usize, run: u64, target: RunnerTarget, order: Order, answer: CallAnswer },
-    NoAnswer { agent: usize, run: u64, target: RunnerTarget, order: Order },
-    Beat { agent: usize },
-    Pass { agent: usize },
+    Commit {
+        planner: usize,
+        number: u64,
+        sent: u64,
+    },
+    Committed {
+        planner: usize,
+        number: u64,
+        fate: WriteFate,
+    },
+    Repeat {
+        planner: usize,
+        number: u64,
+    },
+    News {
+        planner: usize,
+        job: String,
+    },
+    Sync {
+        planner: usize,
+        agent: usize,
+        run: u64,
+        link: u64,
+        call: SyncCall,
+    },
+    Answer {
+        planner: usize,
+        agent: usize,
+        link: u64,
+        report: Result<NodeReport, LinkStamp>,
+    },
+    Deadline {
+        planner: usize,
+        agent: usize,
+        link: u64,
+        exchange: u64,
+    },
+    Orders {
+        planner: usize,
+        agent: usize,
+        run: u64,
+        link: u64,
+        call: OrderCall,
+    },
+    Ordered {
+        planner: usize,
+        agent: usize,
+        link: u64,
+        number: u64,
+    },
+    OrderDeadline {
+        planner: usize,
+        agent: usize,
+        link: u64,
+        number: u64,
+    },
+    Relink {
+        planner: usize,
+        agent: usize,
+    },
+    Reply {
+        agent: usize,
+        run: u64,
+        stamp: LinkStamp,
+        planner: usize,
+        link: u64,
+    },
+    Look {
+        agent: usize,
+        run: u64,
+    },
+    Try {
+        agent: usize,
+        run: u64,
+        target: RunnerTarget,
+        key: RunKey,
+        since: u64,
+    },
+    Call {
+        agent: usize,
+        run: u64,
+        target: RunnerTarget,
+        order: Order,
+        is_late: bool,
+    },
+    Returned {
+        agent: usize,
+        run: u64,
+        target: RunnerTarget,
+        order: Order,
+        answer: CallAnswer,
+    },
+    NoAnswer {
+        agent: usize,
+        run: u64,
+        target: RunnerTarget,
+        order: Order,
+    },
+    Beat {
+        agent: usize,
+    },
+    Pass {
+        agent: usize,
+    },
     Submit(usize),
     Fault,
     Watch,
     Takeover,
+    /// A task that crashes its workers has begun on this life.
+    Crash {
+        agent: usize,
+        life: String,
+    },
+    /// A crashed runner is back, with another life.
+    Back {
+        agent: usize,
+        life: String,
+    },
 }
 
 /// What a planner hears of a write.
@@ -171,6 +272,8 @@
     planners: Vec<PlannerProcess>,
     agents: Vec<Agent>,
     cancelled: BTreeMap<String, u64>,
+    /// A task that crashes each runner that starts it.
+    crasher: Option<TaskName>,
     specs: Vec<WorkflowSpec>,
     audit: RunAudit,
 }
--- a/tests/planning_world/runner.rs
+++ b/tests/planning_world/runner.rs
@@ -79,6 +79,32 @@
         self.violations.extend(found);
     }
 
+    /// A task that crashes its workers may be started twice more after three of them have crashed.
+    pub fn check_crasher(&self, task: &TaskName) -> Option<String> {
+        let runs = self.records.iter().filter(|record| record.key.0 == *task);
+        let starts: Vec<u64> = runs.clone().map(|record| record.began).collect();
+        let crashes = runs.filter_map(|record| match record.ended {
+            Some((at, RunEnd::Lost)) => Some(at),
+            _ => None,
+        });
+        let mut crashes: Vec<u64> = crashes.collect();
+        crashes.sort_unstable();
+        let third = *crashes.get(2)?;
+        let more = starts.iter().filter(|began| **began > third).count();
+        (more >= 3).then(|| format!("{task} was started {more} times more after three crashes"))
+    }
+
+    /// Whether a task of a job has failed as often as it may.
+    pub fn has_failed(&self, job: &str, max_attempts: usize) -> bool {
+        let mut failures: BTreeMap<&TaskName, usize> = BTreeMap::new();
+        for record in self.records.iter().filter(|record| record.key.0.job == job) {
+            if matches!(record.ended, Some((_, RunEnd::Failed))) {
+                *failures.entry(&record.key.0).or_default() += 1;
+            }
+        }
+        failures.values().any(|count| *count >= max_attempts)
+    }
+
     pub fn is_done(&self, task: &TaskName) -> bool {
         let is_it = |record: &&RunRecord| {
             record.key.0 == *task && matches!(record.ended, Some((_, RunEnd::Done)))
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -20,6 +20,7 @@
             planners: Vec::new(),
             agents: Vec::new(),
             cancelled: BTreeMap::new(),
+            crasher: None,
             specs,
             audit: RunAudit::default(),
         };
@@ -45,6 +46,12 @@
         world
     }
 
+    /// The same world with a task that crashes each runner that starts it.
+    pub fn with_crasher(mut self, task: &str) -> PlanningWorld {
+        self.crasher = Some(task.parse().unwrap());
+        self
+    }
+
     /// Plays the schedule. Gives what broke a promise.
     pub fn run(mut self) -> Vec<String> {
         while let Some(((at, _), event)) = self.queue.pop_first() {
@@ -132,10 +139,25 @@
     }
 
     fn crash_runner(&mut self, agent: usize) {
+        let now = self.now;
+        self.agents[agent].life.crash(now, &mut self.audit);
+        self.renew_runner(agent);
+    }
+
+    /// A life ends under the task that crashes its runners; the runner is back after some seconds.
+    pub(super) fn on_crash(&mut self, agent: usize, life: &str) {
+        let now = self.now;
+        let one = &mut self.agents[agent];
+        if one.life.name == life && one.life.is_alive {
+            one.life.crash(now, &mut self.audit);
+            self.at(BACK_AFTER, Event::Back { agent, life: life.to_string() });
+        }
+    }
+
+    pub(super) fn renew_runner(&mut self, agent: usize) {
         let speed = self.rng.random_range(0.98..=1.0);
         let (now, missing) = (self.now, self.missing);
         let one = &mut self.agents[agent];
-        one.life.crash(now, &mut self.audit);
         one.lives += 1;
         one.life = RunnerLife::new(format!("{agent}-{}", one.lives), now, speed);
         one.life.checks_fence = missing != Missing::Fence;
@@ -232,6 +254,16 @@
                 found.push(format!("something still runs on {}", agent.life.name));
             }
         }
+        found.extend(self.crasher.as_ref().and_then(|task| self.audit.check_crasher(task)));
+        let failed = self.records.iter().filter(|(_, (_, record))| {
+            matches!(record, JobRecord::Ended { end: JobEnd::Failed, .. })
+        });
+        for (job, _) in failed {
+            let is_crasher = self.crasher.as_ref().is_some_and(|task| task.job == *job);
+            if !is_crasher && !self.audit.has_failed(job, attempts as usize) {
+                found.push(format!("job {job} is shown as failed and could have been done"));
+            }
+        }
         for record in &self.audit.records {
             let cancelled = self.cancelled.get(&record.key.0.job);
             // Messages and late orders take up to 6 s here.
