Isolate the task under which workers break off, and give it up when it is named

What callers saw: one task was started more than a hundred times and ended a worker's life each time; all that ran beside it was lost with it, and hardly an answer of any class came in time.

Cause: a worker that breaks off lists no end; its runs counted as lost, which counts for nothing, so the task started elsewhere at once. Nothing asked which task its workers break off under; no row kept it. Its class: an outcome that nobody reports is taken for none at all.

Mend: agents tell which runs were young when a life broke off and how old each was. Each counts a crash for its task, kept in the task's row. Of these the one with the most crashes, then the youngest, is isolated: it starts where the least is at stake, nothing else starts there until its run has outlived those that crashed, and at most a third of the fleet is away for such trials. The next crash names it or its survival clears it; named three times within a second of run time (four times if the evidence is weaker) its job ends as failed, and what it has ended is no longer held against those beside it. All others start again at once.

Why it holds: a crash is counted only for runs that the runner had begun or was sent; a run that outlives the age of the crash clears its task; the count is in the row, so a takeover does not lose it; a loss without an agent that could explain it counts for the isolated task.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -19,6 +19,8 @@
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::task_name::TaskName;
 
+/// Age up to which a run is young. A program that crashes its worker as it starts does so well within this time.
+pub const YOUNG_SPAN: Duration = Duration::from_millis(1_000);
 /// Young runs that a line of the log names.
 const YOUNG_SHOWN: usize = 6;
 
@@ -101,6 +103,8 @@
     pub task: TaskName,
     /// The run.
     pub run: RunNumber,
+    /// Whether the runner shows it; else its start is on its way.
+    pub is_begun: bool,
     /// Its newest saved work.
     pub checkpoint: CheckpointRef,
     /// Share of its work that is done, in percent; of a task that lasts, 100 when it is at work.
@@ -126,6 +130,7 @@
         PresentRun {
             task,
             run,
+            is_begun: false,
             checkpoint: CheckpointRef::new(),
             progress_percent: 0,
             pace_percent: 100,
@@ -200,8 +205,10 @@
     pub task: TaskName,
     /// The run.
     pub run: RunNumber,
-    /// Time from the start to the first sign that the life had broken off.
+    /// Time from the start to the first sign that the life had broken off; a paused agent sees it late.
     pub age: Duration,
+    /// Time from the start to the last sign that the life went on.
+    pub lived: Duration,
     /// Whether the runner had said that the run began.
     pub is_certain: bool,
 }
@@ -215,7 +222,8 @@
 /// use greengagearch::connection::node_protocol::young_text;
 ///
 /// let task = "a.0.0.0".parse().unwrap();
-/// let run = YoungRun { task, run: 2, age: Duration::from_millis(10), is_certain: true };
+/// let age = Duration::from_millis(10);
+/// let run = YoungRun { task, run: 2, age, lived: Duration::ZERO, is_certain: true };
 /// assert_eq!(young_text(&[run]), "a.0.0.0/2:10");
 /// ```
 pub fn young_text(young: &[YoungRun]) -> String {
--- a/src/process/node/begun_runs.rs
+++ b/src/process/node/begun_runs.rs
@@ -1,15 +1,13 @@
 //! Which runs the runner has begun of late, so that it can be told which of them were young when its life broke off.
 
 use std::collections::HashMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::connection::node_protocol::PresentRun;
+use crate::connection::node_protocol::YOUNG_SPAN;
 use crate::connection::node_protocol::YoungRun;
 use crate::workflow::worker_board::RunKey;
 
-/// Age up to which a run is young. A program that crashes its worker as it starts does so well within this time.
-pub const YOUNG_SPAN: Duration = Duration::from_millis(1_000);
 /// Young runs that are told of one crash at most, so that a report stays small.
 const MOST_TOLD: usize = 24;
 
@@ -88,7 +86,8 @@
         self.runs.retain(|_, begun| now.saturating_duration_since(begun.sent) <= YOUNG_SPAN);
     }
 
-    /// What was young when the life broke off at `crashed`, the youngest first; what was sent later cannot have begun.
+    /// What was young when the life broke off, the youngest first: the life answered last at `answered`, and broke off
+    /// before `crashed`, so that what was sent later cannot have begun.
     ///
     /// ```
     /// use std::time::Duration;
@@ -99,16 +98,19 @@
     /// let now = Instant::now();
     /// let mut begun = BegunRuns::default();
     /// begun.on_sending(&("a.0.0.0".parse().unwrap(), 1), now);
-    /// let young = begun.young_at(now + Duration::from_millis(10));
+    /// let young = begun.young_at(now, now + Duration::from_millis(10));
     /// assert_eq!(young[0].age, Duration::from_millis(10));
     /// ```
-    pub fn young_at(&self, crashed: Instant) -> Vec<YoungRun> {
+    pub fn young_at(&self, answered: Instant, crashed: Instant) -> Vec<YoungRun> {
         let mut young = Vec::new();
         for ((task, run), begun) in &self.runs {
-            let age = crashed.checked_duration_since(begun.sent);
-            if let Some(age) = age.filter(|age| *age <= YOUNG_SPAN) {
+            let lived = answered.saturating_duration_since(begun.sent);
+            let Some(age) = crashed.checked_duration_since(begun.sent) else {
+                continue;
+            };
+            if lived <= YOUNG_SPAN {
                 let (task, run, is_certain) = (task.clone(), *run, begun.is_certain);
-                young.push(YoungRun { task, run, age, is_certain });
+                young.push(YoungRun { task, run, age, lived, is_certain });
             }
         }
         young.sort_by(|one, other| (one.age, &one.task).cmp(&(other.age, &other.task)));
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -219,7 +219,7 @@
     /// Remembers what was young on the present life, which has broken off. A runner that is leaving ends as it said.
     fn note_crash(&mut self, now: Instant) {
         let crashed = self.silent_since.unwrap_or(now);
-        let young = self.begun.young_at(crashed);
+        let young = self.begun.young_at(self.answered, crashed);
         if let Some(runner) = self.runner.as_ref().filter(|runner| !runner.status.draining) {
             let instance = runner.status.instance.clone();
             self.crashes.push((now, RunnerCrash { instance, young }));
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -82,6 +82,19 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::TaskIsolated { task, crashes, worker } => log_event(
+            Level::Warn,
+            "task_isolated",
+            &[("task", task), ("crashes", crashes), ("worker", worker), ("epoch", &epoch)],
+        ),
+        PlanDecision::TaskCleared { task } => {
+            log_event(Level::Info, "task_cleared", &[("task", task), ("epoch", &epoch)])
+        }
+        PlanDecision::TaskGivenUp { task, worker } => log_event(
+            Level::Warn,
+            "task_given_up",
+            &[("task", task), ("worker", worker), ("epoch", &epoch)],
+        ),
         PlanDecision::WorkerLost { worker, runs } => log_event(
             Level::Warn,
             "worker_lost",
--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -34,6 +34,8 @@
     pub seen: Option<PresentRun>,
     /// When the worker first said that it runs.
     pub seen_since: Option<Instant>,
+    /// When the worker first showed that it has begun.
+    pub begun_since: Option<Instant>,
     /// What its agent was last told of it.
     pub told: Option<TaskTraits>,
     /// Since when it may work only slowly, because it disturbs what serves.
@@ -80,6 +82,9 @@
         let before = self.seen.as_ref().map(|known| known.pace_percent);
         let is_new_pace = before != Some(seen.pace_percent);
         self.seen_since.get_or_insert(now);
+        if seen.is_begun {
+            self.begun_since.get_or_insert(now);
+        }
         let is_slow = self.fills && seen.pace_percent <= SLOW_PERCENT;
         self.slow_since = if is_slow { self.slow_since.or(Some(now)) } else { None };
         self.seen = Some(seen);
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -38,6 +38,8 @@
 /// Added to the cost of a worker that is emptied, and taken off where room is kept for the task: more than all other
 /// costs together, since both were decided before.
 const DECIDED_COST: f64 = 10.0;
+/// Time after its newest assignment in which a worker is avoided by a suspect: its order is delivered by then.
+const FRESH_SPAN: Duration = Duration::from_millis(150);
 /// Added to the cost of a worker that has failed tasks of late.
 const FAILED_COST: f64 = 3.0;
 
@@ -58,6 +60,8 @@
     pub needs_ticket: bool,
     /// The rack that it must go to, if any.
     pub rack: Option<&'a str>,
+    /// Whether it is suspected to crash its workers.
+    pub is_isolated: bool,
     /// A worker that it must not go to, if any.
     pub not_on: Option<&'a str>,
 }
@@ -116,6 +120,7 @@
 ///     risk,
 ///     needs_ticket: false,
 ///     rack: None,
+///     is_isolated: false,
 ///     not_on: None,
 /// };
 /// let (board, suspicion) = (WorkerBoard::default(), WorkerSuspicion::default());
@@ -169,7 +174,10 @@
     };
     let is_below_bound =
         || step.max_per_worker == 0 || worker.of_step(need.task) < step.max_per_worker;
+    // What starts beside a suspect would hide which of them crashed the worker, and be lost with it.
+    let is_shared = worker.isolated.as_ref().is_none_or(|key| is_gang_of(need, &key.0));
     need.not_on != Some(instance)
+        && is_shared
         && status.service == need.service
         && need.rack.is_none_or(|rack| status.rack() == rack)
         && worker.is_open(view.now)
@@ -179,6 +187,11 @@
         && is_below_bound()
 }
 
+/// Whether a task is of the gang that needs a worker; members may share one.
+fn is_gang_of(need: &PlacementNeed<'_>, other: &TaskName) -> bool {
+    need.step.gang && need.task.step_key() == other.step_key()
+}
+
 /// What it costs to put a task on a worker that has room; nothing when that is too great a risk for others.
 fn cost(
     need: &PlacementNeed<'_>,
@@ -190,6 +203,11 @@
     let step = need.step;
     let mut cost =
         if step.fills { fill_cost(need, view, worker)? } else { packed_cost(need, worker) };
+    if need.is_isolated {
+        // Where the least is lost if it crashes this worker as well, and no other run is as new, so that the crash names it.
+        let is_fresh = worker.newest().is_some_and(|at| view.now < at + FRESH_SPAN);
+        cost = worker.stake() / SIZE_UNIT + if is_fresh { DECIDED_COST } else { 0.0 };
+    }
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
         cost += OFF_RACK_COST;
     }
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -106,6 +106,27 @@
         /// Its newest runs, the youngest first.
         young: Vec<YoungRun>,
     },
+    /// A task that may have crashed its worker starts only where no other start follows.
+    TaskIsolated {
+        /// The task.
+        task: TaskName,
+        /// Lives of workers that are held against it.
+        crashes: usize,
+        /// The worker that broke off last.
+        worker: InstanceId,
+    },
+    /// A run of a task has lived, and nothing is held against it any more.
+    TaskCleared {
+        /// The task.
+        task: TaskName,
+    },
+    /// A task has crashed worker after worker; its job can never be done.
+    TaskGivenUp {
+        /// The task.
+        task: TaskName,
+        /// The worker that broke off last.
+        worker: InstanceId,
+    },
     /// Everything that a life of a runner had is given up.
     WorkerLost {
         /// The life.
@@ -137,6 +158,9 @@
             PlanDecision::WorkerSuspected { .. } => "worker_suspected",
             PlanDecision::WorkerTrusted { .. } => "worker_trusted",
             PlanDecision::WorkerCrashed { .. } => "worker_crashed",
+            PlanDecision::TaskIsolated { .. } => "task_isolated",
+            PlanDecision::TaskCleared { .. } => "task_cleared",
+            PlanDecision::TaskGivenUp { .. } => "task_given_up",
             PlanDecision::WorkerLost { .. } => "worker_lost",
         }
     }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -26,6 +26,7 @@
 use crate::workflow::planner_jobs::JobEntry;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::task_suspicion::TaskSuspicion;
 use crate::workflow::worker_board::RunKey;
 use crate::workflow::worker_board::WorkerBoard;
 
@@ -44,6 +45,7 @@
     pub(crate) ended: BTreeMap<JobId, EndedJob>,
     pub(crate) board: WorkerBoard,
     pub(crate) suspicion: WorkerSuspicion,
+    pub(crate) task_suspicion: TaskSuspicion,
     pub(crate) disturbance: DisturbanceModel,
     pub(crate) advice: AdviceBook,
     pub(crate) questions: Vec<AdviceQuestion>,
@@ -76,6 +78,7 @@
             ended: BTreeMap::new(),
             board: WorkerBoard::default(),
             suspicion: WorkerSuspicion::default(),
+            task_suspicion: TaskSuspicion::default(),
             disturbance: DisturbanceModel::default(),
             advice: AdviceBook::default(),
             questions: Vec::new(),
@@ -315,6 +318,7 @@
 
     /// Gives up everything on a life of a runner that has surely ended.
     pub(crate) fn lose(&mut self, instance: &str) {
+        let given_up = self.on_unexplained_loss(instance);
         let Some(worker) = self.board.get(instance) else {
             return;
         };
@@ -327,6 +331,9 @@
         self.board.forget(instance);
         self.held_acks.remove(instance);
         self.stored_ends.remove(instance);
+        if let Some(task) = given_up {
+            self.give_up(task, instance);
+        }
     }
 
     /// The batch that has to be stored next, if there is anything.
--- /dev/null
+++ b/src/workflow/planner_crashes.rs
@@ -0,0 +1,172 @@
+//! What the planner makes of workers that break off: which task is isolated, cleared or given up.
+
+use std::time::Duration;
+
+use crate::connection::node_protocol::RunnerCrash;
+use crate::connection::node_protocol::YOUNG_SPAN;
+use crate::ids::JobId;
+use crate::workflow::plan_decision::PlanDecision;
+use crate::workflow::planner::Planner;
+use crate::workflow::progress::JobEnd;
+use crate::workflow::task_name::TaskName;
+use crate::workflow::task_suspicion::CrashedRun;
+use crate::workflow::worker_board::RunKey;
+
+impl Planner {
+    /// Takes in that a life has broken off; later reports tell of it again. Its runs are given up afterwards. Gives a task that
+    /// is to be given up with its job.
+    pub(crate) fn on_crash(&mut self, crash: &RunnerCrash) -> Option<TaskName> {
+        let worker = self.board.get(&crash.instance)?;
+        let is_ours = |task: &TaskName, run| worker.assigned.contains_key(&(task.clone(), run));
+        let ours = crash.young.iter().filter(|young| is_ours(&young.task, young.run));
+        let young = ours.map(|run| CrashedRun {
+            task: run.task.clone(),
+            age: run.age,
+            lived: run.lived,
+            is_certain: run.is_certain,
+        });
+        let young: Vec<CrashedRun> = young.collect();
+        let (worker, told) = (crash.instance.clone(), crash.young.clone());
+        self.decisions.push(PlanDecision::WorkerCrashed { worker, young: told });
+        self.suspect(&crash.instance, &young)
+    }
+
+    /// Holds a loss that no agent explains against the isolated task on the worker: an agent that ends with its runner cannot
+    /// tell what had begun there.
+    pub(crate) fn on_unexplained_loss(&mut self, instance: &str) -> Option<TaskName> {
+        let worker = self.board.get(instance)?;
+        let is_leaving = worker.status.as_ref().is_some_and(|status| status.draining);
+        let (task, run) = worker.isolated.clone().filter(|_| !is_leaving)?;
+        let is_told = self.task_suspicion.crashes(&task).iter().any(|one| one.life == instance);
+        if is_told || !self.task_suspicion.is_isolated(&task) {
+            return None;
+        }
+        let is_certain = worker.assigned.get(&(task.clone(), run))?.begun_since.is_some();
+        let (age, lived) = (YOUNG_SPAN, Duration::ZERO);
+        self.suspect(instance, &[CrashedRun { task, age, lived, is_certain }])
+    }
+
+    fn suspect(&mut self, life: &str, young: &[CrashedRun]) -> Option<TaskName> {
+        let verdict = self.task_suspicion.on_crash(life, young, self.now);
+        for task in verdict.isolated.clone() {
+            let crashes = self.task_suspicion.crashes(&task).len();
+            let worker = life.to_string();
+            self.decisions.push(PlanDecision::TaskIsolated { task, crashes, worker });
+        }
+        let young = young.iter().map(|run| &run.task);
+        young.chain(&verdict.explained).for_each(|task| self.keep_crashes(task));
+        verdict.given_up
+    }
+
+    /// Keeps with the task's row what is held against it, so that a successor knows.
+    fn keep_crashes(&mut self, name: &TaskName) {
+        let crashes = self.task_suspicion.crashes(name);
+        let is_isolated = self.task_suspicion.is_isolated(name);
+        let entry = self.jobs.get_mut(&name.job);
+        if let Some(task) = entry.and_then(|entry| entry.progress.task_mut(name))
+            && (task.crashes != crashes || task.isolated != is_isolated)
+        {
+            task.crashes = crashes.to_vec();
+            task.isolated = is_isolated;
+            self.dirty.insert(name.job.clone());
+        }
+    }
+
+    /// Ends the job of a task that crashes its workers, since it can never be done.
+    pub(crate) fn give_up(&mut self, task: TaskName, worker: &str) {
+        let job = task.job.clone();
+        self.decisions.push(PlanDecision::TaskGivenUp { task, worker: worker.to_string() });
+        self.close(&job, JobEnd::Failed);
+    }
+
+    /// Clears tasks whose runs on a worker have outlived those that crashed.
+    pub(crate) fn clear_survivors(&mut self, instance: &str) {
+        if self.task_suspicion.is_empty() {
+            return;
+        }
+        let Some(worker) = self.board.get_mut(instance) else {
+            return;
+        };
+        let mut cleared = Vec::new();
+        for ((task, _), run) in &worker.assigned {
+            let proof = self.task_suspicion.proof_span(task);
+            let age = run.begun_since.map(|begun| self.now.saturating_duration_since(begun));
+            if proof.is_some_and(|proof| age.is_some_and(|age| age >= proof)) {
+                cleared.push(task.clone());
+            }
+        }
+        worker.isolated.take_if(|key| cleared.contains(&key.0));
+        cleared.iter().for_each(|task| self.clear_task(task));
+    }
+
+    /// Drops what is held against a task.
+    pub(crate) fn clear_task(&mut self, task: &TaskName) {
+        if self.task_suspicion.clear(task) {
+            self.decisions.push(PlanDecision::TaskCleared { task: task.clone() });
+            self.keep_crashes(task);
+        }
+    }
+
+    /// Starts isolated tasks before all others, so that nothing else is given to their workers in the same round.
+    pub(crate) fn start_isolated(&mut self) -> usize {
+        let mut started = 0;
+        for job in self.task_suspicion.isolated_jobs() {
+            for name in self.isolated_tasks(&job) {
+                if !self.may_isolate() {
+                    return started;
+                }
+                started += self.start_suspect(&name);
+            }
+        }
+        started
+    }
+
+    /// Isolated tasks of a job that could start; gangs start as a whole, with their job's turn.
+    fn isolated_tasks(&self, job: &JobId) -> Vec<TaskName> {
+        let mut found = Vec::new();
+        let entry = self.jobs.get(job).filter(|entry| entry.end.is_none());
+        for (occurrence, step) in self.ready_steps(job) {
+            let spec = entry.and_then(|entry| entry.spec.steps.get(step as usize));
+            let Some(spec) = spec.filter(|spec| !spec.gang) else {
+                continue;
+            };
+            for index in self.startable(job, occurrence, step, spec) {
+                found.push(TaskName { job: job.clone(), occurrence, step, index });
+            }
+        }
+        found.retain(|name| self.task_suspicion.is_isolated(name));
+        found
+    }
+
+    fn start_suspect(&mut self, name: &TaskName) -> usize {
+        let step = self.jobs.get(&name.job).and_then(|entry| entry.step(name)).cloned();
+        let Some(step) = step else {
+            return 0;
+        };
+        let Some(worker) = self.choose_worker(name, &step, None, None) else {
+            return 0;
+        };
+        let run = self.last_run(name) + 1;
+        self.assign(name, run, worker, &step);
+        1
+    }
+
+    /// Keeps other starts away from a worker that is given a suspect.
+    pub(crate) fn isolate(&mut self, worker: &str, key: &RunKey) {
+        self.task_suspicion.on_isolated(self.now);
+        if let Some(worker) = self.board.get_mut(worker) {
+            worker.isolated.get_or_insert_with(|| key.clone());
+        }
+    }
+
+    /// Whether one more isolated task may start now.
+    pub(crate) fn may_isolate(&self) -> bool {
+        let open = self.board.iter().filter(|(_, worker)| worker.is_open(self.now));
+        let (mut workers, mut isolating) = (0, 0);
+        for (_, worker) in open {
+            workers += 1;
+            isolating += usize::from(worker.isolated.is_some());
+        }
+        self.task_suspicion.may_isolate(workers, isolating, self.now)
+    }
+}
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -195,6 +195,11 @@
         entry.next_occurrence = numbers.max().map_or(0, |last| last + 1);
         entry.progress = progress;
         entry.progress_version = version;
+        if entry.end.is_none() {
+            for (name, crashes, is_isolated) in entry.progress.crashed_tasks(job) {
+                self.task_suspicion.adopt(&name, crashes, is_isolated);
+            }
+        }
         let unknown = StepSpec::default();
         for (name, attempt) in entry.progress.attempts(job) {
             let step = entry.step(&name).unwrap_or(&unknown);
@@ -205,6 +210,9 @@
             {
                 // The planner before may have sent the order; the first look will tell.
                 run.order = Some(0);
+                if self.task_suspicion.is_isolated(&key.0) {
+                    worker.isolated.get_or_insert(key);
+                }
             }
         }
         if entry.is_over() {
@@ -245,6 +253,7 @@
         }
         entry.end = Some(end);
         self.disturbance.forget_job(job);
+        self.task_suspicion.forget_job(job);
         self.decisions.push(PlanDecision::JobEnded {
             job: job.to_string(),
             end,
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -11,7 +11,6 @@
 use crate::connection::node_protocol::NodeReport;
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::RejectedRun;
-use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::assigned_run::AssignedRun;
@@ -61,12 +60,16 @@
     /// planner.on_report(report, true);
     /// ```
     pub fn on_report(&mut self, report: NodeReport, is_new_link: bool) {
-        for crash in report.crashes {
-            self.on_crash(crash);
+        let mut given_up = Vec::new();
+        for crash in &report.crashes {
+            given_up.extend(self.on_crash(crash).map(|task| (task, crash.instance.as_str())));
         }
         for former in &report.former {
             self.lose(former);
         }
+        for (task, worker) in given_up {
+            self.give_up(task, worker);
+        }
         let Some(status) = report.runner else {
             return;
         };
@@ -80,15 +83,6 @@
         }
     }
 
-    /// Takes in that a life has broken off; later reports tell of it again.
-    fn on_crash(&mut self, crash: RunnerCrash) {
-        if self.board.get(&crash.instance).is_none() {
-            return;
-        }
-        let (worker, young) = (crash.instance, crash.young);
-        self.decisions.push(PlanDecision::WorkerCrashed { worker, young });
-    }
-
     fn on_look(&mut self, instance: &str, look: RunnerLook) {
         let last = look.ended.last().map(|ended| ended.number);
         for ended in look.ended {
@@ -129,6 +123,7 @@
         let works: Vec<(TaskName, RunWork)> = works.collect();
         self.learn_durations(&works);
         self.describe_changed(instance);
+        self.clear_survivors(instance);
         for key in absent {
             if resync {
                 self.resend(instance, &key);
@@ -157,6 +152,9 @@
             RunEnd::Failed => self.on_failure(instance, &key.0),
             _ => {}
         }
+        if matches!(ended.end, RunEnd::Done | RunEnd::Failed) {
+            self.clear_task(&key.0);
+        }
         self.end_run(instance, &key, ended.end, &ended.checkpoint);
     }
 
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -56,7 +56,9 @@
         let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
         let kept = self.board.kept_tasks(self.now);
         let mut hopeless = HopelessNeeds::default();
-        jobs.iter().map(|job| self.plan_job(job, &kept, &mut hopeless)).sum()
+        let isolated = self.start_isolated();
+        let others = jobs.iter().map(|job| self.plan_job(job, &kept, &mut hopeless));
+        isolated + others.sum::<usize>()
     }
 
     fn plan_job(
@@ -82,6 +84,7 @@
             started += if spec.gang {
                 self.start_gang(&names.collect::<Vec<TaskName>>(), &spec)
             } else {
+                let names = names.filter(|name| !self.task_suspicion.is_isolated(name));
                 // Siblings that find no place say nothing of a task for which one is kept.
                 let (kept, others): (Vec<TaskName>, Vec<TaskName>) =
                     names.partition(|name| kept.contains(name));
@@ -113,7 +116,7 @@
     }
 
     /// Steps whose turn has come.
-    fn ready_steps(&self, job: &str) -> Vec<(u32, u32)> {
+    pub(crate) fn ready_steps(&self, job: &str) -> Vec<(u32, u32)> {
         let Some(entry) = self.jobs.get(job) else {
             return Vec::new();
         };
@@ -129,7 +132,13 @@
     }
 
     /// Positions of a step's tasks that are neither done nor running; of a gang all or none.
-    fn startable(&self, job: &str, occurrence: u32, step: u32, spec: &StepSpec) -> Vec<u32> {
+    pub(crate) fn startable(
+        &self,
+        job: &str,
+        occurrence: u32,
+        step: u32,
+        spec: &StepSpec,
+    ) -> Vec<u32> {
         let tasks = self.jobs.get(job).and_then(|entry| entry.progress.open.get(&occurrence));
         let Some(tasks) = tasks.and_then(|steps| steps.get(step as usize)) else {
             return Vec::new();
@@ -195,6 +204,10 @@
     }
 
     fn start_gang_on(&mut self, names: &[TaskName], spec: &StepSpec, rack: Option<&str>) -> usize {
+        let is_isolated = names.iter().any(|name| self.task_suspicion.is_isolated(name));
+        if is_isolated && !self.may_isolate() {
+            return 0;
+        }
         let run = names.iter().map(|name| self.last_run(name)).max().unwrap_or(0) + 1;
         let mut given: Vec<(InstanceId, &TaskName)> = Vec::new();
         for name in names {
@@ -251,14 +264,15 @@
                 .get(&attempt.worker)
                 .and_then(|worker| worker.assigned.get(&(name.clone(), attempt.run)));
             let age = run.map(|run| self.now.saturating_duration_since(run.since));
-            if age.is_some_and(|age| age > limit) && !task.done {
+            let is_suspected = !self.task_suspicion.crashes(&name).is_empty();
+            if age.is_some_and(|age| age > limit) && !task.done && !is_suspected {
                 late.push((name, attempt.worker.clone()));
             }
         }
         late
     }
 
-    fn choose_worker(
+    pub(crate) fn choose_worker(
         &self,
         name: &TaskName,
         spec: &StepSpec,
@@ -304,6 +318,7 @@
             risk: self.risk_limit(entry),
             needs_ticket: entry.spec.policy.advice.is_some(),
             rack,
+            is_isolated: self.task_suspicion.is_isolated(name),
             not_on,
         })
     }
@@ -327,7 +342,7 @@
         if is_idle && idle_ms > STARVED_AFTER_MS { RiskLimit::Any } else { RiskLimit::Explore }
     }
 
-    fn last_run(&self, name: &TaskName) -> RunNumber {
+    pub(crate) fn last_run(&self, name: &TaskName) -> RunNumber {
         let entry = self.jobs.get(&name.job);
         entry.and_then(|entry| entry.progress.task(name)).map_or(0, |task| task.last_run)
     }
@@ -360,6 +375,9 @@
         });
         task.attempts.push(RunAttempt { run, worker: worker.clone() });
         self.board.assign(&worker, key.clone(), spec, self.now, self.inherited_end);
+        if self.task_suspicion.is_isolated(name) {
+            self.isolate(&worker, &key);
+        }
         self.suspicion.on_start(&worker, &name.to_string(), self.now);
         self.dirty.insert(name.job.clone());
         self.held_starts.entry(name.job.clone()).or_default().push((worker, key));
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -139,6 +139,20 @@
     pub worker: InstanceId,
 }
 
+/// A life of a runner that broke off under a young run of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrash {
+    /// The life.
+    #[serde(rename = "w")]
+    pub life: InstanceId,
+    /// How old the run was at most, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Whether the run had surely begun.
+    #[serde(rename = "b")]
+    pub is_certain: bool,
+}
+
 /// What is kept of one task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -152,6 +166,12 @@
     /// The last run that was counted as a failure of its gang; kept at the first member.
     #[serde(rename = "k", skip_serializing_if = "is_zero")]
     pub failed_run: RunNumber,
+    /// Lives of runners that broke off under its young runs and are held against it.
+    #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<TaskCrash>,
+    /// Whether it starts only where no other start follows, because of these.
+    #[serde(rename = "i", skip_serializing_if = "is_false")]
+    pub isolated: bool,
     /// The highest number given to a run.
     #[serde(rename = "n", skip_serializing_if = "is_zero")]
     pub last_run: RunNumber,
@@ -322,16 +342,39 @@
     /// ```
     pub fn attempts(&self, job: &str) -> Vec<(TaskName, RunAttempt)> {
         let mut found = Vec::new();
+        self.each_task(job, |name, task| {
+            found.extend(task.attempts.iter().map(|attempt| (name(), attempt.clone())));
+        });
+        found
+    }
+
+    /// Tasks that are not done and under which lives of runners have broken off, and whether they are isolated.
+    ///
+    /// ```
+    /// let progress = greengagearch::workflow::progress::JobProgress::default();
+    /// assert_eq!(progress.crashed_tasks("job").len(), 0);
+    /// ```
+    pub fn crashed_tasks(&self, job: &str) -> Vec<(TaskName, Vec<TaskCrash>, bool)> {
+        let mut found = Vec::new();
+        self.each_task(job, |name, task| {
+            if !task.crashes.is_empty() && !task.done {
+                found.push((name(), task.crashes.clone(), task.isolated));
+            }
+        });
+        found
+    }
+
+    /// Visits all tasks of open occurrences; names are only made where they are asked for.
+    fn each_task(&self, job: &str, mut visit: impl FnMut(&dyn Fn() -> TaskName, &TaskProgress)) {
         for (occurrence, steps) in &self.open {
             for (step, tasks) in (0..).zip(steps) {
                 for (index, task) in (0..).zip(tasks) {
-                    let name =
-                        || TaskName { job: job.to_string(), occurrence: *occurrence, step, index };
-                    found.extend(task.attempts.iter().map(|attempt| (name(), attempt.clone())));
+                    let occurrence = *occurrence;
+                    let name = || TaskName { job: job.to_string(), occurrence, step, index };
+                    visit(&name, task);
                 }
             }
         }
-        found
     }
 
     /// Whether nothing of the job may run at present.
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -61,6 +61,8 @@
     pub resync: bool,
     /// Room that is kept for tasks that are on their way.
     pub holds: RoomHolds,
+    /// A run of a task that is suspected to crash its workers, beside which nothing else starts.
+    pub isolated: Option<RunKey>,
     used: RoomAmount,
 }
 
@@ -77,6 +79,7 @@
             described: None,
             resync: true,
             holds: RoomHolds::default(),
+            isolated: None,
             used: RoomAmount::default(),
         }
     }
@@ -191,6 +194,31 @@
         self.assigned.values().any(|run| run.target_ms > 0)
     }
 
+    /// Processor time of what would be lost with it, in thousandths of a core; what serves counts twice.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert_eq!(board.entry("i-1", Instant::now()).stake(), 0.0);
+    /// ```
+    pub fn stake(&self) -> f64 {
+        let weight = |run: &AssignedRun| if run.target_ms > 0 { 2.0 } else { 1.0 };
+        self.assigned.values().map(|run| run.millicores as f64 * weight(run)).sum()
+    }
+
+    /// When the newest of its runs was assigned.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// assert_eq!(board.entry("i-1", Instant::now()).newest(), None);
+    /// ```
+    pub fn newest(&self) -> Option<Instant> {
+        self.assigned.values().map(|run| run.since).max()
+    }
+
     /// Whether a task of an image serves here.
     ///
     /// ```
@@ -314,6 +342,7 @@
             since: now,
             seen: None,
             seen_since: None,
+            begun_since: None,
             told: None,
             slow_since: None,
             stopping: false,
@@ -337,6 +366,7 @@
     pub fn release(&mut self, instance: &str, key: &RunKey, now: Instant) -> Option<AssignedRun> {
         let worker = self.workers.get_mut(instance)?;
         let run = worker.assigned.remove(key)?;
+        worker.isolated.take_if(|isolated| isolated == key);
         if run.fills {
             worker.fills_changed = Some(now);
             worker
--- a/tests/crashing_task.rs
+++ b/tests/crashing_task.rs
@@ -139,7 +139,9 @@
             let began = self.begun[&(instance.to_string(), key.clone())];
             let age = self.fleet.clock + CRASH_AFTER - began;
             if age <= Duration::from_secs(1) {
-                young.push(YoungRun { task: key.0.clone(), run: key.1, age, is_certain: true });
+                let lived = age.saturating_sub(ROUND);
+                let (task, run) = (key.0.clone(), key.1);
+                young.push(YoungRun { task, run, age, lived, is_certain: true });
             }
         }
         young.sort_by_key(|run| run.age);
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -255,6 +255,8 @@
     let (old, answered, unanswered) = (key("a.0.0.0"), key("a.0.0.1"), key("a.0.0.2"));
     state.begun.on_sending(&old, now);
     state.begun.on_begun(&old);
+    let (number, _) = state.next_hold(Duration::ZERO, at(1_800));
+    state.on_lists(number, lists(0), at(1_800));
     state.begun.on_sending(&answered, at(1_900));
     state.begun.on_begun(&answered);
     state.begun.on_sending(&unanswered, at(1_950));
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -148,6 +148,7 @@
         match (one.state.may_start(now), one.state.lease_end()) {
             (Some(true), Some(lease_end)) => {
                 one.state.on_lease_sent();
+                one.state.begun.on_sending(&key, now);
                 let order = Order::Start { key, lease_end, since };
                 self.at(0, call_of(agent, run, &target, order));
             }
@@ -226,6 +227,10 @@
         let is_target = one.state.is_target(&target);
         match (order, answer) {
             (Order::Start { key, .. }, answer) if is_target => {
+                match answer {
+                    CallAnswer::Order(RunnerAnswer::Done) => one.state.begun.on_begun(&key),
+                    _ => one.state.begun.on_not_begun(&key),
+                }
                 let refused = match answer {
                     CallAnswer::Order(RunnerAnswer::Old) => Some(RejectReason::Old),
                     CallAnswer::Order(RunnerAnswer::Late) => Some(RejectReason::Late),
@@ -244,7 +249,7 @@
                         250
                     }
                     CallAnswer::Gone if is_target => {
-                        one.state.on_leave(&target.instance);
+                        one.state.on_crash(&target.instance, now);
                         60
                     }
                     _ => 60,
--- a/tests/planning_world/runner.rs
+++ b/tests/planning_world/runner.rs
@@ -268,8 +268,11 @@
         }
         self.seen = self.seen.max(seen);
         self.ended.retain(|ended| ended.number > seen);
-        let running =
-            self.running.keys().map(|key| PresentRun::ordered(key.0.clone(), key.1)).collect();
+        let shown = |key: &RunKey| PresentRun {
+            is_begun: true,
+            ..PresentRun::ordered(key.0.clone(), key.1)
+        };
+        let running = self.running.keys().map(shown).collect();
         Some(RunnerLists { clock: self.clock(now), running, ended: self.ended.clone() })
     }
 
