Refuse a start beyond the runner's newest capacity at the agent

What callers would have seen: a worker over its capacity, where runners do not guard it.

Cause: the planner counts free room from the newest report when it decides; the start then waits for the store, and is delivered however the capacity has changed since.

Mend: orders carry the room that a task takes; the agent, which hears the runner's heartbeats first, adds up what the runner shows, what is being stopped, and starts on their way, and refuses for want of room what the newest capacity does not hold. A start that was sent without an answer may have begun and is not refused any more.

Crashes are kept with at most 64 tasks of a job's row, so that a row of 500 tasks stays within the store's limit.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -279,6 +279,8 @@
     pub target_ms: u64,
     /// Whether it fills what others leave.
     pub fills: bool,
+    /// What it takes of the guarded capacity.
+    pub room: RoomAmount,
     /// What it adds at full pace to the loads of tasks that serve, by their images.
     pub effects: Vec<ImageEffect>,
     /// Tail latency of a task that serves when nothing loads it, in milliseconds; zero when not known.
@@ -291,12 +293,14 @@
     /// ```
     /// use greengagearch::connection::node_protocol::ImageEffect;
     /// use greengagearch::connection::node_protocol::TaskTraits;
+    /// use greengagearch::workflow::spec::RoomAmount;
     ///
     /// let traits = TaskTraits {
     ///     task: "a.0.0.0".parse().unwrap(),
     ///     image: "f".to_string(),
     ///     target_ms: 0,
     ///     fills: true,
+    ///     room: RoomAmount::default(),
     ///     effects: vec![ImageEffect { serving: "s".to_string(), added_permille: 40 }],
     ///     idle_tail_ms: 0,
     /// };
--- a/src/process/node/local_runs.rs
+++ b/src/process/node/local_runs.rs
@@ -69,6 +69,15 @@
         true
     }
 
+    /// Runs whose starts are on their way, as far as looks do not show them.
+    ///
+    /// ```
+    /// assert_eq!(greengagearch::process::node::local_runs::LocalRuns::default().starting().count(), 0);
+    /// ```
+    pub fn starting(&self) -> impl Iterator<Item = &RunKey> {
+        self.starts.keys()
+    }
+
     /// Takes note that a start's fate is known: it was carried out, refused, or given up after a stop.
     ///
     /// ```
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -79,6 +79,7 @@
     key: &RunKey,
 ) -> Option<RejectReason> {
     let arrived = clock::now();
+    let mut is_sent = false;
     loop {
         let now = clock::now();
         let (may_start, lease_end) = {
@@ -89,6 +90,10 @@
             if state.is_draining() {
                 return Some(RejectReason::Leaving);
             }
+            // A try without an answer may have begun, so that it is no longer refused here.
+            if !is_sent && !state.has_room(key, &order.traits.room) {
+                return Some(RejectReason::Room);
+            }
             let may_start = state.may_start(now);
             if may_start == Some(true) {
                 state.on_lease_sent();
@@ -98,6 +103,7 @@
         match (may_start, lease_end) {
             (Some(true), Some(lease_end)) => {
                 let slot = shared.order_slots.acquire().await;
+                is_sent = true;
                 shared.state().begun.on_sending(key, clock::now());
                 let started = shared.control.start(target, order, lease_end).await;
                 drop(slot);
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -1,5 +1,6 @@
 //! What a node agent knows: its runner, the planner that it obeys, and what it has ordered.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::process::node::local_runs::LookNumber;
 use crate::workflow::grant::surely_expired;
 use crate::workflow::pacing::PaceControl;
+use crate::workflow::spec::RoomAmount;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
@@ -59,6 +61,8 @@
     /// Orders that came before earlier ones: their number, by that of the ones before.
     early_orders: HashMap<u64, u64>,
     fresh_look: Option<RunnerLook>,
+    /// What the newest look showed, with starts on their way.
+    present: BTreeSet<RunKey>,
     reported_ends: u64,
     has_news: bool,
     /// Starts and stops that looks do not show yet.
@@ -97,6 +101,7 @@
             orders_seen: 0,
             early_orders: HashMap::new(),
             fresh_look: None,
+            present: BTreeSet::new(),
             reported_ends: 0,
             has_news: false,
             runs: LocalRuns::default(),
@@ -245,6 +250,7 @@
         self.begun = BegunRuns::default();
         self.silent_since = None;
         self.fresh_look = None;
+        self.present.clear();
         self.reported_ends = 0;
         self.pace = PaceControl::default();
     }
@@ -323,6 +329,19 @@
         self.lease_until.map(|until| now + LEAST_LEASE < until && !is_silent)
     }
 
+    /// Whether the runner's newest capacity holds a run beside everything that it shows or is about to start; what is being
+    /// stopped counts until it has ended. A start may have been decided before the capacity shrank, and waited for the store.
+    pub fn has_room(&self, key: &RunKey, room: &RoomAmount) -> bool {
+        let Some(runner) = &self.runner else {
+            return false;
+        };
+        let others: BTreeSet<&RunKey> = self.present.iter().chain(self.runs.starting()).collect();
+        let others = others.into_iter().filter(|other| *other != key);
+        let rooms = others.filter_map(|(task, _)| self.traits.get(task)).map(|traits| &traits.room);
+        let used = rooms.fold(*room, |used, room| used.plus(room));
+        runner.status.capacity.contains(&used)
+    }
+
     /// Takes note that a start carries the lease to the runner.
     pub fn on_lease_sent(&mut self) {
         self.sent_until = self.sent_until.max(self.lease_until);
@@ -372,6 +391,7 @@
             run.measured_percent = self.pace.measured(&key, now);
         }
         self.runs.complete(number, &mut present);
+        self.present = present.iter().map(|run| (run.task.clone(), run.run)).collect();
         self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
         let last = lists.ended.last().map_or(0, |ended| ended.number);
         let is_news = last > self.reported_ends || self.runs.has_refusals() || self.has_news;
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -298,6 +298,7 @@
             image: step.image.clone(),
             target_ms: step.target_ms,
             fills: step.fills,
+            room: step.counted_room(),
             effects: if step.fills { self.disturbance.effects(&step.image) } else { Vec::new() },
             idle_tail_ms: self.disturbance.idle_tail_of(&step.image).round() as u32,
         })
--- a/src/workflow/planner_crashes.rs
+++ b/src/workflow/planner_crashes.rs
@@ -12,6 +12,9 @@
 use crate::workflow::task_suspicion::CrashedRun;
 use crate::workflow::worker_board::RunKey;
 
+/// Tasks of a job whose crashes are kept in its row at most, so that the row stays within the store's limit.
+const KEPT_TASKS: usize = 64;
+
 impl Planner {
     /// Takes in that a life has broken off; later reports tell of it again. Its runs are given up afterwards. Gives a task that
     /// is to be given up with its job.
@@ -62,8 +65,14 @@
     fn keep_crashes(&mut self, name: &TaskName) {
         let crashes = self.task_suspicion.crashes(name);
         let is_isolated = self.task_suspicion.is_isolated(name);
-        let entry = self.jobs.get_mut(&name.job);
-        if let Some(task) = entry.and_then(|entry| entry.progress.task_mut(name))
+        let Some(entry) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let is_new = entry.progress.task(name).is_some_and(|task| task.crashes.is_empty());
+        if is_new && entry.progress.crashed_tasks(&name.job).len() >= KEPT_TASKS {
+            return;
+        }
+        if let Some(task) = entry.progress.task_mut(name)
             && (task.crashes != crashes || task.isolated != is_isolated)
         {
             task.crashes = crashes.to_vec();
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -62,6 +62,7 @@
         image: String::new(),
         target_ms: 0,
         fills: false,
+        room: RoomAmount { millicores: 400, memory_mib: 100, accelerators: 0 },
         effects: Vec::new(),
         idle_tail_ms: 0,
     }
