--- a/src/workflow/task_suspicion.rs
+++ b/src/workflow/task_suspicion.rs
@@ -77,7 +77,9 @@
     /// much the same age each time.
     fn proof_span(&self) -> Duration {
         let least = self.crashes.iter().map(|crash| crash.age_ms).min();
-        least.map_or(YOUNG_SPAN, |age_ms| Duration::from_millis(age_ms) * 2 + PROOF_SLACK)
+        // An agent that was paused sees a crash late; no run has to prove more than that it is not young.
+        let span = |age_ms| Duration::from_millis(age_ms).min(YOUNG_SPAN) * 2 + PROOF_SLACK;
+        least.map_or(YOUNG_SPAN, span)
     }
 
     /// Whether there is enough to give the task up, if it is the one that the last crash points to or not.
