Bring a crashing task about with real processes; the stand-in runner plays it

The stand-in runner breaks off ten milliseconds after the start of a task whose text says so and is back with another life. The job ends as failed, four others beside it complete, the task has at most five starts.

--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -1,6 +1,7 @@
 //! The users' platform's runner, as far as the product calls it, with its faults.
 //!
-//! A task's text says what it does: `run_ms=200`, and `fail` for one that fails.
+//! A task's text says what it does: `run_ms=200`, `fail` for one that fails, and `crash` for one that crashes its runner, which
+//! is back with another life soon after.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -30,6 +31,9 @@
 
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
+/// Time after its start at which a task crashes its runner, and after which that runner is back.
+const CRASH_AFTER: Duration = Duration::from_millis(10);
+const BACK_AFTER: Duration = Duration::from_millis(400);
 /// Time for which a lost answer is held back.
 const HANG: Duration = Duration::from_secs(30);
 
@@ -48,6 +52,9 @@
     advice: Option<PlatformAdvice>,
     lapsed: Option<Instant>,
     is_over: bool,
+    /// Whether no other life follows by itself.
+    is_closed: bool,
+    successor: Option<PlatformRunner>,
 }
 
 /// A running stand-in; it is one life of a runner.
@@ -55,6 +62,7 @@
 pub struct PlatformRunner {
     /// Its life.
     pub instance: String,
+    registry: SocketAddr,
     started: Instant,
     /// How fast its steady clock goes.
     speed: f64,
@@ -84,6 +92,7 @@
         let address = listener.local_addr().expect("a bound listener has an address");
         let runner = PlatformRunner {
             instance: instance.to_string(),
+            registry,
             started: Instant::now(),
             speed,
             journal,
@@ -117,8 +126,35 @@
         self.lock().late_orders = delay;
     }
 
-    /// Ends this life: nothing runs any more, and nobody answers for it.
+    /// Ends this life and what follows it: nothing runs any more, and nobody answers for it.
     pub fn crash(&self) {
+        let successor = {
+            let mut life = self.lock();
+            life.is_closed = true;
+            life.successor.take()
+        };
+        if let Some(successor) = successor {
+            successor.crash();
+        }
+        self.break_off();
+    }
+
+    /// Ends this life; another one begins after a while, unless the runner is ended meanwhile.
+    async fn crash_and_return(&self) {
+        self.break_off();
+        tokio::time::sleep(BACK_AFTER).await;
+        let instance = format!("{}+", self.instance);
+        let next = Box::pin(PlatformRunner::spawn(&instance, self.registry, self.journal.clone()));
+        let next = next.await;
+        let mut life = self.lock();
+        if life.is_closed || life.successor.is_some() {
+            drop(life);
+            return next.break_off();
+        }
+        life.successor = Some(next);
+    }
+
+    fn break_off(&self) {
         let running: Vec<(String, u32)> = {
             let mut life = self.lock();
             life.is_over = true;
@@ -306,6 +342,10 @@
 }
 
 async fn work(runner: PlatformRunner, task: String, run: u32, payload: String) {
+    if payload.contains("crash") {
+        tokio::time::sleep(CRASH_AFTER).await;
+        return runner.crash_and_return().await;
+    }
     let words = payload.split_whitespace();
     let millis = words.filter_map(|word| word.strip_prefix("run_ms=")?.parse().ok()).next();
     tokio::time::sleep(Duration::from_millis(millis.unwrap_or(50))).await;
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -325,3 +325,21 @@
     let written = env.store.changes_of("ownership", Some("pulse")) - pulses;
     assert!(written >= 3, "{written} pulses");
 }
+
+/// Seen on the users' days: a task that crashed each runner was started without end. See tests/crashing_task.rs.
+#[tokio::test]
+async fn a_job_whose_task_crashes_its_runners_fails_and_the_others_complete() {
+    let env = start(2, 4).await;
+    for number in 2..6 {
+        env.submit_until_accepted(0, &job_name(number), &job_of_steps("run_ms=300", &[3, 2])).await;
+    }
+    env.submit_until_accepted(0, &job_name(1), &job_of_steps("crash", &[1, 1])).await;
+    env.until_state(1, &job_name(1), "failed").await;
+    for number in 2..6 {
+        env.until_state(1, &job_name(number), "completed").await;
+    }
+    let task = format!("{}.0.0.0", job_name(1));
+    let starts = env.journal.records().iter().filter(|record| record.task == task).count();
+    assert!((2..=5).contains(&starts), "{starts} starts");
+    env.assert_nothing_doubled();
+}
