--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -107,6 +107,12 @@
     let Some(end) = of_event("job_ended").next_back() else {
         return unfinished(lines);
     };
+    if let Some(given_up) = of_event("task_given_up").next_back() {
+        let task = given_up.get("task");
+        let lost = ended_as("Lost").filter(|line| line.get("task") == task);
+        let workers: Vec<&str> = lost.map(|line| line.get("worker")).collect();
+        return format!("failed: its task {task} crashed its workers {}", workers.join(", "));
+    }
     if end.get("end") == "Failed" {
         let workers: Vec<&str> = ended_as("Failed").map(|line| line.get("worker")).collect();
         return format!("failed: its attempts ended as failed on {}", workers.join(", "));
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -23,6 +23,8 @@
 const POLL: Duration = Duration::from_millis(120);
 /// Names of callers' jobs are this far apart.
 const NAMES: u64 = 1_000_000;
+/// Of the numbers of jobs every so many is that of one which crashes its runners; prime to [`NAMES`], so that callers take turns.
+const CRASHING_EVERY: u64 = 23;
 
 struct SoakCaller {
     shared: Arc<SoakShared>,
@@ -82,8 +84,12 @@
         let counts: Vec<u32> = (0..steps).map(|_| self.rng.random_range(1..=4)).collect();
         let run_ms = self.rng.random_range(20..900);
         let fails = if self.rng.random_bool(0.08) { " fail" } else { "" };
-        let body = job_of_steps(&format!("run_ms={run_ms}{fails}"), &counts);
-        let known = KnownJob { counts, ..KnownJob::default() };
+        let crashes = self.next.is_multiple_of(CRASHING_EVERY);
+        // One task, so that a fleet of few runners is left for the others.
+        let counts = if crashes { vec![1] } else { counts };
+        let crash = if crashes { " crash" } else { "" };
+        let body = job_of_steps(&format!("run_ms={run_ms}{fails}{crash}"), &counts);
+        let known = KnownJob { counts, crashes, ..KnownJob::default() };
         self.shared.ledger().jobs.insert(job.to_string(), known);
         body
     }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -29,6 +29,20 @@
     assert!(told.contains("failed on i-1, i-2"), "{told}");
 }
 
+/// A worker that crashes lists no end of its runs, so that they are lost and none has failed.
+#[test]
+fn a_job_with_a_task_that_crashes_its_workers_names_task_and_workers() {
+    let told = told(&[
+        "time=5.000 level=info event=job_submitted job=a1 outcome=accepted",
+        "time=5.100 level=info event=run_ended task=a1.0.0.0 run=1 worker=i-1 end=Lost ran_ms=50",
+        "time=5.100 level=info event=run_ended task=a1.0.0.1 run=1 worker=i-1 end=Lost ran_ms=700",
+        "time=5.300 level=info event=run_ended task=a1.0.0.0 run=2 worker=i-2 end=Lost ran_ms=50",
+        "time=5.300 level=warn event=task_given_up task=a1.0.0.0 worker=i-2",
+        "time=5.300 level=info event=job_ended job=a1 end=Failed age_ms=300 objective_ms=900",
+    ]);
+    assert!(told.ends_with("its task a1.0.0.0 crashed its workers i-1, i-2\n"), "{told}");
+}
+
 #[test]
 fn a_late_job_tells_where_its_time_went_and_what_happened_meanwhile() {
     let told = told(&[
