--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -71,11 +71,7 @@
     let crash = state.last_crash().filter(|crash| crash.instance == target.instance);
     let young = crash.map_or(String::new(), |crash| young_text(&crash.young));
     drop(state);
-    log_event(
-        Level::Info,
-        "runner_ended",
-        &[("instance", &target.instance), ("young", &young)],
-    );
+    log_event(Level::Info, "runner_ended", &[("instance", &target.instance), ("young", &young)]);
 }
 
 async fn look(shared: &Arc<NodeShared>, target: &RunnerTarget) -> Result<(), RunnerError> {
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -76,11 +76,7 @@
         PlanDecision::WorkerCrashed { worker, young } => log_event(
             Level::Warn,
             "worker_crashed",
-            &[
-                ("worker", worker),
-                ("young", &young_text(young)),
-                ("epoch", &epoch),
-            ],
+            &[("worker", worker), ("young", &young_text(young)), ("epoch", &epoch)],
         ),
         PlanDecision::TaskIsolated { task, crashes, worker } => log_event(
             Level::Warn,
--- a/src/workflow/disturbance.rs
+++ b/src/workflow/disturbance.rs
@@ -15,7 +15,7 @@
 use crate::ids::JobId;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::task_name::TaskName;
-use crate::workflow::worker_board::WorkerEntry;
+use crate::workflow::worker_entry::WorkerEntry;
 
 /// Span over which runners measure tails.
 pub const MEASURED_SPAN: Duration = Duration::from_millis(500);
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -29,6 +29,8 @@
 pub mod serving_layout;
 pub mod spec;
 pub mod task_name;
+pub mod task_progress;
 pub mod task_suspicion;
 mod urgency;
 pub mod worker_board;
+pub mod worker_entry;
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -10,7 +10,7 @@
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::WorkerBoard;
-use crate::workflow::worker_board::WorkerEntry;
+use crate::workflow::worker_entry::WorkerEntry;
 
 /// Least share of the processor time it asks for that a task that fills must find free, so that it is
 /// placed: below, it would hold memory and delay its neighbours' fills more than it gains.
--- a/src/workflow/planner_preemption.rs
+++ b/src/workflow/planner_preemption.rs
@@ -10,7 +10,7 @@
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
-use crate::workflow::worker_board::WorkerEntry;
+use crate::workflow::worker_entry::WorkerEntry;
 
 /// Time without a run of its job after which a task may displace others, in milliseconds: room that is about to
 /// become free anyhow is taken first.
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -17,11 +17,11 @@
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::planner_jobs::JobEntry;
-use crate::workflow::progress::RunAttempt;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::task_progress::RunAttempt;
 use crate::workflow::urgency::JobUrgency;
-use crate::workflow::worker_board::WorkerEntry;
+use crate::workflow::worker_entry::WorkerEntry;
 
 /// Multiple of its estimate after which a task that may have copies gets one; estimates are off by half.
 const COPY_AFTER: f64 = 3.0;
--- a/src/workflow/serving_layout.rs
+++ b/src/workflow/serving_layout.rs
@@ -8,7 +8,7 @@
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::worker_board::RunKey;
 use crate::workflow::worker_board::WorkerBoard;
-use crate::workflow::worker_board::WorkerEntry;
+use crate::workflow::worker_entry::WorkerEntry;
 
 /// Fills that work at full pace beside so many jobs that serve: ten by a worker's processors where nothing serves;
 /// else the load of each job swings by itself, and the one nearest to its target binds. Counted on workers of 32
--- a/src/workflow/task_suspicion.rs
+++ b/src/workflow/task_suspicion.rs
@@ -13,8 +13,8 @@
 
 use crate::connection::node_protocol::YOUNG_SPAN;
 use crate::ids::JobId;
-use crate::workflow::progress::TaskCrash;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::task_progress::TaskCrash;
 
 /// Crashes after which a task is given up that all evidence points to. Two may be chance on a day on which workers break off
 /// by themselves.
@@ -203,7 +203,7 @@
     /// Takes in what a planner before has stored of a task.
     ///
     /// ```
-    /// use greengagearch::workflow::progress::TaskCrash;
+    /// use greengagearch::workflow::task_progress::TaskCrash;
     ///
     /// let crash = |life: &str| TaskCrash { life: life.to_string(), age_ms: 10, is_certain: true };
     /// let mut suspicion = greengagearch::workflow::task_suspicion::TaskSuspicion::default();
