--- a/src/connection/retry_pace.rs
+++ b/src/connection/retry_pace.rs
@@ -4,18 +4,13 @@
 //! makes the rates of all converge to equal shares of what the store bears (Chiu and Jain, "Analysis of the increase
 //! and decrease algorithms for congestion avoidance in computer networks", 1989). Pauses are spread at random, so that hosts that
 //! failed together do not come back together.
-//!
-//! The load is 35 hosts with three watches each at a store that bears 160 reads a second, a hundredth of the usual. With a fixed
-//! pause of 0.1 s the store refuses 78 % of all calls and answers 2,415 in 20 s; with these rates it refuses 41 % and answers
-//! 2,971, and no host waits longer than 1.8 s for an answer (tests/retry_pace.rs, simulated).
 
 use std::time::Duration;
 use std::time::Instant;
 
 /// Greatest rate of calls again, a second: right after a single failure a watch returns in about 0.1 s.
 const MOST_RATE: f64 = 10.0;
-/// Least rate of calls again, a second, for all watches of a process: readiness returns within half a second after an outage, and 35 hosts
-/// ask 105 times a second, two thirds of what a store bears that is a hundred times slower than usual.
+/// Least rate of calls again, a second, for all watches of a process: readiness returns within half a second after an outage.
 const LEAST_RATE: f64 = 3.0;
 /// By how much an answer raises the rate, a second.
 const RATE_STEP: f64 = 1.0;
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -86,9 +86,6 @@
 
 /// In how many partitions the jobs' rows are. The store carries out the transactions of one partition one after another, so that
 /// submissions to a single one wait for each other and for the planner's writes.
-///
-/// A store that is a hundred times slower than usual takes 0.3 s for a transaction: three a second in one partition,
-/// 53 in 16, where 19 jobs a second come in (docs/notes/slow-store.md has the arithmetic).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobLayout {
     /// Number of partitions; with one, the rows are beside what the planner writes.
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -27,7 +27,7 @@
 /// Cost of a tail at its target, in shares of a worker's load.
 const RISK_COST: f64 = 1.0;
 /// Cost of a load of one that a task itself adds: it goes where it is light, and leaves other workers to those that
-/// are light there. Three and eight were played, see docs/notes/fills.md.
+/// are light there.
 const OWN_COST: f64 = 3.0;
 /// Time since the last change of fills on a worker after which a pair that was never seen may be tried
 /// there, so that what it does is told apart.
--- a/src/workflow/planner_gathering.rs
+++ b/src/workflow/planner_gathering.rs
@@ -6,8 +6,7 @@
 //! few tasks that serve is emptied where others have room, and single tasks go to where their job is or where many
 //! jobs serve already. A move costs users of a service about a second of one of its tasks; it is made only while
 //! fills wait or are slowed, only while all tasks of its step are at work, one of a step at a time, and into a place
-//! that is kept for it. Over 72 runs of busy days on three sites bulk work earned 0.07 more of what it is worth with
-//! it and with the order by work left, and what serves earned 0.01 more, as it is disturbed less.
+//! that is kept for it. Bulk work gains room by it, and what serves is disturbed less.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
