Tell of heartbeats that an agent drops, and when a runner's life began

An agent that takes a returned runner for a life that has ended left no line of that, so its log could not be told from that of an agent which no heartbeat reaches. heartbeat_dropped names the life, its birth and its number, once in a row; runner_changed names the birth.

--- a/src/platform/runner_registry.rs
+++ b/src/platform/runner_registry.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 
 use crate::connection::node_protocol::RunnerStatus;
+use crate::ids::BirthMillis;
 use crate::ids::InstanceId;
 use crate::workflow::spec::RoomAmount;
 
@@ -25,6 +26,8 @@
     pub address: String,
     /// Number of the heartbeat, rising in one life.
     pub sequence: u64,
+    /// When the life began, if the runner tells.
+    pub born: Option<BirthMillis>,
 }
 
 /// Takes what runners say.
@@ -61,6 +64,8 @@
     labels: Vec<String>,
     #[serde(rename = "Sequence", default)]
     sequence: u64,
+    #[serde(default)]
+    born: Option<BirthMillis>,
 }
 
 type SharedRegistry = Arc<dyn RunnerRegistry>;
@@ -97,7 +102,7 @@
         draining: beat.state != "ready",
     };
     let address = beat.address.to_string();
-    registry.on_beat(RunnerBeat { status, address, sequence: beat.sequence });
+    registry.on_beat(RunnerBeat { status, address, sequence: beat.sequence, born: beat.born });
     Json(Value::Object(serde_json::Map::new()))
 }
 
--- a/src/process/node/known_runner.rs
+++ b/src/process/node/known_runner.rs
@@ -1,6 +1,7 @@
 //! The runner on an agent's host.
 
 use crate::connection::node_protocol::RunnerStatus;
+use crate::ids::BirthMillis;
 
 /// The runner on this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,4 +12,17 @@
     pub address: String,
     /// Number of its newest heartbeat.
     pub sequence: u64,
+    /// When its life began, if it tells.
+    pub born: Option<BirthMillis>,
+}
+
+/// What a heartbeat changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeatEffect {
+    /// The planner should hear of it at once.
+    News,
+    /// Nothing, or nothing yet.
+    None,
+    /// It is dropped: it speaks of a life that is over.
+    Dropped,
 }
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -9,11 +9,13 @@
 use tokio::sync::Semaphore;
 
 use crate::external::runner_control::RunnerControl;
+use crate::ids::InstanceId;
 use crate::platform::runner_registry::RunnerBeat;
 use crate::platform::runner_registry::RunnerRegistry;
 use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::metrics::ProcessMetrics;
+use crate::process::node::known_runner::BeatEffect;
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::state::NodeState;
 
@@ -36,6 +38,8 @@
     /// Tells that another life of the runner may have begun.
     pub life_changed: Notify,
     state: Mutex<NodeState>,
+    /// The life of the last heartbeat that was dropped: those that follow are not logged again.
+    dropped: Mutex<InstanceId>,
 }
 
 impl NodeShared {
@@ -49,6 +53,7 @@
             look: Notify::new(),
             life_changed: Notify::new(),
             state: Mutex::new(NodeState::new(clock::now())),
+            dropped: Mutex::default(),
         }
     }
 
@@ -56,20 +61,44 @@
     pub fn state(&self) -> MutexGuard<'_, NodeState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Whether a dropped heartbeat is the first one in a row of its life.
+    fn is_first_dropped(&self, instance: &InstanceId) -> bool {
+        let mut dropped = self.dropped.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_first = *dropped != *instance;
+        dropped.clone_from(instance);
+        is_first
+    }
 }
 
 impl RunnerRegistry for NodeShared {
     fn on_beat(&self, beat: RunnerBeat) {
         let instance = beat.status.instance.clone();
         let draining = beat.status.draining;
-        let runner =
-            KnownRunner { status: beat.status, address: beat.address, sequence: beat.sequence };
-        if self.state().on_beat(runner) {
-            log_event(
-                log::Level::Info,
-                "runner_changed",
-                &[("instance", &instance), ("sequence", &beat.sequence), ("draining", &draining)],
-            );
+        let born = beat.born.map_or(String::new(), |born| born.to_string());
+        let runner = KnownRunner {
+            status: beat.status,
+            address: beat.address,
+            sequence: beat.sequence,
+            born: beat.born,
+        };
+        let effect = self.state().on_beat(runner);
+        let event = match effect {
+            BeatEffect::News => "runner_changed",
+            BeatEffect::Dropped if self.is_first_dropped(&instance) => "heartbeat_dropped",
+            _ => return,
+        };
+        log_event(
+            log::Level::Info,
+            event,
+            &[
+                ("instance", &instance),
+                ("born", &born),
+                ("sequence", &beat.sequence),
+                ("draining", &draining),
+            ],
+        );
+        if effect == BeatEffect::News {
             self.news.notify_one();
             self.look.notify_one();
             self.life_changed.notify_one();
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -18,6 +18,7 @@
 use crate::external::runner_control::RunnerTarget;
 use crate::ids::InstanceId;
 use crate::process::node::begun_runs::BegunRuns;
+use crate::process::node::known_runner::BeatEffect;
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::local_runs::LocalRuns;
 use crate::process::node::local_runs::LookNumber;
@@ -142,31 +143,31 @@
         stamp == self.stamp
     }
 
-    /// Takes a heartbeat of the runner. Says whether the planner should hear of it at once.
-    pub fn on_beat(&mut self, runner: KnownRunner) -> bool {
+    /// Takes a heartbeat of the runner.
+    pub fn on_beat(&mut self, runner: KnownRunner) -> BeatEffect {
         let instance = &runner.status.instance;
         if self.former.contains(instance) {
-            return false;
+            return BeatEffect::Dropped;
         }
         match &self.runner {
             Some(known) if known.status.instance == *instance => {
                 if runner.sequence <= known.sequence {
-                    return false;
+                    return BeatEffect::None;
                 }
                 let is_news = known.status != runner.status;
                 self.has_news |= is_news;
                 self.runner = Some(runner);
-                is_news
+                if is_news { BeatEffect::News } else { BeatEffect::None }
             }
             Some(_) => {
                 // Either the known life has ended or this heartbeat is an old one that was held up; the
                 // next look at the known life tells.
                 self.candidate = Some(runner);
-                false
+                BeatEffect::None
             }
             None => {
                 self.install(runner);
-                true
+                BeatEffect::News
             }
         }
     }
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -10,6 +10,7 @@
 use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::process::node::known_runner::BeatEffect;
 use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::state::NodeState;
 use greengagearch::workflow::spec::RoomAmount;
@@ -26,7 +27,7 @@
         labels: Vec::new(),
         draining: false,
     };
-    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence }
+    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence, born: None }
 }
 
 fn lists(clock: u64) -> RunnerLists {
@@ -113,7 +114,7 @@
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(0), now);
     assert_eq!(state.target().unwrap().instance, "i-1");
-    assert!(!state.on_beat(runner("i-0", 10)));
+    assert_eq!(state.on_beat(runner("i-0", 10)), BeatEffect::Dropped);
 }
 
 #[test]
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -64,7 +64,7 @@
             draining: false,
         };
         let address = "127.0.0.1:1".to_string();
-        one.state.on_beat(KnownRunner { status, address, sequence: one.beats });
+        one.state.on_beat(KnownRunner { status, address, sequence: one.beats, born: None });
         self.at(500, Event::Beat { agent });
     }
 
--- a/tests/shrunk_capacity.rs
+++ b/tests/shrunk_capacity.rs
@@ -86,7 +86,7 @@
         labels: Vec::new(),
         draining: false,
     };
-    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence }
+    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence, born: None }
 }
 
 fn traits(task: &str, millicores: u64) -> TaskTraits {
