Bring about runners that are back under their ids: with real processes and in the search

The stand-in runner has lives that tell when they were born and follow each other under one id and at one address; calls that were held up are carried out by the newest. Leases are shortened to the longest that there is, there and in the search.

--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -140,6 +140,21 @@
 
     /// Adds a runner's host; the runner's first life has this name.
     pub async fn add_node(&mut self, instance: &str) {
+        let (process, listener, line) = self.add_agent().await;
+        let registry = process.address("registry");
+        let runner = PlatformRunner::spawn(instance, registry, self.journal.clone()).await;
+        self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
+    }
+
+    /// Adds a runner's host whose runner tells when it was born.
+    pub async fn add_born_node(&mut self, instance: &str) {
+        let (process, listener, line) = self.add_agent().await;
+        let registry = process.address("registry");
+        let runner = PlatformRunner::spawn_born(instance, registry, self.journal.clone()).await;
+        self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
+    }
+
+    async fn add_agent(&mut self) -> (ProductProcess, StoreListener, FaultProxy) {
         let listener = self.store.listen().await;
         let line = FaultProxy::bind(&[]).await;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -147,9 +162,18 @@
         let name = format!("node-{}", self.nodes.len());
         let process = self.spawn("gga-node", &text, &name);
         line.set_targets(&[process.address("internal")]);
-        let registry = process.address("registry");
-        let runner = PlatformRunner::spawn(instance, registry, self.journal.clone()).await;
-        self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
+        (process, listener, line)
+    }
+
+    /// Ends the lives of these runners; after a pause each is back under its id.
+    pub async fn rebear_runners(&mut self, nodes: &[usize], pause: Duration) {
+        let lives: Vec<PlatformRunner> =
+            nodes.iter().map(|node| self.nodes[*node].runner.clone()).collect();
+        let births = lives.iter().map(|life| life.rebear(pause));
+        let next = futures::future::join_all(births).await;
+        for (node, life) in nodes.iter().zip(next) {
+            self.nodes[*node].runner = life;
+        }
     }
 
     /// Starts an agent anew at the addresses that it had, as the platform does with a process that died.
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -1,7 +1,8 @@
 //! The users' platform's runner, as far as the product calls it, with its faults.
 //!
 //! A task's text says what it does: `run_ms=200`, `fail` for one that fails, and `crash` for one that crashes its runner, which
-//! is back with another life soon after.
+//! is back with another life soon after. A life has an id of its own, or, where it tells when it was born, the id and the address
+//! of the one before.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,6 +12,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use axum::Json;
 use axum::Router;
@@ -21,6 +24,7 @@
 use axum::response::Response;
 use axum::routing::post;
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -34,6 +38,10 @@
 /// Time after its start at which a task crashes its runner, and after which that runner is back.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
 const BACK_AFTER: Duration = Duration::from_millis(400);
+/// Longest lease; longer ones are shortened.
+const LONGEST_LEASE_MS: u64 = 10_000;
+/// Pause before the address of the life before is tried again, as long as it is taken.
+const BIND_PAUSE: Duration = Duration::from_millis(5);
 /// Time for which a lost answer is held back.
 const HANG: Duration = Duration::from_secs(30);
 
@@ -57,18 +65,46 @@
     successor: Option<PlatformRunner>,
 }
 
+impl RunnerLife {
+    /// Takes a longer lease, up to the longest that there is.
+    fn extend(&mut self, until_ms: u64, clock_ms: u64) {
+        self.until_ms = self.until_ms.max(until_ms.min(clock_ms + LONGEST_LEASE_MS));
+    }
+}
+
 /// A running stand-in; it is one life of a runner.
 #[derive(Clone)]
 pub struct PlatformRunner {
     /// Its life.
     pub instance: String,
     registry: SocketAddr,
+    address: SocketAddr,
+    /// When it was born, if it tells.
+    born: Option<u64>,
     started: Instant,
     /// How fast its steady clock goes.
     speed: f64,
     journal: RunJournal,
     life: Arc<Mutex<RunnerLife>>,
     ended: Arc<Notify>,
+    /// Ends the listener and its connections.
+    closing: Arc<Notify>,
+}
+
+/// Unix time in milliseconds.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Listens at an address that the life before has just left.
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(BIND_PAUSE).await;
+    }
 }
 
 impl PlatformRunner {
@@ -89,15 +125,54 @@
         speed: f64,
     ) -> PlatformRunner {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        PlatformRunner::serve(listener, instance, registry, journal, speed, None)
+    }
+
+    /// The same with a life that tells when it was born, see [`PlatformRunner::rebear`].
+    pub async fn spawn_born(
+        instance: &str,
+        registry: SocketAddr,
+        journal: RunJournal,
+    ) -> PlatformRunner {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let born = Some(unix_millis());
+        PlatformRunner::serve(listener, instance, registry, journal, 1.0, born)
+    }
+
+    /// Ends this life; after a pause another one begins under its id and at its address.
+    pub async fn rebear(&self, pause: Duration) -> PlatformRunner {
+        self.break_off();
+        tokio::time::sleep(pause).await;
+        let listener = listen_again(self.address).await;
+        let (instance, registry) = (&self.instance, self.registry);
+        // Two lives are not born in the same millisecond.
+        let born = self.born.map(|before| unix_millis().max(before + 1));
+        let journal = self.journal.clone();
+        let next = PlatformRunner::serve(listener, instance, registry, journal, self.speed, born);
+        self.lock().successor = Some(next.clone());
+        next
+    }
+
+    fn serve(
+        listener: TcpListener,
+        instance: &str,
+        registry: SocketAddr,
+        journal: RunJournal,
+        speed: f64,
+        born: Option<u64>,
+    ) -> PlatformRunner {
         let address = listener.local_addr().expect("a bound listener has an address");
         let runner = PlatformRunner {
             instance: instance.to_string(),
             registry,
+            address,
+            born,
             started: Instant::now(),
             speed,
             journal,
             life: Arc::default(),
             ended: Arc::default(),
+            closing: Arc::default(),
         };
         let router = Router::new()
             .route("/-/run-start", post(take_start))
@@ -105,7 +180,10 @@
             .route("/-/hold", post(take_hold))
             .route("/-/pace", post(take_pace))
             .with_state(runner.clone());
-        tokio::spawn(async move { axum::serve(listener, router).await });
+        let closing = runner.closing.clone();
+        let closed = async move { closing.notified().await };
+        let serving = axum::serve(listener, router).with_graceful_shutdown(closed);
+        tokio::spawn(serving.into_future());
         tokio::spawn(beat(runner.clone(), registry, address));
         tokio::spawn(expire(runner.clone()));
         runner
@@ -161,8 +239,22 @@
             std::mem::take(&mut life.running).into_keys().collect()
         };
         for (task, run) in running {
-            self.journal.end(&task, run, &self.instance, "crashed");
+            self.journal.end(&task, run, &self.label(), "crashed");
         }
+        if self.born.is_some() {
+            self.closing.notify_one();
+        }
+    }
+
+    /// Names this life alone.
+    fn label(&self) -> String {
+        self.born.map_or(self.instance.clone(), |born| format!("{}@{born}", self.instance))
+    }
+
+    /// The life that carries out a call which was held up: the newest one under the id.
+    fn newest(&self) -> PlatformRunner {
+        let successor = self.lock().successor.clone().filter(|_| self.born.is_some());
+        successor.map_or_else(|| self.clone(), |next| next.newest())
     }
 
     fn is_over(&self) -> bool {
@@ -208,7 +300,7 @@
         if life.running.remove(&(task.to_string(), run)).is_none() {
             return;
         }
-        self.journal.end(task, run, &self.instance, how);
+        self.journal.end(task, run, &self.label(), how);
         life.ends += 1;
         let number = life.ends;
         life.ended.push((number, task.to_string(), run, how.to_string(), String::new()));
@@ -244,12 +336,21 @@
             "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", "r1"],
             "Sequence": sequence,
         });
+        let body = with_birth(body, runner.born);
         // An agent that is down is called again with the next heartbeat.
         let _ = client.put(&url).json(&body).send().await;
         tokio::time::sleep(HEARTBEAT).await;
     }
 }
 
+/// Adds when a life was born, if it tells.
+fn with_birth(mut body: Value, born: Option<u64>) -> Value {
+    if let Some(born) = born {
+        body["born"] = json!(born);
+    }
+    body
+}
+
 /// Ends everything when the lease has expired.
 async fn expire(runner: PlatformRunner) {
     loop {
@@ -294,7 +395,8 @@
     // Carried out to its end, also when the caller gives up.
     let started = tokio::spawn(async move {
         let is_answered = runner.hold_up().await;
-        let answer = start(&runner, &headers, body).unwrap_or_else(|refusal| (*refusal, false));
+        let answer =
+            start(&runner.newest(), &headers, body).unwrap_or_else(|refusal| (*refusal, false));
         (answer, is_answered)
     });
     match started.await {
@@ -316,7 +418,7 @@
     if body.until_ms < runner.clock_ms() {
         return Ok((runner.refuse("late"), false));
     }
-    life.until_ms = life.until_ms.max(body.until_ms);
+    life.extend(body.until_ms, runner.clock_ms());
     let key = (body.task.clone(), body.run);
     if life.running.contains_key(&key) {
         return Ok((runner.answer(), false));
@@ -333,7 +435,7 @@
     }
     life.highest.insert(body.task.clone(), body.run);
     life.running.insert(key, Instant::now());
-    runner.journal.begin(&body.task, body.run, &runner.instance);
+    runner.journal.begin(&body.task, body.run, &runner.label());
     let is_lost = life.lost_answers > 0;
     life.lost_answers = life.lost_answers.saturating_sub(1);
     drop(life);
@@ -394,20 +496,24 @@
             Ok(life) => life,
             Err(refusal) => return *refusal,
         };
-        life.until_ms = life.until_ms.max(body.until_ms);
+        life.extend(body.until_ms, runner.clock_ms());
         let (seen, left) = life.ended.drain(..).partition(|ended| ended.0 <= body.seen);
         life.ended = left;
         let lapsed = life.lapsed.unwrap_or(runner.started);
-        runner.journal.note(&runner.instance, &seen, lapsed);
+        runner.journal.note(&runner.label(), &seen, lapsed);
         !life.ended.is_empty()
     };
     if !has_ends {
         // The wait is over when something ends or when it has been long enough.
         let _ = timeout(Duration::from_millis(body.wait_ms), runner.ended.notified()).await;
     }
+    if runner.is_over() && runner.born.is_some() {
+        // A process that has crashed answers nothing.
+        tokio::time::sleep(HANG).await;
+    }
     let life = runner.lock();
     let running: Vec<_> =
         life.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
-    Json(json!({ "ClockMs": runner.clock_ms(), "Running": running, "Ended": life.ended }))
-        .into_response()
+    let body = json!({ "ClockMs": runner.clock_ms(), "Running": running, "Ended": life.ended });
+    Json(with_birth(body, runner.born)).into_response()
 }
--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -68,6 +68,18 @@
     }
 }
 
+/// Guards against a fleet that shrinks for good, and against calls for a former life that the present one carries out: runners come
+/// back under the ids that they had.
+#[test]
+fn no_schedule_breaks_a_promise_where_runners_come_back_under_their_ids() {
+    let mut broken = Vec::new();
+    for seed in 0..SCHEDULES {
+        let found = PlanningWorld::new(seed, Missing::Nothing, specs()).with_same_ids().run();
+        broken.extend(found.into_iter().map(|what| format!("seed {seed}: {what}")));
+    }
+    assert_eq!(broken, Vec::<String>::new());
+}
+
 /// The runners' own fence is a second line: agents refuse older epochs and runners lower numbers. 6,000 schedules
 /// without it broke nothing.
 #[test]
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -50,13 +50,14 @@
     }
 
     fn on_beat(&mut self, agent: usize) {
+        let instance = self.told_name(agent);
         let one = &mut self.agents[agent];
         if !one.life.is_alive {
             return self.at(500, Event::Beat { agent });
         }
         one.beats += 1;
         let status = RunnerStatus {
-            instance: one.life.name.clone(),
+            instance,
             service: "s".to_string(),
             domain: "d".to_string(),
             capacity: RoomAmount { millicores: 2_000, memory_mib: 4_000, accelerators: 0 },
@@ -187,8 +188,8 @@
         }
         let longer = if self.has_cuts { LONG_RUN } else { 0 };
         let due = self.now + longer + self.rng.random_range(100..1_500);
+        let is_there = self.is_taken(agent, &target.instance);
         let (now, audit, life) = (self.now, &mut self.audit, &mut self.agents[agent].life);
-        let is_there = life.is_alive && life.name == target.instance;
         let begins = match &order {
             Order::Start { key, .. } => Some(&key.0) == self.crasher.as_ref() && is_there,
             _ => false,
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -284,6 +284,8 @@
     cancelled: BTreeMap<String, u64>,
     /// Whether hosts that were paused are cut off afterwards, while tasks take long.
     has_cuts: bool,
+    /// Whether runners come back under the ids that they had, and so take calls that were meant for lives before.
+    has_same_ids: bool,
     /// A task that crashes each runner that starts it.
     crasher: Option<TaskName>,
     specs: Vec<WorkflowSpec>,
--- a/tests/planning_world/runner.rs
+++ b/tests/planning_world/runner.rs
@@ -113,6 +113,9 @@
     }
 }
 
+/// Longest lease; longer ones are shortened.
+const LONGEST_LEASE: u64 = 10_000;
+
 /// What a runner answers to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunnerAnswer {
@@ -224,7 +227,7 @@
         if until <= self.clock(now) {
             return RunnerAnswer::Late;
         }
-        self.until = self.until.max(until);
+        self.extend(until, now);
         let highest = self.highest.entry(key.0.clone()).or_insert(0);
         if key.1 <= *highest {
             return RunnerAnswer::Old;
@@ -262,7 +265,7 @@
         if self.is_fenced(fence) {
             return None;
         }
-        self.until = until.unwrap_or(0).max(self.until);
+        self.extend(until.unwrap_or(0), now);
         for ended in self.ended.iter().filter(|ended| ended.number <= seen) {
             audit.ack(&(ended.task.clone(), ended.run), &self.name, self.lapsed);
         }
@@ -276,6 +279,11 @@
         Some(RunnerLists { clock: self.clock(now), running, ended: self.ended.clone() })
     }
 
+    /// Takes a longer lease, up to the longest that there is.
+    fn extend(&mut self, until: u64, now: u64) {
+        self.until = self.until.max(until.min(self.clock(now) + LONGEST_LEASE));
+    }
+
     pub fn is_idle(&self) -> bool {
         self.running.is_empty()
     }
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// The id of a runner, from the name of one of its lives.
+fn runner_id(life: &str) -> &str {
+    life.split('-').next().unwrap_or(life)
+}
+
 impl PlanningWorld {
     /// A world in which jobs of `specs` are submitted over time and faults come until [`FAULTS_UNTIL`].
     pub fn new(seed: u64, missing: Missing, specs: Vec<WorkflowSpec>) -> PlanningWorld {
@@ -21,6 +26,7 @@
             agents: Vec::new(),
             cancelled: BTreeMap::new(),
             has_cuts: false,
+            has_same_ids: false,
             crasher: None,
             specs,
             audit: RunAudit::default(),
@@ -68,6 +74,31 @@
         self
     }
 
+    /// The same world with runners that come back under the ids that they had.
+    pub fn with_same_ids(mut self) -> PlanningWorld {
+        self.has_same_ids = true;
+        self
+    }
+
+    /// What a life of a runner is called where it is told of.
+    pub(super) fn told_name(&self, agent: usize) -> String {
+        let name = &self.agents[agent].life.name;
+        match self.has_same_ids {
+            true => runner_id(name).to_string(),
+            false => name.clone(),
+        }
+    }
+
+    /// Whether a call for a life is carried out by the present one.
+    pub(super) fn is_taken(&self, agent: usize, meant: &str) -> bool {
+        let life = &self.agents[agent].life;
+        let is_meant = match self.has_same_ids {
+            true => runner_id(&life.name) == runner_id(meant),
+            false => life.name == meant,
+        };
+        life.is_alive && is_meant
+    }
+
     /// Plays the schedule. Gives what broke a promise.
     pub fn run(mut self) -> Vec<String> {
         while let Some(((at, _), event)) = self.queue.pop_first() {
@@ -195,6 +226,11 @@
     fn crash_runner(&mut self, agent: usize) {
         let now = self.now;
         self.agents[agent].life.crash(now, &mut self.audit);
+        if self.has_same_ids && self.chance(0.5) {
+            let life = self.agents[agent].life.name.clone();
+            let pause = self.rng.random_range(10..4_000);
+            return self.at(pause, Event::Back { agent, life });
+        }
         self.renew_runner(agent);
     }
 
