Name a runner's life by its id and its birth

Callers saw tasks that last stand still for good, and the fleet smaller by each runner that had crashed: runners may be back under their ids now. Cause: a life was known by its runner's id. The agent took every heartbeat of the next life for a late one of the life that had ended and dropped it; former lives, stored lives, ends, leases and suspicion were kept under the same name.

The adapter makes one name of id and birth, and everything outside knows a life by that name; calls and questions name the id again. Lists that tell another birth are told as those of another life, so that who answers decides which life is present, whatever order heartbeats come in and wherever clocks are put. A leave names no life, and a row of the version before names lives by ids: neither ends a life that answers. Runners that tell no birth are named as before.

--- a/src/external/runner_control.rs
+++ b/src/external/runner_control.rs
@@ -22,7 +22,7 @@
 pub struct RunnerTarget {
     /// Address of the runner.
     pub address: String,
-    /// The life that is meant; any other refuses.
+    /// The life that is meant. A later life of the same runner carries the call out all the same, and is told as another one.
     pub instance: InstanceId,
     /// Epoch of the planner, as fencing token.
     pub epoch: PlannerEpoch,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -36,6 +36,8 @@
 pub type BodyDigest = u64;
 /// Name of a queue of jobs, as the operator's configuration gives it.
 pub type QueueName = String;
+/// Identifier of a runner, which may be back under it after a crash.
+pub type RunnerId = String;
 /// Identifier of one life of a runner; a restart makes a new one.
 pub type InstanceId = String;
 /// When a runner started, as Unix time in milliseconds by the clock of its host.
--- a/src/platform/advice_client.rs
+++ b/src/platform/advice_client.rs
@@ -11,6 +11,7 @@
 use crate::external::advice_service::AdviceService;
 use crate::platform::http_client::CallResult;
 use crate::platform::http_client::PlatformHttp;
+use crate::platform::life_name::runner_id;
 use crate::workflow::advice_book::AdviceQuestion;
 
 /// Time for an answer; the service takes calls of one host in turn, each for some time a worker.
@@ -18,7 +19,7 @@
 
 #[derive(Debug, Deserialize)]
 struct WireAdvice {
-    /// Rows of a worker's life and its ticket.
+    /// Rows of a runner's id and its ticket.
     #[serde(rename = "Allowed", default)]
     allowed: Vec<(String, String)>,
     #[serde(rename = "ValidityMs", default)]
@@ -47,15 +48,17 @@
 impl AdviceService for AdviceClient {
     async fn advise(&self, question: &AdviceQuestion) -> Option<AdviceAnswer> {
         let (job, occurrence, step) = &question.step;
-        let body = json!({
-            "Step": format!("{job}.{occurrence}.{step}"), "Workers": question.workers,
-        });
+        let runners: Vec<&str> = question.workers.iter().map(|life| runner_id(life)).collect();
+        let body = json!({ "Step": format!("{job}.{occurrence}.{step}"), "Workers": runners });
         let request = self.http.client().post(&self.url).json(&body);
         let CallResult::Answer(StatusCode::OK, body) = self.http.send(request, ANSWER_LIMIT).await
         else {
             return None;
         };
         let wire: WireAdvice = serde_json::from_slice(&body).ok()?;
-        Some((wire.allowed, Duration::from_millis(wire.valid_ms)))
+        let life_of = |runner: &str| question.workers.iter().find(|life| runner_id(life) == runner);
+        let allowed = wire.allowed.into_iter();
+        let allowed = allowed.filter_map(|(runner, text)| Some((life_of(&runner)?.clone(), text)));
+        Some((allowed.collect(), Duration::from_millis(wire.valid_ms)))
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller_gate;
 pub mod configuration;
 pub mod http_client;
+pub mod life_name;
 pub mod runner_client;
 pub mod runner_registry;
 pub mod store_client;
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -18,15 +18,18 @@
 use crate::external::runner_control::RunnerLists;
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
+use crate::ids::BirthMillis;
 use crate::ids::PlannerEpoch;
 use crate::ids::RunNumber;
 use crate::platform::http_client::CallResult;
 use crate::platform::http_client::PlatformHttp;
+use crate::platform::life_name::life_name;
+use crate::platform::life_name::runner_id;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::task_name::UnknownTask;
 
-/// Header that names the life of a runner that a call is meant for.
+/// Header that names the runner that a call is meant for, not which of its lives.
 const EXPECT_INSTANCE: &str = "X-Greengagearch-Expect-Instance";
 /// Time for the answer to an order; the runner is on the same host, so that a longer silence means
 /// that the order is delayed or lost and has to be repeated.
@@ -82,6 +85,8 @@
 struct WireRefusal {
     #[serde(rename = "Reason", default)]
     reason: String,
+    #[serde(default)]
+    born: Option<BirthMillis>,
 }
 
 /// A run at work: task, run, saved work, percent of its work that is done, and its usage.
@@ -97,11 +102,33 @@
     running: Vec<WireRunning>,
     #[serde(rename = "Ended", default)]
     ended: Vec<WireEnded>,
+    #[serde(default)]
+    born: Option<BirthMillis>,
 }
 
 /// Any answer that says no more than that an order was carried out.
 #[derive(Debug, Deserialize)]
-struct WireDone {}
+struct WireDone {
+    #[serde(default)]
+    born: Option<BirthMillis>,
+}
+
+/// An answer that may tell when the life that gives it began.
+trait RunnerAnswer: DeserializeOwned {
+    fn born(&self) -> Option<BirthMillis>;
+}
+
+impl RunnerAnswer for WireLists {
+    fn born(&self) -> Option<BirthMillis> {
+        self.born
+    }
+}
+
+impl RunnerAnswer for WireDone {
+    fn born(&self) -> Option<BirthMillis> {
+        self.born
+    }
+}
 
 /// A client of the runner on this host.
 #[derive(Debug)]
@@ -119,7 +146,7 @@
         RunnerClient { http: PlatformHttp::open() }
     }
 
-    async fn call<B: Serialize + Sync, T: DeserializeOwned>(
+    async fn call<B: Serialize + Sync, T: RunnerAnswer>(
         &self,
         target: &RunnerTarget,
         name: &str,
@@ -130,9 +157,9 @@
             .http
             .client()
             .post(format!("http://{}/-/{name}", target.address))
-            .header(EXPECT_INSTANCE, &target.instance)
+            .header(EXPECT_INSTANCE, runner_id(&target.instance))
             .json(body);
-        decode(self.http.send(request, limit).await)
+        decode(target, self.http.send(request, limit).await)
     }
 }
 
@@ -195,7 +222,7 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(result: CallResult) -> Result<T, RunnerError> {
+fn decode<T: RunnerAnswer>(target: &RunnerTarget, result: CallResult) -> Result<T, RunnerError> {
     let (status, body) = match result {
         CallResult::Answer(status, body) => (status, body),
         CallResult::Refused => return Err(RunnerError::NotRunning),
@@ -204,10 +231,9 @@
         }
     };
     match status {
-        StatusCode::OK => serde_json::from_slice(&body)
-            .map_err(|error| RunnerError::NoAnswer { reason: error.to_string() }),
+        StatusCode::OK => decode_answer(target, &body),
         StatusCode::MISDIRECTED_REQUEST => Err(RunnerError::OtherLife),
-        StatusCode::CONFLICT => Err(decode_refusal(&body)),
+        StatusCode::CONFLICT => Err(decode_refusal(target, &body)),
         StatusCode::BAD_REQUEST => Err(RunnerError::Rejected { reason: RejectReason::Malformed }),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             Err(RunnerError::Rejected { reason: RejectReason::Unwell })
@@ -216,9 +242,27 @@
     }
 }
 
-fn decode_refusal(body: &[u8]) -> RunnerError {
+/// An answer of another life than the one that was meant is told as such, though that life has carried out the call.
+fn decode_answer<T: RunnerAnswer>(target: &RunnerTarget, body: &[u8]) -> Result<T, RunnerError> {
+    let answer: T = serde_json::from_slice(body)
+        .map_err(|error| RunnerError::NoAnswer { reason: error.to_string() })?;
+    match is_meant(target, answer.born()) {
+        true => Ok(answer),
+        false => Err(RunnerError::OtherLife),
+    }
+}
+
+/// Whether an answer is of the life that was meant; one without a birth tells of no other.
+fn is_meant(target: &RunnerTarget, born: Option<BirthMillis>) -> bool {
+    born.is_none() || life_name(runner_id(&target.instance), born) == target.instance
+}
+
+fn decode_refusal(target: &RunnerTarget, body: &[u8]) -> RunnerError {
     // A refusal without a reason that is known counts as one for a malformed order.
     let refusal: WireRefusal = serde_json::from_slice(body).unwrap_or_default();
+    if !is_meant(target, refusal.born) {
+        return RunnerError::OtherLife;
+    }
     let reason = match refusal.reason.as_str() {
         "fence" => return RunnerError::Fenced,
         "old" => RejectReason::Old,
--- a/src/platform/runner_registry.rs
+++ b/src/platform/runner_registry.rs
@@ -14,12 +14,15 @@
 
 use crate::connection::node_protocol::RunnerStatus;
 use crate::ids::BirthMillis;
-use crate::ids::InstanceId;
+use crate::ids::RunnerId;
+use crate::platform::life_name::life_name;
 use crate::workflow::spec::RoomAmount;
 
 /// What a runner says of itself at a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerBeat {
+    /// Its id.
+    pub runner: RunnerId,
     /// Its state.
     pub status: RunnerStatus,
     /// Where it takes orders.
@@ -34,8 +37,8 @@
 pub trait RunnerRegistry: Send + Sync {
     /// Takes a heartbeat.
     fn on_beat(&self, beat: RunnerBeat);
-    /// Takes note that a life of the runner has ended.
-    fn on_leave(&self, instance: &str);
+    /// Takes note that a runner says that it ends. Which of its lives says so is not told, and it may have said so long ago.
+    fn on_leave(&self, runner: &str);
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -86,11 +89,11 @@
 
 async fn take_beat(
     State(registry): State<SharedRegistry>,
-    Path(instance): Path<InstanceId>,
+    Path(runner): Path<RunnerId>,
     Json(beat): Json<WireBeat>,
 ) -> Json<Value> {
     let status = RunnerStatus {
-        instance,
+        instance: life_name(&runner, beat.born),
         service: beat.service,
         domain: beat.domain,
         capacity: RoomAmount {
@@ -102,14 +105,15 @@
         draining: beat.state != "ready",
     };
     let address = beat.address.to_string();
-    registry.on_beat(RunnerBeat { status, address, sequence: beat.sequence, born: beat.born });
+    let (sequence, born) = (beat.sequence, beat.born);
+    registry.on_beat(RunnerBeat { runner, status, address, sequence, born });
     Json(Value::Object(serde_json::Map::new()))
 }
 
 async fn take_leave(
     State(registry): State<SharedRegistry>,
-    Path(instance): Path<InstanceId>,
+    Path(runner): Path<RunnerId>,
 ) -> StatusCode {
-    registry.on_leave(&instance);
+    registry.on_leave(&runner);
     StatusCode::OK
 }
--- a/src/process/node/known_runner.rs
+++ b/src/process/node/known_runner.rs
@@ -2,10 +2,13 @@
 
 use crate::connection::node_protocol::RunnerStatus;
 use crate::ids::BirthMillis;
+use crate::ids::RunnerId;
 
 /// The runner on this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownRunner {
+    /// Its id, under which it may have had lives before.
+    pub runner: RunnerId,
     /// What it says of itself.
     pub status: RunnerStatus,
     /// Where it takes orders.
--- a/src/process/node/local_runs.rs
+++ b/src/process/node/local_runs.rs
@@ -51,6 +51,15 @@
         self.looks
     }
 
+    /// Number of the newest look.
+    ///
+    /// ```
+    /// assert_eq!(greengagearch::process::node::local_runs::LocalRuns::default().newest_look(), 0);
+    /// ```
+    pub fn newest_look(&self) -> LookNumber {
+        self.looks
+    }
+
     /// Takes note of a start that is about to be sent. Says whether it is new.
     ///
     /// ```
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -77,6 +77,7 @@
         let draining = beat.status.draining;
         let born = beat.born.map_or(String::new(), |born| born.to_string());
         let runner = KnownRunner {
+            runner: beat.runner,
             status: beat.status,
             address: beat.address,
             sequence: beat.sequence,
@@ -105,9 +106,9 @@
         }
     }
 
-    fn on_leave(&self, instance: &str) {
-        if self.state().on_leave(instance) {
-            log_event(log::Level::Info, "runner_left", &[("instance", &instance)]);
+    fn on_leave(&self, runner: &str) {
+        log_event(log::Level::Info, "runner_left", &[("runner", &runner)]);
+        if self.state().on_leave(runner) {
             self.news.notify_one();
             self.life_changed.notify_one();
         }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -52,6 +52,8 @@
     /// Lives that broke off, and when that was noticed.
     crashes: Vec<(Instant, RunnerCrash)>,
     answered: Instant,
+    /// The newest look when the runner said that it ends, until a later one shows that its present life goes on.
+    left_at: Option<LookNumber>,
     /// The first sign since the last answer that the present life has broken off.
     silent_since: Option<Instant>,
     sent_until: Option<Instant>,
@@ -94,6 +96,7 @@
             earlier: Vec::new(),
             crashes: Vec::new(),
             answered: started,
+            left_at: None,
             silent_since: None,
             sent_until: None,
             lease_until: None,
@@ -200,33 +203,46 @@
         false
     }
 
-    /// Takes note that a life of the runner has ended.
-    pub fn on_leave(&mut self, instance: &str) -> bool {
-        let is_known = self.runner.as_ref().is_some_and(|known| known.status.instance == instance);
-        if is_known {
-            self.retire();
-            self.has_news = true;
-            if let Some(candidate) = self.candidate.take() {
-                self.install(candidate);
-            }
+    /// Takes note that a runner says that it ends. Says whether its present life is over. Where runners come back under their ids a
+    /// former life may have said so, and the next look tells.
+    pub fn on_leave(&mut self, runner: &str) -> bool {
+        let Some(known) = self.runner.as_ref().filter(|known| known.runner == runner) else {
+            return false;
+        };
+        if known.born.is_some() {
+            self.left_at = Some(self.runs.newest_look());
+            return false;
+        }
+        self.end_life();
+        true
+    }
+
+    /// The present life is over; one that has registered since takes its place.
+    fn end_life(&mut self) {
+        self.retire();
+        self.has_news = true;
+        if let Some(candidate) = self.candidate.take() {
+            self.install(candidate);
         }
-        is_known
     }
 
     /// Takes note that a life has broken off: nobody listens at its address, or another life does.
     pub fn on_crash(&mut self, instance: &str, now: Instant) -> bool {
-        if self.present_life().is_some_and(|life| life == instance) {
+        let is_present = self.present_life().is_some_and(|life| life == instance);
+        if is_present {
             self.silent_since.get_or_insert(now);
             self.note_crash(now);
+            self.end_life();
         }
-        self.on_leave(instance)
+        is_present
     }
 
     /// Remembers what was young on the present life, which has broken off. A runner that is leaving ends as it said.
     fn note_crash(&mut self, now: Instant) {
         let crashed = self.silent_since.unwrap_or(now);
         let young = self.begun.young_at(self.answered, crashed);
-        if let Some(runner) = self.runner.as_ref().filter(|runner| !runner.status.draining) {
+        let has_said_so = |runner: &&KnownRunner| runner.status.draining || self.left_at.is_some();
+        if let Some(runner) = self.runner.as_ref().filter(|runner| !has_said_so(runner)) {
             let instance = runner.status.instance.clone();
             self.crashes.push((now, RunnerCrash { instance, young }));
         }
@@ -250,6 +266,7 @@
         self.runs.clear();
         self.begun = BegunRuns::default();
         self.silent_since = None;
+        self.left_at = None;
         self.fresh_look = None;
         self.present.clear();
         self.reported_ends = 0;
@@ -273,10 +290,15 @@
         self.earlier = lives;
     }
 
-    /// A host has one life of a runner at a time: where one answers, those before it are over.
+    /// A host has one life of a runner at a time: where one answers, those before it are over. A row of a version that knew no births
+    /// names lives by their runners, so that it may mean the present one.
     fn end_earlier_lives(&mut self) {
         for life in std::mem::take(&mut self.earlier) {
-            if self.present_life() != Some(&life) && !self.former.contains(&life) {
+            let is_present = self
+                .runner
+                .as_ref()
+                .is_some_and(|known| known.status.instance == life || known.runner == life);
+            if !is_present && !self.former.contains(&life) {
                 self.add_former(life);
                 self.has_news = true;
             }
@@ -379,6 +401,7 @@
         self.clock = Some((lists.clock, now));
         self.answered = now;
         self.silent_since = None;
+        self.left_at.take_if(|left_at| number > *left_at);
         self.begun.on_look(&lists.running, now);
         if let Some(stale) = self.candidate.take() {
             // The known life has answered after this one's heartbeat came.
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -78,9 +78,10 @@
     /// Its life.
     pub instance: String,
     registry: SocketAddr,
-    address: SocketAddr,
+    /// Where it takes orders.
+    pub address: SocketAddr,
     /// When it was born, if it tells.
-    born: Option<u64>,
+    pub born: Option<u64>,
     started: Instant,
     /// How fast its steady clock goes.
     speed: f64,
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -27,7 +27,14 @@
         labels: Vec::new(),
         draining: false,
     };
-    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence, born: None }
+    let address = "127.0.0.1:1".to_string();
+    KnownRunner { runner: instance.to_string(), status, address, sequence, born: None }
+}
+
+/// A life of the runner `i-1`, which is back under its id after each crash.
+fn born(born: u64, sequence: u64) -> KnownRunner {
+    let known = runner(&format!("i-1@{born}"), sequence);
+    KnownRunner { runner: "i-1".to_string(), born: Some(born), ..known }
 }
 
 fn lists(clock: u64) -> RunnerLists {
@@ -300,3 +307,60 @@
     assert_eq!(state.report(now).former, ["i-1"]);
     assert!(!state.has_news());
 }
+
+/// Guards against a runner that is out of the fleet for good after a crash: the next life under its id counts its heartbeats from
+/// one, and may have been born earlier by a clock that was put back.
+#[test]
+fn a_runner_that_is_back_under_its_id_is_taken_in_as_another_life() {
+    for birth in [300, 100] {
+        let now = Instant::now();
+        let mut state = NodeState::new(now);
+        state.on_beat(born(200, 40));
+        state.admit(STAMP).unwrap();
+        assert!(state.on_crash("i-1@200", now));
+        assert_eq!(state.on_beat(born(200, 41)), BeatEffect::Dropped);
+        assert_eq!(state.on_beat(born(birth, 1)), BeatEffect::News);
+        let report = state.report(now);
+        assert_eq!(report.runner.unwrap().instance, format!("i-1@{birth}"));
+        assert_eq!(report.former, ["i-1@200"]);
+    }
+}
+
+/// Guards against the end of a living runner: its former life has said that it ends, and is heard late.
+#[test]
+fn a_leave_that_a_former_life_sent_ends_nothing_while_the_present_one_answers() {
+    let now = Instant::now();
+    let mut state = NodeState::new(now);
+    state.on_beat(born(200, 1));
+    state.admit(STAMP).unwrap();
+    assert!(!state.on_leave("i-1"));
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    assert_eq!(state.present_life().map(String::as_str), Some("i-1@200"));
+    state.on_crash("i-1@200", now);
+    assert_eq!(state.report(now).crashes.len(), 1, "it went on, so that this was not its leave");
+}
+
+/// A runner that has said that it ends and answers no more has not broken off.
+#[test]
+fn a_runner_that_ends_as_it_said_has_not_broken_off() {
+    let now = Instant::now();
+    let mut state = NodeState::new(now);
+    state.on_beat(born(200, 1));
+    state.on_leave("i-1");
+    assert!(state.on_crash("i-1@200", now));
+    assert!(state.report(now).crashes.is_empty());
+}
+
+/// Guards against the end of a living runner: the version before stored lives by the ids of their runners.
+#[test]
+fn a_life_that_was_stored_by_its_id_alone_may_be_the_present_one() {
+    let now = Instant::now();
+    let mut state = NodeState::new(now);
+    state.on_earlier_lives(vec!["i-0".to_string(), "i-1".to_string(), "i-1@100".to_string()]);
+    state.on_beat(born(200, 1));
+    state.admit(STAMP).unwrap();
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    assert_eq!(state.report(now).former, ["i-0", "i-1@100"]);
+}
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -50,7 +50,8 @@
     }
 
     fn on_beat(&mut self, agent: usize) {
-        let instance = self.told_name(agent);
+        let (instance, runner) = (self.agents[agent].life.name.clone(), self.told_id(agent));
+        let born = self.has_same_ids.then_some(self.agents[agent].lives);
         let one = &mut self.agents[agent];
         if !one.life.is_alive {
             return self.at(500, Event::Beat { agent });
@@ -65,7 +66,7 @@
             draining: false,
         };
         let address = "127.0.0.1:1".to_string();
-        one.state.on_beat(KnownRunner { status, address, sequence: one.beats, born: None });
+        one.state.on_beat(KnownRunner { runner, status, address, sequence: one.beats, born });
         self.at(500, Event::Beat { agent });
     }
 
@@ -204,6 +205,12 @@
                 CallAnswer::Lists(life.hold(target.epoch, *lease_end, *seen, now, audit))
             }
         };
+        // The adapter sees that another life has answered than the one that was meant.
+        let is_other = is_there && self.agents[agent].life.name != target.instance;
+        let answer = match answer {
+            CallAnswer::Lists(_) if is_other => CallAnswer::Gone,
+            answer => answer,
+        };
         if begins && matches!(answer, CallAnswer::Order(RunnerAnswer::Done)) {
             self.at(CRASH_AFTER, Event::Crash { agent, life: target.instance.clone() });
         }
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -80,8 +80,8 @@
         self
     }
 
-    /// What a life of a runner is called where it is told of.
-    pub(super) fn told_name(&self, agent: usize) -> String {
+    /// The id that a runner tells.
+    pub(super) fn told_id(&self, agent: usize) -> String {
         let name = &self.agents[agent].life.name;
         match self.has_same_ids {
             true => runner_id(name).to_string(),
--- a/tests/shrunk_capacity.rs
+++ b/tests/shrunk_capacity.rs
@@ -86,7 +86,8 @@
         labels: Vec::new(),
         draining: false,
     };
-    KnownRunner { status, address: "127.0.0.1:1".to_string(), sequence, born: None }
+    let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
+    KnownRunner { runner, status, address, sequence, born: None }
 }
 
 fn traits(task: &str, millicores: u64) -> TaskTraits {
