--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -98,6 +98,7 @@
             now: Duration::ZERO,
             runner: Some(status),
             former: vec![],
+            unsettled: Vec::new(),
             crashes: vec![],
             look: Some(look),
         }
--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -18,6 +18,7 @@
 use crate::workflow::progress::RunEnd;
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::worker_board::RunKey;
 
 /// Age up to which a run is young. A program that crashes its worker as it starts does so well within this time.
 pub const YOUNG_SPAN: Duration = Duration::from_millis(1_000);
@@ -253,7 +254,9 @@
     pub runner: Option<RunnerStatus>,
     /// Earlier lives of the runner, which run nothing any more.
     pub former: Vec<InstanceId>,
-    /// Of these, lives that broke off of late.
+    /// Runs given to them that the next life of the runner may have begun, or may yet.
+    pub unsettled: Vec<RunKey>,
+    /// Of the former lives, those that broke off of late.
     pub crashes: Vec<RunnerCrash>,
     /// The newest look; nothing when the runner did not answer lately.
     pub look: Option<RunnerLook>,
--- a/src/external/runner_control.rs
+++ b/src/external/runner_control.rs
@@ -9,6 +9,7 @@
 use crate::connection::node_protocol::PresentRun;
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::StartOrder;
+use crate::ids::FencingToken;
 use crate::ids::InstanceId;
 use crate::ids::PlannerEpoch;
 use crate::ids::RunNumber;
@@ -24,8 +25,10 @@
     pub address: String,
     /// The life that is meant. A later life of the same runner carries the call out all the same, and is told as another one.
     pub instance: InstanceId,
-    /// Epoch of the planner, as fencing token.
+    /// Epoch of the planner.
     pub epoch: PlannerEpoch,
+    /// Fencing token of the planner for this life.
+    pub fence: FencingToken,
 }
 
 /// What a look at a runner shows.
@@ -71,6 +74,8 @@
     /// No answer; the call may have been carried out, or may yet be.
     #[snafu(display("no answer: {reason}"))]
     NoAnswer {
+        /// Whether the connection broke, in place of staying silent.
+        is_broken: bool,
         /// Why.
         reason: String,
     },
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -46,6 +46,8 @@
 pub type RunNumber = u32;
 /// Epoch of the planner's ownership; each takeover raises it by one.
 pub type PlannerEpoch = u64;
+/// Token of calls to a runner, which refuses those that are lower than the highest it has seen.
+pub type FencingToken = u64;
 /// Reference to saved work of a task, opaque to the product; empty when there is none.
 pub type CheckpointRef = String;
 /// Name of a rack.
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -42,7 +42,9 @@
     Refused,
     /// The call never left.
     NotSent(String),
-    /// The call left, and no whole answer came.
+    /// The call left, and its connection broke before a whole answer came.
+    Broken(String),
+    /// The call left, and no whole answer came in time.
     NoAnswer(String),
 }
 
@@ -101,7 +103,7 @@
             Err(CallFailure::Broken(error)) if error.is_connect() => {
                 CallResult::NotSent(error.to_string())
             }
-            Err(CallFailure::Broken(error)) => CallResult::NoAnswer(error.to_string()),
+            Err(CallFailure::Broken(error)) => CallResult::Broken(error.to_string()),
             Err(CallFailure::Silent(limit)) => {
                 self.replace();
                 CallResult::NoAnswer(format!("nothing within {} ms", limit.as_millis()))
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -1,5 +1,6 @@
 //! The platform's runners, as the product's [`RunnerControl`].
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -19,7 +20,7 @@
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
 use crate::ids::BirthMillis;
-use crate::ids::PlannerEpoch;
+use crate::ids::FencingToken;
 use crate::ids::RunNumber;
 use crate::platform::http_client::CallResult;
 use crate::platform::http_client::PlatformHttp;
@@ -50,7 +51,7 @@
     #[serde(rename = "UntilMs")]
     lease_end: RunnerMillis,
     #[serde(rename = "Fence")]
-    epoch: PlannerEpoch,
+    fence: FencingToken,
     #[serde(rename = "LastCheckpoint", skip_serializing_if = "str::is_empty")]
     checkpoint: &'a str,
     #[serde(rename = "Ticket", skip_serializing_if = "Option::is_none")]
@@ -66,7 +67,7 @@
     #[serde(rename = "Percent", skip_serializing_if = "Option::is_none")]
     percent: Option<u32>,
     #[serde(rename = "Fence")]
-    epoch: PlannerEpoch,
+    fence: FencingToken,
 }
 
 #[derive(Debug, Serialize)]
@@ -74,7 +75,7 @@
     #[serde(rename = "UntilMs", skip_serializing_if = "Option::is_none")]
     lease_end: Option<RunnerMillis>,
     #[serde(rename = "Fence")]
-    epoch: PlannerEpoch,
+    fence: FencingToken,
     #[serde(rename = "LastSeen")]
     seen: u64,
     #[serde(rename = "WaitMs")]
@@ -176,7 +177,7 @@
             run: order.run,
             payload: &order.payload,
             lease_end,
-            epoch: target.epoch,
+            fence: target.fence,
             checkpoint: &order.checkpoint,
             ticket: order.ticket.as_deref(),
         };
@@ -189,7 +190,7 @@
         task: &TaskName,
         run: RunNumber,
     ) -> Result<(), RunnerError> {
-        let body = WireStop { task: task.to_string(), run, percent: None, epoch: target.epoch };
+        let body = WireStop { task: task.to_string(), run, percent: None, fence: target.fence };
         self.call(target, "run-stop", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
     }
 
@@ -201,7 +202,7 @@
         percent: u32,
     ) -> Result<(), RunnerError> {
         let percent = Some(percent);
-        let body = WireStop { task: task.to_string(), run, percent, epoch: target.epoch };
+        let body = WireStop { task: task.to_string(), run, percent, fence: target.fence };
         self.call(target, "pace", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
     }
 
@@ -212,7 +213,7 @@
     ) -> Result<RunnerLists, RunnerError> {
         let wait_ms = u64::try_from(hold.wait.as_millis()).unwrap_or(0);
         let body =
-            WireHold { lease_end: hold.lease_end, epoch: target.epoch, seen: hold.seen, wait_ms };
+            WireHold { lease_end: hold.lease_end, fence: target.fence, seen: hold.seen, wait_ms };
         let lists: WireLists = self.call(target, "hold", &body, hold.wait + HOLD_SLACK).await?;
         Ok(RunnerLists {
             clock: lists.clock,
@@ -227,7 +228,10 @@
         CallResult::Answer(status, body) => (status, body),
         CallResult::Refused => return Err(RunnerError::NotRunning),
         CallResult::NotSent(reason) | CallResult::NoAnswer(reason) => {
-            return Err(RunnerError::NoAnswer { reason });
+            return Err(RunnerError::NoAnswer { is_broken: false, reason });
+        }
+        CallResult::Broken(reason) => {
+            return Err(RunnerError::NoAnswer { is_broken: true, reason });
         }
     };
     match status {
@@ -238,14 +242,13 @@
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             Err(RunnerError::Rejected { reason: RejectReason::Unwell })
         }
-        other => Err(RunnerError::NoAnswer { reason: format!("status {}", other.as_u16()) }),
+        other => Err(unreadable(&format!("status {}", other.as_u16()))),
     }
 }
 
 /// An answer of another life than the one that was meant is told as such, though that life has carried out the call.
 fn decode_answer<T: RunnerAnswer>(target: &RunnerTarget, body: &[u8]) -> Result<T, RunnerError> {
-    let answer: T = serde_json::from_slice(body)
-        .map_err(|error| RunnerError::NoAnswer { reason: error.to_string() })?;
+    let answer: T = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
     match is_meant(target, answer.born()) {
         true => Ok(answer),
         false => Err(RunnerError::OtherLife),
@@ -302,7 +305,12 @@
     Ok(EndedRun { number, task: decode_task(&task)?, run, end, checkpoint })
 }
 
+/// An answer that nothing may be concluded from.
+fn unreadable(error: &dyn Display) -> RunnerError {
+    RunnerError::NoAnswer { is_broken: false, reason: error.to_string() }
+}
+
 /// A list that names something else than tasks is no answer that anything may be concluded from.
 fn decode_task(text: &str) -> Result<TaskName, RunnerError> {
-    text.parse().map_err(|error: UnknownTask| RunnerError::NoAnswer { reason: error.to_string() })
+    text.parse().map_err(|error: UnknownTask| unreadable(&error))
 }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -120,7 +120,10 @@
         let limit = self.timer().limit();
         let sent = clock::now();
         let result = self.http.send(request, limit).await;
-        if matches!(&result, CallResult::Answer(..) | CallResult::NoAnswer(_)) {
+        if matches!(
+            &result,
+            CallResult::Answer(..) | CallResult::Broken(_) | CallResult::NoAnswer(_)
+        ) {
             self.timer().on_time(clock::elapsed(sent));
         }
         result
@@ -201,7 +204,9 @@
             return Err(RowError::Refused { reason: "nobody listens".to_string() });
         }
         CallResult::NotSent(reason) => return Err(RowError::Refused { reason }),
-        CallResult::NoAnswer(reason) => return Err(RowError::Ambiguous { reason }),
+        CallResult::Broken(reason) | CallResult::NoAnswer(reason) => {
+            return Err(RowError::Ambiguous { reason });
+        }
     };
     match status {
         StatusCode::OK => serde_json::from_slice(&body).map_err(|error| malformed(&error)),
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -1,6 +1,7 @@
 //! The node agent: the one process that calls the runner on its host, at the planner's orders.
 
 pub mod begun_runs;
+pub mod fence;
 pub mod known_runner;
 pub mod life_keeper;
 pub mod local_runs;
@@ -8,6 +9,7 @@
 pub mod rpc;
 pub mod shared;
 pub mod state;
+pub mod unsettled_starts;
 pub mod watcher;
 
 use std::net::SocketAddr;
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -104,10 +104,10 @@
             (Some(true), Some(lease_end)) => {
                 let slot = shared.order_slots.acquire().await;
                 is_sent = true;
-                shared.state().begun.on_sending(key, clock::now());
+                shared.state().on_start_sent(key, clock::now());
                 let started = shared.control.start(target, order, lease_end).await;
                 drop(slot);
-                note_begin(shared, target, key, &started);
+                note_answer(shared, target, key, &started);
                 match started {
                     Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => return None,
                     Err(RunnerError::NotRunning) => tokio::time::sleep(REPEAT_PAUSE).await,
@@ -124,21 +124,16 @@
     }
 }
 
-/// Takes note of whether a start that was sent has begun; without an answer nobody knows.
-fn note_begin(
+/// Takes note of what became of a try, unless the life that it was sent to has ended meanwhile.
+fn note_answer(
     shared: &NodeShared,
     target: &RunnerTarget,
     key: &RunKey,
     started: &Result<(), RunnerError>,
 ) {
     let mut state = shared.state();
-    if !state.is_target(target) {
-        return;
-    }
-    match started {
-        Ok(()) => state.begun.on_begun(key),
-        Err(RunnerError::NoAnswer { .. }) => {}
-        Err(_) => state.begun.on_not_begun(key),
+    if state.is_target(target) {
+        state.on_start_answer(key, started);
     }
 }
 
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -108,7 +108,7 @@
 
     fn on_leave(&self, runner: &str) {
         log_event(log::Level::Info, "runner_left", &[("runner", &runner)]);
-        if self.state().on_leave(runner) {
+        if self.state().on_leave(runner, clock::now()) {
             self.news.notify_one();
             self.life_changed.notify_one();
         }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -12,16 +12,19 @@
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
+use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerHold;
 use crate::external::runner_control::RunnerLists;
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
 use crate::ids::InstanceId;
 use crate::process::node::begun_runs::BegunRuns;
+use crate::process::node::fence::fencing_token;
 use crate::process::node::known_runner::BeatEffect;
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::local_runs::LocalRuns;
 use crate::process::node::local_runs::LookNumber;
+use crate::process::node::unsettled_starts::UnsettledStarts;
 use crate::workflow::grant::surely_expired;
 use crate::workflow::pacing::PaceControl;
 use crate::workflow::spec::RoomAmount;
@@ -36,6 +39,12 @@
 /// A runner that has not answered for so long gets no longer leases.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time for which the next life of a runner is looked for: as long as calls for the one before may be carried out late.
+const RETURN_SPAN: Duration = Duration::from_secs(12);
+
+/// Age of the last answer from which on the next look first asks which life answers.
+const PROOF_SPAN: Duration = Duration::from_millis(1_000);
+
 /// Time for which the planner is told of a life that broke off: several links may break meanwhile.
 const CRASH_TOLD: Duration = Duration::from_secs(5);
 
@@ -49,9 +58,15 @@
     former: VecDeque<InstanceId>,
     /// Lives that earlier agents here have stored; over, but for the present one, when that one answers.
     earlier: Vec<InstanceId>,
+    /// The last life, while the next one under its id has not been called, and up to when that is tried.
+    awaited: Option<(KnownRunner, Instant)>,
     /// Lives that broke off, and when that was noticed.
     crashes: Vec<(Instant, RunnerCrash)>,
     answered: Instant,
+    /// Whether the present life has answered the last look.
+    is_proven: bool,
+    /// By how much the fencing token is raised, since the present life has seen a higher one.
+    fence_raise: u32,
     /// The newest look when the runner said that it ends, until a later one shows that its present life goes on.
     left_at: Option<LookNumber>,
     /// The first sign since the last answer that the present life has broken off.
@@ -60,6 +75,8 @@
     lease_until: Option<Instant>,
     clock: Option<(RunnerMillis, Instant)>,
     seen: u64,
+    /// Number of the first end that the runner still lists.
+    first_listed: Option<u64>,
     orders_seen: u64,
     /// Orders that came before earlier ones: their number, by that of the ones before.
     early_orders: HashMap<u64, u64>,
@@ -71,7 +88,9 @@
     /// Starts and stops that looks do not show yet.
     pub runs: LocalRuns,
     /// Runs that the present life has begun of late.
-    pub begun: BegunRuns,
+    begun: BegunRuns,
+    /// Starts that the next life may carry out as well.
+    unsettled: UnsettledStarts,
     /// What is known of tasks.
     pub traits: HashMap<TaskName, TaskTraits>,
     /// Decides how fast tasks may work.
@@ -94,14 +113,18 @@
             candidate: None,
             former: VecDeque::new(),
             earlier: Vec::new(),
+            awaited: None,
             crashes: Vec::new(),
             answered: started,
+            is_proven: false,
+            fence_raise: 0,
             left_at: None,
             silent_since: None,
             sent_until: None,
             lease_until: None,
             clock: None,
             seen: 0,
+            first_listed: None,
             orders_seen: 0,
             early_orders: HashMap::new(),
             fresh_look: None,
@@ -110,6 +133,7 @@
             has_news: false,
             runs: LocalRuns::default(),
             begun: BegunRuns::default(),
+            unsettled: UnsettledStarts::default(),
             traits: HashMap::new(),
             pace: PaceControl::default(),
         }
@@ -176,17 +200,22 @@
     }
 
     fn install(&mut self, runner: KnownRunner) {
+        self.awaited = None;
         self.runner = Some(runner);
         self.has_news = true;
     }
 
     /// Takes note that the known life does not answer. One that has registered since takes its place;
     /// without one, and with leases that have surely expired, the life is given up.
-    pub fn on_no_answer(&mut self, now: Instant) -> bool {
+    pub fn on_no_answer(&mut self, is_broken: bool, now: Instant) -> bool {
         self.silent_since.get_or_insert(now);
+        self.is_proven = false;
+        if is_broken {
+            self.unsettled.on_broken_look();
+        }
         if let Some(candidate) = self.candidate.take() {
             self.note_crash(now);
-            self.retire();
+            self.retire(now);
             self.install(candidate);
             return true;
         }
@@ -196,7 +225,7 @@
         let left = until.saturating_duration_since(self.answered);
         let is_expired = now >= surely_expired(self.answered, left);
         if is_expired && now.saturating_duration_since(self.answered) > SILENCE_LIMIT {
-            self.retire();
+            self.retire(now);
             self.has_news = true;
             return true;
         }
@@ -205,7 +234,7 @@
 
     /// Takes note that a runner says that it ends. Says whether its present life is over. Where runners come back under their ids a
     /// former life may have said so, and the next look tells.
-    pub fn on_leave(&mut self, runner: &str) -> bool {
+    pub fn on_leave(&mut self, runner: &str, now: Instant) -> bool {
         let Some(known) = self.runner.as_ref().filter(|known| known.runner == runner) else {
             return false;
         };
@@ -213,13 +242,13 @@
             self.left_at = Some(self.runs.newest_look());
             return false;
         }
-        self.end_life();
+        self.end_life(now);
         true
     }
 
     /// The present life is over; one that has registered since takes its place.
-    fn end_life(&mut self) {
-        self.retire();
+    fn end_life(&mut self, now: Instant) {
+        self.retire(now);
         self.has_news = true;
         if let Some(candidate) = self.candidate.take() {
             self.install(candidate);
@@ -232,7 +261,7 @@
         if is_present {
             self.silent_since.get_or_insert(now);
             self.note_crash(now);
-            self.end_life();
+            self.end_life(now);
         }
         is_present
     }
@@ -254,17 +283,25 @@
     }
 
     /// Puts the present life of the runner among the former ones.
-    fn retire(&mut self) {
+    fn retire(&mut self, now: Instant) {
         let Some(runner) = self.runner.take() else {
             return;
         };
-        self.add_former(runner.status.instance);
+        match runner.born {
+            Some(_) => self.unsettled.end_life(now),
+            None => self.unsettled.forget_life(),
+        }
+        self.add_former(runner.status.instance.clone());
+        self.awaited = runner.born.is_some().then_some((runner, now + RETURN_SPAN));
         self.lease_until = None;
         self.sent_until = None;
         self.clock = None;
         self.seen = 0;
+        self.first_listed = None;
         self.runs.clear();
         self.begun = BegunRuns::default();
+        self.is_proven = false;
+        self.fence_raise = 0;
         self.silent_since = None;
         self.left_at = None;
         self.fresh_look = None;
@@ -312,12 +349,40 @@
             address: runner.address.clone(),
             instance: runner.status.instance.clone(),
             epoch: self.stamp.epoch,
+            fence: fencing_token(self.stamp.epoch, runner.born, self.fence_raise),
         })
     }
 
+    /// Where the next life of the runner will listen, before it has registered. A call with this token makes it refuse what was meant
+    /// for the life before.
+    pub fn awaited_target(&self, now: Instant) -> Option<RunnerTarget> {
+        let (last, until) = self.awaited.as_ref().filter(|_| self.stamp.epoch > 0)?;
+        (now < *until).then(|| RunnerTarget {
+            address: last.address.clone(),
+            instance: last.status.instance.clone(),
+            epoch: self.stamp.epoch,
+            fence: fencing_token(self.stamp.epoch, last.born, 1),
+        })
+    }
+
+    /// Takes note that the next life of the runner has been called.
+    pub fn on_return(&mut self) {
+        self.awaited = None;
+    }
+
     /// Whether a target is still the present one.
     pub fn is_target(&self, target: &RunnerTarget) -> bool {
-        self.target().as_ref() == Some(target)
+        self.target().is_some_and(|present| {
+            present.instance == target.instance
+                && present.epoch == target.epoch
+                && present.address == target.address
+        })
+    }
+
+    /// Takes note that the runner has seen a higher token: one of a later planner, or one of a life before that was born later by a
+    /// clock that was put back. The latter is overtaken in a few steps, a later planner's never.
+    pub fn on_fenced(&mut self) {
+        self.fence_raise = self.fence_raise.saturating_mul(2).max(1);
     }
 
     /// Whether the runner is leaving.
@@ -349,7 +414,8 @@
     pub fn may_start(&self, now: Instant) -> Option<bool> {
         self.lease_end()?;
         let is_silent = now.saturating_duration_since(self.answered) > SILENCE_LIMIT;
-        self.lease_until.map(|until| now + LEAST_LEASE < until && !is_silent)
+        let is_doubtful = is_silent || self.may_be_other_life(now);
+        self.lease_until.map(|until| now + LEAST_LEASE < until && !is_doubtful)
     }
 
     /// Whether the runner's newest capacity holds a run beside everything that it shows or is about to start; what is being
@@ -376,6 +442,34 @@
         self.runs.begin_start(key)
     }
 
+    /// Takes note of a try to start a run that is about to be sent.
+    pub fn on_start_sent(&mut self, key: &RunKey, now: Instant) {
+        self.begun.on_sending(key, now);
+        self.unsettled.on_sending(key, now);
+    }
+
+    /// Takes note of what became of a try to start a run.
+    pub fn on_start_answer(&mut self, key: &RunKey, answer: &Result<(), RunnerError>) {
+        let newest = self.runs.newest_look();
+        match answer {
+            Ok(()) => {
+                self.begun.on_begun(key);
+                self.unsettled.on_answer(key, newest);
+            }
+            Err(RunnerError::NoAnswer { .. }) => {}
+            Err(RunnerError::NotRunning) => {
+                self.begun.on_not_begun(key);
+                self.unsettled.on_not_sent(key);
+            }
+            // Another life may have carried it out, which leaves it as one without an answer.
+            Err(RunnerError::OtherLife) => self.begun.on_not_begun(key),
+            Err(RunnerError::Fenced | RunnerError::Rejected { .. }) => {
+                self.begun.on_not_begun(key);
+                self.unsettled.on_answer(key, newest);
+            }
+        }
+    }
+
     /// Takes note of orders that came, all of which are known here by now. They count as seen when those
     /// before them have come as well.
     pub fn on_orders(&mut self, previous: u64, number: u64) {
@@ -387,20 +481,38 @@
 
     /// How the next look is to be taken, and its number.
     pub fn next_hold(&mut self, wait: Duration, now: Instant) -> (LookNumber, RunnerHold) {
+        if self.may_be_other_life(now) {
+            let hold = RunnerHold { lease_end: None, seen: 0, wait: Duration::ZERO };
+            return (self.runs.next_look(), hold);
+        }
         // A life that does not answer is not kept alive by calls that may be carried out late.
         let is_silent = now.saturating_duration_since(self.answered) > SILENCE_LIMIT;
         let lease_end = self.lease_end().filter(|_| !is_silent);
         if lease_end.is_some() {
             self.sent_until = self.sent_until.max(self.lease_until);
         }
-        (self.runs.next_look(), RunnerHold { lease_end, seen: self.seen, wait })
+        // Ends are acknowledged only as long as they are listed: a call that comes late may meet the next life, whose ends have the
+        // same numbers.
+        let is_listed = self.first_listed.is_some_and(|first| first <= self.seen);
+        let seen = if is_listed { self.seen } else { 0 };
+        (self.runs.next_look(), RunnerHold { lease_end, seen, wait })
+    }
+
+    /// Whether the next life under the runner's id may answer the next look: it would take the lease by another clock, and forget ends
+    /// by the numbers of other ones.
+    fn may_be_other_life(&self, now: Instant) -> bool {
+        let has_births = self.runner.as_ref().is_some_and(|runner| runner.born.is_some());
+        let is_old = now.saturating_duration_since(self.answered) > PROOF_SPAN;
+        has_births && (!self.is_proven || is_old)
     }
 
     /// Takes in a look that was sent under a number and answered now. Says whether it brings news.
     pub fn on_lists(&mut self, number: LookNumber, lists: RunnerLists, now: Instant) -> bool {
         self.clock = Some((lists.clock, now));
         self.answered = now;
+        self.is_proven = true;
         self.silent_since = None;
+        self.unsettled.on_look(number, &shown_runs(&lists), now);
         self.left_at.take_if(|left_at| number > *left_at);
         self.begun.on_look(&lists.running, now);
         if let Some(stale) = self.candidate.take() {
@@ -417,6 +529,7 @@
         self.runs.complete(number, &mut present);
         self.present = present.iter().map(|run| (run.task.clone(), run.run)).collect();
         self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
+        self.first_listed = lists.ended.first().map(|ended| ended.number);
         let last = lists.ended.last().map_or(0, |ended| ended.number);
         let is_news = last > self.reported_ends || self.runs.has_refusals() || self.has_news;
         self.fresh_look = Some(RunnerLook {
@@ -451,8 +564,16 @@
             now: now.saturating_duration_since(self.started),
             runner: self.runner.as_ref().map(|runner| runner.status.clone()),
             former: self.former.iter().cloned().collect(),
+            unsettled: self.unsettled.keys(now),
             crashes: self.crashes.iter().map(|(_, crash)| crash.clone()).collect(),
             look,
         }
     }
 }
+
+/// What a runner shows: runs at work, and ends that were not acknowledged.
+fn shown_runs(lists: &RunnerLists) -> BTreeSet<RunKey> {
+    let running = lists.running.iter().map(|run| (run.task.clone(), run.run));
+    let ended = lists.ended.iter().map(|ended| (ended.task.clone(), ended.run));
+    running.chain(ended).collect()
+}
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use log::Level;
+use tokio::time::timeout;
 
 use crate::connection::node_protocol::young_text;
 use crate::external::runner_control::RunnerError;
+use crate::external::runner_control::RunnerHold;
 use crate::external::runner_control::RunnerTarget;
 use crate::process::clock;
 use crate::process::logging::log_event;
@@ -25,7 +27,7 @@
         loop {
             let target = shared.state().target();
             let Some(target) = target else {
-                shared.look.notified().await;
+                await_life(&shared).await;
                 continue;
             };
             match look(&shared, &target).await {
@@ -50,6 +52,21 @@
     });
 }
 
+/// Waits for a life of the runner to register. One that may be back under the id of the last is called before that, so that it takes
+/// nothing that was meant for the last one.
+async fn await_life(shared: &NodeShared) {
+    let awaited = shared.state().awaited_target(clock::now());
+    let Some(target) = awaited else {
+        return shared.look.notified().await;
+    };
+    let answer = shared.control.hold(&target, RunnerHold::default()).await;
+    if matches!(answer, Ok(_) | Err(RunnerError::OtherLife)) {
+        return shared.state().on_return();
+    }
+    // A pause that is cut short by a registration.
+    let _ = timeout(RETRY_PAUSE, shared.look.notified()).await;
+}
+
 /// Decides what an unanswered look says of the runner. Says whether its life has ended.
 fn on_error(shared: &NodeShared, target: &RunnerTarget, error: &RunnerError) -> bool {
     let mut state = shared.state();
@@ -60,8 +77,12 @@
         RunnerError::OtherLife | RunnerError::NotRunning => {
             state.on_crash(&target.instance, clock::now())
         }
-        RunnerError::NoAnswer { .. } => state.on_no_answer(clock::now()),
-        RunnerError::Fenced | RunnerError::Rejected { .. } => false,
+        RunnerError::NoAnswer { is_broken, .. } => state.on_no_answer(*is_broken, clock::now()),
+        RunnerError::Fenced => {
+            state.on_fenced();
+            false
+        }
+        RunnerError::Rejected { .. } => false,
     }
 }
 
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -35,6 +35,11 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::RunAdopted { task, run, from, worker } => log_event(
+            Level::Info,
+            "run_adopted",
+            &[("task", task), ("run", run), ("from", from), ("worker", worker), ("epoch", &epoch)],
+        ),
         PlanDecision::Moved { task, run, worker, to, why } => log_event(
             Level::Info,
             "task_moved",
--- a/src/workflow/grant.rs
+++ b/src/workflow/grant.rs
@@ -10,9 +10,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Longest time from a proof of ownership to the end of leases granted under it. Runners keep leases
-/// for 10 s at most; what is a little less is used in full and outlives a usual outage of the store.
+/// Longest time from a proof of ownership to the end of leases granted under it. A little less than
+/// [`LONGEST_LEASE`] is used in full and outlives a usual outage of the store.
 pub const OWNERSHIP_SPAN: Duration = Duration::from_millis(9_600);
+/// Longest lease that a runner keeps, whatever it is given.
+pub const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// How much slower than ours a runner's clock may be: 2 % by the platform's word, and 1 % between
 /// the steady clocks of the planner's and the agent's hosts.
 const CLOCK_DRIFT: f64 = 0.031;
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -50,6 +50,17 @@
         /// Time since it was given to the worker, in milliseconds.
         ran_ms: u64,
     },
+    /// A run that was given to a former life of a runner is at work on the next one, which has carried out its start.
+    RunAdopted {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The life that it was given to.
+        from: InstanceId,
+        /// The life that it is on.
+        worker: InstanceId,
+    },
     /// A run is stopped, to go on elsewhere, because it is held up where it is.
     Moved {
         /// The task.
@@ -152,6 +163,7 @@
             PlanDecision::RunEnded { end: RunEnd::Failed, .. } => "failed",
             PlanDecision::RunEnded { end: RunEnd::Stopped, .. } => "stopped",
             PlanDecision::RunEnded { .. } => "lost",
+            PlanDecision::RunAdopted { .. } => "adopted",
             PlanDecision::Moved { .. } => "moved",
             PlanDecision::Displaced { .. } => "displaced",
             PlanDecision::JobEnded { .. } => "job_ended",
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -262,7 +262,10 @@
             return;
         }
         self.dirty.insert(key.0.job.clone());
-        if end == RunEnd::Done && (step.speculative || step.gang) {
+        let has_copies =
+            || entry.progress.task(&key.0).is_some_and(|task| !task.attempts.is_empty());
+        let stops_copies = step.speculative || step.gang || (!step.long_running && has_copies());
+        if end == RunEnd::Done && stops_copies {
             self.stop_copies(&key.0, step.gang);
         }
         self.settle(&key.0.job);
@@ -319,17 +322,33 @@
 
     /// Gives up everything on a life of a runner that has surely ended.
     pub(crate) fn lose(&mut self, instance: &str) {
-        let given_up = self.on_unexplained_loss(instance);
+        self.lose_settled(instance, &[]);
+    }
+
+    /// The same but for runs that the next life of the runner may have begun, or may yet: those keep their place until that life has
+    /// shown what it runs, or the leases have expired.
+    pub(crate) fn lose_settled(&mut self, instance: &str, unsettled: &[RunKey]) {
         let Some(worker) = self.board.get(instance) else {
             return;
         };
-        let keys: Vec<RunKey> = worker.assigned.keys().cloned().collect();
-        let lost = PlanDecision::WorkerLost { worker: instance.to_string(), runs: keys.len() };
-        self.decisions.push(lost);
-        for key in keys {
+        let keys = worker.assigned.keys().cloned();
+        let (kept, lost): (Vec<RunKey>, Vec<RunKey>) =
+            keys.partition(|key| unsettled.contains(key));
+        if !worker.is_over || !lost.is_empty() {
+            let worker = instance.to_string();
+            self.decisions.push(PlanDecision::WorkerLost { worker, runs: lost.len() });
+        }
+        let given_up = self.on_unexplained_loss(instance);
+        for key in lost {
             self.end_run(instance, &key, RunEnd::Lost, "");
         }
-        self.board.forget(instance);
+        if kept.is_empty() {
+            self.board.forget(instance);
+        } else if let Some(worker) = self.board.get_mut(instance) {
+            worker.is_over = true;
+            worker.status = None;
+            worker.heard = None;
+        }
         self.held_acks.remove(instance);
         self.stored_ends.remove(instance);
         if let Some(task) = given_up {
--- a/src/workflow/planner_crashes.rs
+++ b/src/workflow/planner_crashes.rs
@@ -19,7 +19,7 @@
     /// Takes in that a life has broken off; later reports tell of it again. Its runs are given up afterwards. Gives a task that
     /// is to be given up with its job.
     pub(crate) fn on_crash(&mut self, crash: &RunnerCrash) -> Option<TaskName> {
-        let worker = self.board.get(&crash.instance)?;
+        let worker = self.board.get(&crash.instance).filter(|worker| !worker.is_over)?;
         let is_ours = |task: &TaskName, run| worker.assigned.contains_key(&(task.clone(), run));
         let ours = crash.young.iter().filter(|young| is_ours(&young.task, young.run));
         let young = ours.map(|run| CrashedRun {
@@ -37,7 +37,7 @@
     /// Holds a loss that no agent explains against the isolated task on the worker: an agent that ends with its runner cannot
     /// tell what had begun there.
     pub(crate) fn on_unexplained_loss(&mut self, instance: &str) -> Option<TaskName> {
-        let worker = self.board.get(instance)?;
+        let worker = self.board.get(instance).filter(|worker| !worker.is_over)?;
         let is_leaving = worker.status.as_ref().is_some_and(|status| status.draining);
         let (task, run) = worker.isolated.clone().filter(|_| !is_leaving)?;
         let is_told = self.task_suspicion.crashes(&task).iter().any(|one| one.life == instance);
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -12,9 +12,13 @@
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::RejectedRun;
 use crate::connection::node_protocol::RunnerLook;
+use crate::connection::node_protocol::RunnerStatus;
 use crate::connection::node_protocol::TaskTraits;
+use crate::ids::InstanceId;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::RunWork;
+use crate::workflow::grant::LONGEST_LEASE;
+use crate::workflow::grant::surely_expired;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
@@ -54,32 +58,86 @@
     ///     now: Duration::ZERO,
     ///     runner: None,
     ///     former: vec![],
+    ///     unsettled: vec![],
     ///     crashes: vec![],
     ///     look: None,
     /// };
     /// planner.on_report(report, true);
     /// ```
     pub fn on_report(&mut self, report: NodeReport, is_new_link: bool) {
+        if let Some(status) = &report.runner {
+            let has_former = !report.former.is_empty();
+            self.hear(status, has_former, is_new_link);
+            self.adopt(&report, &status.instance);
+        }
         let mut given_up = Vec::new();
         for crash in &report.crashes {
             given_up.extend(self.on_crash(crash).map(|task| (task, crash.instance.as_str())));
         }
         for former in &report.former {
-            self.lose(former);
+            self.lose_settled(former, &report.unsettled);
         }
         for (task, worker) in given_up {
             self.give_up(task, worker);
         }
-        let Some(status) = report.runner else {
-            return;
-        };
-        let instance = status.instance.clone();
-        let worker = self.board.entry(&instance, self.inherited_end);
-        worker.status = Some(status);
+        if let (Some(status), Some(look)) = (report.runner, report.look) {
+            self.on_look(&status.instance, look);
+        }
+    }
+
+    fn hear(&mut self, status: &RunnerStatus, has_former: bool, is_new_link: bool) {
+        let mut lease_end = self.inherited_end;
+        if has_former {
+            // Calls for a former life may have given the new one a lease that nobody knows of.
+            lease_end = lease_end.max(surely_expired(self.now, LONGEST_LEASE));
+        }
+        let worker = self.board.entry(&status.instance, lease_end);
+        worker.status = Some(status.clone());
         worker.heard = Some(self.now);
         worker.resync |= is_new_link;
-        if let Some(look) = report.look {
-            self.on_look(&instance, look);
+    }
+
+    /// Takes runs that were given to former lives and that the present life shows for its own: it has carried out their starts.
+    fn adopt(&mut self, report: &NodeReport, instance: &str) {
+        let Some(look) = &report.look else {
+            return;
+        };
+        let begun = look.present.iter().filter(|run| run.is_begun);
+        let begun = begun.map(|run| (run.task.clone(), run.run));
+        let ended = look.ended.iter().map(|ended| (ended.task.clone(), ended.run));
+        for key in begun.chain(ended) {
+            let has_it = |life: &&InstanceId| {
+                let worker = self.board.get(life);
+                worker.is_some_and(|worker| worker.assigned.contains_key(&key))
+            };
+            let Some(former) = report.former.iter().find(has_it) else {
+                continue;
+            };
+            self.decisions.push(PlanDecision::RunAdopted {
+                task: key.0.clone(),
+                run: key.1,
+                from: former.clone(),
+                worker: instance.to_string(),
+            });
+            let was_stopping = self.board.hand_over(former, instance, &key);
+            self.keep_place(&key, instance);
+            if was_stopping {
+                self.stop_run(instance, key);
+            }
+        }
+    }
+
+    /// Keeps in its job's row on which life a run is.
+    fn keep_place(&mut self, key: &RunKey, instance: &str) {
+        let Some(entry) = self.jobs.get_mut(&key.0.job) else {
+            return;
+        };
+        let task = entry.progress.task_mut(&key.0);
+        let attempt =
+            task.and_then(|task| task.attempts.iter_mut().find(|attempt| attempt.run == key.1));
+        if let Some(attempt) = attempt {
+            attempt.worker = instance.to_string();
+            self.dirty.insert(key.0.job.clone());
         }
     }
 
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -200,7 +200,8 @@
         step.after.iter().all(is_done)
     }
 
-    /// Takes note of the end of a run. Says whether the run was one that counted.
+    /// Takes note of the end of a run. Says whether the run was one that counted. One that was given up counts where it is done all
+    /// the same: its start was carried out late.
     ///
     /// ```
     /// use greengagearch::workflow::progress::JobProgress;
@@ -226,7 +227,9 @@
         };
         let known = task.attempts.len();
         task.attempts.retain(|attempt| attempt.run != run);
-        if task.attempts.len() == known {
+        let was_given_up = task.attempts.len() == known;
+        let is_done_late = end == RunEnd::Done && !task.done && run <= task.last_run;
+        if was_given_up && !is_done_late {
             return false;
         }
         if !checkpoint.is_empty() {
--- a/src/workflow/task_suspicion.rs
+++ b/src/workflow/task_suspicion.rs
@@ -143,6 +143,10 @@
 
     fn count(&mut self, life: &str, run: &CrashedRun) {
         let record = self.records.entry(run.task.clone()).or_default();
+        if record.crashes.iter().any(|known| known.life == life) {
+            // A planner before has counted this one.
+            return;
+        }
         if run.lived > record.proof_span() {
             *record = CrashRecord::default();
         }
--- a/src/workflow/worker_board.rs
+++ b/src/workflow/worker_board.rs
@@ -156,6 +156,37 @@
         Some(run)
     }
 
+    /// Takes a run from one life to another, which has begun it. Says whether it was ordered to stop on the former.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::spec::StepSpec;
+    ///
+    /// let now = Instant::now();
+    /// let mut board = greengagearch::workflow::worker_board::WorkerBoard::default();
+    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// board.assign("i-1@1", key.clone(), &StepSpec::default(), now, now);
+    /// board.entry("i-1@2", now);
+    /// assert!(!board.hand_over("i-1@1", "i-1@2", &key));
+    /// assert_eq!(board.get("i-1@2").unwrap().assigned.len(), 1);
+    /// ```
+    pub fn hand_over(&mut self, from: &str, to: &str, key: &RunKey) -> bool {
+        let Some(before) = self.workers.get_mut(from) else {
+            return false;
+        };
+        let Some(mut run) = before.assigned.remove(key) else {
+            return false;
+        };
+        before.used = before.used.minus(&run.counted);
+        let was_stopping = std::mem::replace(&mut run.stopping, false);
+        if let Some(worker) = self.workers.get_mut(to) {
+            worker.used = worker.used.plus(&run.counted);
+            worker.assigned.insert(key.clone(), run);
+        }
+        was_stopping
+    }
+
     /// Forgets a life of a runner; gives the runs that it had.
     ///
     /// ```
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -49,6 +49,8 @@
     pub resync: bool,
     /// Room that is kept for tasks that are on their way.
     pub holds: RoomHolds,
+    /// Whether its life is over. What is still assigned to it may be begun by the next life of its runner.
+    pub is_over: bool,
     /// A run of a task that is suspected to crash its workers, beside which nothing else starts.
     pub isolated: Option<RunKey>,
     pub(crate) used: RoomAmount,
@@ -67,6 +69,7 @@
             described: None,
             resync: true,
             holds: RoomHolds::default(),
+            is_over: false,
             isolated: None,
             used: RoomAmount::default(),
         }
--- a/standins/src/laboratory/shared_worker.rs
+++ b/standins/src/laboratory/shared_worker.rs
@@ -280,6 +280,7 @@
             now,
             runner: Some(status),
             former: Vec::new(),
+            unsettled: Vec::new(),
             crashes: Vec::new(),
             look: Some(look),
         })
--- a/tests/life_names.rs
+++ b/tests/life_names.rs
@@ -4,18 +4,26 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use greengagearch::connection::node_protocol::StartOrder;
+use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerControl;
 use greengagearch::external::runner_control::RunnerError;
 use greengagearch::external::runner_control::RunnerHold;
 use greengagearch::external::runner_control::RunnerTarget;
 use greengagearch::platform::life_name::life_name;
 use greengagearch::platform::runner_client::RunnerClient;
+use greengagearch::process::node::fence::fencing_token;
+use greengagearch::workflow::spec::RoomAmount;
 use greengagearch_standins::platform_journal::RunJournal;
 use greengagearch_standins::platform_runner::PlatformRunner;
 
+/// Time for which a start is held up: far more than the calls take that come before it.
+const HELD_UP_FOR: Duration = Duration::from_secs(2);
+
 fn target(runner: &PlatformRunner) -> RunnerTarget {
     let instance = life_name(&runner.instance, runner.born);
-    RunnerTarget { address: runner.address.to_string(), instance, epoch: 1 }
+    let fence = fencing_token(1, runner.born, 0);
+    RunnerTarget { address: runner.address.to_string(), instance, epoch: 1, fence }
 }
 
 /// Guards against lists of a new life that are taken for those of the life before: its runs would count as lost one by one, and its
@@ -31,3 +39,36 @@
     assert_matches!(client.hold(&before, RunnerHold::default()).await, Err(RunnerError::OtherLife));
     assert_matches!(client.hold(&target(&second), RunnerHold::default()).await, Ok(_));
 }
+
+fn order() -> StartOrder {
+    let traits = TaskTraits {
+        task: "a.0.0.0".parse().unwrap(),
+        image: String::new(),
+        target_ms: 0,
+        fills: false,
+        room: RoomAmount::default(),
+        effects: Vec::new(),
+        idle_tail_ms: 0,
+    };
+    let (payload, checkpoint) = ("run_ms=50".to_string(), String::new());
+    StartOrder { run: 1, payload, checkpoint, ticket: None, traits }
+}
+
+/// Guards against runs that nobody knows of: a start that was held up comes to the next life, which has seen no token of its own.
+#[tokio::test]
+async fn a_start_for_the_life_before_is_refused_once_the_next_one_has_been_called() {
+    for is_called in [false, true] {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+        let (client, journal) = (RunnerClient::open(), RunJournal::default());
+        let first = PlatformRunner::spawn_born("i-1", nobody, journal.clone()).await;
+        first.set_late_orders(Some(HELD_UP_FOR));
+        let late = client.start(&target(&first), &order(), 60_000).await;
+        assert_matches!(late, Err(RunnerError::NoAnswer { .. }));
+        let second = first.rebear(Duration::from_millis(40)).await;
+        if is_called {
+            client.hold(&target(&second), RunnerHold::default()).await.unwrap();
+        }
+        tokio::time::sleep(2 * HELD_UP_FOR).await;
+        assert_eq!(journal.records().is_empty(), is_called);
+    }
+}
--- a/tests/node_link.rs
+++ b/tests/node_link.rs
@@ -54,6 +54,7 @@
             now: Duration::ZERO,
             runner,
             former: Vec::new(),
+            unsettled: Vec::new(),
             crashes: Vec::new(),
             look: None,
         })
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -3,16 +3,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use greengagearch::connection::node_protocol::EndedRun;
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::connection::node_protocol::TaskTraits;
+use greengagearch::external::runner_control::RunnerError;
 use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::process::node::fence::fencing_token;
 use greengagearch::process::node::known_runner::BeatEffect;
 use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::state::NodeState;
+use greengagearch::workflow::progress::RunEnd;
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::worker_board::RunKey;
 
@@ -129,7 +134,7 @@
     let now = Instant::now();
     let mut state = linked(now);
     state.on_beat(runner("i-2", 1));
-    assert!(state.on_no_answer(now));
+    assert!(state.on_no_answer(false, now));
     assert_eq!(state.target().unwrap().instance, "i-2");
     assert_eq!(state.report(now).former, ["i-1"]);
 }
@@ -177,8 +182,8 @@
     let later = now + Duration::from_secs(3);
     state.on_sync(&grant("i-1", 3, 0));
     assert_eq!(state.next_hold(Duration::ZERO, later).1.lease_end, None);
-    assert!(!state.on_no_answer(now + Duration::from_secs(9)));
-    assert!(state.on_no_answer(now + Duration::from_secs(10)));
+    assert!(!state.on_no_answer(false, now + Duration::from_secs(9)));
+    assert!(state.on_no_answer(false, now + Duration::from_secs(10)));
     assert!(state.target().is_none());
 }
 
@@ -247,7 +252,7 @@
     let now = Instant::now();
     let mut state = linked(now);
     state.on_earlier_lives(vec!["i-1".to_string(), "i-2".to_string()]);
-    state.on_leave("i-1");
+    state.on_leave("i-1", now);
     state.on_beat(runner("i-2", 1));
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(0), now);
@@ -262,17 +267,17 @@
     let at = |millis: u64| now + Duration::from_millis(millis);
     let mut state = linked(now);
     let (old, answered, unanswered) = (key("a.0.0.0"), key("a.0.0.1"), key("a.0.0.2"));
-    state.begun.on_sending(&old, now);
-    state.begun.on_begun(&old);
+    state.on_start_sent(&old, now);
+    state.on_start_answer(&old, &Ok(()));
     let (number, _) = state.next_hold(Duration::ZERO, at(1_800));
     state.on_lists(number, lists(0), at(1_800));
-    state.begun.on_sending(&answered, at(1_900));
-    state.begun.on_begun(&answered);
-    state.begun.on_sending(&unanswered, at(1_950));
-    state.on_no_answer(at(1_960));
+    state.on_start_sent(&answered, at(1_900));
+    state.on_start_answer(&answered, &Ok(()));
+    state.on_start_sent(&unanswered, at(1_950));
+    state.on_no_answer(false, at(1_960));
     // The next try finds nobody; the first one may have begun.
-    state.begun.on_sending(&unanswered, at(1_990));
-    state.begun.on_not_begun(&unanswered);
+    state.on_start_sent(&unanswered, at(1_990));
+    state.on_start_answer(&unanswered, &Err(RunnerError::NotRunning));
     assert!(state.on_crash("i-1", at(2_020)));
     let report = state.report(at(2_020));
     assert_eq!(report.former, ["i-1"]);
@@ -333,7 +338,7 @@
     let mut state = NodeState::new(now);
     state.on_beat(born(200, 1));
     state.admit(STAMP).unwrap();
-    assert!(!state.on_leave("i-1"));
+    assert!(!state.on_leave("i-1", now));
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(0), now);
     assert_eq!(state.present_life().map(String::as_str), Some("i-1@200"));
@@ -347,7 +352,7 @@
     let now = Instant::now();
     let mut state = NodeState::new(now);
     state.on_beat(born(200, 1));
-    state.on_leave("i-1");
+    state.on_leave("i-1", now);
     assert!(state.on_crash("i-1@200", now));
     assert!(state.report(now).crashes.is_empty());
 }
@@ -364,3 +369,81 @@
     state.on_lists(number, lists(0), now);
     assert_eq!(state.report(now).former, ["i-0", "i-1@100"]);
 }
+
+/// Guards against tasks that run twice: a start whose answer did not come may be carried out by the next life under the id.
+#[test]
+fn starts_that_the_next_life_may_carry_out_are_told_until_it_shows_what_it_runs() {
+    let now = Instant::now();
+    let mut state = NodeState::new(now);
+    state.on_beat(born(200, 1));
+    state.admit(STAMP).unwrap();
+    let (shown, silent) = (key("a.0.0.0"), key("a.0.0.1"));
+    state.on_start_sent(&shown, now);
+    state.on_start_answer(&shown, &Ok(()));
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    state.on_start_sent(&silent, now);
+    let reason = String::new();
+    state.on_start_answer(&silent, &Err(RunnerError::NoAnswer { is_broken: true, reason }));
+    state.on_crash("i-1@200", now);
+    assert_eq!(state.report(now).unsettled, std::slice::from_ref(&silent));
+    state.on_beat(born(300, 1));
+    assert_eq!(
+        state.report(now).unsettled,
+        std::slice::from_ref(&silent),
+        "a heartbeat alone shows nothing"
+    );
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    let begun = PresentRun { is_begun: true, ..PresentRun::ordered(silent.0.clone(), silent.1) };
+    state.on_lists(number, RunnerLists { running: vec![begun], ..lists(0) }, now);
+    assert_eq!(state.report(now).unsettled, [silent], "until the planner has seen where it is");
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    assert!(state.report(now).unsettled.is_empty());
+}
+
+/// Guards against ends that the next life forgets unread, and against a lease by another clock: after a look that failed, the next one
+/// only asks which life answers.
+#[test]
+fn a_look_after_one_that_failed_changes_nothing_at_the_runner() {
+    let now = Instant::now();
+    let mut state = NodeState::new(now);
+    state.on_beat(born(200, 1));
+    state.admit(STAMP).unwrap();
+    let end = EndedRun {
+        number: 4,
+        task: "a.0.0.0".parse().unwrap(),
+        run: 1,
+        end: RunEnd::Done,
+        checkpoint: String::new(),
+    };
+    let ended = || RunnerLists { ended: vec![end.clone()], ..lists(500) };
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, ended(), now);
+    state.on_sync(&grant("i-1@200", 0, 4));
+    let (number, hold) = state.next_hold(Duration::ZERO, now);
+    assert_eq!((hold.seen, hold.lease_end), (4, Some(9_500)));
+    state.on_no_answer(true, now);
+    assert_eq!(state.may_start(now), Some(false));
+    let (_, hold) = state.next_hold(Duration::ZERO, now);
+    assert_eq!((hold.seen, hold.lease_end), (0, None));
+    state.on_lists(number, lists(500), now);
+    let (_, hold) = state.next_hold(Duration::ZERO, now);
+    assert_eq!((hold.seen, hold.lease_end), (0, Some(9_500)), "nothing is left to acknowledge");
+}
+
+/// Guards against an agent that can call its runner no more: the life before was born later by a clock that was put back, and a late call
+/// for it came first.
+#[test]
+fn a_token_of_a_life_that_was_born_later_is_overtaken_and_one_of_a_later_planner_is_not() {
+    let mut state = NodeState::new(Instant::now());
+    state.on_beat(born(200, 1));
+    state.admit(STAMP).unwrap();
+    let later_life = fencing_token(STAMP.epoch, Some(2_000_000), 0);
+    let later_planner = fencing_token(STAMP.epoch + 1, Some(0), 0);
+    for _ in 0..40 {
+        state.on_fenced();
+    }
+    let fence = state.target().unwrap().fence;
+    assert!(later_life < fence && fence < later_planner);
+}
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -126,6 +126,7 @@
             now: self.clock,
             runner: Some(status),
             former: vec![],
+            unsettled: Vec::new(),
             crashes: vec![],
             look: Some(look),
         }
@@ -235,6 +236,7 @@
             now: self.clock,
             runner: None,
             former: vec![crash.instance.clone()],
+            unsettled: Vec::new(),
             crashes: vec![crash],
             look: None,
         };
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -7,6 +7,7 @@
     pub(super) fn at_agent(&mut self, event: Event) {
         let agent = match &event {
             Event::Call { .. } => return self.on_call(event),
+            Event::HoldEnd { .. } => return self.on_hold_end(event),
             Event::Sync { agent, .. }
             | Event::Orders { agent, .. }
             | Event::Reply { agent, .. }
@@ -40,9 +41,9 @@
                     self.on_returned(agent, target, order, answer);
                 }
             }
-            Event::NoAnswer { run, target, order, .. } => {
+            Event::NoAnswer { run, target, order, is_broken, .. } => {
                 if self.agents[agent].run == run {
-                    self.on_no_answer(agent, target, order);
+                    self.on_no_answer(agent, target, order, is_broken);
                 }
             }
             _ => self.on_beat(agent),
@@ -51,7 +52,7 @@
 
     fn on_beat(&mut self, agent: usize) {
         let (instance, runner) = (self.agents[agent].life.name.clone(), self.told_id(agent));
-        let born = self.has_same_ids.then_some(self.agents[agent].lives);
+        let born = self.has_same_ids.then_some(self.agents[agent].lives * BIRTH_DISTANCE);
         let one = &mut self.agents[agent];
         if !one.life.is_alive {
             return self.at(500, Event::Beat { agent });
@@ -150,7 +151,7 @@
         match (one.state.may_start(now), one.state.lease_end()) {
             (Some(true), Some(lease_end)) => {
                 one.state.on_lease_sent();
-                one.state.begun.on_sending(&key, now);
+                one.state.on_start_sent(&key, now);
                 let order = Order::Start { key, lease_end, since };
                 self.at(0, call_of(agent, run, &target, order));
             }
@@ -169,10 +170,15 @@
             return;
         }
         let Some(target) = one.state.target() else {
-            return self.at(50, Event::Look { agent, run });
+            let Some(target) = one.state.awaited_target(now) else {
+                return self.at(50, Event::Look { agent, run });
+            };
+            let order = Order::Hold { number: 0, lease_end: None, seen: 0, wait: 0 };
+            return self.at(1, call_of(agent, run, &target, order));
         };
         let (number, hold) = one.state.next_hold(Duration::from_millis(250), now);
-        let order = Order::Hold { number, lease_end: hold.lease_end, seen: hold.seen };
+        let wait = hold.wait.as_millis() as u64;
+        let order = Order::Hold { number, lease_end: hold.lease_end, seen: hold.seen, wait };
         self.at(1, call_of(agent, run, &target, order));
     }
 
@@ -185,7 +191,8 @@
             let delay = self.rng.random_range(1_000..6_000);
             let (late, lost) = (target.clone(), order.clone());
             self.at(delay, Event::Call { agent, run, target: late, order: lost, is_late: true });
-            return self.at(600, Event::NoAnswer { agent, run, target, order });
+            let is_broken = false;
+            return self.at(600, Event::NoAnswer { agent, run, target, order, is_broken });
         }
         let longer = if self.has_cuts { LONG_RUN } else { 0 };
         let due = self.now + longer + self.rng.random_range(100..1_500);
@@ -198,19 +205,14 @@
         let answer = match &order {
             _ if !is_there => CallAnswer::Gone,
             Order::Start { key, lease_end, .. } => {
-                CallAnswer::Order(life.start(key, target.epoch, *lease_end, due, now, audit))
+                CallAnswer::Order(life.start(key, target.fence, *lease_end, due, now, audit))
             }
-            Order::Stop { key, .. } => CallAnswer::Order(life.stop(key, target.epoch, now, audit)),
+            Order::Stop { key, .. } => CallAnswer::Order(life.stop(key, target.fence, now, audit)),
             Order::Hold { lease_end, seen, .. } => {
-                CallAnswer::Lists(life.hold(target.epoch, *lease_end, *seen, now, audit))
+                CallAnswer::Lists(life.hold(target.fence, *lease_end, *seen, now, audit))
             }
         };
-        // The adapter sees that another life has answered than the one that was meant.
-        let is_other = is_there && self.agents[agent].life.name != target.instance;
-        let answer = match answer {
-            CallAnswer::Lists(_) if is_other => CallAnswer::Gone,
-            answer => answer,
-        };
+        let life = life.name.clone();
         if begins && matches!(answer, CallAnswer::Order(RunnerAnswer::Done)) {
             self.at(CRASH_AFTER, Event::Crash { agent, life: target.instance.clone() });
         }
@@ -218,12 +220,42 @@
             return;
         }
         if self.chance(0.02) {
-            return self.at(600, Event::NoAnswer { agent, run, target, order });
+            let is_broken = false;
+            return self.at(600, Event::NoAnswer { agent, run, target, order, is_broken });
         }
         let delay = self.rng.random_range(0..8);
+        if let (Order::Hold { wait, .. }, CallAnswer::Lists(Some(_)), true) =
+            (&order, &answer, self.has_same_ids)
+        {
+            let until = self.now + delay + wait;
+            return self.at(0, Event::HoldEnd { agent, run, target, order, life, until });
+        }
         self.at(delay, Event::Returned { agent, run, target, order, answer });
     }
 
+    /// A look is answered when its wait is over; its connection breaks where the life has ended meanwhile.
+    fn on_hold_end(&mut self, event: Event) {
+        let Event::HoldEnd { agent, run, target, order, life, until } = event else {
+            return;
+        };
+        let now = self.now;
+        let present = &self.agents[agent].life;
+        if !present.is_alive || present.name != life {
+            let is_broken = true;
+            return self.at(1, Event::NoAnswer { agent, run, target, order, is_broken });
+        }
+        if now < until {
+            let step = BREAK_SEEN_AFTER.min(until - now);
+            return self.at(step, Event::HoldEnd { agent, run, target, order, life, until });
+        }
+        // The adapter sees that another life has answered than the one that was meant.
+        let answer = match life == target.instance {
+            true => CallAnswer::Lists(Some(present.lists(now))),
+            false => CallAnswer::Gone,
+        };
+        self.at(1, Event::Returned { agent, run, target, order, answer });
+    }
+
     fn on_returned(
         &mut self,
         agent: usize,
@@ -236,10 +268,12 @@
         let is_target = one.state.is_target(&target);
         match (order, answer) {
             (Order::Start { key, .. }, answer) if is_target => {
-                match answer {
-                    CallAnswer::Order(RunnerAnswer::Done) => one.state.begun.on_begun(&key),
-                    _ => one.state.begun.on_not_begun(&key),
-                }
+                let told = match answer {
+                    CallAnswer::Order(RunnerAnswer::Done) => Ok(()),
+                    CallAnswer::Order(_) => Err(RunnerError::Fenced),
+                    _ => Err(RunnerError::NotRunning),
+                };
+                one.state.on_start_answer(&key, &told);
                 let refused = match answer {
                     CallAnswer::Order(RunnerAnswer::Old) => Some(RejectReason::Old),
                     CallAnswer::Order(RunnerAnswer::Late) => Some(RejectReason::Late),
@@ -251,11 +285,22 @@
                 one.state.runs.settle_start(&key, Some(RejectReason::Late));
             }
             (Order::Stop { key, .. }, _) if is_target => one.state.runs.settle_stop(&key),
+            (Order::Hold { number: 0, .. }, answer) => {
+                if !matches!(answer, CallAnswer::Gone) || self.agents[agent].life.is_alive {
+                    self.agents[agent].state.on_return();
+                }
+                let run = self.agents[agent].run;
+                self.at(60, Event::Look { agent, run });
+            }
             (Order::Hold { number, .. }, answer) => {
                 let pause = match answer {
                     CallAnswer::Lists(Some(lists)) if is_target => {
                         one.state.on_lists(number, lists, now);
-                        250
+                        if self.has_same_ids { 1 } else { 250 }
+                    }
+                    CallAnswer::Lists(None) if is_target => {
+                        one.state.on_fenced();
+                        60
                     }
                     CallAnswer::Gone if is_target => {
                         one.state.on_crash(&target.instance, now);
@@ -270,7 +315,7 @@
         }
     }
 
-    fn on_no_answer(&mut self, agent: usize, target: RunnerTarget, order: Order) {
+    fn on_no_answer(&mut self, agent: usize, target: RunnerTarget, order: Order, is_broken: bool) {
         let now = self.agent_instant(agent);
         let one = &mut self.agents[agent];
         let run = one.run;
@@ -283,7 +328,7 @@
             Order::Stop { .. } => {}
             Order::Hold { .. } => {
                 if is_target {
-                    one.state.on_no_answer(now);
+                    one.state.on_no_answer(is_broken, now);
                 }
                 self.at(60, Event::Look { agent, run });
             }
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -20,6 +20,7 @@
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::external::runner_control::RunnerError;
 use greengagearch::external::runner_control::RunnerLists;
 use greengagearch::external::runner_control::RunnerTarget;
 use greengagearch::process::node::known_runner::KnownRunner;
@@ -59,6 +60,10 @@
 /// Time for which a host is cut off after a pause, longer than any lease, and what tasks take then at least.
 const CUT_FOR: u64 = 16_000;
 const LONG_RUN: u64 = 20_000;
+/// Time between two births of a runner, as it tells them, in milliseconds.
+const BIRTH_DISTANCE: u64 = 100;
+/// Time after which an agent sees that the connection of its look broke.
+const BREAK_SEEN_AFTER: u64 = 5;
 const WALL: u64 = 1_000_000;
 
 /// A mechanism that the search takes out, to see that it is needed.
@@ -83,7 +88,7 @@
 enum Order {
     Start { key: RunKey, lease_end: u64, since: u64 },
     Stop { key: RunKey, is_late: bool },
-    Hold { number: u64, lease_end: Option<u64>, seen: u64 },
+    Hold { number: u64, lease_end: Option<u64>, seen: u64, wait: u64 },
 }
 
 #[derive(Clone, Debug)]
@@ -186,6 +191,16 @@
         run: u64,
         target: RunnerTarget,
         order: Order,
+        is_broken: bool,
+    },
+    /// The wait of a look that a life has taken in is over.
+    HoldEnd {
+        agent: usize,
+        run: u64,
+        target: RunnerTarget,
+        order: Order,
+        life: String,
+        until: u64,
     },
     Beat {
         agent: usize,
--- a/tests/planning_world/runner.rs
+++ b/tests/planning_world/runner.rs
@@ -271,12 +271,17 @@
         }
         self.seen = self.seen.max(seen);
         self.ended.retain(|ended| ended.number > seen);
+        Some(self.lists(now))
+    }
+
+    /// What a look shows.
+    pub fn lists(&self, now: u64) -> RunnerLists {
         let shown = |key: &RunKey| PresentRun {
             is_begun: true,
             ..PresentRun::ordered(key.0.clone(), key.1)
         };
         let running = self.running.keys().map(shown).collect();
-        Some(RunnerLists { clock: self.clock(now), running, ended: self.ended.clone() })
+        RunnerLists { clock: self.clock(now), running, ended: self.ended.clone() }
     }
 
     /// Takes a longer lease, up to the longest that there is.
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -226,9 +226,10 @@
     fn crash_runner(&mut self, agent: usize) {
         let now = self.now;
         self.agents[agent].life.crash(now, &mut self.audit);
-        if self.has_same_ids && self.chance(0.5) {
+        if self.has_same_ids {
             let life = self.agents[agent].life.name.clone();
-            let pause = self.rng.random_range(10..4_000);
+            let longest = if self.chance(0.5) { 4_000 } else { 60 };
+            let pause = self.rng.random_range(10..longest);
             return self.at(pause, Event::Back { agent, life });
         }
         self.renew_runner(agent);
