Let only answers decide which of two lives is present

One look without an answer let another life that had registered take the place of the known one, though its heartbeat may be one that came late; and a heartbeat was called late by an answer to a look sent before it came, as a paused agent meets them. Now a life ends when another one answers or nobody listens at its address, or when its leases have surely expired; a heartbeat is late when the known life answers a look that was sent after it.

Tests that failed before: a_late_heartbeat_and_a_lost_answer_do_not_end_a_living_runner, an_answer_to_an_earlier_look_does_not_make_a_heartbeat_late. a_new_life_takes_over_when_the_known_one_answers_no_more asked for the take-over without proof; two tests take its place, by another life's answer and by silence beyond the leases.

--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -54,7 +54,8 @@
     started: Instant,
     stamp: LinkStamp,
     runner: Option<KnownRunner>,
-    candidate: Option<KnownRunner>,
+    /// Another life that has registered, and the newest look then.
+    candidate: Option<(LookNumber, KnownRunner)>,
     former: VecDeque<InstanceId>,
     /// Lives that earlier agents here have stored; over, but for the present one, when that one answers.
     earlier: Vec<InstanceId>,
@@ -189,7 +190,7 @@
             Some(_) => {
                 // Either the known life has ended or this heartbeat is an old one that was held up; the
                 // next look at the known life tells.
-                self.candidate = Some(runner);
+                self.candidate = Some((self.runs.newest_look(), runner));
                 BeatEffect::None
             }
             None => {
@@ -205,28 +206,21 @@
         self.has_news = true;
     }
 
-    /// Takes note that the known life does not answer. One that has registered since takes its place;
-    /// without one, and with leases that have surely expired, the life is given up.
+    /// Takes note that the known life does not answer, which says nothing of another one that may have registered. With leases that
+    /// have surely expired the life is given up.
     pub fn on_no_answer(&mut self, is_broken: bool, now: Instant) -> bool {
         self.silent_since.get_or_insert(now);
         self.is_proven = false;
         if is_broken {
             self.unsettled.on_broken_look();
         }
-        if let Some(candidate) = self.candidate.take() {
-            self.note_crash(now);
-            self.retire(now);
-            self.install(candidate);
-            return true;
-        }
         let Some(until) = self.sent_until else {
             return false;
         };
         let left = until.saturating_duration_since(self.answered);
         let is_expired = now >= surely_expired(self.answered, left);
         if is_expired && now.saturating_duration_since(self.answered) > SILENCE_LIMIT {
-            self.retire(now);
-            self.has_news = true;
+            self.end_life(now);
             return true;
         }
         false
@@ -250,7 +244,7 @@
     fn end_life(&mut self, now: Instant) {
         self.retire(now);
         self.has_news = true;
-        if let Some(candidate) = self.candidate.take() {
+        if let Some((_, candidate)) = self.candidate.take() {
             self.install(candidate);
         }
     }
@@ -515,8 +509,8 @@
         self.unsettled.on_look(number, &shown_runs(&lists), now);
         self.left_at.take_if(|left_at| number > *left_at);
         self.begun.on_look(&lists.running, now);
-        if let Some(stale) = self.candidate.take() {
-            // The known life has answered after this one's heartbeat came.
+        if let Some((_, stale)) = self.candidate.take_if(|(newest, _)| number > *newest) {
+            // The known life has answered a look that was sent after this one's heartbeat came.
             self.add_former(stale.status.instance);
         }
         self.end_earlier_lives();
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -130,11 +130,26 @@
 }
 
 #[test]
-fn a_new_life_takes_over_when_the_known_one_answers_no_more() {
+fn a_new_life_takes_over_when_it_answers_in_place_of_the_known_one() {
     let now = Instant::now();
     let mut state = linked(now);
     state.on_beat(runner("i-2", 1));
-    assert!(state.on_no_answer(false, now));
+    assert!(state.on_crash("i-1", now));
+    assert_eq!(state.target().unwrap().instance, "i-2");
+    assert_eq!(state.report(now).former, ["i-1"]);
+}
+
+#[test]
+fn a_new_life_takes_over_when_the_known_one_is_silent_beyond_its_leases() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(500), now);
+    state.on_sync(&grant("i-1", 0, 0));
+    state.next_hold(Duration::ZERO, now);
+    state.on_beat(runner("i-2", 1));
+    assert!(!state.on_no_answer(false, now + Duration::from_secs(9)));
+    assert!(state.on_no_answer(false, now + Duration::from_secs(10)));
     assert_eq!(state.target().unwrap().instance, "i-2");
     assert_eq!(state.report(now).former, ["i-1"]);
 }
@@ -447,3 +462,30 @@
     let fence = state.target().unwrap().fence;
     assert!(later_life < fence && fence < later_planner);
 }
+
+/// Guards against a living runner that is out of the fleet for good, while what runs on it starts elsewhere: a heartbeat of a former
+/// life came late, and one answer was lost.
+#[test]
+fn a_late_heartbeat_and_a_lost_answer_do_not_end_a_living_runner() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    state.on_beat(runner("i-0", 9));
+    assert!(!state.on_no_answer(false, now));
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    assert_eq!(state.target().unwrap().instance, "i-1");
+    assert_eq!(state.report(now).former, ["i-0"]);
+}
+
+/// Guards against the next life of a runner that is called a former one: its heartbeat came while an answer of the life before was on its
+/// way to a paused agent.
+#[test]
+fn an_answer_to_an_earlier_look_does_not_make_a_heartbeat_late() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_beat(runner("i-2", 1));
+    state.on_lists(number, lists(0), now);
+    assert!(state.on_crash("i-1", now));
+    assert_eq!(state.target().unwrap().instance, "i-2");
+}
