--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -45,7 +45,7 @@
     pub listener: StoreListener,
     /// The line on which the planner reaches the agent.
     pub line: FaultProxy,
-    /// The present life of the runner.
+    /// The present life of the runner, or one before it under the same id.
     pub runner: PlatformRunner,
     /// Number of that life.
     pub life: u32,
@@ -185,10 +185,16 @@
         self.nodes[node].process = self.spawn("gga-node", &text, &format!("node-{node}"));
     }
 
-    /// Ends the life of a runner; another one, with a clock that goes at `speed`, begins.
-    pub async fn replace_runner(&mut self, node: usize, speed: f64) {
+    /// Ends the life of a runner; another one begins: under the same id and after `pause` where the runner tells when it was born, else with
+    /// a clock that goes at `speed`.
+    pub async fn replace_runner(&mut self, node: usize, speed: f64, pause: Duration) {
         let journal = self.journal.clone();
         let seat = &mut self.nodes[node];
+        if seat.runner.born.is_some() {
+            let present = seat.runner.newest();
+            tokio::spawn(async move { present.rebear(pause).await });
+            return;
+        }
         seat.runner.crash();
         seat.life += 1;
         let instance = format!("i-{node}-{}", seat.life);
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -142,7 +142,9 @@
 
     /// Ends this life; after a pause another one begins under its id and at its address.
     pub async fn rebear(&self, pause: Duration) -> PlatformRunner {
-        self.break_off();
+        if !self.break_off() {
+            return self.follow().await;
+        }
         tokio::time::sleep(pause).await;
         let listener = listen_again(self.address).await;
         let (instance, registry) = (&self.instance, self.registry);
@@ -150,10 +152,26 @@
         let born = self.born.map(|before| unix_millis().max(before + 1));
         let journal = self.journal.clone();
         let next = PlatformRunner::serve(listener, instance, registry, journal, self.speed, born);
-        self.lock().successor = Some(next.clone());
+        let mut life = self.lock();
+        if life.is_closed {
+            next.break_off();
+        }
+        life.successor = Some(next.clone());
+        drop(life);
         next
     }
 
+    /// Waits for the life that follows this one, which is over.
+    async fn follow(&self) -> PlatformRunner {
+        loop {
+            let next = self.lock().successor.clone();
+            match next {
+                Some(next) => return next.newest(),
+                None => tokio::time::sleep(BIND_PAUSE).await,
+            }
+        }
+    }
+
     fn serve(
         listener: TcpListener,
         instance: &str,
@@ -220,6 +238,10 @@
 
     /// Ends this life; another one begins after a while, unless the runner is ended meanwhile.
     async fn crash_and_return(&self) {
+        if self.born.is_some() {
+            self.rebear(BACK_AFTER).await;
+            return;
+        }
         self.break_off();
         tokio::time::sleep(BACK_AFTER).await;
         let instance = format!("{}+", self.instance);
@@ -228,15 +250,18 @@
         let mut life = self.lock();
         if life.is_closed || life.successor.is_some() {
             drop(life);
-            return next.break_off();
+            next.break_off();
+            return;
         }
         life.successor = Some(next);
     }
 
-    fn break_off(&self) {
+    /// Says whether it was not over before.
+    fn break_off(&self) -> bool {
+        let mut is_first = false;
         let running: Vec<(String, u32)> = {
             let mut life = self.lock();
-            life.is_over = true;
+            is_first |= !std::mem::replace(&mut life.is_over, true);
             std::mem::take(&mut life.running).into_keys().collect()
         };
         for (task, run) in running {
@@ -245,6 +270,7 @@
         if self.born.is_some() {
             self.closing.notify_one();
         }
+        is_first
     }
 
     /// Names this life alone.
@@ -252,8 +278,8 @@
         self.born.map_or(self.instance.clone(), |born| format!("{}@{born}", self.instance))
     }
 
-    /// The life that carries out a call which was held up: the newest one under the id.
-    fn newest(&self) -> PlatformRunner {
+    /// The newest life under the id: it carries out calls that were held up.
+    pub fn newest(&self) -> PlatformRunner {
         let successor = self.lock().successor.clone().filter(|_| self.born.is_some());
         successor.map_or_else(|| self.clone(), |next| next.newest())
     }
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -125,7 +125,8 @@
 
     async fn crash_runner(&mut self, node: usize) -> String {
         let speed = self.rng.random_range(SLOWEST_CLOCK..=1.0);
-        self.shared.cluster.lock().await.replace_runner(node, speed).await;
+        let pause = Duration::from_millis(self.rng.random_range(10..1_500));
+        self.shared.cluster.lock().await.replace_runner(node, speed, pause).await;
         format!("runner {node} crashes and starts again")
     }
 
@@ -179,13 +180,13 @@
     async fn hold_up_orders(&mut self, node: usize) -> String {
         let delay = Duration::from_millis(self.rng.random_range(500..6_000));
         let span = self.later(Mend::Orders(node));
-        self.shared.cluster.lock().await.nodes[node].runner.set_late_orders(Some(delay));
+        self.shared.cluster.lock().await.nodes[node].runner.newest().set_late_orders(Some(delay));
         format!("runner {node} carries orders out {delay:?} late for {span:?}")
     }
 
     async fn lose_answers(&mut self, node: usize) -> String {
         let count = self.rng.random_range(1..5);
-        self.shared.cluster.lock().await.nodes[node].runner.lose_answers(count);
+        self.shared.cluster.lock().await.nodes[node].runner.newest().lose_answers(count);
         format!("runner {node} loses {count} answers")
     }
 
@@ -217,7 +218,7 @@
                         .iter()
                         .for_each(|one| one.listener.set_fault(StoreFault::None));
                 }
-                Mend::Orders(node) => cluster.nodes[node].runner.set_late_orders(None),
+                Mend::Orders(node) => cluster.nodes[node].runner.newest().set_late_orders(None),
             }
         }
     }
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -244,7 +244,7 @@
     env.nodes[0].process.kill();
     env.nodes[0].runner.crash();
     env.restart_agent(0);
-    env.replace_runner(0, 1.0).await;
+    env.replace_runner(0, 1.0, Duration::ZERO).await;
     let agent = env.nodes[0].process.address("internal");
     let stream = TcpStream::connect(agent).await.unwrap();
     let client = NodeRpcClient::spawn(stream, Arc::default());
