--- a/tests/pacing.rs
+++ b/tests/pacing.rs
@@ -184,3 +184,66 @@
     worker.control.on_failed(&first[0].key);
     assert_eq!(worker.look(0.7).len(), 1);
 }
+
+/// Looks in the span for which a tail may be over its target beside fills.
+const HARM_LOOKS: u32 = 16;
+
+/// A worker with two tasks of one job that serve, of which the second has the higher load, beside one fill.
+struct PlayedSiblings {
+    now: Instant,
+    control: PaceControl,
+    traits: HashMap<TaskName, TaskTraits>,
+    /// What the fill adds to both at full pace.
+    added: f64,
+    pace: f64,
+}
+
+impl PlayedSiblings {
+    fn start(added: f64) -> PlayedSiblings {
+        let mut known = HashMap::new();
+        for task in ["s.0.0.0", "s.0.0.1"] {
+            let serving = traits(task, TARGET_MS, Vec::new());
+            known.insert(serving.task.clone(), serving);
+        }
+        let effect = ImageEffect { serving: "image".to_string(), added_permille: 100 };
+        let fill = traits("f.0.0.0", 0, vec![effect]);
+        known.insert(fill.task.clone(), fill);
+        let control = PaceControl::default();
+        PlayedSiblings { now: Instant::now(), control, traits: known, added, pace: 1.0 }
+    }
+
+    /// Plays looks with these loads of both tasks alone. Gives the most looks in a row in which the second task was over its target
+    /// while the fill worked, and the fill's mean pace.
+    fn play(&mut self, lower: f64, higher: f64, looks: u32) -> (u32, f64) {
+        let (mut over, mut longest, mut worked) = (0, 0, 0.0);
+        for _ in 0..looks {
+            let tails = [lower, higher].map(|load| tail_ms(load + self.added * self.pace) as u64);
+            let is_harmed = tails[1] > TARGET_MS && self.pace > 0.0;
+            over = if is_harmed { over + 1 } else { 0 };
+            longest = longest.max(over);
+            worked += self.pace;
+            self.now += LOOK;
+            let running =
+                [run("s.0.0.0", tails[0]), run("s.0.0.1", tails[1]), run("f.0.0.0", 1_000)];
+            for step in self.control.look(&running, &self.traits, self.now) {
+                self.pace = f64::from(step.percent) / 100.0;
+            }
+        }
+        (longest, worked / f64::from(looks))
+    }
+}
+
+/// Guards against a task that stays over its target beside a fill: its sibling on the same worker, whose tail is lower, decided alone
+/// how fast the fill may work.
+#[test]
+fn a_task_that_is_over_its_target_for_long_slows_fills_also_where_its_sibling_is_not() {
+    let (longest, _) = PlayedSiblings::start(0.1).play(0.45, 0.75, 80);
+    assert!(longest < HARM_LOOKS, "{longest} looks in a row");
+}
+
+/// A task that is over its target by its own load gains nothing from slowed fills.
+#[test]
+fn a_task_that_is_over_its_target_without_fills_slows_them_for_a_short_time_only() {
+    let (_, pace) = PlayedSiblings::start(0.1).play(0.45, 0.9, 400);
+    assert!(pace > 0.6, "{pace}");
+}
