--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -103,7 +103,7 @@
         state.next_hold(wait, clock::now())
     };
     let lists = shared.control.hold(target, hold).await?;
-    let steps = {
+    let (steps, long_over) = {
         let mut state = shared.state();
         if !state.is_target(target) {
             return Ok(());
@@ -116,8 +116,20 @@
         if state.on_lists(number, lists, now) {
             shared.news.notify_one();
         }
-        steps
+        (steps, state.pace.take_long_over())
     };
+    for (over, fills_percent) in long_over {
+        log_event(
+            Level::Info,
+            "task_over_target",
+            &[
+                ("task", &over.task),
+                ("tail_ms", &over.tail_ms),
+                ("target_ms", &over.target_ms),
+                ("fills_percent", &fills_percent),
+            ],
+        );
+    }
     for step in steps {
         let (shared, target) = (shared.clone(), target.clone());
         tokio::spawn(async move { pace(&shared, &target, step).await });
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 pub mod job_forecast;
 pub mod job_outlook;
 pub mod learned_effects;
+pub mod over_target;
 pub mod pacing;
 pub mod placement;
 pub mod plan_decision;
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -16,6 +16,8 @@
 use crate::workflow::disturbance::FIRST_ADDED;
 use crate::workflow::disturbance::FIRST_IDLE_SHARE;
 use crate::workflow::disturbance::MEASURED_SPAN;
+use crate::workflow::over_target::LongOver;
+use crate::workflow::over_target::OverTarget;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
@@ -51,6 +53,7 @@
     rose: Option<Instant>,
     /// In their order, so that the same looks give the same paces to the last bit.
     paces: BTreeMap<RunKey, RunPace>,
+    over: OverTarget,
 }
 
 /// The pace of one run as a share of its full speed.
@@ -132,6 +135,7 @@
         now: Instant,
     ) -> Vec<PaceStep> {
         self.follow(running, traits, now);
+        self.over.follow(running, traits, now);
         let groups = serving_groups(running, traits);
         let pressure = groups.iter().map(|group| group.pressure).fold(0.0, f64::max);
         let allowed = self.allowed(&groups, traits, now);
@@ -152,6 +156,17 @@
         steps
     }
 
+    /// Tasks that have newly been over their targets for long, and the highest pace of the fills beside them in percent.
+    ///
+    /// ```
+    /// assert!(greengagearch::workflow::pacing::PaceControl::default().take_long_over().is_empty());
+    /// ```
+    pub fn take_long_over(&mut self) -> Vec<(LongOver, u32)> {
+        let highest = self.paces.values().map(|pace| pace.ordered).fold(0.0, f64::max);
+        let percent = (highest * 100.0).round() as u32;
+        self.over.take_news().into_iter().map(|over| (over, percent)).collect()
+    }
+
     /// The pace that was ordered for a run last, in percent.
     ///
     /// ```
