Let a task that stays over its target count by itself for what fills beside it

Cause: of the tasks of one step on a worker the lower of two tails decided alone, for however long the other one was over.

A task that was over its target for a second and a half on end counts by itself, until ten seconds after it was over last, so that fills settle at what it bears. One that stays over while fills stand still is so by its own load, and slows them no more for ten seconds, unless the load model says that fills are the cause. One tail that stands out for a moment slows nothing, as before.

--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -32,6 +32,8 @@
 const LEAST_ADDED: f64 = 0.02;
 /// Time until an ordered pace has its effect: the platform's bound and a call on the own host.
 const PACE_LAG: Duration = Duration::from_millis(120);
+/// Mean pace below which a fill stands still.
+const STILL_PACE: f64 = 0.02;
 /// Least change of pace that is ordered.
 const LEAST_CHANGE: f64 = 0.05;
 
@@ -106,7 +108,7 @@
     }
 }
 
-/// Tasks of one job that serve on this worker; their load swings alike.
+/// Tasks of one job that serve on this worker, whose load swings alike, or one that counts by itself.
 struct ServingGroup {
     /// What they run.
     image: String,
@@ -136,7 +138,11 @@
     ) -> Vec<PaceStep> {
         self.follow(running, traits, now);
         self.over.follow(running, traits, now);
-        let groups = serving_groups(running, traits);
+        if self.paces.values().all(|pace| pace.mean(now) < STILL_PACE) {
+            self.over.clear_fills(now);
+        }
+        let mut groups = serving_groups(running, traits);
+        groups.extend(self.harmed_tasks(running, traits, now));
         let pressure = groups.iter().map(|group| group.pressure).fold(0.0, f64::max);
         let allowed = self.allowed(&groups, traits, now);
         let may_rise = self.rose.is_none_or(|at| now.saturating_duration_since(at) >= RISE_PAUSE);
@@ -224,6 +230,38 @@
         self.paces = paces;
     }
 
+    /// Tasks that count by themselves, since they have been over their targets for long.
+    fn harmed_tasks(
+        &self,
+        running: &[PresentRun],
+        known: &HashMap<TaskName, TaskTraits>,
+        now: Instant,
+    ) -> Vec<ServingGroup> {
+        let mut harmed = Vec::new();
+        for run in running.iter().filter(|run| run.usage > 0) {
+            let Some(traits) = known.get(&run.task).filter(|traits| traits.target_ms > 0) else {
+                continue;
+            };
+            let group = group_of(run.usage as f64, traits);
+            let is_by_fills = group.room + self.measured_load(&group.image, known, now) > 0.0;
+            if self.over.is_harmed(&(run.task.clone(), run.run), is_by_fills, now) {
+                harmed.push(group);
+            }
+        }
+        harmed
+    }
+
+    /// The load that fills have added to tasks of an image over the measured span.
+    fn measured_load(
+        &self,
+        image: &str,
+        traits: &HashMap<TaskName, TaskTraits>,
+        now: Instant,
+    ) -> f64 {
+        let paces = self.paces.iter();
+        paces.map(|(key, pace)| added_load(key, image, traits) * pace.mean(now)).sum()
+    }
+
     /// The highest paces at which no group is expected above its aim.
     fn allowed(
         &self,
@@ -234,13 +272,8 @@
         let mut allowed: BTreeMap<RunKey, f64> =
             self.paces.keys().map(|key| (key.clone(), 1.0)).collect();
         for group in groups {
-            let added = |key: &RunKey| {
-                let known = traits.get(&key.0).and_then(|traits| traits.added(&group.image));
-                known.unwrap_or(FIRST_ADDED).max(LEAST_ADDED)
-            };
-            let measured: f64 =
-                self.paces.iter().map(|(key, pace)| added(key) * pace.mean(now)).sum();
-            let budget = group.room + measured;
+            let added = |key: &RunKey| added_load(key, &group.image, traits);
+            let budget = group.room + self.measured_load(&group.image, traits, now);
             let mut excess: f64 =
                 allowed.iter().map(|(key, pace)| added(key) * pace).sum::<f64>() - budget;
             let mut heaviest: Vec<(f64, RunKey)> =
@@ -277,14 +310,25 @@
     let group = |mut tails: Vec<(f64, &TaskTraits)>| {
         tails.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (tail, traits) = tails[(tails.len() - 1) / 2];
-        let target = traits.target_ms as f64;
-        let idle = match traits.idle_tail_ms {
-            0 => target * FIRST_IDLE_SHARE,
-            known => f64::from(known),
-        };
-        // load = 1 − idle / tail, so that the difference of two loads needs no load at all.
-        let room = idle / tail - idle / target - LOAD_MARGIN;
-        ServingGroup { image: traits.image.clone(), room, pressure: tail / target }
+        group_of(tail, traits)
     };
     tails.into_values().map(group).collect()
 }
+
+/// What a fill at full pace adds to the load of tasks of an image, as far as that is known.
+fn added_load(key: &RunKey, image: &str, traits: &HashMap<TaskName, TaskTraits>) -> f64 {
+    let known = traits.get(&key.0).and_then(|traits| traits.added(image));
+    known.unwrap_or(FIRST_ADDED).max(LEAST_ADDED)
+}
+
+/// What a tail of a task that serves leaves to fills.
+fn group_of(tail: f64, traits: &TaskTraits) -> ServingGroup {
+    let target = traits.target_ms as f64;
+    let idle = match traits.idle_tail_ms {
+        0 => target * FIRST_IDLE_SHARE,
+        known => f64::from(known),
+    };
+    // load = 1 − idle / tail, so that the difference of two loads needs no load at all.
+    let room = idle / tail - idle / target - LOAD_MARGIN;
+    ServingGroup { image: traits.image.clone(), room, pressure: tail / target }
+}
