Give the lives of a runner, its lease and the sequence of orders types of their own

One change of behaviour: the planner hears at once when the next life of a runner has shown which starts it has not taken, not with the next report.

--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,63 +23,35 @@
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::local_runs::LocalRuns;
 use crate::process::node::local_runs::LookNumber;
+use crate::process::node::order_sequence::OrderSequence;
+use crate::process::node::runner_lease::RunnerLease;
+use crate::process::node::runner_lives::RunnerLives;
 use crate::process::node::unsettled_starts::UnsettledStarts;
-use crate::workflow::grant::surely_expired;
 use crate::workflow::pacing::PaceControl;
 use crate::workflow::spec::RoomAmount;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
-/// Earlier lives of the runner that are remembered, for heartbeats and orders that come late.
-const FORMER_LIVES: usize = 8;
-/// A start is not tried with less than this left of the lease.
-const LEAST_LEASE: Duration = Duration::from_millis(150);
-
-/// A runner that has not answered for so long gets no longer leases.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// Time for which the next life of a runner is looked for: as long as calls for the one before may be carried out late.
-const RETURN_SPAN: Duration = Duration::from_secs(12);
-
 /// Age of the last answer from which on the next look first asks which life answers.
 const PROOF_SPAN: Duration = Duration::from_millis(1_000);
 
-/// Time for which the planner is told of a life that broke off: several links may break meanwhile.
-const CRASH_TOLD: Duration = Duration::from_secs(5);
-
 /// The state of a node agent.
 #[derive(Debug)]
 pub struct NodeState {
     started: Instant,
     stamp: LinkStamp,
-    runner: Option<KnownRunner>,
-    /// Another life that has registered, and the newest look then.
-    candidate: Option<(LookNumber, KnownRunner)>,
-    former: VecDeque<InstanceId>,
-    /// Lives that earlier agents here have stored; over, but for the present one, when that one answers.
-    earlier: Vec<InstanceId>,
-    /// The last life, while the next one under its id has not been called, and up to when that is tried.
-    awaited: Option<(KnownRunner, Instant)>,
-    /// Lives that broke off, and when that was noticed.
-    crashes: Vec<(Instant, RunnerCrash)>,
-    answered: Instant,
+    lives: RunnerLives,
+    lease: RunnerLease,
     /// Whether the present life has answered the last look.
     is_proven: bool,
     /// By how much the fencing token is raised, since the present life has seen a higher one.
     fence_raise: u32,
-    /// The newest look when the runner said that it ends, until a later one shows that its present life goes on.
-    left_at: Option<LookNumber>,
     /// The first sign since the last answer that the present life has broken off.
     silent_since: Option<Instant>,
-    sent_until: Option<Instant>,
-    lease_until: Option<Instant>,
-    clock: Option<(RunnerMillis, Instant)>,
     seen: u64,
     /// Number of the first end that the runner still lists.
     first_listed: Option<u64>,
-    orders_seen: u64,
-    /// Orders that came before earlier ones: their number, by that of the ones before.
-    early_orders: HashMap<u64, u64>,
+    orders: OrderSequence,
     fresh_look: Option<RunnerLook>,
     /// What the newest look showed, with starts on their way.
     present: BTreeSet<RunKey>,
@@ -110,24 +81,14 @@
         NodeState {
             started,
             stamp: LinkStamp::default(),
-            runner: None,
-            candidate: None,
-            former: VecDeque::new(),
-            earlier: Vec::new(),
-            awaited: None,
-            crashes: Vec::new(),
-            answered: started,
+            lives: RunnerLives::default(),
+            lease: RunnerLease::none(started),
             is_proven: false,
             fence_raise: 0,
-            left_at: None,
             silent_since: None,
-            sent_until: None,
-            lease_until: None,
-            clock: None,
             seen: 0,
             first_listed: None,
-            orders_seen: 0,
-            early_orders: HashMap::new(),
+            orders: OrderSequence::default(),
             fresh_look: None,
             present: BTreeSet::new(),
             reported_ends: 0,
@@ -152,8 +113,7 @@
             }
             // What the planner knows of orders and ends starts anew with each link.
             self.stamp = stamp;
-            self.orders_seen = 0;
-            self.early_orders.clear();
+            self.orders = OrderSequence::default();
             self.reported_ends = 0;
             self.fresh_look = None;
             self.has_news = true;
@@ -173,37 +133,9 @@
 
     /// Takes a heartbeat of the runner.
     pub fn on_beat(&mut self, runner: KnownRunner) -> BeatEffect {
-        let instance = &runner.status.instance;
-        if self.former.contains(instance) {
-            return BeatEffect::Dropped;
-        }
-        match &self.runner {
-            Some(known) if known.status.instance == *instance => {
-                if runner.sequence <= known.sequence {
-                    return BeatEffect::None;
-                }
-                let is_news = known.status != runner.status;
-                self.has_news |= is_news;
-                self.runner = Some(runner);
-                if is_news { BeatEffect::News } else { BeatEffect::None }
-            }
-            Some(_) => {
-                // Either the known life has ended or this heartbeat is an old one that was held up; the
-                // next look at the known life tells.
-                self.candidate = Some((self.runs.newest_look(), runner));
-                BeatEffect::None
-            }
-            None => {
-                self.install(runner);
-                BeatEffect::News
-            }
-        }
-    }
-
-    fn install(&mut self, runner: KnownRunner) {
-        self.awaited = None;
-        self.runner = Some(runner);
-        self.has_news = true;
+        let effect = self.lives.on_beat(runner, self.runs.newest_look());
+        self.has_news |= effect == BeatEffect::News;
+        effect
     }
 
     /// Takes note that the known life does not answer, which says nothing of another one that may have registered. With leases that
@@ -214,82 +146,47 @@
         if is_broken {
             self.unsettled.on_broken_look();
         }
-        let Some(until) = self.sent_until else {
-            return false;
-        };
-        let left = until.saturating_duration_since(self.answered);
-        let is_expired = now >= surely_expired(self.answered, left);
-        if is_expired && now.saturating_duration_since(self.answered) > SILENCE_LIMIT {
+        let has_expired = self.lease.has_expired(now);
+        if has_expired {
             self.end_life(now);
-            return true;
         }
-        false
+        has_expired
     }
 
-    /// Takes note that a runner says that it ends. Says whether its present life is over. Where runners come back under their ids a
-    /// former life may have said so, and the next look tells.
+    /// Takes note that a runner says that it ends. Says whether its present life is over.
     pub fn on_leave(&mut self, runner: &str, now: Instant) -> bool {
-        let Some(known) = self.runner.as_ref().filter(|known| known.runner == runner) else {
-            return false;
-        };
-        if known.born.is_some() {
-            self.left_at = Some(self.runs.newest_look());
-            return false;
-        }
-        self.end_life(now);
-        true
-    }
-
-    /// The present life is over; one that has registered since takes its place.
-    fn end_life(&mut self, now: Instant) {
-        self.retire(now);
-        self.has_news = true;
-        if let Some((_, candidate)) = self.candidate.take() {
-            self.install(candidate);
+        let has_left = self.lives.on_leave(runner, self.runs.newest_look());
+        if has_left {
+            self.end_life(now);
         }
+        has_left
     }
 
     /// Takes note that a life has broken off: nobody listens at its address, or another life does.
     pub fn on_crash(&mut self, instance: &str, now: Instant) -> bool {
         let is_present = self.present_life().is_some_and(|life| life == instance);
         if is_present {
-            self.silent_since.get_or_insert(now);
-            self.note_crash(now);
+            let crashed = self.silent_since.unwrap_or(now);
+            let young = self.begun.young_at(self.lease.answered(), crashed);
+            self.lives.note_crash(young, now);
             self.end_life(now);
         }
         is_present
     }
 
-    /// Remembers what was young on the present life, which has broken off. A runner that is leaving ends as it said.
-    fn note_crash(&mut self, now: Instant) {
-        let crashed = self.silent_since.unwrap_or(now);
-        let young = self.begun.young_at(self.answered, crashed);
-        let has_said_so = |runner: &&KnownRunner| runner.status.draining || self.left_at.is_some();
-        if let Some(runner) = self.runner.as_ref().filter(|runner| !has_said_so(runner)) {
-            let instance = runner.status.instance.clone();
-            self.crashes.push((now, RunnerCrash { instance, young }));
-        }
-    }
-
     /// The life that broke off last, for the log.
     pub fn last_crash(&self) -> Option<&RunnerCrash> {
-        self.crashes.last().map(|(_, crash)| crash)
+        self.lives.last_crash()
     }
 
-    /// Puts the present life of the runner among the former ones.
-    fn retire(&mut self, now: Instant) {
-        let Some(runner) = self.runner.take() else {
-            return;
-        };
-        match runner.born {
-            Some(_) => self.unsettled.end_life(now),
-            None => self.unsettled.forget_life(),
+    /// Forgets what is known of the present life, which is over.
+    fn end_life(&mut self, now: Instant) {
+        match self.lives.has_births() {
+            true => self.unsettled.end_life(now),
+            false => self.unsettled.forget_life(),
         }
-        self.add_former(runner.status.instance.clone());
-        self.awaited = runner.born.is_some().then_some((runner, now + RETURN_SPAN));
-        self.lease_until = None;
-        self.sent_until = None;
-        self.clock = None;
+        self.lives.end(now);
+        self.lease = RunnerLease::none(self.lease.answered());
         self.seen = 0;
         self.first_listed = None;
         self.runs.clear();
@@ -297,71 +194,47 @@
         self.is_proven = false;
         self.fence_raise = 0;
         self.silent_since = None;
-        self.left_at = None;
         self.fresh_look = None;
         self.present.clear();
         self.reported_ends = 0;
         self.pace = PaceControl::default();
-    }
-
-    fn add_former(&mut self, instance: InstanceId) {
-        self.former.push_back(instance);
-        if self.former.len() > FORMER_LIVES {
-            self.former.pop_front();
-        }
+        self.has_news = true;
     }
 
     /// The present life of the runner.
     pub fn present_life(&self) -> Option<&InstanceId> {
-        self.runner.as_ref().map(|runner| &runner.status.instance)
+        self.lives.name()
     }
 
     /// Takes in which lives earlier agents on this host have known.
     pub fn on_earlier_lives(&mut self, lives: Vec<InstanceId>) {
-        self.earlier = lives;
-    }
-
-    /// A host has one life of a runner at a time: where one answers, those before it are over. A row of a version that knew no births
-    /// names lives by their runners, so that it may mean the present one.
-    fn end_earlier_lives(&mut self) {
-        for life in std::mem::take(&mut self.earlier) {
-            let is_present = self
-                .runner
-                .as_ref()
-                .is_some_and(|known| known.status.instance == life || known.runner == life);
-            if !is_present && !self.former.contains(&life) {
-                self.add_former(life);
-                self.has_news = true;
-            }
-        }
+        self.lives.on_earlier(lives);
     }
 
     /// Where orders go, and under which epoch; nothing without a runner or a planner.
     pub fn target(&self) -> Option<RunnerTarget> {
-        let runner = self.runner.as_ref().filter(|_| self.stamp.epoch > 0)?;
-        Some(RunnerTarget {
+        self.target_of(self.lives.present()?, self.fence_raise)
+    }
+
+    fn target_of(&self, runner: &KnownRunner, fence_raise: u32) -> Option<RunnerTarget> {
+        let epoch = self.stamp.epoch;
+        (epoch > 0).then(|| RunnerTarget {
             address: runner.address.clone(),
             instance: runner.status.instance.clone(),
-            epoch: self.stamp.epoch,
-            fence: fencing_token(self.stamp.epoch, runner.born, self.fence_raise),
+            epoch,
+            fence: fencing_token(epoch, runner.born, fence_raise),
         })
     }
 
     /// Where the next life of the runner will listen, before it has registered. A call with this token makes it refuse what was meant
     /// for the life before.
     pub fn awaited_target(&self, now: Instant) -> Option<RunnerTarget> {
-        let (last, until) = self.awaited.as_ref().filter(|_| self.stamp.epoch > 0)?;
-        (now < *until).then(|| RunnerTarget {
-            address: last.address.clone(),
-            instance: last.status.instance.clone(),
-            epoch: self.stamp.epoch,
-            fence: fencing_token(self.stamp.epoch, last.born, 1),
-        })
+        self.target_of(self.lives.awaited(now)?, 1)
     }
 
     /// Takes note that the next life of the runner has been called.
     pub fn on_return(&mut self) {
-        self.awaited = None;
+        self.lives.on_return();
     }
 
     /// Whether a target is still the present one.
@@ -381,41 +254,34 @@
 
     /// Whether the runner is leaving.
     pub fn is_draining(&self) -> bool {
-        self.runner.as_ref().is_some_and(|runner| runner.status.draining)
+        self.lives.present().is_some_and(|runner| runner.status.draining)
     }
 
     /// Extends the leases as the planner allows. The span counts from a time that this agent sent.
     pub fn on_sync(&mut self, call: &SyncCall) {
-        let instance = self.runner.as_ref().map(|runner| &runner.status.instance);
-        if call.instance.is_none() || call.instance.as_ref() != instance {
+        if call.instance.is_none() || call.instance.as_ref() != self.present_life() {
             return;
         }
         self.seen = self.seen.max(call.seen);
         if let Some(grant) = call.grant {
-            let until = self.started + grant.since + grant.span;
-            self.lease_until = Some(self.lease_until.map_or(until, |known| known.max(until)));
+            self.lease.grant(self.started + grant.since + grant.span);
         }
     }
 
     /// Up to when everything may run, on the runner's clock; nothing while that is not known.
     pub fn lease_end(&self) -> Option<RunnerMillis> {
-        let (clock, read_at) = self.clock?;
-        let left = self.lease_until?.checked_duration_since(read_at)?;
-        Some(clock + u64::try_from(left.as_millis()).ok()?)
+        self.lease.end()
     }
 
     /// Whether a start may be tried at `now`: nothing while no lease is known, else whether enough is left.
     pub fn may_start(&self, now: Instant) -> Option<bool> {
-        self.lease_end()?;
-        let is_silent = now.saturating_duration_since(self.answered) > SILENCE_LIMIT;
-        let is_doubtful = is_silent || self.may_be_other_life(now);
-        self.lease_until.map(|until| now + LEAST_LEASE < until && !is_doubtful)
+        Some(self.lease.has_enough(now)? && !self.may_be_other_life(now))
     }
 
     /// Whether the runner's newest capacity holds a run beside everything that it shows or is about to start; what is being
     /// stopped counts until it has ended. A start may have been decided before the capacity shrank, and waited for the store.
     pub fn has_room(&self, key: &RunKey, room: &RoomAmount) -> bool {
-        let Some(runner) = &self.runner else {
+        let Some(runner) = self.lives.present() else {
             return false;
         };
         let others: BTreeSet<&RunKey> = self.present.iter().chain(self.runs.starting()).collect();
@@ -427,7 +293,7 @@
 
     /// Takes note that a start carries the lease to the runner.
     pub fn on_lease_sent(&mut self) {
-        self.sent_until = self.sent_until.max(self.lease_until);
+        self.lease.on_sent();
     }
 
     /// Takes note of a start that is about to be sent. Says whether it is new.
@@ -467,10 +333,7 @@
     /// Takes note of orders that came, all of which are known here by now. They count as seen when those
     /// before them have come as well.
     pub fn on_orders(&mut self, previous: u64, number: u64) {
-        self.early_orders.insert(previous, number);
-        while let Some(number) = self.early_orders.remove(&self.orders_seen) {
-            self.orders_seen = number;
-        }
+        self.orders.on_orders(previous, number);
     }
 
     /// How the next look is to be taken, and its number.
@@ -480,10 +343,9 @@
             return (self.runs.next_look(), hold);
         }
         // A life that does not answer is not kept alive by calls that may be carried out late.
-        let is_silent = now.saturating_duration_since(self.answered) > SILENCE_LIMIT;
-        let lease_end = self.lease_end().filter(|_| !is_silent);
+        let lease_end = self.lease.end().filter(|_| !self.lease.is_silent(now));
         if lease_end.is_some() {
-            self.sent_until = self.sent_until.max(self.lease_until);
+            self.lease.on_sent();
         }
         // Ends are acknowledged only as long as they are listed: a call that comes late may meet the next life, whose ends have the
         // same numbers.
@@ -495,25 +357,18 @@
     /// Whether the next life under the runner's id may answer the next look: it would take the lease by another clock, and forget ends
     /// by the numbers of other ones.
     fn may_be_other_life(&self, now: Instant) -> bool {
-        let has_births = self.runner.as_ref().is_some_and(|runner| runner.born.is_some());
-        let is_old = now.saturating_duration_since(self.answered) > PROOF_SPAN;
-        has_births && (!self.is_proven || is_old)
+        let is_old = now.saturating_duration_since(self.lease.answered()) > PROOF_SPAN;
+        self.lives.has_births() && (!self.is_proven || is_old)
     }
 
     /// Takes in a look that was sent under a number and answered now. Says whether it brings news.
     pub fn on_lists(&mut self, number: LookNumber, lists: RunnerLists, now: Instant) -> bool {
-        self.clock = Some((lists.clock, now));
-        self.answered = now;
+        self.lease.on_answer(lists.clock, now);
         self.is_proven = true;
         self.silent_since = None;
-        self.unsettled.on_look(number, &shown_runs(&lists), now);
-        self.left_at.take_if(|left_at| number > *left_at);
+        self.has_news |= self.unsettled.on_look(number, &shown_runs(&lists), now);
+        self.has_news |= self.lives.on_answer(number);
         self.begun.on_look(&lists.running, now);
-        if let Some((_, stale)) = self.candidate.take_if(|(newest, _)| number > *newest) {
-            // The known life has answered a look that was sent after this one's heartbeat came.
-            self.add_former(stale.status.instance);
-        }
-        self.end_earlier_lives();
         let mut present = lists.running;
         for run in &mut present {
             let key = (run.task.clone(), run.run);
@@ -530,7 +385,7 @@
             present,
             ended: lists.ended,
             rejected: Vec::new(),
-            orders_seen: self.orders_seen,
+            orders_seen: self.orders.seen(),
         });
         self.has_news = is_news;
         is_news
@@ -539,7 +394,7 @@
     /// Whether the planner should hear of something at once.
     pub fn has_news(&self) -> bool {
         // Without a runner there is no look to wait for, and what ran on it waits to start elsewhere.
-        self.has_news && (self.fresh_look.is_some() || self.runner.is_none())
+        self.has_news && (self.fresh_look.is_some() || self.lives.present().is_none())
     }
 
     /// What the planner is told: the newest look, once.
@@ -550,16 +405,15 @@
             let last = look.ended.last().map_or(0, |ended| ended.number);
             self.reported_ends = self.reported_ends.max(last);
         }
-        if look.is_some() || self.runner.is_none() {
+        if look.is_some() || self.lives.present().is_none() {
             self.has_news = false;
         }
-        self.crashes.retain(|(at, _)| now.saturating_duration_since(*at) < CRASH_TOLD);
         NodeReport {
             now: now.saturating_duration_since(self.started),
-            runner: self.runner.as_ref().map(|runner| runner.status.clone()),
-            former: self.former.iter().cloned().collect(),
+            runner: self.lives.present().map(|runner| runner.status.clone()),
+            former: self.lives.former(),
             unsettled: self.unsettled.keys(now),
-            crashes: self.crashes.iter().map(|(_, crash)| crash.clone()).collect(),
+            crashes: self.lives.crashes(now),
             look,
         }
     }
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -92,7 +92,8 @@
     }
 
     /// Takes note that the present life has answered a look and shows these runs. Answers that came before the look was sent were
-    /// its own; and as it refuses what was meant for lives before from now on, only what it shows is left of those.
+    /// its own; and as it refuses what was meant for lives before from now on, only what it shows is left of those. Says whether some
+    /// of those are settled by that.
     ///
     /// ```
     /// use std::collections::BTreeSet;
@@ -104,15 +105,17 @@
     /// let mut starts = UnsettledStarts::default();
     /// starts.on_sending(&("a.0.0.0".parse().unwrap(), 1), now);
     /// starts.end_life(now);
-    /// starts.on_look(1, &BTreeSet::new(), now);
+    /// assert!(starts.on_look(1, &BTreeSet::new(), now));
     /// assert!(starts.keys(now).is_empty());
     /// ```
-    pub fn on_look(&mut self, number: LookNumber, shown: &BTreeSet<RunKey>, now: Instant) {
+    pub fn on_look(&mut self, number: LookNumber, shown: &BTreeSet<RunKey>, now: Instant) -> bool {
         for start in self.sent.values_mut() {
             start.answered_at.take_if(|newest| number > *newest);
         }
         self.sent.retain(|_, start| start.is_unsettled(now));
+        let before = self.left.len();
         self.left.retain(|key, _| shown.contains(key));
+        self.left.len() < before
     }
 
     /// Takes note that the connection of a look broke as the present life ended: answers that came before were its own.
