--- a/src/ids.rs
+++ b/src/ids.rs
@@ -41,7 +41,7 @@
 /// Identifier of one life of a runner; a restart makes a new one.
 pub type InstanceId = String;
 /// When a runner started, as Unix time in milliseconds by the clock of its host.
-pub type BirthMillis = u64;
+pub type StartMillis = u64;
 /// Number of a start of a task; it only rises, and fences earlier starts.
 pub type RunNumber = u32;
 /// Epoch of the planner's ownership; each takeover raises it by one.
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -19,9 +19,9 @@
 use crate::external::runner_control::RunnerLists;
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
-use crate::ids::BirthMillis;
 use crate::ids::FencingToken;
 use crate::ids::RunNumber;
+use crate::ids::StartMillis;
 use crate::platform::http_client::CallResult;
 use crate::platform::http_client::PlatformHttp;
 use crate::platform::life_name::life_name;
@@ -86,8 +86,8 @@
 struct WireRefusal {
     #[serde(rename = "Reason", default)]
     reason: String,
-    #[serde(default)]
-    born: Option<BirthMillis>,
+    #[serde(rename = "born", default)]
+    started_at: Option<StartMillis>,
 }
 
 /// A run at work: task, run, saved work, percent of its work that is done, and its usage.
@@ -103,31 +103,31 @@
     running: Vec<WireRunning>,
     #[serde(rename = "Ended", default)]
     ended: Vec<WireEnded>,
-    #[serde(default)]
-    born: Option<BirthMillis>,
+    #[serde(rename = "born", default)]
+    started_at: Option<StartMillis>,
 }
 
 /// Any answer that says no more than that an order was carried out.
 #[derive(Debug, Deserialize)]
 struct WireDone {
-    #[serde(default)]
-    born: Option<BirthMillis>,
+    #[serde(rename = "born", default)]
+    started_at: Option<StartMillis>,
 }
 
 /// An answer that may tell when the life that gives it began.
 trait RunnerAnswer: DeserializeOwned {
-    fn born(&self) -> Option<BirthMillis>;
+    fn started_at(&self) -> Option<StartMillis>;
 }
 
 impl RunnerAnswer for WireLists {
-    fn born(&self) -> Option<BirthMillis> {
-        self.born
+    fn started_at(&self) -> Option<StartMillis> {
+        self.started_at
     }
 }
 
 impl RunnerAnswer for WireDone {
-    fn born(&self) -> Option<BirthMillis> {
-        self.born
+    fn started_at(&self) -> Option<StartMillis> {
+        self.started_at
     }
 }
 
@@ -249,21 +249,21 @@
 /// An answer of another life than the one that was meant is told as such, though that life has carried out the call.
 fn decode_answer<T: RunnerAnswer>(target: &RunnerTarget, body: &[u8]) -> Result<T, RunnerError> {
     let answer: T = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
-    match is_meant(target, answer.born()) {
+    match is_meant(target, answer.started_at()) {
         true => Ok(answer),
         false => Err(RunnerError::OtherLife),
     }
 }
 
-/// Whether an answer is of the life that was meant; one without a birth tells of no other.
-fn is_meant(target: &RunnerTarget, born: Option<BirthMillis>) -> bool {
-    born.is_none() || life_name(runner_id(&target.instance), born) == target.instance
+/// Whether an answer is of the life that was meant; one without a start time tells of no other.
+fn is_meant(target: &RunnerTarget, started_at: Option<StartMillis>) -> bool {
+    started_at.is_none() || life_name(runner_id(&target.instance), started_at) == target.instance
 }
 
 fn decode_refusal(target: &RunnerTarget, body: &[u8]) -> RunnerError {
     // A refusal without a reason that is known counts as one for a malformed order.
     let refusal: WireRefusal = serde_json::from_slice(body).unwrap_or_default();
-    if !is_meant(target, refusal.born) {
+    if !is_meant(target, refusal.started_at) {
         return RunnerError::OtherLife;
     }
     let reason = match refusal.reason.as_str() {
--- a/src/platform/runner_registry.rs
+++ b/src/platform/runner_registry.rs
@@ -13,8 +13,8 @@
 use serde_json::Value;
 
 use crate::connection::node_protocol::RunnerStatus;
-use crate::ids::BirthMillis;
 use crate::ids::RunnerId;
+use crate::ids::StartMillis;
 use crate::platform::life_name::life_name;
 use crate::workflow::spec::RoomAmount;
 
@@ -30,7 +30,7 @@
     /// Number of the heartbeat, rising in one life.
     pub sequence: u64,
     /// When the life began, if the runner tells.
-    pub born: Option<BirthMillis>,
+    pub started_at: Option<StartMillis>,
 }
 
 /// Takes what runners say.
@@ -67,8 +67,8 @@
     labels: Vec<String>,
     #[serde(rename = "Sequence", default)]
     sequence: u64,
-    #[serde(default)]
-    born: Option<BirthMillis>,
+    #[serde(rename = "born", default)]
+    started_at: Option<StartMillis>,
 }
 
 type SharedRegistry = Arc<dyn RunnerRegistry>;
@@ -93,7 +93,7 @@
     Json(beat): Json<WireBeat>,
 ) -> Json<Value> {
     let status = RunnerStatus {
-        instance: life_name(&runner, beat.born),
+        instance: life_name(&runner, beat.started_at),
         service: beat.service,
         domain: beat.domain,
         capacity: RoomAmount {
@@ -105,8 +105,8 @@
         draining: beat.state != "ready",
     };
     let address = beat.address.to_string();
-    let (sequence, born) = (beat.sequence, beat.born);
-    registry.on_beat(RunnerBeat { runner, status, address, sequence, born });
+    let (sequence, started_at) = (beat.sequence, beat.started_at);
+    registry.on_beat(RunnerBeat { runner, status, address, sequence, started_at });
     Json(Value::Object(serde_json::Map::new()))
 }
 
--- a/src/process/node/known_runner.rs
+++ b/src/process/node/known_runner.rs
@@ -1,8 +1,8 @@
 //! The runner on an agent's host.
 
 use crate::connection::node_protocol::RunnerStatus;
-use crate::ids::BirthMillis;
 use crate::ids::RunnerId;
+use crate::ids::StartMillis;
 
 /// The runner on this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,7 +16,7 @@
     /// Number of its newest heartbeat.
     pub sequence: u64,
     /// When its life began, if it tells.
-    pub born: Option<BirthMillis>,
+    pub started_at: Option<StartMillis>,
 }
 
 /// What a heartbeat changes.
--- a/src/process/node/runner_lives.rs
+++ b/src/process/node/runner_lives.rs
@@ -1,6 +1,6 @@
 //! The lives of the runner on an agent's host: the present one, those before it, and one that may follow.
 //!
-//! Only answers decide which life is present. Heartbeats and leaves may come late, and births are told by clocks that may be put back.
+//! Only answers decide which life is present. Heartbeats and leaves may come late, and start times by clocks that may be put back.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -59,10 +59,10 @@
     /// Whether the runner may be back under its id after the present life.
     ///
     /// ```
-    /// assert!(!greengagearch::process::node::runner_lives::RunnerLives::default().has_births());
+    /// assert!(!greengagearch::process::node::runner_lives::RunnerLives::default().may_return());
     /// ```
-    pub fn has_births(&self) -> bool {
-        self.present.as_ref().is_some_and(|runner| runner.born.is_some())
+    pub fn may_return(&self) -> bool {
+        self.present.as_ref().is_some_and(|runner| runner.started_at.is_some())
     }
 
     /// Takes a heartbeat that came when `newest` was the newest look.
@@ -99,10 +99,10 @@
         let Some(known) = self.present.as_ref().filter(|known| known.runner == runner) else {
             return false;
         };
-        if known.born.is_some() {
+        if known.started_at.is_some() {
             self.left_at = Some(newest);
         }
-        known.born.is_none()
+        known.started_at.is_none()
     }
 
     /// Takes note that the present life has answered a look. Says whether that ends others which the planner may not know to be over.
@@ -115,7 +115,7 @@
         self.end_earlier()
     }
 
-    /// A host has one life of a runner at a time: where one answers, those before it are over. A row of a version that knew no births
+    /// A host has one life of a runner at a time: where one answers, those before it are over. A row of a version that knew no start times
     /// names lives by their runners, so that it may mean the present one.
     fn end_earlier(&mut self) -> bool {
         let mut has_ended = false;
@@ -182,7 +182,7 @@
         };
         self.left_at = None;
         self.add_former(runner.status.instance.clone());
-        self.awaited = runner.born.is_some().then_some((runner, now + RETURN_SPAN));
+        self.awaited = runner.started_at.is_some().then_some((runner, now + RETURN_SPAN));
         if let Some((_, candidate)) = self.candidate.take() {
             self.install(candidate);
         }
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -75,13 +75,13 @@
     fn on_beat(&self, beat: RunnerBeat) {
         let instance = beat.status.instance.clone();
         let draining = beat.status.draining;
-        let born = beat.born.map_or(String::new(), |born| born.to_string());
+        let started_at = beat.started_at.map_or(String::new(), |at| at.to_string());
         let runner = KnownRunner {
             runner: beat.runner,
             status: beat.status,
             address: beat.address,
             sequence: beat.sequence,
-            born: beat.born,
+            started_at: beat.started_at,
         };
         let effect = self.state().on_beat(runner);
         let event = match effect {
@@ -94,7 +94,7 @@
             event,
             &[
                 ("instance", &instance),
-                ("born", &born),
+                ("started_at", &started_at),
                 ("sequence", &beat.sequence),
                 ("draining", &draining),
             ],
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -181,7 +181,7 @@
 
     /// Forgets what is known of the present life, which is over.
     fn end_life(&mut self, now: Instant) {
-        match self.lives.has_births() {
+        match self.lives.may_return() {
             true => self.unsettled.end_life(now),
             false => self.unsettled.forget_life(),
         }
@@ -222,7 +222,7 @@
             address: runner.address.clone(),
             instance: runner.status.instance.clone(),
             epoch,
-            fence: fencing_token(epoch, runner.born, fence_raise),
+            fence: fencing_token(epoch, runner.started_at, fence_raise),
         })
     }
 
@@ -246,7 +246,7 @@
         })
     }
 
-    /// Takes note that the runner has seen a higher token: one of a later planner, or one of a life before that was born later by a
+    /// Takes note that the runner has seen a higher token: one of a later planner, or one of a life before that started later by a
     /// clock that was put back. The latter is overtaken in a few steps, a later planner's never.
     pub fn on_fenced(&mut self) {
         self.fence_raise = self.fence_raise.saturating_mul(2).max(1);
@@ -358,7 +358,7 @@
     /// by the numbers of other ones.
     fn may_be_other_life(&self, now: Instant) -> bool {
         let is_old = now.saturating_duration_since(self.lease.answered()) > PROOF_SPAN;
-        self.lives.has_births() && (!self.is_proven || is_old)
+        self.lives.may_return() && (!self.is_proven || is_old)
     }
 
     /// Takes in a look that was sent under a number and answered now. Says whether it brings news.
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -146,11 +146,12 @@
         self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
     }
 
-    /// Adds a runner's host whose runner tells when it was born.
-    pub async fn add_born_node(&mut self, instance: &str) {
+    /// Adds a runner's host whose runner tells when it was started.
+    pub async fn add_returning_node(&mut self, instance: &str) {
         let (process, listener, line) = self.add_agent().await;
         let registry = process.address("registry");
-        let runner = PlatformRunner::spawn_born(instance, registry, self.journal.clone()).await;
+        let runner =
+            PlatformRunner::spawn_with_start_time(instance, registry, self.journal.clone()).await;
         self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
     }
 
@@ -166,11 +167,11 @@
     }
 
     /// Ends the lives of these runners; after a pause each is back under its id.
-    pub async fn rebear_runners(&mut self, nodes: &[usize], pause: Duration) {
+    pub async fn restart_runners(&mut self, nodes: &[usize], pause: Duration) {
         let lives: Vec<PlatformRunner> =
             nodes.iter().map(|node| self.nodes[*node].runner.clone()).collect();
-        let births = lives.iter().map(|life| life.rebear(pause));
-        let next = futures::future::join_all(births).await;
+        let starts = lives.iter().map(|life| life.restart(pause));
+        let next = futures::future::join_all(starts).await;
         for (node, life) in nodes.iter().zip(next) {
             self.nodes[*node].runner = life;
         }
@@ -185,14 +186,14 @@
         self.nodes[node].process = self.spawn("gga-node", &text, &format!("node-{node}"));
     }
 
-    /// Ends the life of a runner; another one begins: under the same id and after `pause` where the runner tells when it was born, else with
+    /// Ends the life of a runner; another one begins: under the same id and after `pause` where the runner tells when it was started, else with
     /// a clock that goes at `speed`.
     pub async fn replace_runner(&mut self, node: usize, speed: f64, pause: Duration) {
         let journal = self.journal.clone();
         let seat = &mut self.nodes[node];
-        if seat.runner.born.is_some() {
+        if seat.runner.start_time.is_some() {
             let present = seat.runner.newest();
-            tokio::spawn(async move { present.rebear(pause).await });
+            tokio::spawn(async move { present.restart(pause).await });
             return;
         }
         seat.runner.crash();
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -1,7 +1,7 @@
 //! The users' platform's runner, as far as the product calls it, with its faults.
 //!
 //! A task's text says what it does: `run_ms=200`, `fail` for one that fails, and `crash` for one that crashes its runner, which
-//! is back with another life soon after. A life has an id of its own, or, where it tells when it was born, the id and the address
+//! is back with another life soon after. A life has an id of its own, or, where it tells when it was started, the id and the address
 //! of the one before.
 
 use std::collections::BTreeMap;
@@ -80,8 +80,8 @@
     registry: SocketAddr,
     /// Where it takes orders.
     pub address: SocketAddr,
-    /// When it was born, if it tells.
-    pub born: Option<u64>,
+    /// When it was started, if it tells.
+    pub start_time: Option<u64>,
     started: Instant,
     /// How fast its steady clock goes.
     speed: f64,
@@ -129,29 +129,30 @@
         PlatformRunner::serve(listener, instance, registry, journal, speed, None)
     }
 
-    /// The same with a life that tells when it was born, see [`PlatformRunner::rebear`].
-    pub async fn spawn_born(
+    /// The same with a life that tells when it was started, see [`PlatformRunner::restart`].
+    pub async fn spawn_with_start_time(
         instance: &str,
         registry: SocketAddr,
         journal: RunJournal,
     ) -> PlatformRunner {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let born = Some(unix_millis());
-        PlatformRunner::serve(listener, instance, registry, journal, 1.0, born)
+        let start_time = Some(unix_millis());
+        PlatformRunner::serve(listener, instance, registry, journal, 1.0, start_time)
     }
 
     /// Ends this life; after a pause another one begins under its id and at its address.
-    pub async fn rebear(&self, pause: Duration) -> PlatformRunner {
+    pub async fn restart(&self, pause: Duration) -> PlatformRunner {
         if !self.break_off() {
             return self.follow().await;
         }
         tokio::time::sleep(pause).await;
         let listener = listen_again(self.address).await;
         let (instance, registry) = (&self.instance, self.registry);
-        // Two lives are not born in the same millisecond.
-        let born = self.born.map(|before| unix_millis().max(before + 1));
+        // Two lives do not start in the same millisecond.
+        let start_time = self.start_time.map(|before| unix_millis().max(before + 1));
         let journal = self.journal.clone();
-        let next = PlatformRunner::serve(listener, instance, registry, journal, self.speed, born);
+        let next =
+            PlatformRunner::serve(listener, instance, registry, journal, self.speed, start_time);
         let mut life = self.lock();
         if life.is_closed {
             next.break_off();
@@ -178,14 +179,14 @@
         registry: SocketAddr,
         journal: RunJournal,
         speed: f64,
-        born: Option<u64>,
+        start_time: Option<u64>,
     ) -> PlatformRunner {
         let address = listener.local_addr().expect("a bound listener has an address");
         let runner = PlatformRunner {
             instance: instance.to_string(),
             registry,
             address,
-            born,
+            start_time,
             started: Instant::now(),
             speed,
             journal,
@@ -238,8 +239,8 @@
 
     /// Ends this life; another one begins after a while, unless the runner is ended meanwhile.
     async fn crash_and_return(&self) {
-        if self.born.is_some() {
-            self.rebear(BACK_AFTER).await;
+        if self.start_time.is_some() {
+            self.restart(BACK_AFTER).await;
             return;
         }
         self.break_off();
@@ -267,7 +268,7 @@
         for (task, run) in running {
             self.journal.end(&task, run, &self.label(), "crashed");
         }
-        if self.born.is_some() {
+        if self.start_time.is_some() {
             self.closing.notify_one();
         }
         is_first
@@ -275,12 +276,12 @@
 
     /// Names this life alone.
     fn label(&self) -> String {
-        self.born.map_or(self.instance.clone(), |born| format!("{}@{born}", self.instance))
+        self.start_time.map_or(self.instance.clone(), |at| format!("{}@{at}", self.instance))
     }
 
     /// The newest life under the id: it carries out calls that were held up.
     pub fn newest(&self) -> PlatformRunner {
-        let successor = self.lock().successor.clone().filter(|_| self.born.is_some());
+        let successor = self.lock().successor.clone().filter(|_| self.start_time.is_some());
         successor.map_or_else(|| self.clone(), |next| next.newest())
     }
 
@@ -363,17 +364,17 @@
             "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", "r1"],
             "Sequence": sequence,
         });
-        let body = with_birth(body, runner.born);
+        let body = with_start_time(body, runner.start_time);
         // An agent that is down is called again with the next heartbeat.
         let _ = client.put(&url).json(&body).send().await;
         tokio::time::sleep(HEARTBEAT).await;
     }
 }
 
-/// Adds when a life was born, if it tells.
-fn with_birth(mut body: Value, born: Option<u64>) -> Value {
-    if let Some(born) = born {
-        body["born"] = json!(born);
+/// Adds when a life was started, if it tells.
+fn with_start_time(mut body: Value, start_time: Option<u64>) -> Value {
+    if let Some(at) = start_time {
+        body["born"] = json!(at);
     }
     body
 }
@@ -534,7 +535,7 @@
         // The wait is over when something ends or when it has been long enough.
         let _ = timeout(Duration::from_millis(body.wait_ms), runner.ended.notified()).await;
     }
-    if runner.is_over() && runner.born.is_some() {
+    if runner.is_over() && runner.start_time.is_some() {
         // A process that has crashed answers nothing.
         tokio::time::sleep(HANG).await;
     }
@@ -542,5 +543,5 @@
     let running: Vec<_> =
         life.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
     let body = json!({ "ClockMs": runner.clock_ms(), "Running": running, "Ended": life.ended });
-    Json(with_birth(body, runner.born)).into_response()
+    Json(with_start_time(body, runner.start_time)).into_response()
 }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -29,7 +29,7 @@
 const PLANNERS: usize = 3;
 const NODES: usize = 4;
 /// Of these, nodes whose runners come back under the ids that they had.
-const BORN_NODES: usize = 2;
+const RETURNING_NODES: usize = 2;
 const CALLERS: usize = 16;
 /// Time between two checks of the promises.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
@@ -106,9 +106,9 @@
     let mut rng = StdRng::seed_from_u64(plan.seed);
     let logs = Some(plan.logs.clone());
     let mut cluster =
-        PlatformCluster::start(&plan.programs, logs, PLANNERS, NODES - BORN_NODES).await;
-    for number in 0..BORN_NODES {
-        cluster.add_born_node(&format!("i-b{number}")).await;
+        PlatformCluster::start(&plan.programs, logs, PLANNERS, NODES - RETURNING_NODES).await;
+    for number in 0..RETURNING_NODES {
+        cluster.add_returning_node(&format!("i-b{number}")).await;
     }
     let journal = cluster.journal.clone();
     let shared = Arc::new(SoakShared {
--- a/tests/life_names.rs
+++ b/tests/life_names.rs
@@ -21,8 +21,8 @@
 const HELD_UP_FOR: Duration = Duration::from_secs(2);
 
 fn target(runner: &PlatformRunner) -> RunnerTarget {
-    let instance = life_name(&runner.instance, runner.born);
-    let fence = fencing_token(1, runner.born, 0);
+    let instance = life_name(&runner.instance, runner.start_time);
+    let fence = fencing_token(1, runner.start_time, 0);
     RunnerTarget { address: runner.address.to_string(), instance, epoch: 1, fence }
 }
 
@@ -32,10 +32,10 @@
 async fn lists_of_a_later_life_under_the_same_id_are_told_as_such() {
     let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
     let client = RunnerClient::open();
-    let first = PlatformRunner::spawn_born("i-1", nobody, RunJournal::default()).await;
+    let first = PlatformRunner::spawn_with_start_time("i-1", nobody, RunJournal::default()).await;
     let before = target(&first);
     assert_matches!(client.hold(&before, RunnerHold::default()).await, Ok(_));
-    let second = first.rebear(Duration::from_millis(10)).await;
+    let second = first.restart(Duration::from_millis(10)).await;
     assert_matches!(client.hold(&before, RunnerHold::default()).await, Err(RunnerError::OtherLife));
     assert_matches!(client.hold(&target(&second), RunnerHold::default()).await, Ok(_));
 }
@@ -60,11 +60,11 @@
     for is_called in [false, true] {
         let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
         let (client, journal) = (RunnerClient::open(), RunJournal::default());
-        let first = PlatformRunner::spawn_born("i-1", nobody, journal.clone()).await;
+        let first = PlatformRunner::spawn_with_start_time("i-1", nobody, journal.clone()).await;
         first.set_late_orders(Some(HELD_UP_FOR));
         let late = client.start(&target(&first), &order(), 60_000).await;
         assert_matches!(late, Err(RunnerError::NoAnswer { .. }));
-        let second = first.rebear(Duration::from_millis(40)).await;
+        let second = first.restart(Duration::from_millis(40)).await;
         if is_called {
             client.hold(&target(&second), RunnerHold::default()).await.unwrap();
         }
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -33,13 +33,13 @@
         draining: false,
     };
     let address = "127.0.0.1:1".to_string();
-    KnownRunner { runner: instance.to_string(), status, address, sequence, born: None }
+    KnownRunner { runner: instance.to_string(), status, address, sequence, started_at: None }
 }
 
 /// A life of the runner `i-1`, which is back under its id after each crash.
-fn born(born: u64, sequence: u64) -> KnownRunner {
-    let known = runner(&format!("i-1@{born}"), sequence);
-    KnownRunner { runner: "i-1".to_string(), born: Some(born), ..known }
+fn life(started_at: u64, sequence: u64) -> KnownRunner {
+    let known = runner(&format!("i-1@{started_at}"), sequence);
+    KnownRunner { runner: "i-1".to_string(), started_at: Some(started_at), ..known }
 }
 
 fn lists(clock: u64) -> RunnerLists {
@@ -329,19 +329,19 @@
 }
 
 /// Guards against a runner that is out of the fleet for good after a crash: the next life under its id counts its heartbeats from
-/// one, and may have been born earlier by a clock that was put back.
+/// one, and may have been started earlier by a clock that was put back.
 #[test]
 fn a_runner_that_is_back_under_its_id_is_taken_in_as_another_life() {
-    for birth in [300, 100] {
+    for start in [300, 100] {
         let now = Instant::now();
         let mut state = NodeState::new(now);
-        state.on_beat(born(200, 40));
+        state.on_beat(life(200, 40));
         state.admit(STAMP).unwrap();
         assert!(state.on_crash("i-1@200", now));
-        assert_eq!(state.on_beat(born(200, 41)), BeatEffect::Dropped);
-        assert_eq!(state.on_beat(born(birth, 1)), BeatEffect::News);
+        assert_eq!(state.on_beat(life(200, 41)), BeatEffect::Dropped);
+        assert_eq!(state.on_beat(life(start, 1)), BeatEffect::News);
         let report = state.report(now);
-        assert_eq!(report.runner.unwrap().instance, format!("i-1@{birth}"));
+        assert_eq!(report.runner.unwrap().instance, format!("i-1@{start}"));
         assert_eq!(report.former, ["i-1@200"]);
     }
 }
@@ -351,7 +351,7 @@
 fn a_leave_that_a_former_life_sent_ends_nothing_while_the_present_one_answers() {
     let now = Instant::now();
     let mut state = NodeState::new(now);
-    state.on_beat(born(200, 1));
+    state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
     assert!(!state.on_leave("i-1", now));
     let (number, _) = state.next_hold(Duration::ZERO, now);
@@ -366,7 +366,7 @@
 fn a_runner_that_ends_as_it_said_has_not_broken_off() {
     let now = Instant::now();
     let mut state = NodeState::new(now);
-    state.on_beat(born(200, 1));
+    state.on_beat(life(200, 1));
     state.on_leave("i-1", now);
     assert!(state.on_crash("i-1@200", now));
     assert!(state.report(now).crashes.is_empty());
@@ -378,7 +378,7 @@
     let now = Instant::now();
     let mut state = NodeState::new(now);
     state.on_earlier_lives(vec!["i-0".to_string(), "i-1".to_string(), "i-1@100".to_string()]);
-    state.on_beat(born(200, 1));
+    state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(0), now);
@@ -390,7 +390,7 @@
 fn starts_that_the_next_life_may_carry_out_are_told_until_it_shows_what_it_runs() {
     let now = Instant::now();
     let mut state = NodeState::new(now);
-    state.on_beat(born(200, 1));
+    state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
     let (shown, silent) = (key("a.0.0.0"), key("a.0.0.1"));
     state.on_start_sent(&shown, now);
@@ -402,7 +402,7 @@
     state.on_start_answer(&silent, &Err(RunnerError::NoAnswer { is_broken: true, reason }));
     state.on_crash("i-1@200", now);
     assert_eq!(state.report(now).unsettled, std::slice::from_ref(&silent));
-    state.on_beat(born(300, 1));
+    state.on_beat(life(300, 1));
     assert_eq!(
         state.report(now).unsettled,
         std::slice::from_ref(&silent),
@@ -423,7 +423,7 @@
 fn a_look_after_one_that_failed_changes_nothing_at_the_runner() {
     let now = Instant::now();
     let mut state = NodeState::new(now);
-    state.on_beat(born(200, 1));
+    state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
     let end = EndedRun {
         number: 4,
@@ -447,12 +447,12 @@
     assert_eq!((hold.seen, hold.lease_end), (0, Some(9_500)), "nothing is left to acknowledge");
 }
 
-/// Guards against an agent that can call its runner no more: the life before was born later by a clock that was put back, and a late call
+/// Guards against an agent that can call its runner no more: the life before was started later by a clock that was put back, and a late call
 /// for it came first.
 #[test]
-fn a_token_of_a_life_that_was_born_later_is_overtaken_and_one_of_a_later_planner_is_not() {
+fn a_token_of_a_life_that_started_later_is_overtaken_and_one_of_a_later_planner_is_not() {
     let mut state = NodeState::new(Instant::now());
-    state.on_beat(born(200, 1));
+    state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
     let later_life = fencing_token(STAMP.epoch, Some(2_000_000), 0);
     let later_planner = fencing_token(STAMP.epoch + 1, Some(0), 0);
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -52,7 +52,7 @@
 
     fn on_beat(&mut self, agent: usize) {
         let (instance, runner) = (self.agents[agent].life.name.clone(), self.told_id(agent));
-        let born = self.has_same_ids.then_some(self.agents[agent].lives * BIRTH_DISTANCE);
+        let started_at = self.has_same_ids.then_some(self.agents[agent].lives * START_DISTANCE);
         let one = &mut self.agents[agent];
         if !one.life.is_alive {
             return self.at(500, Event::Beat { agent });
@@ -67,7 +67,7 @@
             draining: false,
         };
         let address = "127.0.0.1:1".to_string();
-        one.state.on_beat(KnownRunner { runner, status, address, sequence: one.beats, born });
+        one.state.on_beat(KnownRunner { runner, status, address, sequence: one.beats, started_at });
         self.at(500, Event::Beat { agent });
     }
 
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -60,8 +60,8 @@
 /// Time for which a host is cut off after a pause, longer than any lease, and what tasks take then at least.
 const CUT_FOR: u64 = 16_000;
 const LONG_RUN: u64 = 20_000;
-/// Time between two births of a runner, as it tells them, in milliseconds.
-const BIRTH_DISTANCE: u64 = 100;
+/// Time between two starts of a runner, as it tells them, in milliseconds.
+const START_DISTANCE: u64 = 100;
 /// Time after which an agent sees that the connection of its look broke.
 const BREAK_SEEN_AFTER: u64 = 5;
 const WALL: u64 = 1_000_000;
--- a/tests/reborn_runner.rs
+++ b/tests/returning_runner.rs
@@ -13,15 +13,15 @@
 /// Pauses between two lives: as on the users' days, and so short that the agent may miss the crash.
 const PAUSES: [Duration; 3] =
     [Duration::from_millis(700), Duration::from_millis(300), Duration::from_millis(10)];
-/// More births than an agent remembers lives.
-const MANY_BIRTHS: usize = 10;
+/// More starts than an agent remembers lives.
+const MANY_STARTS: usize = 10;
 
-/// Starts two planners and two agents whose runners tell when they were born.
+/// Starts two planners and two agents whose runners tell when they were started.
 async fn start() -> PlatformCluster {
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap();
     let mut cluster = PlatformCluster::start(programs, None, 2, 0).await;
     for node in ["i-0", "i-1"] {
-        cluster.add_born_node(node).await;
+        cluster.add_returning_node(node).await;
     }
     cluster
 }
@@ -34,7 +34,7 @@
         let mut env = start().await;
         env.submit_until_accepted(0, &job_name(1), &job_of_steps("run_ms=600", &[6])).await;
         env.until(async || env.journal.records().len() == 6).await;
-        env.rebear_runners(&[0, 1], pause).await;
+        env.restart_runners(&[0, 1], pause).await;
         env.submit_until_accepted(1, &job_name(2), &job_of_steps("run_ms=100", &[6])).await;
         env.until_state(0, &job_name(2), "completed").await;
         env.until_state(0, &job_name(1), "completed").await;
@@ -42,13 +42,13 @@
     }
 }
 
-/// Guards against a memory of former lives that runs over: one id, many births in a row.
+/// Guards against a memory of former lives that runs over: one id, many starts in a row.
 #[tokio::test]
-async fn a_runner_that_is_born_again_and_again_gets_work_each_time() {
+async fn a_runner_that_starts_again_and_again_gets_work_each_time() {
     let mut env = start().await;
-    for birth in 0..MANY_BIRTHS {
-        env.rebear_runners(&[0, 1], Duration::from_millis(50)).await;
-        let job = job_name(birth as u64);
+    for start in 0..MANY_STARTS {
+        env.restart_runners(&[0, 1], Duration::from_millis(50)).await;
+        let job = job_name(start as u64);
         env.submit_until_accepted(0, &job, &job_of_steps("run_ms=30", &[4])).await;
         env.until_state(0, &job, "completed").await;
     }
--- a/tests/shrunk_capacity.rs
+++ b/tests/shrunk_capacity.rs
@@ -87,7 +87,7 @@
         draining: false,
     };
     let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
-    KnownRunner { runner, status, address, sequence, born: None }
+    KnownRunner { runner, status, address, sequence, started_at: None }
 }
 
 fn traits(task: &str, millicores: u64) -> TaskTraits {
