--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use log::Level;
-use tokio::time::timeout;
 
 use crate::connection::node_protocol::young_text;
 use crate::external::runner_control::RunnerError;
@@ -59,12 +58,17 @@
     let Some(target) = awaited else {
         return shared.look.notified().await;
     };
-    let answer = shared.control.hold(&target, RunnerHold::default()).await;
-    if matches!(answer, Ok(_) | Err(RunnerError::OtherLife)) {
-        return shared.state().on_return();
+    tokio::select! {
+        () = call_next_life(shared, &target) => {}
+        () = shared.look.notified() => {}
+    }
+}
+
+async fn call_next_life(shared: &NodeShared, target: &RunnerTarget) {
+    match shared.control.hold(target, RunnerHold::default()).await {
+        Ok(_) | Err(RunnerError::OtherLife) => shared.state().on_return(),
+        Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
     }
-    // A pause that is cut short by a registration.
-    let _ = timeout(RETRY_PAUSE, shared.look.notified()).await;
 }
 
 /// Decides what an unanswered look says of the runner. Says whether its life has ended.
