Count the longest lease for a life that follows another, also when leases were granted first

Found by reading the diff: the link grants before the report is taken in, so that the life was known already and the longest lease was not counted. Nothing was seen of it: a task could have run twice where a host is cut off within ten seconds of its runner's restart, and a late call for the life before had extended the new one's lease.

--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -86,12 +86,11 @@
     }
 
     fn hear(&mut self, status: &RunnerStatus, has_former: bool, is_new_link: bool) {
-        let mut lease_end = self.inherited_end;
-        if has_former {
+        let worker = self.board.entry(&status.instance, self.inherited_end);
+        if has_former && worker.status.is_none() {
             // Calls for a former life may have given the new one a lease that nobody knows of.
-            lease_end = lease_end.max(surely_expired(self.now, LONGEST_LEASE));
+            worker.lease_end = worker.lease_end.max(surely_expired(self.now, LONGEST_LEASE));
         }
-        let worker = self.board.entry(&status.instance, lease_end);
         worker.status = Some(status.clone());
         worker.heard = Some(self.now);
         worker.resync |= is_new_link;
