Do less in each look and each report where no life has ended and no task is harmed

An agent copied the names of all runs four times a second to see whether starts of a former life are settled, and of all runs, fills among them, to follow tasks over their targets; the planner searched all former lives for each run of each report. Now the few are looked up among the many: unsettled starts in the lists, what former lives still have in the look, loads of fills only for a task that is harmed. RunnerLook::shows and is_among serve where a set was built.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -199,6 +199,21 @@
     pub orders_seen: u64,
 }
 
+impl RunnerLook {
+    /// Whether the runner itself shows a run, at work or as an end.
+    ///
+    /// ```
+    /// use greengagearch::connection::node_protocol::RunnerLook;
+    ///
+    /// assert!(!RunnerLook::default().shows(&("a.0.0.0".parse().unwrap(), 1)));
+    /// ```
+    pub fn shows(&self, key: &RunKey) -> bool {
+        let is_begun = |run: &PresentRun| run.is_begun && run.task == key.0 && run.run == key.1;
+        let is_end = |ended: &EndedRun| ended.task == key.0 && ended.run == key.1;
+        self.present.iter().any(is_begun) || self.ended.iter().any(is_end)
+    }
+}
+
 /// A run that a runner began, or may have begun, shortly before its life broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct YoungRun {
--- a/src/process/node/local_runs.rs
+++ b/src/process/node/local_runs.rs
@@ -220,6 +220,7 @@
     }
 }
 
-fn is_among(present: &[PresentRun], key: &RunKey) -> bool {
+/// Whether a run is one of those that a look shows.
+pub(crate) fn is_among(present: &[PresentRun], key: &RunKey) -> bool {
     present.iter().any(|run| run.task == key.0 && run.run == key.1)
 }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::node_protocol::EndedRun;
 use crate::connection::node_protocol::LinkStamp;
 use crate::connection::node_protocol::NodeReport;
 use crate::connection::node_protocol::RunnerCrash;
@@ -23,6 +24,7 @@
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::local_runs::LocalRuns;
 use crate::process::node::local_runs::LookNumber;
+use crate::process::node::local_runs::is_among;
 use crate::process::node::order_sequence::OrderSequence;
 use crate::process::node::runner_lease::RunnerLease;
 use crate::process::node::runner_lives::RunnerLives;
@@ -366,7 +368,7 @@
         self.lease.on_answer(lists.clock, now);
         self.is_proven = true;
         self.silent_since = None;
-        self.has_news |= self.unsettled.on_look(number, &shown_runs(&lists), now);
+        self.has_news |= self.unsettled.on_look(number, |key| is_shown(&lists, key), now);
         self.has_news |= self.lives.on_answer(number);
         self.begun.on_look(&lists.running, now);
         let mut present = lists.running;
@@ -419,9 +421,8 @@
     }
 }
 
-/// What a runner shows: runs at work, and ends that were not acknowledged.
-fn shown_runs(lists: &RunnerLists) -> BTreeSet<RunKey> {
-    let running = lists.running.iter().map(|run| (run.task.clone(), run.run));
-    let ended = lists.ended.iter().map(|ended| (ended.task.clone(), ended.run));
-    running.chain(ended).collect()
+/// Whether a runner shows a run, at work or as an end that was not acknowledged.
+fn is_shown(lists: &RunnerLists, key: &RunKey) -> bool {
+    let is_end = |ended: &EndedRun| ended.task == key.0 && ended.run == key.1;
+    is_among(&lists.running, key) || lists.ended.iter().any(is_end)
 }
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -4,7 +4,6 @@
 //! one that was answered after the life's last sign may have been taken by the next life. Such a task must not start elsewhere
 //! until that life has shown what it runs.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -91,12 +90,11 @@
         }
     }
 
-    /// Takes note that the present life has answered a look and shows these runs. Answers that came before the look was sent were
+    /// Takes note that the present life has answered a look, and which runs it shows. Answers that came before the look was sent were
     /// its own; and as it refuses what was meant for lives before from now on, only what it shows is left of those. Says whether some
     /// of those are settled by that.
     ///
     /// ```
-    /// use std::collections::BTreeSet;
     /// use std::time::Instant;
     ///
     /// use greengagearch::process::node::unsettled_starts::UnsettledStarts;
@@ -105,16 +103,21 @@
     /// let mut starts = UnsettledStarts::default();
     /// starts.on_sending(&("a.0.0.0".parse().unwrap(), 1), now);
     /// starts.end_life(now);
-    /// assert!(starts.on_look(1, &BTreeSet::new(), now));
+    /// assert!(starts.on_look(1, |_| false, now));
     /// assert!(starts.keys(now).is_empty());
     /// ```
-    pub fn on_look(&mut self, number: LookNumber, shown: &BTreeSet<RunKey>, now: Instant) -> bool {
+    pub fn on_look(
+        &mut self,
+        number: LookNumber,
+        is_shown: impl Fn(&RunKey) -> bool,
+        now: Instant,
+    ) -> bool {
         for start in self.sent.values_mut() {
             start.answered_at.take_if(|newest| number > *newest);
         }
         self.sent.retain(|_, start| start.is_unsettled(now));
         let before = self.left.len();
-        self.left.retain(|key, _| shown.contains(key));
+        self.left.retain(|key, _| is_shown(key));
         self.left.len() < before
     }
 
--- a/src/workflow/over_target.rs
+++ b/src/workflow/over_target.rs
@@ -99,9 +99,12 @@
         let mut runs = BTreeMap::new();
         for run in running {
             let target_ms = traits.get(&run.task).map_or(0, |traits| traits.target_ms);
+            if target_ms == 0 {
+                continue;
+            }
             let key = (run.task.clone(), run.run);
             let mut over = self.runs.remove(&key).unwrap_or_default();
-            over.follow(target_ms > 0 && run.usage > target_ms, now);
+            over.follow(run.usage > target_ms, now);
             if over.is_long(now) && !std::mem::replace(&mut over.is_told, true) {
                 self.news.push(LongOver { task: key.0.clone(), tail_ms: run.usage, target_ms });
             }
@@ -134,11 +137,25 @@
     /// use greengagearch::workflow::over_target::OverTarget;
     ///
     /// let key = ("s.0.0.0".parse().unwrap(), 1);
-    /// assert!(!OverTarget::default().is_harmed(&key, true, Instant::now()));
+    /// assert!(!OverTarget::default().is_harmed(&key, || true, Instant::now()));
     /// ```
-    pub fn is_harmed(&self, key: &RunKey, is_by_fills: bool, now: Instant) -> bool {
+    pub fn is_harmed(
+        &self,
+        key: &RunKey,
+        is_by_fills: impl FnOnce() -> bool,
+        now: Instant,
+    ) -> bool {
         let over = self.runs.get(key).filter(|over| over.is_counted(now));
-        over.is_some_and(|over| is_by_fills || !over.is_cleared(now))
+        over.is_some_and(|over| !over.is_cleared(now) || is_by_fills())
+    }
+
+    /// Whether no task is over its target or was of late.
+    ///
+    /// ```
+    /// assert!(greengagearch::workflow::over_target::OverTarget::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
     }
 
     /// Tasks that have newly been over their targets for long.
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -138,7 +138,8 @@
     ) -> Vec<PaceStep> {
         self.follow(running, traits, now);
         self.over.follow(running, traits, now);
-        if self.paces.values().all(|pace| pace.mean(now) < STILL_PACE) {
+        let is_still = |pace: &RunPace| pace.mean(now) < STILL_PACE;
+        if !self.over.is_empty() && self.paces.values().all(is_still) {
             self.over.clear_fills(now);
         }
         let mut groups = serving_groups(running, traits);
@@ -238,12 +239,15 @@
         now: Instant,
     ) -> Vec<ServingGroup> {
         let mut harmed = Vec::new();
+        if self.over.is_empty() {
+            return harmed;
+        }
         for run in running.iter().filter(|run| run.usage > 0) {
             let Some(traits) = known.get(&run.task).filter(|traits| traits.target_ms > 0) else {
                 continue;
             };
             let group = group_of(run.usage as f64, traits);
-            let is_by_fills = group.room + self.measured_load(&group.image, known, now) > 0.0;
+            let is_by_fills = || group.room + self.measured_load(&group.image, known, now) > 0.0;
             if self.over.is_harmed(&(run.task.clone(), run.run), is_by_fills, now) {
                 harmed.push(group);
             }
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -14,7 +14,6 @@
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::RunnerStatus;
 use crate::connection::node_protocol::TaskTraits;
-use crate::ids::InstanceId;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::RunWork;
 use crate::workflow::grant::LONGEST_LEASE;
@@ -101,31 +100,33 @@
         let Some(look) = &report.look else {
             return;
         };
-        let begun = look.present.iter().filter(|run| run.is_begun);
-        let begun = begun.map(|run| (run.task.clone(), run.run));
-        let ended = look.ended.iter().map(|ended| (ended.task.clone(), ended.run));
-        for key in begun.chain(ended) {
-            let has_it = |life: &&InstanceId| {
-                let worker = self.board.get(life);
-                worker.is_some_and(|worker| worker.assigned.contains_key(&key))
-            };
-            let Some(former) = report.former.iter().find(has_it) else {
-                continue;
-            };
-            self.decisions.push(PlanDecision::RunAdopted {
-                task: key.0.clone(),
-                run: key.1,
-                from: former.clone(),
-                worker: instance.to_string(),
-            });
-            let was_stopping = self.board.hand_over(former, instance, &key);
-            self.keep_place(&key, instance);
-            if was_stopping {
-                self.stop_run(instance, key);
+        for former in &report.former {
+            for key in self.runs_shown(former, look) {
+                self.adopt_run(&key, former, instance);
             }
         }
     }
 
+    /// Runs that were given to a life and that a look shows.
+    fn runs_shown(&self, life: &str, look: &RunnerLook) -> Vec<RunKey> {
+        let runs = self.board.get(life).into_iter().flat_map(|worker| worker.assigned.keys());
+        runs.filter(|key| look.shows(key)).cloned().collect()
+    }
+
+    fn adopt_run(&mut self, key: &RunKey, former: &str, instance: &str) {
+        self.decisions.push(PlanDecision::RunAdopted {
+            task: key.0.clone(),
+            run: key.1,
+            from: former.to_string(),
+            worker: instance.to_string(),
+        });
+        let was_stopping = self.board.hand_over(former, instance, key);
+        self.keep_place(key, instance);
+        if was_stopping {
+            self.stop_run(instance, key.clone());
+        }
+    }
+
     /// Keeps in its job's row on which life a run is.
     fn keep_place(&mut self, key: &RunKey, instance: &str) {
         let Some(entry) = self.jobs.get_mut(&key.0.job) else {
