Let one piece of the stand-in runner begin the next life

crash_and_return and restart did the same with and without start times, each with its own check whether the runner was ended for good. begin_next serves both. A wait for a life that never comes ends now: it went on in the background after a test had ended its runners.

--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -140,34 +140,50 @@
         PlatformRunner::serve(listener, instance, registry, journal, 1.0, start_time)
     }
 
-    /// Ends this life; after a pause another one begins under its id and at its address.
+    /// Ends this life; after a pause another one begins. Where something else has ended it, what follows is waited for.
     pub async fn restart(&self, pause: Duration) -> PlatformRunner {
-        if !self.break_off() {
-            return self.follow().await;
+        match self.break_off() {
+            true => self.begin_next(pause).await,
+            false => self.follow().await,
         }
+    }
+
+    /// Begins the life that follows this one after a pause: under its id and at its address, or with an id of its own where lives do not
+    /// tell when they started. It ends at once if the runner was ended for good meanwhile.
+    async fn begin_next(&self, pause: Duration) -> PlatformRunner {
         tokio::time::sleep(pause).await;
-        let listener = listen_again(self.address).await;
-        let (instance, registry) = (&self.instance, self.registry);
-        // Two lives do not start in the same millisecond.
-        let start_time = self.start_time.map(|before| unix_millis().max(before + 1));
-        let journal = self.journal.clone();
-        let next =
-            PlatformRunner::serve(listener, instance, registry, journal, self.speed, start_time);
+        let (registry, journal) = (self.registry, self.journal.clone());
+        let next = match self.start_time {
+            Some(before) => {
+                let listener = listen_again(self.address).await;
+                // Two lives do not start in the same millisecond.
+                let start_time = Some(unix_millis().max(before + 1));
+                let (instance, speed) = (&self.instance, self.speed);
+                PlatformRunner::serve(listener, instance, registry, journal, speed, start_time)
+            }
+            None => {
+                let instance = format!("{}+", self.instance);
+                PlatformRunner::spawn(&instance, registry, journal).await
+            }
+        };
         let mut life = self.lock();
         if life.is_closed {
             next.break_off();
         }
         life.successor = Some(next.clone());
-        drop(life);
         next
     }
 
-    /// Waits for the life that follows this one, which is over.
+    /// Waits for the life that follows this one, which is over; none does where the runner was ended for good.
     async fn follow(&self) -> PlatformRunner {
         loop {
-            let next = self.lock().successor.clone();
+            let (next, is_closed) = {
+                let life = self.lock();
+                (life.successor.clone(), life.is_closed)
+            };
             match next {
                 Some(next) => return next.newest(),
+                None if is_closed => return self.clone(),
                 None => tokio::time::sleep(BIND_PAUSE).await,
             }
         }
@@ -237,41 +253,26 @@
         self.break_off();
     }
 
-    /// Ends this life; another one begins after a while, unless the runner is ended meanwhile.
+    /// Ends this life; another one begins after a while, unless something else has ended it.
     async fn crash_and_return(&self) {
-        if self.start_time.is_some() {
-            self.restart(BACK_AFTER).await;
-            return;
-        }
-        self.break_off();
-        tokio::time::sleep(BACK_AFTER).await;
-        let instance = format!("{}+", self.instance);
-        let next = Box::pin(PlatformRunner::spawn(&instance, self.registry, self.journal.clone()));
-        let next = next.await;
-        let mut life = self.lock();
-        if life.is_closed || life.successor.is_some() {
-            drop(life);
-            next.break_off();
-            return;
+        if self.break_off() {
+            Box::pin(self.begin_next(BACK_AFTER)).await;
         }
-        life.successor = Some(next);
     }
 
     /// Says whether it was not over before.
     fn break_off(&self) -> bool {
-        let mut is_first = false;
-        let running: Vec<(String, u32)> = {
+        let (was_over, running) = {
             let mut life = self.lock();
-            is_first |= !std::mem::replace(&mut life.is_over, true);
-            std::mem::take(&mut life.running).into_keys().collect()
+            (std::mem::replace(&mut life.is_over, true), std::mem::take(&mut life.running))
         };
-        for (task, run) in running {
+        for (task, run) in running.into_keys() {
             self.journal.end(&task, run, &self.label(), "crashed");
         }
         if self.start_time.is_some() {
             self.closing.notify_one();
         }
-        is_first
+        !was_over
     }
 
     /// Names this life alone.
