--- a/src/platform/runner_registry.rs
+++ b/src/platform/runner_registry.rs
@@ -16,27 +16,13 @@
 use crate::ids::RunnerId;
 use crate::ids::StartMillis;
 use crate::platform::life_name::life_name;
+use crate::process::node::known_runner::KnownRunner;
 use crate::workflow::spec::RoomAmount;
 
-/// What a runner says of itself at a heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunnerBeat {
-    /// Its id.
-    pub runner: RunnerId,
-    /// Its state.
-    pub status: RunnerStatus,
-    /// Where it takes orders.
-    pub address: String,
-    /// Number of the heartbeat, rising in one life.
-    pub sequence: u64,
-    /// When the life began, if the runner tells.
-    pub started_at: Option<StartMillis>,
-}
-
 /// Takes what runners say.
 pub trait RunnerRegistry: Send + Sync {
     /// Takes a heartbeat.
-    fn on_beat(&self, beat: RunnerBeat);
+    fn on_beat(&self, runner: KnownRunner);
     /// Takes note that a runner says that it ends. Which of its lives says so is not told, and it may have said so long ago.
     fn on_leave(&self, runner: &str);
 }
@@ -106,7 +92,7 @@
     };
     let address = beat.address.to_string();
     let (sequence, started_at) = (beat.sequence, beat.started_at);
-    registry.on_beat(RunnerBeat { runner, status, address, sequence, started_at });
+    registry.on_beat(KnownRunner { runner, status, address, sequence, started_at });
     Json(Value::Object(serde_json::Map::new()))
 }
 
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -10,7 +10,6 @@
 
 use crate::external::runner_control::RunnerControl;
 use crate::ids::InstanceId;
-use crate::platform::runner_registry::RunnerBeat;
 use crate::platform::runner_registry::RunnerRegistry;
 use crate::process::clock;
 use crate::process::logging::log_event;
@@ -72,17 +71,10 @@
 }
 
 impl RunnerRegistry for NodeShared {
-    fn on_beat(&self, beat: RunnerBeat) {
-        let instance = beat.status.instance.clone();
-        let draining = beat.status.draining;
-        let started_at = beat.started_at.map_or(String::new(), |at| at.to_string());
-        let runner = KnownRunner {
-            runner: beat.runner,
-            status: beat.status,
-            address: beat.address,
-            sequence: beat.sequence,
-            started_at: beat.started_at,
-        };
+    fn on_beat(&self, runner: KnownRunner) {
+        let instance = runner.status.instance.clone();
+        let (sequence, draining) = (runner.sequence, runner.status.draining);
+        let started_at = runner.started_at.map_or(String::new(), |at| at.to_string());
         let effect = self.state().on_beat(runner);
         let event = match effect {
             BeatEffect::News => "runner_changed",
@@ -95,7 +87,7 @@
             &[
                 ("instance", &instance),
                 ("started_at", &started_at),
-                ("sequence", &beat.sequence),
+                ("sequence", &sequence),
                 ("draining", &draining),
             ],
         );
