Log tries of orders, refusals and absent runs

Callers saw two runs of one task at work at once on two workers. One of their starts had been left without an answer and was carried out 2.5 s late; both runs were stopped, so that the planner had given up both.

The logs could not tell why. An agent logged the last reason of a refused start and not whether a try before it had no answer, and of a stop not even whether the runner had refused it. The planner's `run_ended end=Lost` was the same for a refusal, for a run that a look did not show, and for a worker that was given up.

Agents now log `start_try` and `stop_try` for tries that did not succeed (the first three of an order, then each power of two), `task_start` has `tries` and `unanswered`, `task_stop` has `outcome` and `tries` and is also logged for the stop that an agent sends when it gives a start up for want of a lease. `gga_order_tries` counts tries by order and outcome. The planner logs `run_refused`, as a warning where the same look shows the run, and `run_absent`.

No decision changes: only what is logged and counted.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -38,6 +38,8 @@
     pub table_calls: IntCounterVec,
     /// Messages to other processes of the system, by kind.
     pub messages: IntCounterVec,
+    /// Tries of orders at the runner, by order and outcome: done, no_answer, refused, other.
+    pub order_tries: IntCounterVec,
     /// Generation of the documents in force.
     pub generation: IntGauge,
     /// Request ids that are remembered.
@@ -70,6 +72,11 @@
             tasks: counters("gga_task_events", "Task events", &["event"]),
             table_calls: counters("gga_table_calls", "Table service calls", &["call", "result"]),
             messages: counters("gga_messages", "Messages to other processes", &["kind"]),
+            order_tries: counters(
+                "gga_order_tries",
+                "Tries of orders at the runner",
+                &["order", "outcome"],
+            ),
             generation: gauge("gga_generation", "Generation of the documents in force"),
             remembered_ids: gauge("gga_remembered_ids", "Request ids that are remembered"),
             bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
@@ -98,12 +105,13 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
             Box::new(self.table_calls.clone()),
             Box::new(self.messages.clone()),
+            Box::new(self.order_tries.clone()),
             Box::new(self.generation.clone()),
             Box::new(self.remembered_ids.clone()),
             Box::new(self.bytes_sent.clone()),
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -6,6 +6,7 @@
 pub mod life_keeper;
 pub mod local_runs;
 pub mod order_sequence;
+pub mod order_tries;
 pub mod orders;
 pub mod rpc;
 pub mod runner_lease;
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -13,6 +13,8 @@
 use crate::external::runner_control::RunnerTarget;
 use crate::process::clock;
 use crate::process::logging::log_event;
+use crate::process::node::order_tries::OrderTries;
+use crate::process::node::order_tries::TriedOrder;
 use crate::process::node::shared::NodeShared;
 use crate::workflow::worker_board::RunKey;
 
@@ -48,7 +50,8 @@
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
         let arrived = clock::now();
-        let refused = start(&shared, &target, &order, &key).await;
+        let mut tries = OrderTries::new(TriedOrder::Start, &key, target.epoch);
+        let refused = start(&shared, &target, &order, &key, &mut tries).await;
         let mut state = shared.state();
         if state.is_target(&target) {
             state.runs.settle_start(&key, refused);
@@ -66,6 +69,8 @@
                 ("epoch", &target.epoch),
                 ("instance", &target.instance),
                 ("outcome", &outcome),
+                ("tries", &tries.tries()),
+                ("unanswered", &tries.unanswered()),
             ],
         );
     });
@@ -77,6 +82,7 @@
     target: &RunnerTarget,
     order: &StartOrder,
     key: &RunKey,
+    tries: &mut OrderTries,
 ) -> Option<RejectReason> {
     let arrived = clock::now();
     let mut is_sent = false;
@@ -107,6 +113,7 @@
                 shared.state().on_start_sent(key, clock::now());
                 let started = shared.control.start(target, order, lease_end).await;
                 drop(slot);
+                tries.note(&shared.metrics, &started);
                 note_answer(shared, target, key, &started);
                 match started {
                     Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => return None,
@@ -143,7 +150,8 @@
     target: &RunnerTarget,
     key: &RunKey,
 ) -> Option<RejectReason> {
-    stop(shared, target, key).await;
+    let tries = stop(shared, target, key).await;
+    log_stop(target, key, &tries);
     Some(RejectReason::Late)
 }
 
@@ -153,29 +161,42 @@
     }
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
-        stop(&shared, &target, &key).await;
+        let tries = stop(&shared, &target, &key).await;
         let mut state = shared.state();
         if state.is_target(&target) {
             state.runs.settle_stop(&key);
         }
         drop(state);
-        log_event(
-            Level::Info,
-            "task_stop",
-            &[("task", &key.0), ("run", &key.1), ("epoch", &target.epoch)],
-        );
+        log_stop(&target, &key, &tries);
     });
 }
 
+fn log_stop(target: &RunnerTarget, key: &RunKey, tries: &OrderTries) {
+    log_event(
+        Level::Info,
+        "task_stop",
+        &[
+            ("task", &key.0),
+            ("run", &key.1),
+            ("epoch", &target.epoch),
+            ("outcome", &tries.outcome()),
+            ("tries", &tries.tries()),
+        ],
+    );
+}
+
 /// Sends a stop until it is answered, or the runner's life or the planner has changed.
-async fn stop(shared: &NodeShared, target: &RunnerTarget, key: &RunKey) {
+async fn stop(shared: &NodeShared, target: &RunnerTarget, key: &RunKey) -> OrderTries {
+    let mut tries = OrderTries::new(TriedOrder::Stop, key, target.epoch);
     while shared.state().is_target(target) {
         let slot = shared.order_slots.acquire().await;
         let stopped = shared.control.stop(target, &key.0, key.1).await;
         drop(slot);
+        tries.note(&shared.metrics, &stopped);
         match stopped {
             Err(RunnerError::NoAnswer { .. }) => tokio::time::sleep(REPEAT_PAUSE).await,
-            Ok(()) | Err(_) => return,
+            Ok(()) | Err(_) => return tries,
         }
     }
+    tries
 }
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -35,6 +35,23 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::RunRefused { task, run, worker, reason, shown } => log_event(
+            refusal_level(*shown),
+            "run_refused",
+            &[
+                ("task", task),
+                ("run", run),
+                ("worker", worker),
+                ("reason", &format!("{reason:?}")),
+                ("shown", shown),
+                ("epoch", &epoch),
+            ],
+        ),
+        PlanDecision::RunAbsent { task, run, worker } => log_event(
+            Level::Info,
+            "run_absent",
+            &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
+        ),
         PlanDecision::RunAdopted { task, run, from, worker } => log_event(
             Level::Info,
             "run_adopted",
@@ -104,6 +121,11 @@
     }
 }
 
+/// A run that its worker refused and has all the same may soon be there twice.
+fn refusal_level(shown: bool) -> Level {
+    if shown { Level::Warn } else { Level::Info }
+}
+
 /// Logs what waits and runs, and what was learned of images that disturb each other.
 pub fn log_load(epoch: PlannerEpoch, planner: &Planner) {
     let load = planner.load();
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -1,5 +1,6 @@
 //! What the planner has decided or come to believe, for the log.
 
+use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::YoungRun;
 use crate::ids::InstanceId;
 use crate::ids::JobId;
@@ -50,6 +51,28 @@
         /// Time since it was given to the worker, in milliseconds.
         ran_ms: u64,
     },
+    /// A worker refused a run.
+    RunRefused {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: InstanceId,
+        /// Why.
+        reason: RejectReason,
+        /// Whether the look that brought the refusal shows the run all the same.
+        shown: bool,
+    },
+    /// A run is given up, because the looks of its worker do not show it.
+    RunAbsent {
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: InstanceId,
+    },
     /// A run that was given to a former life of a runner is at work on the next one, which has carried out its start.
     RunAdopted {
         /// The task.
@@ -163,6 +186,8 @@
             PlanDecision::RunEnded { end: RunEnd::Failed, .. } => "failed",
             PlanDecision::RunEnded { end: RunEnd::Stopped, .. } => "stopped",
             PlanDecision::RunEnded { .. } => "lost",
+            PlanDecision::RunRefused { .. } => "refused",
+            PlanDecision::RunAbsent { .. } => "absent",
             PlanDecision::RunAdopted { .. } => "adopted",
             PlanDecision::Moved { .. } => "moved",
             PlanDecision::Displaced { .. } => "displaced",
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -42,6 +42,12 @@
     told.idle_tail_ms != new.idle_tail_ms || new.effects.iter().any(is_other)
 }
 
+/// For each refusal of a look, whether the look shows the run all the same.
+fn refusals_shown(look: &RunnerLook) -> Vec<bool> {
+    let runs = look.rejected.iter().map(|rejected| (rejected.task.clone(), rejected.run));
+    runs.map(|key| look.shows(&key)).collect()
+}
+
 impl Planner {
     /// Takes in what an agent reports, and whether it came over a new link.
     ///
@@ -142,6 +148,7 @@
     }
 
     fn on_look(&mut self, instance: &str, look: RunnerLook) {
+        let shown = refusals_shown(&look);
         let last = look.ended.last().map(|ended| ended.number);
         for ended in look.ended {
             self.on_ended(instance, ended);
@@ -149,8 +156,8 @@
         if let Some(last) = last {
             self.held_acks.insert(instance.to_string(), last);
         }
-        for rejected in look.rejected {
-            self.on_rejected(instance, &rejected);
+        for (rejected, shown) in look.rejected.iter().zip(shown) {
+            self.on_rejected(instance, rejected, shown);
         }
         let mut present: BTreeMap<RunKey, _> = BTreeMap::new();
         for run in look.present {
@@ -186,7 +193,7 @@
             if resync {
                 self.resend(instance, &key);
             } else {
-                self.end_run(instance, &key, RunEnd::Lost, "");
+                self.end_absent(instance, &key);
             }
         }
         if resync {
@@ -234,7 +241,14 @@
         }
     }
 
-    fn on_rejected(&mut self, instance: &str, rejected: &RejectedRun) {
+    fn on_rejected(&mut self, instance: &str, rejected: &RejectedRun, shown: bool) {
+        self.decisions.push(PlanDecision::RunRefused {
+            task: rejected.task.clone(),
+            run: rejected.run,
+            worker: instance.to_string(),
+            reason: rejected.reason,
+            shown,
+        });
         match rejected.reason {
             RejectReason::Room => self.board.on_full(instance, self.now),
             RejectReason::Unwell | RejectReason::Malformed => {
@@ -267,10 +281,20 @@
                 self.outbox.push((instance.to_string(), NodeOrder::Start(order)));
             }
             // Nobody needs the run, and the agent's look shows that it does not exist.
-            _ => self.end_run(instance, key, RunEnd::Lost, ""),
+            _ => self.end_absent(instance, key),
         }
     }
 
+    /// Gives up a run that its worker does not show.
+    fn end_absent(&mut self, instance: &str, key: &RunKey) {
+        self.decisions.push(PlanDecision::RunAbsent {
+            task: key.0.clone(),
+            run: key.1,
+            worker: instance.to_string(),
+        });
+        self.end_run(instance, key, RunEnd::Lost, "");
+    }
+
     /// Tells an agent what it has to know of the runs that it has.
     pub(crate) fn describe_all(&mut self, instance: &str) {
         let Some(worker) = self.board.get(instance) else {
--- /dev/null
+++ b/tests/order_tries.rs
@@ -0,0 +1,107 @@
+//! What an agent logs and counts of the tries of an order.
+
+use std::sync::Mutex;
+
+use greengagearch::connection::node_protocol::RejectReason;
+use greengagearch::external::runner_control::RunnerError;
+use greengagearch::process::metrics::ProcessMetrics;
+use greengagearch::process::node::order_tries::OrderTries;
+use greengagearch::process::node::order_tries::TriedOrder;
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct KeptLog;
+
+impl Log for KeptLog {
+    fn enabled(&self, _: &Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record) {
+        LINES.lock().unwrap().push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+/// Lines about a task: tests of this file run beside each other.
+fn lines_of(task: &str) -> Vec<String> {
+    let lines = LINES.lock().unwrap();
+    lines.iter().filter(|line| line.contains(task)).cloned().collect()
+}
+
+fn tries_of(order: TriedOrder, task: &str) -> OrderTries {
+    // The first test of the process sets the logger; the others find it set.
+    let _ = log::set_logger(&KeptLog);
+    log::set_max_level(LevelFilter::Info);
+    OrderTries::new(order, &(task.parse().unwrap(), 3), 7)
+}
+
+fn silence() -> Result<(), RunnerError> {
+    Err(RunnerError::NoAnswer { is_broken: false, reason: "late".to_string() })
+}
+
+fn refusal() -> Result<(), RunnerError> {
+    Err(RunnerError::Rejected { reason: RejectReason::Unwell })
+}
+
+#[test]
+fn a_refusal_tells_how_many_tries_before_it_had_no_answer() {
+    let metrics = ProcessMetrics::open();
+    let mut tries = tries_of(TriedOrder::Start, "a.0.0.0");
+    tries.note(&metrics, &silence());
+    tries.note(&metrics, &refusal());
+    let lines = lines_of("task=a.0.0.0");
+    assert_eq!(lines.len(), 2);
+    assert!(lines[0].contains("event=start_try task=a.0.0.0 run=3 epoch=7 try=1 "), "{lines:?}");
+    assert!(lines[0].ends_with("outcome=\"no answer: late\" unanswered=0"), "{lines:?}");
+    assert!(lines[1].ends_with("try=2 outcome=\"refused: Unwell\" unanswered=1"), "{lines:?}");
+    assert_eq!((tries.tries(), tries.unanswered()), (2, 1));
+    assert_eq!(tries.outcome(), "refused: Unwell");
+}
+
+#[test]
+fn an_order_that_stays_without_an_answer_fills_no_log() {
+    let metrics = ProcessMetrics::open();
+    let mut tries = tries_of(TriedOrder::Stop, "b.0.0.0");
+    (0..1_000).for_each(|_| tries.note(&metrics, &silence()));
+    let lines = lines_of("task=b.0.0.0");
+    let numbers = [1, 2, 3, 4, 8, 16, 32, 64, 128, 256, 512];
+    assert_eq!(lines.len(), numbers.len());
+    for (line, number) in lines.iter().zip(numbers) {
+        assert!(line.contains(&format!("event=stop_try task=b.0.0.0 run=3 epoch=7 try={number} ")));
+    }
+    assert_eq!(tries.tries(), 1_000);
+}
+
+#[test]
+fn a_try_that_succeeds_is_counted_and_not_logged() {
+    let metrics = ProcessMetrics::open();
+    let mut tries = tries_of(TriedOrder::Start, "c.0.0.0");
+    tries.note(&metrics, &Ok(()));
+    assert!(lines_of("task=c.0.0.0").is_empty());
+    assert_eq!(tries.outcome(), "done");
+}
+
+#[test]
+fn tries_are_counted_by_order_and_outcome() {
+    let metrics = ProcessMetrics::open();
+    let mut start = tries_of(TriedOrder::Start, "d.0.0.0");
+    let answers = [silence(), silence(), refusal(), Err(RunnerError::OtherLife), Ok(())];
+    answers.iter().for_each(|answer| start.note(&metrics, answer));
+    tries_of(TriedOrder::Stop, "d.0.0.0").note(&metrics, &refusal());
+    let text = metrics.render();
+    for (labels, count) in [
+        ("order=\"start\",outcome=\"no_answer\"", 2),
+        ("order=\"start\",outcome=\"refused\"", 1),
+        ("order=\"start\",outcome=\"other\"", 1),
+        ("order=\"start\",outcome=\"done\"", 1),
+        ("order=\"stop\",outcome=\"refused\"", 1),
+    ] {
+        assert!(text.contains(&format!("gga_order_tries{{{labels}}} {count}\n")), "{text}");
+    }
+}
