Bring about runners that refuse calls while an order is on its way, with real processes

What callers saw: a task ran twice at once after its runner had refused the repeat of a start whose first try had no answer. Nothing of the logic is changed yet.

The stand-in runner refuses calls with 429 or 503 without doing anything: all, all but every n-th, or orders alone. Calls that came before are carried out. Stops and paces are held up and lose their answers like starts. Heartbeats can say that the runner drains. The faults and the calls are modules of their own.

--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -4,7 +4,11 @@
 //! is back with another life soon after. A life has an id of its own, or, where it tells when it was started, the id and the address
 //! of the one before.
 
+mod calls;
+mod faults;
+
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,22 +20,20 @@
 use std::time::UNIX_EPOCH;
 
 use axum::Json;
-use axum::Router;
-use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
-use axum::routing::post;
-use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 use crate::platform_advice::PlatformAdvice;
 use crate::platform_journal::RunJournal;
+pub use crate::platform_runner::faults::RefusedCalls;
+use crate::platform_runner::faults::RunnerFaults;
+pub use crate::platform_runner::faults::RunnerRefusal;
 
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
@@ -40,10 +42,10 @@
 const BACK_AFTER: Duration = Duration::from_millis(400);
 /// Longest lease; longer ones are shortened.
 const LONGEST_LEASE_MS: u64 = 10_000;
+/// Time that is left at least to one that drains.
+const DRAIN_REMAINING: Duration = Duration::from_secs(60);
 /// Pause before the address of the life before is tried again, as long as it is taken.
 const BIND_PAUSE: Duration = Duration::from_millis(5);
-/// Time for which a lost answer is held back.
-const HANG: Duration = Duration::from_secs(30);
 
 #[derive(Default)]
 struct RunnerLife {
@@ -53,13 +55,14 @@
     ends: u64,
     fence: u64,
     until_ms: u64,
-    lost_answers: u32,
-    /// Orders that get no answer and are carried out after this time.
-    late_orders: Option<Duration>,
+    /// Starts that came and were not refused.
+    came: BTreeSet<(String, u32)>,
+    faults: RunnerFaults,
     /// Tells which tickets are valid, where starts need one.
     advice: Option<PlatformAdvice>,
     lapsed: Option<Instant>,
     is_over: bool,
+    is_draining: bool,
     /// Whether no other life follows by itself.
     is_closed: bool,
     successor: Option<PlatformRunner>,
@@ -210,12 +213,7 @@
             ended: Arc::default(),
             closing: Arc::default(),
         };
-        let router = Router::new()
-            .route("/-/run-start", post(take_start))
-            .route("/-/run-stop", post(take_stop))
-            .route("/-/hold", post(take_hold))
-            .route("/-/pace", post(take_pace))
-            .with_state(runner.clone());
+        let router = calls::router(&runner);
         let closing = runner.closing.clone();
         let closed = async move { closing.notified().await };
         let serving = axum::serve(listener, router).with_graceful_shutdown(closed);
@@ -225,9 +223,24 @@
         runner
     }
 
-    /// Loses the answers to this many starts, which are carried out.
+    /// Loses the answers to this many orders, which are carried out.
     pub fn lose_answers(&self, count: u32) {
-        self.lock().lost_answers = count;
+        self.lock().faults.lost_answers = count;
+    }
+
+    /// Refuses calls that come from now on without doing anything, or no more. Calls that came before are carried out all the same.
+    pub fn refuse_calls(&self, refusal: Option<RunnerRefusal>) {
+        self.lock().faults.refuse(refusal);
+    }
+
+    /// Says in its heartbeats from now on that it is going to leave; it stays all the same.
+    pub fn drain(&self) {
+        self.lock().is_draining = true;
+    }
+
+    /// Number of runs whose start has come, be it carried out or not, without those that were refused as long as it was unwell.
+    pub fn starts_that_came(&self) -> usize {
+        self.lock().came.len()
     }
 
     /// Starts only what carries a valid ticket from now on.
@@ -237,7 +250,7 @@
 
     /// Leaves orders unanswered and carries them out after a time, or no more.
     pub fn set_late_orders(&self, delay: Option<Duration>) {
-        self.lock().late_orders = delay;
+        self.lock().faults.late_orders = delay;
     }
 
     /// Ends this life and what follows it: nothing runs any more, and nobody answers for it.
@@ -290,15 +303,6 @@
         self.lock().is_over
     }
 
-    /// Waits as long as orders are held up. Whether the caller gets an answer.
-    async fn hold_up(&self) -> bool {
-        let delay = self.lock().late_orders;
-        if let Some(delay) = delay {
-            tokio::time::sleep(delay).await;
-        }
-        delay.is_none()
-    }
-
     /// Lets a call through that is meant for this life and comes from the newest planner.
     fn admit(
         &self,
@@ -360,11 +364,16 @@
         if runner.is_over() {
             return;
         }
-        let body = json!({
+        let is_draining = runner.lock().is_draining;
+        let mut body = json!({
             "Service": "svc", "Address": address.to_string(), "Zone": "z", "State": "ready",
             "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", "r1"],
             "Sequence": sequence,
         });
+        if is_draining {
+            body["State"] = json!("draining");
+            body["DrainRemainingMs"] = json!(DRAIN_REMAINING.as_millis());
+        }
         let body = with_start_time(body, runner.start_time);
         // An agent that is down is called again with the next heartbeat.
         let _ = client.put(&url).json(&body).send().await;
@@ -399,150 +408,3 @@
         lapsed.iter().for_each(|(task, run)| runner.end(task, *run, "lapsed"));
     }
 }
-
-#[derive(Deserialize)]
-struct StartBody {
-    #[serde(rename = "Task")]
-    task: String,
-    #[serde(rename = "Run")]
-    run: u32,
-    #[serde(rename = "Spec", default)]
-    payload: String,
-    #[serde(rename = "UntilMs", default)]
-    until_ms: u64,
-    #[serde(rename = "Fence", default)]
-    fence: u64,
-    #[serde(rename = "Ticket", default)]
-    ticket: String,
-}
-
-async fn take_start(
-    State(runner): State<PlatformRunner>,
-    headers: HeaderMap,
-    Json(body): Json<StartBody>,
-) -> Response {
-    // Carried out to its end, also when the caller gives up.
-    let started = tokio::spawn(async move {
-        let is_answered = runner.hold_up().await;
-        let answer =
-            start(&runner.newest(), &headers, body).unwrap_or_else(|refusal| (*refusal, false));
-        (answer, is_answered)
-    });
-    match started.await {
-        Ok(((answer, false), true)) => answer,
-        _ => {
-            tokio::time::sleep(HANG).await;
-            StatusCode::SERVICE_UNAVAILABLE.into_response()
-        }
-    }
-}
-
-/// Starts a run; gives the answer and whether it is lost.
-fn start(
-    runner: &PlatformRunner,
-    headers: &HeaderMap,
-    body: StartBody,
-) -> Result<(Response, bool), Box<Response>> {
-    let mut life = runner.admit(headers, body.fence)?;
-    if body.until_ms < runner.clock_ms() {
-        return Ok((runner.refuse("late"), false));
-    }
-    life.extend(body.until_ms, runner.clock_ms());
-    let key = (body.task.clone(), body.run);
-    if life.running.contains_key(&key) {
-        return Ok((runner.answer(), false));
-    }
-    if life.highest.get(&body.task).is_some_and(|highest| body.run <= *highest) {
-        return Ok((runner.refuse("old"), false));
-    }
-    let has_ticket = life
-        .advice
-        .as_ref()
-        .is_none_or(|advice| advice.is_valid(&body.task, &runner.instance, &body.ticket));
-    if !has_ticket {
-        return Ok((runner.refuse("ticket"), false));
-    }
-    life.highest.insert(body.task.clone(), body.run);
-    life.running.insert(key, Instant::now());
-    runner.journal.begin(&body.task, body.run, &runner.label());
-    let is_lost = life.lost_answers > 0;
-    life.lost_answers = life.lost_answers.saturating_sub(1);
-    drop(life);
-    tokio::spawn(work(runner.clone(), body.task, body.run, body.payload));
-    Ok((runner.answer(), is_lost))
-}
-
-async fn work(runner: PlatformRunner, task: String, run: u32, payload: String) {
-    if payload.contains("crash") {
-        tokio::time::sleep(CRASH_AFTER).await;
-        return runner.crash_and_return().await;
-    }
-    let words = payload.split_whitespace();
-    let millis = words.filter_map(|word| word.strip_prefix("run_ms=")?.parse().ok()).next();
-    tokio::time::sleep(Duration::from_millis(millis.unwrap_or(50))).await;
-    runner.end(&task, run, if payload.contains("fail") { "failed" } else { "done" });
-}
-
-async fn take_stop(
-    State(runner): State<PlatformRunner>,
-    headers: HeaderMap,
-    Json(body): Json<StartBody>,
-) -> Response {
-    match runner.admit(&headers, body.fence) {
-        Ok(mut life) => {
-            let highest = life.highest.entry(body.task.clone()).or_default();
-            *highest = body.run.max(*highest);
-        }
-        Err(refusal) => return *refusal,
-    }
-    runner.end(&body.task, body.run, "stopped");
-    runner.answer()
-}
-
-async fn take_pace(State(runner): State<PlatformRunner>) -> Response {
-    runner.answer()
-}
-
-#[derive(Deserialize)]
-struct HoldBody {
-    #[serde(rename = "Fence", default)]
-    fence: u64,
-    #[serde(rename = "LastSeen", default)]
-    seen: u64,
-    #[serde(rename = "UntilMs", default)]
-    until_ms: u64,
-    #[serde(rename = "WaitMs", default)]
-    wait_ms: u64,
-}
-
-async fn take_hold(
-    State(runner): State<PlatformRunner>,
-    headers: HeaderMap,
-    Json(body): Json<HoldBody>,
-) -> Response {
-    let has_ends = {
-        let mut life = match runner.admit(&headers, body.fence) {
-            Ok(life) => life,
-            Err(refusal) => return *refusal,
-        };
-        life.extend(body.until_ms, runner.clock_ms());
-        let (seen, left) = life.ended.drain(..).partition(|ended| ended.0 <= body.seen);
-        life.ended = left;
-        let lapsed = life.lapsed.unwrap_or(runner.started);
-        runner.journal.note(&runner.label(), &seen, lapsed);
-        !life.ended.is_empty()
-    };
-    if !has_ends {
-        // The wait is over when something ends or when it has been long enough.
-        let _ = timeout(Duration::from_millis(body.wait_ms), runner.ended.notified()).await;
-    }
-    if runner.is_over() && runner.start_time.is_some() {
-        // A process that has crashed answers nothing.
-        tokio::time::sleep(HANG).await;
-    }
-    let life = runner.lock();
-    let running: Vec<_> =
-        life.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
-    let body = json!({ "ClockMs": runner.clock_ms(), "Running": running, "Ended": life.ended });
-    Json(with_start_time(body, runner.start_time)).into_response()
-}
