Wait for the next life of a runner until it was looked for, also when the agent stood still

What callers would see: a task that was done runs again. An agent whose runner has broken off keeps starts without an answer from other workers for five seconds, in which it calls the next life under the id. The five seconds passed also while the agent itself stood still, so that it gave them up without having looked; the next life had taken a late start meanwhile.

The new test asks for a call that did not exist, so that it does not build on the code before.

Why it works: the wait ends with a call, made after it, that finds nobody. A host's agent gets that answer at once where nothing listens.

--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -239,6 +239,11 @@
         self.lives.on_return();
     }
 
+    /// Takes note that a call for the next life of the runner found nobody.
+    pub fn on_nobody(&mut self, now: Instant) {
+        self.unsettled.on_nobody(now);
+    }
+
     /// Whether a target is still the present one.
     pub fn is_target(&self, target: &RunnerTarget) -> bool {
         self.target().is_some_and(|present| {
@@ -414,7 +419,7 @@
             now: now.saturating_duration_since(self.started),
             runner: self.lives.present().map(|runner| runner.status.clone()),
             former: self.lives.former(),
-            unsettled: self.unsettled.keys(now),
+            unsettled: self.unsettled.keys(),
             crashes: self.lives.crashes(now),
             look,
         }
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -55,7 +55,7 @@
     /// let mut starts = UnsettledStarts::default();
     /// starts.on_sending(&("a.0.0.0".parse().unwrap(), 1), now);
     /// starts.end_life(now);
-    /// assert_eq!(starts.keys(now).len(), 1);
+    /// assert_eq!(starts.keys().len(), 1);
     /// ```
     pub fn on_sending(&mut self, key: &RunKey, now: Instant) {
         let start = self.sent.entry(key.clone()).or_default();
@@ -104,7 +104,7 @@
     /// starts.on_sending(&("a.0.0.0".parse().unwrap(), 1), now);
     /// starts.end_life(now);
     /// assert!(starts.on_look(1, |_| false, now));
-    /// assert!(starts.keys(now).is_empty());
+    /// assert!(starts.keys().is_empty());
     /// ```
     pub fn on_look(
         &mut self,
@@ -153,17 +153,36 @@
         self.sent.clear();
     }
 
-    /// Runs given to former lives that must not start elsewhere yet.
+    /// Takes note that a call for the next life found nobody. It is waited for no longer than that: time that this agent stood still
+    /// shows nothing of it.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use std::time::Instant;
     ///
     /// use greengagearch::process::node::unsettled_starts::UnsettledStarts;
     ///
-    /// assert!(UnsettledStarts::default().keys(Instant::now()).is_empty());
+    /// let now = Instant::now();
+    /// let mut starts = UnsettledStarts::default();
+    /// starts.on_sending(&("a.0.0.0".parse().unwrap(), 1), now);
+    /// starts.end_life(now);
+    /// starts.on_nobody(now + Duration::from_secs(1));
+    /// assert_eq!(starts.keys().len(), 1);
+    /// starts.on_nobody(now + Duration::from_secs(60));
+    /// assert!(starts.keys().is_empty());
     /// ```
-    pub fn keys(&mut self, now: Instant) -> Vec<RunKey> {
+    pub fn on_nobody(&mut self, now: Instant) {
         self.left.retain(|_, until| now < *until);
+    }
+
+    /// Runs given to former lives that must not start elsewhere yet.
+    ///
+    /// ```
+    /// use greengagearch::process::node::unsettled_starts::UnsettledStarts;
+    ///
+    /// assert!(UnsettledStarts::default().keys().is_empty());
+    /// ```
+    pub fn keys(&self) -> Vec<RunKey> {
         self.left.keys().cloned().collect()
     }
 }
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -67,7 +67,12 @@
 async fn call_next_life(shared: &NodeShared, target: &RunnerTarget) {
     match shared.control.hold(target, RunnerHold::default()).await {
         Ok(_) | Err(RunnerError::OtherLife) => shared.state().on_return(),
-        Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        Err(error) => {
+            if error == RunnerError::NotRunning {
+                shared.state().on_nobody(clock::now());
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
     }
 }
 
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -417,6 +417,22 @@
     assert!(state.report(now).unsettled.is_empty());
 }
 
+/// Guards against a task that runs twice: an agent that stood still has not looked for the next life, which may have taken a late start.
+#[test]
+fn an_agent_that_stood_still_waits_for_the_next_life_all_the_same() {
+    let now = Instant::now();
+    let mut state = NodeState::new(now);
+    state.on_beat(life(200, 1));
+    state.admit(STAMP).unwrap();
+    let silent = key("a.0.0.0");
+    state.on_start_sent(&silent, now);
+    state.on_crash("i-1@200", now);
+    let later = now + Duration::from_secs(6);
+    assert_eq!(state.report(later).unsettled, [silent]);
+    state.on_nobody(later);
+    assert!(state.report(later).unsettled.is_empty());
+}
+
 /// Guards against ends that the next life forgets unread, and against a lease by another clock: after a look that failed, the next one
 /// only asks which life answers.
 #[test]
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -263,6 +263,8 @@
                 };
                 if is_back {
                     one.state.on_return();
+                } else {
+                    one.state.on_nobody(now);
                 }
                 let run = self.agents[agent].run;
                 self.at(60, Event::Look { agent, run });
