Give no run up on a refusal while the look that brings it shows the run

What callers saw: a task ran twice at once, and both runs were stopped. The planner took refusals of a look before it read what the look shows; a run that was refused and shown at work all the same was given up, started elsewhere, and then stopped as one that nobody knows.

The test of a refusal that is shown asked for the loss, as it told what the planner did; it now asks that nothing ends, and failed before ("refused", "lost").

Why it works: what a look shows is there, and its end will be told.

--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -249,6 +249,10 @@
             reason: rejected.reason,
             shown,
         });
+        if shown {
+            // What becomes of it is told by its end.
+            return;
+        }
         match rejected.reason {
             RejectReason::Room => self.board.on_full(instance, self.now),
             RejectReason::Unwell | RejectReason::Malformed => {
