Let only what rules a start out settle it, and only a taken stop count as one

What callers saw: a task ran twice at once on two workers, and both runs were stopped; jobs that were cancelled went on.

Cause: what an order had become stood in four places, each with a part of it, and the answer to a repeat was taken for the fate of the order. A start without an answer was given up as soon as its worker refused a repeat (429, 503, room, a runner that leaves, no lease), although the first try had begun or began seconds later. Any answer to a stop counted as carried out, a refusal too, and the stop was not sent again. A start that waited for its turn behind calls that hang left after its stop, or after its life had ended.

The change: a start is idle, sent, doubtful or closed, each with only the transitions that its tries allow: an idle one may be refused, a doubtful one not. It closes when the runner says that the run is there or can no longer begin, when a look shows it, when a stop was taken, or when the runner obeys a later planner. Until then it counts as present, so that its task starts nowhere else. A runner that refuses a repeat is asked again for a second, since it may get well and the run is saved; then, or at once for any other reason, the start is stopped. A refusal is told with the first look after that which does not show the run. Stops are repeated until they are taken, with the token of the time. Whether an order still has to leave is asked when its turn has come. The decisions moved out of the loop, so that the search plays them and no copy.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -343,6 +343,8 @@
     pub ticket: Option<String>,
     /// What the agent has to know of the task.
     pub traits: TaskTraits,
+    /// Whether it was ordered before, maybe of an agent that has ended: a try of that one may be carried out yet.
+    pub is_repeat: bool,
 }
 
 /// One order for a worker.
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -1,4 +1,4 @@
-//! Carries orders out on the runner, each repeated until its fate is known.
+//! Carries orders out on the runner, each repeated until it is known what has become of it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,23 +7,19 @@
 
 use crate::connection::node_protocol::NodeOrder;
 use crate::connection::node_protocol::OrderCall;
-use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::StartOrder;
-use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerTarget;
 use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::node::order_tries::OrderTries;
 use crate::process::node::order_tries::TriedOrder;
+use crate::process::node::pending_start::StartStep;
 use crate::process::node::shared::NodeShared;
 use crate::workflow::worker_board::RunKey;
 
-/// Pause before an order without an answer is repeated.
-const REPEAT_PAUSE: Duration = Duration::from_millis(30);
-/// How long a start waits for a lease on a new link.
-const LEASE_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause between two looks whether there is a lease.
-const LEASE_POLL: Duration = Duration::from_millis(15);
+/// Pause before a stop that the runner has not taken is sent again; it doubles up to the longest.
+const STOP_PAUSE: Duration = Duration::from_millis(30);
+const LONGEST_STOP_PAUSE: Duration = Duration::from_millis(480);
 
 /// Takes orders for the present life of the runner; orders for another life are only counted, since the
 /// next report names the present one.
@@ -43,134 +39,123 @@
 }
 
 fn take_start(shared: &Arc<NodeShared>, target: &RunnerTarget, order: StartOrder) {
-    let key = (order.traits.task.clone(), order.run);
-    if !shared.state().begin_start(&key, &order.traits) {
+    if !shared.state().begin_start(&order, clock::now()) {
         return;
     }
+    let key = (order.traits.task.clone(), order.run);
+    let tries = OrderTries::new(TriedOrder::Start, &key, target.epoch);
     let (shared, target) = (shared.clone(), target.clone());
-    tokio::spawn(async move {
+    tokio::spawn(StartSender { shared, target, order, key, tries }.run());
+}
+
+fn take_stop(shared: &Arc<NodeShared>, target: &RunnerTarget, key: RunKey) {
+    if shared.state().begin_stop(&key) {
+        spawn_stop(shared, target, key);
+    }
+}
+
+/// Sends one start until it needs nothing more, or the runner's life or the planner has changed.
+struct StartSender {
+    shared: Arc<NodeShared>,
+    target: RunnerTarget,
+    order: StartOrder,
+    key: RunKey,
+    tries: OrderTries,
+}
+
+impl StartSender {
+    async fn run(mut self) {
         let arrived = clock::now();
-        let mut tries = OrderTries::new(TriedOrder::Start, &key, target.epoch);
-        let refused = start(&shared, &target, &order, &key, &mut tries).await;
-        let mut state = shared.state();
-        if state.is_target(&target) {
-            state.runs.settle_start(&key, refused);
-        }
-        drop(state);
-        let outcome = refused.map_or("settled".to_string(), |reason| format!("{reason:?}"));
-        shared.metrics.latency.observe(clock::elapsed(arrived).as_secs_f64());
-        shared.metrics.tasks.with_label_values(&[outcome.as_str()]).inc();
+        let refusal = loop {
+            match self.next_step() {
+                StartStep::Send(_) => self.send_in_turn().await,
+                StartStep::Wait(pause) => tokio::time::sleep(pause).await,
+                StartStep::Stop(reason) => {
+                    spawn_stop(&self.shared, &self.target, self.key.clone());
+                    break Some(reason);
+                }
+                StartStep::Over(refusal) => break refusal,
+            }
+        };
+        let outcome = refusal.map_or("settled".to_string(), |reason| format!("{reason:?}"));
+        let metrics = &self.shared.metrics;
+        metrics.latency.observe(clock::elapsed(arrived).as_secs_f64());
+        metrics.tasks.with_label_values(&[outcome.as_str()]).inc();
+        self.log(&outcome);
+    }
+
+    fn next_step(&self) -> StartStep {
+        let room = &self.order.traits.room;
+        self.shared.state().next_step(&self.target, &self.key, room, clock::now())
+    }
+
+    /// Waits for its turn, and sends the start if that is still what has to be done.
+    async fn send_in_turn(&mut self) {
+        let shared = self.shared.clone();
+        let slot = shared.order_slots.acquire().await;
+        let lease_end = {
+            let mut state = shared.state();
+            state.begin_try(&self.target, &self.key, &self.order.traits.room, clock::now())
+        };
+        let Some(lease_end) = lease_end else {
+            return;
+        };
+        let answer = shared.control.start(&self.target, &self.order, lease_end).await;
+        drop(slot);
+        self.tries.note(&shared.metrics, &answer);
+        shared.state().on_start_answer(&self.target, &self.key, &answer, clock::now());
+    }
+
+    fn log(&self, outcome: &str) {
         log_event(
             Level::Info,
             "task_start",
             &[
-                ("task", &key.0),
-                ("run", &key.1),
-                ("epoch", &target.epoch),
-                ("instance", &target.instance),
+                ("task", &self.key.0),
+                ("run", &self.key.1),
+                ("epoch", &self.target.epoch),
+                ("instance", &self.target.instance),
                 ("outcome", &outcome),
-                ("tries", &tries.tries()),
-                ("unanswered", &tries.unanswered()),
+                ("tries", &self.tries.tries()),
+                ("unanswered", &self.tries.unanswered()),
             ],
         );
-    });
-}
-
-/// Sends a start until it is answered; gives the reason when it was refused.
-async fn start(
-    shared: &NodeShared,
-    target: &RunnerTarget,
-    order: &StartOrder,
-    key: &RunKey,
-    tries: &mut OrderTries,
-) -> Option<RejectReason> {
-    let arrived = clock::now();
-    let mut is_sent = false;
-    loop {
-        let now = clock::now();
-        let (may_start, lease_end) = {
-            let mut state = shared.state();
-            if !state.is_target(target) || state.runs.is_stopping(key) {
-                return None;
-            }
-            if state.is_draining() {
-                return Some(RejectReason::Leaving);
-            }
-            // A try without an answer may have begun, so that it is no longer refused here.
-            if !is_sent && !state.has_room(key, &order.traits.room) {
-                return Some(RejectReason::Room);
-            }
-            let may_start = state.may_start(now);
-            if may_start == Some(true) {
-                state.on_lease_sent();
-            }
-            (may_start, state.lease_end())
-        };
-        match (may_start, lease_end) {
-            (Some(true), Some(lease_end)) => {
-                let slot = shared.order_slots.acquire().await;
-                is_sent = true;
-                shared.state().on_start_sent(key, clock::now());
-                let started = shared.control.start(target, order, lease_end).await;
-                drop(slot);
-                tries.note(&shared.metrics, &started);
-                note_answer(shared, target, key, &started);
-                match started {
-                    Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => return None,
-                    Err(RunnerError::NotRunning) => tokio::time::sleep(REPEAT_PAUSE).await,
-                    Err(RunnerError::Rejected { reason }) => return Some(reason),
-                    Err(RunnerError::NoAnswer { .. }) => tokio::time::sleep(REPEAT_PAUSE).await,
-                }
-            }
-            _ if now.saturating_duration_since(arrived) > LEASE_WAIT => {
-                // A try without an answer may still be carried out; only a stop rules that out.
-                return refuse_late(shared, target, key).await;
-            }
-            _ => tokio::time::sleep(LEASE_POLL).await,
-        }
     }
 }
 
-/// Takes note of what became of a try, unless the life that it was sent to has ended meanwhile.
-fn note_answer(
-    shared: &NodeShared,
-    target: &RunnerTarget,
-    key: &RunKey,
-    started: &Result<(), RunnerError>,
-) {
-    let mut state = shared.state();
-    if state.is_target(target) {
-        state.on_start_answer(key, started);
-    }
-}
-
-/// Gives a start up for want of a lease, once the runner can no longer carry it out.
-async fn refuse_late(
-    shared: &NodeShared,
-    target: &RunnerTarget,
-    key: &RunKey,
-) -> Option<RejectReason> {
-    let tries = stop(shared, target, key).await;
-    log_stop(target, key, &tries);
-    Some(RejectReason::Late)
-}
-
-fn take_stop(shared: &Arc<NodeShared>, target: &RunnerTarget, key: RunKey) {
-    if !shared.state().runs.begin_stop(&key) {
-        return;
-    }
+/// Sends a stop until the runner has taken it, or its life or the planner has changed.
+fn spawn_stop(shared: &Arc<NodeShared>, target: &RunnerTarget, key: RunKey) {
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
-        let tries = stop(&shared, &target, &key).await;
-        let mut state = shared.state();
-        if state.is_target(&target) {
-            state.runs.settle_stop(&key);
+        let mut tries = OrderTries::new(TriedOrder::Stop, &key, target.epoch);
+        let mut pause = STOP_PAUSE;
+        while try_stop(&shared, &target, &key, &mut tries).await {
+            tokio::time::sleep(pause).await;
+            pause = LONGEST_STOP_PAUSE.min(pause * 2);
         }
-        drop(state);
         log_stop(&target, &key, &tries);
     });
 }
 
+/// Sends a stop once. Says whether it has to be sent again.
+async fn try_stop(
+    shared: &NodeShared,
+    target: &RunnerTarget,
+    key: &RunKey,
+    tries: &mut OrderTries,
+) -> bool {
+    let slot = shared.order_slots.acquire().await;
+    let due = shared.state().stop_target(target, key);
+    let Some(due) = due else {
+        return false;
+    };
+    let answer = shared.control.stop(&due, &key.0, key.1).await;
+    drop(slot);
+    tries.note(&shared.metrics, &answer);
+    shared.state().on_stop_answer(target, key, &answer);
+    answer.is_err()
+}
+
 fn log_stop(target: &RunnerTarget, key: &RunKey, tries: &OrderTries) {
     log_event(
         Level::Info,
@@ -184,19 +169,3 @@
         ],
     );
 }
-
-/// Sends a stop until it is answered, or the runner's life or the planner has changed.
-async fn stop(shared: &NodeShared, target: &RunnerTarget, key: &RunKey) -> OrderTries {
-    let mut tries = OrderTries::new(TriedOrder::Stop, key, target.epoch);
-    while shared.state().is_target(target) {
-        let slot = shared.order_slots.acquire().await;
-        let stopped = shared.control.stop(target, &key.0, key.1).await;
-        drop(slot);
-        tries.note(&shared.metrics, &stopped);
-        match stopped {
-            Err(RunnerError::NoAnswer { .. }) => tokio::time::sleep(REPEAT_PAUSE).await,
-            Ok(()) | Err(_) => return tries,
-        }
-    }
-    tries
-}
--- a/src/process/node/runner_lives.rs
+++ b/src/process/node/runner_lives.rs
@@ -9,9 +9,9 @@
 use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::YoungRun;
 use crate::ids::InstanceId;
+use crate::ids::LookNumber;
 use crate::process::node::known_runner::BeatEffect;
 use crate::process::node::known_runner::KnownRunner;
-use crate::process::node::local_runs::LookNumber;
 
 /// Former lives that are remembered, for heartbeats and orders that come late.
 const FORMER_LIVES: usize = 8;
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -5,32 +5,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::connection::node_protocol::EndedRun;
 use crate::connection::node_protocol::LinkStamp;
 use crate::connection::node_protocol::NodeReport;
 use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
-use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerHold;
 use crate::external::runner_control::RunnerLists;
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
 use crate::ids::InstanceId;
+use crate::ids::LookNumber;
 use crate::process::node::begun_runs::BegunRuns;
 use crate::process::node::fence::fencing_token;
 use crate::process::node::known_runner::BeatEffect;
 use crate::process::node::known_runner::KnownRunner;
-use crate::process::node::local_runs::LocalRuns;
-use crate::process::node::local_runs::LookNumber;
-use crate::process::node::local_runs::is_among;
+use crate::process::node::order_book::OrderBook;
+use crate::process::node::order_book::has_ended;
+use crate::process::node::order_book::is_among;
 use crate::process::node::order_sequence::OrderSequence;
 use crate::process::node::runner_lease::RunnerLease;
 use crate::process::node::runner_lives::RunnerLives;
 use crate::process::node::unsettled_starts::UnsettledStarts;
 use crate::workflow::pacing::PaceControl;
-use crate::workflow::spec::RoomAmount;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
@@ -42,8 +40,8 @@
 pub struct NodeState {
     started: Instant,
     stamp: LinkStamp,
-    lives: RunnerLives,
-    lease: RunnerLease,
+    pub(super) lives: RunnerLives,
+    pub(super) lease: RunnerLease,
     /// Whether the present life has answered the last look.
     is_proven: bool,
     /// By how much the fencing token is raised, since the present life has seen a higher one.
@@ -56,15 +54,15 @@
     orders: OrderSequence,
     fresh_look: Option<RunnerLook>,
     /// What the newest look showed, with starts on their way.
-    present: BTreeSet<RunKey>,
+    pub(super) present: BTreeSet<RunKey>,
     reported_ends: u64,
     has_news: bool,
-    /// Starts and stops that looks do not show yet.
-    pub runs: LocalRuns,
+    /// What orders have become that looks do not show yet.
+    pub(super) book: OrderBook,
     /// Runs that the present life has begun of late.
-    begun: BegunRuns,
+    pub(super) begun: BegunRuns,
     /// Starts that the next life may carry out as well.
-    unsettled: UnsettledStarts,
+    pub(super) unsettled: UnsettledStarts,
     /// What is known of tasks.
     pub traits: HashMap<TaskName, TaskTraits>,
     /// Decides how fast tasks may work.
@@ -95,7 +93,7 @@
             present: BTreeSet::new(),
             reported_ends: 0,
             has_news: false,
-            runs: LocalRuns::default(),
+            book: OrderBook::default(),
             begun: BegunRuns::default(),
             unsettled: UnsettledStarts::default(),
             traits: HashMap::new(),
@@ -111,7 +109,7 @@
         let is_new = stamp > self.stamp;
         if is_new {
             if stamp.epoch > self.stamp.epoch {
-                self.runs.on_new_epoch();
+                self.book.on_new_epoch();
             }
             // What the planner knows of orders and ends starts anew with each link.
             self.stamp = stamp;
@@ -135,7 +133,7 @@
 
     /// Takes a heartbeat of the runner.
     pub fn on_beat(&mut self, runner: KnownRunner) -> BeatEffect {
-        let effect = self.lives.on_beat(runner, self.runs.newest_look());
+        let effect = self.lives.on_beat(runner, self.book.newest_look());
         self.has_news |= effect == BeatEffect::News;
         effect
     }
@@ -157,7 +155,7 @@
 
     /// Takes note that a runner says that it ends. Says whether its present life is over.
     pub fn on_leave(&mut self, runner: &str, now: Instant) -> bool {
-        let has_left = self.lives.on_leave(runner, self.runs.newest_look());
+        let has_left = self.lives.on_leave(runner, self.book.newest_look());
         if has_left {
             self.end_life(now);
         }
@@ -191,7 +189,7 @@
         self.lease = RunnerLease::none(self.lease.answered());
         self.seen = 0;
         self.first_listed = None;
-        self.runs.clear();
+        self.book.clear();
         self.begun = BegunRuns::default();
         self.is_proven = false;
         self.fence_raise = 0;
@@ -285,58 +283,6 @@
         Some(self.lease.has_enough(now)? && !self.may_be_other_life(now))
     }
 
-    /// Whether the runner's newest capacity holds a run beside everything that it shows or is about to start; what is being
-    /// stopped counts until it has ended. A start may have been decided before the capacity shrank, and waited for the store.
-    pub fn has_room(&self, key: &RunKey, room: &RoomAmount) -> bool {
-        let Some(runner) = self.lives.present() else {
-            return false;
-        };
-        let others: BTreeSet<&RunKey> = self.present.iter().chain(self.runs.starting()).collect();
-        let others = others.into_iter().filter(|other| *other != key);
-        let rooms = others.filter_map(|(task, _)| self.traits.get(task)).map(|traits| &traits.room);
-        let used = rooms.fold(*room, |used, room| used.plus(room));
-        runner.status.capacity.contains(&used)
-    }
-
-    /// Takes note that a start carries the lease to the runner.
-    pub fn on_lease_sent(&mut self) {
-        self.lease.on_sent();
-    }
-
-    /// Takes note of a start that is about to be sent. Says whether it is new.
-    pub fn begin_start(&mut self, key: &RunKey, traits: &TaskTraits) -> bool {
-        self.traits.insert(key.0.clone(), traits.clone());
-        self.runs.begin_start(key)
-    }
-
-    /// Takes note of a try to start a run that is about to be sent.
-    pub fn on_start_sent(&mut self, key: &RunKey, now: Instant) {
-        self.begun.on_sending(key, now);
-        self.unsettled.on_sending(key, now);
-    }
-
-    /// Takes note of what became of a try to start a run.
-    pub fn on_start_answer(&mut self, key: &RunKey, answer: &Result<(), RunnerError>) {
-        let newest = self.runs.newest_look();
-        match answer {
-            Ok(()) => {
-                self.begun.on_begun(key);
-                self.unsettled.on_answer(key, newest);
-            }
-            Err(RunnerError::NoAnswer { .. }) => {}
-            Err(RunnerError::NotRunning) => {
-                self.begun.on_not_begun(key);
-                self.unsettled.on_not_sent(key);
-            }
-            // Another life may have carried it out, which leaves it as one without an answer.
-            Err(RunnerError::OtherLife) => self.begun.on_not_begun(key),
-            Err(RunnerError::Fenced | RunnerError::Rejected { .. }) => {
-                self.begun.on_not_begun(key);
-                self.unsettled.on_answer(key, newest);
-            }
-        }
-    }
-
     /// Takes note of orders that came, all of which are known here by now. They count as seen when those
     /// before them have come as well.
     pub fn on_orders(&mut self, previous: u64, number: u64) {
@@ -347,7 +293,7 @@
     pub fn next_hold(&mut self, wait: Duration, now: Instant) -> (LookNumber, RunnerHold) {
         if self.may_be_other_life(now) {
             let hold = RunnerHold { lease_end: None, seen: 0, wait: Duration::ZERO };
-            return (self.runs.next_look(), hold);
+            return (self.book.next_look(), hold);
         }
         // A life that does not answer is not kept alive by calls that may be carried out late.
         let lease_end = self.lease.end().filter(|_| !self.lease.is_silent(now));
@@ -358,7 +304,7 @@
         // same numbers.
         let is_listed = self.first_listed.is_some_and(|first| first <= self.seen);
         let seen = if is_listed { self.seen } else { 0 };
-        (self.runs.next_look(), RunnerHold { lease_end, seen, wait })
+        (self.book.next_look(), RunnerHold { lease_end, seen, wait })
     }
 
     /// Whether the next life under the runner's id may answer the next look: it would take the lease by another clock, and forget ends
@@ -382,12 +328,12 @@
             run.pace_percent = self.pace.ordered(&key);
             run.measured_percent = self.pace.measured(&key, now);
         }
-        self.runs.complete(number, &mut present);
+        self.book.complete(number, &mut present, &lists.ended);
         self.present = present.iter().map(|run| (run.task.clone(), run.run)).collect();
         self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
         self.first_listed = lists.ended.first().map(|ended| ended.number);
         let last = lists.ended.last().map_or(0, |ended| ended.number);
-        let is_news = last > self.reported_ends || self.runs.has_refusals() || self.has_news;
+        let is_news = last > self.reported_ends || self.book.has_refusals() || self.has_news;
         self.fresh_look = Some(RunnerLook {
             present,
             ended: lists.ended,
@@ -408,7 +354,7 @@
     pub fn report(&mut self, now: Instant) -> NodeReport {
         let mut look = self.fresh_look.take();
         if let Some(look) = &mut look {
-            look.rejected = self.runs.take_refusals();
+            look.rejected = self.book.take_refusals();
             let last = look.ended.last().map_or(0, |ended| ended.number);
             self.reported_ends = self.reported_ends.max(last);
         }
@@ -428,6 +374,5 @@
 
 /// Whether a runner shows a run, at work or as an end that was not acknowledged.
 fn is_shown(lists: &RunnerLists, key: &RunKey) -> bool {
-    let is_end = |ended: &EndedRun| ended.task == key.0 && ended.run == key.1;
-    is_among(&lists.running, key) || lists.ended.iter().any(is_end)
+    is_among(&lists.running, key) || has_ended(&lists.ended, key)
 }
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::process::node::local_runs::LookNumber;
+use crate::ids::LookNumber;
 use crate::workflow::worker_board::RunKey;
 
 /// Time for which a start that has no answer may still be carried out.
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -317,6 +317,7 @@
             checkpoint: task.checkpoint.clone(),
             ticket: self.advice.ticket(&key.0.step_key(), instance, self.now).map(str::to_string),
             traits: self.traits(&key.0)?,
+            is_repeat: false,
         })
     }
 
--- /dev/null
+++ b/tests/doubtful_starts.rs
@@ -0,0 +1,231 @@
+//! Starts of which a try has no answer: what refusals, stops and looks tell of them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use assert_matches::assert_matches;
+use greengagearch::connection::node_protocol::LeaseGrant;
+use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::PresentRun;
+use greengagearch::connection::node_protocol::RejectReason;
+use greengagearch::connection::node_protocol::RunnerLook;
+use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::connection::node_protocol::StartOrder;
+use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::connection::node_protocol::TaskTraits;
+use greengagearch::external::runner_control::RunnerError;
+use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::external::runner_control::RunnerTarget;
+use greengagearch::process::node::known_runner::KnownRunner;
+use greengagearch::process::node::pending_start::StartStep;
+use greengagearch::process::node::state::NodeState;
+use greengagearch::workflow::spec::RoomAmount;
+use greengagearch::workflow::worker_board::RunKey;
+
+const STAMP: LinkStamp = LinkStamp { epoch: 3, link: 1 };
+const ROOM: RoomAmount = RoomAmount { millicores: 400, memory_mib: 100, accelerators: 0 };
+
+/// An agent with a runner, a planner, a lease and one order to start.
+struct Agent {
+    state: NodeState,
+    now: Instant,
+    key: RunKey,
+}
+
+impl Agent {
+    fn with_start(is_repeat: bool) -> Agent {
+        let now = Instant::now();
+        let mut agent =
+            Agent { state: NodeState::new(now), now, key: ("a.0.0.0".parse().unwrap(), 1) };
+        agent.beat(1, false);
+        agent.state.admit(STAMP).unwrap();
+        agent.look(Vec::new());
+        agent.state.on_sync(&SyncCall {
+            stamp: STAMP,
+            grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
+            instance: Some("i-1".to_string()),
+            seen: 0,
+            wait: Duration::ZERO,
+        });
+        agent.order(is_repeat);
+        agent
+    }
+
+    fn order(&mut self, is_repeat: bool) {
+        let traits = TaskTraits {
+            task: self.key.0.clone(),
+            image: String::new(),
+            target_ms: 0,
+            fills: false,
+            room: ROOM,
+            effects: Vec::new(),
+            idle_tail_ms: 0,
+        };
+        let (payload, checkpoint) = (String::new(), String::new());
+        let order = StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat };
+        assert!(self.state.begin_start(&order, self.now));
+    }
+
+    fn beat(&mut self, sequence: u64, draining: bool) {
+        let status = RunnerStatus {
+            instance: "i-1".to_string(),
+            service: "s".to_string(),
+            domain: "d".to_string(),
+            capacity: RoomAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 },
+            labels: Vec::new(),
+            draining,
+        };
+        let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
+        self.state.on_beat(KnownRunner { runner, status, address, sequence, started_at: None });
+    }
+
+    fn target(&self) -> RunnerTarget {
+        self.state.target().unwrap()
+    }
+
+    fn next_step(&mut self) -> StartStep {
+        self.state.next_step(&self.target(), &self.key, &ROOM, self.now)
+    }
+
+    /// Sends a try, which is answered so.
+    fn try_start(&mut self, answer: Result<(), RunnerError>) {
+        let target = self.target();
+        let sent = self.state.begin_try(&target, &self.key, &ROOM, self.now);
+        assert!(sent.is_some(), "nothing speaks against the start");
+        self.state.on_start_answer(&target, &self.key, &answer, self.now);
+    }
+
+    fn try_stop(&mut self, answer: Result<(), RunnerError>) {
+        let target = self.target();
+        assert!(self.is_stop_due());
+        self.state.on_stop_answer(&target, &self.key, &answer);
+    }
+
+    fn is_stop_due(&self) -> bool {
+        self.state.stop_target(&self.target(), &self.key).is_some()
+    }
+
+    /// A look that shows these runs, and what the planner is told of it.
+    fn look(&mut self, running: Vec<PresentRun>) -> RunnerLook {
+        let (number, _) = self.state.next_hold(Duration::ZERO, self.now);
+        let lists = RunnerLists { clock: 0, running, ended: Vec::new() };
+        self.state.on_lists(number, lists, self.now);
+        self.state.report(self.now).look.unwrap()
+    }
+
+    fn begun(&self) -> PresentRun {
+        PresentRun { is_begun: true, ..PresentRun::ordered(self.key.0.clone(), self.key.1) }
+    }
+}
+
+fn silence() -> Result<(), RunnerError> {
+    Err(RunnerError::NoAnswer { is_broken: false, reason: String::new() })
+}
+
+fn refusal(reason: RejectReason) -> Result<(), RunnerError> {
+    Err(RunnerError::Rejected { reason })
+}
+
+/// Guards against a task that runs twice: the refusal of a repeat was taken for the fate of a start that was carried out late.
+#[test]
+fn a_refused_repeat_does_not_settle_a_start_without_an_answer() {
+    for reason in [RejectReason::Unwell, RejectReason::Room, RejectReason::Ticket] {
+        let mut agent = Agent::with_start(false);
+        agent.try_start(silence());
+        agent.try_start(refusal(reason));
+        let look = agent.look(Vec::new());
+        assert_eq!((look.present.len(), look.rejected.len()), (1, 0), "{reason:?}");
+
+        agent.now += Duration::from_millis(1_100);
+        assert_eq!(agent.next_step(), StartStep::Stop(reason));
+        agent.try_stop(refusal(RejectReason::Unwell));
+        assert_eq!(agent.look(Vec::new()).present.len(), 1, "the stop was not taken: {reason:?}");
+
+        agent.try_stop(Ok(()));
+        let look = agent.look(Vec::new());
+        assert_eq!((look.present.len(), look.rejected.len()), (0, 1), "{reason:?}");
+        assert_eq!(look.rejected[0].reason, reason);
+    }
+}
+
+/// Guards against a task that waits for nothing: a refusal is told at once where no try can be carried out any more.
+#[test]
+fn a_refused_first_try_is_told_with_the_next_look() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(refusal(RejectReason::Unwell));
+    assert_eq!(agent.next_step(), StartStep::Over(Some(RejectReason::Unwell)));
+    assert!(!agent.is_stop_due());
+    let look = agent.look(Vec::new());
+    assert_eq!((look.present.len(), look.rejected.len()), (0, 1));
+}
+
+/// Guards against work that is thrown away: a run that a look shows has begun, whatever later tries were answered.
+#[test]
+fn a_start_that_a_look_shows_is_neither_repeated_nor_refused() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(silence());
+    agent.try_start(refusal(RejectReason::Unwell));
+    let begun = agent.begun();
+    let look = agent.look(vec![begun]);
+    assert_eq!((look.present.len(), look.rejected.len()), (1, 0));
+    agent.now += Duration::from_secs(2);
+    assert_eq!(agent.next_step(), StartStep::Over(None));
+    assert!(!agent.is_stop_due());
+}
+
+/// Guards against a run that goes on after its stop: an unwell runner that refuses a stop has not taken it.
+#[test]
+fn a_refused_stop_is_sent_again() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(Ok(()));
+    let begun = agent.begun();
+    agent.look(vec![begun.clone()]);
+    let key = agent.key.clone();
+    assert!(agent.state.begin_stop(&key));
+    agent.try_stop(refusal(RejectReason::Unwell));
+    agent.try_stop(Err(RunnerError::Fenced));
+    agent.look(vec![begun]);
+    assert!(agent.is_stop_due());
+    assert!(!agent.state.begin_stop(&key), "it is still being sent");
+    agent.try_stop(Ok(()));
+    assert!(!agent.is_stop_due());
+}
+
+/// Guards against a start that leaves seconds after its stop: it waits for its turn while others hang, and the stop does not.
+#[test]
+fn a_start_that_was_stopped_while_it_waited_for_its_turn_does_not_leave() {
+    let mut agent = Agent::with_start(false);
+    assert_matches!(agent.next_step(), StartStep::Send(_));
+    let key = agent.key.clone();
+    agent.state.begin_stop(&key);
+    agent.try_stop(Ok(()));
+    let target = agent.target();
+    assert_eq!(agent.state.begin_try(&target, &key, &ROOM, agent.now), None);
+    assert_eq!(agent.next_step(), StartStep::Over(None));
+}
+
+/// Guards against a task that runs twice: a stop that the runner has not taken does not rule out that a late start begins.
+#[test]
+fn a_stopped_start_without_an_answer_counts_as_present_until_the_stop_is_taken() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(silence());
+    let key = agent.key.clone();
+    agent.state.begin_stop(&key);
+    assert_eq!(agent.next_step(), StartStep::Over(None));
+    assert_eq!(agent.look(Vec::new()).present.len(), 1);
+    agent.try_stop(silence());
+    assert_eq!(agent.look(Vec::new()).present.len(), 1);
+    agent.try_stop(Ok(()));
+    assert!(agent.look(Vec::new()).present.is_empty());
+}
+
+/// Guards against a task that stands still: a runner that says that the run can no longer begin has settled all its tries.
+#[test]
+fn a_repeat_that_is_refused_as_old_settles_a_start_without_an_answer() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(silence());
+    agent.try_start(refusal(RejectReason::Old));
+    assert_eq!(agent.next_step(), StartStep::Over(Some(RejectReason::Old)));
+    let look = agent.look(Vec::new());
+    assert_eq!((look.present.len(), look.rejected.len()), (0, 1));
+}
--- a/tests/life_names.rs
+++ b/tests/life_names.rs
@@ -51,7 +51,7 @@
         idle_tail_ms: 0,
     };
     let (payload, checkpoint) = ("run_ms=50".to_string(), String::new());
-    StartOrder { run: 1, payload, checkpoint, ticket: None, traits }
+    StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat: false }
 }
 
 /// Guards against runs that nobody knows of: a start that was held up comes to the next life, which has seen no token of its own.
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -9,6 +9,7 @@
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::connection::node_protocol::StartOrder;
 use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerError;
@@ -81,6 +82,44 @@
     }
 }
 
+fn order(key: &RunKey) -> StartOrder {
+    StartOrder {
+        run: key.1,
+        payload: String::new(),
+        checkpoint: String::new(),
+        ticket: None,
+        traits: traits(key),
+        is_repeat: false,
+    }
+}
+
+/// A look that shows nothing, and a lease of nine seconds from the start of the agent.
+fn lease(state: &mut NodeState, now: Instant) {
+    let instance = state.present_life().unwrap().clone();
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    state.on_lists(number, lists(0), now);
+    state.report(now);
+    state.on_sync(&grant(&instance, 0, 0));
+}
+
+/// A try to start a run leaves.
+fn send(state: &mut NodeState, key: &RunKey, now: Instant) {
+    state.begin_start(&order(key), now);
+    let target = state.target().unwrap();
+    let sent = state.begin_try(&target, key, &RoomAmount::default(), now);
+    assert!(sent.is_some(), "nothing speaks against the start");
+}
+
+/// The last try has an answer, or will have none.
+fn answer(state: &mut NodeState, key: &RunKey, answer: Result<(), RunnerError>, now: Instant) {
+    let target = state.target().unwrap();
+    state.on_start_answer(&target, key, &answer, now);
+}
+
+fn silence() -> Result<(), RunnerError> {
+    Err(RunnerError::NoAnswer { is_broken: true, reason: String::new() })
+}
+
 /// Seen on a day with slow hosts: the second of two orders came first, its number made the first one
 /// count as seen, and the planner took the run that it carried for lost.
 #[test]
@@ -88,13 +127,13 @@
     let now = Instant::now();
     let mut state = linked(now);
     let (number, _) = state.next_hold(Duration::ZERO, now);
-    state.begin_start(&key("a.0.0.1"), &traits(&key("a.0.0.1")));
+    state.begin_start(&order(&key("a.0.0.1")), now);
     state.on_orders(1, 2);
     state.on_lists(number, lists(0), now);
     assert_eq!(state.report(now).look.unwrap().orders_seen, 0);
 
     let (number, _) = state.next_hold(Duration::ZERO, now);
-    state.begin_start(&key("a.0.0.0"), &traits(&key("a.0.0.0")));
+    state.begin_start(&order(&key("a.0.0.0")), now);
     state.on_orders(0, 1);
     state.on_lists(number, lists(0), now);
     let look = state.report(now).look.unwrap();
@@ -106,10 +145,11 @@
 fn a_start_counts_as_present_until_a_look_that_was_sent_after_it() {
     let now = Instant::now();
     let mut state = linked(now);
+    lease(&mut state, now);
     let key = key("a.0.0.0");
     let (early, _) = state.next_hold(Duration::ZERO, now);
-    state.begin_start(&key, &traits(&key));
-    state.runs.settle_start(&key, None);
+    send(&mut state, &key, now);
+    answer(&mut state, &key, Ok(()), now);
     state.on_lists(early, lists(0), now);
     assert_eq!(state.report(now).look.unwrap().present.len(), 1);
 
@@ -208,10 +248,11 @@
 fn a_refusal_is_told_only_with_a_look_that_was_sent_after_it() {
     let now = Instant::now();
     let mut state = linked(now);
+    lease(&mut state, now);
     let key = key("a.0.0.0");
-    state.begin_start(&key, &traits(&key));
+    send(&mut state, &key, now);
     let (early, _) = state.next_hold(Duration::ZERO, now);
-    state.runs.settle_start(&key, Some(RejectReason::Old));
+    answer(&mut state, &key, Err(RunnerError::Rejected { reason: RejectReason::Old }), now);
     state.on_lists(early, lists(0), now);
     let look = state.report(now).look.unwrap();
     assert!(look.rejected.is_empty());
@@ -231,14 +272,14 @@
     let now = Instant::now();
     let mut state = linked(now);
     let (started, stopped) = (key("a.0.0.0"), key("a.0.0.1"));
-    state.begin_start(&started, &traits(&started));
-    assert!(state.runs.begin_stop(&stopped));
+    state.begin_start(&order(&started), now);
+    assert!(state.begin_stop(&stopped));
     let (before, _) = state.next_hold(Duration::ZERO, now);
     state.admit(LinkStamp { epoch: STAMP.epoch, link: 2 }).unwrap();
-    assert!(!state.runs.begin_stop(&stopped), "a new link of the same planner changes nothing");
+    assert!(!state.begin_stop(&stopped), "a new link of the same planner changes nothing");
 
     state.admit(LinkStamp { epoch: STAMP.epoch + 1, link: 1 }).unwrap();
-    assert!(state.runs.begin_stop(&stopped));
+    assert!(state.begin_stop(&stopped));
     state.on_lists(before, lists(1), now);
     assert_eq!(present(&mut state, now), 1, "a look from before the change cannot tell");
     let (after, _) = state.next_hold(Duration::ZERO, now);
@@ -281,18 +322,20 @@
     let now = Instant::now();
     let at = |millis: u64| now + Duration::from_millis(millis);
     let mut state = linked(now);
+    lease(&mut state, now);
     let (old, answered, unanswered) = (key("a.0.0.0"), key("a.0.0.1"), key("a.0.0.2"));
-    state.on_start_sent(&old, now);
-    state.on_start_answer(&old, &Ok(()));
+    send(&mut state, &old, now);
+    answer(&mut state, &old, Ok(()), now);
     let (number, _) = state.next_hold(Duration::ZERO, at(1_800));
     state.on_lists(number, lists(0), at(1_800));
-    state.on_start_sent(&answered, at(1_900));
-    state.on_start_answer(&answered, &Ok(()));
-    state.on_start_sent(&unanswered, at(1_950));
+    send(&mut state, &answered, at(1_900));
+    answer(&mut state, &answered, Ok(()), at(1_900));
+    send(&mut state, &unanswered, at(1_950));
     state.on_no_answer(false, at(1_960));
+    answer(&mut state, &unanswered, silence(), at(1_960));
     // The next try finds nobody; the first one may have begun.
-    state.on_start_sent(&unanswered, at(1_990));
-    state.on_start_answer(&unanswered, &Err(RunnerError::NotRunning));
+    send(&mut state, &unanswered, at(1_990));
+    answer(&mut state, &unanswered, Err(RunnerError::NotRunning), at(1_990));
     assert!(state.on_crash("i-1", at(2_020)));
     let report = state.report(at(2_020));
     assert_eq!(report.former, ["i-1"]);
@@ -393,13 +436,13 @@
     state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
     let (shown, silent) = (key("a.0.0.0"), key("a.0.0.1"));
-    state.on_start_sent(&shown, now);
-    state.on_start_answer(&shown, &Ok(()));
+    lease(&mut state, now);
+    send(&mut state, &shown, now);
+    answer(&mut state, &shown, Ok(()), now);
     let (number, _) = state.next_hold(Duration::ZERO, now);
     state.on_lists(number, lists(0), now);
-    state.on_start_sent(&silent, now);
-    let reason = String::new();
-    state.on_start_answer(&silent, &Err(RunnerError::NoAnswer { is_broken: true, reason }));
+    send(&mut state, &silent, now);
+    answer(&mut state, &silent, silence(), now);
     state.on_crash("i-1@200", now);
     assert_eq!(state.report(now).unsettled, std::slice::from_ref(&silent));
     state.on_beat(life(300, 1));
@@ -424,8 +467,9 @@
     let mut state = NodeState::new(now);
     state.on_beat(life(200, 1));
     state.admit(STAMP).unwrap();
+    lease(&mut state, now);
     let silent = key("a.0.0.0");
-    state.on_start_sent(&silent, now);
+    send(&mut state, &silent, now);
     state.on_crash("i-1@200", now);
     let later = now + Duration::from_secs(6);
     assert_eq!(state.report(later).unsettled, [silent]);
--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -20,6 +20,9 @@
 /// Schedules with long tasks, which take several times as long to play.
 const SCHEDULES_WITH_CUTS: u64 = 40;
 
+/// A schedule that has a test of its own.
+const LATE_START_MEETS_NEXT_LIFE: u64 = 118;
+
 fn specs() -> Vec<WorkflowSpec> {
     let policy = QueuePolicy {
         queue: "q".to_string(),
@@ -107,7 +110,16 @@
 #[test]
 fn no_schedule_breaks_a_promise_where_runners_refuse_and_come_back() {
     let broken = broken(|world| world.with_same_ids().with_refusals());
-    assert_eq!(broken, Vec::<String>::new());
+    let met = format!("seed {LATE_START_MEETS_NEXT_LIFE}:");
+    let others: Vec<&String> = broken.iter().filter(|what| !what.starts_with(&met)).collect();
+    assert_eq!(others, Vec::<&String>::new());
+}
+
+/// Guards against a task that runs again after it was done: a late start meets a life that no agent has called yet.
+#[test]
+fn a_late_start_does_not_begin_on_a_life_that_no_agent_has_called() {
+    let world = PlanningWorld::new(LATE_START_MEETS_NEXT_LIFE, Missing::Nothing, specs());
+    assert_eq!(world.with_same_ids().with_refusals().run(), Vec::<String>::new());
 }
 
 /// The runners' own fence is a second line: agents refuse older epochs and runners lower numbers. 6,000 schedules
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -35,7 +35,7 @@
             }
             Event::Look { run, .. } => self.on_look(agent, run),
             Event::Try { run, target, tried, .. } => self.on_try(agent, run, target, tried),
-            Event::Slot { run, target, order, .. } => self.on_slot(agent, run, target, order),
+            Event::Slot { run, target, queued, .. } => self.on_slot(agent, run, target, queued),
             Event::Returned { run, target, order, answer, .. } => {
                 if self.agents[agent].run == run {
                     self.on_returned(agent, target, order, answer);
@@ -98,6 +98,7 @@
     }
 
     fn on_orders(&mut self, planner: usize, agent: usize, link: u64, call: OrderCall) {
+        let now = self.agent_instant(agent);
         let one = &mut self.agents[agent];
         match one.state.admit(call.stamp) {
             Err(_) => {
@@ -114,18 +115,17 @@
         {
             match order {
                 NodeOrder::Start(start) => {
-                    let key = (start.traits.task.clone(), start.run);
-                    if one.state.begin_start(&key, &start.traits) {
-                        let (room, since) = (start.traits.room, self.now);
-                        let tried = StartTry { key, room, since, is_sent: false };
+                    if one.state.begin_start(start, now) {
+                        let key = (start.traits.task.clone(), start.run);
+                        let tried = StartTry { key, room: start.traits.room };
                         next.push(Event::Try { agent, run, target: target.clone(), tried });
                     }
                 }
                 NodeOrder::Stop(task, number) => {
                     let key = (task.clone(), *number);
-                    if one.state.runs.begin_stop(&key) {
-                        let order = Order::Stop { key, is_late: false };
-                        next.push(Event::Slot { agent, run, target: target.clone(), order });
+                    if one.state.begin_stop(&key) {
+                        let queued = QueuedOrder::Stop(key);
+                        next.push(Event::Slot { agent, run, target: target.clone(), queued });
                     }
                 }
                 NodeOrder::Describe(_) => {}
@@ -138,7 +138,7 @@
         one.state.on_orders(previous, call.number);
         for event in next {
             match event {
-                Event::Slot { target, order, .. } => self.await_slot(0, agent, run, target, order),
+                Event::Slot { target, queued, .. } => self.await_slot(agent, run, target, queued),
                 event => self.at(0, event),
             }
         }
@@ -288,7 +288,7 @@
                 let run = one.run;
                 self.at(pause, Event::Look { agent, run });
             }
-            (order, answer) => self.on_order_returned(agent, target, order, answer),
+            (order, answer) => self.on_order_answered(agent, target, order, told_of(&answer)),
         }
     }
 
@@ -304,11 +304,11 @@
                 }
                 self.at(60, Event::Look { agent, run });
             }
-            order => self.on_order_unanswered(agent, target, order),
+            order => self.on_order_answered(agent, target, order, silence(is_broken)),
         }
     }
 }
 
-fn call_of(agent: usize, run: u64, target: &RunnerTarget, order: Order) -> Event {
+pub(super) fn call_of(agent: usize, run: u64, target: &RunnerTarget, order: Order) -> Event {
     Event::Call { agent, run, target: target.clone(), order, is_late: false }
 }
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -26,6 +26,7 @@
 use greengagearch::external::runner_control::RunnerLists;
 use greengagearch::external::runner_control::RunnerTarget;
 use greengagearch::process::node::known_runner::KnownRunner;
+use greengagearch::process::node::pending_start::StartStep;
 use greengagearch::process::node::state::NodeState;
 use greengagearch::workflow::grant::grant_span;
 use greengagearch::workflow::grant::predecessors_expired;
@@ -45,7 +46,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use self::agents::call_of;
+use self::order_loop::QueuedOrder;
 use self::order_loop::StartTry;
+use self::order_loop::silence;
+use self::order_loop::told_of;
 use self::refusals::RunnerHealth;
 use self::runner::RunAudit;
 use self::runner::RunnerAnswer;
@@ -58,7 +63,6 @@
 /// Limits of the links, as in the product.
 const SYNC_LIMIT: u64 = 1_300;
 const ORDER_LIMIT: u64 = 900;
-const START_LIMIT: u64 = 2_000;
 /// Time from the start of a task that crashes its runner to the crash, and until that runner is back.
 const CRASH_AFTER: u64 = 10;
 const BACK_AFTER: u64 = 3_000;
@@ -92,7 +96,7 @@
 #[derive(Clone, Debug)]
 enum Order {
     Start { tried: StartTry, lease_end: u64 },
-    Stop { key: RunKey, is_late: bool },
+    Stop { key: RunKey },
     Hold { number: u64, lease_end: Option<u64>, seen: u64, wait: u64 },
 }
 
@@ -181,7 +185,7 @@
         agent: usize,
         run: u64,
         target: RunnerTarget,
-        order: Order,
+        queued: QueuedOrder,
     },
     Call {
         agent: usize,
--- a/tests/shrunk_capacity.rs
+++ b/tests/shrunk_capacity.rs
@@ -109,6 +109,7 @@
         checkpoint: String::new(),
         ticket: None,
         traits: traits(task, millicores),
+        is_repeat: false,
     };
     OrderCall {
         stamp: STAMP,
