Tell an agent which starts were ordered before, so that it does not refuse them as first tries

What callers would see: a task runs twice at once after an agent was killed. The planner orders a run anew when the agent's successor does not show it; the successor knew of no try before its own and told a refusal at once (its own for want of room, lease, or a runner that leaves, or the runner's), while a try of its predecessor could still be carried out.

Why it works: only the planner knows that it ordered the run before. It says so, and the agent counts the start as doubtful from the beginning, also for the next life of its runner.

--- a/src/process/node/run_orders.rs
+++ b/src/process/node/run_orders.rs
@@ -18,6 +18,9 @@
     pub fn begin_start(&mut self, order: &StartOrder, now: Instant) -> bool {
         let key = (order.traits.task.clone(), order.run);
         self.traits.insert(key.0.clone(), order.traits.clone());
+        if order.is_repeat {
+            self.unsettled.on_sending(&key, now);
+        }
         self.book.begin_start(&key, order.is_repeat, now)
     }
 
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -13,6 +13,7 @@
 use crate::connection::node_protocol::RejectedRun;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::RunnerStatus;
+use crate::connection::node_protocol::StartOrder;
 use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::RunWork;
@@ -282,6 +283,7 @@
         let is_ended = self.jobs.get(&key.0.job).is_none_or(|entry| entry.end.is_some());
         match self.start_order(instance, key) {
             Some(order) if !is_ended => {
+                let order = StartOrder { is_repeat: true, ..order };
                 self.outbox.push((instance.to_string(), NodeOrder::Start(order)));
             }
             // Nobody needs the run, and the agent's look shows that it does not exist.
--- a/tests/doubtful_starts.rs
+++ b/tests/doubtful_starts.rs
@@ -219,6 +219,23 @@
     assert!(agent.look(Vec::new()).present.is_empty());
 }
 
+/// Guards against a task that runs twice: an agent that is new knows of no try of the one before it, which may be carried out late.
+#[test]
+fn a_start_that_was_ordered_before_is_not_refused_without_a_stop() {
+    let mut agent = Agent::with_start(true);
+    agent.beat(2, true);
+    assert_eq!(agent.next_step(), StartStep::Stop(RejectReason::Leaving));
+    assert_eq!(agent.look(Vec::new()).present.len(), 1);
+
+    let mut agent = Agent::with_start(true);
+    agent.try_start(refusal(RejectReason::Room));
+    assert_eq!(agent.next_step(), StartStep::Stop(RejectReason::Room));
+
+    let mut agent = Agent::with_start(true);
+    agent.now += Duration::from_secs(10);
+    assert_eq!(agent.next_step(), StartStep::Stop(RejectReason::Late));
+}
+
 /// Guards against a task that stands still: a runner that says that the run can no longer begin has settled all its tries.
 #[test]
 fn a_repeat_that_is_refused_as_old_settles_a_start_without_an_answer() {
