Refuse a run again when its order comes a second time after it was refused

What callers would see: a task runs twice at once. After a new link the planner orders a run anew that the first look does not show, also one that it has just ordered over that link. When the first order was refused and given up, the second could still be on its way; the agent had forgotten the refusal and started the run.

The new test fails without the memory (`Send` in place of `Over`).

Why it works: run numbers are never used again, so that the refusal of a run holds for all its orders. The last 512 refusals are remembered, more than are told while an order is on its way.

--- a/src/process/node/order_book.rs
+++ b/src/process/node/order_book.rs
@@ -1,6 +1,7 @@
 //! What the orders of a node agent have become on the present life of its runner, as far as looks do not show it yet.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use crate::connection::node_protocol::EndedRun;
@@ -23,6 +24,9 @@
     Taken,
 }
 
+/// Refused runs that are remembered: more than are refused while an order is on its way.
+const REFUSED_KEPT: usize = 512;
+
 /// What was ordered on one life of the runner.
 #[derive(Debug, Default)]
 pub struct OrderBook {
@@ -31,6 +35,8 @@
     stops: HashMap<RunKey, RunStop>,
     /// Refused starts that a look sent after the refusal has not shown.
     reportable: Vec<RejectedRun>,
+    /// The last refusals that were told: the planner has given these runs up, and may have ordered them twice.
+    refused: VecDeque<RejectedRun>,
 }
 
 impl OrderBook {
@@ -69,7 +75,12 @@
         if self.starts.contains_key(key) || self.stops.contains_key(key) {
             return false;
         }
-        self.starts.insert(key.clone(), PendingStart::new(is_repeat, now));
+        let refused = self.refused.iter().find(|refused| is_of(refused, key));
+        let start = match refused {
+            Some(refused) => PendingStart::refused(refused.reason, self.looks, now),
+            None => PendingStart::new(is_repeat, now),
+        };
+        self.starts.insert(key.clone(), start);
         true
     }
 
@@ -293,6 +304,9 @@
     /// assert!(greengagearch::process::node::order_book::OrderBook::default().take_refusals().is_empty());
     /// ```
     pub fn take_refusals(&mut self) -> Vec<RejectedRun> {
+        self.refused.extend(self.reportable.iter().cloned());
+        let surplus = self.refused.len().saturating_sub(REFUSED_KEPT);
+        self.refused.drain(..surplus);
         std::mem::take(&mut self.reportable)
     }
 
@@ -306,6 +320,10 @@
     }
 }
 
+fn is_of(refused: &RejectedRun, key: &RunKey) -> bool {
+    refused.task == key.0 && refused.run == key.1
+}
+
 /// Whether a run is one of those that a look shows.
 pub(crate) fn is_among(present: &[PresentRun], key: &RunKey) -> bool {
     present.iter().any(|run| run.task == key.0 && run.run == key.1)
--- a/src/process/node/pending_start.rs
+++ b/src/process/node/pending_start.rs
@@ -69,6 +69,12 @@
         PendingStart { arrived: now, retry_at: now, start }
     }
 
+    /// A start that was refused before, when it was ordered for the first time.
+    pub(super) fn refused(reason: RejectReason, newest: LookNumber, now: Instant) -> PendingStart {
+        let start = RunStart::Closed(IdleStart.close(newest, Some(reason)));
+        PendingStart { arrived: now, retry_at: now, start }
+    }
+
     /// What is known of it, if looks that are sent from now on tell all.
     pub(super) fn closed(&self) -> Option<ClosedStart> {
         match self.start {
--- a/tests/doubtful_starts.rs
+++ b/tests/doubtful_starts.rs
@@ -159,6 +159,17 @@
     assert_eq!((look.present.len(), look.rejected.len()), (0, 1));
 }
 
+/// Guards against a task that runs twice: the planner may order a run twice over one link, and gives it up when the first order is refused.
+#[test]
+fn an_order_that_comes_after_its_refusal_was_told_is_refused_again() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(refusal(RejectReason::Unwell));
+    assert_eq!(agent.look(Vec::new()).rejected.len(), 1);
+    agent.order(true);
+    assert_eq!(agent.next_step(), StartStep::Over(Some(RejectReason::Unwell)));
+    assert_eq!(agent.look(Vec::new()).rejected.len(), 1);
+}
+
 /// Guards against work that is thrown away: a run that a look shows has begun, whatever later tries were answered.
 #[test]
 fn a_start_that_a_look_shows_is_neither_repeated_nor_refused() {
