Repeat a pace while an older one without an answer may take its place

Callers would see: a task that fills stands still, or is slowed, until its run ends, or harms the task that serves beside it, though the agent reports another pace.

Cause: a pace without an answer was ordered once more at the next look, and with that the matter counted as settled. The first call may be carried out seconds later, after newer ones. Runners do not tell their paces, so that an agent which believes in the newer one never orders another.

The fix: after silence, and for as long as a call may come late, the newest pace is ordered every half second, so that a late one stands for that long at most. A refused pace has done nothing and is ordered once more, as before.

--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -155,8 +155,12 @@
     let slot = shared.order_slots.acquire().await;
     let result = shared.control.pace(target, task, *run, step.percent).await;
     drop(slot);
-    if result.is_err() {
-        shared.state().pace.on_failed(&step.key);
+    match &result {
+        Ok(()) => {}
+        Err(RunnerError::NoAnswer { .. }) => {
+            shared.state().pace.on_unanswered(&step.key, clock::now());
+        }
+        Err(_) => shared.state().pace.on_failed(&step.key),
     }
     let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "done".to_string());
     log_event(
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -36,6 +36,10 @@
 const STILL_PACE: f64 = 0.02;
 /// Least change of pace that is ordered.
 const LEAST_CHANGE: f64 = 0.05;
+/// Time for which a call without an answer may still be carried out.
+const LATE_SPAN: Duration = Duration::from_secs(12);
+/// Time between two orders of one pace while an older one may be carried out late.
+const REPEAT_PERIOD: Duration = Duration::from_millis(500);
 
 /// A run that should work at another speed.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,19 +67,29 @@
 struct RunPace {
     /// What was ordered last.
     ordered: f64,
+    /// When that was.
+    ordered_at: Instant,
     /// Whether that order may not have got through.
     is_in_doubt: bool,
+    /// Up to when an order without an answer may take the place of newer ones.
+    late_until: Option<Instant>,
     /// Paces and since when each has its effect.
     past: VecDeque<(Instant, f64)>,
 }
 
 impl RunPace {
     fn started(now: Instant) -> RunPace {
-        RunPace { ordered: 1.0, is_in_doubt: false, past: VecDeque::from([(now, 1.0)]) }
+        RunPace {
+            ordered: 1.0,
+            ordered_at: now,
+            is_in_doubt: false,
+            late_until: None,
+            past: VecDeque::from([(now, 1.0)]),
+        }
     }
 
     /// The pace to order next, if that is another one. Rises are taken in parts, and only when they may be.
-    fn next(&self, allowed: f64, may_rise: bool) -> Option<f64> {
+    fn next(&self, allowed: f64, may_rise: bool, now: Instant) -> Option<f64> {
         let rise = (allowed - self.ordered).max(0.0);
         if rise > 0.0 && !may_rise {
             return None;
@@ -83,11 +97,18 @@
         let wanted = if rise > LEAST_CHANGE { self.ordered + rise * RISE_SHARE } else { allowed };
         let is_end = wanted != self.ordered && (wanted == 1.0 || wanted == 0.0);
         let is_change = (self.ordered - wanted).abs() >= LEAST_CHANGE || is_end;
-        (is_change || self.is_in_doubt).then_some(wanted)
+        (is_change || self.is_in_doubt || self.is_repeat_due(now)).then_some(wanted)
+    }
+
+    /// Whether the pace has to be ordered again, since an older order may have taken its place.
+    fn is_repeat_due(&self, now: Instant) -> bool {
+        let is_late_possible = self.late_until.is_some_and(|until| now < until + REPEAT_PERIOD);
+        is_late_possible && now.saturating_duration_since(self.ordered_at) >= REPEAT_PERIOD
     }
 
     fn order(&mut self, pace: f64, now: Instant) {
         self.ordered = pace;
+        self.ordered_at = now;
         self.is_in_doubt = false;
         self.past.push_back((now + PACE_LAG, pace));
         let span_start = now.checked_sub(MEASURED_SPAN).unwrap_or(now);
@@ -150,7 +171,7 @@
         let mut steps = Vec::new();
         for (key, pace) in &mut self.paces {
             let allowed = allowed.get(key).copied().unwrap_or(1.0);
-            let Some(wanted) = pace.next(allowed, may_rise) else {
+            let Some(wanted) = pace.next(allowed, may_rise, now) else {
                 continue;
             };
             if wanted > pace.ordered {
@@ -201,7 +222,7 @@
         (mean * 100.0).round() as u32
     }
 
-    /// Takes note that an ordered pace may not be in force; the next look orders it again.
+    /// Takes note that an ordered pace was refused; the next look orders it again.
     ///
     /// ```
     /// use greengagearch::workflow::pacing::PaceControl;
@@ -214,6 +235,22 @@
         }
     }
 
+    /// Takes note that an ordered pace got no answer: it may be carried out later than newer ones, so that those are repeated.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::pacing::PaceControl;
+    ///
+    /// PaceControl::default().on_unanswered(&("a.0.0.0".parse().unwrap(), 1), Instant::now());
+    /// ```
+    pub fn on_unanswered(&mut self, key: &RunKey, now: Instant) {
+        if let Some(pace) = self.paces.get_mut(key) {
+            pace.is_in_doubt = true;
+            pace.late_until = Some(now + LATE_SPAN);
+        }
+    }
+
     /// Keeps the paces of the fills that run, and starts those of new ones at full speed.
     fn follow(
         &mut self,
