Order a pace again when an older one may have overtaken it

Callers would see: a task that fills goes on at a pace that harms the task beside it, or stands slowed, though both paces were answered.

Cause: looks come while calls that pace are on their way, and each call has its own connection. Of two calls for one run the older may be carried out last; both are answered, and the agent believed in the newer one for good.

Evidence: the new test, whose runner takes 350 ms for a rise that a cut follows, failed before: at work 70 %, believed 0 %, the task beside it over its target all the while. It passes now.

The fix: when a pace is answered and another one has been ordered meanwhile, the newest is ordered once more.

--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -156,7 +156,7 @@
     let result = shared.control.pace(target, task, *run, step.percent).await;
     drop(slot);
     match &result {
-        Ok(()) => {}
+        Ok(()) => shared.state().pace.on_done(&step),
         Err(RunnerError::NoAnswer { .. }) => {
             shared.state().pace.on_unanswered(&step.key, clock::now());
         }
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -222,6 +222,23 @@
         (mean * 100.0).round() as u32
     }
 
+    /// Takes note that an ordered pace was carried out. If another one was ordered meanwhile, nobody knows which came last; the next
+    /// look orders the newest again.
+    ///
+    /// ```
+    /// use greengagearch::workflow::pacing::PaceControl;
+    /// use greengagearch::workflow::pacing::PaceStep;
+    ///
+    /// let step = PaceStep { key: ("a.0.0.0".parse().unwrap(), 1), percent: 50, pressure: 1.0 };
+    /// PaceControl::default().on_done(&step);
+    /// ```
+    pub fn on_done(&mut self, step: &PaceStep) {
+        let is_newest = self.ordered(&step.key) == step.percent;
+        if let Some(pace) = self.paces.get_mut(&step.key) {
+            pace.is_in_doubt |= !is_newest;
+        }
+    }
+
     /// Takes note that an ordered pace was refused; the next look orders it again.
     ///
     /// ```
--- a/tests/late_pace.rs
+++ b/tests/late_pace.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Copy)]
 enum PaceFate {
     AtOnce,
+    /// It is carried out and answered after some time.
+    Slow(Duration),
     /// It gets no answer and is carried out after some time.
     Unanswered(Duration),
 }
@@ -104,6 +106,10 @@
     ) -> Result<(), RunnerError> {
         match (self.0.fate_of)(&self.0, percent) {
             PaceFate::AtOnce => self.0.set_pace(percent),
+            PaceFate::Slow(delay) => {
+                sleep(delay).await;
+                self.0.set_pace(percent);
+            }
             PaceFate::Unanswered(delay) => {
                 let runner = self.0.clone();
                 tokio::spawn(async move {
@@ -193,3 +199,23 @@
     sleep(late + MENDED_AFTER).await;
     assert_eq!((runner.0.pace(), believed(&shared)), (100, 100), "(at work, believed)");
 }
+
+/// Guards against a fill that goes on harming a task: a rise that took some time was carried out after the cut that followed it.
+#[tokio::test]
+async fn a_pace_that_a_newer_one_has_overtaken_is_mended() {
+    let has_risen = AtomicBool::new(false);
+    let runner = PacedRunner::open(100, HARMED_TAIL_MS, move |runner, percent| {
+        if percent > runner.pace() && !has_risen.swap(true, Ordering::Relaxed) {
+            runner.set_tail(HARMED_TAIL_MS);
+            return PaceFate::Slow(Duration::from_millis(350));
+        }
+        if percent == 0 && !has_risen.load(Ordering::Relaxed) {
+            runner.set_tail(QUIET_TAIL_MS);
+        }
+        PaceFate::AtOnce
+    });
+    let shared = watching(runner.clone());
+    describe(&shared);
+    sleep(2 * MENDED_AFTER).await;
+    assert_eq!((runner.0.pace(), believed(&shared)), (0, 0), "(at work, believed)");
+}
