Let a new agent order the pace of the fills that it finds

Callers would see: a task that fills stands still, or is slowed, until its run ends, after the agent of its host was killed while the task was paced down.

Cause: an agent that is new took each run for one at full speed. Runners do not tell the pace that was ordered, so that it never ordered another while it wanted full speed; and a pace of the agent before may come late as well.

Evidence: the new test, whose runner has a fill at 0 % when the agent starts, failed before: at work 0 %, believed 100 %. It passes now.

The fix: what the first look of an agent shows is ordered anew as soon as the planner has told what it is, and repeated for as long as a call of the agent before may come late.

--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -12,6 +12,7 @@
 use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::node::shared::NodeShared;
+use crate::workflow::pacing::PaceControl;
 use crate::workflow::pacing::PaceStep;
 
 /// Longest wait of a look for an end: as often tails are measured and leases extended.
@@ -21,6 +22,8 @@
 
 /// Starts looking.
 pub fn spawn_watcher(shared: Arc<NodeShared>) {
+    // An agent before may have paced what runs.
+    shared.state().pace = PaceControl::inheriting();
     tokio::spawn(async move {
         let mut has_failed = false;
         loop {
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -6,6 +6,7 @@
 //! over the measured span, each by its image and its pace. The fills that add most are slowed first.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -59,6 +60,10 @@
     rose: Option<Instant>,
     /// In their order, so that the same looks give the same paces to the last bit.
     paces: BTreeMap<RunKey, RunPace>,
+    /// Runs that may work at a pace which was ordered before, by somebody else.
+    inherited: BTreeSet<RunKey>,
+    /// Whether what the next look shows was there before.
+    is_new: bool,
     over: OverTarget,
 }
 
@@ -88,6 +93,18 @@
         }
     }
 
+    /// The pace of a run that somebody else may have paced, with calls that may still be carried out. It counts as still, so that
+    /// it rises in parts: at full pace at once it might harm.
+    fn inherited(now: Instant) -> RunPace {
+        RunPace {
+            ordered: 0.0,
+            is_in_doubt: true,
+            late_until: Some(now + LATE_SPAN),
+            past: VecDeque::from([(now, 0.0)]),
+            ..RunPace::started(now)
+        }
+    }
+
     /// The pace to order next, if that is another one. Rises are taken in parts, and only when they may be.
     fn next(&self, allowed: f64, may_rise: bool, now: Instant) -> Option<f64> {
         let rise = (allowed - self.ordered).max(0.0);
@@ -140,6 +157,17 @@
 }
 
 impl PaceControl {
+    /// Control of a worker that another agent may have paced: what the first look shows is ordered anew.
+    ///
+    /// ```
+    /// use greengagearch::workflow::pacing::PaceControl;
+    ///
+    /// assert!(PaceControl::inheriting().take_long_over().is_empty());
+    /// ```
+    pub fn inheriting() -> PaceControl {
+        PaceControl { is_new: true, ..PaceControl::default() }
+    }
+
     /// Takes in what runs on the worker and gives the changes of pace.
     ///
     /// ```
@@ -275,16 +303,29 @@
         traits: &HashMap<TaskName, TaskTraits>,
         now: Instant,
     ) {
+        self.inherit(running);
         let fills = running.iter().filter(|run| traits.get(&run.task).is_some_and(|t| t.fills));
         let mut paces = BTreeMap::new();
         for run in fills {
             let key = (run.task.clone(), run.run);
             let known = self.paces.remove(&key);
-            paces.insert(key, known.unwrap_or_else(|| RunPace::started(now)));
+            let first = || match self.inherited.contains(&key) {
+                true => RunPace::inherited(now),
+                false => RunPace::started(now),
+            };
+            let pace = known.unwrap_or_else(first);
+            paces.insert(key, pace);
         }
         self.paces = paces;
     }
 
+    /// Remembers what the first look shows: which runs are fills is known only when the planner has described them.
+    fn inherit(&mut self, running: &[PresentRun]) {
+        if std::mem::take(&mut self.is_new) {
+            self.inherited = running.iter().map(|run| (run.task.clone(), run.run)).collect();
+        }
+    }
+
     /// Tasks that count by themselves, since they have been over their targets for long.
     fn harmed_tasks(
         &self,
--- a/tests/late_pace.rs
+++ b/tests/late_pace.rs
@@ -1,5 +1,5 @@
-//! Paces that a runner carries out later than newer ones. A runner does not tell at which pace a run works, so that an agent which
-//! believes in the wrong one never orders another.
+//! Paces that a runner carries out later than newer ones, and paces that an agent before has ordered. A runner does not tell at which
+//! pace a run works, so that an agent which believes in the wrong one never orders another.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -219,3 +219,17 @@
     sleep(2 * MENDED_AFTER).await;
     assert_eq!((runner.0.pace(), believed(&shared)), (0, 0), "(at work, believed)");
 }
+
+/// Guards against a fill that stands still for good: an agent that was killed had paced it down, and the next one took it for
+/// unpaced.
+#[tokio::test]
+async fn an_agent_that_is_new_orders_the_pace_of_what_runs_already() {
+    let runner = PacedRunner::open(0, QUIET_TAIL_MS, |_, _| PaceFate::AtOnce);
+    let shared = watching(runner.clone());
+    // The planner describes what an agent has shown.
+    sleep(3 * LOOK).await;
+    describe(&shared);
+    // It rises in parts.
+    sleep(2 * MENDED_AFTER).await;
+    assert_eq!((runner.0.pace(), believed(&shared)), (100, 100), "(at work, believed)");
+}
