Tell a caller "unknown" when only the repeat of a job's write was refused

Callers saw: 503 with "the table service is unavailable; nothing was changed" for a job that was stored and ran, and for a cancel that was carried out.

Cause: a submission and a cancel whose write got no answer are tried again. When the table service, or the own bound on the rate of writes, turned the second try away, that refusal was given as the answer to the call, though it speaks of the second try alone.

The fix: after a write whose answer was lost, a refusal of the next write or look is told as "the answer was lost; repeat the call to find out" (504). A refusal without such a write before it stays 503, so that nobody waits longer.

--- a/src/process/entry/job_http.rs
+++ b/src/process/entry/job_http.rs
@@ -148,8 +148,10 @@
     Path((team, id)): Path<(String, String)>,
 ) -> Result<Json<JobReport>, JobError> {
     let job = job_name(&team, &id);
+    let mut is_ambiguous = false;
     for _ in 0..COMMIT_TRIES {
-        let found = read_job(&state.shared, &job).await?;
+        let found = read_job(&state.shared, &job).await;
+        let found = found.map_err(|error| lost(error, is_ambiguous))?;
         let (mut row, version) = found.ok_or(JobError::NotFound { job: job.clone() })?;
         if row.state != JobState::Active {
             nudge(&state, &job).await;
@@ -161,8 +163,9 @@
         transaction.put(&cancel_key(&job), 0, &true);
         match state.shared.table.commit(transaction).await {
             // The next round reads what came of it.
-            Ok(_) | Err(TableError::Conflict { .. } | TableError::Ambiguous) => {}
-            Err(error) => return Err(error.into()),
+            Ok(_) | Err(TableError::Conflict { .. }) => {}
+            Err(TableError::Ambiguous) => is_ambiguous = true,
+            Err(error) => return Err(lost(error.into(), is_ambiguous)),
         }
     }
     Err(JobError::Ambiguous)
@@ -179,24 +182,34 @@
     for task in task_rows(&row.spec, submitted_millis) {
         transaction.put(&task_key(&job, task.index), 0, &task);
     }
+    let mut is_ambiguous = false;
     for _ in 0..COMMIT_TRIES {
         match shared.table.commit(transaction.clone()).await {
             Ok(_) => return Ok((true, row)),
             Err(TableError::Conflict { .. }) => {
-                let found = read_job(shared, &job).await?;
+                let found = read_job(shared, &job).await;
+                let found = found.map_err(|error| lost(error, is_ambiguous))?;
                 let (known, _) = found.ok_or(JobError::Ambiguous)?;
                 let is_same = known.spec == row.spec;
                 // An answer that was lost looks the same as a repeat, and is as good.
                 return is_same.then_some((false, known)).ok_or(JobError::Conflict { job });
             }
             // The same transaction can take effect only once, so it may be sent again.
-            Err(TableError::Ambiguous) => {}
-            Err(error) => return Err(error.into()),
+            Err(TableError::Ambiguous) => is_ambiguous = true,
+            Err(error) => return Err(lost(error.into(), is_ambiguous)),
         }
     }
     Err(JobError::Ambiguous)
 }
 
+/// A failure after a write whose answer was lost tells nothing of that write.
+fn lost(error: JobError, is_ambiguous: bool) -> JobError {
+    match error {
+        JobError::Unavailable if is_ambiguous => JobError::Ambiguous,
+        error => error,
+    }
+}
+
 async fn check(shared: &EntryShared, spec: &JobSpec) -> Result<(), JobError> {
     let findings = check_spec(spec);
     if !findings.is_empty() {
--- a/standins/src/table_service.rs
+++ b/standins/src/table_service.rs
@@ -40,6 +40,8 @@
     Slow(Duration),
     /// Commits take effect and their answers are lost; this many times.
     LoseAnswers(u32),
+    /// The next commit of a job's row takes effect and its answer is lost; from then on it refuses everything at once.
+    LoseAnswerAndRefuse,
 }
 
 /// A running stand-in.
@@ -100,7 +102,7 @@
     }
 
     /// Whether this commit's answer is to be lost.
-    fn loses_answer(&self) -> bool {
+    fn loses_answer(&self, transaction: &TableTransaction) -> bool {
         let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match *fault {
             TableFault::LoseAnswers(0) => false,
@@ -108,6 +110,10 @@
                 *fault = TableFault::LoseAnswers(left - 1);
                 true
             }
+            TableFault::LoseAnswerAndRefuse if is_of_job(transaction) => {
+                *fault = TableFault::Down;
+                true
+            }
             _ => false,
         }
     }
@@ -123,11 +129,16 @@
                 tokio::time::sleep(delay).await;
                 None
             }
-            TableFault::None | TableFault::LoseAnswers(_) => None,
+            TableFault::None | TableFault::LoseAnswers(_) | TableFault::LoseAnswerAndRefuse => None,
         }
     }
 }
 
+/// Whether a commit writes the row of a job.
+fn is_of_job(transaction: &TableTransaction) -> bool {
+    transaction.writes.iter().any(|write| write.key.starts_with("job/"))
+}
+
 async fn handle_row(State(service): State<TableService>, query: Query<RowQuery>) -> Response {
     service.reads.fetch_add(1, Ordering::Relaxed);
     if let Some(answer) = service.misbehave().await {
@@ -153,7 +164,7 @@
         return answer;
     }
     let result = service.table.apply(&transaction);
-    if service.loses_answer() {
+    if service.loses_answer(&transaction) {
         return StatusCode::GATEWAY_TIMEOUT.into_response();
     }
     match result {
