Show that a run on a runner that refuses beyond its leases is not told as over

Callers would see: a task stands still while its runner refuses all calls for longer than its lease lasts; it starts elsewhere only when the runner is well again and lists the lapse.

Cause: a look that got no answer asks whether the leases have surely expired, one that was refused does not (`on_error` in the watcher). The refusal says that a life is there, not that its runs are: it has done nothing of what the look asked, so that no lease was extended.

Evidence: the new test is red, the one beside it, with silence in place of refusals, is not.

--- /dev/null
+++ b/tests/refused_looks.rs
@@ -0,0 +1,132 @@
+//! A runner that refuses all looks for longer than the leases that it was given: what ran there has lapsed.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use greengagearch::connection::node_protocol::LeaseGrant;
+use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::PresentRun;
+use greengagearch::connection::node_protocol::RejectReason;
+use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::connection::node_protocol::StartOrder;
+use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::external::runner_control::RunnerControl;
+use greengagearch::external::runner_control::RunnerError;
+use greengagearch::external::runner_control::RunnerHold;
+use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::external::runner_control::RunnerMillis;
+use greengagearch::external::runner_control::RunnerTarget;
+use greengagearch::process::clock;
+use greengagearch::process::node::known_runner::KnownRunner;
+use greengagearch::process::node::shared::NodeShared;
+use greengagearch::process::node::watcher::spawn_watcher;
+use greengagearch::workflow::spec::RoomAmount;
+use greengagearch::workflow::task_name::TaskName;
+use tokio::time::sleep;
+
+const STAMP: LinkStamp = LinkStamp { epoch: 1, link: 1 };
+/// The only lease that the runner gets.
+const LEASE: Duration = Duration::from_millis(1_000);
+/// Time in which the runner answers.
+const WELL: Duration = Duration::from_millis(300);
+/// Time of refusals, in which the lease has expired by any clock and the runner counts as silent.
+const UNWELL: Duration = Duration::from_millis(3_000);
+
+/// A runner with one run, which answers looks until it is unwell.
+#[derive(Default)]
+struct UnwellRunner {
+    is_unwell: AtomicBool,
+    is_silent: bool,
+}
+
+impl UnwellRunner {
+    fn failure(&self) -> Option<RunnerError> {
+        let silence = RunnerError::NoAnswer { is_broken: false, reason: "late".to_string() };
+        let refusal = RunnerError::Rejected { reason: RejectReason::Unwell };
+        let failure = if self.is_silent { silence } else { refusal };
+        self.is_unwell.load(Ordering::Relaxed).then_some(failure)
+    }
+}
+
+#[async_trait]
+impl RunnerControl for UnwellRunner {
+    async fn start(
+        &self,
+        _: &RunnerTarget,
+        _: &StartOrder,
+        _: RunnerMillis,
+    ) -> Result<(), RunnerError> {
+        Ok(())
+    }
+
+    async fn stop(&self, _: &RunnerTarget, _: &TaskName, _: u32) -> Result<(), RunnerError> {
+        Ok(())
+    }
+
+    async fn pace(
+        &self,
+        _: &RunnerTarget,
+        _: &TaskName,
+        _: u32,
+        _: u32,
+    ) -> Result<(), RunnerError> {
+        Ok(())
+    }
+
+    async fn hold(&self, _: &RunnerTarget, _: RunnerHold) -> Result<RunnerLists, RunnerError> {
+        sleep(Duration::from_millis(20)).await;
+        let ordered = PresentRun::ordered("a.0.0.0".parse().unwrap(), 1);
+        let running = vec![PresentRun { is_begun: true, ..ordered }];
+        let lists = RunnerLists { clock: 500, running, ended: Vec::new() };
+        self.failure().map_or(Ok(lists), Err)
+    }
+}
+
+/// Whether the agent of a runner tells, after its leases have expired in looks that failed, that the run is over there.
+async fn is_told_as_over(is_silent: bool) -> bool {
+    let runner = Arc::new(UnwellRunner { is_silent, ..UnwellRunner::default() });
+    let shared = Arc::new(NodeShared::new(runner.clone()));
+    let status = RunnerStatus {
+        instance: "i-1".to_string(),
+        service: "s".to_string(),
+        domain: "d".to_string(),
+        capacity: RoomAmount { millicores: 4_000, memory_mib: 4_000, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+    };
+    let (id, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
+    let known = KnownRunner { runner: id, status, address, sequence: 1, started_at: None };
+    shared.state().on_beat(known);
+    shared.state().admit(STAMP).unwrap();
+    shared.state().on_sync(&SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since: Duration::ZERO, span: LEASE }),
+        instance: Some("i-1".to_string()),
+        seen: 0,
+        wait: Duration::ZERO,
+    });
+    spawn_watcher(shared.clone());
+    sleep(WELL).await;
+    drop(shared.state().report(clock::now()));
+    runner.is_unwell.store(true, Ordering::Relaxed);
+    sleep(UNWELL).await;
+    let report = shared.state().report(clock::now());
+    let is_former = report.former.iter().any(|life| life == "i-1");
+    is_former || report.look.is_some_and(|look| look.present.is_empty())
+}
+
+/// The baseline: what ran on a silent runner is told as over when its leases have surely expired.
+#[tokio::test]
+async fn what_ran_on_a_runner_that_is_silent_beyond_its_leases_is_over() {
+    assert!(is_told_as_over(true).await);
+}
+
+/// Guards against a task that stands still: its runner refused all looks, its lease lapsed, and for as long as the runner refused the
+/// agent did not tell and the planner kept the run.
+#[tokio::test]
+async fn what_ran_on_a_runner_that_refuses_beyond_its_leases_is_over() {
+    assert!(is_told_as_over(false).await);
+}
