Keep a task among the throttled ones when the worker did not do what was asked

Callers would see: a task of a job stays throttled to 40 % until its end, or is evicted where throttling would have been enough.

Cause: each step of the reaction to a service that misses its objective counted as done when it was decided. An ease or an eviction that the worker refused, or whose answer was lost, took the task off the list of the throttled ones, after which nobody eased it; a throttling that was refused left it there, so that the next step was an eviction. A refused eviction also counted an end later on as one.

The fix: the agent tells the reaction of steps that failed. Only a refused throttling is forgotten; all else keeps the task on the list, so that it is eased in the end, which does no harm where it was not throttled.

--- a/src/process/agent/reactor.rs
+++ b/src/process/agent/reactor.rs
@@ -10,6 +10,7 @@
 use crate::external::worker::AttemptReport;
 use crate::external::worker::AttemptState;
 use crate::external::worker::WorkerControl;
+use crate::external::worker::WorkerError;
 use crate::external::worker::WorkerStatus;
 use crate::ids::ServiceName;
 use crate::process::agent::shared::AgentShared;
@@ -86,7 +87,7 @@
     let Some(step) = reaction.look(pressure.ratio, &tasks, &slowdowns, now) else {
         return;
     };
-    let (event, key, done) = match step {
+    let (event, key, done) = match step.clone() {
         ReactionStep::Throttle(key, percent) => {
             ("throttled", key.clone(), worker.throttle(key, percent).await)
         }
@@ -96,6 +97,13 @@
             ("evicted", key.clone(), worker.stop(key).await)
         }
     };
+    if let Err(error) = &done {
+        let is_refused = matches!(error, WorkerError::Refused { .. });
+        reaction.on_failed(&step, is_refused);
+        if is_refused {
+            shared.end_evictions(std::slice::from_ref(&key));
+        }
+    }
     shared.metrics.tasks.with_label_values(&[event]).inc();
     let pairs: [(&str, &dyn std::fmt::Display); 5] = [
         ("service", &pressure.service),
--- a/src/process/reaction.rs
+++ b/src/process/reaction.rs
@@ -115,6 +115,28 @@
         step
     }
 
+    /// Takes note that a worker did not do what a step asked: it refused, or its answer was lost, so that it may have been done. A task
+    /// that may be throttled is kept, so that it is eased in the end.
+    ///
+    /// ```
+    /// use greengagearch::external::worker::AttemptKey;
+    /// use greengagearch::process::reaction::ReactionStep;
+    /// use greengagearch::process::reaction::WorkerReaction;
+    ///
+    /// let key = AttemptKey { job: "night".into(), task: 0, attempt: 1 };
+    /// WorkerReaction::default().on_failed(&ReactionStep::Ease(key), true);
+    /// ```
+    pub fn on_failed(&mut self, step: &ReactionStep, is_refused: bool) {
+        match step {
+            ReactionStep::Throttle(key, _) if is_refused => {
+                self.throttled.retain(|throttled| throttled != key);
+            }
+            ReactionStep::Throttle(..) => {}
+            // Tasks are evicted only when all are throttled.
+            ReactionStep::Ease(key) | ReactionStep::Evict(key) => self.throttled.push(key.clone()),
+        }
+    }
+
     fn count(&mut self, pressure: f64) {
         if pressure > 1.0 {
             self.missed += 1;
