Do not tell a start without an answer as ended while it may still begin

Callers would see: a task of a cancelled job begins after the job has ended, and runs until the agent's next look finds it.

Cause: a task that is to stop and that the worker does not show was told as stopped before it was started. A start whose answer was lost may be carried out later, as long as its lease on the worker's clock has not ended.

Evidence: the new test, whose worker answers no start, failed before: the worker's row named no task at once after the stop was asked for (0 in place of 1). It passes now, and the end is told as soon as the start's lease has ended.

The fix: the agent remembers starts without an answer with the ends of their leases. Until then only what the worker shows ends them.

--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,6 +26,7 @@
 use crate::external::worker::ResourceAmount;
 use crate::external::worker::TaskStart;
 use crate::external::worker::WorkerControl;
+use crate::external::worker::WorkerError;
 use crate::external::worker::WorkerStatus;
 use crate::external::write_budget::WritePriority;
 use crate::ids::JobId;
@@ -55,6 +57,8 @@
     keeper: LeaseKeeper,
     row: Option<(RowVersion, WorkerRow)>,
     row_read: Option<Instant>,
+    /// Starts without an answer, with the end of their leases on the worker's clock: until then they may be carried out.
+    unanswered: HashMap<AttemptKey, u64>,
 }
 
 /// The worker's row has changed.
@@ -72,6 +76,7 @@
             shared,
             row: None,
             row_read: None,
+            unanswered: HashMap::new(),
         }
     }
 
@@ -118,6 +123,7 @@
             return;
         };
         let until_millis = lease_end(&status, until, answered);
+        self.unanswered.retain(|_, until| status.now_millis < *until);
         self.stop_unwanted(worker, &status).await;
         self.start_missing(worker, &status, until_millis).await;
         self.commit_ends(worker, &status).await;
@@ -145,12 +151,12 @@
     }
 
     async fn start_missing(
-        &self,
+        &mut self,
         worker: &Arc<dyn WorkerControl>,
         status: &WorkerStatus,
         until_millis: u64,
     ) {
-        let Some((_, row)) = &self.row else { return };
+        let Some((_, row)) = self.row.clone() else { return };
         let running = status.attempts.iter().filter(|one| one.state == AttemptState::Running);
         let mut used = running.fold(ResourceAmount::default(), |sum, one| sum.plus(&one.resources));
         for (name, committed) in &row.tasks {
@@ -173,7 +179,7 @@
     }
 
     async fn start_one(
-        &self,
+        &mut self,
         worker: &Arc<dyn WorkerControl>,
         key: AttemptKey,
         resources: ResourceAmount,
@@ -195,6 +201,10 @@
             lease_until_millis: until_millis,
         };
         let started = worker.start(start).await;
+        if started == Err(WorkerError::Unreachable) {
+            let until = self.unanswered.entry(key.clone()).or_default();
+            *until = until_millis.max(*until);
+        }
         let pairs: [(&str, &dyn std::fmt::Display); 4] = [
             ("job", &key.job),
             ("task", &key.task),
@@ -210,7 +220,9 @@
         let Some((version, row)) = self.row.clone() else {
             return;
         };
-        let ended: Vec<AttemptReport> = ended_attempts(&row, status);
+        let mut ended: Vec<AttemptReport> = ended_attempts(&row, status);
+        ended.retain(|one| !self.may_begin(&one.key, status));
+        ended.truncate(ENDS_PER_WRITE);
         if ended.is_empty() {
             return;
         }
@@ -230,6 +242,12 @@
         self.row_read = None;
     }
 
+    /// Whether an attempt that the worker does not show may begin all the same.
+    fn may_begin(&self, key: &AttemptKey, status: &WorkerStatus) -> bool {
+        let is_shown = status.attempts.iter().any(|one| one.key == *key);
+        !is_shown && self.unanswered.contains_key(key)
+    }
+
     async fn write_ends(
         &mut self,
         version: RowVersion,
@@ -341,7 +359,6 @@
             });
         }
     }
-    reports.truncate(ENDS_PER_WRITE);
     reports
 }
 
