Let a start without an answer hold its room on the worker

Callers would see: nothing at once; a worker may be given more than it has, where an attempt is still stopping.

Cause: the agent's last guard of a worker's capacity counted what runs and the starts that were answered. One without an answer, which may have begun or may begin, did not count, in this look nor in the next ones.

Evidence: the new test failed before: with half of the worker taken by an attempt that is stopping, and one start of half of it unanswered, a second start of half went out in both looks ([0, 1, 0, 1] in place of [0, 0]). It passes now.

The fix: a start without an answer counts until its lease has ended or the worker shows it; only a refusal frees its room.

--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -159,6 +159,7 @@
         let Some((_, row)) = self.row.clone() else { return };
         let running = status.attempts.iter().filter(|one| one.state == AttemptState::Running);
         let mut used = running.fold(ResourceAmount::default(), |sum, one| sum.plus(&one.resources));
+        used = used.plus(&self.unanswered_room(&row, status));
         for (name, committed) in &row.tasks {
             let Some((job, task)) = parse_task_name(name) else {
                 continue;
@@ -167,7 +168,10 @@
             if committed.stop || status.attempts.iter().any(|one| one.key == key) {
                 continue;
             }
-            let next = used.plus(&committed.resources);
+            let next = match self.unanswered.contains_key(&key) {
+                true => used,
+                false => used.plus(&committed.resources),
+            };
             // The last guard: an attempt that is still stopping holds its resources.
             if !status.capacity.contains(&next) {
                 continue;
@@ -178,6 +182,7 @@
         }
     }
 
+    /// Starts an attempt. Says whether it may have begun.
     async fn start_one(
         &mut self,
         worker: &Arc<dyn WorkerControl>,
@@ -212,7 +217,7 @@
             ("ok", &started.is_ok()),
         ];
         log_event(Level::Info, "task_start", &pairs);
-        started.is_ok()
+        !matches!(started, Err(WorkerError::Refused { .. }))
     }
 
     /// Commits the ends of attempts: with the tasks' rows, the worker's row lets them go.
@@ -242,6 +247,14 @@
         self.row_read = None;
     }
 
+    /// What starts without an answer hold as soon as they begin.
+    fn unanswered_room(&self, row: &WorkerRow, status: &WorkerStatus) -> ResourceAmount {
+        let keys = self.unanswered.keys().filter(|key| row.has_attempt(key));
+        let keys = keys.filter(|key| self.may_begin(key, status));
+        let tasks = keys.filter_map(|key| row.tasks.get(&task_name(&key.job, key.task)));
+        tasks.fold(ResourceAmount::default(), |sum, task| sum.plus(&task.resources))
+    }
+
     /// Whether an attempt that the worker does not show may begin all the same.
     fn may_begin(&self, key: &AttemptKey, status: &WorkerStatus) -> bool {
         let is_shown = status.attempts.iter().any(|one| one.key == *key);
--- a/tests/unanswered_start.rs
+++ b/tests/unanswered_start.rs
@@ -15,6 +15,8 @@
 use greengagearch::external::memory_table::MemoryTable;
 use greengagearch::external::table::TableTransaction;
 use greengagearch::external::worker::AttemptKey;
+use greengagearch::external::worker::AttemptReport;
+use greengagearch::external::worker::AttemptState;
 use greengagearch::external::worker::ResourceAmount;
 use greengagearch::external::worker::TaskStart;
 use greengagearch::external::worker::WorkerControl;
@@ -46,13 +48,14 @@
 struct SilentWorker {
     now_millis: Mutex<u64>,
     starts: Mutex<Vec<TaskStart>>,
+    shown: Vec<AttemptReport>,
 }
 
 #[async_trait]
 impl WorkerControl for SilentWorker {
     async fn status(&self) -> Result<WorkerStatus, WorkerError> {
         let now_millis = *self.now_millis.lock().unwrap();
-        Ok(WorkerStatus { now_millis, capacity: WHOLE, attempts: Vec::new() })
+        Ok(WorkerStatus { now_millis, capacity: WHOLE, attempts: self.shown.clone() })
     }
 
     async fn start(&self, start: TaskStart) -> Result<(), WorkerError> {
@@ -85,15 +88,16 @@
 }
 
 impl PlayedAgent {
-    fn start() -> PlayedAgent {
+    fn start(tasks: usize, shown: Vec<AttemptReport>) -> PlayedAgent {
         let settings = AgentSettings::parse("agent.ini", SETTINGS).unwrap();
-        let (table, worker) = (Arc::new(MemoryTable::default()), Arc::new(SilentWorker::default()));
+        let table = Arc::new(MemoryTable::default());
+        let worker = Arc::new(SilentWorker { shown, ..SilentWorker::default() });
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         let shared = AgentShared::new(settings, address, table.clone(), Some(worker.clone()));
         let timing = shared.map().timing.worker_lease();
         let (holder, acts_from) = (LeaseHolder::new(timing, FIRST_EPOCH), Instant::now());
         *shared.lease() = Some(WorkerLease { holder, acts_from });
-        commit_task(&table, shared.incarnation);
+        commit_tasks(&table, shared.incarnation, tasks);
         let reconciler = ReconcileActor::spawn(ReconcileActor::new(Arc::new(shared)));
         PlayedAgent { table, worker, reconciler }
     }
@@ -117,32 +121,33 @@
     }
 }
 
-/// Commits the first task of a job to the worker.
-fn commit_task(table: &MemoryTable, holder: u64) {
+/// Commits tasks of a job to the worker.
+fn commit_tasks(table: &MemoryTable, holder: u64, count: usize) {
     let task = TaskSpec { resources: HALF, run_millis: 1_000, input: String::new() };
     let spec = JobSpec {
         id: "night".to_string(),
         team: "traffic".to_string(),
         kind: "roster".to_string(),
         urgent: false,
-        tasks: vec![task],
+        tasks: vec![task; count],
     };
-    let mut task = task_rows(&spec, 0).remove(0);
-    task.attempt = 1;
-    task.state = TaskState::Committed { worker: "w1".to_string() };
     let committed = CommittedTask {
         attempt: 1,
         resources: HALF,
-        team: spec.team,
-        kind: spec.kind,
+        team: spec.team.clone(),
+        kind: spec.kind.clone(),
         urgent: false,
         stop: false,
     };
     let mut row = WorkerRow { worker: "w1".to_string(), holder, epoch: 1, ..WorkerRow::default() };
     row.capacity = WHOLE;
-    row.tasks.insert(task_name(JOB, 0), committed);
     let mut transaction = TableTransaction::default();
-    transaction.put(&task_key(JOB, 0), 0, &task);
+    for mut task in task_rows(&spec, 0) {
+        task.attempt = 1;
+        task.state = TaskState::Committed { worker: "w1".to_string() };
+        row.tasks.insert(task_name(JOB, task.index), committed.clone());
+        transaction.put(&task_key(JOB, task.index), 0, &task);
+    }
     transaction.put(&worker_key("w1"), 0, &row);
     table.apply(&transaction).unwrap();
 }
@@ -151,7 +156,7 @@
 /// it yet, and the agent took it for one that was never started.
 #[tokio::test]
 async fn a_start_without_an_answer_has_not_ended_before_its_lease() {
-    let agent = PlayedAgent::start();
+    let agent = PlayedAgent::start(1, Vec::new());
     agent.look().await;
     let lease_end = agent.worker.starts.lock().unwrap()[0].lease_until_millis;
     agent.ask_to_stop();
@@ -161,3 +166,23 @@
     agent.look().await;
     assert_eq!(agent.row().tasks.len(), 0, "its lease has ended");
 }
+
+/// Guards against a worker that is given more than it has: a start without an answer was counted as one that has not begun, beside an
+/// attempt that was still stopping.
+#[tokio::test]
+async fn a_start_without_an_answer_holds_its_room() {
+    let stopping = AttemptReport {
+        key: AttemptKey { job: "traffic/day".to_string(), task: 0, attempt: 1 },
+        kind: "roster".to_string(),
+        resources: HALF,
+        used: ResourceAmount::default(),
+        ran_millis: 0,
+        state: AttemptState::Running,
+    };
+    let agent = PlayedAgent::start(2, vec![stopping]);
+    agent.look().await;
+    agent.look().await;
+    let starts = agent.worker.starts.lock().unwrap();
+    let tasks: Vec<u32> = starts.iter().map(|start| start.key.task).collect();
+    assert_eq!(tasks, [0, 0], "the first is tried again, the second waits for room");
+}
