Keep an ended attempt at its worker while a try to start it may come

Callers would see: a task runs again after its end, until the agent's next look finds the run.

Cause: a start without an answer is repeated, and a worker takes a repeat for an attempt that it knows as done already. As soon as the end was committed the worker was told to forget the attempt; the first try, carried out late, then began it anew.

Evidence: the new test, whose worker ends an attempt while its first try is unanswered, failed before: the attempt was forgotten in the same look. It passes now, and the attempt is forgotten once that try's lease has ended.

The fix: attempts with a try without an answer are forgotten when the lease that the try carried has ended; a start after that is refused by the worker.

--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -145,8 +145,14 @@
                 over.push(attempt.key.clone());
             }
         }
-        if !over.is_empty() {
-            let _ = worker.forget(over).await;
+        self.forget(worker, over).await;
+    }
+
+    /// Lets a worker forget attempts, except those that it would start anew when a late try came.
+    async fn forget(&self, worker: &Arc<dyn WorkerControl>, mut keys: Vec<AttemptKey>) {
+        keys.retain(|key| !self.unanswered.contains_key(key));
+        if !keys.is_empty() {
+            let _ = worker.forget(keys).await;
         }
     }
 
@@ -236,7 +242,7 @@
             Ok(jobs) => {
                 self.shared.end_evictions(&keys);
                 // What is not forgotten now is at the next look.
-                let _ = worker.forget(keys).await;
+                self.forget(worker, keys).await;
                 self.nudge_owners(jobs);
             }
             Err(error) => {
--- a/tests/unanswered_start.rs
+++ b/tests/unanswered_start.rs
@@ -48,14 +48,19 @@
 struct SilentWorker {
     now_millis: Mutex<u64>,
     starts: Mutex<Vec<TaskStart>>,
-    shown: Vec<AttemptReport>,
+    shown: Mutex<Vec<AttemptReport>>,
+    forgotten: Mutex<Vec<AttemptKey>>,
 }
 
 #[async_trait]
 impl WorkerControl for SilentWorker {
     async fn status(&self) -> Result<WorkerStatus, WorkerError> {
         let now_millis = *self.now_millis.lock().unwrap();
-        Ok(WorkerStatus { now_millis, capacity: WHOLE, attempts: self.shown.clone() })
+        Ok(WorkerStatus {
+            now_millis,
+            capacity: WHOLE,
+            attempts: self.shown.lock().unwrap().clone(),
+        })
     }
 
     async fn start(&self, start: TaskStart) -> Result<(), WorkerError> {
@@ -75,7 +80,8 @@
         Ok(())
     }
 
-    async fn forget(&self, _: Vec<AttemptKey>) -> Result<(), WorkerError> {
+    async fn forget(&self, keys: Vec<AttemptKey>) -> Result<(), WorkerError> {
+        self.forgotten.lock().unwrap().extend(keys);
         Ok(())
     }
 }
@@ -91,7 +97,8 @@
     fn start(tasks: usize, shown: Vec<AttemptReport>) -> PlayedAgent {
         let settings = AgentSettings::parse("agent.ini", SETTINGS).unwrap();
         let table = Arc::new(MemoryTable::default());
-        let worker = Arc::new(SilentWorker { shown, ..SilentWorker::default() });
+        let worker = SilentWorker { shown: Mutex::new(shown), ..SilentWorker::default() };
+        let worker = Arc::new(worker);
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         let shared = AgentShared::new(settings, address, table.clone(), Some(worker.clone()));
         let timing = shared.map().timing.worker_lease();
@@ -152,6 +159,18 @@
     table.apply(&transaction).unwrap();
 }
 
+/// What a worker reports of the first task of a job.
+fn report(job: &str, state: AttemptState) -> AttemptReport {
+    AttemptReport {
+        key: AttemptKey { job: job.to_string(), task: 0, attempt: 1 },
+        kind: "roster".to_string(),
+        resources: HALF,
+        used: ResourceAmount::default(),
+        ran_millis: 0,
+        state,
+    }
+}
+
 /// Guards against a task that begins after its cancelled job has ended: a start without an answer was to stop, the worker did not show
 /// it yet, and the agent took it for one that was never started.
 #[tokio::test]
@@ -171,14 +190,7 @@
 /// attempt that was still stopping.
 #[tokio::test]
 async fn a_start_without_an_answer_holds_its_room() {
-    let stopping = AttemptReport {
-        key: AttemptKey { job: "traffic/day".to_string(), task: 0, attempt: 1 },
-        kind: "roster".to_string(),
-        resources: HALF,
-        used: ResourceAmount::default(),
-        ran_millis: 0,
-        state: AttemptState::Running,
-    };
+    let stopping = report("traffic/day", AttemptState::Running);
     let agent = PlayedAgent::start(2, vec![stopping]);
     agent.look().await;
     agent.look().await;
@@ -186,3 +198,21 @@
     let tasks: Vec<u32> = starts.iter().map(|start| start.key.task).collect();
     assert_eq!(tasks, [0, 0], "the first is tried again, the second waits for room");
 }
+
+/// Guards against a task that runs again after its end: a start that was repeated since its first try had no answer, was carried out once
+/// more after the worker had been told to forget the attempt.
+#[tokio::test]
+async fn an_attempt_is_not_forgotten_while_a_try_to_start_it_may_come() {
+    let agent = PlayedAgent::start(1, Vec::new());
+    agent.look().await;
+    let lease_end = agent.worker.starts.lock().unwrap()[0].lease_until_millis;
+    let finished = AttemptState::Finished { result: String::new() };
+    *agent.worker.shown.lock().unwrap() = vec![report(JOB, finished)];
+    agent.look().await;
+    agent.look().await;
+    assert_eq!(agent.row().tasks.len(), 0, "its end is told at once");
+    assert_eq!(*agent.worker.forgotten.lock().unwrap(), [], "the first try may still come");
+    *agent.worker.now_millis.lock().unwrap() = lease_end;
+    agent.look().await;
+    assert_eq!(agent.worker.forgotten.lock().unwrap().len(), 1, "its lease has ended");
+}
