Call a request unknown whose first try ran and whose second was not sent

Callers saw: 503 "not run, deadline_passed" for a request that may be repeated and that was running at an endpoint.

Cause: when the answer to a try is lost, or comes too late, the entry tries another endpoint. Where it found the deadline passed by then, the refusal of that second try was given as the answer to the request. Refusals by the queue and by endpoints were told apart already.

The fix: after a try whose fate is unknown, whatever refusal ends the request is told as that try's fate, in one place.

--- a/src/process/entry/broker.rs
+++ b/src/process/entry/broker.rs
@@ -244,7 +244,7 @@
             SlotDecision::Granted(key) => key,
             SlotDecision::Queued => break,
             SlotDecision::Refused { reason, retry_after } => {
-                return was_unknown.unwrap_or(RequestOutcome::NotRun { reason, retry_after });
+                return RequestOutcome::NotRun { reason, retry_after }.after(was_unknown);
             }
         };
         trace.worker = Some(key.worker.clone());
@@ -262,17 +262,16 @@
             RequestOutcome::Unknown(reason)
                 if request.idempotent && shared.pools.try_retry(&document.name) =>
             {
-                was_unknown = Some(RequestOutcome::Unknown(reason));
+                was_unknown = Some(reason);
                 tries += 1;
                 avoid = Some(key);
             }
-            outcome => return outcome,
+            outcome => return outcome.after(was_unknown),
         }
     }
-    was_unknown.unwrap_or(RequestOutcome::NotRun {
-        reason: NotRunReason::Overloaded,
-        retry_after: TRIES_PAUSE,
-    })
+    let refused =
+        RequestOutcome::NotRun { reason: NotRunReason::Overloaded, retry_after: TRIES_PAUSE };
+    refused.after(was_unknown)
 }
 
 async fn try_endpoint(
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -242,6 +242,25 @@
 }
 
 impl RequestOutcome {
+    /// What may be said of a request whose last try ended like this, after a try whose fate is unknown for `earlier`: that it was not
+    /// run is true of the last try alone.
+    ///
+    /// ```
+    /// use greengagearch::request::outcome::NotRunReason;
+    /// use greengagearch::request::outcome::RequestOutcome;
+    /// use greengagearch::request::outcome::UnknownReason;
+    ///
+    /// let refused = RequestOutcome::not_run(NotRunReason::DeadlinePassed);
+    /// let lost = UnknownReason::AnswerLost;
+    /// assert_eq!(refused.after(Some(lost)), RequestOutcome::Unknown(lost));
+    /// ```
+    pub fn after(self, earlier: Option<UnknownReason>) -> RequestOutcome {
+        match (earlier, self) {
+            (Some(earlier), RequestOutcome::NotRun { .. }) => RequestOutcome::Unknown(earlier),
+            (_, outcome) => outcome,
+        }
+    }
+
     /// A refusal after which it is worth coming back at once.
     ///
     /// ```
