Keep a change of the cluster map open when only its repeat was refused

Callers would see: two entries that both act for a partition, or for a worker, for a while.

Cause: an entry gives no grants while a change of the map that it has written may take effect. A change whose write got no answer is written again; when the table service turned that second write away, the change counted as settled, though the first write may take effect later. The entry then granted leases under the old map beside holders under the new one.

Evidence: the new test failed before: after silence and a refusal of the repeat the entry gave a grant. It passes now; the search for double holders of leases (lease_search) has no refusals after silence and passes as before.

The fix: after a write without an answer only the row itself settles the change, when it is written or has moved on; until then the change is tried again at each tick. A refusal of the only write settles it, as before.

--- a/src/connection/cluster_view.rs
+++ b/src/connection/cluster_view.rs
@@ -79,6 +79,8 @@
     heard: HashMap<IncarnationId, Instant>,
     row_read: Option<Instant>,
     pending: Option<MapChange>,
+    /// Whether a write of it, or of another change of the same row, got no answer: it may take effect until the row has moved on.
+    is_doubtful: bool,
     stopped: bool,
 }
 
@@ -108,6 +110,7 @@
             heard: HashMap::new(),
             row_read: None,
             pending: None,
+            is_doubtful: false,
             stopped: false,
         }
     }
@@ -127,6 +130,7 @@
         if self.pending.as_ref().is_some_and(|change| version > change.version) {
             // The row has moved on, so the change either is in it or can never be.
             self.pending = None;
+            self.is_doubtful = false;
             self.desk.end_change(map.generation);
         }
         if map.generation >= self.map.generation {
@@ -276,13 +280,16 @@
     /// Takes in how the write of a change ended.
     pub fn end_change(&mut self, change: MapChange, result: ChangeResult, now: Instant) {
         match result {
-            ChangeResult::Ambiguous => {}
+            ChangeResult::Ambiguous => self.is_doubtful = true,
+            // That speaks of this write alone.
+            ChangeResult::Refused if self.is_doubtful => {}
             ChangeResult::Refused => {
                 self.pending = None;
                 self.desk.end_change(self.map.generation);
             }
             ChangeResult::Written(version) => {
                 self.pending = None;
+                self.is_doubtful = false;
                 self.desk.end_change(change.map.generation);
                 self.row_version = Some(version);
                 self.adopt(change.map, now);
