Tell what ran on a worker as over when it refuses looks beyond all leases

What callers would see: a task stands still while its worker refuses all calls for longer than leases last; it starts elsewhere only when the worker is well again.

A refused look has extended no lease, so that what ran has lapsed; only a look without an answer asked for that.

Evidence: the test in tests/refused_looks.rs was red and is not any more. Its time of refusals was 3 s and is 11 s now: an agent before this one may have sent leases of up to 10 s, which the first version of the test left out; told after 3 s, the task could have run twice.

Why it works: once all leases have surely expired, its own and those that an agent before may have sent, the agent tells an empty look. No start that was sent can begin any more, since each carries the end of its lease. The life goes on: it is there, and is used again when it answers.

--- a/src/process/node/order_book.rs
+++ b/src/process/node/order_book.rs
@@ -250,6 +250,24 @@
         self.stops.retain(|_, stop| *stop == RunStop::Taken);
     }
 
+    /// Takes note that all leases have expired: no start that was sent begins any more, and there is nothing to stop.
+    ///
+    /// ```
+    /// use greengagearch::process::node::order_book::OrderBook;
+    ///
+    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// let mut book = OrderBook::default();
+    /// book.begin_stop(&key);
+    /// book.on_expiry();
+    /// assert!(!book.is_stop_due(&key));
+    /// ```
+    pub fn on_expiry(&mut self) {
+        for start in self.starts.values_mut() {
+            start.rule_out(self.looks);
+        }
+        self.stops.clear();
+    }
+
     /// Adds to what a look shows what it cannot show yet, and forgets what is shown from here on.
     ///
     /// ```
--- a/src/process/node/runner_lease.rs
+++ b/src/process/node/runner_lease.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::external::runner_control::RunnerMillis;
+use crate::workflow::grant::LONGEST_LEASE;
 use crate::workflow::grant::surely_expired;
 
 /// A start is not tried with less than this left of the lease.
@@ -17,6 +18,8 @@
     answered: Instant,
     granted_until: Option<Instant>,
     sent_until: Option<Instant>,
+    /// When leases that others have sent end at the latest: an earlier agent, or calls that were meant for a former life.
+    inherited_until: Instant,
     /// The runner's clock, and when it was read.
     clock: Option<(RunnerMillis, Instant)>,
 }
@@ -32,7 +35,13 @@
     /// assert_eq!(RunnerLease::none(Instant::now()).end(), None);
     /// ```
     pub fn none(now: Instant) -> RunnerLease {
-        RunnerLease { answered: now, granted_until: None, sent_until: None, clock: None }
+        RunnerLease {
+            answered: now,
+            granted_until: None,
+            sent_until: None,
+            inherited_until: now + LONGEST_LEASE,
+            clock: None,
+        }
     }
 
     /// When the runner answered last.
@@ -149,9 +158,28 @@
     /// assert!(!RunnerLease::none(now).has_expired(now), "nothing was sent");
     /// ```
     pub fn has_expired(&self, now: Instant) -> bool {
-        let Some(until) = self.sent_until else {
-            return false;
-        };
+        self.sent_until.is_some_and(|until| self.is_over(until, now))
+    }
+
+    /// The same for what others may have sent as well.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::process::node::runner_lease::RunnerLease;
+    ///
+    /// let now = Instant::now();
+    /// assert!(!RunnerLease::none(now).have_all_expired(now + Duration::from_secs(9)));
+    /// assert!(RunnerLease::none(now).have_all_expired(now + Duration::from_secs(11)));
+    /// ```
+    pub fn have_all_expired(&self, now: Instant) -> bool {
+        let until =
+            self.sent_until.map_or(self.inherited_until, |sent| sent.max(self.inherited_until));
+        self.is_over(until, now)
+    }
+
+    fn is_over(&self, until: Instant, now: Instant) -> bool {
         let left = until.saturating_duration_since(self.answered);
         now >= surely_expired(self.answered, left) && self.is_silent(now)
     }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::node_protocol::EndedRun;
 use crate::connection::node_protocol::LinkStamp;
 use crate::connection::node_protocol::NodeReport;
+use crate::connection::node_protocol::PresentRun;
 use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::SyncCall;
@@ -44,6 +46,8 @@
     pub(super) lease: RunnerLease,
     /// Whether the present life has answered the last look.
     is_proven: bool,
+    /// Whether all leases have expired since the present life was looked at last, which refuses looks: it runs nothing.
+    is_idle: bool,
     /// By how much the fencing token is raised, since the present life has seen a higher one.
     fence_raise: u32,
     /// The first sign since the last answer that the present life has broken off.
@@ -84,6 +88,7 @@
             lives: RunnerLives::default(),
             lease: RunnerLease::none(started),
             is_proven: false,
+            is_idle: false,
             fence_raise: 0,
             silent_since: None,
             seen: 0,
@@ -153,6 +158,22 @@
         has_expired
     }
 
+    /// Takes note that the present life refuses a look: it is there, and its leases are not extended. Once those that it has have surely
+    /// expired, it runs nothing until it takes another one. Says whether that is new.
+    pub fn on_refused_look(&mut self, now: Instant) -> bool {
+        let is_new = !self.is_idle && self.lease.have_all_expired(now);
+        if is_new {
+            self.is_idle = true;
+            self.lease = RunnerLease::none(self.lease.answered());
+            self.book.on_expiry();
+        }
+        if self.is_idle {
+            let number = self.book.next_look();
+            self.show(number, Vec::new(), Vec::new());
+        }
+        is_new
+    }
+
     /// Takes note that a runner says that it ends. Says whether its present life is over.
     pub fn on_leave(&mut self, runner: &str, now: Instant) -> bool {
         let has_left = self.lives.on_leave(runner, self.book.newest_look());
@@ -192,6 +213,7 @@
         self.book.clear();
         self.begun = BegunRuns::default();
         self.is_proven = false;
+        self.is_idle = false;
         self.fence_raise = 0;
         self.silent_since = None;
         self.fresh_look = None;
@@ -318,6 +340,7 @@
     pub fn on_lists(&mut self, number: LookNumber, lists: RunnerLists, now: Instant) -> bool {
         self.lease.on_answer(lists.clock, now);
         self.is_proven = true;
+        self.is_idle = false;
         self.silent_since = None;
         self.has_news |= self.unsettled.on_look(number, |key| is_shown(&lists, key), now);
         self.has_news |= self.lives.on_answer(number);
@@ -328,20 +351,20 @@
             run.pace_percent = self.pace.ordered(&key);
             run.measured_percent = self.pace.measured(&key, now);
         }
-        self.book.complete(number, &mut present, &lists.ended);
+        self.show(number, present, lists.ended);
+        self.has_news
+    }
+
+    /// Makes a look out of what runs and what has ended, for the planner's next call.
+    fn show(&mut self, number: LookNumber, mut present: Vec<PresentRun>, ended: Vec<EndedRun>) {
+        self.book.complete(number, &mut present, &ended);
         self.present = present.iter().map(|run| (run.task.clone(), run.run)).collect();
         self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
-        self.first_listed = lists.ended.first().map(|ended| ended.number);
-        let last = lists.ended.last().map_or(0, |ended| ended.number);
-        let is_news = last > self.reported_ends || self.book.has_refusals() || self.has_news;
-        self.fresh_look = Some(RunnerLook {
-            present,
-            ended: lists.ended,
-            rejected: Vec::new(),
-            orders_seen: self.orders.seen(),
-        });
-        self.has_news = is_news;
-        is_news
+        self.first_listed = ended.first().map(|ended| ended.number);
+        let last = ended.last().map_or(0, |ended| ended.number);
+        self.has_news |= last > self.reported_ends || self.book.has_refusals();
+        let (rejected, orders_seen) = (Vec::new(), self.orders.seen());
+        self.fresh_look = Some(RunnerLook { present, ended, rejected, orders_seen });
     }
 
     /// Whether the planner should hear of something at once.
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -42,11 +42,7 @@
                     if !std::mem::replace(&mut has_failed, true) {
                         log_event(Level::Warn, "runner_lost", &[("error", &error)]);
                     }
-                    if on_error(&shared, &target, &error) {
-                        log_end(&shared, &target);
-                        shared.news.notify_one();
-                        shared.life_changed.notify_one();
-                    }
+                    on_error(&shared, &target, &error);
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -79,22 +75,35 @@
     }
 }
 
-/// Decides what an unanswered look says of the runner. Says whether its life has ended.
-fn on_error(shared: &NodeShared, target: &RunnerTarget, error: &RunnerError) -> bool {
+/// Decides what a look that failed says of the runner.
+fn on_error(shared: &NodeShared, target: &RunnerTarget, error: &RunnerError) {
     let mut state = shared.state();
     if !state.is_target(target) {
-        return false;
+        return;
     }
-    match error {
-        RunnerError::OtherLife | RunnerError::NotRunning => {
-            state.on_crash(&target.instance, clock::now())
-        }
-        RunnerError::NoAnswer { is_broken, .. } => state.on_no_answer(*is_broken, clock::now()),
+    let now = clock::now();
+    let has_ended = match error {
+        RunnerError::OtherLife | RunnerError::NotRunning => state.on_crash(&target.instance, now),
+        RunnerError::NoAnswer { is_broken, .. } => state.on_no_answer(*is_broken, now),
         RunnerError::Fenced => {
             state.on_fenced();
             false
         }
-        RunnerError::Rejected { .. } => false,
+        RunnerError::Rejected { .. } => {
+            if state.on_refused_look(now) {
+                log_event(Level::Warn, "leases_expired", &[("instance", &target.instance)]);
+            }
+            false
+        }
+    };
+    let has_news = state.has_news();
+    drop(state);
+    if has_ended {
+        log_end(shared, target);
+        shared.life_changed.notify_one();
+    }
+    if has_news {
+        shared.news.notify_one();
     }
 }
 
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -283,6 +283,10 @@
                         one.state.on_crash(&target.instance, now);
                         60
                     }
+                    CallAnswer::Order(RunnerAnswer::Unwell) if is_target => {
+                        one.state.on_refused_look(now);
+                        60
+                    }
                     _ => 60,
                 };
                 let run = one.run;
--- a/tests/refused_looks.rs
+++ b/tests/refused_looks.rs
@@ -32,8 +32,8 @@
 const LEASE: Duration = Duration::from_millis(1_000);
 /// Time in which the runner answers.
 const WELL: Duration = Duration::from_millis(300);
-/// Time of refusals, in which the lease has expired by any clock and the runner counts as silent.
-const UNWELL: Duration = Duration::from_millis(3_000);
+/// Time of refusals, in which the lease has expired by any clock, and the longest one that an agent before may have sent.
+const UNWELL: Duration = Duration::from_millis(11_000);
 
 /// A runner with one run, which answers looks until it is unwell.
 #[derive(Default)]
