Wait for what the tests of late paces and refused looks ask for, not for a time

They slept and looked once, so that a busy machine could have made them fail; now they wait for the condition, with a bound far beyond what it takes. What they ask is the same.

--- a/tests/late_pace.rs
+++ b/tests/late_pace.rs
@@ -26,6 +26,7 @@
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::task_name::TaskName;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 const TARGET_MS: u64 = 125;
 /// Tails of the task that serves: with nothing beside it, and with far too much.
@@ -33,8 +34,9 @@
 const HARMED_TAIL_MS: u64 = 500;
 /// Time that a look takes.
 const LOOK: Duration = Duration::from_millis(50);
-/// Time until the agent has noticed and mended what a late pace did.
+/// Time until the agent has noticed and mended what a late pace did, and a bound far beyond that on the wait for it.
 const MENDED_AFTER: Duration = Duration::from_millis(1_500);
+const LIMIT: Duration = Duration::from_secs(30);
 
 /// What becomes of a call that paces.
 #[derive(Clone, Copy)]
@@ -181,6 +183,17 @@
     shared.state().pace.ordered(&("f.0.0.0".parse().unwrap(), 1))
 }
 
+/// Waits until the fill is at work at a pace in which the agent believes as well.
+async fn until_paced(runner: &RunnerHandle, shared: &NodeShared, percent: u32) {
+    let waiting = async {
+        while (runner.0.pace(), believed(shared)) != (percent, percent) {
+            sleep(LOOK).await;
+        }
+    };
+    let is_paced = timeout(LIMIT, waiting).await.is_ok();
+    assert!(is_paced, "at work {}, believed {}", runner.0.pace(), believed(shared));
+}
+
 /// Guards against a fill that stands still for good: a pace without an answer was carried out after a newer one, in which the agent
 /// believed from then on.
 #[tokio::test]
@@ -197,7 +210,7 @@
     let shared = watching(runner.clone());
     describe(&shared);
     sleep(late + MENDED_AFTER).await;
-    assert_eq!((runner.0.pace(), believed(&shared)), (100, 100), "(at work, believed)");
+    until_paced(&runner, &shared, 100).await;
 }
 
 /// Guards against a fill that goes on harming a task: a rise that took some time was carried out after the cut that followed it.
@@ -217,7 +230,7 @@
     let shared = watching(runner.clone());
     describe(&shared);
     sleep(2 * MENDED_AFTER).await;
-    assert_eq!((runner.0.pace(), believed(&shared)), (0, 0), "(at work, believed)");
+    until_paced(&runner, &shared, 0).await;
 }
 
 /// Guards against a fill that stands still for good: an agent that was killed had paced it down, and the next one took it for
@@ -230,6 +243,5 @@
     sleep(3 * LOOK).await;
     describe(&shared);
     // It rises in parts.
-    sleep(2 * MENDED_AFTER).await;
-    assert_eq!((runner.0.pace(), believed(&shared)), (100, 100), "(at work, believed)");
+    until_paced(&runner, &shared, 100).await;
 }
--- a/tests/refused_looks.rs
+++ b/tests/refused_looks.rs
@@ -8,6 +8,7 @@
 use async_trait::async_trait;
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::NodeReport;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
@@ -26,14 +27,16 @@
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::task_name::TaskName;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 const STAMP: LinkStamp = LinkStamp { epoch: 1, link: 1 };
 /// The only lease that the runner gets.
 const LEASE: Duration = Duration::from_millis(1_000);
 /// Time in which the runner answers.
 const WELL: Duration = Duration::from_millis(300);
-/// Time of refusals, in which the lease has expired by any clock, and the longest one that an agent before may have sent.
-const UNWELL: Duration = Duration::from_millis(11_000);
+/// Bound on the wait; the longest lease that an agent before may have sent takes ten seconds of it.
+const LIMIT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(100);
 
 /// A runner with one run, which answers looks until it is unwell.
 #[derive(Default)]
@@ -112,10 +115,18 @@
     sleep(WELL).await;
     drop(shared.state().report(clock::now()));
     runner.is_unwell.store(true, Ordering::Relaxed);
-    sleep(UNWELL).await;
-    let report = shared.state().report(clock::now());
+    let told = async {
+        while !tells_nothing(&shared.state().report(clock::now())) {
+            sleep(POLL).await;
+        }
+    };
+    timeout(LIMIT, told).await.is_ok()
+}
+
+/// Whether a report says that nothing runs on the life.
+fn tells_nothing(report: &NodeReport) -> bool {
     let is_former = report.former.iter().any(|life| life == "i-1");
-    is_former || report.look.is_some_and(|look| look.present.is_empty())
+    is_former || report.look.as_ref().is_some_and(|look| look.present.is_empty())
 }
 
 /// The baseline: what ran on a silent runner is told as over when its leases have surely expired.
