--- /dev/null
+++ b/tests/repeated_refusals.rs
@@ -0,0 +1,222 @@
+//! Orders that come again, starts that wait for the next life of a runner, and tokens that keep late starts from it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use greengagearch::connection::node_protocol::LeaseGrant;
+use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::PresentRun;
+use greengagearch::connection::node_protocol::RejectReason;
+use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::connection::node_protocol::StartOrder;
+use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::connection::node_protocol::TaskTraits;
+use greengagearch::external::runner_control::RunnerError;
+use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::ids::StartMillis;
+use greengagearch::process::node::known_runner::KnownRunner;
+use greengagearch::process::node::pending_start::StartStep;
+use greengagearch::process::node::state::NodeState;
+use greengagearch::workflow::spec::RoomAmount;
+use greengagearch::workflow::worker_board::RunKey;
+
+const STAMP: LinkStamp = LinkStamp { epoch: 3, link: 1 };
+const ROOM: RoomAmount = RoomAmount { millicores: 400, memory_mib: 100, accelerators: 0 };
+
+fn key() -> RunKey {
+    ("a.0.0.0".parse().unwrap(), 1)
+}
+
+fn order(is_repeat: bool) -> StartOrder {
+    let traits = TaskTraits {
+        task: key().0,
+        image: String::new(),
+        target_ms: 0,
+        fills: false,
+        room: ROOM,
+        effects: Vec::new(),
+        idle_tail_ms: 0,
+    };
+    let (payload, checkpoint) = (String::new(), String::new());
+    StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat }
+}
+
+fn runner(millicores: u64, sequence: u64, started_at: Option<StartMillis>) -> KnownRunner {
+    let status = RunnerStatus {
+        instance: "i-1".to_string(),
+        service: "s".to_string(),
+        domain: "d".to_string(),
+        capacity: RoomAmount { millicores, memory_mib: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+    };
+    let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
+    KnownRunner { runner, status, address, sequence, started_at }
+}
+
+/// The next life of the runner, under the same id.
+fn next_life(started_at: StartMillis) -> KnownRunner {
+    let mut next = runner(1_000, 1, Some(started_at));
+    next.status.instance = "i-1@next".to_string();
+    next
+}
+
+/// A look that shows nothing; the planner is not told of it yet.
+fn look(state: &mut NodeState, now: Instant) {
+    look_at(state, Vec::new(), now);
+}
+
+/// A look that shows these runs.
+fn look_at(state: &mut NodeState, running: Vec<PresentRun>, now: Instant) {
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    let lists = RunnerLists { clock: 0, running, ended: Vec::new() };
+    state.on_lists(number, lists, now);
+}
+
+/// An agent with a runner, a planner and a lease.
+fn linked(started_at: Option<StartMillis>, now: Instant) -> NodeState {
+    let mut state = NodeState::new(now);
+    state.on_beat(runner(1_000, 1, started_at));
+    state.admit(STAMP).unwrap();
+    look(&mut state, now);
+    state.report(now);
+    state.on_sync(&SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
+        instance: Some("i-1".to_string()),
+        seen: 0,
+        wait: Duration::ZERO,
+    });
+    state
+}
+
+fn silence() -> Result<(), RunnerError> {
+    Err(RunnerError::NoAnswer { is_broken: true, reason: String::new() })
+}
+
+/// A try to start leaves and is answered so.
+fn try_start(state: &mut NodeState, answer: Result<(), RunnerError>, now: Instant) {
+    let target = state.target().unwrap();
+    assert!(state.begin_try(&target, &key(), &ROOM, now).is_some());
+    state.on_start_answer(&target, &key(), &answer, now);
+}
+
+/// Guards against a task that runs twice: the planner orders a run twice over one link, and the second order comes when a look has
+/// been taken after the refusal of the first, which was not told yet. The refusal then makes the planner give the run up.
+#[test]
+fn an_order_that_comes_before_its_refusal_was_told_is_not_tried_beside_it() {
+    let now = Instant::now();
+    let mut state = linked(None, now);
+    state.begin_start(&order(false), now);
+    try_start(&mut state, Err(RunnerError::Rejected { reason: RejectReason::Unwell }), now);
+    look(&mut state, now);
+
+    state.begin_start(&order(true), now);
+    let target = state.target().unwrap();
+    let step = state.next_step(&target, &key(), &ROOM, now);
+    let told = state.report(now).look.unwrap();
+    let is_given_up = !told.rejected.is_empty() && !told.shows(&key());
+    let is_tried = matches!(step, StartStep::Send(_));
+    assert!(!(is_given_up && is_tried), "told as {:?}, and {step:?}", told.rejected);
+}
+
+/// Guards against a task that stands still: the runner stays away, and its agent stood still for as long as the next life is looked for.
+#[test]
+fn a_start_does_not_wait_for_a_life_that_is_not_looked_for_any_more() {
+    let now = Instant::now();
+    let mut state = linked(Some(200), now);
+    state.begin_start(&order(false), now);
+    try_start(&mut state, silence(), now);
+    assert!(state.on_crash("i-1", now));
+    assert_eq!(state.report(now).unsettled, [key()]);
+
+    let later = now + Duration::from_secs(60);
+    let is_looked_for = state.awaited_target(later).is_some();
+    assert!(is_looked_for || state.report(later).unsettled.is_empty());
+}
+
+/// The same where the next life was called, and ended before it had registered.
+#[test]
+fn a_start_does_not_wait_for_a_life_that_answered_and_never_registered() {
+    let now = Instant::now();
+    let mut state = linked(Some(200), now);
+    state.begin_start(&order(false), now);
+    try_start(&mut state, silence(), now);
+    assert!(state.on_crash("i-1", now));
+    state.on_return();
+
+    let later = now + Duration::from_secs(60);
+    let is_looked_for = state.awaited_target(later).is_some();
+    assert!(is_looked_for || state.report(later).unsettled.is_empty());
+}
+
+/// Guards against a runner over its capacity: an order that comes again over a new link may never have left, and the capacity has
+/// shrunk since it was decided. A stop rules a late try out as well.
+#[test]
+fn an_order_that_comes_again_is_not_sent_beyond_the_capacity() {
+    let now = Instant::now();
+    let mut state = linked(None, now);
+    state.on_beat(runner(300, 2, None));
+    state.begin_start(&order(true), now);
+    let target = state.target().unwrap();
+    let step = state.next_step(&target, &key(), &ROOM, now);
+    assert!(!matches!(step, StartStep::Send(_)), "{step:?}");
+}
+
+/// Guards against a task that runs twice: a life that was called with raised tokens has ended, and a late start for it carries one.
+#[test]
+fn the_next_life_is_called_with_a_token_above_those_of_the_life_before() {
+    let now = Instant::now();
+    let mut state = linked(Some(200), now);
+    // The life had seen higher tokens, by a clock that was put back since.
+    for _ in 0..4 {
+        state.on_fenced();
+    }
+    let late = state.target().unwrap().fence;
+    assert!(state.on_crash("i-1", now));
+    let awaited = state.awaited_target(now).unwrap().fence;
+    assert!(awaited > late, "called with {awaited}, and a late start has {late}");
+
+    state.on_beat(next_life(264));
+    let next = state.target().unwrap().fence;
+    assert!(next > late, "called with {next}, and a late start has {late}");
+}
+
+/// Guards against a task that runs twice: a late call for the life before came first, and the token is raised to just that of the call.
+#[test]
+fn a_token_that_was_raised_is_above_those_of_the_life_before() {
+    let now = Instant::now();
+    let mut state = linked(Some(264), now);
+    let late = state.target().unwrap().fence;
+    assert!(state.on_crash("i-1", now));
+    // It began earlier by a clock that was put back by 32 ms.
+    state.on_beat(next_life(232));
+    let mut next = state.target().unwrap().fence;
+    while next < late {
+        state.on_fenced();
+        next = state.target().unwrap().fence;
+    }
+    assert!(next > late, "the runner takes {next}, and a late start has {late}");
+}
+
+/// Guards against a task that runs twice: a runner takes a stop at once, and the run takes its time to end.
+#[test]
+fn a_run_that_is_slow_to_end_after_its_stop_is_not_told_as_refused() {
+    let now = Instant::now();
+    let mut state = linked(None, now);
+    state.begin_start(&order(false), now);
+    try_start(&mut state, silence(), now);
+    try_start(&mut state, Err(RunnerError::Rejected { reason: RejectReason::Room }), now);
+    let target = state.target().unwrap();
+    let step = state.next_step(&target, &key(), &ROOM, now);
+    assert_eq!(step, StartStep::Stop(RejectReason::Room));
+    state.on_stop_answer(&target, &key(), &Ok(()));
+
+    let ending = PresentRun { is_begun: true, ..PresentRun::ordered(key().0, 1) };
+    look_at(&mut state, vec![ending], now);
+    let told = state.report(now).look.unwrap();
+    assert_eq!((told.present.len(), told.rejected.len()), (1, 0));
+    look(&mut state, now);
+    let told = state.report(now).look.unwrap();
+    assert_eq!((told.present.len(), told.rejected.len()), (0, 0), "its end tells the rest");
+}
--- a/tests/unanswered_start.rs
+++ b/tests/unanswered_start.rs
@@ -24,6 +24,7 @@
 use greengagearch::external::worker::WorkerStatus;
 use greengagearch::process::agent::reconciler::ReconcileActor;
 use greengagearch::process::agent::reconciler::ReconcileTick;
+use greengagearch::process::agent::reconciler::ReleaseLease;
 use greengagearch::process::agent::shared::AgentShared;
 use greengagearch::process::agent::shared::WorkerLease;
 use greengagearch::process::settings::AgentSettings;
@@ -216,3 +217,14 @@
     agent.look().await;
     assert_eq!(agent.worker.forgotten.lock().unwrap().len(), 1, "its lease has ended");
 }
+
+/// Guards against a task that runs twice: an agent that stops gives its lease back at once, and the next one knows of no try of it that
+/// may be carried out.
+#[tokio::test]
+async fn a_lease_is_not_given_back_while_a_start_without_an_answer_may_come() {
+    let agent = PlayedAgent::start(1, Vec::new());
+    agent.look().await;
+    assert_eq!(agent.worker.starts.lock().unwrap().len(), 1);
+    agent.reconciler.ask(ReleaseLease).await.unwrap();
+    assert!(!agent.row().released, "the next agent acts at once");
+}
