Stop a doubtful start for which its worker has no room any more

What callers would see: a worker beyond its capacity. Found in review: an order that comes again over a new link may never have left, and was sent without a look at the worker's room, which may have shrunk since.

Evidence: an_order_that_comes_again_is_not_sent_beyond_the_capacity failed and holds. Why it works: a stop rules a late try out as well, and a run that has begun all the same ends and starts where there is room.

--- a/src/process/node/pending_start.rs
+++ b/src/process/node/pending_start.rs
@@ -155,7 +155,7 @@
         self.is_without_lease(conditions, now).then_some(RejectReason::Late)
     }
 
-    /// Why a start that may have begun is not sent again. One that has begun has its room, whatever else has come since.
+    /// Why a start that may have begun is not sent again.
     fn doubtful_refusal(
         &self,
         doubtful: DoubtfulStart,
@@ -165,6 +165,9 @@
         if conditions.is_draining {
             return Some(RejectReason::Leaving);
         }
+        if !conditions.has_room {
+            return Some(RejectReason::Room);
+        }
         let is_final = |refusal: &StartRefusal| {
             let span = now.saturating_duration_since(refusal.since);
             refusal.reason != RejectReason::Unwell || span >= UNWELL_LIMIT
