Call the next life of a runner with a token above all of the life before, until it has registered

What callers would see: a task runs twice at once where runners come back under their ids, or a task that waits for a life that never comes. Found in review: after raised tokens the next life was called with lower ones than late starts of the life before carry, and a raise could come to just the token of such a start; and the search for the next life ended with its first answer, or with time that the agent stood still, after which its starts waited for good.

Why it works: tokens of a life begin above the highest of those before. The next life is called until it registers, or until a call that found nobody, or had no answer, came after the time for that. Two of the tests took the call that was removed; they ask the same.

--- a/src/process/node/runner_lives.rs
+++ b/src/process/node/runner_lives.rs
@@ -29,7 +29,7 @@
     former: VecDeque<InstanceId>,
     /// Lives that earlier agents here have stored; over, but for the present one, when that one answers.
     earlier: Vec<InstanceId>,
-    /// The last life, while the next one under its id has not been called, and up to when that is tried.
+    /// The last life, while the next one under its id has not registered, and up to when calls for that may stay without an answer.
     awaited: Option<(KnownRunner, Instant)>,
     /// Lives that broke off, and when that was noticed.
     crashes: Vec<(Instant, RunnerCrash)>,
@@ -188,25 +188,26 @@
         }
     }
 
-    /// The last life, while the next one under its id has not been called.
+    /// The last life, while the next one under its id may begin and has not registered.
     ///
     /// ```
-    /// use std::time::Instant;
-    ///
-    /// let lives = greengagearch::process::node::runner_lives::RunnerLives::default();
-    /// assert!(lives.awaited(Instant::now()).is_none());
+    /// assert!(greengagearch::process::node::runner_lives::RunnerLives::default().awaited().is_none());
     /// ```
-    pub fn awaited(&self, now: Instant) -> Option<&KnownRunner> {
-        self.awaited.as_ref().filter(|(_, until)| now < *until).map(|(last, _)| last)
+    pub fn awaited(&self) -> Option<&KnownRunner> {
+        self.awaited.as_ref().map(|(last, _)| last)
     }
 
-    /// Takes note that the next life has been called.
+    /// Takes note that a call for the next life got no answer. Says whether that life is looked for no longer.
     ///
     /// ```
-    /// greengagearch::process::node::runner_lives::RunnerLives::default().on_return();
+    /// use std::time::Instant;
+    ///
+    /// let mut lives = greengagearch::process::node::runner_lives::RunnerLives::default();
+    /// assert!(lives.on_unanswered(Instant::now()));
     /// ```
-    pub fn on_return(&mut self) {
-        self.awaited = None;
+    pub fn on_unanswered(&mut self, now: Instant) -> bool {
+        self.awaited.take_if(|(_, until)| now >= *until);
+        self.awaited.is_none()
     }
 
     /// Lives that run nothing any more, the newest last.
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -13,10 +13,12 @@
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
+use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerHold;
 use crate::external::runner_control::RunnerLists;
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
+use crate::ids::FencingToken;
 use crate::ids::InstanceId;
 use crate::ids::LookNumber;
 use crate::process::node::begun_runs::BegunRuns;
@@ -50,6 +52,8 @@
     is_idle: bool,
     /// By how much the fencing token is raised, since the present life has seen a higher one.
     fence_raise: u32,
+    /// The least token for this life, above those of the lives before.
+    least_fence: FencingToken,
     /// The first sign since the last answer that the present life has broken off.
     silent_since: Option<Instant>,
     seen: u64,
@@ -90,6 +94,7 @@
             is_proven: false,
             is_idle: false,
             fence_raise: 0,
+            least_fence: 0,
             silent_since: None,
             seen: 0,
             first_listed: None,
@@ -202,9 +207,11 @@
 
     /// Forgets what is known of the present life, which is over.
     fn end_life(&mut self, now: Instant) {
-        match self.lives.may_return() {
-            true => self.unsettled.end_life(now),
-            false => self.unsettled.forget_life(),
+        if self.lives.may_return() {
+            self.least_fence = self.target().map_or(self.least_fence, |target| target.fence + 1);
+            self.unsettled.end_life(now);
+        } else {
+            self.unsettled.forget_life();
         }
         self.lives.end(now);
         self.lease = RunnerLease::none(self.lease.answered());
@@ -244,24 +251,26 @@
             address: runner.address.clone(),
             instance: runner.status.instance.clone(),
             epoch,
-            fence: fencing_token(epoch, runner.started_at, fence_raise),
+            fence: fencing_token(epoch, runner.started_at, fence_raise).max(self.least_fence),
         })
     }
 
     /// Where the next life of the runner will listen, before it has registered. A call with this token makes it refuse what was meant
     /// for the life before.
-    pub fn awaited_target(&self, now: Instant) -> Option<RunnerTarget> {
-        self.target_of(self.lives.awaited(now)?, 1)
+    pub fn awaited_target(&self) -> Option<RunnerTarget> {
+        self.target_of(self.lives.awaited()?, 0)
     }
 
-    /// Takes note that the next life of the runner has been called.
-    pub fn on_return(&mut self) {
-        self.lives.on_return();
-    }
-
-    /// Takes note that a call for the next life of the runner found nobody.
-    pub fn on_nobody(&mut self, now: Instant) {
-        self.unsettled.on_nobody(now);
+    /// Takes note of what became of a call for the next life of the runner. One that answers is called until it has registered.
+    pub fn on_awaited_answer(&mut self, answer: &Result<(), RunnerError>, now: Instant) {
+        match answer {
+            Ok(()) | Err(RunnerError::OtherLife | RunnerError::Fenced) => return,
+            Err(RunnerError::Rejected { .. } | RunnerError::NoAnswer { .. }) => {}
+            Err(RunnerError::NotRunning) => self.unsettled.on_nobody(now),
+        }
+        if self.lives.on_unanswered(now) {
+            self.unsettled.give_up();
+        }
     }
 
     /// Whether a target is still the present one.
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -175,6 +175,15 @@
         self.left.retain(|_, until| now < *until);
     }
 
+    /// Takes note that the next life is looked for no longer.
+    ///
+    /// ```
+    /// greengagearch::process::node::unsettled_starts::UnsettledStarts::default().give_up();
+    /// ```
+    pub fn give_up(&mut self) {
+        self.left.clear();
+    }
+
     /// Runs given to former lives that must not start elsewhere yet.
     ///
     /// ```
--- a/src/process/node/watcher.rs
+++ b/src/process/node/watcher.rs
@@ -53,7 +53,7 @@
 /// Waits for a life of the runner to register. One that may be back under the id of the last is called before that, so that it takes
 /// nothing that was meant for the last one.
 async fn await_life(shared: &NodeShared) {
-    let awaited = shared.state().awaited_target(clock::now());
+    let awaited = shared.state().awaited_target();
     let Some(target) = awaited else {
         return shared.look.notified().await;
     };
@@ -64,15 +64,9 @@
 }
 
 async fn call_next_life(shared: &NodeShared, target: &RunnerTarget) {
-    match shared.control.hold(target, RunnerHold::default()).await {
-        Ok(_) | Err(RunnerError::OtherLife) => shared.state().on_return(),
-        Err(error) => {
-            if error == RunnerError::NotRunning {
-                shared.state().on_nobody(clock::now());
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-    }
+    let answer = shared.control.hold(target, RunnerHold::default()).await.map(|_| ());
+    shared.state().on_awaited_answer(&answer, clock::now());
+    tokio::time::sleep(RETRY_PAUSE).await;
 }
 
 /// Decides what a look that failed says of the runner.
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -473,7 +473,7 @@
     state.on_crash("i-1@200", now);
     let later = now + Duration::from_secs(6);
     assert_eq!(state.report(later).unsettled, [silent]);
-    state.on_nobody(later);
+    state.on_awaited_answer(&Err(RunnerError::NotRunning), later);
     assert!(state.report(later).unsettled.is_empty());
 }
 
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -152,7 +152,7 @@
             return;
         }
         let Some(target) = one.state.target() else {
-            let Some(target) = one.state.awaited_target(now) else {
+            let Some(target) = one.state.awaited_target() else {
                 return self.at(50, Event::Look { agent, run });
             };
             let order = Order::Hold { number: 0, lease_end: None, seen: 0, wait: 0 };
@@ -256,16 +256,13 @@
         let is_target = one.state.is_target(&target);
         match (order, answer) {
             (Order::Hold { number: 0, .. }, answer) => {
-                let is_back = match answer {
-                    CallAnswer::OtherLife | CallAnswer::NotRunning => one.life.is_alive,
-                    CallAnswer::Order(_) => false,
-                    CallAnswer::Lists(_) => true,
+                // Where a life listens, it answers, be it the one that is meant or another.
+                let told = match answer {
+                    CallAnswer::Lists(_) => Ok(()),
+                    _ if one.life.is_alive => Err(RunnerError::OtherLife),
+                    _ => Err(RunnerError::NotRunning),
                 };
-                if is_back {
-                    one.state.on_return();
-                } else {
-                    one.state.on_nobody(now);
-                }
+                one.state.on_awaited_answer(&told, now);
                 let run = self.agents[agent].run;
                 self.at(60, Event::Look { agent, run });
             }
