Do not give a worker's lease back while a start without an answer may come

What callers would see: a task runs twice after a graceful stop of an agent of the product's own workers. Found in review: the next agent acts at once on a lease that was given back, and knows of no try of the one before.

Evidence: a_lease_is_not_given_back_while_a_start_without_an_answer_may_come failed and holds.

--- a/src/process/agent/lease_keeper.rs
+++ b/src/process/agent/lease_keeper.rs
@@ -138,7 +138,7 @@
     }
 
     /// Gives the worker's lease back and leaves the journal to the next run.
-    pub async fn release(&mut self) {
+    pub async fn release(&mut self, is_free: bool) {
         let Some(lease) = self.shared.lease().take() else {
             return;
         };
@@ -155,8 +155,10 @@
             if worker.epoch != epoch || worker.released {
                 return;
             }
-            worker.holder = 0;
-            worker.released = true;
+            if is_free {
+                worker.holder = 0;
+                worker.released = true;
+            }
             let handover = self.shared.journal().hand_over(epoch);
             let journal_key = journal_key(&self.shared.settings.worker);
             let Ok(known) = self.shared.table.get(&journal_key).await else {
--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -402,7 +402,8 @@
     type Reply = ();
 
     async fn handle(&mut self, _: ReleaseLease, _: &mut Context<Self, ()>) {
-        self.keeper.release().await;
+        let is_free = self.unanswered.is_empty();
+        self.keeper.release(is_free).await;
     }
 }
 
