Let runners refuse calls in the soak, after faults of their orders too

The soak knew no runner that answers 429 or 503. Now one refuses all calls, all but every n-th, or orders alone, for 0.2 to 4 s; such refusals also follow every second fault of a runner's orders. Stops and paces are late and lose answers by the stand-in.

Faults of orders went to lives that were over where a task had crashed a runner without a start time. They go to the life that is there now.

--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -299,6 +299,12 @@
         successor.map_or_else(|| self.clone(), |next| next.newest())
     }
 
+    /// The life that is there now, under whatever id, after those that have ended by crashes.
+    pub fn present(&self) -> PlatformRunner {
+        let successor = self.lock().successor.clone();
+        successor.map_or_else(|| self.clone(), |next| next.present())
+    }
+
     fn is_over(&self) -> bool {
         self.lock().is_over
     }
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -1,5 +1,7 @@
 //! Faults from outside the processes, in overlapping series, all drawn from one seed.
 
+use std::fmt;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,6 +10,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::platform_runner::RefusedCalls;
+use crate::platform_runner::RunnerRefusal;
 use crate::platform_store::StoreFault;
 use crate::proxy::ProxyFault;
 use crate::soak::NODES;
@@ -21,12 +25,26 @@
 /// How much slower than the time a runner's clock may go.
 const SLOWEST_CLOCK: f64 = 0.98;
 
+/// For how long a runner refuses calls.
+const REFUSAL_MILLIS: RangeInclusive<u64> = 200..=4_000;
+/// Time after which refusals follow a fault of orders: the first tries have come, and their repeats have not been answered.
+const FOLLOWS_AFTER_MILLIS: RangeInclusive<u64> = 100..=1_500;
+
 pub(crate) struct FaultPlayer {
     shared: Arc<SoakShared>,
     rng: StdRng,
     version: u64,
     /// What has to be mended, and when.
     mends: Vec<(Instant, Mend)>,
+    /// What is still to follow another fault, and when.
+    followers: Vec<(Instant, RefusalFault)>,
+}
+
+/// A runner that refuses calls for a time.
+struct RefusalFault {
+    node: usize,
+    refusal: RunnerRefusal,
+    span: Duration,
 }
 
 /// How a fault ends.
@@ -39,11 +57,26 @@
     Store(usize),
     AllStores,
     Orders(usize),
+    Calls(usize),
+}
+
+impl fmt::Display for RefusalFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let RefusalFault { node, refusal, span } = self;
+        let status = refusal.status.as_u16();
+        write!(f, "runner {node} refuses {:?} with {status} for {span:?}", refusal.calls)
+    }
 }
 
 impl FaultPlayer {
     pub fn new(shared: Arc<SoakShared>, seed: u64) -> FaultPlayer {
-        FaultPlayer { shared, rng: StdRng::seed_from_u64(seed), version: 1, mends: Vec::new() }
+        FaultPlayer {
+            shared,
+            rng: StdRng::seed_from_u64(seed),
+            version: 1,
+            mends: Vec::new(),
+            followers: Vec::new(),
+        }
     }
 
     /// Plays faults for a time, and mends what is broken at the end.
@@ -54,6 +87,7 @@
             let pause = Duration::from_millis(self.rng.random_range(50..LONGEST_PAUSE_MILLIS));
             let next = Instant::now() + pause;
             while Instant::now() < next {
+                self.follow(Instant::now()).await;
                 self.mend(Instant::now()).await;
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
@@ -71,7 +105,7 @@
     async fn strike(&mut self) {
         let planner = self.rng.random_range(0..PLANNERS);
         let node = self.rng.random_range(0..NODES);
-        let text = match self.rng.random_range(0..16) {
+        let text = match self.rng.random_range(0..20) {
             0 => self.pause_planner(planner).await,
             1 => self.pause_agent(node).await,
             2 => self.kill_planner(planner).await,
@@ -83,8 +117,9 @@
             10 => self.break_store(planner, false).await,
             11 => self.break_store(planner, true).await,
             12 => self.drop_history().await,
-            13 => self.hold_up_orders(node).await,
-            14 => self.lose_answers(node).await,
+            13 | 14 => self.hold_up_orders(node).await,
+            15 | 16 => self.lose_answers(node).await,
+            17 | 18 => self.refuse_calls(node).await,
             _ => self.configure().await,
         };
         self.shared.tell(text);
@@ -180,14 +215,65 @@
     async fn hold_up_orders(&mut self, node: usize) -> String {
         let delay = Duration::from_millis(self.rng.random_range(500..6_000));
         let span = self.later(Mend::Orders(node));
-        self.shared.cluster.lock().await.nodes[node].runner.newest().set_late_orders(Some(delay));
-        format!("runner {node} carries orders out {delay:?} late for {span:?}")
+        self.shared.cluster.lock().await.nodes[node].runner.present().set_late_orders(Some(delay));
+        let follower = self.draw_follower(node);
+        format!("runner {node} carries orders out {delay:?} late for {span:?}{follower}")
     }
 
     async fn lose_answers(&mut self, node: usize) -> String {
         let count = self.rng.random_range(1..5);
-        self.shared.cluster.lock().await.nodes[node].runner.newest().lose_answers(count);
-        format!("runner {node} loses {count} answers")
+        self.shared.cluster.lock().await.nodes[node].runner.present().lose_answers(count);
+        let follower = self.draw_follower(node);
+        format!("runner {node} loses {count} answers{follower}")
+    }
+
+    async fn refuse_calls(&mut self, node: usize) -> String {
+        let fault = self.draw_refusal(node);
+        let text = fault.to_string();
+        self.refuse(fault).await;
+        text
+    }
+
+    fn draw_refusal(&mut self, node: usize) -> RefusalFault {
+        let calls = match self.rng.random_range(0..3) {
+            0 => RefusedCalls::All,
+            1 => RefusedCalls::AllButEvery(self.rng.random_range(2..6)),
+            _ => RefusedCalls::Orders,
+        };
+        let refusal = match self.rng.random_bool(0.5) {
+            true => RunnerRefusal::busy(calls),
+            false => RunnerRefusal::unavailable(calls),
+        };
+        let span = Duration::from_millis(self.rng.random_range(REFUSAL_MILLIS));
+        RefusalFault { node, refusal, span }
+    }
+
+    /// Lets refusals follow a fault of a runner's orders, in one case of two.
+    fn draw_follower(&mut self, node: usize) -> String {
+        if self.rng.random_bool(0.5) {
+            return String::new();
+        }
+        let fault = self.draw_refusal(node);
+        let pause = Duration::from_millis(self.rng.random_range(FOLLOWS_AFTER_MILLIS));
+        let text = format!("; {pause:?} later {fault}");
+        self.followers.push((Instant::now() + pause, fault));
+        text
+    }
+
+    /// Begins what is to follow other faults by now.
+    async fn follow(&mut self, now: Instant) {
+        let due: Vec<RefusalFault> =
+            self.followers.extract_if(.., |(at, _)| *at <= now).map(|(_, fault)| fault).collect();
+        for fault in due {
+            self.refuse(fault).await;
+        }
+    }
+
+    async fn refuse(&mut self, fault: RefusalFault) {
+        let RefusalFault { node, refusal, span } = fault;
+        self.mends.push((Instant::now() + span, Mend::Calls(node)));
+        let cluster = self.shared.cluster.lock().await;
+        cluster.nodes[node].runner.present().refuse_calls(Some(refusal));
     }
 
     async fn configure(&mut self) -> String {
@@ -218,7 +304,8 @@
                         .iter()
                         .for_each(|one| one.listener.set_fault(StoreFault::None));
                 }
-                Mend::Orders(node) => cluster.nodes[node].runner.newest().set_late_orders(None),
+                Mend::Orders(node) => cluster.nodes[node].runner.present().set_late_orders(None),
+                Mend::Calls(node) => cluster.nodes[node].runner.present().refuse_calls(None),
             }
         }
     }
--- a/tests/refusing_runner.rs
+++ b/tests/refusing_runner.rs
@@ -130,7 +130,7 @@
     refuse_repeats_of_lost_answers(Duration::from_secs(1)).await;
 }
 
-/// Guards against the same where the runner refuses looks for so long that its agent counts it as lost.
+/// Guards against the same where the refusals outlast a look, so that looks are refused as well.
 #[tokio::test]
 async fn starts_whose_answers_are_lost_and_repeats_refused_for_long_run_once() {
     refuse_repeats_of_lost_answers(Duration::from_millis(2_500)).await;
@@ -158,7 +158,7 @@
     cancel_as_long_as_refused(RefusedCalls::All, Duration::from_millis(500)).await;
 }
 
-/// Guards against the same where the runner refuses for longer than a stop waits for its answer.
+/// Guards against the same where the refusals last for longer.
 #[tokio::test]
 async fn a_job_that_is_cancelled_as_its_runners_refuse_calls_for_long_is_stopped() {
     cancel_as_long_as_refused(RefusedCalls::All, Duration::from_millis(1_500)).await;
