--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -14,6 +14,7 @@
 pub mod run_start;
 pub mod runner_lease;
 pub mod runner_lives;
+pub mod runner_targets;
 pub mod shared;
 pub mod state;
 pub mod unsettled_starts;
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -13,16 +13,13 @@
 use crate::connection::node_protocol::RunnerLook;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
-use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerHold;
 use crate::external::runner_control::RunnerLists;
 use crate::external::runner_control::RunnerMillis;
-use crate::external::runner_control::RunnerTarget;
 use crate::ids::FencingToken;
 use crate::ids::InstanceId;
 use crate::ids::LookNumber;
 use crate::process::node::begun_runs::BegunRuns;
-use crate::process::node::fence::fencing_token;
 use crate::process::node::known_runner::BeatEffect;
 use crate::process::node::known_runner::KnownRunner;
 use crate::process::node::order_book::OrderBook;
@@ -43,7 +40,7 @@
 #[derive(Debug)]
 pub struct NodeState {
     started: Instant,
-    stamp: LinkStamp,
+    pub(super) stamp: LinkStamp,
     pub(super) lives: RunnerLives,
     pub(super) lease: RunnerLease,
     /// Whether the present life has answered the last look.
@@ -51,9 +48,9 @@
     /// Whether all leases have expired since the present life was looked at last, which refuses looks: it runs nothing.
     is_idle: bool,
     /// By how much the fencing token is raised, since the present life has seen a higher one.
-    fence_raise: u32,
+    pub(super) fence_raise: u32,
     /// The least token for this life, above those of the lives before.
-    least_fence: FencingToken,
+    pub(super) least_fence: FencingToken,
     /// The first sign since the last answer that the present life has broken off.
     silent_since: Option<Instant>,
     seen: u64,
@@ -240,54 +237,6 @@
         self.lives.on_earlier(lives);
     }
 
-    /// Where orders go, and under which epoch; nothing without a runner or a planner.
-    pub fn target(&self) -> Option<RunnerTarget> {
-        self.target_of(self.lives.present()?, self.fence_raise)
-    }
-
-    fn target_of(&self, runner: &KnownRunner, fence_raise: u32) -> Option<RunnerTarget> {
-        let epoch = self.stamp.epoch;
-        (epoch > 0).then(|| RunnerTarget {
-            address: runner.address.clone(),
-            instance: runner.status.instance.clone(),
-            epoch,
-            fence: fencing_token(epoch, runner.started_at, fence_raise).max(self.least_fence),
-        })
-    }
-
-    /// Where the next life of the runner will listen, before it has registered. A call with this token makes it refuse what was meant
-    /// for the life before.
-    pub fn awaited_target(&self) -> Option<RunnerTarget> {
-        self.target_of(self.lives.awaited()?, 0)
-    }
-
-    /// Takes note of what became of a call for the next life of the runner. One that answers is called until it has registered.
-    pub fn on_awaited_answer(&mut self, answer: &Result<(), RunnerError>, now: Instant) {
-        match answer {
-            Ok(()) | Err(RunnerError::OtherLife | RunnerError::Fenced) => return,
-            Err(RunnerError::Rejected { .. } | RunnerError::NoAnswer { .. }) => {}
-            Err(RunnerError::NotRunning) => self.unsettled.on_nobody(now),
-        }
-        if self.lives.on_unanswered(now) {
-            self.unsettled.give_up();
-        }
-    }
-
-    /// Whether a target is still the present one.
-    pub fn is_target(&self, target: &RunnerTarget) -> bool {
-        self.target().is_some_and(|present| {
-            present.instance == target.instance
-                && present.epoch == target.epoch
-                && present.address == target.address
-        })
-    }
-
-    /// Takes note that the runner has seen a higher token: one of a later planner, or one of a life before that started later by a
-    /// clock that was put back. The latter is overtaken in a few steps, a later planner's never.
-    pub fn on_fenced(&mut self) {
-        self.fence_raise = self.fence_raise.saturating_mul(2).max(1);
-    }
-
     /// Whether the runner is leaving.
     pub fn is_draining(&self) -> bool {
         self.lives.present().is_some_and(|runner| runner.status.draining)
