--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -220,3 +220,75 @@
     let told = state.report(now).look.unwrap();
     assert_eq!((told.present.len(), told.rejected.len()), (0, 0), "its end tells the rest");
 }
+
+/// Guards against a task that runs twice: an agent that is new has not tried a start yet, which a try of the one before may begin on the
+/// next life.
+#[test]
+fn a_start_that_was_ordered_before_waits_for_the_next_life_untried() {
+    let now = Instant::now();
+    let mut state = linked(Some(200), now);
+    state.begin_start(&order(true), now);
+    assert!(state.on_crash("i-1", now));
+    assert_eq!(state.report(now).unsettled, [key()]);
+}
+
+/// Guards against a run that goes on after its stop: the life before has taken one, and the next life has the run as well.
+#[test]
+fn a_stop_that_the_life_before_has_taken_is_due_on_the_next() {
+    let now = Instant::now();
+    let mut state = linked(Some(200), now);
+    let before = state.target().unwrap();
+    state.begin_stop(&key());
+    assert!(state.on_crash("i-1", now));
+    state.on_beat(next_life(264));
+    assert!(state.begin_stop(&key()));
+    state.on_stop_answer(&before, &key(), &Ok(()));
+    let target = state.target().unwrap();
+    assert!(state.stop_target(&target, &key()).is_some());
+}
+
+/// Guards against a start that leaves after the stop for it: the stop is still on its way.
+#[test]
+fn a_start_does_not_leave_while_its_stop_is_on_its_way() {
+    let now = Instant::now();
+    let mut state = linked(None, now);
+    state.begin_start(&order(false), now);
+    state.begin_stop(&key());
+    let target = state.target().unwrap();
+    assert_eq!(state.begin_try(&target, &key(), &ROOM, now), None);
+}
+
+/// Guards against a task that runs twice: a life is given up when the lease that an earlier look carried has expired, and a start has
+/// carried a longer one.
+#[test]
+fn the_lease_that_a_start_carries_counts_before_a_silent_life_is_given_up() {
+    let now = Instant::now();
+    let mut state = linked(None, now);
+    let (_, hold) = state.next_hold(Duration::ZERO, now);
+    assert_eq!(hold.lease_end, Some(9_000));
+    state.on_sync(&SyncCall {
+        stamp: STAMP,
+        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(14) }),
+        instance: Some("i-1".to_string()),
+        seen: 0,
+        wait: Duration::ZERO,
+    });
+    state.begin_start(&order(false), now);
+    try_start(&mut state, silence(), now);
+    assert!(!state.on_no_answer(false, now + Duration::from_secs(12)));
+    assert!(state.on_no_answer(false, now + Duration::from_secs(30)));
+}
+
+/// Guards against a task that runs twice: a repeat that found nobody says nothing of the first try.
+#[test]
+fn a_repeat_that_never_left_does_not_settle_a_start_without_an_answer() {
+    let now = Instant::now();
+    let mut state = linked(None, now);
+    state.begin_start(&order(false), now);
+    try_start(&mut state, silence(), now);
+    try_start(&mut state, Err(RunnerError::NotRunning), now);
+    try_start(&mut state, Err(RunnerError::Rejected { reason: RejectReason::Unwell }), now);
+    look(&mut state, now);
+    let told = state.report(now).look.unwrap();
+    assert_eq!((told.present.len(), told.rejected.len()), (1, 0));
+}
