--- a/src/process/node/order_book.rs
+++ b/src/process/node/order_book.rs
@@ -98,7 +98,7 @@
     /// let mut book = OrderBook::default();
     /// book.begin_start(&key, false, now);
     /// let conditions = StartConditions { is_draining: false, has_room: true, lease_end: Some(9) };
-    /// assert_eq!(book.next_step(&key, &conditions, now), StartStep::Send(9));
+    /// assert_eq!(book.next_step(&key, &conditions, now), StartStep::Send);
     /// book.begin_stop(&key);
     /// assert_eq!(book.next_step(&key, &conditions, now), StartStep::Over(None));
     /// ```
--- a/src/process/node/orders.rs
+++ b/src/process/node/orders.rs
@@ -68,7 +68,7 @@
         let arrived = clock::now();
         let refusal = loop {
             match self.next_step() {
-                StartStep::Send(_) => self.send_in_turn().await,
+                StartStep::Send => self.send_in_turn().await,
                 StartStep::Wait(pause) => tokio::time::sleep(pause).await,
                 StartStep::Stop(reason) => {
                     spawn_stop(&self.shared, &self.target, self.key.clone());
--- a/src/process/node/pending_start.rs
+++ b/src/process/node/pending_start.rs
@@ -15,7 +15,7 @@
 use crate::process::node::run_start::StartRefusal;
 
 /// Pause before an order without an answer is repeated.
-pub(super) const REPEAT_PAUSE: Duration = Duration::from_millis(30);
+const REPEAT_PAUSE: Duration = Duration::from_millis(30);
 /// Pause before an order that an unwell runner has refused is repeated.
 const UNWELL_PAUSE: Duration = Duration::from_millis(60);
 /// Time for which an unwell runner is asked again whether a start without an answer has begun. It may get well, and the run is
@@ -40,8 +40,8 @@
 /// What has to be done next about a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartStep {
-    /// Send it, with a lease up to this time.
-    Send(RunnerMillis),
+    /// Send it when its turn comes.
+    Send,
     /// Ask again after a pause.
     Wait(Duration),
     /// It is given up for this reason and may begin all the same: stop it.
@@ -185,7 +185,7 @@
 
     fn send_step(&self, conditions: &StartConditions, now: Instant) -> StartStep {
         match conditions.lease_end {
-            Some(lease_end) if now >= self.retry_at => StartStep::Send(lease_end),
+            Some(_) if now >= self.retry_at => StartStep::Send,
             Some(_) => StartStep::Wait(self.retry_at.saturating_duration_since(now)),
             None => StartStep::Wait(LEASE_POLL),
         }
@@ -216,7 +216,7 @@
     now: Instant,
 ) -> RunStart {
     match answer {
-        // What another life has taken is for that one to show.
+        // Whether another life has begun the run is told by looks at that life.
         Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherLife) => {
             RunStart::Closed(sent.close(newest, None))
         }
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -18,7 +18,7 @@
 
 /// The tries to start one run.
 #[derive(Clone, Copy, Debug, Default)]
-struct SentStart {
+struct SentTries {
     /// The newest try before the last one that has no answer.
     unanswered: Option<Instant>,
     /// The last try, while it has no answer.
@@ -27,7 +27,7 @@
     answered_at: Option<LookNumber>,
 }
 
-impl SentStart {
+impl SentTries {
     fn is_unsettled(&self, now: Instant) -> bool {
         let may_come = |sent: Instant| now.saturating_duration_since(sent) < LATE_SPAN;
         let is_late = self.unanswered.max(self.last).is_some_and(may_come);
@@ -38,7 +38,7 @@
 /// Starts that were sent to the present life of the runner, and those of former lives that are unsettled.
 #[derive(Debug, Default)]
 pub struct UnsettledStarts {
-    sent: HashMap<RunKey, SentStart>,
+    sent: HashMap<RunKey, SentTries>,
     /// Starts of former lives, with the time up to which they wait for the next one.
     left: HashMap<RunKey, Instant>,
 }
--- a/tests/doubtful_starts.rs
+++ b/tests/doubtful_starts.rs
@@ -206,7 +206,7 @@
 #[test]
 fn a_start_that_was_stopped_while_it_waited_for_its_turn_does_not_leave() {
     let mut agent = Agent::with_start(false);
-    assert_matches!(agent.next_step(), StartStep::Send(_));
+    assert_matches!(agent.next_step(), StartStep::Send);
     let key = agent.key.clone();
     agent.state.begin_stop(&key);
     agent.try_stop(Ok(()));
--- a/tests/planning_world/order_loop.rs
+++ b/tests/planning_world/order_loop.rs
@@ -28,7 +28,7 @@
             return;
         }
         match one.state.next_step(&target, &tried.key, &tried.room, now) {
-            StartStep::Send(_) => self.await_slot(agent, run, target, QueuedOrder::Start(tried)),
+            StartStep::Send => self.await_slot(agent, run, target, QueuedOrder::Start(tried)),
             StartStep::Wait(pause) => {
                 let pause = (pause.as_millis() as u64).max(1);
                 self.at(pause, Event::Try { agent, run, target, tried });
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -116,7 +116,7 @@
     let step = state.next_step(&target, &key(), &ROOM, now);
     let told = state.report(now).look.unwrap();
     let is_given_up = !told.rejected.is_empty() && !told.shows(&key());
-    let is_tried = matches!(step, StartStep::Send(_));
+    let is_tried = matches!(step, StartStep::Send);
     assert!(!(is_given_up && is_tried), "told as {:?}, and {step:?}", told.rejected);
 }
 
@@ -160,7 +160,7 @@
     state.begin_start(&order(true), now);
     let target = state.target().unwrap();
     let step = state.next_step(&target, &key(), &ROOM, now);
-    assert!(!matches!(step, StartStep::Send(_)), "{step:?}");
+    assert!(!matches!(step, StartStep::Send), "{step:?}");
 }
 
 /// Guards against a task that runs twice: a life that was called with raised tokens has ended, and a late start for it carries one.
