--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -27,6 +27,7 @@
 pub mod planner_rounds;
 pub mod progress;
 pub mod room_hold;
+mod run_pace;
 pub mod serving_layout;
 pub mod spec;
 pub mod task_name;
--- a/src/workflow/pacing.rs
+++ b/src/workflow/pacing.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,31 +15,21 @@
 use crate::connection::node_protocol::TaskTraits;
 use crate::workflow::disturbance::FIRST_ADDED;
 use crate::workflow::disturbance::FIRST_IDLE_SHARE;
-use crate::workflow::disturbance::MEASURED_SPAN;
 use crate::workflow::over_target::LongOver;
 use crate::workflow::over_target::OverTarget;
+use crate::workflow::run_pace::RunPace;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
 
 /// Kept between the load that is aimed at and the load at the target: what a load swings by within a look and
 /// the measured span, and two standard deviations of a measured tail.
 const LOAD_MARGIN: f64 = 0.04;
-/// Part of a possible rise that is taken at once; the rest follows when tails have shown the first part.
-const RISE_SHARE: f64 = 0.7;
 /// Time between two rises: runners measure tails anew that often, and a pace needs some time to have its effect.
 const RISE_PAUSE: Duration = Duration::from_millis(620);
 /// Least load that a fill at full pace is taken to add.
 const LEAST_ADDED: f64 = 0.02;
-/// Time until an ordered pace has its effect: the platform's bound and a call on the own host.
-const PACE_LAG: Duration = Duration::from_millis(120);
 /// Mean pace below which a fill stands still.
 const STILL_PACE: f64 = 0.02;
-/// Least change of pace that is ordered.
-const LEAST_CHANGE: f64 = 0.05;
-/// Time for which a call without an answer may still be carried out.
-const LATE_SPAN: Duration = Duration::from_secs(12);
-/// Time between two orders of one pace while an older one may be carried out late.
-const REPEAT_PERIOD: Duration = Duration::from_millis(500);
 
 /// A run that should work at another speed.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,92 +49,13 @@
     rose: Option<Instant>,
     /// In their order, so that the same looks give the same paces to the last bit.
     paces: BTreeMap<RunKey, RunPace>,
-    /// Runs that may work at a pace which was ordered before, by somebody else.
+    /// Runs that another agent may have paced before.
     inherited: BTreeSet<RunKey>,
-    /// Whether what the next look shows was there before.
-    is_new: bool,
+    /// Whether the runs of the next look are such ones.
+    inherits_next: bool,
     over: OverTarget,
 }
 
-/// The pace of one run as a share of its full speed.
-#[derive(Clone, Debug)]
-struct RunPace {
-    /// What was ordered last.
-    ordered: f64,
-    /// When that was.
-    ordered_at: Instant,
-    /// Whether that order may not have got through.
-    is_in_doubt: bool,
-    /// Up to when an order without an answer may take the place of newer ones.
-    late_until: Option<Instant>,
-    /// Paces and since when each has its effect.
-    past: VecDeque<(Instant, f64)>,
-}
-
-impl RunPace {
-    fn started(now: Instant) -> RunPace {
-        RunPace {
-            ordered: 1.0,
-            ordered_at: now,
-            is_in_doubt: false,
-            late_until: None,
-            past: VecDeque::from([(now, 1.0)]),
-        }
-    }
-
-    /// The pace of a run that somebody else may have paced, with calls that may still be carried out. It counts as still, so that
-    /// it rises in parts: at full pace at once it might harm.
-    fn inherited(now: Instant) -> RunPace {
-        RunPace {
-            ordered: 0.0,
-            is_in_doubt: true,
-            late_until: Some(now + LATE_SPAN),
-            past: VecDeque::from([(now, 0.0)]),
-            ..RunPace::started(now)
-        }
-    }
-
-    /// The pace to order next, if that is another one. Rises are taken in parts, and only when they may be.
-    fn next(&self, allowed: f64, may_rise: bool, now: Instant) -> Option<f64> {
-        let rise = (allowed - self.ordered).max(0.0);
-        if rise > 0.0 && !may_rise {
-            return None;
-        }
-        let wanted = if rise > LEAST_CHANGE { self.ordered + rise * RISE_SHARE } else { allowed };
-        let is_end = wanted != self.ordered && (wanted == 1.0 || wanted == 0.0);
-        let is_change = (self.ordered - wanted).abs() >= LEAST_CHANGE || is_end;
-        (is_change || self.is_in_doubt || self.is_repeat_due(now)).then_some(wanted)
-    }
-
-    /// Whether the pace has to be ordered again, since an older order may have taken its place.
-    fn is_repeat_due(&self, now: Instant) -> bool {
-        let is_late_possible = self.late_until.is_some_and(|until| now < until + REPEAT_PERIOD);
-        is_late_possible && now.saturating_duration_since(self.ordered_at) >= REPEAT_PERIOD
-    }
-
-    fn order(&mut self, pace: f64, now: Instant) {
-        self.ordered = pace;
-        self.ordered_at = now;
-        self.is_in_doubt = false;
-        self.past.push_back((now + PACE_LAG, pace));
-        let span_start = now.checked_sub(MEASURED_SPAN).unwrap_or(now);
-        while self.past.get(1).is_some_and(|(since, _)| *since <= span_start) {
-            self.past.pop_front();
-        }
-    }
-
-    /// The mean pace over the measured span before `now`; before its start a run works at no pace.
-    fn mean(&self, now: Instant) -> f64 {
-        let span_start = now.checked_sub(MEASURED_SPAN).unwrap_or(now);
-        let ends = self.past.iter().skip(1).map(|(since, _)| *since).chain([now]);
-        let parts = self.past.iter().zip(ends).map(|((since, pace), end)| {
-            let begin = (*since).max(span_start);
-            pace * end.min(now).saturating_duration_since(begin).as_secs_f64()
-        });
-        parts.sum::<f64>() / MEASURED_SPAN.as_secs_f64()
-    }
-}
-
 /// Tasks of one job that serve on this worker, whose load swings alike, or one that counts by itself.
 struct ServingGroup {
     /// What they run.
@@ -165,7 +75,7 @@
     /// assert!(PaceControl::inheriting().take_long_over().is_empty());
     /// ```
     pub fn inheriting() -> PaceControl {
-        PaceControl { is_new: true, ..PaceControl::default() }
+        PaceControl { inherits_next: true, ..PaceControl::default() }
     }
 
     /// Takes in what runs on the worker and gives the changes of pace.
@@ -195,21 +105,7 @@
         groups.extend(self.harmed_tasks(running, traits, now));
         let pressure = groups.iter().map(|group| group.pressure).fold(0.0, f64::max);
         let allowed = self.allowed(&groups, traits, now);
-        let may_rise = self.rose.is_none_or(|at| now.saturating_duration_since(at) >= RISE_PAUSE);
-        let mut steps = Vec::new();
-        for (key, pace) in &mut self.paces {
-            let allowed = allowed.get(key).copied().unwrap_or(1.0);
-            let Some(wanted) = pace.next(allowed, may_rise, now) else {
-                continue;
-            };
-            if wanted > pace.ordered {
-                self.rose = Some(now);
-            }
-            pace.order(wanted, now);
-            let percent = (wanted * 100.0).round() as u32;
-            steps.push(PaceStep { key: key.clone(), percent, pressure });
-        }
-        steps
+        self.steps(&allowed, pressure, now)
     }
 
     /// Tasks that have newly been over their targets for long, and the highest pace of the fills beside them in percent.
@@ -218,7 +114,7 @@
     /// assert!(greengagearch::workflow::pacing::PaceControl::default().take_long_over().is_empty());
     /// ```
     pub fn take_long_over(&mut self) -> Vec<(LongOver, u32)> {
-        let highest = self.paces.values().map(|pace| pace.ordered).fold(0.0, f64::max);
+        let highest = self.paces.values().map(RunPace::ordered).fold(0.0, f64::max);
         let percent = (highest * 100.0).round() as u32;
         self.over.take_news().into_iter().map(|over| (over, percent)).collect()
     }
@@ -231,7 +127,7 @@
     /// assert_eq!(PaceControl::default().ordered(&("a.0.0.0".parse().unwrap(), 1)), 100);
     /// ```
     pub fn ordered(&self, key: &RunKey) -> u32 {
-        let pace = self.paces.get(key).map_or(1.0, |pace| pace.ordered);
+        let pace = self.paces.get(key).map_or(1.0, RunPace::ordered);
         (pace * 100.0).round() as u32
     }
 
@@ -250,8 +146,8 @@
         (mean * 100.0).round() as u32
     }
 
-    /// Takes note that an ordered pace was carried out. If another one was ordered meanwhile, nobody knows which came last; the next
-    /// look orders the newest again.
+    /// Takes note that an ordered pace was carried out. If another one was ordered meanwhile, it is not known which came last, and the
+    /// next look orders the newest again.
     ///
     /// ```
     /// use greengagearch::workflow::pacing::PaceControl;
@@ -262,8 +158,8 @@
     /// ```
     pub fn on_done(&mut self, step: &PaceStep) {
         let is_newest = self.ordered(&step.key) == step.percent;
-        if let Some(pace) = self.paces.get_mut(&step.key) {
-            pace.is_in_doubt |= !is_newest;
+        if !is_newest {
+            self.on_failed(&step.key);
         }
     }
 
@@ -276,7 +172,7 @@
     /// ```
     pub fn on_failed(&mut self, key: &RunKey) {
         if let Some(pace) = self.paces.get_mut(key) {
-            pace.is_in_doubt = true;
+            pace.doubt();
         }
     }
 
@@ -291,9 +187,32 @@
     /// ```
     pub fn on_unanswered(&mut self, key: &RunKey, now: Instant) {
         if let Some(pace) = self.paces.get_mut(key) {
-            pace.is_in_doubt = true;
-            pace.late_until = Some(now + LATE_SPAN);
+            pace.on_unanswered(now);
+        }
+    }
+
+    /// The changes that lead to the allowed paces.
+    fn steps(
+        &mut self,
+        allowed: &BTreeMap<RunKey, f64>,
+        pressure: f64,
+        now: Instant,
+    ) -> Vec<PaceStep> {
+        let may_rise = self.rose.is_none_or(|at| now.saturating_duration_since(at) >= RISE_PAUSE);
+        let mut steps = Vec::new();
+        for (key, pace) in &mut self.paces {
+            let allowed = allowed.get(key).copied().unwrap_or(1.0);
+            let Some(wanted) = pace.next(allowed, may_rise, now) else {
+                continue;
+            };
+            if wanted > pace.ordered() {
+                self.rose = Some(now);
+            }
+            pace.order(wanted, now);
+            let percent = (wanted * 100.0).round() as u32;
+            steps.push(PaceStep { key: key.clone(), percent, pressure });
         }
+        steps
     }
 
     /// Keeps the paces of the fills that run, and starts those of new ones at full speed.
@@ -321,7 +240,7 @@
 
     /// Remembers what the first look shows: which runs are fills is known only when the planner has described them.
     fn inherit(&mut self, running: &[PresentRun]) {
-        if std::mem::take(&mut self.is_new) {
+        if std::mem::take(&mut self.inherits_next) {
             self.inherited = running.iter().map(|run| (run.task.clone(), run.run)).collect();
         }
     }
