Give a change of the cluster's row, and whether its outcome is known, a module

The tests import the two types from there and are otherwise as they were. tests/doubtful_change.rs (2), tests/lease_search.rs (1) and tests/scenarios.rs (6) held.

--- a/src/connection/cluster_view.rs
+++ b/src/connection/cluster_view.rs
@@ -11,6 +11,9 @@
 use crate::connection::cluster_map::EntryMember;
 use crate::connection::grant_desk::GrantDesk;
 use crate::connection::lease::LeaseHolder;
+use crate::connection::map_change::ChangeResult;
+use crate::connection::map_change::MapChange;
+use crate::connection::map_change::PendingChange;
 use crate::ids::IncarnationId;
 use crate::ids::LeaseEpoch;
 use crate::ids::PartitionId;
@@ -28,26 +31,6 @@
     pub since: Instant,
 }
 
-/// A change of the row that an entry is about to write.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MapChange {
-    /// Version of the row that the change builds on.
-    pub version: RowVersion,
-    /// The new map.
-    pub map: ClusterMap,
-}
-
-/// How the write of a change ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ChangeResult {
-    /// It took effect, and the row has this version.
-    Written(RowVersion),
-    /// It took no effect and never will.
-    Refused,
-    /// It may take effect now or later.
-    Ambiguous,
-}
-
 /// What an entry knows of the cluster.
 ///
 /// ```
@@ -78,9 +61,7 @@
     unaided_until: Instant,
     heard: HashMap<IncarnationId, Instant>,
     row_read: Option<Instant>,
-    pending: Option<MapChange>,
-    /// Whether a write of it, or of another change of the same row, got no answer: it may take effect until the row has moved on.
-    is_doubtful: bool,
+    pending: PendingChange,
     stopped: bool,
 }
 
@@ -109,8 +90,7 @@
             unaided_until: now,
             heard: HashMap::new(),
             row_read: None,
-            pending: None,
-            is_doubtful: false,
+            pending: PendingChange::default(),
             stopped: false,
         }
     }
@@ -127,10 +107,7 @@
 
     /// Takes in a read of the row that was sent at `sent`.
     pub fn on_row(&mut self, map: ClusterMap, version: RowVersion, sent: Instant, now: Instant) {
-        if self.pending.as_ref().is_some_and(|change| version > change.version) {
-            // The row has moved on, so the change either is in it or can never be.
-            self.pending = None;
-            self.is_doubtful = false;
+        if self.pending.on_row(version) {
             self.desk.end_change(map.generation);
         }
         if map.generation >= self.map.generation {
@@ -243,13 +220,14 @@
 
     /// The change that adds `member`, when this entry can write one now.
     pub fn plan_join(&self, member: EntryMember) -> Option<MapChange> {
-        let version = self.row_version.filter(|_| self.is_member() && self.pending.is_none())?;
+        let version =
+            self.row_version.filter(|_| self.is_member() && self.pending.change().is_none())?;
         Some(MapChange { version, map: self.map.with_member(member) })
     }
 
     /// The change that removes silent members, or settles a change whose outcome is not known.
     pub fn plan_upkeep(&self, now: Instant) -> Option<MapChange> {
-        if let Some(change) = &self.pending {
+        if let Some(change) = self.pending.change() {
             return Some(change.clone());
         }
         let version = self.row_version.filter(|_| self.is_member() && !self.stopped)?;
@@ -273,28 +251,22 @@
 
     /// Must be called before a change is sent to the table service.
     pub fn begin_change(&mut self, change: &MapChange) {
-        self.pending = Some(change.clone());
+        self.pending.begin(change.clone());
         self.desk.begin_change();
     }
 
     /// Takes in how the write of a change ended.
     pub fn end_change(&mut self, change: MapChange, result: ChangeResult, now: Instant) {
-        match result {
-            ChangeResult::Ambiguous => self.is_doubtful = true,
-            // That speaks of this write alone.
-            ChangeResult::Refused if self.is_doubtful => {}
-            ChangeResult::Refused => {
-                self.pending = None;
-                self.desk.end_change(self.map.generation);
-            }
-            ChangeResult::Written(version) => {
-                self.pending = None;
-                self.is_doubtful = false;
-                self.desk.end_change(change.map.generation);
-                self.row_version = Some(version);
-                self.adopt(change.map, now);
-            }
+        if !self.pending.on_result(result) {
+            return;
         }
+        let ChangeResult::Written(version) = result else {
+            self.desk.end_change(self.map.generation);
+            return;
+        };
+        self.desk.end_change(change.map.generation);
+        self.row_version = Some(version);
+        self.adopt(change.map, now);
     }
 
     fn update_acts_from(&mut self, old: &ClusterMap, now: Instant) {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -7,6 +7,7 @@
 pub mod counted_stream;
 pub mod grant_desk;
 pub mod lease;
+pub mod map_change;
 pub mod node_protocol;
 pub mod planner_protocol;
 pub mod protocol;
--- a/tests/doubtful_change.rs
+++ b/tests/doubtful_change.rs
@@ -4,9 +4,9 @@
 
 use greengagearch::connection::cluster_map::ClusterMap;
 use greengagearch::connection::cluster_map::EntryMember;
-use greengagearch::connection::cluster_view::ChangeResult;
 use greengagearch::connection::cluster_view::ClusterView;
-use greengagearch::connection::cluster_view::MapChange;
+use greengagearch::connection::map_change::ChangeResult;
+use greengagearch::connection::map_change::MapChange;
 
 /// A generation that is newer than any map here.
 const NEWEST: u64 = 9;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -9,10 +9,10 @@
 
 use greengagearch::connection::cluster_map::ClusterMap;
 use greengagearch::connection::cluster_map::EntryMember;
-use greengagearch::connection::cluster_view::ChangeResult;
 use greengagearch::connection::cluster_view::ClusterView;
-use greengagearch::connection::cluster_view::MapChange;
 use greengagearch::connection::lease::LeaseHolder;
+use greengagearch::connection::map_change::ChangeResult;
+use greengagearch::connection::map_change::MapChange;
 
 const LEASE: &str = "worker/w";
 
