Give starts without an answer a type of their own

UnansweredStarts knows which starts may begin and what they hold; attempt_ends.rs tells which attempts have ended.

--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent: dispatches to its host's endpoints and runs its worker's tasks under leases.
 
 pub mod announce_http;
+pub mod attempt_ends;
 pub mod dispatcher;
 pub mod heartbeat;
 pub mod lease_keeper;
@@ -9,6 +10,7 @@
 pub mod renewal;
 pub mod rpc;
 pub mod shared;
+pub mod unanswered_starts;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/process/agent/reconciler.rs
+++ b/src/process/agent/reconciler.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -31,10 +30,12 @@
 use crate::external::write_budget::WritePriority;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::process::agent::attempt_ends::ended_attempts;
 use crate::process::agent::lease_keeper::LeaseKeeper;
 use crate::process::agent::lease_keeper::RowReading;
 use crate::process::agent::renewal::lease_end;
 use crate::process::agent::shared::AgentShared;
+use crate::process::agent::unanswered_starts::UnansweredStarts;
 use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::request::job::TaskEnd;
@@ -57,8 +58,7 @@
     keeper: LeaseKeeper,
     row: Option<(RowVersion, WorkerRow)>,
     row_read: Option<Instant>,
-    /// Starts without an answer, with the end of their leases on the worker's clock: until then they may be carried out.
-    unanswered: HashMap<AttemptKey, u64>,
+    unanswered: UnansweredStarts,
 }
 
 /// The worker's row has changed.
@@ -76,7 +76,7 @@
             shared,
             row: None,
             row_read: None,
-            unanswered: HashMap::new(),
+            unanswered: UnansweredStarts::default(),
         }
     }
 
@@ -123,7 +123,7 @@
             return;
         };
         let until_millis = lease_end(&status, until, answered);
-        self.unanswered.retain(|_, until| status.now_millis < *until);
+        self.unanswered.drop_expired(status.now_millis);
         self.stop_unwanted(worker, &status).await;
         self.start_missing(worker, &status, until_millis).await;
         self.commit_ends(worker, &status).await;
@@ -150,7 +150,7 @@
 
     /// Lets a worker forget attempts, except those that it would start anew when a late try came.
     async fn forget(&self, worker: &Arc<dyn WorkerControl>, mut keys: Vec<AttemptKey>) {
-        keys.retain(|key| !self.unanswered.contains_key(key));
+        keys.retain(|key| !self.unanswered.contains(key));
         if !keys.is_empty() {
             let _ = worker.forget(keys).await;
         }
@@ -165,7 +165,7 @@
         let Some((_, row)) = self.row.clone() else { return };
         let running = status.attempts.iter().filter(|one| one.state == AttemptState::Running);
         let mut used = running.fold(ResourceAmount::default(), |sum, one| sum.plus(&one.resources));
-        used = used.plus(&self.unanswered_room(&row, status));
+        used = used.plus(&self.unanswered.room(&row, status));
         for (name, committed) in &row.tasks {
             let Some((job, task)) = parse_task_name(name) else {
                 continue;
@@ -174,7 +174,7 @@
             if committed.stop || status.attempts.iter().any(|one| one.key == key) {
                 continue;
             }
-            let next = match self.unanswered.contains_key(&key) {
+            let next = match self.unanswered.contains(&key) {
                 true => used,
                 false => used.plus(&committed.resources),
             };
@@ -196,25 +196,12 @@
         resources: ResourceAmount,
         until_millis: u64,
     ) -> bool {
-        let row = self.shared.table.get(&task_key(&key.job, key.task)).await;
-        let Ok(Some(row)) = row else { return false };
-        let Ok(task) = row.decode::<TaskRow>() else { return false };
-        if !task.is_current(&key, &self.shared.settings.worker) {
+        let Some(start) = self.read_start(&key, resources, until_millis).await else {
             return false;
-        }
-        let start = TaskStart {
-            key: key.clone(),
-            kind: task.kind,
-            resources,
-            input: task.spec.input,
-            checkpoint: task.checkpoint,
-            run_millis: task.spec.run_millis,
-            lease_until_millis: until_millis,
         };
         let started = worker.start(start).await;
         if started == Err(WorkerError::Unreachable) {
-            let until = self.unanswered.entry(key.clone()).or_default();
-            *until = until_millis.max(*until);
+            self.unanswered.insert(key.clone(), until_millis);
         }
         let pairs: [(&str, &dyn std::fmt::Display); 4] = [
             ("job", &key.job),
@@ -226,13 +213,36 @@
         !matches!(started, Err(WorkerError::Refused { .. }))
     }
 
+    /// The start of an attempt, if the task's row still names it.
+    async fn read_start(
+        &self,
+        key: &AttemptKey,
+        resources: ResourceAmount,
+        until_millis: u64,
+    ) -> Option<TaskStart> {
+        let row = self.shared.table.get(&task_key(&key.job, key.task)).await.ok()??;
+        let task: TaskRow = row.decode().ok()?;
+        if !task.is_current(key, &self.shared.settings.worker) {
+            return None;
+        }
+        Some(TaskStart {
+            key: key.clone(),
+            kind: task.kind,
+            resources,
+            input: task.spec.input,
+            checkpoint: task.checkpoint,
+            run_millis: task.spec.run_millis,
+            lease_until_millis: until_millis,
+        })
+    }
+
     /// Commits the ends of attempts: with the tasks' rows, the worker's row lets them go.
     async fn commit_ends(&mut self, worker: &Arc<dyn WorkerControl>, status: &WorkerStatus) {
         let Some((version, row)) = self.row.clone() else {
             return;
         };
         let mut ended: Vec<AttemptReport> = ended_attempts(&row, status);
-        ended.retain(|one| !self.may_begin(&one.key, status));
+        ended.retain(|one| !self.unanswered.may_begin(&one.key, status));
         ended.truncate(ENDS_PER_WRITE);
         if ended.is_empty() {
             return;
@@ -253,20 +263,6 @@
         self.row_read = None;
     }
 
-    /// What starts without an answer hold as soon as they begin.
-    fn unanswered_room(&self, row: &WorkerRow, status: &WorkerStatus) -> ResourceAmount {
-        let keys = self.unanswered.keys().filter(|key| row.has_attempt(key));
-        let keys = keys.filter(|key| self.may_begin(key, status));
-        let tasks = keys.filter_map(|key| row.tasks.get(&task_name(&key.job, key.task)));
-        tasks.fold(ResourceAmount::default(), |sum, task| sum.plus(&task.resources))
-    }
-
-    /// Whether an attempt that the worker does not show may begin all the same.
-    fn may_begin(&self, key: &AttemptKey, status: &WorkerStatus) -> bool {
-        let is_shown = status.attempts.iter().any(|one| one.key == *key);
-        !is_shown && self.unanswered.contains_key(key)
-    }
-
     async fn write_ends(
         &mut self,
         version: RowVersion,
@@ -356,31 +352,6 @@
     }
 }
 
-/// Attempts of the row that ended, or that shall stop before they were started.
-fn ended_attempts(row: &WorkerRow, status: &WorkerStatus) -> Vec<AttemptReport> {
-    let of_row = status.attempts.iter().filter(|one| row.has_attempt(&one.key));
-    let ended = of_row.filter(|one| one.state != AttemptState::Running).cloned();
-    let mut reports: Vec<AttemptReport> = ended.collect();
-    for (name, task) in row.tasks.iter().filter(|(_, task)| task.stop) {
-        let Some((job, index)) = parse_task_name(name) else {
-            continue;
-        };
-        let key = AttemptKey { job, task: index, attempt: task.attempt };
-        if !status.attempts.iter().any(|one| one.key == key) {
-            let state = AttemptState::Stopped { checkpoint: None };
-            reports.push(AttemptReport {
-                key,
-                kind: task.kind.clone(),
-                resources: task.resources,
-                used: ResourceAmount::default(),
-                ran_millis: 0,
-                state,
-            });
-        }
-    }
-    reports
-}
-
 impl Message<ReconcileTick> for ReconcileActor {
     type Reply = ();
 
