--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod faults;
+mod lives;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -37,15 +38,12 @@
 
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
-/// Time after its start at which a task crashes its runner, and after which that runner is back.
+/// Time after its start at which a task crashes its runner.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
-const BACK_AFTER: Duration = Duration::from_millis(400);
 /// Longest lease; longer ones are shortened.
 const LONGEST_LEASE_MS: u64 = 10_000;
 /// Time that is left at least to one that drains.
 const DRAIN_REMAINING: Duration = Duration::from_secs(60);
-/// Pause before the address of the life before is tried again, as long as it is taken.
-const BIND_PAUSE: Duration = Duration::from_millis(5);
 
 #[derive(Default)]
 struct RunnerLife {
@@ -101,16 +99,6 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Listens at an address that the life before has just left.
-async fn listen_again(address: SocketAddr) -> TcpListener {
-    loop {
-        if let Ok(listener) = TcpListener::bind(address).await {
-            return listener;
-        }
-        tokio::time::sleep(BIND_PAUSE).await;
-    }
-}
-
 impl PlatformRunner {
     /// Starts a runner that registers at an agent.
     pub async fn spawn(
@@ -143,55 +131,6 @@
         PlatformRunner::serve(listener, instance, registry, journal, 1.0, start_time)
     }
 
-    /// Ends this life; after a pause another one begins. Where something else has ended it, what follows is waited for.
-    pub async fn restart(&self, pause: Duration) -> PlatformRunner {
-        match self.break_off() {
-            true => self.begin_next(pause).await,
-            false => self.follow().await,
-        }
-    }
-
-    /// Begins the life that follows this one after a pause: under its id and at its address, or with an id of its own where lives do not
-    /// tell when they started. It ends at once if the runner was ended for good meanwhile.
-    async fn begin_next(&self, pause: Duration) -> PlatformRunner {
-        tokio::time::sleep(pause).await;
-        let (registry, journal) = (self.registry, self.journal.clone());
-        let next = match self.start_time {
-            Some(before) => {
-                let listener = listen_again(self.address).await;
-                // Two lives do not start in the same millisecond.
-                let start_time = Some(unix_millis().max(before + 1));
-                let (instance, speed) = (&self.instance, self.speed);
-                PlatformRunner::serve(listener, instance, registry, journal, speed, start_time)
-            }
-            None => {
-                let instance = format!("{}+", self.instance);
-                PlatformRunner::spawn(&instance, registry, journal).await
-            }
-        };
-        let mut life = self.lock();
-        if life.is_closed {
-            next.break_off();
-        }
-        life.successor = Some(next.clone());
-        next
-    }
-
-    /// Waits for the life that follows this one, which is over; none does where the runner was ended for good.
-    async fn follow(&self) -> PlatformRunner {
-        loop {
-            let (next, is_closed) = {
-                let life = self.lock();
-                (life.successor.clone(), life.is_closed)
-            };
-            match next {
-                Some(next) => return next.newest(),
-                None if is_closed => return self.clone(),
-                None => tokio::time::sleep(BIND_PAUSE).await,
-            }
-        }
-    }
-
     fn serve(
         listener: TcpListener,
         instance: &str,
@@ -253,58 +192,11 @@
         self.lock().faults.late_orders = delay;
     }
 
-    /// Ends this life and what follows it: nothing runs any more, and nobody answers for it.
-    pub fn crash(&self) {
-        let successor = {
-            let mut life = self.lock();
-            life.is_closed = true;
-            life.successor.take()
-        };
-        if let Some(successor) = successor {
-            successor.crash();
-        }
-        self.break_off();
-    }
-
-    /// Ends this life; another one begins after a while, unless something else has ended it.
-    async fn crash_and_return(&self) {
-        if self.break_off() {
-            Box::pin(self.begin_next(BACK_AFTER)).await;
-        }
-    }
-
-    /// Says whether it was not over before.
-    fn break_off(&self) -> bool {
-        let (was_over, running) = {
-            let mut life = self.lock();
-            (std::mem::replace(&mut life.is_over, true), std::mem::take(&mut life.running))
-        };
-        for (task, run) in running.into_keys() {
-            self.journal.end(&task, run, &self.label(), "crashed");
-        }
-        if self.start_time.is_some() {
-            self.closing.notify_one();
-        }
-        !was_over
-    }
-
     /// Names this life alone.
     fn label(&self) -> String {
         self.start_time.map_or(self.instance.clone(), |at| format!("{}@{at}", self.instance))
     }
 
-    /// The newest life under the id: it carries out calls that were held up.
-    pub fn newest(&self) -> PlatformRunner {
-        let successor = self.lock().successor.clone().filter(|_| self.start_time.is_some());
-        successor.map_or_else(|| self.clone(), |next| next.newest())
-    }
-
-    /// The life that is there now, under whatever id, after those that have ended by crashes.
-    pub fn present(&self) -> PlatformRunner {
-        let successor = self.lock().successor.clone();
-        successor.map_or_else(|| self.clone(), |next| next.present())
-    }
-
     fn is_over(&self) -> bool {
         self.lock().is_over
     }
