Share what tests tell an agent of its runner, its lease and its orders

Five test files had the same status, traits, order, planner's call and look; they are tests/linked_agent now.

--- a/tests/doubtful_starts.rs
+++ b/tests/doubtful_starts.rs
@@ -1,28 +1,32 @@
 //! Starts of which a try has no answer: what refusals, stops and looks tell of them.
 
+mod linked_agent;
+
 use std::time::Duration;
 use std::time::Instant;
 
 use assert_matches::assert_matches;
-use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerLook;
-use greengagearch::connection::node_protocol::RunnerStatus;
-use greengagearch::connection::node_protocol::StartOrder;
-use greengagearch::connection::node_protocol::SyncCall;
-use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerError;
-use greengagearch::external::runner_control::RunnerLists;
 use greengagearch::external::runner_control::RunnerTarget;
-use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::pending_start::StartStep;
 use greengagearch::process::node::state::NodeState;
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::worker_board::RunKey;
 
+use crate::linked_agent::LONG_LEASE;
+use crate::linked_agent::begun_run;
+use crate::linked_agent::known_runner;
+use crate::linked_agent::lease_call;
+use crate::linked_agent::look_at;
+use crate::linked_agent::plain_traits;
+use crate::linked_agent::start_order;
+
 const STAMP: LinkStamp = LinkStamp { epoch: 3, link: 1 };
+const TASK: &str = "a.0.0.0";
 const ROOM: RoomAmount = RoomAmount { millicores: 400, memory_mib: 100, accelerators: 0 };
 
 /// An agent with a runner, a planner, a lease and one order to start.
@@ -35,48 +39,24 @@
 impl Agent {
     fn with_start(is_repeat: bool) -> Agent {
         let now = Instant::now();
-        let mut agent =
-            Agent { state: NodeState::new(now), now, key: ("a.0.0.0".parse().unwrap(), 1) };
+        let mut agent = Agent { state: NodeState::new(now), now, key: (TASK.parse().unwrap(), 1) };
         agent.beat(1, false);
         agent.state.admit(STAMP).unwrap();
         agent.look(Vec::new());
-        agent.state.on_sync(&SyncCall {
-            stamp: STAMP,
-            grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
-            instance: Some("i-1".to_string()),
-            seen: 0,
-            wait: Duration::ZERO,
-        });
+        agent.state.on_sync(&lease_call(STAMP, LONG_LEASE));
         agent.order(is_repeat);
         agent
     }
 
     fn order(&mut self, is_repeat: bool) {
-        let traits = TaskTraits {
-            task: self.key.0.clone(),
-            image: String::new(),
-            target_ms: 0,
-            fills: false,
-            room: ROOM,
-            effects: Vec::new(),
-            idle_tail_ms: 0,
-        };
-        let (payload, checkpoint) = (String::new(), String::new());
-        let order = StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat };
+        let order = start_order(plain_traits(TASK, ROOM), is_repeat);
         assert!(self.state.begin_start(&order, self.now));
     }
 
     fn beat(&mut self, sequence: u64, draining: bool) {
-        let status = RunnerStatus {
-            instance: "i-1".to_string(),
-            service: "s".to_string(),
-            domain: "d".to_string(),
-            capacity: RoomAmount { millicores: 1_000, memory_mib: 1_000, accelerators: 0 },
-            labels: Vec::new(),
-            draining,
-        };
-        let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
-        self.state.on_beat(KnownRunner { runner, status, address, sequence, started_at: None });
+        let mut runner = known_runner(1_000, 1_000, sequence);
+        runner.status.draining = draining;
+        self.state.on_beat(runner);
     }
 
     fn target(&self) -> RunnerTarget {
@@ -107,15 +87,9 @@
 
     /// A look that shows these runs, and what the planner is told of it.
     fn look(&mut self, running: Vec<PresentRun>) -> RunnerLook {
-        let (number, _) = self.state.next_hold(Duration::ZERO, self.now);
-        let lists = RunnerLists { clock: 0, running, ended: Vec::new() };
-        self.state.on_lists(number, lists, self.now);
+        look_at(&mut self.state, running, 0, self.now);
         self.state.report(self.now).look.unwrap()
     }
-
-    fn begun(&self) -> PresentRun {
-        PresentRun { is_begun: true, ..PresentRun::ordered(self.key.0.clone(), self.key.1) }
-    }
 }
 
 fn silence() -> Result<(), RunnerError> {
@@ -176,7 +150,7 @@
     let mut agent = Agent::with_start(false);
     agent.try_start(silence());
     agent.try_start(refusal(RejectReason::Unwell));
-    let begun = agent.begun();
+    let begun = begun_run(TASK);
     let look = agent.look(vec![begun]);
     assert_eq!((look.present.len(), look.rejected.len()), (1, 0));
     agent.now += Duration::from_secs(2);
@@ -189,7 +163,7 @@
 fn a_refused_stop_is_sent_again() {
     let mut agent = Agent::with_start(false);
     agent.try_start(Ok(()));
-    let begun = agent.begun();
+    let begun = begun_run(TASK);
     agent.look(vec![begun.clone()]);
     let key = agent.key.clone();
     assert!(agent.state.begin_stop(&key));
--- a/tests/late_pace.rs
+++ b/tests/late_pace.rs
@@ -1,6 +1,8 @@
 //! Paces that a runner carries out later than newer ones, and paces that an agent before has ordered. A runner does not tell at which
 //! pace a run works, so that an agent which believes in the wrong one never orders another.
 
+mod linked_agent;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -11,7 +13,6 @@
 use greengagearch::connection::node_protocol::ImageEffect;
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::PresentRun;
-use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::StartOrder;
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerControl;
@@ -20,7 +21,6 @@
 use greengagearch::external::runner_control::RunnerLists;
 use greengagearch::external::runner_control::RunnerMillis;
 use greengagearch::external::runner_control::RunnerTarget;
-use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::shared::NodeShared;
 use greengagearch::process::node::watcher::spawn_watcher;
 use greengagearch::workflow::spec::RoomAmount;
@@ -28,6 +28,10 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::linked_agent::begun_run;
+use crate::linked_agent::known_runner;
+use crate::linked_agent::plain_traits;
+
 const TARGET_MS: u64 = 125;
 /// Tails of the task that serves: with nothing beside it, and with far too much.
 const QUIET_TAIL_MS: u64 = 27;
@@ -134,37 +138,25 @@
 }
 
 fn run(task: &str, usage: u64) -> PresentRun {
-    let ordered = PresentRun::ordered(task.parse().unwrap(), 1);
-    PresentRun { usage, is_begun: true, progress_percent: 100, ..ordered }
+    PresentRun { usage, progress_percent: 100, ..begun_run(task) }
 }
 
 fn traits(task: &str, target_ms: u64) -> TaskTraits {
     let effect = ImageEffect { serving: "image".to_string(), added_permille: 300 };
     TaskTraits {
-        task: task.parse().unwrap(),
         image: "image".to_string(),
         target_ms,
         fills: target_ms == 0,
-        room: RoomAmount::default(),
         effects: if target_ms == 0 { vec![effect] } else { Vec::new() },
         idle_tail_ms: 25,
+        ..plain_traits(task, RoomAmount::default())
     }
 }
 
 /// An agent that looks at a runner, but does not know yet what runs there.
 fn watching(control: Arc<RunnerHandle>) -> Arc<NodeShared> {
     let shared = Arc::new(NodeShared::new(control));
-    let status = RunnerStatus {
-        instance: "i-1".to_string(),
-        service: "s".to_string(),
-        domain: "d".to_string(),
-        capacity: RoomAmount { millicores: 4_000, memory_mib: 4_000, accelerators: 0 },
-        labels: Vec::new(),
-        draining: false,
-    };
-    let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
-    let known = KnownRunner { runner, status, address, sequence: 1, started_at: None };
-    shared.state().on_beat(known);
+    shared.state().on_beat(known_runner(4_000, 4_000, 1));
     shared.state().admit(LinkStamp { epoch: 1, link: 1 }).unwrap();
     spawn_watcher(shared.clone());
     shared
--- /dev/null
+++ b/tests/linked_agent/mod.rs
@@ -0,0 +1,77 @@
+//! What an agent is told until it may start runs: the state of its runner, a planner's call, orders and looks.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use greengagearch::connection::node_protocol::LeaseGrant;
+use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::PresentRun;
+use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::connection::node_protocol::StartOrder;
+use greengagearch::connection::node_protocol::SyncCall;
+use greengagearch::connection::node_protocol::TaskTraits;
+use greengagearch::external::runner_control::RunnerLists;
+use greengagearch::process::node::known_runner::KnownRunner;
+use greengagearch::process::node::state::NodeState;
+use greengagearch::workflow::spec::RoomAmount;
+
+/// Span of a lease that outlasts what a test plays.
+pub const LONG_LEASE: Duration = Duration::from_secs(9);
+
+/// The runner beside the agent; its start time is not known.
+pub fn known_runner(millicores: u64, memory_mib: u64, sequence: u64) -> KnownRunner {
+    let status = RunnerStatus {
+        instance: "i-1".to_string(),
+        service: "s".to_string(),
+        domain: "d".to_string(),
+        capacity: RoomAmount { millicores, memory_mib, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+    };
+    let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
+    KnownRunner { runner, status, address, sequence, started_at: None }
+}
+
+/// Traits of a task that neither serves nor fills.
+pub fn plain_traits(task: &str, room: RoomAmount) -> TaskTraits {
+    TaskTraits {
+        task: task.parse().unwrap(),
+        image: String::new(),
+        target_ms: 0,
+        fills: false,
+        room,
+        effects: Vec::new(),
+        idle_tail_ms: 0,
+    }
+}
+
+/// An order to start the first run of a task.
+pub fn start_order(traits: TaskTraits, is_repeat: bool) -> StartOrder {
+    let (payload, checkpoint) = (String::new(), String::new());
+    StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat }
+}
+
+/// A planner's call that grants a lease to the runner of [`known_runner`].
+pub fn lease_call(stamp: LinkStamp, span: Duration) -> SyncCall {
+    SyncCall {
+        stamp,
+        grant: Some(LeaseGrant { since: Duration::ZERO, span }),
+        instance: Some("i-1".to_string()),
+        seen: 0,
+        wait: Duration::ZERO,
+    }
+}
+
+/// A run that has begun on the runner.
+pub fn begun_run(task: &str) -> PresentRun {
+    PresentRun { is_begun: true, ..PresentRun::ordered(task.parse().unwrap(), 1) }
+}
+
+/// A look at the runner that shows these runs at `clock`; the planner is not told of it yet.
+pub fn look_at(state: &mut NodeState, running: Vec<PresentRun>, clock: u64, now: Instant) {
+    let (number, _) = state.next_hold(Duration::ZERO, now);
+    let lists = RunnerLists { clock, running, ended: Vec::new() };
+    state.on_lists(number, lists, now);
+}
--- a/tests/refused_looks.rs
+++ b/tests/refused_looks.rs
@@ -1,19 +1,17 @@
 //! A runner that refuses all looks for longer than the leases that it was given: what ran there has lapsed.
 
+mod linked_agent;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeReport;
-use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
-use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::StartOrder;
-use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::external::runner_control::RunnerControl;
 use greengagearch::external::runner_control::RunnerError;
 use greengagearch::external::runner_control::RunnerHold;
@@ -21,14 +19,16 @@
 use greengagearch::external::runner_control::RunnerMillis;
 use greengagearch::external::runner_control::RunnerTarget;
 use greengagearch::process::clock;
-use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::shared::NodeShared;
 use greengagearch::process::node::watcher::spawn_watcher;
-use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::task_name::TaskName;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::linked_agent::begun_run;
+use crate::linked_agent::known_runner;
+use crate::linked_agent::lease_call;
+
 const STAMP: LinkStamp = LinkStamp { epoch: 1, link: 1 };
 /// The only lease that the runner gets.
 const LEASE: Duration = Duration::from_millis(1_000);
@@ -81,8 +81,7 @@
 
     async fn hold(&self, _: &RunnerTarget, _: RunnerHold) -> Result<RunnerLists, RunnerError> {
         sleep(Duration::from_millis(20)).await;
-        let ordered = PresentRun::ordered("a.0.0.0".parse().unwrap(), 1);
-        let running = vec![PresentRun { is_begun: true, ..ordered }];
+        let running = vec![begun_run("a.0.0.0")];
         let lists = RunnerLists { clock: 500, running, ended: Vec::new() };
         self.failure().map_or(Ok(lists), Err)
     }
@@ -92,25 +91,9 @@
 async fn is_told_as_over(is_silent: bool) -> bool {
     let runner = Arc::new(UnwellRunner { is_silent, ..UnwellRunner::default() });
     let shared = Arc::new(NodeShared::new(runner.clone()));
-    let status = RunnerStatus {
-        instance: "i-1".to_string(),
-        service: "s".to_string(),
-        domain: "d".to_string(),
-        capacity: RoomAmount { millicores: 4_000, memory_mib: 4_000, accelerators: 0 },
-        labels: Vec::new(),
-        draining: false,
-    };
-    let (id, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
-    let known = KnownRunner { runner: id, status, address, sequence: 1, started_at: None };
-    shared.state().on_beat(known);
+    shared.state().on_beat(known_runner(4_000, 4_000, 1));
     shared.state().admit(STAMP).unwrap();
-    shared.state().on_sync(&SyncCall {
-        stamp: STAMP,
-        grant: Some(LeaseGrant { since: Duration::ZERO, span: LEASE }),
-        instance: Some("i-1".to_string()),
-        seen: 0,
-        wait: Duration::ZERO,
-    });
+    shared.state().on_sync(&lease_call(STAMP, LEASE));
     spawn_watcher(shared.clone());
     sleep(WELL).await;
     drop(shared.state().report(clock::now()));
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -1,18 +1,14 @@
 //! Orders that come again, starts that wait for the next life of a runner, and tokens that keep late starts from it.
 
+mod linked_agent;
+
 use std::time::Duration;
 use std::time::Instant;
 
-use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
-use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
-use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::StartOrder;
-use greengagearch::connection::node_protocol::SyncCall;
-use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerError;
-use greengagearch::external::runner_control::RunnerLists;
 use greengagearch::ids::StartMillis;
 use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::pending_start::StartStep;
@@ -20,38 +16,28 @@
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::worker_board::RunKey;
 
+use crate::linked_agent::LONG_LEASE;
+use crate::linked_agent::begun_run;
+use crate::linked_agent::known_runner;
+use crate::linked_agent::lease_call;
+use crate::linked_agent::look_at;
+use crate::linked_agent::plain_traits;
+use crate::linked_agent::start_order;
+
 const STAMP: LinkStamp = LinkStamp { epoch: 3, link: 1 };
+const TASK: &str = "a.0.0.0";
 const ROOM: RoomAmount = RoomAmount { millicores: 400, memory_mib: 100, accelerators: 0 };
 
 fn key() -> RunKey {
-    ("a.0.0.0".parse().unwrap(), 1)
+    (TASK.parse().unwrap(), 1)
 }
 
 fn order(is_repeat: bool) -> StartOrder {
-    let traits = TaskTraits {
-        task: key().0,
-        image: String::new(),
-        target_ms: 0,
-        fills: false,
-        room: ROOM,
-        effects: Vec::new(),
-        idle_tail_ms: 0,
-    };
-    let (payload, checkpoint) = (String::new(), String::new());
-    StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat }
+    start_order(plain_traits(TASK, ROOM), is_repeat)
 }
 
 fn runner(millicores: u64, sequence: u64, started_at: Option<StartMillis>) -> KnownRunner {
-    let status = RunnerStatus {
-        instance: "i-1".to_string(),
-        service: "s".to_string(),
-        domain: "d".to_string(),
-        capacity: RoomAmount { millicores, memory_mib: 1_000, accelerators: 0 },
-        labels: Vec::new(),
-        draining: false,
-    };
-    let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
-    KnownRunner { runner, status, address, sequence, started_at }
+    KnownRunner { started_at, ..known_runner(millicores, 1_000, sequence) }
 }
 
 /// The next life of the runner, under the same id.
@@ -63,14 +49,7 @@
 
 /// A look that shows nothing; the planner is not told of it yet.
 fn look(state: &mut NodeState, now: Instant) {
-    look_at(state, Vec::new(), now);
-}
-
-/// A look that shows these runs.
-fn look_at(state: &mut NodeState, running: Vec<PresentRun>, now: Instant) {
-    let (number, _) = state.next_hold(Duration::ZERO, now);
-    let lists = RunnerLists { clock: 0, running, ended: Vec::new() };
-    state.on_lists(number, lists, now);
+    look_at(state, Vec::new(), 0, now);
 }
 
 /// An agent with a runner, a planner and a lease.
@@ -80,13 +59,7 @@
     state.admit(STAMP).unwrap();
     look(&mut state, now);
     state.report(now);
-    state.on_sync(&SyncCall {
-        stamp: STAMP,
-        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) }),
-        instance: Some("i-1".to_string()),
-        seen: 0,
-        wait: Duration::ZERO,
-    });
+    state.on_sync(&lease_call(STAMP, LONG_LEASE));
     state
 }
 
@@ -212,8 +185,7 @@
     assert_eq!(step, StartStep::Stop(RejectReason::Room));
     state.on_stop_answer(&target, &key(), &Ok(()));
 
-    let ending = PresentRun { is_begun: true, ..PresentRun::ordered(key().0, 1) };
-    look_at(&mut state, vec![ending], now);
+    look_at(&mut state, vec![begun_run(TASK)], 0, now);
     let told = state.report(now).look.unwrap();
     assert_eq!((told.present.len(), told.rejected.len()), (1, 0));
     look(&mut state, now);
--- a/tests/shrunk_capacity.rs
+++ b/tests/shrunk_capacity.rs
@@ -3,22 +3,20 @@
 //! The planner counts free room from the newest report; a start may have been decided on an older one and have waited for the store.
 //! A runner that does not guard its capacity would begin it all the same, so that the agent beside it is the last that can refuse.
 
+mod linked_agent;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_trait::async_trait;
-use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::OrderCall;
-use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RejectedRun;
-use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::StartOrder;
-use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::RunnerControl;
 use greengagearch::external::runner_control::RunnerError;
@@ -30,11 +28,19 @@
 use greengagearch::process::node::known_runner::KnownRunner;
 use greengagearch::process::node::orders::take_orders;
 use greengagearch::process::node::shared::NodeShared;
+use greengagearch::process::node::state::NodeState;
 use greengagearch::workflow::spec::RoomAmount;
 use greengagearch::workflow::task_name::TaskName;
-use greengagearch::workflow::worker_board::RunKey;
 use tokio::time::timeout;
 
+use crate::linked_agent::LONG_LEASE;
+use crate::linked_agent::begun_run;
+use crate::linked_agent::known_runner;
+use crate::linked_agent::lease_call;
+use crate::linked_agent::look_at;
+use crate::linked_agent::plain_traits;
+use crate::linked_agent::start_order;
+
 /// Pause between two looks, and the longest wait for what has to come.
 const POLL: Duration = Duration::from_millis(5);
 const LIMIT: Duration = Duration::from_secs(5);
@@ -78,39 +84,15 @@
 }
 
 fn runner(millicores: u64, sequence: u64) -> KnownRunner {
-    let status = RunnerStatus {
-        instance: "i-1".to_string(),
-        service: "s".to_string(),
-        domain: "d".to_string(),
-        capacity: RoomAmount { millicores, memory_mib: 4_000, accelerators: 0 },
-        labels: Vec::new(),
-        draining: false,
-    };
-    let (runner, address) = ("i-1".to_string(), "127.0.0.1:1".to_string());
-    KnownRunner { runner, status, address, sequence, started_at: None }
+    known_runner(millicores, 4_000, sequence)
 }
 
 fn traits(task: &str, millicores: u64) -> TaskTraits {
-    TaskTraits {
-        task: task.parse().unwrap(),
-        image: String::new(),
-        target_ms: 0,
-        fills: false,
-        room: RoomAmount { millicores, memory_mib: 100, accelerators: 0 },
-        effects: Vec::new(),
-        idle_tail_ms: 0,
-    }
+    plain_traits(task, RoomAmount { millicores, memory_mib: 100, accelerators: 0 })
 }
 
 fn start(number: u64, task: &str, millicores: u64) -> OrderCall {
-    let order = StartOrder {
-        run: 1,
-        payload: String::new(),
-        checkpoint: String::new(),
-        ticket: None,
-        traits: traits(task, millicores),
-        is_repeat: false,
-    };
+    let order = start_order(traits(task, millicores), false);
     OrderCall {
         stamp: STAMP,
         instance: "i-1".to_string(),
@@ -128,24 +110,13 @@
     state.admit(STAMP).unwrap();
     state.traits.insert("a.0.0.0".parse().unwrap(), traits("a.0.0.0", 2_000));
     look(&mut state, now);
-    let grant = LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(9) };
-    state.on_sync(&SyncCall {
-        stamp: STAMP,
-        grant: Some(grant),
-        instance: Some("i-1".to_string()),
-        seen: 0,
-        wait: Duration::ZERO,
-    });
+    state.on_sync(&lease_call(STAMP, LONG_LEASE));
     drop(state);
     shared
 }
 
-fn look(state: &mut greengagearch::process::node::state::NodeState, now: Instant) {
-    let key: RunKey = ("a.0.0.0".parse().unwrap(), 1);
-    let shown = PresentRun { is_begun: true, ..PresentRun::ordered(key.0, key.1) };
-    let (number, _) = state.next_hold(Duration::ZERO, now);
-    let lists = RunnerLists { clock: 500, running: vec![shown], ended: Vec::new() };
-    state.on_lists(number, lists, now);
+fn look(state: &mut NodeState, now: Instant) {
+    look_at(state, vec![begun_run("a.0.0.0")], 500, now);
 }
 
 /// Looks at the runner until the agent has refused something.
