Planner: take a look in by parts of one matter each

on_look had 53 lines; which runs a look does not show, and what it tells of ends, are functions of their own.

--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -9,6 +9,7 @@
 use crate::connection::node_protocol::ImageEffect;
 use crate::connection::node_protocol::NodeOrder;
 use crate::connection::node_protocol::NodeReport;
+use crate::connection::node_protocol::PresentRun;
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::RejectedRun;
 use crate::connection::node_protocol::RunnerLook;
@@ -24,6 +25,7 @@
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_board::RunKey;
+use crate::workflow::worker_entry::WorkerEntry;
 
 /// Least time between two messages that tell an agent what was learned of its runs.
 const DESCRIBE_PERIOD: Duration = Duration::from_millis(500);
@@ -49,6 +51,31 @@
     runs.map(|key| look.shows(&key)).collect()
 }
 
+/// Takes in which of a worker's runs a look shows. Gives those that it does not show though their orders had come.
+fn compare_runs(
+    worker: &mut WorkerEntry,
+    mut present: BTreeMap<RunKey, PresentRun>,
+    orders_seen: u64,
+    resync: bool,
+    now: Instant,
+) -> Vec<RunKey> {
+    let mut absent = Vec::new();
+    let mut changed = false;
+    for (key, run) in &mut worker.assigned {
+        match present.remove(key) {
+            Some(seen) => changed |= run.on_seen(seen, now) && run.fills,
+            None if run.order.is_some_and(|order| order <= orders_seen || resync) => {
+                absent.push(key.clone());
+            }
+            None => {}
+        }
+    }
+    if changed {
+        worker.fills_changed = Some(now);
+    }
+    absent
+}
+
 impl Planner {
     /// Takes in what an agent reports, and whether it came over a new link.
     ///
@@ -150,39 +177,18 @@
 
     fn on_look(&mut self, instance: &str, look: RunnerLook) {
         let shown = refusals_shown(&look);
-        let last = look.ended.last().map(|ended| ended.number);
-        for ended in look.ended {
-            self.on_ended(instance, ended);
-        }
-        if let Some(last) = last {
-            self.held_acks.insert(instance.to_string(), last);
-        }
+        self.on_ends(instance, look.ended);
         for (rejected, shown) in look.rejected.iter().zip(shown) {
             self.on_rejected(instance, rejected, shown);
         }
-        let mut present: BTreeMap<RunKey, _> = BTreeMap::new();
-        for run in look.present {
-            present.insert((run.task.clone(), run.run), run);
-        }
+        let present = look.present.into_iter().map(|run| ((run.task.clone(), run.run), run));
+        let present: BTreeMap<RunKey, PresentRun> = present.collect();
         self.stop_strangers(instance, &present);
         let Some(worker) = self.board.get_mut(instance) else {
             return;
         };
         let resync = std::mem::take(&mut worker.resync);
-        let mut absent = Vec::new();
-        let mut changed = false;
-        for (key, run) in &mut worker.assigned {
-            match present.remove(key) {
-                Some(seen) => changed |= run.on_seen(seen, self.now) && run.fills,
-                None if run.order.is_some_and(|order| order <= look.orders_seen || resync) => {
-                    absent.push(key.clone());
-                }
-                None => {}
-            }
-        }
-        if changed {
-            worker.fills_changed = Some(self.now);
-        }
+        let absent = compare_runs(worker, present, look.orders_seen, resync, self.now);
         self.disturbance.learn(worker, self.now);
         let works = worker.assigned.iter().filter(|(_, run)| !run.long_running);
         let works = works.filter_map(|(key, run)| Some((key.0.clone(), run.work?)));
@@ -202,6 +208,16 @@
         }
     }
 
+    fn on_ends(&mut self, instance: &str, ends: Vec<EndedRun>) {
+        let last = ends.last().map(|ended| ended.number);
+        for ended in ends {
+            self.on_ended(instance, ended);
+        }
+        if let Some(last) = last {
+            self.held_acks.insert(instance.to_string(), last);
+        }
+    }
+
     fn learn_durations(&mut self, works: &[(TaskName, RunWork)]) {
         for (name, work) in works {
             if let Some(entry) = self.jobs.get_mut(&name.job) {
