Agent: say when the lease is given back, and split two long functions

release told of its argument nothing: the lease stays where a start may still be carried out. One try at it, and what a reaction asks of the worker, are functions of their own. tests/unanswered_start.rs (4), tests/refused_reaction.rs (4), tests/colocation.rs (4) and tests/batch_faults.rs (16) held.

--- a/src/process/agent/lease_keeper.rs
+++ b/src/process/agent/lease_keeper.rs
@@ -137,43 +137,52 @@
         }
     }
 
-    /// Gives the worker's lease back and leaves the journal to the next run.
+    /// Ends this run's part in the worker's lease and leaves the journal to the next run. The lease is given back where the worker
+    /// `is_free` of starts that may still be carried out; else the next run waits until it has expired.
     pub async fn release(&mut self, is_free: bool) {
         let Some(lease) = self.shared.lease().take() else {
             return;
         };
         // From here on this run takes no orders and renews nothing.
         let epoch = lease.holder.epoch();
-        let worker_key = worker_key(&self.shared.settings.worker);
         for _ in 0..RELEASE_TRIES {
-            let Ok(Some(row)) = self.shared.table.get(&worker_key).await else {
-                continue;
-            };
-            let Ok(mut worker) = row.decode::<WorkerRow>() else {
-                return;
-            };
-            if worker.epoch != epoch || worker.released {
-                return;
-            }
-            if is_free {
-                worker.holder = 0;
-                worker.released = true;
-            }
-            let handover = self.shared.journal().hand_over(epoch);
-            let journal_key = journal_key(&self.shared.settings.worker);
-            let Ok(known) = self.shared.table.get(&journal_key).await else {
-                continue;
-            };
-            let mut transaction = TableTransaction::of(WritePriority::Lease);
-            transaction.put(&worker_key, row.version, &worker);
-            transaction.put(&journal_key, known.map_or(0, |row| row.version), &handover);
-            if self.shared.table.commit(transaction).await.is_ok() {
-                log_event(Level::Info, "lease_released", &[("epoch", &epoch)]);
+            if self.try_release(epoch, is_free).await {
                 return;
             }
         }
     }
 
+    /// Says whether nothing is left to try.
+    async fn try_release(&self, epoch: LeaseEpoch, is_free: bool) -> bool {
+        let worker_key = worker_key(&self.shared.settings.worker);
+        let Ok(Some(row)) = self.shared.table.get(&worker_key).await else {
+            return false;
+        };
+        let Ok(mut worker) = row.decode::<WorkerRow>() else {
+            return true;
+        };
+        if worker.epoch != epoch || worker.released {
+            return true;
+        }
+        if is_free {
+            worker.holder = 0;
+            worker.released = true;
+        }
+        let handover = self.shared.journal().hand_over(epoch);
+        let journal_key = journal_key(&self.shared.settings.worker);
+        let Ok(known) = self.shared.table.get(&journal_key).await else {
+            return false;
+        };
+        let mut transaction = TableTransaction::of(WritePriority::Lease);
+        transaction.put(&worker_key, row.version, &worker);
+        transaction.put(&journal_key, known.map_or(0, |row| row.version), &handover);
+        let is_written = self.shared.table.commit(transaction).await.is_ok();
+        if is_written {
+            log_event(Level::Info, "lease_released", &[("epoch", &epoch)]);
+        }
+        is_written
+    }
+
     /// Reads the worker's row, which keeps the lease fresh or shows that it is lost.
     pub async fn read_row(&mut self) -> RowReading {
         let map = self.shared.map();
--- a/src/process/agent/reactor.rs
+++ b/src/process/agent/reactor.rs
@@ -7,6 +7,7 @@
 
 use log::Level;
 
+use crate::external::worker::AttemptKey;
 use crate::external::worker::AttemptReport;
 use crate::external::worker::AttemptState;
 use crate::external::worker::WorkerControl;
@@ -87,16 +88,7 @@
     let Some(step) = reaction.look(pressure.ratio, &tasks, &slowdowns, now) else {
         return;
     };
-    let (event, key, done) = match step.clone() {
-        ReactionStep::Throttle(key, percent) => {
-            ("throttled", key.clone(), worker.throttle(key, percent).await)
-        }
-        ReactionStep::Ease(key) => ("eased", key.clone(), worker.throttle(key, 100).await),
-        ReactionStep::Evict(key) => {
-            shared.begin_eviction(&key);
-            ("evicted", key.clone(), worker.stop(key).await)
-        }
-    };
+    let (event, key, done) = carry_out(shared, worker, step.clone()).await;
     if let Err(error) = &done {
         let is_refused = matches!(error, WorkerError::Refused { .. });
         reaction.on_failed(&step, is_refused);
@@ -115,6 +107,24 @@
     log_event(Level::Info, event, &pairs);
 }
 
+/// Asks the worker for a step. Gives the event for the log, the task and the answer.
+async fn carry_out(
+    shared: &AgentShared,
+    worker: &Arc<dyn WorkerControl>,
+    step: ReactionStep,
+) -> (&'static str, AttemptKey, Result<(), WorkerError>) {
+    match step {
+        ReactionStep::Throttle(key, percent) => {
+            ("throttled", key.clone(), worker.throttle(key, percent).await)
+        }
+        ReactionStep::Ease(key) => ("eased", key.clone(), worker.throttle(key, 100).await),
+        ReactionStep::Evict(key) => {
+            shared.begin_eviction(&key);
+            ("evicted", key.clone(), worker.stop(key).await)
+        }
+    }
+}
+
 fn worst_pressure(shared: &AgentShared, now: Instant) -> Option<ServicePressure> {
     let reports = shared.endpoints().reports(now);
     let mut worst: Option<ServicePressure> = None;
