Comments and a name that stopped a reader

The head of tests/refusing_runner.rs says what may happen, not where it was seen; a failure after a write whose answer was lost is named after that. tests/job_interface.rs (4) and tests/request_faults.rs (10) held.

--- a/src/process/entry/job_http.rs
+++ b/src/process/entry/job_http.rs
@@ -151,7 +151,7 @@
     let mut is_ambiguous = false;
     for _ in 0..COMMIT_TRIES {
         let found = read_job(&state.shared, &job).await;
-        let found = found.map_err(|error| lost(error, is_ambiguous))?;
+        let found = found.map_err(|error| after_write(error, is_ambiguous))?;
         let (mut row, version) = found.ok_or(JobError::NotFound { job: job.clone() })?;
         if row.state != JobState::Active {
             nudge(&state, &job).await;
@@ -165,7 +165,7 @@
             // The next round reads what came of it.
             Ok(_) | Err(TableError::Conflict { .. }) => {}
             Err(TableError::Ambiguous) => is_ambiguous = true,
-            Err(error) => return Err(lost(error.into(), is_ambiguous)),
+            Err(error) => return Err(after_write(error.into(), is_ambiguous)),
         }
     }
     Err(JobError::Ambiguous)
@@ -188,7 +188,7 @@
             Ok(_) => return Ok((true, row)),
             Err(TableError::Conflict { .. }) => {
                 let found = read_job(shared, &job).await;
-                let found = found.map_err(|error| lost(error, is_ambiguous))?;
+                let found = found.map_err(|error| after_write(error, is_ambiguous))?;
                 let (known, _) = found.ok_or(JobError::Ambiguous)?;
                 let is_same = known.spec == row.spec;
                 // An answer that was lost looks the same as a repeat, and is as good.
@@ -196,14 +196,14 @@
             }
             // The same transaction can take effect only once, so it may be sent again.
             Err(TableError::Ambiguous) => is_ambiguous = true,
-            Err(error) => return Err(lost(error.into(), is_ambiguous)),
+            Err(error) => return Err(after_write(error.into(), is_ambiguous)),
         }
     }
     Err(JobError::Ambiguous)
 }
 
-/// A failure after a write whose answer was lost tells nothing of that write.
-fn lost(error: JobError, is_ambiguous: bool) -> JobError {
+/// What a failure comes to after a write: if that write's answer was lost, the failure tells nothing of it.
+fn after_write(error: JobError, is_ambiguous: bool) -> JobError {
     match error {
         JobError::Unavailable if is_ambiguous => JobError::Ambiguous,
         error => error,
--- a/standins/src/platform_runner/faults.rs
+++ b/standins/src/platform_runner/faults.rs
@@ -19,7 +19,7 @@
 pub enum RefusedCalls {
     /// All.
     All,
-    /// All but every so many, which is let through.
+    /// All but one of so many, which is let through.
     AllButEvery(u32),
     /// Starts, stops and paces; looks are answered.
     Orders,
--- a/tests/refusing_runner.rs
+++ b/tests/refusing_runner.rs
@@ -1,7 +1,7 @@
 //! Runners that refuse calls while the fate of an order before is open, with real processes.
 //!
-//! Seen on the users' own machines: a start got no answer, its repeat was refused by a runner that was unwell, and the planner
-//! started the task elsewhere. The first try was carried out seconds later, and the task ran twice at once.
+//! A start without an answer may be carried out seconds later. If the refusal of its repeat counts for the whole order, the planner
+//! starts the task elsewhere, and it runs twice at once.
 
 use std::path::Path;
 use std::time::Duration;
