--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -238,13 +238,7 @@
     let mut state = linked(None, now);
     let (_, hold) = state.next_hold(Duration::ZERO, now);
     assert_eq!(hold.lease_end, Some(9_000));
-    state.on_sync(&SyncCall {
-        stamp: STAMP,
-        grant: Some(LeaseGrant { since: Duration::ZERO, span: Duration::from_secs(14) }),
-        instance: Some("i-1".to_string()),
-        seen: 0,
-        wait: Duration::ZERO,
-    });
+    state.on_sync(&lease_call(STAMP, Duration::from_secs(14)));
     state.begin_start(&order(false), now);
     try_start(&mut state, silence(), now);
     assert!(!state.on_no_answer(false, now + Duration::from_secs(12)));
