Hold a run while an attempt to start it may still be carried out

No caller has reported it; it needs runners that come back under their ids.

Cause: a start without an answer may be carried out for up to 12 s, by whichever life has the runner's id then. It was counted as settled by what is known of one life: its end, its refusal, its crash, or the first look at the next one. Ruled out by the trace (tests/planning_world/trace.rs): that the late call carries something that a new life could check. Its lease is by a clock that begins anew, its token is the first that the life sees, and the expected instance is named by the id, which is the same.

Change: the doubt belongs to the attempt. A run of which an attempt is in doubt stays with its worker; its end, refusal and absence do not count, and the task starts nowhere else. Agents tell the doubts with the time left, the planner notes them in the jobs' rows, so that a replaced agent or planner loses none; runs that a replaced agent had not shown are held as well. A look confirms a life from the time at which it was sent, so that an agent that stood still does not acknowledge ends of the next life. Lasting tasks are not held, nor is anything where each life has an id of its own.

--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -99,6 +99,8 @@
             runner: Some(status),
             former: vec![],
             unsettled: Vec::new(),
+            keeps_id: false,
+            in_doubt: Vec::new(),
             crashes: vec![],
             snapshot: Some(look),
         }
--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -264,6 +264,16 @@
     pub young: Vec<YoungRun>,
 }
 
+/// A run of which an attempt to start had no response and may still be carried out, by the instance
+/// that it was sent to or by a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartInDoubt {
+    /// The run.
+    pub key: RunKey,
+    /// Time left in which the attempt may be carried out.
+    pub remaining: Duration,
+}
+
 /// State of an agent and its runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -271,10 +281,15 @@
     pub now: Duration,
     /// The current runner instance, or `None` if none is registered.
     pub runner: Option<RunnerStatus>,
+    /// Whether the runner keeps its id when it restarts.
+    pub keeps_id: bool,
     /// Former instances of the runner, on which nothing runs any more.
     pub former: Vec<InstanceId>,
     /// Runs sent to former instances that their successor may have started or may still start.
     pub unsettled: Vec<RunKey>,
+    /// Starts that a later instance of the runner may carry out, although the run has ended or was
+    /// given up by then.
+    pub in_doubt: Vec<StartInDoubt>,
     /// Recent crashes among the former instances.
     pub crashes: Vec<RunnerCrash>,
     /// The newest snapshot, or `None` if the runner has not responded recently.
--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -67,27 +67,40 @@
         response: &Result<(), RunnerError>,
         now: Instant,
     ) {
+        if self.current_instance() == Some(&target.instance) {
+            self.settle_attempt(key, response, now);
+        }
         if !self.is_current_target(target) {
             return;
         }
         self.tracker.on_start_response(key, response, now);
+        match response {
+            Ok(()) => self.recent_starts.on_started(key),
+            Err(RunnerError::NoAnswer { .. }) => {}
+            Err(
+                RunnerError::NotRunning
+                | RunnerError::OtherInstance
+                | RunnerError::Fenced
+                | RunnerError::Rejected { .. },
+            ) => self.recent_starts.on_not_started(key),
+        }
+    }
+
+    /// Records whether the last attempt may still be carried out, also if the planner has been
+    /// replaced since it was sent.
+    fn settle_attempt(&mut self, key: &RunKey, response: &Result<(), RunnerError>, now: Instant) {
         let newest_poll = self.tracker.newest_poll();
         match response {
-            Ok(()) => {
-                self.recent_starts.on_started(key);
+            Ok(()) | Err(RunnerError::Fenced | RunnerError::Rejected { .. }) => {
                 self.unsettled.on_response(key, newest_poll);
             }
-            Err(RunnerError::NoAnswer { .. }) => {}
-            Err(RunnerError::NotRunning) => {
-                self.recent_starts.on_not_started(key);
-                self.unsettled.on_not_sent(key);
+            Err(RunnerError::NoAnswer { .. }) => {
+                self.unsettled.on_no_response(key, now);
+                self.has_changes |= self.instances.may_have_successor();
             }
+            Err(RunnerError::NotRunning) => self.unsettled.on_not_sent(key),
             // Another instance may have carried out the start, so its outcome stays unknown.
-            Err(RunnerError::OtherInstance) => self.recent_starts.on_not_started(key),
-            Err(RunnerError::Fenced | RunnerError::Rejected { .. }) => {
-                self.recent_starts.on_not_started(key);
-                self.unsettled.on_response(key, newest_poll);
-            }
+            Err(RunnerError::OtherInstance) => {}
         }
     }
 
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -12,6 +12,7 @@
 use crate::connection::node_protocol::PresentRun;
 use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerSnapshot;
+use crate::connection::node_protocol::StartInDoubt;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
 use crate::external::runner_control::PollRequest;
@@ -46,6 +47,11 @@
     pub(super) lease: RunnerLease,
     /// Whether the current instance has answered the last poll.
     is_confirmed: bool,
+    /// The newest poll and when it was sent.
+    newest_poll: (PollNumber, Instant),
+    /// When the last poll that the current instance has answered was sent. The response may have
+    /// waited in a buffer while this process was suspended.
+    confirmed_at: Instant,
     /// Whether all leases of the current instance have expired while it rejects polls, so that it
     /// runs nothing.
     have_leases_expired: bool,
@@ -64,7 +70,7 @@
     /// Runs in the newest snapshot, including those whose start is pending.
     pub(super) present: BTreeSet<RunKey>,
     last_reported_end: u64,
-    has_changes: bool,
+    pub(super) has_changes: bool,
     /// Orders whose outcome no poll has shown yet.
     pub(super) tracker: OrderTracker,
     /// Runs that the current instance has started recently.
@@ -94,6 +100,8 @@
             instances: RunnerInstances::default(),
             lease: RunnerLease::none(started),
             is_confirmed: false,
+            newest_poll: (0, started),
+            confirmed_at: started,
             have_leases_expired: false,
             fence_increment: 0,
             min_fence: 0,
@@ -283,9 +291,10 @@
 
     /// Returns the number and the parameters of the next poll.
     pub fn next_poll(&mut self, wait: Duration, now: Instant) -> (PollNumber, PollRequest) {
+        let number = self.tracker.next_poll_number();
+        self.newest_poll = (number, now);
         if self.may_be_successor(now) {
-            let request = PollRequest { lease_end: None, seen: 0, wait: Duration::ZERO };
-            return (self.tracker.next_poll_number(), request);
+            return (number, PollRequest { lease_end: None, seen: 0, wait: Duration::ZERO });
         }
         // Calls may be carried out late, so an instance that does not respond gets no further
         // lease.
@@ -297,14 +306,13 @@
         // whose ends have the same numbers.
         let is_listed = self.first_listed_end.is_some_and(|first| first <= self.acknowledged_end);
         let seen = if is_listed { self.acknowledged_end } else { 0 };
-        (self.tracker.next_poll_number(), PollRequest { lease_end, seen, wait })
+        (number, PollRequest { lease_end, seen, wait })
     }
 
     /// Returns whether the successor under the runner's id may answer the next poll. It would apply
     /// the lease to a clock of its own, and discard ends that have the same numbers.
     fn may_be_successor(&self, now: Instant) -> bool {
-        let is_outdated =
-            now.saturating_duration_since(self.lease.last_response()) > MAX_CONFIRMATION_AGE;
+        let is_outdated = now.saturating_duration_since(self.confirmed_at) > MAX_CONFIRMATION_AGE;
         self.instances.may_have_successor() && (!self.is_confirmed || is_outdated)
     }
 
@@ -318,6 +326,9 @@
     ) -> bool {
         self.lease.on_response(response.clock, now);
         self.is_confirmed = true;
+        if self.newest_poll.0 == number {
+            self.confirmed_at = self.newest_poll.1;
+        }
         self.have_leases_expired = false;
         self.unresponsive_since = None;
         self.has_changes |= self.unsettled.on_poll(number, |key| is_listed(&response, key), now);
@@ -350,6 +361,15 @@
         self.fresh_snapshot = Some(RunnerSnapshot { present, ended, rejected, orders_seen });
     }
 
+    /// Returns the starts that a later instance may carry out. There are none if the runner gets
+    /// another id when it restarts.
+    fn starts_in_doubt(&self, now: Instant) -> Vec<StartInDoubt> {
+        match self.instances.current() {
+            Some(runner) if runner.started_at.is_none() => Vec::new(),
+            _ => self.unsettled.in_doubt(now),
+        }
+    }
+
     /// Returns whether the planner should get a report at once.
     pub fn has_changes(&self) -> bool {
         // Without a runner there is no poll to wait for, and its runs wait to be started elsewhere.
@@ -371,8 +391,10 @@
         NodeReport {
             now: now.saturating_duration_since(self.started),
             runner: self.instances.current().map(|runner| runner.status.clone()),
+            keeps_id: self.instances.may_have_successor(),
             former: self.instances.former(),
             unsettled: self.unsettled.keys(),
+            in_doubt: self.starts_in_doubt(now),
             crashes: self.instances.crashes(now),
             snapshot,
         }
--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -10,41 +10,55 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::node_protocol::StartInDoubt;
 use crate::ids::PollNumber;
+use crate::workflow::start_doubts::LATE_DELIVERY_SPAN;
 use crate::workflow::worker_inventory::RunKey;
 
-/// Time for which a start without a response may still be carried out.
-const LATE_DELIVERY_SPAN: Duration = Duration::from_secs(12);
 /// Longest wait for the successor, so that a runner that does not return does not block its tasks.
 const MAX_SUCCESSOR_WAIT: Duration = Duration::from_secs(5);
 
 /// The attempts to start one run.
 #[derive(Clone, Copy, Debug, Default)]
 struct StartAttempts {
-    /// Time of the newest attempt without a response, not counting the last one.
-    unanswered_sent_at: Option<Instant>,
-    /// Time of the last attempt while it has no response.
-    last_sent_at: Option<Instant>,
+    /// Time by which the newest attempt without a response had been sent.
+    unanswered_at: Option<Instant>,
+    /// Time from which the last attempt waits for its response.
+    in_flight_since: Option<Instant>,
     /// The newest poll when a response arrived, until the instance has answered a later poll.
     answered_after: Option<PollNumber>,
+    /// Number of attempts, including those that an earlier agent may have made.
+    count: u32,
+    /// Whether the instance has listed the run, so that one of the attempts was carried out.
+    is_listed: bool,
 }
 
 impl StartAttempts {
+    /// Returns whether an attempt is left that may be carried out in addition to the one that has
+    /// begun the run.
+    fn has_surplus(&self) -> bool {
+        self.count > u32::from(self.is_listed)
+    }
+
     fn is_unsettled(&self, now: Instant) -> bool {
-        let may_be_carried_out =
-            |sent: Instant| now.saturating_duration_since(sent) < LATE_DELIVERY_SPAN;
-        let is_unanswered =
-            self.unanswered_sent_at.max(self.last_sent_at).is_some_and(may_be_carried_out);
-        is_unanswered || self.answered_after.is_some()
+        let newest = self.unanswered_at.max(self.in_flight_since);
+        newest.is_some_and(|sent| may_be_carried_out(sent, now)) || self.answered_after.is_some()
     }
 }
 
+/// Returns whether an attempt without a response may still be carried out.
+fn may_be_carried_out(sent_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(sent_at) < LATE_DELIVERY_SPAN
+}
+
 /// Starts sent to the runner's current instance, and unsettled starts of former instances.
 #[derive(Debug, Default)]
 pub struct UnsettledStarts {
     sent: HashMap<RunKey, StartAttempts>,
     /// Starts of former instances, with the time until which they wait for the successor.
     inherited: HashMap<RunKey, Instant>,
+    /// Time by which the newest attempt without a response had been sent, over all instances.
+    in_doubt: HashMap<RunKey, Instant>,
 }
 
 impl UnsettledStarts {
@@ -63,8 +77,34 @@
     /// ```
     pub fn on_sending(&mut self, key: &RunKey, now: Instant) {
         let start = self.sent.entry(key.clone()).or_default();
-        start.unanswered_sent_at = start.last_sent_at.or(start.unanswered_sent_at);
-        start.last_sent_at = Some(now);
+        start.count += 1;
+        if let Some(previous) = start.in_flight_since.replace(now) {
+            start.unanswered_at = Some(previous);
+            self.in_doubt.insert(key.clone(), previous);
+        }
+    }
+
+    /// Records that the last attempt has no response: it may be carried out later.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::process::node::unsettled_starts::UnsettledStarts;
+    ///
+    /// let (key, now) = (("a.0.0.0".parse().unwrap(), 1), Instant::now());
+    /// let mut starts = UnsettledStarts::default();
+    /// starts.on_sending(&key, now);
+    /// starts.on_no_response(&key, now);
+    /// assert_eq!(starts.in_doubt(now).len(), 1);
+    /// ```
+    pub fn on_no_response(&mut self, key: &RunKey, now: Instant) {
+        if let Some(start) = self.sent.get_mut(key) {
+            start.in_flight_since = None;
+            start.unanswered_at = Some(now);
+            if start.has_surplus() {
+                self.in_doubt.insert(key.clone(), now);
+            }
+        }
     }
 
     /// Records that a runner has responded to the last attempt when `newest_poll` was the newest
@@ -77,7 +117,7 @@
     /// ```
     pub fn on_response(&mut self, key: &RunKey, newest_poll: PollNumber) {
         if let Some(start) = self.sent.get_mut(key) {
-            start.last_sent_at = None;
+            start.in_flight_since = None;
             start.answered_after = Some(newest_poll);
         }
     }
@@ -91,7 +131,8 @@
     /// ```
     pub fn on_not_sent(&mut self, key: &RunKey) {
         if let Some(start) = self.sent.get_mut(key) {
-            start.last_sent_at = None;
+            start.in_flight_since = None;
+            start.count -= 1;
         }
     }
 
@@ -118,10 +159,15 @@
         is_listed: impl Fn(&RunKey) -> bool,
         now: Instant,
     ) -> bool {
-        for start in self.sent.values_mut() {
+        for (key, start) in &mut self.sent {
             start.answered_after.take_if(|newest_poll| number > *newest_poll);
+            start.is_listed |= is_listed(key);
+            if !start.has_surplus() {
+                self.in_doubt.remove(key);
+            }
         }
         self.sent.retain(|_, start| start.is_unsettled(now));
+        self.in_doubt.retain(|_, sent| may_be_carried_out(*sent, now));
         let before = self.inherited.len();
         self.inherited.retain(|key, _| is_listed(key));
         self.inherited.len() < before
@@ -149,8 +195,12 @@
     /// UnsettledStarts::default().end_instance(Instant::now());
     /// ```
     pub fn end_instance(&mut self, now: Instant) {
-        let sent = self.sent.drain().filter(|(_, start)| start.is_unsettled(now));
-        self.inherited.extend(sent.map(|(key, _)| (key, now + MAX_SUCCESSOR_WAIT)));
+        for (key, start) in self.sent.drain().filter(|(_, start)| start.is_unsettled(now)) {
+            if start.in_flight_since.is_some() && start.has_surplus() {
+                self.in_doubt.insert(key.clone(), now);
+            }
+            self.inherited.insert(key, now + MAX_SUCCESSOR_WAIT);
+        }
     }
 
     /// Discards the starts sent to the current instance, which has ended without a successor under
@@ -163,6 +213,7 @@
     /// ```
     pub fn discard_instance(&mut self) {
         self.sent.clear();
+        self.in_doubt.clear();
     }
 
     /// Records that nothing listened when the successor was polled, and discards starts whose wait
@@ -197,6 +248,25 @@
         self.inherited.clear();
     }
 
+    /// Returns the runs of which an attempt may still be carried out by a later instance, whatever
+    /// has become of the run since.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::process::node::unsettled_starts::UnsettledStarts;
+    ///
+    /// assert!(UnsettledStarts::default().in_doubt(Instant::now()).is_empty());
+    /// ```
+    pub fn in_doubt(&self, now: Instant) -> Vec<StartInDoubt> {
+        let remaining = self.in_doubt.iter().map(|(key, since)| {
+            let remaining =
+                LATE_DELIVERY_SPAN.saturating_sub(now.saturating_duration_since(*since));
+            StartInDoubt { key: key.clone(), remaining }
+        });
+        remaining.filter(|start| !start.remaining.is_zero()).collect()
+    }
+
     /// Returns the runs sent to former instances that must not start elsewhere yet.
     ///
     /// ```
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -57,6 +57,11 @@
             "run_adopted",
             &[("task", task), ("run", run), ("from", from), ("worker", worker), ("epoch", &epoch)],
         ),
+        PlanDecision::StartInDoubt { task, run, worker } => log_event(
+            Level::Info,
+            "start_in_doubt",
+            &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
+        ),
         PlanDecision::Moved { task, run, worker, to, why } => log_event(
             Level::Info,
             "task_moved",
--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -42,6 +42,9 @@
     pub throttled_since: Option<Instant>,
     /// Whether it was ordered to stop.
     pub stopping: bool,
+    /// Whether its worker has shown it and reported no attempt to start it that is in doubt. No
+    /// further attempt follows then.
+    pub is_settled: bool,
     /// Its progress since the first report that showed any.
     pub progress: Option<RunProgress>,
 }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -29,6 +29,7 @@
 mod run_pace;
 pub mod serving_layout;
 pub mod spec;
+pub mod start_doubts;
 pub mod target_violations;
 pub mod task_name;
 pub mod task_progress;
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -85,6 +85,16 @@
         /// Instance that has the run now.
         worker: InstanceId,
     },
+    /// An attempt to start a run may still be carried out, also by a later instance of its runner.
+    /// The end of the run does not count until then, and the task starts nowhere else.
+    StartInDoubt {
+        /// Task of the run.
+        task: TaskName,
+        /// Number of the run.
+        run: RunNumber,
+        /// Instance that the run is assigned to.
+        worker: InstanceId,
+    },
     /// A run is stopped so that its task continues on another worker.
     Moved {
         /// Task of the run.
@@ -192,6 +202,7 @@
             PlanDecision::RunRejected { .. } => "refused",
             PlanDecision::RunAbsent { .. } => "absent",
             PlanDecision::RunAdopted { .. } => "adopted",
+            PlanDecision::StartInDoubt { .. } => "start_in_doubt",
             PlanDecision::Moved { .. } => "moved",
             PlanDecision::Preempted { .. } => "displaced",
             PlanDecision::JobEnded { .. } => "job_ended",
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -27,6 +27,7 @@
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
 use crate::workflow::progress::RunEnd;
+use crate::workflow::start_doubts::StartDoubts;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::task_suspicion::TaskSuspicion;
 use crate::workflow::worker_inventory::RunKey;
@@ -48,6 +49,7 @@
     pub(crate) inventory: WorkerInventory,
     pub(crate) suspicion: WorkerSuspicion,
     pub(crate) task_suspicion: TaskSuspicion,
+    pub(crate) start_doubts: StartDoubts,
     pub(crate) interference: PairInterferenceModel,
     pub(crate) advice: AdviceCache,
     pub(crate) advice_queries: Vec<AdviceQuery>,
@@ -82,6 +84,7 @@
             inventory: WorkerInventory::default(),
             suspicion: WorkerSuspicion::default(),
             task_suspicion: TaskSuspicion::default(),
+            start_doubts: StartDoubts::default(),
             interference: PairInterferenceModel::default(),
             advice: AdviceCache::default(),
             advice_queries: Vec::new(),
@@ -338,16 +341,30 @@
         self.give_up_settled_runs(instance, &[]);
     }
 
+    /// Returns whether a run has to stay assigned whatever its worker reports, since an attempt to
+    /// start it may still be carried out. Of a long-running task nothing is ever done, and it must
+    /// not be away for so long.
+    pub(crate) fn is_retained(&self, key: &RunKey) -> bool {
+        if !self.start_doubts.contains(key, self.now) {
+            return false;
+        }
+        let Some(entry) = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none()) else {
+            return false;
+        };
+        let is_done = entry.progress.task(&key.0).is_none_or(|task| task.done);
+        !is_done && !entry.step(&key.0).is_some_and(|step| step.long_running)
+    }
+
     /// Gives up the runs of an ended runner instance except the `unsettled` ones, which the
-    /// successor instance may have started or may still start. Those stay assigned until the
-    /// successor reports its runs or the leases expire.
+    /// successor instance may have started or may still start, and the retained ones. Those stay
+    /// assigned until the successor reports its runs or the leases expire.
     pub(crate) fn give_up_settled_runs(&mut self, instance: &str, unsettled: &[RunKey]) {
         let Some(worker) = self.inventory.get(instance) else {
             return;
         };
         let keys = worker.assigned.keys().cloned();
         let (retained, lost): (Vec<RunKey>, Vec<RunKey>) =
-            keys.partition(|key| unsettled.contains(key));
+            keys.partition(|key| unsettled.contains(key) || self.is_retained(key));
         if !worker.has_ended || !lost.is_empty() {
             let worker = instance.to_string();
             self.decisions.push(PlanDecision::WorkerLost { worker, runs: lost.len() });
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -205,6 +205,9 @@
         for (name, attempt) in entry.progress.attempts(job) {
             let step = entry.step(&name).unwrap_or(&unknown_step);
             let key = (name, attempt.run);
+            if attempt.in_doubt {
+                self.start_doubts.restore(&key, self.now);
+            }
             self.inventory.assign(
                 &attempt.worker,
                 key.clone(),
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -2,6 +2,7 @@
 //! unknown to the planner.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,8 +15,10 @@
 use crate::connection::node_protocol::RejectedRun;
 use crate::connection::node_protocol::RunnerSnapshot;
 use crate::connection::node_protocol::RunnerStatus;
+use crate::connection::node_protocol::StartInDoubt;
 use crate::connection::node_protocol::StartOrder;
 use crate::connection::node_protocol::TaskTraits;
+use crate::ids::InstanceId;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::RunProgress;
 use crate::workflow::grant::MAX_LEASE;
@@ -23,6 +26,7 @@
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
+use crate::workflow::start_doubts::StartDoubts;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_entry::WorkerEntry;
 use crate::workflow::worker_inventory::RunKey;
@@ -58,6 +62,7 @@
 fn update_runs(
     worker: &mut WorkerEntry,
     mut present: BTreeMap<RunKey, PresentRun>,
+    doubts: &StartDoubts,
     orders_seen: u64,
     resync: bool,
     now: Instant,
@@ -66,7 +71,10 @@
     let mut changed = false;
     for (key, run) in &mut worker.assigned {
         match present.remove(key) {
-            Some(report) => changed |= run.on_report(report, now) && run.best_effort,
+            Some(report) => {
+                run.is_settled |= report.is_started && !doubts.contains(key, now);
+                changed |= run.on_report(report, now) && run.best_effort;
+            }
             None if run.order.is_some_and(|order| order <= orders_seen || resync) => {
                 absent.push(key.clone());
             }
@@ -94,15 +102,21 @@
     /// let report = NodeReport {
     ///     now: Duration::ZERO,
     ///     runner: None,
+    ///     keeps_id: false,
     ///     former: vec![],
     ///     unsettled: vec![],
+    ///     in_doubt: vec![],
     ///     crashes: vec![],
     ///     snapshot: None,
     /// };
     /// planner.on_report(report, true);
     /// ```
     pub fn on_report(&mut self, report: NodeReport, is_new_link: bool) {
+        self.record_doubts(&report.in_doubt);
         if let Some(status) = &report.runner {
+            if is_new_link && report.keeps_id {
+                self.assume_doubts(&status.instance);
+            }
             let has_former = !report.former.is_empty();
             self.record_status(status, has_former, is_new_link);
             self.adopt_runs(&report, &status.instance);
@@ -122,6 +136,47 @@
         }
     }
 
+    /// Records the starts in doubt, and in the rows of their jobs that they are, so that the next
+    /// planner knows them even if the agent is restarted as well.
+    fn record_doubts(&mut self, starts: &[StartInDoubt]) {
+        self.start_doubts.on_report(starts, self.now);
+        let keys: Vec<RunKey> = starts.iter().map(|start| start.key.clone()).collect();
+        self.store_doubts(&keys);
+    }
+
+    /// Assumes that attempts to start the runs of a worker are in doubt, unless it has shown that
+    /// they are not: its agent may have been restarted, and does not know them then.
+    fn assume_doubts(&mut self, instance: &str) {
+        let Some(worker) = self.inventory.get(instance) else {
+            return;
+        };
+        let unsettled = worker.assigned.iter().filter(|(_, run)| !run.is_settled);
+        let sent = unsettled.filter(|(_, run)| run.order.is_some_and(|order| order > 0));
+        let keys: Vec<RunKey> = sent.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.start_doubts.restore(key, self.now));
+        self.store_doubts(&keys);
+    }
+
+    fn store_doubts(&mut self, keys: &[RunKey]) {
+        for key in keys {
+            let (name, run) = key;
+            if !self.is_retained(key) {
+                continue;
+            }
+            let task = self.jobs.get_mut(&name.job).and_then(|entry| entry.progress.task_mut(name));
+            let attempts = task.into_iter().flat_map(|task| &mut task.attempts);
+            for attempt in attempts.filter(|attempt| attempt.run == *run && !attempt.in_doubt) {
+                attempt.in_doubt = true;
+                self.changed_jobs.insert(name.job.clone());
+                self.decisions.push(PlanDecision::StartInDoubt {
+                    task: name.clone(),
+                    run: *run,
+                    worker: attempt.worker.clone(),
+                });
+            }
+        }
+    }
+
     fn record_status(&mut self, status: &RunnerStatus, has_former: bool, is_new_link: bool) {
         let worker = self.inventory.entry(&status.instance, self.inherited_lease_end);
         if has_former && worker.status.is_none() {
@@ -135,22 +190,26 @@
     }
 
     /// Transfers runs assigned to former instances that the current instance shows as its own,
-    /// since it has carried out their start orders.
+    /// since it has carried out their start orders. An agent that was restarted does not know the
+    /// former instances.
     fn adopt_runs(&mut self, report: &NodeReport, instance: &str) {
         let Some(snapshot) = &report.snapshot else {
             return;
         };
-        for former in &report.former {
-            for key in self.runs_shown(former, snapshot) {
-                self.adopt_run(&key, former, instance);
+        let present = snapshot.present.iter().map(|run| (run.task.clone(), run.run));
+        let ended = snapshot.ended.iter().map(|run| (run.task.clone(), run.run));
+        for key in present.chain(ended) {
+            if let Some(former) = self.assigned_instance(&key).filter(|former| former != instance) {
+                self.adopt_run(&key, &former, instance);
             }
         }
     }
 
-    /// Runs assigned to an instance that a snapshot shows.
-    fn runs_shown(&self, former: &str, snapshot: &RunnerSnapshot) -> Vec<RunKey> {
-        let runs = self.inventory.get(former).into_iter().flat_map(|worker| worker.assigned.keys());
-        runs.filter(|key| snapshot.lists(key)).cloned().collect()
+    /// The instance to which an active run is assigned.
+    fn assigned_instance(&self, key: &RunKey) -> Option<InstanceId> {
+        let task = self.jobs.get(&key.0.job)?.progress.task(&key.0)?;
+        let attempt = task.attempts.iter().find(|attempt| attempt.run == key.1)?;
+        Some(attempt.worker.clone())
     }
 
     fn adopt_run(&mut self, key: &RunKey, former: &str, instance: &str) {
@@ -183,6 +242,8 @@
 
     fn on_snapshot(&mut self, instance: &str, snapshot: RunnerSnapshot) {
         let shown = rejections_shown(&snapshot);
+        let ended = snapshot.ended.iter().map(|ended| (ended.task.clone(), ended.run));
+        let ended: BTreeSet<RunKey> = ended.collect();
         self.on_ends(instance, snapshot.ended);
         for (rejected, shown) in snapshot.rejected.iter().zip(shown) {
             self.on_rejected(instance, rejected, shown);
@@ -194,7 +255,14 @@
             return;
         };
         let resync = std::mem::take(&mut worker.resync);
-        let absent = update_runs(worker, present, snapshot.orders_seen, resync, self.now);
+        let absent = update_runs(
+            worker,
+            present,
+            &self.start_doubts,
+            snapshot.orders_seen,
+            resync,
+            self.now,
+        );
         self.interference.learn(worker, self.now);
         let progress = worker.assigned.iter().filter(|(_, run)| !run.long_running);
         let progress = progress.filter_map(|(key, run)| Some((key.0.clone(), run.progress?)));
@@ -203,10 +271,11 @@
         self.send_changed_traits(instance);
         self.clear_surviving_tasks(instance);
         for key in absent {
-            if resync {
-                self.resend_start(instance, &key);
-            } else {
-                self.end_absent_run(instance, &key);
+            let is_retained = self.is_retained(&key);
+            match (resync, is_retained) {
+                (true, _) if !ended.contains(&key) => self.resend_start(instance, &key),
+                (_, true) => {}
+                (_, false) => self.end_absent_run(instance, &key),
             }
         }
         if resync {
@@ -214,9 +283,19 @@
         }
     }
 
+    /// Records the ends that a worker reports, except those of retained runs. The worker may discard
+    /// the ends before the first of these.
     fn on_ends(&mut self, instance: &str, ends: Vec<EndedRun>) {
-        let last = ends.last().map(|ended| ended.number);
+        let mut last = None;
+        let mut has_retained = false;
         for ended in ends {
+            if self.is_retained(&(ended.task.clone(), ended.run)) {
+                has_retained = true;
+                continue;
+            }
+            if !has_retained {
+                last = Some(ended.number);
+            }
             self.on_ended(instance, ended);
         }
         if let Some(last) = last {
@@ -235,9 +314,12 @@
 
     fn on_ended(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
+        // An end is reported until the runner has discarded it, and counts once.
+        let is_new =
+            self.inventory.get(instance).is_some_and(|worker| worker.assigned.contains_key(&key));
         match ended.end {
-            RunEnd::Done => self.on_success(instance, &key.0),
-            RunEnd::Failed => self.on_failure(instance, &key.0),
+            RunEnd::Done if is_new => self.on_success(instance, &key.0),
+            RunEnd::Failed if is_new => self.on_failure(instance, &key.0),
             _ => {}
         }
         if matches!(ended.end, RunEnd::Done | RunEnd::Failed) {
@@ -287,7 +369,9 @@
             RejectReason::Old | RejectReason::Late | RejectReason::Leaving => {}
         }
         let key = (rejected.task.clone(), rejected.run);
-        self.end_run(instance, &key, RunEnd::Lost, "");
+        if !self.is_retained(&key) {
+            self.end_run(instance, &key, RunEnd::Lost, "");
+        }
     }
 
     /// Stops runs that the worker reports but that are not assigned to it.
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -389,7 +389,7 @@
             age_ms: self.wall_ms.saturating_sub(due_ms),
             failures: task.failures,
         });
-        task.attempts.push(RunAttempt { run, worker: worker.clone() });
+        task.attempts.push(RunAttempt { run, worker: worker.clone(), in_doubt: false });
         self.inventory.assign(&worker, key.clone(), spec, self.now, self.inherited_lease_end);
         if self.task_suspicion.is_isolated(name) {
             self.isolate(&worker, &key);
--- a/src/workflow/task_progress.rs
+++ b/src/workflow/task_progress.rs
@@ -16,6 +16,9 @@
     /// The runner instance to which it was assigned.
     #[serde(rename = "w")]
     pub worker: InstanceId,
+    /// Whether an attempt to start it had no response and may still be carried out.
+    #[serde(rename = "u", default, skip_serializing_if = "is_false")]
+    pub in_doubt: bool,
 }
 
 /// Crash of a runner instance shortly after a run of the task had started on it.
--- a/src/workflow/worker_inventory.rs
+++ b/src/workflow/worker_inventory.rs
@@ -120,6 +120,7 @@
             sent_traits: None,
             throttled_since: None,
             stopping: false,
+            is_settled: false,
             progress: None,
         };
         worker.used = worker.used.plus(&run.reserved);
--- a/standins/src/laboratory/shared_worker.rs
+++ b/standins/src/laboratory/shared_worker.rs
@@ -281,6 +281,8 @@
             runner: Some(status),
             former: Vec::new(),
             unsettled: Vec::new(),
+            keeps_id: false,
+            in_doubt: Vec::new(),
             crashes: Vec::new(),
             snapshot: Some(look),
         })
--- a/tests/node_link.rs
+++ b/tests/node_link.rs
@@ -55,6 +55,8 @@
             runner,
             former: Vec::new(),
             unsettled: Vec::new(),
+            keeps_id: false,
+            in_doubt: Vec::new(),
             crashes: Vec::new(),
             snapshot: None,
         })
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -127,6 +127,8 @@
             runner: Some(status),
             former: vec![],
             unsettled: Vec::new(),
+            keeps_id: false,
+            in_doubt: Vec::new(),
             crashes: vec![],
             snapshot: Some(look),
         }
@@ -237,6 +239,8 @@
             runner: None,
             former: vec![crash.instance.clone()],
             unsettled: Vec::new(),
+            keeps_id: false,
+            in_doubt: Vec::new(),
             crashes: vec![crash],
             snapshot: None,
         };
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -9,6 +9,7 @@
 mod runner;
 mod schedule;
 mod store;
+mod trace;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -105,6 +105,7 @@
     pub fn run(mut self) -> Vec<String> {
         while let Some(((at, _), event)) = self.queue.pop_first() {
             self.now = at;
+            self.trace(&event);
             if at > LENGTH || !self.audit.violations.is_empty() {
                 break;
             }
--- a/tests/unknown_lease.rs
+++ b/tests/unknown_lease.rs
@@ -25,6 +25,8 @@
         runner: Some(status),
         former: former.iter().map(ToString::to_string).collect(),
         unsettled: Vec::new(),
+        keeps_id: false,
+        in_doubt: Vec::new(),
         crashes: Vec::new(),
         snapshot: None,
     }
