Keep a submission that was cancelled first from being stored

Callers saw a job run though their cancel had been answered with 410, "no such job": the submission had got no answer and was stored seconds later.

Cause: the cancel took the absence of a row for the absence of a job. A write without an answer may still be applied if its condition holds, and that of a submission, that there is no row, was left true. Ruled out: a stale read; the store itself answers it, before the submission is applied.

Change: a cancel that finds no row writes one under the same condition. The late submission fails at the store, and a repeat of it is refused as not run. Callers see no job in such a row. It is removed after 30 s. A process takes 20 such cancels a second, since names can be invented; each costs one write, as a cancel of a stored job does.

--- a/src/platform/caller_gate.rs
+++ b/src/platform/caller_gate.rs
@@ -245,7 +245,7 @@
         JobStatus::Running => "running",
         JobStatus::Ended(JobEnd::Completed) => "completed",
         JobStatus::Ended(JobEnd::Failed) => "failed",
-        JobStatus::Ended(JobEnd::Cancelled) => "canceled",
+        JobStatus::Ended(JobEnd::Cancelled | JobEnd::Withdrawn) => "canceled",
     }
 }
 
--- a/src/process/planning/job_service.rs
+++ b/src/process/planning/job_service.rs
@@ -1,6 +1,8 @@
 //! Implementation of [`JobGate`]: stores and cancels callers' jobs, and returns their states.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -8,8 +10,12 @@
 
 use crate::connection::planner_protocol::StatusResponse;
 use crate::external::row_store::RowError;
+use crate::external::row_store::RowName;
 use crate::external::row_store::RowTransaction;
 use crate::external::row_store::StoredRow;
+use crate::external::write_budget::WriteBudget;
+use crate::external::write_budget::WritePriority;
+use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::gate::CallDeadline;
 use crate::process::gate::JobGate;
@@ -30,12 +36,16 @@
 
 /// Delay before a store call whose response was lost is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Maximum rate of cancellations of jobs that have no row, each of which writes one. A caller may
+/// invent the names, and the rows are kept for a while.
+const MAX_WITHDRAWALS_PER_SECOND: f64 = 20.0;
 
 /// The job service of a planner process. All processes offer it, whether or not they own planning.
 pub struct JobService {
     shared: Arc<PlannerShared>,
     planner: PlannerClient,
     store: StoreAccess,
+    withdrawals: Mutex<WriteBudget>,
 }
 
 impl JobService {
@@ -44,6 +54,7 @@
         JobService {
             planner: PlannerClient::open(shared.clone()),
             store: StoreAccess::open(shared.clone()),
+            withdrawals: Mutex::new(WriteBudget::new(MAX_WITHDRAWALS_PER_SECOND, clock::now())),
             shared,
         }
     }
@@ -66,7 +77,7 @@
         loop {
             match self.store.commit(&transaction, deadline).await {
                 Ok(_) => return Ok(()),
-                Err(RowError::Conflict { rows }) => return check_same_job(&rows, record),
+                Err(RowError::Conflict { rows }) => return check_stored_job(&rows, record),
                 Err(RowError::Refused { reason }) if !may_be_stored => {
                     return Err(JobRefusal::NotRun { reason });
                 }
@@ -103,7 +114,7 @@
         loop {
             let row = self.read_job(job, deadline).await;
             let outcome = match row {
-                Ok(row) => self.try_cancel(row, deadline).await,
+                Ok(row) => self.try_cancel(job, row, deadline).await,
                 Err(refusal) => Err(RowError::Refused { reason: refusal.to_string() }),
             };
             match outcome {
@@ -126,22 +137,54 @@
     /// Attempts once to mark a job as cancelled, given its row. Returns whether the job exists.
     async fn try_cancel(
         &self,
+        job: &str,
         row: Option<StoredRow>,
         deadline: CallDeadline,
     ) -> Result<bool, RowError> {
-        let Some(row) = row else {
-            return Ok(false);
+        let Some(row) = row.filter(|row| row.value.is_some()) else {
+            return self.withdraw(job, deadline).await;
         };
-        let Some(JobRecord::Live { spec, cancelled: false }) = decode(&row) else {
-            return Ok(true);
+        let record: Option<JobRecord> = decode(&row);
+        let spec = match record {
+            Some(JobRecord::Live { spec, cancelled: false }) => spec,
+            Some(record) => return Ok(!record.is_withdrawn()),
+            None => return Ok(true),
         };
         let record = JobRecord::Live { spec, cancelled: true };
+        self.replace_row(row.name, row.version, &record, deadline).await.map(|()| true)
+    }
+
+    /// Cancels a job that has no row. A submission without a response may still be stored, on
+    /// condition that there is no row: the row that is written here prevents that.
+    async fn withdraw(&self, job: &str, deadline: CallDeadline) -> Result<bool, RowError> {
+        self.take_withdrawal()?;
+        let name = self.shared.settings.layout.row(job);
+        let record = JobRecord::withdrawn(self.shared.clock.wall_millis());
+        self.replace_row(name, 0, &record, deadline).await.map(|()| false)
+    }
+
+    /// Takes a withdrawal out of the budget.
+    fn take_withdrawal(&self) -> Result<(), RowError> {
+        let mut budget = self.withdrawals.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.try_take(WritePriority::End, clock::now()).map_err(|_| {
+            let reason = "too many cancellations of unknown jobs".to_string();
+            RowError::Refused { reason }
+        })
+    }
+
+    async fn replace_row(
+        &self,
+        name: RowName,
+        version: RowVersion,
+        record: &JobRecord,
+        deadline: CallDeadline,
+    ) -> Result<(), RowError> {
         let transaction = RowTransaction {
-            expected: vec![(row.name.clone(), row.version)],
-            puts: vec![(row.name, encode(&record))],
+            expected: vec![(name.clone(), version)],
+            puts: vec![(name, encode(record))],
             removes: Vec::new(),
         };
-        self.store.commit(&transaction, deadline).await.map(|_| true)
+        self.store.commit(&transaction, deadline).await.map(|_| ())
     }
 }
 
@@ -156,10 +199,13 @@
 }
 
 /// Accepts a submission whose name is taken if the stored job has the same specification, and
-/// refuses it otherwise.
-fn check_same_job(rows: &[StoredRow], record: &JobRecord) -> Result<(), JobRefusal> {
+/// refuses it otherwise, or if the job was cancelled before.
+fn check_stored_job(rows: &[StoredRow], record: &JobRecord) -> Result<(), JobRefusal> {
     let stored: Option<JobRecord> = rows.iter().find_map(decode);
     match stored {
+        Some(stored) if stored.is_withdrawn() => {
+            Err(JobRefusal::NotRun { reason: "the job was cancelled before".to_string() })
+        }
         Some(stored) if stored.digest() != record.digest() => Err(JobRefusal::OtherJob),
         _ => Ok(()),
     }
@@ -213,10 +259,13 @@
             return Ok(Some(status));
         }
         let row = self.read_job(job, deadline).await?;
-        Ok(row.as_ref().and_then(decode).map(|record| match record {
-            JobRecord::Ended { end, .. } => JobStatus::Ended(end),
-            JobRecord::Live { cancelled: true, .. } => JobStatus::Ended(JobEnd::Cancelled),
-            JobRecord::Live { .. } => JobStatus::Queued,
+        Ok(row.as_ref().and_then(decode).and_then(|record| {
+            Some(match record {
+                JobRecord::Ended { end: JobEnd::Withdrawn, .. } => return None,
+                JobRecord::Ended { end, .. } => JobStatus::Ended(end),
+                JobRecord::Live { cancelled: true, .. } => JobStatus::Ended(JobEnd::Cancelled),
+                JobRecord::Live { .. } => JobStatus::Queued,
+            })
         }))
     }
 
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -18,6 +18,10 @@
 use crate::workflow::spec::WorkflowSpec;
 use crate::workflow::task_name::TaskName;
 
+/// Time for which the row of a withdrawn job is kept, longer than a submission without a response
+/// may take to be stored.
+const WITHDRAWN_RETENTION: Duration = Duration::from_secs(30);
+
 /// A job that has not ended, or whose end is not stored yet.
 #[derive(Clone, Debug)]
 pub struct JobEntry {
@@ -303,7 +307,7 @@
     /// ```
     pub fn status(&self, job: &str) -> Option<JobStatus> {
         if let Some(ended) = self.ended_jobs.get(job) {
-            return Some(JobStatus::Ended(ended.end));
+            return Some(ended.end).filter(|end| *end != JobEnd::Withdrawn).map(JobStatus::Ended);
         }
         let entry = self.jobs.get(job)?;
         Some(if entry.progress.begun { JobStatus::Running } else { JobStatus::Queued })
@@ -320,9 +324,14 @@
     /// assert!(planner.expired_records(Duration::ZERO).is_empty());
     /// ```
     pub fn expired_records(&self, retention: Duration) -> Vec<(JobId, RowVersion)> {
-        let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
-        let is_expired =
-            |ended: &EndedJob| self.wall_ms.saturating_sub(ended.ended_ms) > retention_ms;
+        let is_expired = |ended: &EndedJob| {
+            let retention = match ended.end {
+                JobEnd::Withdrawn => retention.min(WITHDRAWN_RETENTION),
+                JobEnd::Completed | JobEnd::Failed | JobEnd::Cancelled => retention,
+            };
+            let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+            self.wall_ms.saturating_sub(ended.ended_ms) > retention_ms
+        };
         let expired = self.ended_jobs.iter().filter(|(_, ended)| is_expired(ended));
         expired.map(|(job, ended)| (job.clone(), ended.version)).collect()
     }
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -24,6 +24,9 @@
     Failed,
     /// The caller cancelled it.
     Cancelled,
+    /// The caller cancelled it before any submission was stored. To callers there is no such job,
+    /// and a submission that arrives later is refused.
+    Withdrawn,
 }
 
 impl JobEnd {
@@ -37,6 +40,7 @@
             JobEnd::Completed => "completed",
             JobEnd::Failed => "failed",
             JobEnd::Cancelled => "cancelled",
+            JobEnd::Withdrawn => "withdrawn",
         }
     }
 }
@@ -75,6 +79,30 @@
 }
 
 impl JobRecord {
+    /// The row that keeps submissions of a job from being stored, since it was cancelled first.
+    ///
+    /// ```
+    /// use greengagearch::workflow::progress::JobRecord;
+    ///
+    /// assert!(JobRecord::withdrawn(5).is_withdrawn());
+    /// ```
+    pub fn withdrawn(ended_ms: u64) -> JobRecord {
+        JobRecord::Ended { end: JobEnd::Withdrawn, digest: 0, ended_ms }
+    }
+
+    /// Returns whether the job was cancelled before a submission was stored.
+    ///
+    /// ```
+    /// use greengagearch::workflow::progress::JobEnd;
+    /// use greengagearch::workflow::progress::JobRecord;
+    ///
+    /// let record = JobRecord::Ended { end: JobEnd::Cancelled, digest: 0, ended_ms: 0 };
+    /// assert!(!record.is_withdrawn());
+    /// ```
+    pub fn is_withdrawn(&self) -> bool {
+        matches!(self, JobRecord::Ended { end: JobEnd::Withdrawn, .. })
+    }
+
     /// Digest of the submission, without the fields that the accepting entry added.
     ///
     /// ```
