--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -114,6 +114,7 @@
         if self.audit.violations.is_empty() {
             self.check_end();
         }
+        self.trace_decisions();
         self.audit.violations
     }
 
--- a/tests/planning_world/trace.rs
+++ b/tests/planning_world/trace.rs
@@ -13,6 +13,20 @@
         }
     }
 
+    /// Prints what the planners decided about the traced task, or about all tasks of a traced job.
+    pub(super) fn trace_decisions(&mut self) {
+        let Ok(task) = std::env::var("GGA_TRACE_TASK") else {
+            return;
+        };
+        for (number, process) in self.planners.iter_mut().enumerate() {
+            let decisions = process.planner.take_decisions();
+            let texts = decisions.iter().map(|decision| format!("{decision:?}"));
+            for text in texts.filter(|text| text.contains("Crashed") || text.contains(&task)) {
+                eprintln!("planner {number}: {text}");
+            }
+        }
+    }
+
     fn trace_line(&self, event: &Event, task: &str) -> Option<String> {
         let line = match event {
             Event::Call { agent, target, order, is_late, .. } => {
