Tests: tell what had run when a wait for running tasks is in vain

Beside load, tests of batch_faults waited in vain until tasks run, and the message did not tell whether tasks had not begun, had ended before all of them ran, or did not show. The check and its bound are as before.

--- a/tests/batch_faults.rs
+++ b/tests/batch_faults.rs
@@ -21,6 +21,7 @@
 use greengagearch_standins::proxy::FaultProxy;
 use greengagearch_standins::proxy::ProxyFault;
 use greengagearch_standins::table_service::TableFault;
+use greengagearch_standins::worker::TaskJournal;
 use serde_json::Value;
 
 /// Document of a second team, whose jobs another entry may schedule.
@@ -34,6 +35,24 @@
     env
 }
 
+/// Prints what has run when a wait for running tasks is in vain.
+struct RunReport<'a> {
+    journal: &'a TaskJournal,
+    count: usize,
+}
+
+impl Drop for RunReport<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let runs = self.journal.runs();
+            let running = runs.iter().filter(|run| run.until.is_none()).count();
+            let (begun, count) = (runs.len(), self.count);
+            eprintln!("waited for {count} tasks to run at once: {begun} have begun, {running} run");
+            runs.iter().for_each(|run| eprintln!("{run:?}"));
+        }
+    }
+}
+
 struct Cluster {
     env: TestEnv,
     entries: Vec<ProductProcess>,
@@ -77,6 +96,7 @@
     }
 
     async fn until_running(&self, count: usize) {
+        let _report = RunReport { journal: &self.env.tasks, count };
         until("tasks run", async || {
             self.env.tasks.runs().iter().filter(|run| run.until.is_none()).count() >= count
         })
