--- a/src/workflow/task_progress.rs
+++ b/src/workflow/task_progress.rs
@@ -30,9 +30,6 @@
     /// Upper limit for the age of the run at the crash, in milliseconds.
     #[serde(rename = "a")]
     pub age_ms: u64,
-    /// Lower limit for the age of the run at the crash, in milliseconds.
-    #[serde(rename = "m", default, skip_serializing_if = "is_zero_age")]
-    pub min_age_ms: u64,
     /// Whether the run had certainly started.
     #[serde(rename = "b")]
     pub is_certain: bool,
@@ -73,10 +70,6 @@
     !value
 }
 
-fn is_zero_age(value: &u64) -> bool {
-    *value == 0
-}
-
 fn is_zero(value: &u32) -> bool {
     *value == 0
 }
--- a/src/workflow/task_suspicion.rs
+++ b/src/workflow/task_suspicion.rs
@@ -22,11 +22,9 @@
 /// Crashes after which a task is given up if the evidence is strong. Two crashes may be
 /// coincidental while workers crash for other reasons.
 const STRONG_EVIDENCE_CRASHES: usize = 3;
-/// Crashes after which a task is given up if the evidence is weak.
-const WEAK_EVIDENCE_CRASHES: usize = 4;
-/// Crashes after which a task is given up whatever speaks for it: the users' platform forbids a
+/// Crashes after which a task is given up if the evidence is weak. The users' platform forbids a
 /// sixth start.
-const MAX_CRASHES: usize = 5;
+const WEAK_EVIDENCE_CRASHES: usize = 4;
 /// Strong evidence needs at least this number of crashes for which the worker had confirmed the
 /// start of the run.
 const MIN_CERTAIN_CRASHES: usize = 2;
@@ -52,16 +50,6 @@
 /// not occupy the whole fleet.
 const ISOLATION_DIVISOR: usize = 3;
 
-/// Whether the age of a crashed run is known closely enough to speak for or against its task. It is
-/// not if the agent noticed the crash late or was lost together with the worker.
-fn is_telling(crash: &TaskCrash) -> bool {
-    crash.min_age_ms > 0 || Duration::from_millis(crash.age_ms) < MAX_YOUNG_AGE
-}
-
-fn whole_millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// A young run on a worker that crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashedRun {
@@ -108,27 +96,11 @@
     /// Whether the crashes suffice to give the task up. `is_sole_suspect` tells whether the last
     /// crash is attributed to this task alone.
     fn justifies_giving_up(&self, is_sole_suspect: bool) -> bool {
-        if self.crashes.len() >= MAX_CRASHES {
-            return true;
-        }
-        if !self.has_common_age() {
-            return false;
-        }
-        let telling = || self.crashes.iter().filter(|crash| is_telling(crash));
-        let certain = telling().filter(|crash| crash.is_certain).count();
-        let ages_ms: u64 = telling().map(|crash| crash.age_ms).sum();
+        let certain = self.crashes.iter().filter(|crash| crash.is_certain).count();
+        let ages_ms: u64 = self.crashes.iter().map(|crash| crash.age_ms).sum();
         let is_strong = is_sole_suspect && Duration::from_millis(ages_ms) <= MAX_STRONG_TOTAL_AGE;
         let needed = if is_strong { STRONG_EVIDENCE_CRASHES } else { WEAK_EVIDENCE_CRASHES };
-        telling().count() >= needed && (certain >= MIN_CERTAIN_CRASHES || !is_strong)
-    }
-
-    /// Whether all runs may have crashed their workers at about the same age. If one of them had
-    /// lived much longer than another one that crashed, the task did not cause both crashes.
-    fn has_common_age(&self) -> bool {
-        let longest_life = self.crashes.iter().map(|crash| crash.min_age_ms).max().unwrap_or(0);
-        let youngest_crash = self.crashes.iter().map(|crash| crash.age_ms).min().unwrap_or(0);
-        let limit = Duration::from_millis(youngest_crash) * 2 + AGE_RESOLUTION;
-        Duration::from_millis(longest_life) <= limit
+        self.crashes.len() >= needed && (certain >= MIN_CERTAIN_CRASHES || !is_strong)
     }
 }
 
@@ -193,9 +165,7 @@
         }
         record.crashes.push(TaskCrash {
             instance: instance.to_string(),
-            age_ms: whole_millis(run.max_age),
-            // A start that is not confirmed may have been carried out late.
-            min_age_ms: if run.is_certain { whole_millis(run.min_age) } else { 0 },
+            age_ms: u64::try_from(run.max_age.as_millis()).unwrap_or(u64::MAX),
             is_certain: run.is_certain,
         });
     }
@@ -257,8 +227,7 @@
     /// use greengagearch::workflow::task_progress::TaskCrash;
     ///
     /// let crash = |instance: &str| {
-    ///     let instance = instance.to_string();
-    ///     TaskCrash { instance, age_ms: 10, min_age_ms: 0, is_certain: true }
+    ///     TaskCrash { instance: instance.to_string(), age_ms: 10, is_certain: true }
     /// };
     /// let mut suspicion = greengagearch::workflow::task_suspicion::TaskSuspicion::default();
     /// suspicion.restore(&"a.0.0.0".parse().unwrap(), vec![crash("i-1"), crash("i-2")], true);
