Keep a silent runner until its answers show what became of it

Cause: on waking, the poll that had been in flight had no response, and the clock said that the leases had expired. The agent took both for the silence of the runner, ended its instance, and dropped all later heartbeats of that id. A runner that had hung for longer than its leases was lost in the same way.

Change: - Silence is what a poll shows that was sent after all leases had expired. Those that an earlier agent may have sent count as well, as they did for rejected polls, and so does the drift of the runner's clock over the whole lease: both bounds were too early, so that a run could be reported as over while it went on. - A silent instance stays the current one. It is then called with a higher token, so that calls from before the silence are rejected. - An instance that has registered meanwhile is tried in place of the silent one; whichever answers first stays, and the other one is former. An instance that never answered gives way as well.

Three assertions of node_state.rs and repeated_refusals.rs took a poll that had been in flight all the while for evidence; they now send a poll at that time, and check what the planner is told in place of the end of the instance.

--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -92,6 +92,10 @@
         let newest_poll = self.tracker.newest_poll();
         match response {
             Ok(()) | Err(RunnerError::Fenced | RunnerError::Rejected { .. }) => {
+                if self.instances.may_have_successor() {
+                    // The successor may have started the run with a lease by its own clock.
+                    self.lease.on_foreign_lease(now);
+                }
                 self.unsettled.on_response(key, newest_poll);
             }
             Err(RunnerError::NoAnswer { .. }) => {
--- a/src/process/node/runner_instances.rs
+++ b/src/process/node/runner_instances.rs
@@ -27,7 +27,8 @@
 #[derive(Debug, Default)]
 pub struct RunnerInstances {
     current: Option<RegisteredRunner>,
-    /// Another instance that has registered, and the newest poll at that time.
+    /// Another instance that has registered, or that was silent when the current one took its
+    /// place, and the newest poll at that time.
     candidate: Option<(PollNumber, RegisteredRunner)>,
     former: VecDeque<InstanceId>,
     /// Instances that earlier agents on this host have recorded. Once the current instance
@@ -126,11 +127,13 @@
     /// instances whose end the planner may not know.
     pub fn on_poll_response(&mut self, number: PollNumber) -> bool {
         self.deregistered_at.take_if(|deregistered_at| number > *deregistered_at);
-        if let Some((_, stale)) = self.candidate.take_if(|(newest_poll, _)| number > *newest_poll) {
+        let stale = self.candidate.take_if(|(newest_poll, _)| number > *newest_poll);
+        let has_stale = stale.is_some();
+        if let Some((_, stale)) = stale {
             // The known instance has answered a poll sent after the heartbeat of the candidate.
             self.add_former(stale.status.instance);
         }
-        self.end_recorded_earlier()
+        self.end_recorded_earlier() || has_stale
     }
 
     /// A host has one instance of a runner at a time, so once one responds, the earlier ones have
@@ -202,6 +205,34 @@
         self.crashes.iter().map(|(_, crash)| crash.clone()).collect()
     }
 
+    /// Returns whether another instance may take the place of the current one.
+    ///
+    /// ```
+    /// use greengagearch::process::node::runner_instances::RunnerInstances;
+    ///
+    /// assert!(!RunnerInstances::default().has_candidate());
+    /// ```
+    pub fn has_candidate(&self) -> bool {
+        self.candidate.is_some()
+    }
+
+    /// Replaces the current instance, which is silent, by the candidate. The heartbeat of the
+    /// candidate may have arrived late, so the silent instance becomes a candidate itself.
+    ///
+    /// ```
+    /// use greengagearch::process::node::runner_instances::RunnerInstances;
+    ///
+    /// let mut instances = RunnerInstances::default();
+    /// instances.swap_candidate(1);
+    /// assert!(instances.current().is_none());
+    /// ```
+    pub fn swap_candidate(&mut self, newest_poll: PollNumber) {
+        if let Some((_, candidate)) = self.candidate.take() {
+            self.deregistered_at = None;
+            self.candidate = self.current.replace(candidate).map(|silent| (newest_poll, silent));
+        }
+    }
+
     /// Moves the current instance to the former ones. Another instance that has registered since
     /// takes its place.
     pub fn end_current(&mut self, now: Instant) {
--- a/src/process/node/runner_lease.rs
+++ b/src/process/node/runner_lease.rs
@@ -75,10 +75,31 @@
     /// assert_eq!(lease.end(), Some(9_500));
     /// ```
     pub fn on_response(&mut self, clock: RunnerMillis, now: Instant) {
+        if self.clock.is_none() {
+            // Until now, the instance may have carried out calls meant for another one.
+            self.on_foreign_lease(now);
+        }
         self.clock = Some((clock, now));
         self.last_response = now;
     }
 
+    /// Records that the runner may have been given a lease up to now that this agent does not know.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::process::node::runner_lease::RunnerLease;
+    ///
+    /// let now = Instant::now();
+    /// let mut lease = RunnerLease::none(now);
+    /// lease.on_foreign_lease(now + Duration::from_secs(9));
+    /// assert!(!lease.have_all_leases_expired(now + Duration::from_secs(19)));
+    /// ```
+    pub fn on_foreign_lease(&mut self, now: Instant) {
+        self.inherited_until = self.inherited_until.max(now + MAX_LEASE);
+    }
+
     /// Records a grant of the planner up to `until`. A grant never shortens the lease.
     ///
     /// ```
@@ -151,21 +172,6 @@
         self.granted_until.map(|until| now + MIN_START_LEASE < until && !self.is_unresponsive(now))
     }
 
-    /// Returns whether all leases that this agent has sent to an unresponsive runner have surely
-    /// expired.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// use greengagearch::process::node::runner_lease::RunnerLease;
-    ///
-    /// let now = Instant::now();
-    /// assert!(!RunnerLease::none(now).has_sent_lease_expired(now), "nothing was sent");
-    /// ```
-    pub fn has_sent_lease_expired(&self, now: Instant) -> bool {
-        self.sent_until.is_some_and(|until| self.has_passed(until, now))
-    }
-
     /// Returns whether all leases of an unresponsive runner have surely expired, including those
     /// that others may have sent.
     ///
@@ -182,11 +188,7 @@
     pub fn have_all_leases_expired(&self, now: Instant) -> bool {
         let until =
             self.sent_until.map_or(self.inherited_until, |sent| sent.max(self.inherited_until));
-        self.has_passed(until, now)
-    }
-
-    fn has_passed(&self, until: Instant, now: Instant) -> bool {
-        let remaining = until.saturating_duration_since(self.last_response);
-        now >= expired_by(self.last_response, remaining) && self.is_unresponsive(now)
+        // The runner's clock may have been read a whole lease before the end, and run slow since.
+        now + MAX_LEASE >= expired_by(until, MAX_LEASE) && self.is_unresponsive(now)
     }
 }
--- a/src/process/node/runner_poller.rs
+++ b/src/process/node/runner_poller.rs
@@ -78,26 +78,34 @@
         return;
     }
     let now = clock::now();
+    let mut have_leases_expired = false;
     let has_ended = match error {
         RunnerError::OtherInstance | RunnerError::NotRunning => {
             state.on_crash(&target.instance, now)
         }
-        RunnerError::NoAnswer { is_broken, .. } => state.on_no_response(*is_broken, now),
+        RunnerError::NoAnswer { is_broken, .. } => {
+            have_leases_expired = state.on_no_response(*is_broken, now);
+            false
+        }
         RunnerError::Fenced => {
             state.on_fenced();
             false
         }
         RunnerError::Rejected { .. } => {
-            if state.on_rejected_poll(now) {
-                log_event(Level::Warn, "leases_expired", &[("instance", &target.instance)]);
-            }
+            have_leases_expired = state.on_rejected_poll(now);
             false
         }
     };
+    let is_replaced = state.current_instance() != Some(&target.instance);
     let has_changes = state.has_changes();
     drop(state);
+    if have_leases_expired {
+        log_event(Level::Warn, "leases_expired", &[("instance", &target.instance)]);
+    }
     if has_ended {
         log_instance_end(shared, target);
+    }
+    if is_replaced {
         shared.instance_changed.notify_one();
     }
     if has_changes {
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -12,6 +12,7 @@
 use crate::connection::node_protocol::PresentRun;
 use crate::connection::node_protocol::RunnerCrash;
 use crate::connection::node_protocol::RunnerSnapshot;
+use crate::connection::node_protocol::RunnerStatus;
 use crate::connection::node_protocol::StartInDoubt;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::node_protocol::TaskTraits;
@@ -32,6 +33,7 @@
 use crate::process::node::runner_lease::RunnerLease;
 use crate::process::node::unsettled_starts::UnsettledStarts;
 use crate::workflow::pacing::PaceController;
+use crate::workflow::spec::ResourceVector;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_inventory::RunKey;
 
@@ -52,9 +54,12 @@
     /// When the last poll that the current instance has answered was sent. The response may have
     /// waited in a buffer while this process was suspended.
     confirmed_at: Instant,
-    /// Whether all leases of the current instance have expired while it rejects polls, so that it
-    /// runs nothing.
+    /// Whether all leases of the current instance have expired while it rejects polls or does not
+    /// respond, so that it runs nothing.
     have_leases_expired: bool,
+    /// Whether the planner must not use the current instance until it answers a poll, since it was
+    /// silent beyond its leases or has replaced one that was.
+    is_silent: bool,
     /// Increment of the fencing token, after the current instance has seen a higher token.
     pub(super) fence_increment: u32,
     /// Lowest fencing token for the current instance, above those of its predecessors.
@@ -103,6 +108,7 @@
             newest_poll: (0, started),
             confirmed_at: started,
             have_leases_expired: false,
+            is_silent: false,
             fence_increment: 0,
             min_fence: 0,
             unresponsive_since: None,
@@ -160,19 +166,31 @@
     }
 
     /// Records that the known instance does not respond, which says nothing about another one that
-    /// may have registered. If its leases have surely expired, the instance is considered ended.
-    /// Returns whether it is.
+    /// may have registered. If all leases had surely expired when the poll was sent, the instance
+    /// is silent: it runs nothing, and gives way to another one that has registered. Returns
+    /// whether it is newly found to be silent.
     pub fn on_no_response(&mut self, is_broken: bool, now: Instant) -> bool {
         self.unresponsive_since.get_or_insert(now);
         self.is_confirmed = false;
         if is_broken {
             self.unsettled.on_broken_poll();
         }
-        let has_expired = self.lease.has_sent_lease_expired(now);
-        if has_expired {
-            self.end_instance(now);
+        // Time that passed during the poll is no evidence: this process may have been suspended.
+        if !self.lease.have_all_leases_expired(self.newest_poll.1) {
+            return false;
+        }
+        let is_new = !std::mem::replace(&mut self.is_silent, true);
+        self.has_changes |= is_new;
+        if !self.have_leases_expired {
+            self.expire_leases();
         }
-        has_expired
+        if self.instances.has_candidate() {
+            self.discard_instance(now);
+            self.instances.swap_candidate(self.tracker.newest_poll());
+        } else {
+            self.show_nothing();
+        }
+        is_new
     }
 
     /// Records that the current instance rejects a poll: it is alive, and its leases are not
@@ -181,17 +199,30 @@
     pub fn on_rejected_poll(&mut self, now: Instant) -> bool {
         let is_new = !self.have_leases_expired && self.lease.have_all_leases_expired(now);
         if is_new {
-            self.have_leases_expired = true;
-            self.lease = RunnerLease::none(self.lease.last_response());
-            self.tracker.on_expiry();
+            self.expire_leases();
         }
         if self.have_leases_expired {
-            let number = self.tracker.next_poll_number();
-            self.update_snapshot(number, Vec::new(), Vec::new());
+            self.show_nothing();
         }
         is_new
     }
 
+    /// Records that all leases of the current instance have expired. Calls sent until now are
+    /// rejected once it has received one with the next token.
+    fn expire_leases(&mut self) {
+        self.have_leases_expired = true;
+        self.min_fence = self.target().map_or(self.min_fence, |target| target.fence + 1);
+        self.lease = RunnerLease::none(self.lease.last_response());
+        self.tracker.on_expiry();
+        self.recent_starts = RecentStarts::default();
+    }
+
+    /// Shows the planner that the current instance, whose leases have expired, runs nothing.
+    fn show_nothing(&mut self) {
+        let number = self.tracker.next_poll_number();
+        self.update_snapshot(number, Vec::new(), Vec::new());
+    }
+
     /// Records that a runner announces its end. Returns whether its current instance has ended.
     pub fn on_deregister(&mut self, runner: &str, now: Instant) -> bool {
         let has_ended = self.instances.on_deregister(runner, self.tracker.newest_poll());
@@ -219,16 +250,21 @@
         self.instances.last_crash()
     }
 
-    /// Discards the state of the current instance, which has ended.
+    /// Ends the current instance.
     fn end_instance(&mut self, now: Instant) {
+        self.discard_instance(now);
+        self.instances.end_current(now);
+    }
+
+    /// Discards the state of the current instance, which has ended or is replaced.
+    fn discard_instance(&mut self, now: Instant) {
         if self.instances.may_have_successor() {
             self.min_fence = self.target().map_or(self.min_fence, |target| target.fence + 1);
             self.unsettled.end_instance(now);
         } else {
             self.unsettled.discard_instance();
         }
-        self.instances.end_current(now);
-        self.lease = RunnerLease::none(self.lease.last_response());
+        self.lease = RunnerLease::none(now);
         self.acknowledged_end = 0;
         self.first_listed_end = None;
         self.tracker.clear();
@@ -330,6 +366,7 @@
             self.confirmed_at = self.newest_poll.1;
         }
         self.have_leases_expired = false;
+        self.has_changes |= std::mem::take(&mut self.is_silent);
         self.unresponsive_since = None;
         self.has_changes |= self.unsettled.on_poll(number, |key| is_listed(&response, key), now);
         self.has_changes |= self.instances.on_poll_response(number);
@@ -370,6 +407,13 @@
         }
     }
 
+    /// Returns the status of the current instance. A silent one has no capacity until it answers.
+    fn reported_status(&self) -> Option<RunnerStatus> {
+        let status = self.instances.current()?.status.clone();
+        let capacity = if self.is_silent { ResourceVector::default() } else { status.capacity };
+        Some(RunnerStatus { capacity, ..status })
+    }
+
     /// Returns whether the planner should get a report at once.
     pub fn has_changes(&self) -> bool {
         // Without a runner there is no poll to wait for, and its runs wait to be started elsewhere.
@@ -390,7 +434,7 @@
         }
         NodeReport {
             now: now.saturating_duration_since(self.started),
-            runner: self.instances.current().map(|runner| runner.status.clone()),
+            runner: self.reported_status(),
             keeps_id: self.instances.may_have_successor(),
             former: self.instances.former(),
             unsettled: self.unsettled.keys(),
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -187,6 +187,11 @@
         self.lock().advice = Some(advice);
     }
 
+    /// Leaves looks that come from now on unanswered, or no more.
+    pub fn leave_looks_unanswered(&self, is_unanswered: bool) {
+        self.lock().faults.leaves_looks_unanswered = is_unanswered;
+    }
+
     /// Leaves orders unanswered and carries them out after a time, or no more.
     pub fn set_late_orders(&self, delay: Option<Duration>) {
         self.lock().faults.late_orders = delay;
--- a/standins/src/platform_runner/calls.rs
+++ b/standins/src/platform_runner/calls.rs
@@ -21,8 +21,8 @@
 use crate::platform_runner::faults::turn_away;
 use crate::platform_runner::with_start_time;
 
-/// Time for which a lost answer is held back.
-const HANG: Duration = Duration::from_secs(30);
+/// Time for which an answer that is lost is held back.
+pub(super) const HANG: Duration = Duration::from_secs(30);
 
 /// The calls of one life.
 pub(super) fn router(runner: &PlatformRunner) -> Router {
--- a/standins/src/platform_runner/faults.rs
+++ b/standins/src/platform_runner/faults.rs
@@ -10,6 +10,7 @@
 use axum::response::Response;
 
 use crate::platform_runner::PlatformRunner;
+use crate::platform_runner::calls::HANG;
 
 /// The calls that look at a runner; all others are orders.
 const LOOK: &str = "/-/hold";
@@ -53,6 +54,8 @@
     pub lost_answers: u32,
     /// Orders that get no answer and are carried out after this time.
     pub late_orders: Option<Duration>,
+    /// Whether looks get no answer.
+    pub leaves_looks_unanswered: bool,
     refusal: Option<RunnerRefusal>,
     /// Calls since it began to refuse.
     calls: u32,
@@ -102,13 +105,21 @@
     call: Request,
     next: Next,
 ) -> Response {
-    let refusal = {
+    let is_look = call.uri().path() == LOOK;
+    let (refusal, is_unanswered) = {
         let mut life = runner.lock();
         match life.is_over {
-            true => None,
-            false => life.faults.refusal_of(call.uri().path() == LOOK),
+            true => (None, false),
+            false => {
+                let is_unanswered = is_look && life.faults.leaves_looks_unanswered;
+                (life.faults.refusal_of(is_look), is_unanswered)
+            }
         }
     };
+    if is_unanswered {
+        tokio::time::sleep(HANG).await;
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     match refusal {
         Some(status) => status.into_response(),
         None => next.run(call).await,
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -66,6 +66,12 @@
     }
 }
 
+/// A look that leaves at `now` has no answer. Whether the life is found to be silent beyond its leases.
+fn look_in_vain(state: &mut NodeState, now: Instant) -> bool {
+    state.next_poll(Duration::ZERO, now);
+    state.on_no_response(false, now + Duration::from_millis(800))
+}
+
 fn key(text: &str) -> RunKey {
     (text.parse().unwrap(), 1)
 }
@@ -188,10 +194,17 @@
     state.on_sync(&grant("i-1", 0, 0));
     state.next_poll(Duration::ZERO, now);
     state.on_heartbeat(runner("i-2", 1));
-    assert!(!state.on_no_response(false, now + Duration::from_secs(9)));
-    assert!(state.on_no_response(false, now + Duration::from_secs(10)));
+    assert!(!look_in_vain(&mut state, now + Duration::from_secs(9)));
+    let later = now + Duration::from_secs(11);
+    assert!(look_in_vain(&mut state, later));
     assert_eq!(state.target().unwrap().instance, "i-2");
-    assert_eq!(state.report(now).former, ["i-1"]);
+    let told = state.report(later);
+    assert_eq!(told.runner.unwrap().capacity, ResourceVector::default(), "it has not answered");
+    let (number, _) = state.next_poll(Duration::ZERO, later);
+    assert!(state.on_poll_response(number, lists(500), later), "the planner waits for this");
+    let told = state.report(later);
+    assert_eq!(told.former, ["i-1"]);
+    assert_eq!(told.runner.unwrap().capacity, runner("i-2", 1).status.capacity);
 }
 
 #[test]
@@ -237,9 +250,13 @@
     let later = now + Duration::from_secs(3);
     state.on_sync(&grant("i-1", 3, 0));
     assert_eq!(state.next_poll(Duration::ZERO, later).1.lease_end, None);
-    assert!(!state.on_no_response(false, now + Duration::from_secs(9)));
-    assert!(state.on_no_response(false, now + Duration::from_secs(10)));
-    assert!(state.target().is_none());
+    assert!(!look_in_vain(&mut state, now + Duration::from_secs(9)));
+    let later = now + Duration::from_secs(11);
+    assert!(look_in_vain(&mut state, later));
+    assert_eq!(state.may_start(later), None);
+    let told = state.report(later);
+    assert_eq!(told.runner.unwrap().capacity, ResourceVector::default());
+    assert!(told.snapshot.unwrap().present.is_empty());
 }
 
 /// Seen on a day with lost answers: a start was carried out without an answer, ended as done, and its
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -241,8 +241,11 @@
     state.on_sync(&lease_call(STAMP, Duration::from_secs(14)));
     state.accept_start(&order(false), now);
     try_start(&mut state, silence(), now);
-    assert!(!state.on_no_response(false, now + Duration::from_secs(12)));
-    assert!(state.on_no_response(false, now + Duration::from_secs(30)));
+    for (sent, is_given_up) in [(12, false), (30, true)] {
+        let sent = now + Duration::from_secs(sent);
+        state.next_poll(Duration::ZERO, sent);
+        assert_eq!(state.on_no_response(false, sent), is_given_up);
+    }
 }
 
 /// Guards against a task that runs twice: a repeat that found nobody says nothing of the first try.
