Send a stop until it is taken, also when its planner was replaced

Callers saw tasks of cancelled jobs go on: an agent had accepted the stop, its planner was replaced before the runner had taken it, and the agent dropped it.

A stop is final, whoever ordered it: no planner wants the run any more. So it stays due over the change of planners, is sent with the token of the newest one, and ends with its instance, as before.

The test of the agent fails before (stop_target: None) and passes now.

--- a/src/process/node/order_sender.rs
+++ b/src/process/node/order_sender.rs
@@ -125,7 +125,7 @@
     }
 }
 
-/// Sends a stop until the runner has accepted it, or its instance or the planner has changed.
+/// Sends a stop until the runner has accepted it, or its instance has changed.
 fn spawn_stop(shared: &Arc<NodeShared>, target: &RunnerTarget, key: RunKey) {
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -110,10 +110,11 @@
     }
 
     /// Returns where to send a stop that was ordered for `target`, until the runner has accepted
-    /// it. Its fencing token may have been raised since the order.
+    /// it. Since the order its fencing token may have been raised, and its planner replaced: no
+    /// planner wants the run any more.
     pub fn stop_target(&self, target: &RunnerTarget, key: &RunKey) -> Option<RunnerTarget> {
-        let is_due = self.is_current_target(target) && self.tracker.is_stop_due(key);
-        self.target().filter(|_| is_due)
+        let current = self.target().filter(|current| current.instance == target.instance);
+        current.filter(|_| self.tracker.is_stop_due(key))
     }
 
     /// Records the response to a stop. A rejected stop has no effect.
@@ -123,7 +124,7 @@
         key: &RunKey,
         response: &Result<(), RunnerError>,
     ) {
-        if response.is_ok() && self.is_current_target(target) {
+        if response.is_ok() && self.current_instance() == Some(&target.instance) {
             self.tracker.on_stop_accepted(key);
         }
     }
--- a/src/process/node/order_tracker.rs
+++ b/src/process/node/order_tracker.rs
@@ -241,10 +241,10 @@
         }
     }
 
-    /// Abandons the orders of a planner that was replaced. Polls sent from now on carry the new
+    /// Abandons the starts of a planner that was replaced. Polls sent from now on carry the new
     /// epoch. A runner that has received it rejects calls of the old epoch, so that the responses
-    /// to these polls show the final outcome of the old orders. Stops that the runner has not
-    /// accepted are dropped, so that the new planner's stops of the same runs are sent.
+    /// to these polls show the final outcome of the old starts. Stops are kept: the new planner
+    /// does not know which runs the old one has given up.
     ///
     /// ```
     /// use greengagearch::process::node::order_tracker::OrderTracker;
@@ -253,13 +253,12 @@
     /// let mut tracker = OrderTracker::default();
     /// tracker.accept_stop(&key);
     /// tracker.on_new_epoch();
-    /// assert!(tracker.accept_stop(&key));
+    /// assert!(tracker.is_stop_due(&key));
     /// ```
     pub fn on_new_epoch(&mut self) {
         for start in self.starts.values_mut() {
             start.rule_out(self.polls);
         }
-        self.stops.retain(|_, stop| *stop == StopState::Accepted);
     }
 
     /// Records that all leases have expired: no start that was sent can begin any more, and there
--- a/tests/doubtful_starts.rs
+++ b/tests/doubtful_starts.rs
@@ -176,6 +176,26 @@
     assert!(!agent.is_stop_due());
 }
 
+/// Guards against a run that goes on after its job was cancelled: its planner is replaced before the runner has taken the stop.
+#[test]
+fn a_stop_is_sent_until_it_is_taken_also_when_its_planner_was_replaced() {
+    let mut agent = Agent::with_start(false);
+    agent.try_start(Ok(()));
+    let begun = begun_run(TASK);
+    agent.look(vec![begun.clone()]);
+    let key = agent.key.clone();
+    assert!(agent.state.accept_stop(&key));
+    agent.try_stop(silence());
+
+    let ordered_for = agent.target();
+    agent.state.admit(LinkStamp { epoch: STAMP.epoch + 1, link: 1 }).unwrap();
+    let target = agent.state.stop_target(&ordered_for, &key);
+    assert_eq!(target.map(|target| target.epoch), Some(STAMP.epoch + 1));
+    agent.state.on_stop_response(&ordered_for, &key, &Ok(()));
+    agent.look(vec![begun]);
+    assert!(!agent.is_stop_due());
+}
+
 /// Guards against a start that leaves seconds after its stop: it waits for its turn while others hang, and the stop does not.
 #[test]
 fn a_start_that_was_stopped_while_it_waited_for_its_turn_does_not_leave() {
