Log why runs and workers are given up, and runs that are unknown

The planner's log did not tell what it concluded the loss of a run from, why a worker was lost, or that a worker shows a run that is not assigned to it: the stop of such a run, which may be a task at work beside its next run, left no line.

`run_ended` names its cause, `worker_lost` its reason and the silence of its agent, and `run_unknown` (metric label `unknown`) tells of a run that is shown but not assigned: once while it is shown, and once more when a run that was only ordered has started.

--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -23,7 +23,7 @@
                 ("epoch", &epoch),
             ],
         ),
-        PlanDecision::RunEnded { task, run, worker, end, ran_ms } => log_event(
+        PlanDecision::RunEnded { task, run, worker, end, cause, ran_ms } => log_event(
             Level::Info,
             "run_ended",
             &[
@@ -31,6 +31,7 @@
                 ("run", run),
                 ("worker", worker),
                 ("end", &format!("{end:?}")),
+                ("cause", &format!("{cause:?}")),
                 ("ran_ms", ran_ms),
                 ("epoch", &epoch),
             ],
@@ -52,6 +53,18 @@
             "run_absent",
             &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
         ),
+        // A run that has started may be executed beside its successor.
+        PlanDecision::RunUnknown { task, run, worker, started } => log_event(
+            Level::Warn,
+            "run_unknown",
+            &[
+                ("task", task),
+                ("run", run),
+                ("worker", worker),
+                ("started", started),
+                ("epoch", &epoch),
+            ],
+        ),
         PlanDecision::RunAdopted { task, run, from, worker } => log_event(
             Level::Info,
             "run_adopted",
@@ -124,10 +137,16 @@
             "task_given_up",
             &[("task", task), ("worker", worker), ("epoch", &epoch)],
         ),
-        PlanDecision::WorkerLost { worker, runs } => log_event(
+        PlanDecision::WorkerLost { worker, runs, reason, silent_ms } => log_event(
             Level::Warn,
             "worker_lost",
-            &[("worker", worker), ("runs", runs), ("epoch", &epoch)],
+            &[
+                ("worker", worker),
+                ("runs", runs),
+                ("reason", &format!("{reason:?}")),
+                ("silent_ms", &silent_ms.map_or("unknown".to_string(), |ms| ms.to_string())),
+                ("epoch", &epoch),
+            ],
         ),
     }
 }
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -22,6 +22,28 @@
     Gathered,
 }
 
+/// Why a runner instance is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    /// Its agent is silent, and all leases have expired.
+    LeasesExpired,
+    /// Its agent reports that it has ended.
+    InstanceEnded,
+}
+
+/// What the end of a run was concluded from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndCause {
+    /// The worker reported the end.
+    Reported,
+    /// The worker rejected the run.
+    Rejected,
+    /// The worker's snapshots do not show the run.
+    Absent,
+    /// The worker is lost.
+    WorkerLost(LossReason),
+}
+
 /// A decision of the planner, or a change in its view of a worker or task.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlanDecision {
@@ -48,6 +70,8 @@
         worker: InstanceId,
         /// How the run ended.
         end: RunEnd,
+        /// What the end was concluded from.
+        cause: EndCause,
         /// Time since the run was assigned, in milliseconds.
         ran_ms: u64,
     },
@@ -73,6 +97,17 @@
         /// Worker that the run was assigned to.
         worker: InstanceId,
     },
+    /// A worker shows a run that is not assigned to it, and is ordered to stop it.
+    RunUnknown {
+        /// Task of the run.
+        task: TaskName,
+        /// Number of the run.
+        run: RunNumber,
+        /// Worker that shows it.
+        worker: InstanceId,
+        /// Whether the run has started. Otherwise its start is pending at the agent.
+        started: bool,
+    },
     /// A run assigned to a former runner instance is running on its successor, which carried out
     /// the start order.
     RunAdopted {
@@ -180,6 +215,10 @@
         worker: InstanceId,
         /// Number of its runs.
         runs: usize,
+        /// Why it is lost.
+        reason: LossReason,
+        /// Time since its agent last reported it, in milliseconds; `None` if it never did.
+        silent_ms: Option<u64>,
     },
 }
 
@@ -187,9 +226,11 @@
     /// Label of this kind of decision in the metrics.
     ///
     /// ```
+    /// use greengagearch::workflow::plan_decision::LossReason;
     /// use greengagearch::workflow::plan_decision::PlanDecision;
     ///
-    /// let lost = PlanDecision::WorkerLost { worker: "i-1".into(), runs: 2 };
+    /// let (worker, reason) = ("i-1".into(), LossReason::LeasesExpired);
+    /// let lost = PlanDecision::WorkerLost { worker, runs: 2, reason, silent_ms: Some(9_000) };
     /// assert_eq!(lost.label(), "worker_lost");
     /// ```
     pub fn label(&self) -> &'static str {
@@ -201,6 +242,7 @@
             PlanDecision::RunEnded { .. } => "lost",
             PlanDecision::RunRejected { .. } => "refused",
             PlanDecision::RunAbsent { .. } => "absent",
+            PlanDecision::RunUnknown { .. } => "unknown",
             PlanDecision::RunAdopted { .. } => "adopted",
             PlanDecision::StartInDoubt { .. } => "start_in_doubt",
             PlanDecision::Moved { .. } => "moved",
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -21,6 +21,8 @@
 use crate::workflow::advice_cache::AdviceQuery;
 use crate::workflow::changed_jobs::ChangedJobs;
 use crate::workflow::pair_interference::PairInterferenceModel;
+use crate::workflow::plan_decision::EndCause;
+use crate::workflow::plan_decision::LossReason;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_consolidation::ConsolidationState;
@@ -137,7 +139,7 @@
     pub fn on_tick(&mut self) {
         let (now, wall_ms) = (self.now, self.wall_ms);
         for instance in self.inventory.expired(now) {
-            self.give_up_instance(&instance);
+            self.give_up_settled_runs(&instance, &[], LossReason::LeasesExpired);
         }
         self.move_throttled();
         self.evacuate();
@@ -247,7 +249,13 @@
     }
 
     /// Removes a run from its worker and records its end in its job.
-    pub(crate) fn end_run(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
+    pub(crate) fn end_run(
+        &mut self,
+        instance: &str,
+        key: &RunKey,
+        (end, cause): (RunEnd, EndCause),
+        checkpoint: &str,
+    ) {
         let released = self.inventory.release(instance, key, self.now);
         if let Some(run) = &released {
             let ran = self.now.saturating_duration_since(run.assigned_at);
@@ -256,6 +264,7 @@
                 run: key.1,
                 worker: instance.to_string(),
                 end,
+                cause,
                 ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
             });
         }
@@ -336,11 +345,6 @@
         })
     }
 
-    /// Gives up all runs of a runner instance that has ended or whose leases have expired.
-    pub(crate) fn give_up_instance(&mut self, instance: &str) {
-        self.give_up_settled_runs(instance, &[]);
-    }
-
     /// Returns whether a run has to stay assigned whatever its worker reports, since an attempt to
     /// start it may still be carried out. Of a long-running task nothing is ever done, and it must
     /// not be away for so long.
@@ -355,10 +359,15 @@
         !is_done && !entry.step(&key.0).is_some_and(|step| step.long_running)
     }
 
-    /// Gives up the runs of an ended runner instance except the `unsettled` ones, which the
+    /// Gives up the runs of a lost runner instance except the `unsettled` ones, which the
     /// successor instance may have started or may still start, and the retained ones. Those stay
     /// assigned until the successor reports its runs or the leases expire.
-    pub(crate) fn give_up_settled_runs(&mut self, instance: &str, unsettled: &[RunKey]) {
+    pub(crate) fn give_up_settled_runs(
+        &mut self,
+        instance: &str,
+        unsettled: &[RunKey],
+        reason: LossReason,
+    ) {
         let Some(worker) = self.inventory.get(instance) else {
             return;
         };
@@ -366,12 +375,17 @@
         let (retained, lost): (Vec<RunKey>, Vec<RunKey>) =
             keys.partition(|key| unsettled.contains(key) || self.is_retained(key));
         if !worker.has_ended || !lost.is_empty() {
-            let worker = instance.to_string();
-            self.decisions.push(PlanDecision::WorkerLost { worker, runs: lost.len() });
+            let silence = worker.last_contact.map(|at| self.now.saturating_duration_since(at));
+            self.decisions.push(PlanDecision::WorkerLost {
+                worker: instance.to_string(),
+                runs: lost.len(),
+                reason,
+                silent_ms: silence.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
+            });
         }
         let given_up = self.on_unexplained_loss(instance);
         for key in lost {
-            self.end_run(instance, &key, RunEnd::Lost, "");
+            self.end_run(instance, &key, (RunEnd::Lost, EndCause::WorkerLost(reason)), "");
         }
         if retained.is_empty() {
             self.inventory.remove(instance);
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -23,6 +23,8 @@
 use crate::workflow::assigned_run::RunProgress;
 use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::expired_by;
+use crate::workflow::plan_decision::EndCause;
+use crate::workflow::plan_decision::LossReason;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
@@ -126,7 +128,7 @@
             given_up.extend(self.on_crash(crash).map(|task| (task, crash.instance.as_str())));
         }
         for former in &report.former {
-            self.give_up_settled_runs(former, &report.unsettled);
+            self.give_up_settled_runs(former, &report.unsettled, LossReason::InstanceEnded);
         }
         for (task, worker) in given_up {
             self.give_up_task(task, worker);
@@ -325,7 +327,7 @@
         if matches!(ended.end, RunEnd::Done | RunEnd::Failed) {
             self.clear_task(&key.0);
         }
-        self.end_run(instance, &key, ended.end, &ended.checkpoint);
+        self.end_run(instance, &key, (ended.end, EndCause::Reported), &ended.checkpoint);
     }
 
     fn on_success(&mut self, instance: &str, name: &TaskName) {
@@ -370,18 +372,31 @@
         }
         let key = (rejected.task.clone(), rejected.run);
         if !self.is_retained(&key) {
-            self.end_run(instance, &key, RunEnd::Lost, "");
+            self.end_run(instance, &key, (RunEnd::Lost, EndCause::Rejected), "");
         }
     }
 
     /// Stops runs that the worker reports but that are not assigned to it.
-    pub(crate) fn stop_unknown_runs<V>(&mut self, instance: &str, present: &BTreeMap<RunKey, V>) {
-        let Some(worker) = self.inventory.get(instance) else {
+    fn stop_unknown_runs(&mut self, instance: &str, present: &BTreeMap<RunKey, PresentRun>) {
+        let Some(worker) = self.inventory.get_mut(instance) else {
             return;
         };
-        let unknown = present.keys().filter(|key| !worker.assigned.contains_key(key));
-        let stops = unknown.map(|key| NodeOrder::Stop(key.0.clone(), key.1));
-        self.outbox.extend(stops.map(|stop| (instance.to_string(), stop)));
+        let unknown = present.iter().filter(|(key, _)| !worker.assigned.contains_key(key));
+        let unknown: BTreeMap<RunKey, bool> =
+            unknown.map(|(key, run)| (key.clone(), run.is_started)).collect();
+        let former = std::mem::replace(&mut worker.unknown_runs, unknown.clone());
+        for (key, started) in unknown {
+            // The snapshots repeat the run until the stop takes effect.
+            if former.get(&key).is_none_or(|was_started| started && !was_started) {
+                self.decisions.push(PlanDecision::RunUnknown {
+                    task: key.0.clone(),
+                    run: key.1,
+                    worker: instance.to_string(),
+                    started,
+                });
+            }
+            self.outbox.push((instance.to_string(), NodeOrder::Stop(key.0, key.1)));
+        }
     }
 
     /// Sends the start order of a run again, on a new link over which it has not been sent.
@@ -404,7 +419,7 @@
             run: key.1,
             worker: instance.to_string(),
         });
-        self.end_run(instance, key, RunEnd::Lost, "");
+        self.end_run(instance, key, (RunEnd::Lost, EndCause::Absent), "");
     }
 
     /// Sends an agent the traits of all its runs, and repeats pending stop orders.
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -53,6 +53,8 @@
     /// Whether its runs have to be compared with those that its agent reports, because the link is
     /// new.
     pub resync: bool,
+    /// Runs in its newest snapshot that are not assigned to it, and whether each has started.
+    pub unknown_runs: BTreeMap<RunKey, bool>,
     /// Capacity reserved for tasks that are being moved here.
     pub reservations: Reservations,
     /// Whether the instance has ended. Runs that are still assigned to it may be started by its
@@ -75,6 +77,7 @@
             ended_best_effort: Vec::new(),
             traits_sent_at: None,
             resync: true,
+            unknown_runs: BTreeMap::new(),
             reservations: Reservations::default(),
             has_ended: false,
             isolated: None,
