Log a lost link to an agent once, and that it is back

A failed attempt to connect was meant to be logged once, but what told it from a link that had been up was its duration, and an attempt that times out lasts as long as the time limit.

A link now keeps its outage from the first failure to the next report of the agent, logs each reason once in it, and `node_link_regained` with its length at its end.

--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 /// Events that change what a process believes; those during the job's life are shown with it.
-const BELIEFS: [&str; 10] = [
+const BELIEFS: [&str; 11] = [
     "planning_started",
     "planning_ended",
     "worker_lost",
@@ -12,6 +12,7 @@
     "runner_regained",
     "runner_ended",
     "node_link_lost",
+    "node_link_regained",
     "feed_lost",
     "commit_failed",
     "ownership_watch_lost",
--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::Level;
 use tokio::net::TcpStream;
@@ -97,11 +98,19 @@
             events,
             stamp: LinkStamp { epoch, link: 0 },
             unanswered: Arc::default(),
+            outage: None,
         };
         NodeLink { orders, task: tokio::spawn(task.run(batches)) }
     }
 }
 
+/// Time without a report of the agent.
+struct LinkOutage {
+    since: Instant,
+    /// The reason that was logged last.
+    reason: String,
+}
+
 struct LinkTask {
     /// Number of the last batch that was sent over the current connection, or 0.
     last_sent: u64,
@@ -111,16 +120,16 @@
     stamp: LinkStamp,
     /// Notified when a batch of orders sent over the current connection got no response.
     unanswered: Arc<Notify>,
+    /// The current outage; `None` once the agent has reported over the current connection.
+    outage: Option<LinkOutage>,
 }
 
 impl LinkTask {
     async fn run(mut self, mut batches: mpsc::UnboundedReceiver<OrderBatch>) {
-        let mut was_up = true;
         loop {
             self.stamp.link += 1;
             self.last_sent = 0;
             self.unanswered = Arc::default();
-            let opened = clock::now();
             let reason = match self.connect().await {
                 Some(client) => {
                     // Drops orders queued for the earlier connection. The planner orders again what
@@ -130,20 +139,41 @@
                 }
                 None => "connect".to_string(),
             };
-            let is_up = clock::elapsed(opened) > CONNECT_TIMEOUT;
-            // Logs repeated connection failures only once.
-            if was_up {
-                log_event(
-                    Level::Warn,
-                    "node_link_lost",
-                    &[("node", &self.address), ("link", &self.stamp.link), ("reason", &reason)],
-                );
-            }
-            was_up = is_up;
+            self.on_lost(reason);
             tokio::time::sleep(RECONNECT_DELAY).await;
         }
     }
 
+    /// Logs the loss of the link. During an outage the same reason is logged only once.
+    fn on_lost(&mut self, reason: String) {
+        let is_logged = self.outage.as_ref().is_some_and(|outage| outage.reason == reason);
+        if !is_logged {
+            log_event(
+                Level::Warn,
+                "node_link_lost",
+                &[("node", &self.address), ("link", &self.stamp.link), ("reason", &reason)],
+            );
+        }
+        let since = self.outage.take().map_or_else(clock::now, |outage| outage.since);
+        self.outage = Some(LinkOutage { since, reason });
+    }
+
+    /// Logs the end of an outage.
+    fn on_report(&mut self) {
+        let Some(outage) = self.outage.take() else {
+            return;
+        };
+        log_event(
+            Level::Info,
+            "node_link_regained",
+            &[
+                ("node", &self.address),
+                ("link", &self.stamp.link),
+                ("away_ms", &clock::elapsed(outage.since).as_millis()),
+            ],
+        );
+    }
+
     async fn connect(&self) -> Option<NodeRpcClient> {
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(&self.address)).await;
         let stream = connected.ok()?.ok()?;
@@ -170,6 +200,7 @@
                 Ok(report) => report,
                 Err(reason) => return reason,
             };
+            self.on_report();
             call = self.next_sync_call(&report);
             // The runner may not have registered yet with an agent that has just started.
             let names_runner = report.runner.is_some();
--- a/tests/node_link.rs
+++ b/tests/node_link.rs
@@ -1,5 +1,7 @@
 //! The planner's link to an agent that answers some calls and loses others.
 
+mod kept_log;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -25,11 +27,21 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
+use crate::kept_log::keep_log;
+use crate::kept_log::lines_with;
+
 const SETTINGS: &str = "[planner]\nid = p\ndomain = d\ncaller-listen = 127.0.0.1:0\n\
     ready-listen = 127.0.0.1:0\ninternal-listen = 127.0.0.1:0\n[store]\naddress = 127.0.0.1:1\n";
 
+/// Lines about the link to an agent.
+fn lines_of(agent: SocketAddr) -> Vec<String> {
+    lines_with(&format!(" node={agent} "))
+}
+
 /// An agent that answers when it is asked for its state, and never answers an order. It hears of its runner
 /// after its first answer.
 #[derive(Clone, Default)]
@@ -70,6 +82,11 @@
 async fn spawn_agent() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
+    serve(listener);
+    address
+}
+
+fn serve(listener: TcpListener) {
     let agent = DeafAgent::default();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -79,15 +96,32 @@
             }));
         }
     });
-    address
 }
 
 async fn spawn_link() -> (NodeLink, mpsc::UnboundedReceiver<LinkEvent>) {
+    spawn_link_to(spawn_agent().await)
+}
+
+fn spawn_link_to(agent: SocketAddr) -> (NodeLink, mpsc::UnboundedReceiver<LinkEvent>) {
     let settings = PlannerSettings::parse("planner.ini", SETTINGS).unwrap();
     let store = Arc::new(StoreClient::open("127.0.0.1:1"));
     let shared = Arc::new(PlannerShared::new(settings, store, None));
     let (sender, news) = mpsc::unbounded_channel();
-    (NodeLink::spawn(shared, 1, spawn_agent().await.to_string(), sender), news)
+    (NodeLink::spawn(shared, 1, agent.to_string(), sender), news)
+}
+
+/// A listener whose queue is full, so that connecting to it times out.
+async fn bind_congested() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    let limit = Duration::from_millis(100);
+    while let Ok(connected) = tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        queued.push(connected.unwrap());
+    }
+    (listener, queued)
 }
 
 /// Whether the next report is told to come over a new link, and whether it names a runner.
@@ -120,3 +154,43 @@
     let limit = Duration::from_secs(60);
     tokio::time::timeout(limit, anew).await.expect("the link begins anew");
 }
+
+/// Seen in the record of issue 42: attempts that timed out were logged one by one.
+#[tokio::test]
+async fn connects_that_time_out_are_logged_once_until_the_link_is_back() {
+    keep_log();
+    let (listener, _queued) = bind_congested().await;
+    let agent = listener.local_addr().unwrap();
+    let (_link, mut news) = spawn_link_to(agent);
+    // Each attempt takes 0.55 s.
+    tokio::time::sleep(Duration::from_millis(1_900)).await;
+    let lost = lines_of(agent);
+    assert_eq!(lost.len(), 1, "{lost:?}");
+    assert!(lost[0].ends_with("link=1 reason=connect"), "{lost:?}");
+    serve(listener);
+    next_report(&mut news).await;
+    let lines = lines_of(agent);
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines[1].contains("level=info event=node_link_regained "), "{lines:?}");
+    let (_, away) = lines[1].split_once(" away_ms=").unwrap();
+    assert!(away.parse::<u64>().unwrap() >= 1_000, "{lines:?}");
+}
+
+#[tokio::test]
+async fn each_loss_of_a_link_that_was_up_is_logged() {
+    keep_log();
+    let agent = spawn_agent().await;
+    let (link, mut news) = spawn_link_to(agent);
+    for number in 1..=2 {
+        while next_report(&mut news).await.0 {}
+        let batch = OrderBatch { instance: "i".to_string(), number, orders: Vec::new() };
+        link.orders.send(batch).unwrap();
+        while !next_report(&mut news).await.0 {}
+    }
+    let lines = lines_of(agent);
+    let events = ["lost", "regained", "lost", "regained"];
+    assert_eq!(lines.len(), events.len(), "{lines:?}");
+    for (line, event) in lines.iter().zip(events) {
+        assert!(line.contains(&format!(" event=node_link_{event} ")), "{lines:?}");
+    }
+}
--- a/tests/order_tries.rs
+++ b/tests/order_tries.rs
@@ -1,43 +1,18 @@
 //! What an agent logs and counts of the tries of an order.
 
-use std::sync::Mutex;
+mod kept_log;
 
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::external::runner_control::RunnerError;
 use greengagearch::process::metrics::ProcessMetrics;
 use greengagearch::process::node::order_attempts::OrderAttempts;
 use greengagearch::process::node::order_attempts::OrderKind;
-use log::LevelFilter;
-use log::Log;
-use log::Metadata;
-use log::Record;
 
-static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
-
-struct KeptLog;
-
-impl Log for KeptLog {
-    fn enabled(&self, _: &Metadata) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record) {
-        LINES.lock().unwrap().push(record.args().to_string());
-    }
-
-    fn flush(&self) {}
-}
-
-/// Lines about a task: tests of this file run beside each other.
-fn lines_of(task: &str) -> Vec<String> {
-    let lines = LINES.lock().unwrap();
-    lines.iter().filter(|line| line.contains(task)).cloned().collect()
-}
+use crate::kept_log::keep_log;
+use crate::kept_log::lines_with;
 
 fn tries_of(order: OrderKind, task: &str) -> OrderAttempts {
-    // The first test of the process sets the logger; the others find it set.
-    let _ = log::set_logger(&KeptLog);
-    log::set_max_level(LevelFilter::Info);
+    keep_log();
     OrderAttempts::new(order, &(task.parse().unwrap(), 3), 7)
 }
 
@@ -55,7 +30,7 @@
     let mut tries = tries_of(OrderKind::Start, "a.0.0.0");
     tries.record(&metrics, &silence());
     tries.record(&metrics, &refusal());
-    let lines = lines_of("task=a.0.0.0");
+    let lines = lines_with("task=a.0.0.0");
     assert_eq!(lines.len(), 2);
     assert!(lines[0].contains("event=start_try task=a.0.0.0 run=3 epoch=7 try=1 "), "{lines:?}");
     assert!(lines[0].ends_with("outcome=\"no answer: late\" unanswered=0"), "{lines:?}");
@@ -69,7 +44,7 @@
     let metrics = ProcessMetrics::open();
     let mut tries = tries_of(OrderKind::Stop, "b.0.0.0");
     (0..1_000).for_each(|_| tries.record(&metrics, &silence()));
-    let lines = lines_of("task=b.0.0.0");
+    let lines = lines_with("task=b.0.0.0");
     let numbers = [1, 2, 3, 4, 8, 16, 32, 64, 128, 256, 512];
     assert_eq!(lines.len(), numbers.len());
     for (line, number) in lines.iter().zip(numbers) {
@@ -83,7 +58,7 @@
     let metrics = ProcessMetrics::open();
     let mut tries = tries_of(OrderKind::Start, "c.0.0.0");
     tries.record(&metrics, &Ok(()));
-    assert!(lines_of("task=c.0.0.0").is_empty());
+    assert!(lines_with("task=c.0.0.0").is_empty());
     assert_eq!(tries.outcome(), "done");
 }
 
