Log lapsed leases at an agent, and the link and wait of a start

An agent's log did not tell that the planner's grants had run out while runs or starts were there, nor over which link a start was ordered and how long it waited at the agent, so that a start that is carried out under a later lease could not be seen.

`lease_lapsed` and `lease_renewed` are logged once for each change, also where the process itself stood still: a sync call checks before and after it renews the lease. `task_start` has `link` and `waited_ms`. `gga-ctl explain` shows changes of links and leases with the job.

--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -4,13 +4,16 @@
 use std::fmt::Write;
 
 /// Events that change what a process believes; those during the job's life are shown with it.
-const BELIEFS: [&str; 11] = [
+const BELIEFS: [&str; 14] = [
     "planning_started",
     "planning_ended",
     "worker_lost",
     "runner_lost",
     "runner_regained",
     "runner_ended",
+    "planner_link",
+    "lease_lapsed",
+    "lease_renewed",
     "node_link_lost",
     "node_link_regained",
     "feed_lost",
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fencing_token;
 pub mod instance_recorder;
+pub mod lease_watch;
 pub mod order_attempts;
 pub mod order_sender;
 pub mod order_sequence;
--- a/src/process/node/order_sender.rs
+++ b/src/process/node/order_sender.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::Level;
 
@@ -26,9 +27,10 @@
 /// seen, since the next report names the current one.
 pub fn accept_orders(shared: &Arc<NodeShared>, call: OrderCall) {
     let target = shared.state().target().filter(|target| target.instance == call.instance);
+    let link = call.stamp.link;
     for order in call.orders {
         match (&target, order) {
-            (Some(target), NodeOrder::Start(order)) => accept_start(shared, target, order),
+            (Some(target), NodeOrder::Start(order)) => accept_start(shared, target, link, order),
             (Some(target), NodeOrder::Stop(task, run)) => accept_stop(shared, target, (task, run)),
             (Some(_), NodeOrder::Describe(traits)) => {
                 shared.state().traits.insert(traits.task.clone(), traits);
@@ -39,14 +41,16 @@
     shared.state().on_orders(call.previous, call.number);
 }
 
-fn accept_start(shared: &Arc<NodeShared>, target: &RunnerTarget, order: StartOrder) {
+fn accept_start(shared: &Arc<NodeShared>, target: &RunnerTarget, link: u64, order: StartOrder) {
     if !shared.state().accept_start(&order, clock::now()) {
         return;
     }
     let key = (order.traits.task.clone(), order.run);
     let attempts = OrderAttempts::new(OrderKind::Start, &key, target.epoch);
     let (shared, target) = (shared.clone(), target.clone());
-    tokio::spawn(StartSender { shared, target, order, key, attempts }.run());
+    let (arrived_at, sent_at) = (clock::now(), None);
+    let sender = StartSender { shared, target, link, order, key, attempts, arrived_at, sent_at };
+    tokio::spawn(sender.run());
 }
 
 fn accept_stop(shared: &Arc<NodeShared>, target: &RunnerTarget, key: RunKey) {
@@ -60,14 +64,18 @@
 struct StartSender {
     shared: Arc<NodeShared>,
     target: RunnerTarget,
+    /// Number of the planner's link over which the order arrived.
+    link: u64,
     order: StartOrder,
     key: RunKey,
     attempts: OrderAttempts,
+    arrived_at: Instant,
+    /// When the first attempt was sent.
+    sent_at: Option<Instant>,
 }
 
 impl StartSender {
     async fn run(mut self) {
-        let arrived_at = clock::now();
         let rejection = loop {
             match self.next_step() {
                 StartStep::Send => self.send_in_turn().await,
@@ -81,7 +89,7 @@
         };
         let outcome = rejection.map_or("settled".to_string(), |reason| format!("{reason:?}"));
         let metrics = &self.shared.metrics;
-        metrics.latency.observe(clock::elapsed(arrived_at).as_secs_f64());
+        metrics.latency.observe(clock::elapsed(self.arrived_at).as_secs_f64());
         metrics.tasks.with_label_values(&[outcome.as_str()]).inc();
         self.log(&outcome);
     }
@@ -102,6 +110,7 @@
         let Some(lease_end) = lease_end else {
             return;
         };
+        self.sent_at.get_or_insert_with(clock::now);
         let response = shared.control.start(&self.target, &self.order, lease_end).await;
         drop(slot);
         self.attempts.record(&shared.metrics, &response);
@@ -109,6 +118,8 @@
     }
 
     fn log(&self, outcome: &str) {
+        let waited_until = self.sent_at.unwrap_or_else(clock::now);
+        let waited = waited_until.saturating_duration_since(self.arrived_at);
         log_event(
             Level::Info,
             "task_start",
@@ -116,7 +127,9 @@
                 ("task", &self.key.0),
                 ("run", &self.key.1),
                 ("epoch", &self.target.epoch),
+                ("link", &self.link),
                 ("instance", &self.target.instance),
+                ("waited_ms", &waited.as_millis()),
                 ("outcome", &outcome),
                 ("tries", &self.attempts.attempts()),
                 ("unanswered", &self.attempts.unanswered()),
--- a/src/process/node/rpc.rs
+++ b/src/process/node/rpc.rs
@@ -56,7 +56,10 @@
 impl NodeRpc for NodeServer {
     async fn sync(self, _: Context, call: SyncCall) -> Result<NodeReport, StaleLink> {
         self.admit(call.stamp)?;
+        // The poller may notice a lapse only after the call if the process was suspended.
+        self.shared.log_lease_change();
         self.shared.state().on_sync(&call);
+        self.shared.log_lease_change();
         let changes = async {
             while !self.shared.state().has_changes() {
                 self.shared.report_wakeup.notified().await;
--- a/src/process/node/runner_lease.rs
+++ b/src/process/node/runner_lease.rs
@@ -93,6 +93,19 @@
         self.granted_until = self.granted_until.max(Some(until));
     }
 
+    /// Returns the time up to which the planner has granted leases.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::process::node::runner_lease::RunnerLease;
+    ///
+    /// assert_eq!(RunnerLease::none(Instant::now()).granted_until(), None);
+    /// ```
+    pub fn granted_until(&self) -> Option<Instant> {
+        self.granted_until
+    }
+
     /// Returns the time up to which runs may continue, on the runner's clock; `None` while that is
     /// not known.
     ///
--- a/src/process/node/runner_poller.rs
+++ b/src/process/node/runner_poller.rs
@@ -29,6 +29,7 @@
     tokio::spawn(async move {
         let mut is_failing = false;
         loop {
+            shared.log_lease_change();
             let target = shared.state().target();
             let Some(target) = target else {
                 await_instance(&shared).await;
--- a/src/process/node/shared.rs
+++ b/src/process/node/shared.rs
@@ -14,6 +14,7 @@
 use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::metrics::ProcessMetrics;
+use crate::process::node::lease_watch::LeaseChange;
 use crate::process::node::registered_runner::HeartbeatEffect;
 use crate::process::node::registered_runner::RegisteredRunner;
 use crate::process::node::state::NodeState;
@@ -61,6 +62,32 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Logs that the lease has lapsed while there are runs or starts, or is valid again.
+    pub fn log_lease_change(&self) {
+        let mut state = self.state();
+        let change = state.take_lease_change(clock::now());
+        let instance = state.current_instance().cloned().unwrap_or_default();
+        drop(state);
+        match change {
+            Some(LeaseChange::Lapsed { runs, starts, since }) => log_event(
+                log::Level::Warn,
+                "lease_lapsed",
+                &[
+                    ("instance", &instance),
+                    ("runs", &runs),
+                    ("starts", &starts),
+                    ("lapsed_ms", &since.as_millis()),
+                ],
+            ),
+            Some(LeaseChange::Renewed { since }) => log_event(
+                log::Level::Info,
+                "lease_renewed",
+                &[("instance", &instance), ("lapsed_ms", &since.as_millis())],
+            ),
+            None => {}
+        }
+    }
+
     /// Returns whether a dropped heartbeat is the first in a row from its instance.
     fn is_first_dropped(&self, instance: &InstanceId) -> bool {
         let mut last_dropped = self.last_dropped.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -21,6 +21,8 @@
 use crate::ids::FencingToken;
 use crate::ids::InstanceId;
 use crate::ids::PollNumber;
+use crate::process::node::lease_watch::LeaseChange;
+use crate::process::node::lease_watch::LeaseWatch;
 use crate::process::node::order_sequence::OrderSequence;
 use crate::process::node::order_tracker::OrderTracker;
 use crate::process::node::order_tracker::has_ended;
@@ -45,6 +47,7 @@
     pub(super) stamp: LinkStamp,
     pub(super) instances: RunnerInstances,
     pub(super) lease: RunnerLease,
+    lease_watch: LeaseWatch,
     /// Whether the current instance has answered the last poll.
     is_confirmed: bool,
     /// The newest poll and when it was sent.
@@ -99,6 +102,7 @@
             stamp: LinkStamp::default(),
             instances: RunnerInstances::default(),
             lease: RunnerLease::none(started),
+            lease_watch: LeaseWatch::default(),
             is_confirmed: false,
             newest_poll: (0, started),
             confirmed_at: started,
@@ -229,6 +233,7 @@
         }
         self.instances.end_current(now);
         self.lease = RunnerLease::none(self.lease.last_response());
+        self.lease_watch = LeaseWatch::default();
         self.acknowledged_end = 0;
         self.first_listed_end = None;
         self.tracker.clear();
@@ -277,6 +282,13 @@
         self.lease.end()
     }
 
+    /// Returns whether the lease has lapsed while there are runs or starts, or is valid again, since
+    /// the last call.
+    pub fn take_lease_change(&mut self, now: Instant) -> Option<LeaseChange> {
+        let (runs, starts) = (self.present.len(), self.tracker.starting().count());
+        self.lease_watch.take_change(self.lease.granted_until(), runs, starts, now)
+    }
+
     /// Returns whether enough of the lease is left at `now` to send a start; `None` while no lease
     /// is known.
     pub fn may_start(&self, now: Instant) -> Option<bool> {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -64,3 +64,32 @@
 fn a_job_that_no_line_names_is_told_so() {
     assert!(told(&["time=1.0 level=info event=stopped"]).contains("no line names it"));
 }
+
+/// Two runs of a task at once: the agent of the first was silent, and carried out an order that it had waited with.
+#[test]
+fn a_run_beside_its_successor_is_told_with_leases_and_links() {
+    let told = told(&[
+        "time=5.000 level=info event=job_submitted job=a1 outcome=accepted",
+        "time=5.100 level=warn event=node_link_lost node=n:1 link=4 reason=connect",
+        "time=8.100 level=warn event=lease_lapsed instance=i-1 runs=1 starts=1 lapsed_ms=9",
+        "time=9.200 level=info event=lease_renewed instance=i-1 lapsed_ms=1109",
+        "time=9.300 level=info event=node_link_regained node=n:1 link=9 away_ms=4200",
+        "time=9.400 level=warn event=run_unknown task=a1.0.0.0 run=1 worker=i-1 started=true epoch=3",
+        "time=9.400 level=warn event=run_unknown task=b2.0.0.0 run=1 worker=i-1 started=true epoch=3",
+        "time=9.500 level=info event=job_ended job=a1 end=Cancelled age_ms=4500 objective_ms=900",
+    ]);
+    let events: Vec<&str> = told
+        .lines()
+        .filter_map(|line| line.split_once(" s  ")?.1.split_whitespace().next())
+        .collect();
+    let all = [
+        "job_submitted",
+        "node_link_lost",
+        "lease_lapsed",
+        "lease_renewed",
+        "node_link_regained",
+        "run_unknown",
+        "job_ended",
+    ];
+    assert_eq!(events, all, "{told}");
+}
