Tie each start order to the lease that it was decided under

A planner gives a silent worker up when all of its leases have ended, and starts its tasks elsewhere. An order to start one of them that was still on its way (held by a cut, by an agent or by a planner that stood still) is accepted when it arrives, since its sender is still the newest, waits up to two seconds for a lease as orders may that overtake the first grant of a link, and is carried out under the lease of the new link. Nothing tied the order to what the planner believed when it gave it.

Each order to start a run now names the newest lease that the planner had granted when it decided: the link, and the end on the agent's clock. The agent sends no start after that end, whatever lease it has by then; a start without an answer is stopped instead of repeated. The planner gives a run up for silence only after that time, so that an order and the giving up of its run exclude each other.

The search's world without the wait for leases still grants them, with ends that its planner does not know, since starts need one.

--- a/src/connection/node_protocol.rs
+++ b/src/connection/node_protocol.rs
@@ -45,6 +45,15 @@
     pub span: Duration,
 }
 
+/// A lease that the planner has granted over a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderLease {
+    /// Number of the link.
+    pub link: u64,
+    /// End of the lease on the agent's monotonic clock.
+    pub end: Duration,
+}
+
 /// Request for the state of an agent. The agent delays its response until something has changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncCall {
@@ -361,6 +370,9 @@
     pub checkpoint: CheckpointRef,
     /// Ticket of the advice service, if the queue requires one.
     pub ticket: Option<String>,
+    /// The newest lease that the planner had granted when it decided on the start. The start is not
+    /// sent to the runner after its end, since the planner may have given up the run by then.
+    pub lease: OrderLease,
     /// Properties of the task.
     pub traits: TaskTraits,
     /// Whether the same start was ordered before, possibly from an agent process that has ended
--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -14,14 +14,20 @@
 use crate::workflow::worker_inventory::RunKey;
 
 impl NodeState {
-    /// Accepts an order to start a run. Returns whether it is new.
+    /// Accepts an order to start a run. Returns whether it is new. An order that was decided under
+    /// the lease of another link is ignored: the planner orders again what it still needs when it
+    /// has the first snapshot of this link.
     pub fn accept_start(&mut self, order: &StartOrder, now: Instant) -> bool {
+        if order.lease.link != self.stamp.link {
+            return false;
+        }
         let key = (order.traits.task.clone(), order.run);
         self.traits.insert(key.0.clone(), order.traits.clone());
         if order.is_repeat {
             self.unsettled.on_sending(&key, now);
         }
-        self.tracker.accept_start(&key, order.is_repeat, now)
+        let valid_until = self.started + order.lease.end;
+        self.tracker.accept_start(&key, order.is_repeat, valid_until, now)
     }
 
     /// Determines the next step of a start.
--- a/src/process/node/order_tracker.rs
+++ b/src/process/node/order_tracker.rs
@@ -66,20 +66,27 @@
         self.polls
     }
 
-    /// Accepts an order to start a run. If `is_repeat`, an earlier agent may have sent the same
-    /// order without receiving a response. Returns whether the order is new.
+    /// Accepts an order to start a run, which is not sent after `valid_until`. If `is_repeat`, an
+    /// earlier agent may have sent the same order without receiving a response. Returns whether the
+    /// order is new.
     ///
     /// ```
     /// use std::time::Instant;
     ///
     /// use greengagearch::process::node::order_tracker::OrderTracker;
     ///
-    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// let (key, now) = (("a.0.0.0".parse().unwrap(), 1), Instant::now());
     /// let mut tracker = OrderTracker::default();
-    /// assert!(tracker.accept_start(&key, false, Instant::now()));
-    /// assert!(!tracker.accept_start(&key, false, Instant::now()));
+    /// assert!(tracker.accept_start(&key, false, now, now));
+    /// assert!(!tracker.accept_start(&key, false, now, now));
     /// ```
-    pub fn accept_start(&mut self, key: &RunKey, is_repeat: bool, now: Instant) -> bool {
+    pub fn accept_start(
+        &mut self,
+        key: &RunKey,
+        is_repeat: bool,
+        valid_until: Instant,
+        now: Instant,
+    ) -> bool {
         if self.starts.contains_key(key) || self.stops.contains_key(key) {
             return false;
         }
@@ -87,7 +94,7 @@
             self.reported.iter().chain(&self.unreported).find(|run| is_rejection_of(run, key));
         let start = match rejected {
             Some(rejected) => PendingStart::rejected(rejected.reason, self.polls, now),
-            None => PendingStart::new(is_repeat, now),
+            None => PendingStart::new(is_repeat, valid_until, now),
         };
         self.starts.insert(key.clone(), start);
         true
@@ -96,16 +103,16 @@
     /// Determines the next step of a start.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use std::time::Instant;
     ///
     /// use greengagearch::process::node::order_tracker::OrderTracker;
     /// use greengagearch::process::node::pending_start::StartConditions;
     /// use greengagearch::process::node::pending_start::StartStep;
     ///
-    /// let now = Instant::now();
-    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// let (key, now) = (("a.0.0.0".parse().unwrap(), 1), Instant::now());
     /// let mut tracker = OrderTracker::default();
-    /// tracker.accept_start(&key, false, now);
+    /// tracker.accept_start(&key, false, now + Duration::from_secs(9), now);
     /// let conditions = StartConditions { is_draining: false, has_capacity: true, lease_end: Some(9) };
     /// assert_eq!(tracker.next_step(&key, &conditions, now), StartStep::Send);
     /// tracker.accept_stop(&key);
@@ -144,7 +151,7 @@
     /// let key = ("a.0.0.0".parse().unwrap(), 1);
     /// let conditions = StartConditions { is_draining: false, has_capacity: true, lease_end: Some(9) };
     /// let mut tracker = OrderTracker::default();
-    /// tracker.accept_start(&key, false, now);
+    /// tracker.accept_start(&key, false, now, now);
     /// tracker.accept_stop(&key);
     /// assert_eq!(tracker.begin_attempt(&key, &conditions, now), None);
     /// ```
@@ -199,10 +206,10 @@
     ///
     /// use greengagearch::process::node::order_tracker::OrderTracker;
     ///
-    /// let key = ("a.0.0.0".parse().unwrap(), 1);
+    /// let (key, now) = (("a.0.0.0".parse().unwrap(), 1), Instant::now());
     /// let mut tracker = OrderTracker::default();
     /// assert!(tracker.accept_stop(&key));
-    /// assert!(!tracker.accept_start(&key, false, Instant::now()), "a stopped run is not started");
+    /// assert!(!tracker.accept_start(&key, false, now, now), "a stopped run is not started");
     /// ```
     pub fn accept_stop(&mut self, key: &RunKey) -> bool {
         let is_new = !self.stops.contains_key(key);
@@ -290,7 +297,8 @@
     ///
     /// let mut tracker = OrderTracker::default();
     /// let poll = tracker.next_poll_number();
-    /// tracker.accept_start(&("a.0.0.0".parse().unwrap(), 1), false, Instant::now());
+    /// let now = Instant::now();
+    /// tracker.accept_start(&("a.0.0.0".parse().unwrap(), 1), false, now, now);
     /// let mut present = Vec::new();
     /// tracker.reconcile(poll, &mut present, &[]);
     /// assert_eq!(present.len(), 1);
--- a/src/process/node/pending_start.rs
+++ b/src/process/node/pending_start.rs
@@ -55,20 +55,22 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PendingStart {
     arrived_at: Instant,
+    /// End of the lease that it was ordered under.
+    valid_until: Instant,
     /// Earliest time of the next attempt.
     retry_at: Instant,
     state: StartState,
 }
 
 impl PendingStart {
-    /// Creates a start that arrived at `now`. If `is_repeat`, an attempt of an earlier agent may
-    /// have had no response.
-    pub(super) fn new(is_repeat: bool, now: Instant) -> PendingStart {
+    /// Creates a start that arrived at `now` and is not sent after `valid_until`. If `is_repeat`, an
+    /// attempt of an earlier agent may have had no response.
+    pub(super) fn new(is_repeat: bool, valid_until: Instant, now: Instant) -> PendingStart {
         let state = match is_repeat {
             true => StartState::InDoubt(InDoubtStart::default()),
             false => StartState::Idle(IdleStart),
         };
-        PendingStart { arrived_at: now, retry_at: now, state }
+        PendingStart { arrived_at: now, valid_until, retry_at: now, state }
     }
 
     /// Creates a start that was rejected when it was ordered for the first time.
@@ -78,7 +80,7 @@
         now: Instant,
     ) -> PendingStart {
         let state = StartState::Resolved(IdleStart.resolve(newest_poll, Some(reason)));
-        PendingStart { arrived_at: now, retry_at: now, state }
+        PendingStart { arrived_at: now, valid_until: now, retry_at: now, state }
     }
 
     /// Returns how the start was resolved, if it was. Polls sent after that show its outcome.
@@ -165,7 +167,7 @@
         if !conditions.has_capacity {
             return Some(RejectReason::Room);
         }
-        self.is_lease_overdue(conditions, now).then_some(RejectReason::Late)
+        self.is_overdue(conditions, now).then_some(RejectReason::Late)
     }
 
     /// Returns why a start that may have been carried out is not sent again.
@@ -188,12 +190,15 @@
         if let Some(rejection) = in_doubt.rejection.filter(is_final) {
             return Some(rejection.reason);
         }
-        self.is_lease_overdue(conditions, now).then_some(RejectReason::Late)
+        self.is_overdue(conditions, now).then_some(RejectReason::Late)
     }
 
-    fn is_lease_overdue(&self, conditions: &StartConditions, now: Instant) -> bool {
+    /// Returns whether the start is not sent any more. A later lease does not make it valid again:
+    /// the planner may have given up the run when the lease that it was ordered under had ended.
+    fn is_overdue(&self, conditions: &StartConditions, now: Instant) -> bool {
         let waited = now.saturating_duration_since(self.arrived_at);
-        conditions.lease_end.is_none() && waited > MAX_LEASE_WAIT
+        let has_no_lease = conditions.lease_end.is_none() && waited > MAX_LEASE_WAIT;
+        has_no_lease || now >= self.valid_until
     }
 
     fn send_step(&self, conditions: &StartConditions, now: Instant) -> StartStep {
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -43,7 +43,7 @@
 /// The state of a node agent.
 #[derive(Debug)]
 pub struct NodeState {
-    started: Instant,
+    pub(super) started: Instant,
     pub(super) stamp: LinkStamp,
     pub(super) instances: RunnerInstances,
     pub(super) lease: RunnerLease,
--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -17,6 +17,7 @@
 use crate::connection::node_protocol::NodeReport;
 use crate::connection::node_protocol::NodeRpcClient;
 use crate::connection::node_protocol::OrderCall;
+use crate::connection::node_protocol::OrderLease;
 use crate::connection::node_protocol::SyncCall;
 use crate::connection::rpc_client::CallError;
 use crate::connection::rpc_client::RpcConnection;
@@ -277,7 +278,8 @@
         let mut owned = self.shared.owned();
         if let (Some(owned), Some(instance)) = (owned.as_mut(), instance) {
             let span = lease_duration(owned.confirmed_at, received);
-            owned.planner.on_grant(&instance, expired_by(received, span));
+            let granted = OrderLease { link: self.stamp.link, end: report.now + span };
+            owned.planner.on_grant(&instance, expired_by(received, span), granted);
             call.grant = Some(LeaseGrant { since: report.now, span });
             call.last_acked_end = owned.planner.last_acked_end(&instance);
         }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use crate::connection::node_protocol::NodeOrder;
+use crate::connection::node_protocol::OrderLease;
 use crate::connection::node_protocol::StartOrder;
 use crate::connection::node_protocol::TaskTraits;
 use crate::ids::InstanceId;
@@ -114,17 +115,21 @@
         self.wall_ms = wall_ms;
     }
 
-    /// Records that the leases on a worker were extended and may last until `expired_by`.
+    /// Records that the leases on a worker were extended by `granted` and may last until
+    /// `expired_by`. Starts that are ordered from now on are valid until the end of `granted`.
     ///
     /// ```
     /// use std::time::Instant;
     ///
+    /// use greengagearch::connection::node_protocol::OrderLease;
+    ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// planner.on_grant("i-1", Instant::now());
+    /// planner.on_grant("i-1", Instant::now(), OrderLease::default());
     /// ```
-    pub fn on_grant(&mut self, instance: &str, expired_by: Instant) {
+    pub fn on_grant(&mut self, instance: &str, expired_by: Instant, granted: OrderLease) {
         let worker = self.inventory.entry(instance, self.inherited_lease_end);
         worker.lease_end = worker.lease_end.max(expired_by);
+        worker.granted = granted;
     }
 
     /// Opens the occurrences that are due, gives up the runs of silent workers, and moves tasks
@@ -335,11 +340,13 @@
     pub(crate) fn start_order(&self, instance: &str, key: &RunKey) -> Option<StartOrder> {
         let entry = self.jobs.get(&key.0.job)?;
         let task = entry.progress.task(&key.0)?;
+        let granted = self.inventory.get(instance).map(|worker| worker.granted);
         Some(StartOrder {
             run: key.1,
             payload: entry.spec.payload.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: self.advice.ticket(&key.0.step_key(), instance, self.now).map(str::to_string),
+            lease: granted.unwrap_or_default(),
             traits: self.task_traits(&key.0)?,
             is_repeat: false,
         })
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::node_protocol::OrderLease;
 use crate::connection::node_protocol::RunnerStatus;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::EndedBestEffortRun;
@@ -39,6 +40,8 @@
     pub assigned: BTreeMap<RunKey, AssignedRun>,
     /// Time by which the leases of all its runs have expired, unless they are extended.
     pub lease_end: Instant,
+    /// The newest lease granted by this planner.
+    pub granted: OrderLease,
     /// When its agent last reported.
     pub last_contact: Option<Instant>,
     /// Time until which it gets no runs because it rejected one for lack of capacity.
@@ -71,6 +74,7 @@
             status: None,
             assigned: BTreeMap::new(),
             lease_end,
+            granted: OrderLease::default(),
             last_contact: None,
             full_until: None,
             best_effort_changed: None,
--- a/tests/held_orders.rs
+++ b/tests/held_orders.rs
@@ -9,6 +9,7 @@
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeOrder;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::StartOrder;
 use greengagearch::connection::node_protocol::SyncCall;
 use greengagearch::process::node::pending_start::StartStep;
@@ -63,7 +64,8 @@
     fn grant(&mut self, stamp: LinkStamp) {
         let since = self.fleet.clock;
         let grant = LeaseGrant { since, span: LONG_LEASE };
-        self.fleet.planner.on_grant(LIFE, expired_by(self.fleet.now(), LONG_LEASE));
+        let granted = OrderLease { link: stamp.link, end: since + LONG_LEASE };
+        self.fleet.planner.on_grant(LIFE, expired_by(self.fleet.now(), LONG_LEASE), granted);
         self.agent.on_sync(&SyncCall { grant: Some(grant), ..lease_call(stamp, LONG_LEASE) });
     }
 
--- a/tests/lease_lines.rs
+++ b/tests/lease_lines.rs
@@ -11,6 +11,7 @@
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::OrderCall;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::StartOrder;
 use greengagearch::external::runner_control::PollRequest;
@@ -31,6 +32,7 @@
 
 use crate::kept_log::keep_log;
 use crate::kept_log::lines_with;
+use crate::linked_agent::ENDLESS_LEASE;
 use crate::linked_agent::LONG_LEASE;
 use crate::linked_agent::begun_run;
 use crate::linked_agent::lease_call;
@@ -78,6 +80,12 @@
     }
 }
 
+/// An order to start a task that came over the link of these tests.
+fn order(task: &str) -> StartOrder {
+    let lease = OrderLease { link: STAMP.link, ..ENDLESS_LEASE };
+    StartOrder { lease, ..start_order(plain_traits(task, ROOM), false) }
+}
+
 /// An agent whose runner shows these runs and has a lease of nine seconds.
 fn leased(running: Vec<PresentRun>, now: Instant) -> NodeState {
     let mut state = NodeState::new(now);
@@ -110,7 +118,7 @@
     let mut state = leased(Vec::new(), now);
     let later = now + LONG_LEASE;
     assert_eq!(state.take_lease_change(later), None);
-    state.accept_start(&start_order(plain_traits("a.0.0.0", ROOM), false), later);
+    state.accept_start(&order("a.0.0.0"), later);
     let lapsed = LeaseChange::Lapsed { runs: 0, starts: 1, since: Duration::ZERO };
     assert_eq!(state.take_lease_change(later), Some(lapsed));
 }
@@ -127,13 +135,12 @@
         state.admit(STAMP).unwrap();
         look_at(&mut state, Vec::new(), 500, now);
     }
-    let order = start_order(plain_traits("w.0.0.0", ROOM), false);
     let call = OrderCall {
         stamp: STAMP,
         instance: "i-1".to_string(),
         number: 1,
         previous: 0,
-        orders: vec![NodeOrder::Start(order)],
+        orders: vec![NodeOrder::Start(order("w.0.0.0"))],
     };
     accept_orders(&shared, call);
     sleep(Duration::from_millis(300)).await;
--- a/tests/life_names.rs
+++ b/tests/life_names.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::StartOrder;
 use greengagearch::connection::node_protocol::TaskTraits;
 use greengagearch::external::runner_control::PollRequest;
@@ -54,7 +55,8 @@
         idle_tail_ms: 0,
     };
     let (payload, checkpoint) = ("run_ms=50".to_string(), String::new());
-    StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat: false }
+    let lease = OrderLease::default();
+    StartOrder { run: 1, payload, checkpoint, ticket: None, lease, traits, is_repeat: false }
 }
 
 /// Guards against runs that nobody knows of: a start that was held up comes to the next life, which has seen no token of its own.
--- a/tests/linked_agent/mod.rs
+++ b/tests/linked_agent/mod.rs
@@ -7,6 +7,7 @@
 
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::StartOrder;
@@ -20,6 +21,9 @@
 /// Span of a lease that outlasts what a test plays.
 pub const LONG_LEASE: Duration = Duration::from_secs(9);
 
+/// Lease that orders over the first link are given under, where a test is not about its end.
+pub const ENDLESS_LEASE: OrderLease = OrderLease { link: 1, end: Duration::from_secs(3_600) };
+
 /// The runner beside the agent; its start time is not known.
 pub fn registered_runner(millicores: u64, memory_mib: u64, sequence: u64) -> RegisteredRunner {
     let status = RunnerStatus {
@@ -50,7 +54,15 @@
 /// An order to start the first run of a task.
 pub fn start_order(traits: TaskTraits, is_repeat: bool) -> StartOrder {
     let (payload, checkpoint) = (String::new(), String::new());
-    StartOrder { run: 1, payload, checkpoint, ticket: None, traits, is_repeat }
+    StartOrder {
+        run: 1,
+        payload,
+        checkpoint,
+        ticket: None,
+        lease: ENDLESS_LEASE,
+        traits,
+        is_repeat,
+    }
 }
 
 /// A planner's call that grants a lease to the runner of [`registered_runner`].
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -6,6 +6,7 @@
 use greengagearch::connection::node_protocol::EndedRun;
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
@@ -88,6 +89,7 @@
         payload: String::new(),
         checkpoint: String::new(),
         ticket: None,
+        lease: OrderLease { link: STAMP.link, end: Duration::from_secs(3_600) },
         traits: traits(key),
         is_repeat: false,
     }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::workflow::planner_batch::PlanWrite;
 use greengagearch::workflow::progress::JobEnd;
@@ -230,7 +231,8 @@
     fleet.submit("a", job(vec![step(1, 500)]));
     fleet.round();
     let (lost, _) = fleet.running()[0].clone();
-    fleet.planner.on_grant(&lost, fleet.now() + Duration::from_secs(9));
+    let end = fleet.now() + Duration::from_secs(9);
+    fleet.planner.on_grant(&lost, end, OrderLease::default());
     fleet.runners.remove(&lost);
     for _ in 0..80 {
         fleet.round();
--- a/tests/planning_world/events.rs
+++ b/tests/planning_world/events.rs
@@ -213,9 +213,12 @@
         };
         if let Some(instance) = instance {
             let span = lease_duration(process.proof, now);
-            if self.missing != Missing::LeaseWait {
-                process.planner.on_grant(&instance, expired_by(now, span));
-            }
+            let known_end = match self.missing {
+                Missing::LeaseWait => now,
+                _ => expired_by(now, span),
+            };
+            let granted = OrderLease { link, end: since + span };
+            process.planner.on_grant(&instance, known_end, granted);
             call.grant = Some(LeaseGrant { since, span });
             call.last_acked_end = process.planner.last_acked_end(&instance);
             if self.missing == Missing::StoredBeforeSeen {
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -20,6 +20,7 @@
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::NodeReport;
 use greengagearch::connection::node_protocol::OrderCall;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::SyncCall;
--- a/tests/start_doubts.rs
+++ b/tests/start_doubts.rs
@@ -10,6 +10,7 @@
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::NodeReport;
+use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerStatus;
 use greengagearch::connection::node_protocol::StartInDoubt;
@@ -171,8 +172,9 @@
         idle_tail_ms: 0,
     };
     let (payload, checkpoint) = (String::new(), String::new());
-    let order =
-        StartOrder { run: key().1, payload, checkpoint, ticket: None, traits, is_repeat: false };
+    let lease = OrderLease { link: STAMP.link, end: Duration::from_secs(3_600) };
+    let (ticket, is_repeat) = (None, false);
+    let order = StartOrder { run: key().1, payload, checkpoint, ticket, lease, traits, is_repeat };
     assert!(state.accept_start(&order, now));
 }
 
