--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -14,14 +14,20 @@
 use crate::workflow::worker_inventory::RunKey;
 
 impl NodeState {
-    /// Accepts an order to start a run. Returns whether it is new.
+    /// Accepts an order to start a run. Returns whether it is new. An order that was decided under
+    /// the lease of another link is ignored: the planner orders again what it still needs when it
+    /// has the first snapshot of this link.
     pub fn accept_start(&mut self, order: &StartOrder, now: Instant) -> bool {
+        if order.lease.link != self.stamp.link {
+            return false;
+        }
         let key = (order.traits.task.clone(), order.run);
         self.traits.insert(key.0.clone(), order.traits.clone());
         if order.is_repeat {
             self.unsettled.on_sending(&key, now);
         }
-        self.tracker.accept_start(&key, order.is_repeat, now)
+        let valid_until = self.started + order.lease.end;
+        self.tracker.accept_start(&key, order.is_repeat, valid_until, now)
     }
 
     /// Determines the next step of a start.
@@ -114,10 +120,11 @@
     }
 
     /// Returns where to send a stop that was ordered for `target`, until the runner has accepted
-    /// it. Its fencing token may have been raised since the order.
+    /// it. Since the order its fencing token may have been raised, and its planner replaced: no
+    /// planner wants the run any more.
     pub fn stop_target(&self, target: &RunnerTarget, key: &RunKey) -> Option<RunnerTarget> {
-        let is_due = self.is_current_target(target) && self.tracker.is_stop_due(key);
-        self.target().filter(|_| is_due)
+        let current = self.target().filter(|current| current.instance == target.instance);
+        current.filter(|_| self.tracker.is_stop_due(key))
     }
 
     /// Records the response to a stop. A rejected stop has no effect.
@@ -127,7 +134,7 @@
         key: &RunKey,
         response: &Result<(), RunnerError>,
     ) {
-        if response.is_ok() && self.is_current_target(target) {
+        if response.is_ok() && self.current_instance() == Some(&target.instance) {
             self.tracker.on_stop_accepted(key);
         }
     }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use crate::connection::node_protocol::NodeOrder;
+use crate::connection::node_protocol::OrderLease;
 use crate::connection::node_protocol::StartOrder;
 use crate::connection::node_protocol::TaskTraits;
 use crate::ids::InstanceId;
@@ -21,6 +22,8 @@
 use crate::workflow::advice_cache::AdviceQuery;
 use crate::workflow::changed_jobs::ChangedJobs;
 use crate::workflow::pair_interference::PairInterferenceModel;
+use crate::workflow::plan_decision::EndCause;
+use crate::workflow::plan_decision::LossReason;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_consolidation::ConsolidationState;
@@ -112,17 +115,21 @@
         self.wall_ms = wall_ms;
     }
 
-    /// Records that the leases on a worker were extended and may last until `expired_by`.
+    /// Records that the leases on a worker were extended by `granted` and may last until
+    /// `expired_by`. Starts that are ordered from now on are valid until the end of `granted`.
     ///
     /// ```
     /// use std::time::Instant;
     ///
+    /// use greengagearch::connection::node_protocol::OrderLease;
+    ///
     /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// planner.on_grant("i-1", Instant::now());
+    /// planner.on_grant("i-1", Instant::now(), OrderLease::default());
     /// ```
-    pub fn on_grant(&mut self, instance: &str, expired_by: Instant) {
+    pub fn on_grant(&mut self, instance: &str, expired_by: Instant, granted: OrderLease) {
         let worker = self.inventory.entry(instance, self.inherited_lease_end);
         worker.lease_end = worker.lease_end.max(expired_by);
+        worker.granted = granted;
     }
 
     /// Opens the occurrences that are due, gives up the runs of silent workers, and moves tasks
@@ -137,7 +144,7 @@
     pub fn on_tick(&mut self) {
         let (now, wall_ms) = (self.now, self.wall_ms);
         for instance in self.inventory.expired(now) {
-            self.give_up_instance(&instance);
+            self.give_up_settled_runs(&instance, &[], LossReason::LeasesExpired);
         }
         self.move_throttled();
         self.evacuate();
@@ -247,7 +254,13 @@
     }
 
     /// Removes a run from its worker and records its end in its job.
-    pub(crate) fn end_run(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
+    pub(crate) fn end_run(
+        &mut self,
+        instance: &str,
+        key: &RunKey,
+        (end, cause): (RunEnd, EndCause),
+        checkpoint: &str,
+    ) {
         let released = self.inventory.release(instance, key, self.now);
         if let Some(run) = &released {
             let ran = self.now.saturating_duration_since(run.assigned_at);
@@ -256,6 +269,7 @@
                 run: key.1,
                 worker: instance.to_string(),
                 end,
+                cause,
                 ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
             });
         }
@@ -326,21 +340,18 @@
     pub(crate) fn start_order(&self, instance: &str, key: &RunKey) -> Option<StartOrder> {
         let entry = self.jobs.get(&key.0.job)?;
         let task = entry.progress.task(&key.0)?;
+        let granted = self.inventory.get(instance).map(|worker| worker.granted);
         Some(StartOrder {
             run: key.1,
             payload: entry.spec.payload.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: self.advice.ticket(&key.0.step_key(), instance, self.now).map(str::to_string),
+            lease: granted.unwrap_or_default(),
             traits: self.task_traits(&key.0)?,
             is_repeat: false,
         })
     }
 
-    /// Gives up all runs of a runner instance that has ended or whose leases have expired.
-    pub(crate) fn give_up_instance(&mut self, instance: &str) {
-        self.give_up_settled_runs(instance, &[]);
-    }
-
     /// Returns whether a run has to stay assigned whatever its worker reports, since an attempt to
     /// start it may still be carried out. Of a long-running task nothing is ever done, and it must
     /// not be away for so long.
@@ -355,10 +366,15 @@
         !is_done && !entry.step(&key.0).is_some_and(|step| step.long_running)
     }
 
-    /// Gives up the runs of an ended runner instance except the `unsettled` ones, which the
+    /// Gives up the runs of a lost runner instance except the `unsettled` ones, which the
     /// successor instance may have started or may still start, and the retained ones. Those stay
     /// assigned until the successor reports its runs or the leases expire.
-    pub(crate) fn give_up_settled_runs(&mut self, instance: &str, unsettled: &[RunKey]) {
+    pub(crate) fn give_up_settled_runs(
+        &mut self,
+        instance: &str,
+        unsettled: &[RunKey],
+        reason: LossReason,
+    ) {
         let Some(worker) = self.inventory.get(instance) else {
             return;
         };
@@ -366,12 +382,17 @@
         let (retained, lost): (Vec<RunKey>, Vec<RunKey>) =
             keys.partition(|key| unsettled.contains(key) || self.is_retained(key));
         if !worker.has_ended || !lost.is_empty() {
-            let worker = instance.to_string();
-            self.decisions.push(PlanDecision::WorkerLost { worker, runs: lost.len() });
+            let silence = worker.last_contact.map(|at| self.now.saturating_duration_since(at));
+            self.decisions.push(PlanDecision::WorkerLost {
+                worker: instance.to_string(),
+                runs: lost.len(),
+                reason,
+                silent_ms: silence.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX)),
+            });
         }
         let given_up = self.on_unexplained_loss(instance);
         for key in lost {
-            self.end_run(instance, &key, RunEnd::Lost, "");
+            self.end_run(instance, &key, (RunEnd::Lost, EndCause::WorkerLost(reason)), "");
         }
         if retained.is_empty() {
             self.inventory.remove(instance);
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::node_protocol::OrderLease;
 use crate::connection::node_protocol::RunnerStatus;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::EndedBestEffortRun;
@@ -39,6 +40,8 @@
     pub assigned: BTreeMap<RunKey, AssignedRun>,
     /// Time by which the leases of all its runs have expired, unless they are extended.
     pub lease_end: Instant,
+    /// The newest lease granted by this planner.
+    pub granted: OrderLease,
     /// When its agent last reported.
     pub last_contact: Option<Instant>,
     /// Time until which it gets no runs because it rejected one for lack of capacity.
@@ -53,6 +56,8 @@
     /// Whether its runs have to be compared with those that its agent reports, because the link is
     /// new.
     pub resync: bool,
+    /// Runs in its newest snapshot that are not assigned to it, and whether each has started.
+    pub unknown_runs: BTreeMap<RunKey, bool>,
     /// Capacity reserved for tasks that are being moved here.
     pub reservations: Reservations,
     /// Whether the instance has ended. Runs that are still assigned to it may be started by its
@@ -69,12 +74,14 @@
             status: None,
             assigned: BTreeMap::new(),
             lease_end,
+            granted: OrderLease::default(),
             last_contact: None,
             full_until: None,
             best_effort_changed: None,
             ended_best_effort: Vec::new(),
             traits_sent_at: None,
             resync: true,
+            unknown_runs: BTreeMap::new(),
             reservations: Reservations::default(),
             has_ended: false,
             isolated: None,
