Count no start as seen by an agent before it has been sent

After a takeover a planner repeats the start of a run that its worker does not show. The order waited in the outbox while the run kept the order number 0 of a stored run, so that a second report of the same worker, processed before orders were sent, showed the run as absent: it was given up and its task assigned again, and the order in the outbox was sent all the same. The planner processes all queued reports before it sends orders. Callers saw two runs of a task at once, the first stopped soon after it had begun.

A run now has a delivery state in place of a number with two reserved values: uncommitted, inherited from an earlier planner, queued, or sent in the message with a number. A queued order never counts as seen and is not queued again, and only starts whose run is still queued for that worker leave the outbox: a run that ended, was refused, or moved to another instance in between has none.

--- a/src/workflow/assigned_run.rs
+++ b/src/workflow/assigned_run.rs
@@ -9,6 +9,40 @@
 /// Pace up to which a best-effort run counts as throttled.
 const MAX_THROTTLED_PERCENT: u32 = 30;
 
+/// How far the start order of a run has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderDelivery {
+    /// The order waits until the assignment is committed to the store.
+    Uncommitted,
+    /// An earlier planner has committed the assignment and may have sent the order.
+    Inherited,
+    /// The order is in the outbox.
+    Queued,
+    /// The order was sent in the message with this number.
+    Sent(u64),
+}
+
+impl OrderDelivery {
+    /// Returns whether the agent would show the run in a snapshot if it had it: the order is not
+    /// still on its way. `is_new_link` tells whether orders sent before may have been lost with
+    /// their link.
+    ///
+    /// ```
+    /// use greengagearch::workflow::assigned_run::OrderDelivery;
+    ///
+    /// assert!(OrderDelivery::Sent(7).is_over(7, false));
+    /// assert!(!OrderDelivery::Sent(8).is_over(7, false));
+    /// assert!(!OrderDelivery::Queued.is_over(7, true));
+    /// ```
+    pub fn is_over(self, orders_seen: u64, is_new_link: bool) -> bool {
+        match self {
+            OrderDelivery::Uncommitted | OrderDelivery::Queued => false,
+            OrderDelivery::Inherited => true,
+            OrderDelivery::Sent(number) => number <= orders_seen || is_new_link,
+        }
+    }
+}
+
 /// A run that the planner has assigned to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AssignedRun {
@@ -26,8 +60,8 @@
     pub checkpoints: bool,
     /// Whether it runs until its job is cancelled.
     pub long_running: bool,
-    /// Number of the start order; `None` until the assignment is committed to the store.
-    pub order: Option<u64>,
+    /// How far its start order has got.
+    pub delivery: OrderDelivery,
     /// When it was assigned to the worker.
     pub assigned_at: Instant,
     /// The worker's most recent report of it.
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -19,6 +19,7 @@
 use crate::process::suspicion::WorkerSuspicion;
 use crate::workflow::advice_cache::AdviceCache;
 use crate::workflow::advice_cache::AdviceQuery;
+use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::changed_jobs::ChangedJobs;
 use crate::workflow::pair_interference::PairInterferenceModel;
 use crate::workflow::plan_decision::EndCause;
@@ -198,7 +199,8 @@
         self.advice.on_answer(answer, asked_at);
     }
 
-    /// Returns the orders that may be sent now.
+    /// Returns the orders that may be sent now. Starts of runs that have been given up or
+    /// transferred since they were queued are dropped.
     ///
     /// ```
     /// use std::time::Instant;
@@ -207,7 +209,18 @@
     /// assert!(planner.take_orders().is_empty());
     /// ```
     pub fn take_orders(&mut self) -> Vec<AddressedOrder> {
-        std::mem::take(&mut self.outbox)
+        let mut orders = std::mem::take(&mut self.outbox);
+        orders.retain(|(instance, order)| match order {
+            NodeOrder::Start(start) => self.is_queued(instance, start),
+            NodeOrder::Stop(..) | NodeOrder::Describe(_) => true,
+        });
+        orders
+    }
+
+    fn is_queued(&self, instance: &str, start: &StartOrder) -> bool {
+        let key = (start.traits.task.clone(), start.run);
+        let run = self.inventory.get(instance).and_then(|worker| worker.assigned.get(&key));
+        run.is_some_and(|run| run.delivery == OrderDelivery::Queued)
     }
 
     /// Number of the worker's last run end that is stored, up to which the worker may discard ends.
@@ -241,7 +254,7 @@
             if let NodeOrder::Start(start) = order {
                 let key = (start.traits.task.clone(), start.run);
                 if let Some(run) = worker.assigned.get_mut(&key) {
-                    run.order = Some(number);
+                    run.delivery = OrderDelivery::Sent(number);
                 }
             }
         }
@@ -299,7 +312,7 @@
         let Some(run) = worker.assigned.get_mut(&key) else {
             return;
         };
-        if run.order.is_some() {
+        if run.delivery != OrderDelivery::Uncommitted {
             if !std::mem::replace(&mut run.stopping, true) {
                 self.outbox.push((instance.to_string(), NodeOrder::Stop(key.0, key.1)));
             }
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -7,6 +7,7 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::planner::Planner;
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
@@ -157,17 +158,15 @@
             .inventory
             .get(&instance)
             .and_then(|worker| worker.assigned.get(key))
-            .is_some_and(|run| run.order.is_none());
+            .is_some_and(|run| run.delivery == OrderDelivery::Uncommitted);
         if !is_pending {
             return;
         }
         if let Some(order) = self.start_order(&instance, key) {
-            // The order counts as sent before it has its number, so that a stop sends a stop order
-            // instead of withdrawing the run.
             if let Some(worker) = self.inventory.get_mut(&instance)
                 && let Some(run) = worker.assigned.get_mut(key)
             {
-                run.order = Some(u64::MAX);
+                run.delivery = OrderDelivery::Queued;
                 run.sent_traits = Some(order.traits.clone());
             }
             self.outbox.push((instance, NodeOrder::Start(order)));
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -6,6 +6,7 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::job_forecast::JobForecast;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
@@ -224,7 +225,7 @@
             {
                 // The previous planner may have sent the order; the first snapshot shows whether it
                 // did.
-                run.order = Some(0);
+                run.delivery = OrderDelivery::Inherited;
                 if self.task_suspicion.is_isolated(&key.0) {
                     worker.isolated.get_or_insert(key);
                 }
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -20,6 +20,7 @@
 use crate::connection::node_protocol::TaskTraits;
 use crate::ids::InstanceId;
 use crate::workflow::assigned_run::AssignedRun;
+use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::assigned_run::RunProgress;
 use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::expired_by;
@@ -60,7 +61,7 @@
 }
 
 /// Updates a worker's runs from a snapshot. Returns the runs that the snapshot does not show
-/// although their orders had arrived.
+/// although their orders are not on their way.
 fn update_runs(
     worker: &mut WorkerEntry,
     mut present: BTreeMap<RunKey, PresentRun>,
@@ -77,7 +78,7 @@
                 run.is_settled |= report.is_started && !doubts.contains(key, now);
                 changed |= run.on_report(report, now) && run.best_effort;
             }
-            None if run.order.is_some_and(|order| order <= orders_seen || resync) => {
+            None if run.delivery.is_over(orders_seen, resync) => {
                 absent.push(key.clone());
             }
             None => {}
@@ -153,7 +154,9 @@
             return;
         };
         let unsettled = worker.assigned.iter().filter(|(_, run)| !run.is_settled);
-        let sent = unsettled.filter(|(_, run)| run.order.is_some_and(|order| order > 0));
+        let sent = unsettled.filter(|(_, run)| {
+            matches!(run.delivery, OrderDelivery::Queued | OrderDelivery::Sent(_))
+        });
         let keys: Vec<RunKey> = sent.map(|(key, _)| key.clone()).collect();
         keys.iter().for_each(|key| self.start_doubts.restore(key, self.now));
         self.store_doubts(&keys);
@@ -405,6 +408,11 @@
         match self.start_order(instance, key) {
             Some(order) if !is_ended => {
                 let order = StartOrder { is_repeat: true, ..order };
+                if let Some(worker) = self.inventory.get_mut(instance)
+                    && let Some(run) = worker.assigned.get_mut(key)
+                {
+                    run.delivery = OrderDelivery::Queued;
+                }
                 self.outbox.push((instance.to_string(), NodeOrder::Start(order)));
             }
             // The run is not needed any more, and the snapshot shows that it does not exist.
--- a/src/workflow/worker_inventory.rs
+++ b/src/workflow/worker_inventory.rs
@@ -9,6 +9,7 @@
 use crate::ids::RunNumber;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::EndedBestEffortRun;
+use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_entry::ENDED_RETENTION;
@@ -112,7 +113,7 @@
             target_ms: step.target_ms,
             checkpoints: step.checkpoints,
             long_running: step.long_running,
-            order: None,
+            delivery: OrderDelivery::Uncommitted,
             assigned_at: now,
             last_report: None,
             first_reported_at: None,
@@ -185,6 +186,10 @@
         };
         former.used = former.used.minus(&run.reserved);
         let was_stopping = std::mem::replace(&mut run.stopping, false);
+        if run.delivery == OrderDelivery::Queued {
+            // The queued order is addressed to the former instance.
+            run.delivery = OrderDelivery::Inherited;
+        }
         if let Some(worker) = self.workers.get_mut(to) {
             worker.used = worker.used.plus(&run.reserved);
             worker.assigned.insert(key.clone(), run);
