Report only instances as ended that were the runner of this host

An agent took an instance that only a heartbeat had named for a former one as soon as its own runner answered a later poll, and reported it as ended from then on. Where the heartbeat had come to the wrong host, the instance goes on beside another agent. A planner ignores such a report if it knows where the instance runs; one that has just taken over does not until that agent has reported, and gave up all runs of a living runner. Callers saw them run twice at once.

Such instances now only have their late heartbeats dropped. An instance counts as ended here if it has been the current one of this agent or the store names it as an earlier one of this host, which covers a late heartbeat that comes to an agent that was restarted. If neither holds, the planner waits until the leases have expired.

a_late_heartbeat_and_a_lost_answer_do_not_end_a_living_runner required the report of an instance that only a heartbeat had named. It now requires that there is none and that the next heartbeat is dropped; a new test requires the report once the store names the instance.

--- a/src/process/node/runner_instances.rs
+++ b/src/process/node/runner_instances.rs
@@ -23,14 +23,28 @@
 /// How long a crash is reported to the planner, since several links may fail in the meantime.
 const CRASH_REPORT_SPAN: Duration = Duration::from_secs(5);
 
+/// An instance that may take the place of the current one.
+#[derive(Debug)]
+struct CandidateInstance {
+    runner: RegisteredRunner,
+    /// The newest poll when it registered or was replaced.
+    newest_poll: PollNumber,
+    /// Whether it has been the current instance. Otherwise only heartbeats name it, which may have
+    /// been sent to the wrong host.
+    was_current: bool,
+}
+
 /// The known instances of the runner.
 #[derive(Debug, Default)]
 pub struct RunnerInstances {
     current: Option<RegisteredRunner>,
     /// Another instance that has registered, or that was silent when the current one took its
-    /// place, and the newest poll at that time.
-    candidate: Option<(PollNumber, RegisteredRunner)>,
+    /// place.
+    candidate: Option<CandidateInstance>,
     former: VecDeque<InstanceId>,
+    /// Instances that only heartbeats have named while the current one answered. They may run on
+    /// other hosts, so the planner is not told that they have ended.
+    dropped: VecDeque<InstanceId>,
     /// Instances that earlier agents on this host have recorded. Once the current instance
     /// responds, all others have ended.
     recorded_earlier: Vec<InstanceId>,
@@ -85,7 +99,7 @@
         newest_poll: PollNumber,
     ) -> HeartbeatEffect {
         let instance = &runner.status.instance;
-        if self.former.contains(instance) {
+        if self.former.contains(instance) || self.dropped.contains(instance) {
             return HeartbeatEffect::Dropped;
         }
         match &self.current {
@@ -100,7 +114,10 @@
             Some(_) => {
                 // Either the known instance has ended, or this heartbeat was delayed. The next poll
                 // of the known instance decides.
-                self.candidate = Some((newest_poll, runner));
+                let was_current = self.candidate.as_ref().is_some_and(|candidate| {
+                    candidate.was_current && candidate.runner.status.instance == *instance
+                });
+                self.candidate = Some(CandidateInstance { runner, newest_poll, was_current });
                 HeartbeatEffect::Unchanged
             }
             None => {
@@ -127,13 +144,15 @@
     /// instances whose end the planner may not know.
     pub fn on_poll_response(&mut self, number: PollNumber) -> bool {
         self.deregistered_at.take_if(|deregistered_at| number > *deregistered_at);
-        let stale = self.candidate.take_if(|(newest_poll, _)| number > *newest_poll);
-        let has_stale = stale.is_some();
-        if let Some((_, stale)) = stale {
-            // The known instance has answered a poll sent after the heartbeat of the candidate.
-            self.add_former(stale.status.instance);
+        // The known instance has answered a poll sent after the heartbeat of the candidate.
+        let stale = self.candidate.take_if(|candidate| number > candidate.newest_poll);
+        let has_ended = stale.as_ref().is_some_and(|stale| stale.was_current);
+        if let Some(stale) = stale {
+            let instance = stale.runner.status.instance;
+            let instances = if has_ended { &mut self.former } else { &mut self.dropped };
+            push_bounded(instances, instance);
         }
-        self.end_recorded_earlier() || has_stale
+        self.end_recorded_earlier() || has_ended
     }
 
     /// A host has one instance of a runner at a time, so once one responds, the earlier ones have
@@ -147,7 +166,7 @@
                 .as_ref()
                 .is_some_and(|known| known.status.instance == earlier || known.runner == earlier);
             if !is_current && !self.former.contains(&earlier) {
-                self.add_former(earlier);
+                push_bounded(&mut self.former, earlier);
                 has_ended = true;
             }
         }
@@ -227,9 +246,11 @@
     /// assert!(instances.current().is_none());
     /// ```
     pub fn swap_candidate(&mut self, newest_poll: PollNumber) {
-        if let Some((_, candidate)) = self.candidate.take() {
+        if let Some(candidate) = self.candidate.take() {
             self.deregistered_at = None;
-            self.candidate = self.current.replace(candidate).map(|silent| (newest_poll, silent));
+            let silent = self.current.replace(candidate.runner);
+            self.candidate =
+                silent.map(|runner| CandidateInstance { runner, newest_poll, was_current: true });
         }
     }
 
@@ -240,11 +261,11 @@
             return;
         };
         self.deregistered_at = None;
-        self.add_former(runner.status.instance.clone());
+        push_bounded(&mut self.former, runner.status.instance.clone());
         self.predecessor =
             runner.started_at.is_some().then_some((runner, now + SUCCESSOR_POLL_SPAN));
-        if let Some((_, candidate)) = self.candidate.take() {
-            self.install(candidate);
+        if let Some(candidate) = self.candidate.take() {
+            self.install(candidate.runner);
         }
     }
 
@@ -291,11 +312,11 @@
         self.predecessor = None;
         self.current = Some(runner);
     }
+}
 
-    fn add_former(&mut self, instance: InstanceId) {
-        self.former.push_back(instance);
-        if self.former.len() > MAX_FORMER_INSTANCES {
-            self.former.pop_front();
-        }
+fn push_bounded(instances: &mut VecDeque<InstanceId>, instance: InstanceId) {
+    instances.push_back(instance);
+    if instances.len() > MAX_FORMER_INSTANCES {
+        instances.pop_front();
     }
 }
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -555,6 +555,22 @@
     let (number, _) = state.next_poll(Duration::ZERO, now);
     state.on_poll_response(number, lists(0), now);
     assert_eq!(state.target().unwrap().instance, "i-1");
+    assert_eq!(state.on_heartbeat(runner("i-0", 10)), HeartbeatEffect::Dropped);
+    assert!(state.report(now).former.is_empty(), "only a heartbeat names it: it may run elsewhere");
+}
+
+/// Guards against the end of a runner beside another agent, one of whose heartbeats went to the wrong host.
+#[test]
+fn an_instance_that_only_a_heartbeat_names_is_over_once_the_store_names_it_too() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    state.on_heartbeat(runner("i-0", 9));
+    let (number, _) = state.next_poll(Duration::ZERO, now);
+    state.on_poll_response(number, lists(0), now);
+    assert!(state.report(now).former.is_empty());
+    state.on_earlier_instances(vec!["i-0".to_string()]);
+    let (number, _) = state.next_poll(Duration::ZERO, now);
+    assert!(state.on_poll_response(number, lists(1), now), "the planner waits for this");
     assert_eq!(state.report(now).former, ["i-0"]);
 }
 
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -61,6 +61,34 @@
     env.assert_nothing_doubled();
 }
 
+/// Guards against a task that runs twice at once: a planner that has just taken over hears first from the agent that
+/// calls the life of another host's runner over.
+#[tokio::test]
+async fn heartbeats_of_another_writer_before_a_takeover_double_nothing() {
+    let mut env = start(1, 2).await;
+    let body = job_of_steps("run_ms=8000", &[6]);
+    env.submit_until_accepted(0, &job_name(1), &body).await;
+    env.until(async || env.journal.records().len() == 6).await;
+    let living = env.journal.records()[0].instance.clone();
+    let (host, other) = if living == "i-0" { (0, 1) } else { (1, 0) };
+    let registry = env.nodes[other].process.address("registry");
+    let stray = PlatformRunner::spawn(&living, registry, RunJournal::default()).await;
+    // One heartbeat comes, and the runner of that host answers after it.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stray.crash();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    env.nodes[host].process.signal("STOP");
+    let before = env.store.changes_of("ownership", Some("planner"));
+    env.planners[0].process.kill();
+    env.add_planner().await;
+    env.until(async || env.store.changes_of("ownership", Some("planner")) > before).await;
+    // The new planner hears from the other agent alone.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    env.nodes[host].process.signal("CONT");
+    env.until_state(1, &job_name(1), "completed").await;
+    env.assert_nothing_doubled();
+}
+
 #[tokio::test]
 async fn bad_input_gets_a_clear_refusal() {
     let env = start(1, 1).await;
