Keep a repeated start that was given under another link's lease as open

The lease of a start is now set when the order is taken for sending, not when it is built, so that an order that a report brings about names the link of that report. And an order that may have been sent before is not ignored under any lease: it counts as open and is stopped, as every start in doubt that may not be sent again.

--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -14,11 +14,13 @@
 use crate::workflow::worker_inventory::RunKey;
 
 impl NodeState {
-    /// Accepts an order to start a run. Returns whether it is new. An order that was decided under
-    /// the lease of another link is ignored: the planner orders again what it still needs when it
-    /// has the first snapshot of this link.
+    /// Accepts an order to start a run. Returns whether it is new. An order that was given under the
+    /// lease of another link is not sent to the runner. It is ignored unless an earlier agent may
+    /// have sent it: the planner orders again what it still needs when it has the first snapshot of
+    /// this link.
     pub fn accept_start(&mut self, order: &StartOrder, now: Instant) -> bool {
-        if order.lease.link != self.stamp.link {
+        let is_valid = order.lease.link == self.stamp.link;
+        if !is_valid && !order.is_repeat {
             return false;
         }
         let key = (order.traits.task.clone(), order.run);
@@ -26,7 +28,7 @@
         if order.is_repeat {
             self.unsettled.on_sending(&key, now);
         }
-        let valid_until = self.started + order.lease.end;
+        let valid_until = if is_valid { self.started + order.lease.end } else { now };
         self.tracker.accept_start(&key, order.is_repeat, valid_until, now)
     }
 
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -205,7 +205,8 @@
     }
 
     /// Returns the orders that may be sent now. Starts of runs that have been given up or
-    /// transferred since they were queued are dropped.
+    /// transferred since they were queued are dropped; the others are valid until the end of the
+    /// newest lease that was granted to their worker.
     ///
     /// ```
     /// use std::time::Instant;
@@ -215,16 +216,22 @@
     /// ```
     pub fn take_orders(&mut self) -> Vec<AddressedOrder> {
         let mut orders = std::mem::take(&mut self.outbox);
-        orders.retain(|(instance, order)| match order {
-            NodeOrder::Start(start) => self.is_queued(instance, start),
+        orders.retain_mut(|(instance, order)| match order {
+            NodeOrder::Start(start) => self.confirm_start(instance, start),
             NodeOrder::Stop(..) | NodeOrder::Describe(_) => true,
         });
         orders
     }
 
-    fn is_queued(&self, instance: &str, start: &StartOrder) -> bool {
+    /// Returns whether the order of a start is still queued, and sets the lease that it is given
+    /// under.
+    fn confirm_start(&self, instance: &str, start: &mut StartOrder) -> bool {
+        let Some(worker) = self.inventory.get(instance) else {
+            return false;
+        };
+        start.lease = worker.granted;
         let key = (start.traits.task.clone(), start.run);
-        let run = self.inventory.get(instance).and_then(|worker| worker.assigned.get(&key));
+        let run = worker.assigned.get(&key);
         run.is_some_and(|run| run.delivery == OrderDelivery::Queued)
     }
 
@@ -349,17 +356,16 @@
         })
     }
 
-    /// Builds the order that starts a run.
+    /// Builds the order that starts a run. Its lease is set when it is sent.
     pub(crate) fn start_order(&self, instance: &str, key: &RunKey) -> Option<StartOrder> {
         let entry = self.jobs.get(&key.0.job)?;
         let task = entry.progress.task(&key.0)?;
-        let granted = self.inventory.get(instance).map(|worker| worker.granted);
         Some(StartOrder {
             run: key.1,
             payload: entry.spec.payload.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: self.advice.ticket(&key.0.step_key(), instance, self.now).map(str::to_string),
-            lease: granted.unwrap_or_default(),
+            lease: OrderLease::default(),
             traits: self.task_traits(&key.0)?,
             is_repeat: false,
         })
--- a/tests/held_orders.rs
+++ b/tests/held_orders.rs
@@ -142,3 +142,24 @@
     linked.receive(&start);
     assert!(linked.is_sent(&start));
 }
+
+/// Guards against a task that runs twice at once: an earlier agent may have sent the start, and the order that repeats it over the
+/// next link was given under the lease of the link before. The run must not count as absent before a stop has ruled it out.
+#[test]
+fn a_repeated_start_under_the_lease_of_another_link_stays_present_until_it_is_stopped() {
+    let mut linked = LinkedFleet::open();
+    let start = linked.start_on_its_way();
+    linked.agent.admit(SECOND_LINK).unwrap();
+    linked.look();
+    linked.grant(SECOND_LINK);
+    let repeat = StartOrder { is_repeat: true, ..start.clone() };
+    linked.receive(&repeat);
+    assert!(!linked.is_sent(&repeat));
+    linked.look();
+    let now = linked.now();
+    let present = linked.agent.report(now).snapshot.unwrap().present;
+    assert_eq!(present.len(), 1);
+    let key: RunKey = (start.traits.task.clone(), start.run);
+    let target = linked.agent.target().unwrap();
+    assert!(linked.agent.stop_target(&target, &key).is_some(), "it is being stopped");
+}
