--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -25,16 +25,24 @@
     None,
     /// It passes each piece of data on after this time.
     Delay(Duration),
-    /// It holds everything back that goes towards the target.
+    /// It holds everything back that goes towards the target, and makes no new connections.
     HoldForward,
     /// It holds everything back that comes from the target.
     HoldBack,
-    /// It passes nothing on and accepts nothing new: a cut line.
+    /// It passes nothing on and makes no new connections: a cut line. What open connections have sent arrives
+    /// when it ends, as retransmissions do.
     Cut,
     /// All its connections together pass this many bytes a second on from the targets: a thin link.
     Thin(u32),
 }
 
+impl ProxyFault {
+    /// Whether connections cannot be made meanwhile.
+    fn is_unreachable(self) -> bool {
+        matches!(self, ProxyFault::HoldForward | ProxyFault::Cut)
+    }
+}
+
 #[derive(Debug, Default)]
 struct ProxyState {
     targets: Vec<SocketAddr>,
@@ -96,6 +104,12 @@
     }
 
     async fn carry(self, stream: TcpStream) {
+        if self.fault.borrow().is_unreachable() {
+            // Callers give a connection up before its first packet is sent again, so that it is not made later.
+            let mut fault = self.fault.subscribe();
+            let _ = fault.wait_for(|now| !now.is_unreachable()).await;
+            return;
+        }
         for target in self.next_targets() {
             let Ok(onward) = TcpStream::connect(target).await else {
                 continue;
