--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -77,6 +77,8 @@
 const START_DISTANCE: u64 = 100;
 /// Time after which an agent sees that the connection of its look broke.
 const BREAK_SEEN_AFTER: u64 = 5;
+/// What is said of a runner that its agent takes for ended.
+pub const UNKNOWN_TO_AGENT: &str = "and its agent does not know it";
 const WALL: u64 = 1_000_000;
 
 /// A mechanism that the search takes out, to see that it is needed.
