Search without the lease of a start order

The search resent starts on a new link before the link had granted, which no planner does: the link grants when a report comes, and the planner's loop takes the report in afterwards. Since orders are tied to the lease of their link, agents ignored these starts. The search now grants first, and each_mechanism_is_needed plays held messages without the lease of the orders: agents then carry out a start however old its order is.

--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -100,6 +100,13 @@
         let found = (0..SCHEDULES_WITHOUT).find(|seed| !violations(*seed, missing).is_empty());
         assert!(found.is_some(), "nothing breaks without {missing:?}");
     }
+    let without = |seed: &u64| {
+        let world = PlanningWorld::new(*seed, Missing::OrderLease, specs());
+        let found = world.with_held_messages().run();
+        found.iter().any(|what| what.ends_with("at once"))
+    };
+    let found = (0..SCHEDULES_WITHOUT).find(without);
+    assert!(found.is_some(), "nothing runs twice without {:?}", Missing::OrderLease);
 }
 
 /// Guards against a fleet that shrinks for good, and against calls for a former life that the present one carries out: runners come
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -1,5 +1,6 @@
 //! Events at an agent and its runner.
 
+use super::outages::OUTAGE_LENGTH;
 use super::*;
 
 /// What a runner's call does to a life of another name, or to one that has ended, is nothing.
@@ -103,7 +104,10 @@
         self.send(Event::Answer { planner, agent, link, report });
     }
 
-    fn on_orders(&mut self, planner: usize, agent: usize, link: u64, call: OrderCall) {
+    fn on_orders(&mut self, planner: usize, agent: usize, link: u64, mut call: OrderCall) {
+        if self.missing == Missing::OrderLease {
+            call.orders.iter_mut().for_each(|order| extend_lease(order, link));
+        }
         let now = self.agent_instant(agent);
         let one = &mut self.agents[agent];
         match one.state.admit(call.stamp) {
@@ -331,6 +335,13 @@
     }
 }
 
+/// Makes an order valid for the rest of the schedule.
+fn extend_lease(order: &mut NodeOrder, link: u64) {
+    if let NodeOrder::Start(start) = order {
+        start.lease = OrderLease { link, end: Duration::from_millis(OUTAGE_LENGTH) };
+    }
+}
+
 pub(super) fn call_of(agent: usize, run: u64, target: &RunnerTarget, order: Order) -> Event {
     Event::Call { agent, run, target: target.clone(), order, is_late: false }
 }
--- a/tests/planning_world/events.rs
+++ b/tests/planning_world/events.rs
@@ -221,7 +221,6 @@
         let ends =
             report.snapshot.as_ref().and_then(|look| look.ended.last()).map(|end| end.number);
         let since = report.now;
-        process.planner.on_report(report, is_new);
         let mut call = SyncCall {
             stamp: LinkStamp { epoch: process.epoch, link },
             grant: None,
@@ -243,6 +242,8 @@
                 call.last_acked_end = ends.unwrap_or(0).max(call.last_acked_end);
             }
         }
+        // The link grants before the planner's loop takes the report in.
+        process.planner.on_report(report, is_new);
         self.sync(planner, agent, call);
         self.flush(planner);
     }
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -97,6 +97,8 @@
     SuspendedTime,
     /// An order that comes early counts as if all before it had come.
     OrderSequence,
+    /// A start is carried out under any lease, however old its order is.
+    OrderLease,
 }
 
 #[derive(Clone, Debug)]
--- a/tests/planning_world/outages.rs
+++ b/tests/planning_world/outages.rs
@@ -25,7 +25,7 @@
 /// Time without a write after which the owner writes its heartbeat.
 const HEARTBEAT_PERIOD: u64 = 400;
 /// End of a schedule: the last outage, a lease, and two steps with two attempts each.
-const OUTAGE_LENGTH: u64 = 110_000;
+pub(super) const OUTAGE_LENGTH: u64 = 110_000;
 
 /// A cut between an agent and all planners, or one of them.
 #[derive(Clone, Debug, Default)]
