Let stand-in runners and their agents belong to failure domains

All runners said that they were in one zone and one rack, so that nothing that runs against the stand-ins had more than one failure domain. A cluster can now be started in several: its hosts take turns, and each domain is a zone with one rack, which the runners' heartbeats and the settings of the processes name. Clusters of one domain are as before but for the name of the zone ("z0").

--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use crate::platform_journal::RunJournal;
+use crate::platform_runner::LifeTraits;
 use crate::platform_runner::PlatformRunner;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::StoreListener;
@@ -64,6 +65,8 @@
     programs: PathBuf,
     folder: SettingsFolder,
     logs: Option<PathBuf>,
+    /// Number of failure domains; hosts take turns.
+    domains: usize,
     planner_lines: String,
     client: reqwest::Client,
 }
@@ -76,6 +79,17 @@
         logs: Option<PathBuf>,
         planners: usize,
         nodes: usize,
+    ) -> PlatformCluster {
+        PlatformCluster::start_in_domains(programs, logs, planners, nodes, 1).await
+    }
+
+    /// The same in several failure domains.
+    pub async fn start_in_domains(
+        programs: &Path,
+        logs: Option<PathBuf>,
+        planners: usize,
+        nodes: usize,
+        domains: usize,
     ) -> PlatformCluster {
         let mut cluster = PlatformCluster {
             store: PlatformStore::default(),
@@ -85,6 +99,7 @@
             programs: programs.to_path_buf(),
             folder: SettingsFolder::open(),
             logs,
+            domains,
             planner_lines: String::new(),
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
         };
@@ -123,7 +138,8 @@
         let line = FaultProxy::bind(&[listener.address]).await;
         let number = self.planners.len();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let text = planner_settings(number, [any; 3], line.address) + &self.planner_lines;
+        let domain = self.domain_of(number);
+        let text = planner_settings(number, domain, [any; 3], line.address) + &self.planner_lines;
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners.push(PlannerSeat { process, listener, line });
     }
@@ -132,7 +148,9 @@
     pub fn restart_planner(&mut self, number: usize) {
         let seat = &self.planners[number];
         let addresses = ["callers", "ready", "internal"].map(|name| seat.process.address(name));
-        let text = planner_settings(number, addresses, seat.line.address) + &self.planner_lines;
+        let domain = self.domain_of(number);
+        let text =
+            planner_settings(number, domain, addresses, seat.line.address) + &self.planner_lines;
         self.planners[number].process.kill();
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners[number].process = process;
@@ -141,25 +159,36 @@
     /// Adds a runner's host; the runner's first life has this name.
     pub async fn add_node(&mut self, instance: &str) {
         let (process, listener, line) = self.add_agent().await;
-        let registry = process.address("registry");
-        let runner = PlatformRunner::spawn(instance, registry, self.journal.clone()).await;
+        let (registry, journal) = (process.address("registry"), self.journal.clone());
+        let traits = self.traits_of(self.nodes.len());
+        let runner = PlatformRunner::spawn_on(traits, instance, registry, journal).await;
         self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
     }
 
     /// Adds a runner's host whose runner tells when it was started.
     pub async fn add_returning_node(&mut self, instance: &str) {
         let (process, listener, line) = self.add_agent().await;
-        let registry = process.address("registry");
-        let runner =
-            PlatformRunner::spawn_with_start_time(instance, registry, self.journal.clone()).await;
+        let (registry, journal) = (process.address("registry"), self.journal.clone());
+        let traits = self.traits_of(self.nodes.len());
+        let runner = PlatformRunner::spawn_returning_on(traits, instance, registry, journal).await;
         self.nodes.push(NodeSeat { process, listener, line, runner, life: 0 });
     }
 
+    fn traits_of(&self, node: usize) -> LifeTraits {
+        LifeTraits { domain: self.domain_of(node), ..LifeTraits::default() }
+    }
+
+    /// Failure domain of a host by its number among its kind.
+    pub fn domain_of(&self, number: usize) -> usize {
+        number % self.domains
+    }
+
     async fn add_agent(&mut self) -> (ProductProcess, StoreListener, FaultProxy) {
         let listener = self.store.listen().await;
         let line = FaultProxy::bind(&[]).await;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let text = node_settings([any; 2], line.address, listener.address);
+        let domain = self.domain_of(self.nodes.len());
+        let text = node_settings(domain, [any; 2], line.address, listener.address);
         let name = format!("node-{}", self.nodes.len());
         let process = self.spawn("gga-node", &text, &name);
         line.set_targets(&[process.address("internal")]);
@@ -181,7 +210,8 @@
     pub fn restart_agent(&mut self, node: usize) {
         let seat = &self.nodes[node];
         let addresses = ["registry", "internal"].map(|name| seat.process.address(name));
-        let text = node_settings(addresses, seat.line.address, seat.listener.address);
+        let domain = self.domain_of(node);
+        let text = node_settings(domain, addresses, seat.line.address, seat.listener.address);
         self.nodes[node].process.kill();
         self.nodes[node].process = self.spawn("gga-node", &text, &format!("node-{node}"));
     }
@@ -200,7 +230,8 @@
         seat.life += 1;
         let instance = format!("i-{node}-{}", seat.life);
         let registry = seat.process.address("registry");
-        seat.runner = PlatformRunner::spawn_with_clock(&instance, registry, journal, speed).await;
+        let traits = LifeTraits { speed, ..seat.runner.traits };
+        seat.runner = PlatformRunner::spawn_on(traits, &instance, registry, journal).await;
     }
 
     /// Waits until an entry says that it is ready.
@@ -273,18 +304,28 @@
     }
 }
 
-fn planner_settings(number: usize, addresses: [SocketAddr; 3], store: SocketAddr) -> String {
+fn planner_settings(
+    number: usize,
+    domain: usize,
+    addresses: [SocketAddr; 3],
+    store: SocketAddr,
+) -> String {
     let [callers, ready, internal] = addresses;
     format!(
-        "[planner]\nid = p{number}\ndomain = d\ncaller-listen = {callers}\nready-listen = {ready}\n\
+        "[planner]\nid = p{number}\ndomain = d{domain}\ncaller-listen = {callers}\nready-listen = {ready}\n\
          internal-listen = {internal}\n[store]\naddress = {store}\n"
     )
 }
 
-fn node_settings(addresses: [SocketAddr; 2], line: SocketAddr, store: SocketAddr) -> String {
+fn node_settings(
+    domain: usize,
+    addresses: [SocketAddr; 2],
+    line: SocketAddr,
+    store: SocketAddr,
+) -> String {
     let [registry, internal] = addresses;
     format!(
-        "[node]\nid = n\ndomain = d\nregistry-listen = {registry}\ninternal-listen = {internal}\n\
+        "[node]\nid = n\ndomain = d{domain}\nregistry-listen = {registry}\ninternal-listen = {internal}\n\
          internal-advertise = {line}\n[store]\naddress = {store}\n"
     )
 }
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -73,6 +73,21 @@
     }
 }
 
+/// What a life has from its machine.
+#[derive(Clone, Copy, Debug)]
+pub struct LifeTraits {
+    /// How fast its steady clock goes.
+    pub speed: f64,
+    /// Failure domain: a zone with one rack.
+    pub domain: usize,
+}
+
+impl Default for LifeTraits {
+    fn default() -> LifeTraits {
+        LifeTraits { speed: 1.0, domain: 0 }
+    }
+}
+
 /// A running stand-in; it is one life of a runner.
 #[derive(Clone)]
 pub struct PlatformRunner {
@@ -83,9 +98,9 @@
     pub address: SocketAddr,
     /// When it was started, if it tells.
     pub start_time: Option<u64>,
+    /// What it has from its machine.
+    pub traits: LifeTraits,
     started: Instant,
-    /// How fast its steady clock goes.
-    speed: f64,
     journal: RunJournal,
     life: Arc<Mutex<RunnerLife>>,
     ended: Arc<Notify>,
@@ -93,6 +108,11 @@
     closing: Arc<Notify>,
 }
 
+/// Label of the rack in a failure domain.
+pub fn rack_of(domain: usize) -> String {
+    format!("r{}", domain + 1)
+}
+
 /// Unix time in milliseconds.
 fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -106,18 +126,18 @@
         registry: SocketAddr,
         journal: RunJournal,
     ) -> PlatformRunner {
-        PlatformRunner::spawn_with_clock(instance, registry, journal, 1.0).await
+        PlatformRunner::spawn_on(LifeTraits::default(), instance, registry, journal).await
     }
 
-    /// The same with a steady clock that goes at `speed`.
-    pub async fn spawn_with_clock(
+    /// The same on a machine with these traits.
+    pub async fn spawn_on(
+        traits: LifeTraits,
         instance: &str,
         registry: SocketAddr,
         journal: RunJournal,
-        speed: f64,
     ) -> PlatformRunner {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        PlatformRunner::serve(listener, instance, registry, journal, speed, None)
+        PlatformRunner::serve(listener, instance, registry, journal, traits, None)
     }
 
     /// The same with a life that tells when it was started, see [`PlatformRunner::restart`].
@@ -125,10 +145,20 @@
         instance: &str,
         registry: SocketAddr,
         journal: RunJournal,
+    ) -> PlatformRunner {
+        PlatformRunner::spawn_returning_on(LifeTraits::default(), instance, registry, journal).await
+    }
+
+    /// The same on a machine with these traits.
+    pub async fn spawn_returning_on(
+        traits: LifeTraits,
+        instance: &str,
+        registry: SocketAddr,
+        journal: RunJournal,
     ) -> PlatformRunner {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let start_time = Some(unix_millis());
-        PlatformRunner::serve(listener, instance, registry, journal, 1.0, start_time)
+        PlatformRunner::serve(listener, instance, registry, journal, traits, start_time)
     }
 
     fn serve(
@@ -136,7 +166,7 @@
         instance: &str,
         registry: SocketAddr,
         journal: RunJournal,
-        speed: f64,
+        traits: LifeTraits,
         start_time: Option<u64>,
     ) -> PlatformRunner {
         let address = listener.local_addr().expect("a bound listener has an address");
@@ -145,8 +175,8 @@
             registry,
             address,
             start_time,
+            traits,
             started: Instant::now(),
-            speed,
             journal,
             life: Arc::default(),
             ended: Arc::default(),
@@ -228,7 +258,7 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        (self.started.elapsed().as_secs_f64() * self.speed * 1_000.0) as u64
+        (self.started.elapsed().as_secs_f64() * self.traits.speed * 1_000.0) as u64
     }
 
     fn end(&self, task: &str, run: u32, how: &str) {
@@ -263,14 +293,15 @@
 async fn beat(runner: PlatformRunner, registry: SocketAddr, address: SocketAddr) {
     let client = reqwest::Client::new();
     let url = format!("http://{registry}/-/instances/{}", runner.instance);
+    let domain = runner.traits.domain;
     for sequence in 1_u64.. {
         if runner.is_over() {
             return;
         }
         let is_draining = runner.lock().is_draining;
         let mut body = json!({
-            "Service": "svc", "Address": address.to_string(), "Zone": "z", "State": "ready",
-            "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", "r1"],
+            "Service": "svc", "Address": address.to_string(), "Zone": format!("z{domain}"), "State": "ready",
+            "Capacity": { "Cpu": 4_000, "MemMb": 4_000 }, "Labels": ["a", rack_of(domain)],
             "Sequence": sequence,
         });
         if is_draining {
--- a/standins/src/platform_runner/lives.rs
+++ b/standins/src/platform_runner/lives.rs
@@ -5,6 +5,7 @@
 
 use tokio::net::TcpListener;
 
+use crate::platform_runner::LifeTraits;
 use crate::platform_runner::PlatformRunner;
 use crate::platform_runner::unix_millis;
 
@@ -42,12 +43,13 @@
                 let listener = listen_again(self.address).await;
                 // Two lives do not start in the same millisecond.
                 let start_time = Some(unix_millis().max(before + 1));
-                let (instance, speed) = (&self.instance, self.speed);
-                PlatformRunner::serve(listener, instance, registry, journal, speed, start_time)
+                let (instance, traits) = (&self.instance, self.traits);
+                PlatformRunner::serve(listener, instance, registry, journal, traits, start_time)
             }
             None => {
                 let instance = format!("{}+", self.instance);
-                PlatformRunner::spawn(&instance, registry, journal).await
+                let traits = LifeTraits { speed: 1.0, ..self.traits };
+                PlatformRunner::spawn_on(traits, &instance, registry, journal).await
             }
         };
         let mut life = self.lock();
