Add a long soak whose faults outlast leases

Its tasks took 0.9 s at most and its longest fault 4 s, less than a lease, on four runners in one domain, so that it hardly saw a worker that was given up while it was sound.

The checks are the same. A report also names the runners of two runs at once, and lists when the runs of the task that broke a promise began and ended.

--- a/standins/src/bin/gga-soak.rs
+++ b/standins/src/bin/gga-soak.rs
@@ -10,11 +10,12 @@
 use greengagearch::cli::parse;
 use greengagearch::error::Error;
 use greengagearch::process::program::finish;
+use greengagearch_standins::soak::SoakKind;
 use greengagearch_standins::soak::SoakPlan;
 use greengagearch_standins::soak::run_soak;
 
 const PURPOSE: &str = "Runs the product's processes under faults drawn from a seed.\n\n\
-    Usage: gga-soak [--seed N] [--seeds COUNT] [--minutes M] [--logs FOLDER]";
+    Usage: gga-soak [--seed N] [--seeds COUNT] [--minutes M] [--long] [--logs FOLDER]";
 /// Length of a soak without `--minutes`.
 const DEFAULT_MINUTES: f64 = 1.0;
 
@@ -22,6 +23,7 @@
     first: u64,
     count: u64,
     length: Duration,
+    kind: SoakKind,
     logs: PathBuf,
 }
 
@@ -56,7 +58,8 @@
     std::fs::create_dir_all(&logs).map_err(write)?;
     let programs = std::env::current_exe().map_err(write)?;
     let programs = programs.parent().map(PathBuf::from).unwrap_or_default();
-    let plan = SoakPlan { seed, length: config.length, programs, logs: logs.clone() };
+    let plan =
+        SoakPlan { seed, kind: config.kind, length: config.length, programs, logs: logs.clone() };
     let report = run_soak(&plan, |line| println!("seed {seed} {line}")).await;
     std::fs::write(logs.join("report.txt"), report.to_string()).map_err(write)?;
     let result = report.broken.as_ref().map_or("held".to_string(), |(_, text)| text.clone());
@@ -69,6 +72,7 @@
     options.optopt("", "seed", "first seed (1)", "N");
     options.optopt("", "seeds", "number of seeds, one after another (1)", "COUNT");
     options.optopt("", "minutes", "how long faults come with each (1)", "M");
+    options.optflag("", "long", "tasks of seconds, faults that outlast leases, eleven runners");
     options.optopt("", "logs", "folder for logs and reports (soak-logs)", "FOLDER");
     add_common(&mut options);
     let matches = parse(&options, args)?;
@@ -81,6 +85,7 @@
         first: number(&matches, "seed", 1)?,
         count: number(&matches, "seeds", 1)?,
         length: Duration::from_secs_f64(minutes.max(0.0) * 60.0),
+        kind: if matches.opt_present("long") { SoakKind::Long } else { SoakKind::Short },
         logs: matches.opt_str("logs").unwrap_or_else(|| "soak-logs".to_string()).into(),
     }))
 }
--- a/standins/src/platform_journal.rs
+++ b/standins/src/platform_journal.rs
@@ -60,7 +60,10 @@
                     let is_over = ended.is_some_and(|(end, _)| *end <= second.began);
                     let is_done = counts(first) && ended.is_some_and(|(_, how)| how == "done");
                     if !is_over || is_done {
-                        found.push(format!("{task} runs {} and {}", first.run, second.run));
+                        found.push(format!(
+                            "{task} runs {} on {} and {} on {}",
+                            first.run, first.instance, second.run, second.instance
+                        ));
                     }
                 }
             }
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -1,5 +1,6 @@
 //! Callers: they hand jobs in, again under the same name until they know, cancel some, and ask for their ends.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,8 +16,10 @@
 use crate::platform_cluster::CALLER_HOST;
 use crate::platform_cluster::job_name;
 use crate::platform_cluster::job_of_steps;
+use crate::platform_runner::rack_of;
 use crate::soak::SoakShared;
 use crate::soak::ledger::KnownJob;
+use crate::soak::scale::SoakScale;
 
 /// Time in which a call is answered or given up by its caller.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
@@ -32,20 +35,21 @@
     entries: Vec<String>,
     client: reqwest::Client,
     next: u64,
+    scale: SoakScale,
     stopped: watch::Receiver<bool>,
 }
 
 /// Starts callers; each ends when it is told to stop and its jobs have ended.
 pub(crate) async fn spawn_callers(
     shared: &Arc<SoakShared>,
-    count: usize,
+    scale: &SoakScale,
     seed: u64,
     stopped: &watch::Receiver<bool>,
 ) -> Vec<JoinHandle<()>> {
     let cluster = shared.cluster.lock().await;
     let entries: Vec<String> =
         (0..cluster.planners.len()).map(|entry| cluster.url(entry, "/q/")).collect();
-    let each = (0..count as u64).map(|number| {
+    let each = (0..scale.callers as u64).map(|number| {
         // Connections stay open until the process is gone.
         let client = reqwest::Client::builder().no_proxy().timeout(CALL_LIMIT).build();
         let caller = SoakCaller {
@@ -54,6 +58,7 @@
             entries: entries.clone(),
             client: client.expect("a client"),
             next: (number + 1) * NAMES,
+            scale: scale.clone(),
             stopped: stopped.clone(),
         };
         tokio::spawn(caller.run())
@@ -82,18 +87,32 @@
     fn draw(&mut self, job: &str) -> Value {
         let steps = self.rng.random_range(1..=3);
         let counts: Vec<u32> = (0..steps).map(|_| self.rng.random_range(1..=4)).collect();
-        let run_ms = self.rng.random_range(20..900);
+        let run_ms = self.rng.random_range(self.scale.run_millis.clone());
         let fails = if self.rng.random_bool(0.08) { " fail" } else { "" };
         let crashes = self.next.is_multiple_of(CRASHING_EVERY);
         // One task, so that a fleet of few runners is left for the others.
         let counts = if crashes { vec![1] } else { counts };
         let crash = if crashes { " crash" } else { "" };
-        let body = job_of_steps(&format!("run_ms={run_ms}{fails}{crash}"), &counts);
+        let mut body = job_of_steps(&format!("run_ms={run_ms}{fails}{crash}"), &counts);
+        if let Some(room) = self.scale.task_cpu.clone() {
+            self.spread(&mut body, &room);
+        }
         let known = KnownJob { counts, crashes, ..KnownJob::default() };
         self.shared.ledger().jobs.insert(job.to_string(), known);
         body
     }
 
+    /// Draws how much room the tasks of each step need, and where their data is, if that matters.
+    fn spread(&mut self, body: &mut Value, room: &Range<u32>) {
+        for step in body["Steps"].as_array_mut().into_iter().flatten() {
+            step["Cpu"] = self.rng.random_range(room.clone()).into();
+            if self.rng.random_bool(0.5) {
+                step["PreferredRack"] =
+                    rack_of(self.rng.random_range(0..self.scale.domains)).into();
+            }
+        }
+    }
+
     /// Whether the job was accepted. A definite refusal ends it, unless an earlier try's fate is open.
     async fn hand_in(&mut self, job: &str) -> bool {
         let body = self.draw(job);
@@ -139,10 +158,10 @@
     }
 
     async fn follow(&mut self, job: &str) {
-        let cancels_at = self
-            .rng
-            .random_bool(0.12)
-            .then(|| Instant::now() + Duration::from_millis(self.rng.random_range(0..1_500)));
+        let cancels_at = self.rng.random_bool(0.12).then(|| {
+            Instant::now()
+                + Duration::from_millis(self.rng.random_range(self.scale.cancel_millis.clone()))
+        });
         loop {
             let url = self.url(job);
             let answer = self.client.get(url).header("Host", CALLER_HOST).send().await;
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -14,16 +14,17 @@
 use crate::platform_runner::RunnerRefusal;
 use crate::platform_store::StoreFault;
 use crate::proxy::ProxyFault;
-use crate::soak::NODES;
-use crate::soak::PLANNERS;
 use crate::soak::SoakShared;
+use crate::soak::scale::SoakKind;
+use crate::soak::scale::SoakScale;
 
-/// Longest time that an outage or a pause lasts.
-const LONGEST_MILLIS: u64 = 4_000;
 /// Longest time between two faults; they overlap.
 const LONGEST_PAUSE_MILLIS: u64 = 1_800;
 /// How much slower than the time a runner's clock may go.
-const SLOWEST_CLOCK: f64 = 0.98;
+pub(super) const SLOWEST_CLOCK: f64 = 0.98;
+
+/// Time after which the life follows that a drain has ended.
+const LEAVES_FOR: Duration = Duration::from_millis(500);
 
 /// For how long a runner refuses calls.
 const REFUSAL_MILLIS: RangeInclusive<u64> = 200..=4_000;
@@ -31,17 +32,31 @@
 const FOLLOWS_AFTER_MILLIS: RangeInclusive<u64> = 100..=1_500;
 
 pub(crate) struct FaultPlayer {
-    shared: Arc<SoakShared>,
-    rng: StdRng,
+    pub(super) shared: Arc<SoakShared>,
+    pub(super) rng: StdRng,
+    pub(super) scale: SoakScale,
     version: u64,
     /// What has to be mended, and when.
-    mends: Vec<(Instant, Mend)>,
+    pub(super) mends: Vec<(Instant, Mend)>,
     /// What is still to follow another fault, and when.
-    followers: Vec<(Instant, RefusalFault)>,
+    pub(super) followers: Vec<(Instant, Follower)>,
+}
+
+/// A fault that follows another one.
+pub(super) enum Follower {
+    Refusal(RefusalFault),
+    Crash(RunnerCrash),
+}
+
+/// The end of a runner's life; another one follows after a pause.
+pub(super) struct RunnerCrash {
+    pub node: usize,
+    pub speed: f64,
+    pub pause: Duration,
 }
 
 /// A runner that refuses calls for a time.
-struct RefusalFault {
+pub(super) struct RefusalFault {
     node: usize,
     refusal: RunnerRefusal,
     span: Duration,
@@ -49,7 +64,7 @@
 
 /// How a fault ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Mend {
+pub(super) enum Mend {
     PlannerRuns(usize),
     AgentRuns(usize),
     PlannerLine(usize),
@@ -58,6 +73,8 @@
     AllStores,
     Orders(usize),
     Calls(usize),
+    /// A runner that drains leaves, and another life follows.
+    Drain(usize),
 }
 
 impl fmt::Display for RefusalFault {
@@ -69,10 +86,11 @@
 }
 
 impl FaultPlayer {
-    pub fn new(shared: Arc<SoakShared>, seed: u64) -> FaultPlayer {
+    pub fn new(shared: Arc<SoakShared>, scale: SoakScale, seed: u64) -> FaultPlayer {
         FaultPlayer {
             shared,
             rng: StdRng::seed_from_u64(seed),
+            scale,
             version: 1,
             mends: Vec::new(),
             followers: Vec::new(),
@@ -83,7 +101,10 @@
     pub async fn play(mut self, length: Duration) {
         let until = Instant::now() + length;
         while Instant::now() < until {
-            self.strike().await;
+            match self.scale.kind {
+                SoakKind::Short => self.strike().await,
+                SoakKind::Long => self.strike_long().await,
+            }
             let pause = Duration::from_millis(self.rng.random_range(50..LONGEST_PAUSE_MILLIS));
             let next = Instant::now() + pause;
             while Instant::now() < next {
@@ -96,15 +117,16 @@
         self.shared.tell("all faults are over".to_string());
     }
 
-    fn later(&mut self, mend: Mend) -> Duration {
-        let span = Duration::from_millis(self.rng.random_range(100..LONGEST_MILLIS));
+    pub(super) fn later(&mut self, mend: Mend) -> Duration {
+        let millis = self.scale.draw_outage(&mut self.rng);
+        let span = Duration::from_millis(millis);
         self.mends.push((Instant::now() + span, mend));
         span
     }
 
     async fn strike(&mut self) {
-        let planner = self.rng.random_range(0..PLANNERS);
-        let node = self.rng.random_range(0..NODES);
+        let planner = self.rng.random_range(0..self.scale.planners);
+        let node = self.rng.random_range(0..self.scale.nodes);
         let text = match self.rng.random_range(0..20) {
             0 => self.pause_planner(planner).await,
             1 => self.pause_agent(node).await,
@@ -125,30 +147,30 @@
         self.shared.tell(text);
     }
 
-    async fn pause_planner(&mut self, planner: usize) -> String {
+    pub(super) async fn pause_planner(&mut self, planner: usize) -> String {
         let span = self.later(Mend::PlannerRuns(planner));
         self.shared.cluster.lock().await.planners[planner].process.signal("STOP");
         format!("planner {planner} stands still for {span:?}")
     }
 
-    async fn pause_agent(&mut self, node: usize) -> String {
+    pub(super) async fn pause_agent(&mut self, node: usize) -> String {
         let span = self.later(Mend::AgentRuns(node));
         self.shared.cluster.lock().await.nodes[node].process.signal("STOP");
         format!("agent {node} stands still for {span:?}")
     }
 
-    async fn kill_planner(&mut self, planner: usize) -> String {
+    pub(super) async fn kill_planner(&mut self, planner: usize) -> String {
         self.shared.cluster.lock().await.restart_planner(planner);
         format!("planner {planner} is killed and starts again")
     }
 
-    async fn kill_agent(&mut self, node: usize) -> String {
+    pub(super) async fn kill_agent(&mut self, node: usize) -> String {
         self.shared.cluster.lock().await.restart_agent(node);
         format!("agent {node} is killed and starts again")
     }
 
     /// A graceful stop: the process is waited for, and started again.
-    async fn stop_planner(&mut self, planner: usize) -> String {
+    pub(super) async fn stop_planner(&mut self, planner: usize) -> String {
         let mut cluster = self.shared.cluster.lock().await;
         let seat = &mut cluster.planners[planner];
         seat.process.signal("CONT");
@@ -161,11 +183,16 @@
     async fn crash_runner(&mut self, node: usize) -> String {
         let speed = self.rng.random_range(SLOWEST_CLOCK..=1.0);
         let pause = Duration::from_millis(self.rng.random_range(10..1_500));
-        self.shared.cluster.lock().await.replace_runner(node, speed, pause).await;
+        self.crash(RunnerCrash { node, speed, pause }).await;
         format!("runner {node} crashes and starts again")
     }
 
-    fn draw_line_fault(&mut self) -> ProxyFault {
+    pub(super) async fn crash(&mut self, crash: RunnerCrash) {
+        let RunnerCrash { node, speed, pause } = crash;
+        self.shared.cluster.lock().await.replace_runner(node, speed, pause).await;
+    }
+
+    pub(super) fn draw_line_fault(&mut self) -> ProxyFault {
         match self.rng.random_range(0..4) {
             0 => ProxyFault::Delay(Duration::from_millis(self.rng.random_range(5..300))),
             1 => ProxyFault::HoldForward,
@@ -174,14 +201,14 @@
         }
     }
 
-    async fn break_planner_line(&mut self, planner: usize) -> String {
+    pub(super) async fn break_planner_line(&mut self, planner: usize) -> String {
         let fault = self.draw_line_fault();
         let span = self.later(Mend::PlannerLine(planner));
         self.shared.cluster.lock().await.planners[planner].line.set_fault(fault);
         format!("line of planner {planner} to the store: {fault:?} for {span:?}")
     }
 
-    async fn break_agent_line(&mut self, node: usize) -> String {
+    pub(super) async fn break_agent_line(&mut self, node: usize) -> String {
         let fault = self.draw_line_fault();
         let span = self.later(Mend::AgentLine(node));
         self.shared.cluster.lock().await.nodes[node].line.set_fault(fault);
@@ -189,7 +216,7 @@
     }
 
     /// The store misbehaves, for one entry or for all.
-    async fn break_store(&mut self, planner: usize, for_all: bool) -> String {
+    pub(super) async fn break_store(&mut self, planner: usize, for_all: bool) -> String {
         let fault = match self.rng.random_range(0..5) {
             0 => StoreFault::Busy,
             1 => StoreFault::Silent,
@@ -207,12 +234,12 @@
         format!("store for {whom}: {fault:?} for {span:?}")
     }
 
-    async fn drop_history(&mut self) -> String {
+    pub(super) async fn drop_history(&mut self) -> String {
         self.shared.cluster.lock().await.store.drop_history();
         "the store drops its history".to_string()
     }
 
-    async fn hold_up_orders(&mut self, node: usize) -> String {
+    pub(super) async fn hold_up_orders(&mut self, node: usize) -> String {
         let delay = Duration::from_millis(self.rng.random_range(500..6_000));
         let span = self.later(Mend::Orders(node));
         self.shared.cluster.lock().await.nodes[node].runner.present().set_late_orders(Some(delay));
@@ -220,14 +247,14 @@
         format!("runner {node} carries orders out {delay:?} late for {span:?}{follower}")
     }
 
-    async fn lose_answers(&mut self, node: usize) -> String {
+    pub(super) async fn lose_answers(&mut self, node: usize) -> String {
         let count = self.rng.random_range(1..5);
         self.shared.cluster.lock().await.nodes[node].runner.present().lose_answers(count);
         let follower = self.draw_follower(node);
         format!("runner {node} loses {count} answers{follower}")
     }
 
-    async fn refuse_calls(&mut self, node: usize) -> String {
+    pub(super) async fn refuse_calls(&mut self, node: usize) -> String {
         let fault = self.draw_refusal(node);
         let text = fault.to_string();
         self.refuse(fault).await;
@@ -256,16 +283,19 @@
         let fault = self.draw_refusal(node);
         let pause = Duration::from_millis(self.rng.random_range(FOLLOWS_AFTER_MILLIS));
         let text = format!("; {pause:?} later {fault}");
-        self.followers.push((Instant::now() + pause, fault));
+        self.followers.push((Instant::now() + pause, Follower::Refusal(fault)));
         text
     }
 
     /// Begins what is to follow other faults by now.
     async fn follow(&mut self, now: Instant) {
-        let due: Vec<RefusalFault> =
+        let due: Vec<Follower> =
             self.followers.extract_if(.., |(at, _)| *at <= now).map(|(_, fault)| fault).collect();
         for fault in due {
-            self.refuse(fault).await;
+            match fault {
+                Follower::Refusal(fault) => self.refuse(fault).await,
+                Follower::Crash(crash) => self.crash(crash).await,
+            }
         }
     }
 
@@ -276,7 +306,7 @@
         cluster.nodes[node].runner.present().refuse_calls(Some(refusal));
     }
 
-    async fn configure(&mut self) -> String {
+    pub(super) async fn configure(&mut self) -> String {
         self.version += self.rng.random_range(1..4);
         self.shared.cluster.lock().await.configure(self.version, &["q", "other"]);
         format!("configuration {}", self.version)
@@ -287,7 +317,7 @@
             self.mends.extract_if(.., |(at, _)| *at <= now).map(|(_, mend)| mend).collect();
         for mend in due {
             // A later fault of the same kind may be under way; it ends with this one.
-            let cluster = self.shared.cluster.lock().await;
+            let mut cluster = self.shared.cluster.lock().await;
             match mend {
                 Mend::PlannerRuns(planner) => cluster.planners[planner].process.signal("CONT"),
                 Mend::AgentRuns(node) => cluster.nodes[node].process.signal("CONT"),
@@ -305,6 +335,7 @@
                         .for_each(|one| one.listener.set_fault(StoreFault::None));
                 }
                 Mend::Orders(node) => cluster.nodes[node].runner.present().set_late_orders(None),
+                Mend::Drain(node) => cluster.replace_runner(node, 1.0, LEAVES_FOR).await,
                 Mend::Calls(node) => cluster.nodes[node].runner.present().refuse_calls(None),
             }
         }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -4,6 +4,8 @@
 mod callers;
 mod faults;
 mod ledger;
+mod long_faults;
+mod scale;
 
 use std::fmt;
 use std::path::PathBuf;
@@ -13,6 +15,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -22,28 +26,23 @@
 
 use crate::platform_cluster::PlatformCluster;
 use crate::platform_journal::RunJournal;
+use crate::platform_journal::RunRecord;
 use crate::soak::callers::spawn_callers;
 use crate::soak::faults::FaultPlayer;
 use crate::soak::ledger::SoakLedger;
+pub use crate::soak::scale::SoakKind;
 
-const PLANNERS: usize = 3;
-const NODES: usize = 4;
-/// Of these, nodes whose runners come back under the ids that they had.
-const RETURNING_NODES: usize = 2;
-const CALLERS: usize = 16;
 /// Time between two checks of the promises.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
 /// Time between two lines of progress.
 const PROGRESS_EVERY: Duration = Duration::from_secs(10);
-/// Time in which everything has to come to its end when the faults are over: leases of lost workers last
-/// 10 s, and a machine beside load is slow.
-const CALM: Duration = Duration::from_secs(90);
-
 /// What a soak is to do.
 #[derive(Clone, Debug)]
 pub struct SoakPlan {
     /// Decides the faults and the jobs.
     pub seed: u64,
+    /// What the faults, the jobs and the fleet are like.
+    pub kind: SoakKind,
     /// How long faults come.
     pub length: Duration,
     /// Where the product's programs are.
@@ -96,18 +95,40 @@
     }
 
     fn tell(&self, text: String) {
-        let entry = (self.started.elapsed(), text);
+        self.tell_at(Instant::now(), text);
+    }
+
+    fn tell_at(&self, at: Instant, text: String) {
+        let entry = (at.saturating_duration_since(self.started), text);
         self.timeline.lock().unwrap_or_else(PoisonError::into_inner).push(entry);
     }
+
+    /// Adds the runs of the tasks that a text names.
+    fn tell_runs(&self, journal: &RunJournal, text: &str) {
+        let named: Vec<&str> = text.split_whitespace().collect();
+        for record in journal.records() {
+            let RunRecord { task, run, instance, noted, .. } = &record;
+            if !named.contains(&task.as_str()) {
+                continue;
+            }
+            self.tell_at(record.began, format!("{task} run {run} begins on {instance}"));
+            if let Some((at, how)) = &record.ended {
+                self.tell_at(*at, format!("{task} run {run} has ended: {how}, noted: {noted}"));
+            }
+        }
+    }
 }
 
 /// Plays a soak to its end, or to the first promise that is broken.
 pub async fn run_soak(plan: &SoakPlan, mut progress: impl FnMut(&str)) -> SoakReport {
     let mut rng = StdRng::seed_from_u64(plan.seed);
     let logs = Some(plan.logs.clone());
+    let scale = plan.kind.scale();
+    let (nodes, domains) = (scale.nodes - scale.returning_nodes, scale.domains);
+    let programs = &plan.programs;
     let mut cluster =
-        PlatformCluster::start(&plan.programs, logs, PLANNERS, NODES - RETURNING_NODES).await;
-    for number in 0..RETURNING_NODES {
+        PlatformCluster::start_in_domains(programs, logs, scale.planners, nodes, domains).await;
+    for number in 0..scale.returning_nodes {
         cluster.add_returning_node(&format!("i-b{number}")).await;
     }
     let journal = cluster.journal.clone();
@@ -117,9 +138,12 @@
         ledger: Mutex::default(),
         timeline: Mutex::default(),
     });
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    shared.tell(format!("starts at {:.3} of the logs", since.as_secs_f64()));
     let (stop, stopped) = watch::channel(false);
-    let callers = spawn_callers(&shared, CALLERS, rng.random(), &stopped).await;
-    let faults = tokio::spawn(FaultPlayer::new(shared.clone(), rng.random()).play(plan.length));
+    let callers = spawn_callers(&shared, &scale, rng.random(), &stopped).await;
+    let player = FaultPlayer::new(shared.clone(), scale.clone(), rng.random());
+    let faults = tokio::spawn(player.play(plan.length));
     let mut told = Instant::now();
     let mut broken = check_until(&shared, &journal, || {
         if told.elapsed() > PROGRESS_EVERY {
@@ -134,7 +158,7 @@
     // Callers hand nothing in any more and ask for what they have until it has ended.
     stop.send_replace(true);
     if broken.is_none() {
-        let calm_until = Instant::now() + CALM;
+        let calm_until = Instant::now() + scale.calm;
         let have_ended = || callers.iter().all(JoinHandle::is_finished);
         let is_over = || Instant::now() >= calm_until || have_ended();
         broken = check_until(&shared, &journal, is_over).await;
@@ -142,7 +166,11 @@
     let broken = broken.or_else(|| shared.ledger().broken_at_end(&journal));
     callers.iter().for_each(JoinHandle::abort);
     let broken = broken.map(|text| (shared.started.elapsed(), text));
-    let timeline = shared.timeline.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    if let Some((_, text)) = &broken {
+        shared.tell_runs(&journal, text);
+    }
+    let mut timeline = shared.timeline.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    timeline.sort_by_key(|(at, _)| *at);
     let counts = shared.ledger().counts();
     SoakReport { seed: plan.seed, timeline, broken, counts }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use greengagearch_standins::processes::SettingsFolder;
+use greengagearch_standins::soak::SoakKind;
 use greengagearch_standins::soak::SoakPlan;
 use greengagearch_standins::soak::run_soak;
 
@@ -13,6 +14,7 @@
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap().to_path_buf();
     let plan = SoakPlan {
         seed: 1,
+        kind: SoakKind::Short,
         length: Duration::from_secs(8),
         programs,
         logs: logs.path().to_path_buf(),
