Check the order of steps and the number of attempts in the soak

The soak held runs against each other and against the job's end, but saw neither a task that began before the step before its own was done, nor one that began after it had used its attempts (the users' rules ORDER and BUDGET).

The draws of the soak are as they were.

--- a/standins/src/soak/ledger.rs
+++ b/standins/src/soak/ledger.rs
@@ -119,6 +119,38 @@
     by_job
 }
 
+fn tasks_of(job: &str, known: &KnownJob, step: usize) -> Vec<String> {
+    (0..known.counts[step]).map(|index| format!("{job}.0.{step}.{index}")).collect()
+}
+
+/// A run that began before the step before its own was done, or after its task had used its attempts.
+fn early_or_beyond(job: &str, known: &KnownJob, runs: &[&RunRecord]) -> Option<String> {
+    let ended_by = |run: &RunRecord, how: &str, at: Instant| {
+        run.ended.as_ref().is_some_and(|(end, known)| known == how && *end <= at)
+    };
+    for step in 0..known.counts.len() {
+        let before = step.checked_sub(1).map_or(Vec::new(), |step| tasks_of(job, known, step));
+        let tasks = tasks_of(job, known, step);
+        for run in runs.iter().filter(|run| tasks.contains(&run.task)) {
+            let is_done = |task: &String| {
+                runs.iter().any(|one| one.task == *task && ended_by(one, "done", run.began))
+            };
+            if let Some(open) = before.iter().find(|task| !is_done(task)) {
+                return Some(format!("{} run {} began before {open} was done", run.task, run.run));
+            }
+            let own = runs.iter().filter(|one| one.task == run.task && one.noted);
+            let failures = own.filter(|one| ended_by(one, "failed", run.began)).count();
+            if failures >= ATTEMPTS as usize {
+                return Some(format!(
+                    "{} run {} began after {failures} failures",
+                    run.task, run.run
+                ));
+            }
+        }
+    }
+    None
+}
+
 fn broken_of(job: &str, known: &KnownJob, runs: &[&RunRecord]) -> Option<String> {
     if known.is_refused && !runs.is_empty() {
         return Some(format!("job {job} was refused by all answers and ran"));
@@ -128,6 +160,9 @@
     if let Some(late) = late {
         return Some(format!("{} began after its job was cancelled", late.task));
     }
+    if let Some(text) = early_or_beyond(job, known, runs) {
+        return Some(text);
+    }
     let ended = |task: &str, how: &str| {
         let is_it = |run: &&&RunRecord| {
             run.task == task && run.ended.as_ref().is_some_and(|(_, known)| known == how)
@@ -144,12 +179,8 @@
         let third = crashes.get(2).copied();
         third.map_or(0, |third| own().filter(|run| run.began > third).count())
     };
-    let tasks: Vec<String> = (0..)
-        .zip(&known.counts)
-        .flat_map(|(step, count): (usize, &u32)| {
-            (0..*count).map(move |index| format!("{job}.0.{step}.{index}"))
-        })
-        .collect();
+    let tasks: Vec<String> =
+        (0..known.counts.len()).flat_map(|step| tasks_of(job, known, step)).collect();
     if known.crashes
         && let Some(task) = tasks.iter().find(|task| starts_after_crashes(task) > MORE_STARTS)
     {
