--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -8,6 +8,7 @@
 //! it starts, and a worker may discard the end of a run only after the store holds it.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -51,6 +52,8 @@
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) ended_jobs: BTreeMap<JobId, EndedJob>,
     pub(crate) inventory: WorkerInventory,
+    /// Tasks of which a worker showed an unknown run when the current planning round began.
+    pub(crate) unknown_tasks: HashSet<TaskName>,
     pub(crate) suspicion: WorkerSuspicion,
     pub(crate) task_suspicion: TaskSuspicion,
     pub(crate) start_doubts: StartDoubts,
@@ -86,6 +89,7 @@
             jobs: BTreeMap::new(),
             ended_jobs: BTreeMap::new(),
             inventory: WorkerInventory::default(),
+            unknown_tasks: HashSet::new(),
             suspicion: WorkerSuspicion::default(),
             task_suspicion: TaskSuspicion::default(),
             start_doubts: StartDoubts::default(),
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -19,6 +19,7 @@
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::task_progress::RunAttempt;
+use crate::workflow::task_progress::TaskProgress;
 use crate::workflow::unplaceable_requests::UnplaceableRequests;
 use crate::workflow::urgency::JobUrgency;
 use crate::workflow::worker_entry::WorkerEntry;
@@ -57,6 +58,7 @@
         order.sort();
         let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
         let reserved = self.inventory.reserved_tasks(self.now);
+        self.unknown_tasks = self.inventory.tasks_with_unknown_runs();
         let mut unplaceable = UnplaceableRequests::default();
         let isolated = self.start_isolated();
         let others = jobs.iter().map(|job| self.plan_job(job, &reserved, &mut unplaceable));
@@ -136,8 +138,8 @@
         ready
     }
 
-    /// Indexes of a step's tasks that are neither done nor running; for a gang, either all of them
-    /// or none.
+    /// Indexes of a step's tasks that are neither done nor running, not even in a run that was given
+    /// up and is being stopped; for a gang, either all of them or none.
     pub(crate) fn startable(
         &self,
         job: &str,
@@ -149,11 +151,18 @@
         let Some(tasks) = tasks.and_then(|steps| steps.get(step as usize)) else {
             return Vec::new();
         };
-        let is_running = tasks.iter().any(|task| !task.attempts.is_empty());
-        if spec.gang && is_running {
+        let is_unknown = |index: u32| {
+            !self.unknown_tasks.is_empty()
+                && self
+                    .unknown_tasks
+                    .contains(&task_of_step(&(job.to_string(), occurrence, step), index))
+        };
+        let is_running =
+            |index, task: &TaskProgress| !task.attempts.is_empty() || is_unknown(index);
+        if spec.gang && (0..).zip(tasks).any(|(index, task)| is_running(index, task)) {
             return Vec::new();
         }
-        let idle = (0..).zip(tasks).filter(|(_, task)| !task.done && task.attempts.is_empty());
+        let idle = (0..).zip(tasks).filter(|(index, task)| !task.done && !is_running(*index, task));
         idle.map(|(index, _)| index).collect()
     }
 
--- a/src/workflow/worker_inventory.rs
+++ b/src/workflow/worker_inventory.rs
@@ -84,6 +84,17 @@
         self.workers.values().flat_map(|worker| worker.reservations.tasks(now)).cloned().collect()
     }
 
+    /// Returns the tasks of which a worker shows a run that is not assigned to it.
+    ///
+    /// ```
+    /// let inventory = greengagearch::workflow::worker_inventory::WorkerInventory::default();
+    /// assert!(inventory.tasks_with_unknown_runs().is_empty());
+    /// ```
+    pub fn tasks_with_unknown_runs(&self) -> HashSet<TaskName> {
+        let unknown = self.workers.values().flat_map(|worker| worker.unknown_runs.keys());
+        unknown.map(|(task, _)| task.clone()).collect()
+    }
+
     /// Assigns a run to a worker.
     ///
     /// ```
--- a/tests/given_up_runs.rs
+++ b/tests/given_up_runs.rs
@@ -200,3 +200,27 @@
     }
     assert_eq!(told, [false, true]);
 }
+
+/// Guards against a task that runs twice at once: its worker was given up, and shows the run again before the task is at work
+/// elsewhere.
+#[test]
+fn a_task_does_not_start_while_a_worker_shows_a_run_of_it_that_was_given_up() {
+    let mut fleet = PlannedFleet::new(&["i-1", "i-2"]);
+    fleet.submit("a", job(vec![step(1, 100)]));
+    fleet.round();
+    let (worker, key) = fleet.running()[0].clone();
+    fleet.pass(Duration::from_secs(11));
+    let other = if worker == "i-1" { "i-2" } else { "i-1" };
+    fleet.report(other, false);
+    fleet.planner.on_tick();
+    assert_eq!(labels(&fleet.planner.take_decisions()).last(), Some(&"lost"));
+
+    fleet.report(&worker, true);
+    fleet.plan();
+    assert!(fleet.planner.take_decisions().iter().all(|one| one.label() != "assigned"));
+    fleet.deliver();
+    assert_eq!(fleet.runners[&worker].stops, [key]);
+    fleet.report(&worker, false);
+    fleet.plan();
+    assert!(fleet.planner.take_decisions().iter().any(|one| one.label() == "assigned"));
+}
