Begin the age of a run anew when a later life has begun it

Runs that are transferred to another instance lose their age and their progress with the instance that had them.

The new test of crashing_task fails before (task_cleared right after the adoption) and passes now.

--- a/src/workflow/worker_inventory.rs
+++ b/src/workflow/worker_inventory.rs
@@ -197,6 +197,10 @@
         };
         former.used = former.used.minus(&run.reserved);
         let was_stopping = std::mem::replace(&mut run.stopping, false);
+        // The instance has begun the run anew.
+        run.started_at = None;
+        run.first_reported_at = None;
+        run.progress = None;
         if run.delivery == OrderDelivery::Queued {
             // The queued order is addressed to the former instance.
             run.delivery = OrderDelivery::Inherited;
--- a/tests/crashing_task.rs
+++ b/tests/crashing_task.rs
@@ -188,3 +188,29 @@
     // A task is given up after two crashes at the earliest and started five times at most.
     assert!(world.crashes >= 6 && world.crashes <= 15, "{} lives lost", world.crashes);
 }
+
+/// Guards against a task that crashes its runners without end: a later life of a runner has begun a run of it anew, and the age of the
+/// run on the life before cleared the task at once.
+#[test]
+fn a_run_that_a_later_life_has_begun_anew_does_not_clear_its_task_by_its_former_age() {
+    let mut fleet = PlannedFleet::new(&["i-1", "i-2"]);
+    fleet.submit("a", job(vec![step(1, 100)]));
+    fleet.round();
+    let (first, (task, run)) = fleet.running()[0].clone();
+    fleet.runners.remove(&first);
+    let max_age = Duration::from_millis(10);
+    let young = vec![YoungRun { task, run, max_age, min_age: Duration::ZERO, is_certain: true }];
+    fleet.tell_crash(RunnerCrash { instance: first, young });
+    fleet.round();
+    let (second, key) = fleet.running()[0].clone();
+    fleet.planner.take_decisions();
+
+    let present = fleet.runners.remove(&second).unwrap().present;
+    assert!(present.contains_key(&key));
+    fleet.pass(Duration::from_secs(5));
+    fleet.runners.insert("i-3".to_string(), PlayedRunner { present, ..PlayedRunner::default() });
+    fleet.report("i-3", true);
+    let labels: Vec<&str> =
+        fleet.planner.take_decisions().iter().map(|decision| decision.label()).collect();
+    assert_eq!(labels, ["adopted"]);
+}
