Keep an instance with the agent that has reported it while its leases may be valid

The last agent that reported an instance counted as its agent, so that the end which this one then reported was believed, and the runs of the living runner were given up under valid leases.

An instance stays with its agent until that has not reported it for as long as the longest lease. What others report of it meanwhile, as their own or as ended, is ignored and logged once (foreign_life_ignored).

--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -42,6 +42,7 @@
 use crate::process::planning::shared::OwnedPlanner;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::table_feed::TableFeed;
+use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::predecessor_leases_expired_by;
 use crate::workflow::learned_interference::LearnedInterference;
 use crate::workflow::planner::Planner;
@@ -61,16 +62,23 @@
 /// only come from a faulty sender; the set is then cleared.
 const MAX_DISPUTED_INSTANCES: usize = 256;
 
+/// The node agent that has reported a runner instance as its own.
+struct AgentContact {
+    address: String,
+    /// When its last such report was processed.
+    reported_at: Instant,
+}
+
 /// The planner's loop and its state.
 pub struct PlannerLoop {
     pub(super) shared: Arc<PlannerShared>,
     pub(super) ownership: ConfirmedOwnership,
     /// Links to node agents, by address.
     links: BTreeMap<String, NodeLink>,
-    /// Address of the node agent of each runner instance.
-    agent_addresses: BTreeMap<InstanceId, String>,
-    /// Runner instances that run at one agent but were reported as ended by another, each with the
-    /// address of the reporting agent. Each pair is logged once.
+    /// Node agent of each runner instance.
+    agent_contacts: BTreeMap<InstanceId, AgentContact>,
+    /// Runner instances that run at one agent but were reported by another, as its own or as ended,
+    /// each with the address of the reporting agent. Each pair is logged once.
     disputed_instances: BTreeSet<(InstanceId, String)>,
     /// Sender for the events of the links; each link has a clone.
     event_sender: mpsc::UnboundedSender<LinkEvent>,
@@ -98,7 +106,7 @@
             shared,
             ownership,
             links: BTreeMap::new(),
-            agent_addresses: BTreeMap::new(),
+            agent_contacts: BTreeMap::new(),
             disputed_instances: BTreeSet::new(),
             event_sender,
             write: None,
@@ -264,8 +272,14 @@
             LinkEvent::Report { address, mut report, is_new_link } => {
                 report.former.retain(|instance| self.may_report_ended(&address, instance));
                 report.crashes.retain(|crash| report.former.contains(&crash.instance));
+                let runner =
+                    report.runner.take_if(|runner| !self.is_agent_of(&address, &runner.instance));
+                if runner.is_some() {
+                    report.snapshot = None;
+                }
                 if let Some(runner) = &report.runner {
-                    self.agent_addresses.insert(runner.instance.clone(), address);
+                    let contact = AgentContact { address, reported_at: clock::now() };
+                    self.agent_contacts.insert(runner.instance.clone(), contact);
                 }
                 self.with_planner(|planner| planner.on_report(*report, is_new_link));
                 Ok(())
@@ -283,20 +297,39 @@
     /// to run at another agent. An agent gets the name of such an instance from a heartbeat that
     /// another program sent, or that was sent to the wrong host.
     fn may_report_ended(&mut self, address: &str, instance: &InstanceId) -> bool {
-        let known = self.agent_addresses.get(instance);
-        if known.is_none_or(|known| known == address) {
+        let known = self.agent_contacts.get(instance);
+        if known.is_none_or(|known| known.address == address) {
             return true;
         }
+        self.log_dispute(address, instance);
+        false
+    }
+
+    /// Whether an agent may report a runner instance as its own: not if another agent has done so
+    /// recently, since its leases may still be valid.
+    fn is_agent_of(&mut self, address: &str, instance: &InstanceId) -> bool {
+        let known = self.agent_contacts.get(instance);
+        let is_agent = known.is_none_or(|known| {
+            known.address == address || clock::elapsed(known.reported_at) > MAX_LEASE
+        });
+        if !is_agent {
+            self.log_dispute(address, instance);
+        }
+        is_agent
+    }
+
+    /// Logs that an agent reports an instance that runs at another one.
+    fn log_dispute(&mut self, address: &str, instance: &InstanceId) {
         if self.disputed_instances.len() >= MAX_DISPUTED_INSTANCES {
             self.disputed_instances.clear();
         }
         if self.disputed_instances.insert((instance.clone(), address.to_string())) {
-            let known = known.cloned().unwrap_or_default();
+            let known = self.agent_contacts.get(instance);
+            let known = known.map_or("", |known| known.address.as_str());
             let fields: [(&str, &dyn Display); 3] =
                 [("instance", instance), ("agent", &address), ("known_at", &known)];
             log_event(Level::Warn, "foreign_life_ignored", &fields);
         }
-        false
     }
 
     fn on_tick(&mut self) {
@@ -362,8 +395,8 @@
             let Some(number) = numbered.flatten() else {
                 continue;
             };
-            let link =
-                self.agent_addresses.get(&instance).and_then(|address| self.links.get(address));
+            let contact = self.agent_contacts.get(&instance);
+            let link = contact.and_then(|contact| self.links.get(&contact.address));
             if let Some(link) = link {
                 // If the link has ended, a new one replaces it and the planner sends the orders
                 // again.
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -89,6 +89,25 @@
     env.assert_nothing_doubled();
 }
 
+/// Guards against a task that runs twice at once: a runner with the name of a living one registers at an agent that has none at that
+/// time, answers for a while and is gone. Its agent then reported the living runner as ended.
+#[tokio::test]
+async fn a_stray_runner_at_an_agent_without_a_runner_doubles_nothing() {
+    let env = start(1, 3).await;
+    env.submit_until_accepted(0, &job_name(1), &job_of_steps("run_ms=8000", &[6])).await;
+    env.until(async || env.journal.records().len() == 6).await;
+    let living = env.journal.records()[0].instance.clone();
+    let other = (0..3).find(|node| env.nodes[*node].runner.instance != living).unwrap();
+    env.nodes[other].runner.crash();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let registry = env.nodes[other].process.address("registry");
+    let stray = PlatformRunner::spawn(&living, registry, RunJournal::default()).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    stray.crash();
+    env.until_state(0, &job_name(1), "completed").await;
+    env.assert_nothing_doubled();
+}
+
 #[tokio::test]
 async fn bad_input_gets_a_clear_refusal() {
     let env = start(1, 1).await;
