Take no rejection for evidence that was sent while leases were valid

A poll without an answer counted only if it was sent after the leases had ended since; now the same holds for one that was rejected.

Also a reason in a comment on stops that was not true.

--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -122,8 +122,8 @@
     }
 
     /// Returns where to send a stop that was ordered for `target`, until the runner has accepted
-    /// it. Since the order its fencing token may have been raised, and its planner replaced: no
-    /// planner wants the run any more.
+    /// it. Since the order its fencing token may have been raised, and its planner replaced: a
+    /// stop is final, and the next planner starts the task again if it has to.
     pub fn stop_target(&self, target: &RunnerTarget, key: &RunKey) -> Option<RunnerTarget> {
         let current = self.target().filter(|current| current.instance == target.instance);
         current.filter(|_| self.tracker.is_stop_due(key))
--- a/src/process/node/runner_poller.rs
+++ b/src/process/node/runner_poller.rs
@@ -93,7 +93,7 @@
             false
         }
         RunnerError::Rejected { .. } => {
-            have_leases_expired = state.on_rejected_poll(now);
+            have_leases_expired = state.on_rejected_poll();
             false
         }
     };
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -200,8 +200,10 @@
     /// Records that the current instance rejects a poll: it is alive, and its leases are not
     /// extended. Once its existing leases have surely expired, it runs nothing until it accepts a
     /// poll again. Returns whether the leases are newly found to have expired.
-    pub fn on_rejected_poll(&mut self, now: Instant) -> bool {
-        let is_new = !self.have_leases_expired && self.lease.have_all_leases_expired(now);
+    pub fn on_rejected_poll(&mut self) -> bool {
+        // Time that passed during the poll is no evidence: this process may have been suspended.
+        let sent_at = self.newest_poll.1;
+        let is_new = !self.have_leases_expired && self.lease.have_all_leases_expired(sent_at);
         if is_new {
             self.expire_leases();
         }
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -299,7 +299,7 @@
                         60
                     }
                     CallAnswer::Order(RunnerAnswer::Unwell) if is_current_target => {
-                        one.state.on_rejected_poll(now);
+                        one.state.on_rejected_poll();
                         60
                     }
                     _ => 60,
