Search: a call leaves on a connection, which belongs to one life

In the search a call was an address and a name, so that nothing could part the lives of a runner under one id. In the product it leaves on a connection of the HTTP client: one that is idle, or a new one to the process that listens. The world now says so. A connection ends with the life that accepted it, and the client opens a new one in its place, as today.

Nothing else changes: no random draw is added or left out, and late calls are carried out by whichever life is there.

--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -197,7 +197,11 @@
             _ => self.longer_work(),
         };
         let due = self.now + longer + self.rng.random_range(100..1_500);
-        let is_there = self.is_taken(agent, &target.instance);
+        let connection = if is_late { None } else { self.connect(agent) };
+        let is_there = match &connection {
+            Some(connection) => self.is_taken(&connection.life, &target.instance),
+            None => is_late && self.is_taken_late(agent, &target.instance),
+        };
         let is_refused = is_there && !is_late && self.is_turned_away(agent, &order);
         let places = self.places(agent);
         let (now, audit, life) = (self.now, &mut self.audit, &mut self.agents[agent].life);
@@ -220,6 +224,9 @@
             }
         };
         let life = life.name.clone();
+        if let Some(connection) = connection {
+            self.keep_connection(agent, connection);
+        }
         if begins && matches!(answer, CallAnswer::Order(RunnerAnswer::Done)) {
             self.at(CRASH_AFTER, Event::Crash { agent, life: target.instance.clone() });
         }
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 mod agents;
+mod connections;
 mod evacuations;
 mod events;
 mod order_loop;
@@ -52,6 +53,7 @@
 use rand::rngs::StdRng;
 
 use self::agents::call_of;
+use self::connections::LifeConnection;
 use self::evacuations::EvacuationState;
 use self::order_loop::QueuedOrder;
 use self::order_loop::StartTry;
@@ -328,6 +330,8 @@
     beats: u64,
     life: RunnerLife,
     lives: u64,
+    /// Idle connections to the runner.
+    connections: Vec<LifeConnection>,
     health: RunnerHealth,
     /// Number of the newest orders, for the schedule without their sequence.
     counted: u64,
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -48,6 +48,7 @@
                 beats: 0,
                 life,
                 lives: 0,
+                connections: Vec::new(),
                 health: RunnerHealth::well(),
                 counted: 0,
             };
@@ -93,14 +94,18 @@
         }
     }
 
-    /// Whether a call for a life is carried out by the present one.
-    pub(super) fn is_taken(&self, agent: usize, meant: &str) -> bool {
+    /// Whether a call for a life is carried out by the one to which its connection belongs.
+    pub(super) fn is_taken(&self, life: &str, meant: &str) -> bool {
+        match self.has_same_ids {
+            true => runner_id(life) == runner_id(meant),
+            false => life == meant,
+        }
+    }
+
+    /// Whether a call for a life that was held up is carried out by the present one.
+    pub(super) fn is_taken_late(&self, agent: usize, meant: &str) -> bool {
         let life = &self.agents[agent].life;
-        let is_meant = match self.has_same_ids {
-            true => runner_id(&life.name) == runner_id(meant),
-            false => life.name == meant,
-        };
-        life.is_alive && is_meant
+        life.is_alive && self.is_taken(&life.name, meant)
     }
 
     /// Plays the schedule. Gives what broke a promise.
@@ -231,6 +236,7 @@
         let one = &mut self.agents[agent];
         one.run += 1;
         one.state = NodeState::new(now);
+        one.connections.clear();
         let run = one.run;
         for planner in 0..self.planners.len() {
             self.break_link(planner, agent);
