Send calls to a runner only on connections of the intended instance

What callers saw: a task ran twice at once, or again after it was done, where runners come back under their ids. An agent stood still between its decision to send a start and the call; its runner restarted meanwhile, the planner gave the run up with the silent worker and started the task elsewhere; and when the agent went on, the next instance carried out the start.

Cause: a call named an address and an id, and these name all instances of a runner. The HTTP client chose the connection at the time of the call: a pooled one, or, if none was free or the pooled one had ended, a new one to whichever process listened. Nothing in the call tells that process that it was meant for another one: the lease is a time of another clock, and a process that nobody has called has seen no fencing token. The class: a name that outlives what it was decided for is resolved when the message leaves.

Change: a connection belongs to the process that accepted it and ends with it. Connections carry the instance that has responded on them (`UnidentifiedConnection` to `InstanceConnection`), and calls leave only on those of the intended instance. A new connection is identified by a poll that extends and acknowledges nothing, so that any instance may carry it out. If another one responds, the call does not leave, and a start counts as not sent. It does not matter how long a sender stands still, between which instructions: the call reaches the intended process or none. This holds for stops, paces and polls as well. Instances with ids of their own are not asked, since they reject calls for others.

hyper's connections take the place of the pooled client, since that one repeats a call on a new connection by itself. The wire shapes of the runner have a file of their own.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -6,6 +6,8 @@
 pub mod cluster_view;
 pub mod counted_stream;
 pub mod grant_arbiter;
+pub mod http_connection;
+pub mod instance_connection;
 pub mod lease;
 pub mod map_change;
 pub mod node_protocol;
--- a/src/platform/instance_name.rs
+++ b/src/platform/instance_name.rs
@@ -38,3 +38,16 @@
 pub fn runner_id(instance: &str) -> &str {
     instance.rsplit_once(START_MARK).map_or(instance, |(runner, _)| runner)
 }
+
+/// Returns whether the name of an instance has a start time, so that others may follow under the same id.
+///
+/// ```
+/// use greengagearch::platform::instance_name::has_start_time;
+/// use greengagearch::platform::instance_name::instance_name;
+///
+/// assert!(has_start_time(&instance_name("i-1", Some(5))));
+/// assert!(!has_start_time(&instance_name("i@1", None)));
+/// ```
+pub fn has_start_time(instance: &str) -> bool {
+    instance.rsplit_once(START_MARK).is_some_and(|(_, started_at)| !started_at.is_empty())
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,4 +10,5 @@
 pub mod instance_name;
 pub mod runner_client;
 pub mod runner_registry;
+mod runner_wire;
 pub mod store_client;
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -1,17 +1,21 @@
 //! The platform's runners, as the product's [`RunnerControl`].
 
-use std::fmt::Display;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use reqwest::StatusCode;
-use serde::Deserialize;
+use hyper::Request;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use crate::connection::node_protocol::EndedRun;
-use crate::connection::node_protocol::PresentRun;
-use crate::connection::node_protocol::RejectReason;
+use crate::connection::http_connection::CallFailure;
+use crate::connection::http_connection::HttpConnection;
+use crate::connection::instance_connection::ConnectionPool;
+use crate::connection::instance_connection::InstanceConnection;
+use crate::connection::instance_connection::UnidentifiedConnection;
 use crate::connection::node_protocol::StartOrder;
 use crate::external::runner_control::PollRequest;
 use crate::external::runner_control::PollResponse;
@@ -19,122 +23,40 @@
 use crate::external::runner_control::RunnerError;
 use crate::external::runner_control::RunnerMillis;
 use crate::external::runner_control::RunnerTarget;
-use crate::ids::FencingToken;
+use crate::ids::InstanceId;
 use crate::ids::RunNumber;
 use crate::ids::StartMillis;
-use crate::platform::http_client::CallResult;
-use crate::platform::http_client::PlatformHttp;
+use crate::platform::instance_name::has_start_time;
 use crate::platform::instance_name::instance_name;
 use crate::platform::instance_name::runner_id;
-use crate::workflow::progress::RunEnd;
-use crate::workflow::task_name::InvalidTaskName;
+use crate::platform::runner_wire::RunnerAnswer;
+use crate::platform::runner_wire::WireDone;
+use crate::platform::runner_wire::WireHold;
+use crate::platform::runner_wire::WireLists;
+use crate::platform::runner_wire::WireStart;
+use crate::platform::runner_wire::WireStop;
+use crate::platform::runner_wire::decode_answer;
+use crate::platform::runner_wire::unreadable;
 use crate::workflow::task_name::TaskName;
 
 /// Header that names the runner that a call is meant for, not which of its lives.
 const EXPECT_INSTANCE: &str = "X-Greengagearch-Expect-Instance";
+/// Time for a connection to be made; hosts without power do not refuse it.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Unused connections are closed after this time; one that went silent meanwhile costs one call's
+/// time limit.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Time for the answer to an order; the runner is on the same host, so that a longer silence means
 /// that the order is delayed or lost and has to be repeated.
 const ORDER_LIMIT: Duration = Duration::from_millis(400);
-/// Pace at which runs start, in percent; runners do not tell the pace that was ordered since.
-const FULL_PACE: u32 = 100;
 /// Time beyond the asked wait within which a look must be answered.
 const HOLD_SLACK: Duration = Duration::from_millis(600);
 
-#[derive(Debug, Serialize)]
-struct WireStart<'a> {
-    #[serde(rename = "Task")]
-    task: String,
-    #[serde(rename = "Run")]
-    run: RunNumber,
-    #[serde(rename = "Spec")]
-    payload: &'a str,
-    #[serde(rename = "UntilMs")]
-    lease_end: RunnerMillis,
-    #[serde(rename = "Fence")]
-    fence: FencingToken,
-    #[serde(rename = "LastCheckpoint", skip_serializing_if = "str::is_empty")]
-    checkpoint: &'a str,
-    #[serde(rename = "Ticket", skip_serializing_if = "Option::is_none")]
-    ticket: Option<&'a str>,
-}
-
-#[derive(Debug, Serialize)]
-struct WireStop {
-    #[serde(rename = "Task")]
-    task: String,
-    #[serde(rename = "Run")]
-    run: RunNumber,
-    #[serde(rename = "Percent", skip_serializing_if = "Option::is_none")]
-    percent: Option<u32>,
-    #[serde(rename = "Fence")]
-    fence: FencingToken,
-}
-
-#[derive(Debug, Serialize)]
-struct WireHold {
-    #[serde(rename = "UntilMs", skip_serializing_if = "Option::is_none")]
-    lease_end: Option<RunnerMillis>,
-    #[serde(rename = "Fence")]
-    fence: FencingToken,
-    #[serde(rename = "LastSeen")]
-    seen: u64,
-    #[serde(rename = "WaitMs")]
-    wait_ms: u64,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct WireRefusal {
-    #[serde(rename = "Reason", default)]
-    reason: String,
-    #[serde(rename = "born", default)]
-    started_at: Option<StartMillis>,
-}
-
-/// A run at work: task, run, saved work, percent of its work that is done, and its usage.
-type WireRunning = (String, RunNumber, Option<String>, f64, Option<f64>);
-/// An end: number, task, run, how, saved work.
-type WireEnded = (u64, String, RunNumber, String, Option<String>);
-
-#[derive(Debug, Deserialize)]
-struct WireLists {
-    #[serde(rename = "ClockMs")]
-    clock: RunnerMillis,
-    #[serde(rename = "Running", default)]
-    running: Vec<WireRunning>,
-    #[serde(rename = "Ended", default)]
-    ended: Vec<WireEnded>,
-    #[serde(rename = "born", default)]
-    started_at: Option<StartMillis>,
-}
-
-/// Any answer that says no more than that an order was carried out.
-#[derive(Debug, Deserialize)]
-struct WireDone {
-    #[serde(rename = "born", default)]
-    started_at: Option<StartMillis>,
-}
-
-/// An answer that may tell when the life that gives it began.
-trait RunnerAnswer: DeserializeOwned {
-    fn started_at(&self) -> Option<StartMillis>;
-}
-
-impl RunnerAnswer for WireLists {
-    fn started_at(&self) -> Option<StartMillis> {
-        self.started_at
-    }
-}
-
-impl RunnerAnswer for WireDone {
-    fn started_at(&self) -> Option<StartMillis> {
-        self.started_at
-    }
-}
-
-/// A client of the runner on this host.
+/// A client of the runner on this host. Calls leave only on connections to the life that is meant. Looks that change nothing leave on
+/// any connection, and tell to which life it belongs.
 #[derive(Debug)]
 pub struct RunnerClient {
-    http: PlatformHttp,
+    pool: Mutex<ConnectionPool<HttpConnection>>,
 }
 
 impl RunnerClient {
@@ -144,23 +66,123 @@
     /// greengagearch::platform::runner_client::RunnerClient::open();
     /// ```
     pub fn open() -> RunnerClient {
-        RunnerClient { http: PlatformHttp::open() }
+        RunnerClient { pool: Mutex::default() }
     }
 
-    async fn call<B: Serialize + Sync, T: RunnerAnswer>(
+    /// Sends a call that reaches the life that is meant or none.
+    async fn call<T: RunnerAnswer>(
         &self,
         target: &RunnerTarget,
-        name: &str,
-        body: &B,
+        call: Request<String>,
         limit: Duration,
     ) -> Result<T, RunnerError> {
-        let request = self
-            .http
-            .client()
-            .post(format!("http://{}/-/{name}", target.address))
-            .header(EXPECT_INSTANCE, runner_id(&target.instance))
-            .json(body);
-        decode(target, self.http.send(request, limit).await)
+        let (status, body) = loop {
+            let pooled = self.pool(target).take(&target.instance);
+            let is_pooled = pooled.is_some();
+            let mut connection = match pooled {
+                Some(connection) => connection,
+                None => self.connect(target).await?,
+            };
+            match connection.get_mut().send(call.clone(), limit).await {
+                Ok(answer) => {
+                    self.pool(target).put(connection);
+                    break answer;
+                }
+                // The pooled connection had ended.
+                Err(CallFailure::NotSent { .. }) if is_pooled => {}
+                Err(failure) => return Err(self.on_failure(failure)),
+            }
+        };
+        let answer = decode_answer(status, &body);
+        match answering_instance(target, answer.started_at) == target.instance {
+            true => answer.outcome,
+            false => Err(unreadable(&"another life has answered on the connection")),
+        }
+    }
+
+    /// A connection to the life that is meant: a new one, or an idle one that is not known to be of that life.
+    async fn connect(
+        &self,
+        target: &RunnerTarget,
+    ) -> Result<InstanceConnection<HttpConnection>, RunnerError> {
+        if !has_start_time(&target.instance) {
+            // Lives with ids of their own reject calls for others.
+            let connection = self.open_connection(target).await?;
+            return Ok(connection.identify(target.instance.clone()));
+        }
+        let (connection, _) = match self.look(target, PollRequest::default()).await {
+            // The pooled connection may have ended.
+            Err(RunnerError::NoAnswer { is_broken: true, .. }) => {
+                self.look(target, PollRequest::default()).await?
+            }
+            looked => looked?,
+        };
+        let selected = self.pool(target).select(connection, &target.instance);
+        selected.ok_or(RunnerError::OtherInstance)
+    }
+
+    /// Sends a look that changes nothing, on any connection. Gives the connection, bound to the life that has answered.
+    async fn look(
+        &self,
+        target: &RunnerTarget,
+        request: PollRequest,
+    ) -> Result<(InstanceConnection<HttpConnection>, WireLists), RunnerError> {
+        let call = call_of(target, "hold", &WireHold::new(target.fence, request))?;
+        loop {
+            let pooled = self.pool(target).take_any();
+            let is_pooled = pooled.is_some();
+            let mut connection = match pooled {
+                Some(connection) => connection,
+                None => self.open_connection(target).await?,
+            };
+            match connection.get_mut().send(call.clone(), limit_of(request)).await {
+                Ok((status, body)) => {
+                    let answer = decode_answer::<WireLists>(status, &body);
+                    let instance = answering_instance(target, answer.started_at);
+                    return match answer.outcome {
+                        Ok(lists) => Ok((connection.identify(instance), lists)),
+                        Err(_) if instance != target.instance => Err(RunnerError::OtherInstance),
+                        Err(error) => Err(error),
+                    };
+                }
+                // The pooled connection had ended.
+                Err(CallFailure::NotSent { .. }) if is_pooled => {}
+                Err(failure) => return Err(self.on_failure(failure)),
+            }
+        }
+    }
+
+    async fn open_connection(
+        &self,
+        target: &RunnerTarget,
+    ) -> Result<UnidentifiedConnection<HttpConnection>, RunnerError> {
+        let opened = HttpConnection::open(&target.address, CONNECT_LIMIT).await;
+        let connection = opened.map_err(|failure| self.on_failure(failure))?;
+        Ok(UnidentifiedConnection::new(connection))
+    }
+
+    fn on_failure(&self, failure: CallFailure) -> RunnerError {
+        let is_broken = matches!(failure, CallFailure::Broken { .. });
+        match failure {
+            CallFailure::Refused => return RunnerError::NotRunning,
+            // When one connection went silent, the unused ones may have, too.
+            CallFailure::Silent { .. } => self.lock().clear(),
+            CallFailure::NotSent { .. } | CallFailure::Broken { .. } => {}
+        }
+        RunnerError::NoAnswer { is_broken, reason: failure.to_string() }
+    }
+
+    /// The idle connections that can be used for a target.
+    fn pool(&self, target: &RunnerTarget) -> MutexGuard<'_, ConnectionPool<HttpConnection>> {
+        let mut pool = self.lock();
+        pool.retain(|idle| {
+            idle.is_open() && idle.idle_time() < IDLE_LIMIT && idle.address() == target.address
+        });
+        pool
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ConnectionPool<HttpConnection>> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -181,7 +203,8 @@
             checkpoint: &order.checkpoint,
             ticket: order.ticket.as_deref(),
         };
-        self.call(target, "run-start", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
+        let call = call_of(target, "run-start", &body)?;
+        self.call(target, call, ORDER_LIMIT).await.map(|_: WireDone| ())
     }
 
     async fn stop(
@@ -191,7 +214,8 @@
         run: RunNumber,
     ) -> Result<(), RunnerError> {
         let body = WireStop { task: task.to_string(), run, percent: None, fence: target.fence };
-        self.call(target, "run-stop", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
+        let call = call_of(target, "run-stop", &body)?;
+        self.call(target, call, ORDER_LIMIT).await.map(|_: WireDone| ())
     }
 
     async fn pace(
@@ -203,7 +227,8 @@
     ) -> Result<(), RunnerError> {
         let percent = Some(percent);
         let body = WireStop { task: task.to_string(), run, percent, fence: target.fence };
-        self.call(target, "pace", &body, ORDER_LIMIT).await.map(|_: WireDone| ())
+        let call = call_of(target, "pace", &body)?;
+        self.call(target, call, ORDER_LIMIT).await.map(|_: WireDone| ())
     }
 
     async fn poll(
@@ -211,111 +236,40 @@
         target: &RunnerTarget,
         request: PollRequest,
     ) -> Result<PollResponse, RunnerError> {
-        let wait_ms = u64::try_from(request.wait.as_millis()).unwrap_or(0);
-        let body = WireHold {
-            lease_end: request.lease_end,
-            fence: target.fence,
-            seen: request.seen,
-            wait_ms,
-        };
-        let lists: WireLists = self.call(target, "hold", &body, request.wait + HOLD_SLACK).await?;
-        Ok(PollResponse {
-            clock: lists.clock,
-            running: lists.running.into_iter().map(decode_running).collect::<Result<_, _>>()?,
-            ended: lists.ended.into_iter().map(decode_ended).collect::<Result<_, _>>()?,
-        })
-    }
-}
-
-fn decode<T: RunnerAnswer>(target: &RunnerTarget, result: CallResult) -> Result<T, RunnerError> {
-    let (status, body) = match result {
-        CallResult::Answer(status, body) => (status, body),
-        CallResult::Refused => return Err(RunnerError::NotRunning),
-        CallResult::NotSent(reason) | CallResult::NoAnswer(reason) => {
-            return Err(RunnerError::NoAnswer { is_broken: false, reason });
+        let changes_nothing = request.lease_end.is_none() && request.seen == 0;
+        if changes_nothing {
+            let (connection, lists) = self.look(target, request).await?;
+            let selected = self.pool(target).select(connection, &target.instance);
+            self.pool(target).put(selected.ok_or(RunnerError::OtherInstance)?);
+            return lists.decode();
         }
-        CallResult::Broken(reason) => {
-            return Err(RunnerError::NoAnswer { is_broken: true, reason });
-        }
-    };
-    match status {
-        StatusCode::OK => decode_answer(target, &body),
-        StatusCode::MISDIRECTED_REQUEST => Err(RunnerError::OtherInstance),
-        StatusCode::CONFLICT => Err(decode_refusal(target, &body)),
-        StatusCode::BAD_REQUEST => Err(RunnerError::Rejected { reason: RejectReason::Malformed }),
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            Err(RunnerError::Rejected { reason: RejectReason::Unwell })
-        }
-        other => Err(unreadable(&format!("status {}", other.as_u16()))),
+        let call = call_of(target, "hold", &WireHold::new(target.fence, request))?;
+        let lists: WireLists = self.call(target, call, limit_of(request)).await?;
+        lists.decode()
     }
 }
 
-/// An answer of another life than the one that was meant is told as such, though that life has carried out the call.
-fn decode_answer<T: RunnerAnswer>(target: &RunnerTarget, body: &[u8]) -> Result<T, RunnerError> {
-    let answer: T = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
-    match is_meant(target, answer.started_at()) {
-        true => Ok(answer),
-        false => Err(RunnerError::OtherInstance),
-    }
+fn limit_of(request: PollRequest) -> Duration {
+    request.wait + HOLD_SLACK
 }
 
-/// Whether an answer is of the life that was meant; one without a start time tells of no other.
-fn is_meant(target: &RunnerTarget, started_at: Option<StartMillis>) -> bool {
-    started_at.is_none()
-        || instance_name(runner_id(&target.instance), started_at) == target.instance
+fn call_of<B: Serialize>(
+    target: &RunnerTarget,
+    name: &str,
+    body: &B,
+) -> Result<Request<String>, RunnerError> {
+    let body = serde_json::to_string(body).map_err(|error| unreadable(&error))?;
+    let call = Request::post(format!("/-/{name}"))
+        .header(HOST, &target.address)
+        .header(CONTENT_TYPE, "application/json")
+        .header(EXPECT_INSTANCE, runner_id(&target.instance));
+    call.body(body).map_err(|error| unreadable(&error))
 }
 
-fn decode_refusal(target: &RunnerTarget, body: &[u8]) -> RunnerError {
-    // A refusal without a reason that is known counts as one for a malformed order.
-    let refusal: WireRefusal = serde_json::from_slice(body).unwrap_or_default();
-    if !is_meant(target, refusal.started_at) {
-        return RunnerError::OtherInstance;
+/// The life that has answered; one that tells no start time is taken for the one that was meant.
+fn answering_instance(target: &RunnerTarget, started_at: Option<StartMillis>) -> InstanceId {
+    match started_at {
+        Some(_) => instance_name(runner_id(&target.instance), started_at),
+        None => target.instance.clone(),
     }
-    let reason = match refusal.reason.as_str() {
-        "fence" => return RunnerError::Fenced,
-        "old" => RejectReason::Old,
-        "late" => RejectReason::Late,
-        "room" => RejectReason::Room,
-        "ticket" => RejectReason::Ticket,
-        _ => RejectReason::Malformed,
-    };
-    RunnerError::Rejected { reason }
-}
-
-fn decode_running(running: WireRunning) -> Result<PresentRun, RunnerError> {
-    let (task, run, checkpoint, progress, usage) = running;
-    Ok(PresentRun {
-        task: decode_task(&task)?,
-        run,
-        is_started: true,
-        checkpoint: checkpoint.unwrap_or_default(),
-        progress_percent: progress as u32,
-        pace_percent: FULL_PACE,
-        mean_pace_percent: FULL_PACE,
-        usage: usage.unwrap_or(0.0) as u64,
-    })
-}
-
-fn decode_ended(ended: WireEnded) -> Result<EndedRun, RunnerError> {
-    let (number, task, run, how, checkpoint) = ended;
-    let end = match how.as_str() {
-        "done" => RunEnd::Done,
-        "failed" => RunEnd::Failed,
-        "stopped" => RunEnd::Stopped,
-        "broken" => RunEnd::Broken,
-        "alone" => RunEnd::Alone,
-        _ => RunEnd::Lapsed,
-    };
-    let checkpoint = checkpoint.unwrap_or_default();
-    Ok(EndedRun { number, task: decode_task(&task)?, run, end, checkpoint })
-}
-
-/// An answer that nothing may be concluded from.
-fn unreadable(error: &dyn Display) -> RunnerError {
-    RunnerError::NoAnswer { is_broken: false, reason: error.to_string() }
-}
-
-/// A list that names something else than tasks is no answer that anything may be concluded from.
-fn decode_task(text: &str) -> Result<TaskName, RunnerError> {
-    text.parse().map_err(|error: InvalidTaskName| unreadable(&error))
 }
--- a/src/process/node/order_state.rs
+++ b/src/process/node/order_state.rs
@@ -110,9 +110,9 @@
                 self.unsettled.on_no_response(key, now);
                 self.has_changes |= self.instances.may_have_successor();
             }
-            Err(RunnerError::NotRunning) => self.unsettled.on_not_sent(key),
-            // Another instance may have carried out the start, so its outcome stays unknown.
-            Err(RunnerError::OtherInstance) => {}
+            Err(RunnerError::NotRunning | RunnerError::OtherInstance) => {
+                self.unsettled.on_not_sent(key);
+            }
         }
     }
 
--- a/src/process/node/pending_start.rs
+++ b/src/process/node/pending_start.rs
@@ -234,8 +234,7 @@
     now: Instant,
 ) -> StartState {
     match response {
-        // If another instance has started the run, polls of that instance show it.
-        Ok(()) | Err(RunnerError::Fenced | RunnerError::OtherInstance) => {
+        Ok(()) | Err(RunnerError::Fenced) => {
             StartState::Resolved(in_flight.resolve(newest_poll, None))
         }
         // The runner has seen this run or a later one of the task, so no attempt can start it any
@@ -244,7 +243,7 @@
             StartState::Resolved(in_flight.resolve(newest_poll, Some(RejectReason::Old)))
         }
         Err(RunnerError::Rejected { reason }) => in_flight.reject(*reason, newest_poll, now),
-        Err(RunnerError::NotRunning) => in_flight.on_not_sent(),
+        Err(RunnerError::NotRunning | RunnerError::OtherInstance) => in_flight.on_not_sent(),
         Err(RunnerError::NoAnswer { .. }) => StartState::InDoubt(in_flight.on_no_response()),
     }
 }
--- a/tests/broken_calls.rs
+++ b/tests/broken_calls.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
+use greengagearch::connection::http_connection::CallFailure;
+use greengagearch::connection::http_connection::HttpConnection;
 use greengagearch::platform::http_client::CallResult;
 use greengagearch::platform::http_client::PlatformHttp;
 use tokio::io::AsyncReadExt;
@@ -107,3 +110,36 @@
         assert!(!is_taken || is_possibly_carried_out(&result), "round {round}: {result:?}");
     }
 }
+
+/// Guards against a call that counts as never sent, and is sent again elsewhere, though the process at the other end took it; and
+/// against one that leaves on another connection than its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_on_one_connection_counts_as_not_sent_only_if_it_was_not_taken() {
+    let call = || hyper::Request::post("/").body(BODY.to_string()).unwrap();
+    for round in 0..300 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let opened = HttpConnection::open(&address, LIMIT);
+        let (accepted, opened) = tokio::join!(listener.accept(), opened);
+        let (mut stream, mut connection) = (accepted.unwrap().0, opened.unwrap());
+        let answering = async {
+            assert!(read_call(&mut stream).await);
+            stream.write_all(OK).await.unwrap();
+        };
+        let ((), answer) = tokio::join!(answering, connection.send(call(), LIMIT));
+        assert_matches!(answer, Ok(_));
+        let serving = async {
+            for _ in 0..round % 10 {
+                tokio::task::yield_now().await;
+            }
+            // Ends only the direction to the client.
+            stream.shutdown().await.unwrap();
+            read_call(&mut stream).await
+        };
+        let (is_taken, result) = tokio::join!(serving, connection.send(call(), LIMIT));
+        let is_unsent = matches!(result, Err(CallFailure::NotSent { .. }));
+        assert!(!is_taken || !is_unsent, "round {round}: {result:?}");
+        let next = tokio::time::timeout(Duration::ZERO, listener.accept()).await;
+        assert!(next.is_err(), "round {round}: a second connection");
+    }
+}
--- a/tests/life_names.rs
+++ b/tests/life_names.rs
@@ -78,3 +78,39 @@
         assert_eq!(journal.records().is_empty(), is_called);
     }
 }
+
+/// Guards against calls that the next life carries out in place of the one that they were meant for: their sender stood still between
+/// the decision and the call. A client that has called before has an idle connection, which has ended with that life.
+#[tokio::test]
+async fn calls_for_the_life_before_that_leave_late_change_nothing_at_the_next_one() {
+    for has_called in [false, true] {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+        let (client, journal) = (RunnerClient::open(), RunJournal::default());
+        let first = PlatformRunner::spawn_with_start_time("i-1", nobody, journal.clone()).await;
+        let before = target(&first);
+        if has_called {
+            client.poll(&before, PollRequest::default()).await.unwrap();
+        }
+        let second = first.restart(Duration::from_millis(40)).await;
+        let other = RunnerClient::open();
+        other.start(&target(&second), &order(), 60_000).await.unwrap();
+        let has_ended = async || {
+            let lists = other.poll(&target(&second), PollRequest::default()).await.unwrap();
+            lists.ended.len() == 1
+        };
+        while !has_ended().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+
+        let late = StartOrder { run: 2, ..order() };
+        let renewal = PollRequest { lease_end: Some(60_000), seen: 1, wait: Duration::ZERO };
+        assert!(client.start(&before, &late, 60_000).await.is_err());
+        assert!(client.stop(&before, &late.traits.task, 2).await.is_err());
+        assert!(client.pace(&before, &late.traits.task, 2, 50).await.is_err());
+        assert!(client.poll(&before, renewal).await.is_err());
+        assert_eq!(journal.records().len(), 1, "the late start has begun");
+        assert!(has_ended().await, "the end is forgotten");
+        let next = client.start(&target(&second), &late, 60_000).await;
+        assert_matches!(next, Ok(()), "the run counts as stopped");
+    }
+}
--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -107,6 +107,12 @@
     };
     let found = (0..SCHEDULES_WITHOUT).find(without);
     assert!(found.is_some(), "nothing runs twice without {:?}", Missing::OrderLease);
+    let without = |seed: &u64| {
+        let world = PlanningWorld::new(*seed, Missing::InstanceConnections, specs());
+        !world.with_same_ids().with_refusals().with_held_messages().run().is_empty()
+    };
+    let found = (0..SCHEDULES_WITHOUT).find(without);
+    assert!(found.is_some(), "nothing breaks without {:?}", Missing::InstanceConnections);
 }
 
 /// Guards against a fleet that shrinks for good, and against calls for a former life that the present one carries out: runners come
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -184,6 +184,10 @@
             // The process ended before the call left.
             return;
         }
+        let connection = if is_late { None } else { Some(self.connect(agent, &target, &order)) };
+        if let Some(Err(answer @ CallAnswer::OtherInstance)) = connection {
+            return self.at(1, Event::Returned { agent, run, target, order, answer });
+        }
         if !is_late && self.chance(0.03) {
             let delay = self.rng.random_range(1_000..6_000);
             let (late, lost) = (target.clone(), order.clone());
@@ -197,10 +201,10 @@
             _ => self.longer_work(),
         };
         let due = self.now + longer + self.rng.random_range(100..1_500);
-        let connection = if is_late { None } else { self.connect(agent) };
         let is_there = match &connection {
-            Some(connection) => self.is_taken(&connection.life, &target.instance),
-            None => is_late && self.is_taken_late(agent, &target.instance),
+            Some(Ok(connection)) => self.is_taken(connection.instance(), &target.instance),
+            Some(Err(_)) => false,
+            None => self.is_taken_late(agent, &target.instance),
         };
         let is_refused = is_there && !is_late && self.is_turned_away(agent, &order);
         let places = self.places(agent);
@@ -224,8 +228,8 @@
             }
         };
         let life = life.name.clone();
-        if let Some(connection) = connection {
-            self.keep_connection(agent, connection);
+        if let Some(Ok(connection)) = connection {
+            self.agents[agent].connections.put(connection);
         }
         if begins && matches!(answer, CallAnswer::Order(RunnerAnswer::Done)) {
             self.at(CRASH_AFTER, Event::Crash { agent, life: target.instance.clone() });
@@ -331,6 +335,8 @@
     ) {
         let now = self.agent_instant(agent);
         let one = &mut self.agents[agent];
+        // The client closes idle connections when one of them is silent.
+        one.connections.clear();
         let run = one.run;
         let is_current_target = one.state.is_current_target(&target);
         match order {
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use greengagearch::connection::instance_connection::ConnectionPool;
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeOrder;
@@ -106,6 +107,8 @@
     OrderLease,
     /// Runs start however long ago the requests of operators were read.
     RequestAge,
+    /// Calls leave on a connection to whichever life of the runner listens.
+    InstanceConnections,
 }
 
 #[derive(Clone, Debug)]
@@ -331,7 +334,7 @@
     life: RunnerLife,
     lives: u64,
     /// Idle connections to the runner.
-    connections: Vec<LifeConnection>,
+    connections: ConnectionPool<LifeConnection>,
     health: RunnerHealth,
     /// Number of the newest orders, for the schedule without their sequence.
     counted: u64,
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -48,7 +48,7 @@
                 beats: 0,
                 life,
                 lives: 0,
-                connections: Vec::new(),
+                connections: ConnectionPool::default(),
                 health: RunnerHealth::well(),
                 counted: 0,
             };
--- a/tests/start_doubts.rs
+++ b/tests/start_doubts.rs
@@ -248,3 +248,16 @@
     let (_, request) = state.next_poll(Duration::ZERO, woken);
     assert_eq!((request.seen, request.lease_end), (0, None));
 }
+
+/// Guards against tasks that wait without need: another life of the runner answered before the start could leave.
+#[test]
+fn a_start_that_another_life_kept_from_leaving_is_not_in_doubt() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    accept(&mut state, now);
+    attempt(&mut state, Err(RunnerError::OtherInstance), now);
+    state.on_crash("i-1@200", now);
+    let report = state.report(now);
+    assert!(report.in_doubt.is_empty(), "{:?}", report.in_doubt);
+    assert!(report.unsettled.is_empty(), "{:?}", report.unsettled);
+}
