--- a/src/external/runner_control.rs
+++ b/src/external/runner_control.rs
@@ -23,7 +23,7 @@
 pub struct RunnerTarget {
     /// Address of the runner.
     pub address: String,
-    /// The life that is meant. Later ones may have the same id and address.
+    /// The intended instance. Later ones may have the same id and address.
     pub instance: InstanceId,
     /// Epoch of the planner.
     pub epoch: PlannerEpoch,
@@ -65,7 +65,7 @@
     /// The runner has seen a later epoch.
     #[snafu(display("the runner knows a later epoch"))]
     Fenced,
-    /// Another life of the runner answers at the address, and has not carried out the call.
+    /// Another instance of the runner responds at the address, and has not carried out the call.
     #[snafu(display("another life of the runner answers"))]
     OtherInstance,
     /// Nobody listens at the runner's address on this host, so that no life of it runs there.
@@ -81,9 +81,9 @@
     },
 }
 
-/// Calls of a runner. Each leaves only on a connection to the life that is meant, so that no other one carries it out, however late
-/// it leaves; a poll that neither extends leases nor acknowledges ends may come to any life. A call without an answer may still be
-/// carried out by a later life.
+/// Calls to a runner. Each is sent only on a connection to the intended instance, so that no other instance receives it, however
+/// late it is sent; a poll that neither extends leases nor acknowledges ends may reach any instance. A call that was sent and has no
+/// response may still be carried out by a later instance.
 #[async_trait]
 pub trait RunnerControl: Send + Sync {
     /// Starts a run. Repeating it is harmless.
--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -35,11 +35,11 @@
 use crate::platform::runner_wire::WireLists;
 use crate::platform::runner_wire::WireStart;
 use crate::platform::runner_wire::WireStop;
-use crate::platform::runner_wire::decode_answer;
+use crate::platform::runner_wire::decode_response;
 use crate::platform::runner_wire::unreadable;
 use crate::workflow::task_name::TaskName;
 
-/// Header that names the runner that a call is meant for, not which of its lives.
+/// Header that names the runner that a call is meant for, not which of its instances.
 const EXPECT_INSTANCE: &str = "X-Greengagearch-Expect-Instance";
 /// Time for a connection to be made; hosts without power do not refuse it.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -49,11 +49,11 @@
 /// Time for the answer to an order; the runner is on the same host, so that a longer silence means
 /// that the order is delayed or lost and has to be repeated.
 const ORDER_LIMIT: Duration = Duration::from_millis(400);
-/// Time beyond the asked wait within which a look must be answered.
+/// Time beyond the asked wait within which a poll must be answered.
 const HOLD_SLACK: Duration = Duration::from_millis(600);
 
-/// A client of the runner on this host. Calls leave only on connections to the life that is meant. Looks that change nothing leave on
-/// any connection, and tell to which life it belongs.
+/// A client of the runner on this host. Calls are sent only on connections to the intended instance. Polls that change nothing are
+/// sent on any connection; the response identifies its instance.
 #[derive(Debug)]
 pub struct RunnerClient {
     pool: Mutex<ConnectionPool<HttpConnection>>,
@@ -69,7 +69,7 @@
         RunnerClient { pool: Mutex::default() }
     }
 
-    /// Sends a call that reaches the life that is meant or none.
+    /// Sends a call that reaches the intended instance or none.
     async fn call<T: RunnerAnswer>(
         &self,
         target: &RunnerTarget,
@@ -93,36 +93,36 @@
                 Err(failure) => return Err(self.on_failure(failure)),
             }
         };
-        let answer = decode_answer(status, &body);
-        match answering_instance(target, answer.started_at) == target.instance {
+        let answer = decode_response(status, &body);
+        match responding_instance(target, answer.started_at) == target.instance {
             true => answer.outcome,
-            false => Err(unreadable(&"another life has answered on the connection")),
+            false => Err(unreadable(&"another instance has responded on the connection")),
         }
     }
 
-    /// A connection to the life that is meant: a new one, or an idle one that is not known to be of that life.
+    /// Opens a connection to the intended instance, or identifies an idle one as such.
     async fn connect(
         &self,
         target: &RunnerTarget,
     ) -> Result<InstanceConnection<HttpConnection>, RunnerError> {
         if !has_start_time(&target.instance) {
-            // Lives with ids of their own reject calls for others.
+            // Each instance has an id of its own and rejects calls for others.
             let connection = self.open_connection(target).await?;
             return Ok(connection.identify(target.instance.clone()));
         }
-        let (connection, _) = match self.look(target, PollRequest::default()).await {
+        let (connection, _) = match self.poll_any(target, PollRequest::default()).await {
             // The pooled connection may have ended.
             Err(RunnerError::NoAnswer { is_broken: true, .. }) => {
-                self.look(target, PollRequest::default()).await?
+                self.poll_any(target, PollRequest::default()).await?
             }
-            looked => looked?,
+            polled => polled?,
         };
         let selected = self.pool(target).select(connection, &target.instance);
         selected.ok_or(RunnerError::OtherInstance)
     }
 
-    /// Sends a look that changes nothing, on any connection. Gives the connection, bound to the life that has answered.
-    async fn look(
+    /// Sends a poll that changes nothing on any connection. Returns the connection, bound to the instance that has responded.
+    async fn poll_any(
         &self,
         target: &RunnerTarget,
         request: PollRequest,
@@ -137,8 +137,8 @@
             };
             match connection.get_mut().send(call.clone(), limit_of(request)).await {
                 Ok((status, body)) => {
-                    let answer = decode_answer::<WireLists>(status, &body);
-                    let instance = answering_instance(target, answer.started_at);
+                    let answer = decode_response::<WireLists>(status, &body);
+                    let instance = responding_instance(target, answer.started_at);
                     return match answer.outcome {
                         Ok(lists) => Ok((connection.identify(instance), lists)),
                         Err(_) if instance != target.instance => Err(RunnerError::OtherInstance),
@@ -172,7 +172,7 @@
         RunnerError::NoAnswer { is_broken, reason: failure.to_string() }
     }
 
-    /// The idle connections that can be used for a target.
+    /// Locks the idle connections, without those that cannot be used for the target.
     fn pool(&self, target: &RunnerTarget) -> MutexGuard<'_, ConnectionPool<HttpConnection>> {
         let mut pool = self.lock();
         pool.retain(|idle| {
@@ -238,7 +238,7 @@
     ) -> Result<PollResponse, RunnerError> {
         let changes_nothing = request.lease_end.is_none() && request.seen == 0;
         if changes_nothing {
-            let (connection, lists) = self.look(target, request).await?;
+            let (connection, lists) = self.poll_any(target, request).await?;
             let selected = self.pool(target).select(connection, &target.instance);
             self.pool(target).put(selected.ok_or(RunnerError::OtherInstance)?);
             return lists.decode();
@@ -266,8 +266,8 @@
     call.body(body).map_err(|error| unreadable(&error))
 }
 
-/// The life that has answered; one that tells no start time is taken for the one that was meant.
-fn answering_instance(target: &RunnerTarget, started_at: Option<StartMillis>) -> InstanceId {
+/// Returns the instance that has responded. One that tells no start time is taken for the intended one.
+fn responding_instance(target: &RunnerTarget, started_at: Option<StartMillis>) -> InstanceId {
     match started_at {
         Some(_) => instance_name(runner_id(&target.instance), started_at),
         None => target.instance.clone(),
--- a/src/platform/runner_wire.rs
+++ b/src/platform/runner_wire.rs
@@ -1,4 +1,4 @@
-//! Bodies of calls to the platform's runners and of their answers.
+//! Bodies of calls to the platform's runners, and of the responses.
 
 use std::fmt::Display;
 
@@ -98,7 +98,7 @@
     started_at: Option<StartMillis>,
 }
 
-/// An answer that may tell when the life that gives it began.
+/// A response that may tell the start time of its instance.
 pub(super) trait RunnerAnswer: DeserializeOwned {
     fn started_at(&self) -> Option<StartMillis>;
 }
@@ -115,19 +115,22 @@
     }
 }
 
-/// What an answer says, and when the life began that gives it, if it tells.
-pub(super) struct DecodedAnswer<T> {
+/// A response, with the start time of its instance if it tells one.
+pub(super) struct DecodedResponse<T> {
     pub(super) outcome: Result<T, RunnerError>,
     pub(super) started_at: Option<StartMillis>,
 }
 
-pub(super) fn decode_answer<T: RunnerAnswer>(status: StatusCode, body: &[u8]) -> DecodedAnswer<T> {
+pub(super) fn decode_response<T: RunnerAnswer>(
+    status: StatusCode,
+    body: &[u8],
+) -> DecodedResponse<T> {
     let rejected = |reason| Err(RunnerError::Rejected { reason });
     let outcome = match status {
         StatusCode::OK => match serde_json::from_slice::<T>(body) {
             Ok(answer) => {
                 let started_at = answer.started_at();
-                return DecodedAnswer { outcome: Ok(answer), started_at };
+                return DecodedResponse { outcome: Ok(answer), started_at };
             }
             Err(error) => Err(unreadable(&error)),
         },
@@ -135,7 +138,7 @@
             // A refusal without a reason that is known counts as one for a malformed order.
             let refusal: WireRefusal = serde_json::from_slice(body).unwrap_or_default();
             let (outcome, started_at) = (Err(refusal.error()), refusal.started_at);
-            return DecodedAnswer { outcome, started_at };
+            return DecodedResponse { outcome, started_at };
         }
         StatusCode::MISDIRECTED_REQUEST => Err(RunnerError::OtherInstance),
         StatusCode::BAD_REQUEST => rejected(RejectReason::Malformed),
@@ -144,7 +147,7 @@
         }
         other => Err(unreadable(&format!("status {}", other.as_u16()))),
     };
-    DecodedAnswer { outcome, started_at: None }
+    DecodedResponse { outcome, started_at: None }
 }
 
 impl WireRefusal {
