Search: connections end unnoticed, and agents stand still on them

The search found a connection and sent the call in one step. A process can be stopped between any two instructions, so the agent may now stand still between the two, for as long as in its other outages; idle connections are closed now and then, so that new ones are opened and identified; and a connection that has ended is noticed before the call in half of the cases only, in the others the call breaks with it. The draws come from a source of their own, so that those of the schedules before stay as they were up to the first of these events.

--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -177,21 +177,35 @@
 
     /// A call comes to the runner: now and then it is carried out late, or its answer is lost.
     fn on_call(&mut self, event: Event) {
-        let Event::Call { agent, run, target, order, is_late } = event else {
+        let Event::Call { agent, run, target, order, is_late, is_connected } = event else {
             return;
         };
         if !is_late && self.has_outages() && run != self.agents[agent].run {
             // The process ended before the call left.
             return;
         }
+        if !is_late && !is_connected && self.stands_still_connected(agent, &target, &order) {
+            let is_connected = true;
+            let call = Event::Call { agent, run, target, order, is_late, is_connected };
+            return self.at(0, call);
+        }
         let connection = if is_late { None } else { Some(self.connect(agent, &target, &order)) };
-        if let Some(Err(answer @ CallAnswer::OtherInstance)) = connection {
-            return self.at(1, Event::Returned { agent, run, target, order, answer });
+        match connection {
+            Some(Err(answer @ CallAnswer::OtherInstance)) => {
+                return self.at(1, Event::Returned { agent, run, target, order, answer });
+            }
+            Some(Ok(ref connection)) if self.has_ended(agent, connection.instance()) => {
+                let is_broken = true;
+                return self.at(1, Event::NoAnswer { agent, run, target, order, is_broken });
+            }
+            _ => {}
         }
         if !is_late && self.chance(0.03) {
             let delay = self.rng.random_range(1_000..6_000);
             let (late, lost) = (target.clone(), order.clone());
-            self.at(delay, Event::Call { agent, run, target: late, order: lost, is_late: true });
+            let late =
+                Event::Call { agent, run, target: late, order: lost, is_late: true, is_connected };
+            self.at(delay, late);
             let is_broken = false;
             return self.at(600, Event::NoAnswer { agent, run, target, order, is_broken });
         }
@@ -360,5 +374,5 @@
 }
 
 pub(super) fn call_of(agent: usize, run: u64, target: &RunnerTarget, order: Order) -> Event {
-    Event::Call { agent, run, target: target.clone(), order, is_late: false }
+    Event::Call { agent, run, target: target.clone(), order, is_late: false, is_connected: false }
 }
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -211,6 +211,8 @@
         target: RunnerTarget,
         order: Order,
         is_late: bool,
+        /// Whether a connection was found for it before its sender stood still.
+        is_connected: bool,
     },
     Returned {
         agent: usize,
@@ -343,6 +345,8 @@
 /// Everything of one schedule.
 pub struct PlanningWorld {
     rng: StdRng,
+    /// Decides what becomes of connections.
+    connection_rng: StdRng,
     missing: Missing,
     base: Instant,
     now: u64,
--- a/tests/planning_world/outages.rs
+++ b/tests/planning_world/outages.rs
@@ -108,7 +108,7 @@
         lost.map(|agent| format!("{} goes on {UNKNOWN_TO_AGENT}", agent.life.name)).collect()
     }
 
-    fn outage_end(&mut self) -> u64 {
+    pub(super) fn outage_end(&mut self) -> u64 {
         let span = match self.rng.random_bool(LONG_SHARE) {
             true => self.rng.random_range(LONG_OUTAGE),
             false => self.rng.random_range(SHORT_OUTAGE),
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -13,6 +13,7 @@
         let base = Instant::now();
         let mut world = PlanningWorld {
             rng: StdRng::seed_from_u64(seed),
+            connection_rng: StdRng::seed_from_u64(!seed),
             missing,
             base,
             now: 0,
