--- a/tests/planning_world/connections.rs
+++ b/tests/planning_world/connections.rs
@@ -3,6 +3,7 @@
 use greengagearch::connection::instance_connection::InstanceConnection;
 use greengagearch::connection::instance_connection::UnidentifiedConnection;
 
+use super::schedule::runner_id;
 use super::*;
 
 /// Share of calls before which idle connections have been closed.
@@ -69,6 +70,20 @@
         !life.is_alive || life.name != instance
     }
 
+    /// Whether a call for a life is carried out by the one to which its connection belongs.
+    pub(super) fn is_taken(&self, life: &str, meant: &str) -> bool {
+        match self.has_same_ids {
+            true => runner_id(life) == runner_id(meant),
+            false => life == meant,
+        }
+    }
+
+    /// Whether a call for a life that was held up is carried out by the present one.
+    pub(super) fn is_taken_late(&self, agent: usize, meant: &str) -> bool {
+        let life = &self.agents[agent].life;
+        life.is_alive && self.is_taken(&life.name, meant)
+    }
+
     /// Finds a connection for a call, after which the agent may stand still before the call leaves.
     pub(super) fn stands_still_connected(
         &mut self,
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// The id of a runner, from the name of one of its lives.
-fn runner_id(life: &str) -> &str {
+pub(super) fn runner_id(life: &str) -> &str {
     life.split('-').next().unwrap_or(life)
 }
 
@@ -95,20 +95,6 @@
         }
     }
 
-    /// Whether a call for a life is carried out by the one to which its connection belongs.
-    pub(super) fn is_taken(&self, life: &str, meant: &str) -> bool {
-        match self.has_same_ids {
-            true => runner_id(life) == runner_id(meant),
-            false => life == meant,
-        }
-    }
-
-    /// Whether a call for a life that was held up is carried out by the present one.
-    pub(super) fn is_taken_late(&self, agent: usize, meant: &str) -> bool {
-        let life = &self.agents[agent].life;
-        life.is_alive && self.is_taken(&life.name, meant)
-    }
-
     /// Plays the schedule. Gives what broke a promise.
     pub fn run(mut self) -> Vec<String> {
         while let Some(((at, _), event)) = self.queue.pop_first() {
