Pause between polls that list no new end

Cause: a runner responds to a poll at once while it lists any end, and an end that cannot be acknowledged is listed for up to 12 s.

Change: after a response that lists unacknowledged ends but no new one, the agent pauses for 20 ms.

--- a/src/process/node/runner_poller.rs
+++ b/src/process/node/runner_poller.rs
@@ -19,6 +19,9 @@
 /// Longest time that a poll waits for the end of a run; bounds the interval at which tail latencies
 /// are measured and leases extended.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(250);
+/// Pause after a response that lists unacknowledged ends but no new one. Runners respond at once while
+/// they list any, which they may do for seconds, and a short task takes about half a second.
+const LISTED_ENDS_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after a failed poll.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -131,7 +134,7 @@
         state.next_poll(wait, clock::now())
     };
     let response = shared.control.poll(target, request).await?;
-    let (changes, violations) = {
+    let (changes, violations, lists_old_ends) = {
         let mut state = shared.state();
         if !state.is_current_target(target) {
             return Ok(());
@@ -141,10 +144,11 @@
             let state = &mut *state;
             state.pace.update(&response.running, &state.traits, now)
         };
+        let lists_old_ends = !response.ended.is_empty() && !state.has_new_ends(&response);
         if state.on_poll_response(number, response, now) {
             shared.report_wakeup.notify_one();
         }
-        (changes, state.pace.take_sustained_violations())
+        (changes, state.pace.take_sustained_violations(), lists_old_ends)
     };
     for (violation, best_effort_percent) in violations {
         log_event(
@@ -165,6 +169,8 @@
     if request.lease_end.is_none() {
         // The lease arrives with the planner's next call.
         tokio::time::sleep(RETRY_PAUSE).await;
+    } else if lists_old_ends {
+        tokio::time::sleep(LISTED_ENDS_PAUSE).await;
     }
     Ok(())
 }
--- a/src/process/node/state.rs
+++ b/src/process/node/state.rs
@@ -69,6 +69,8 @@
     acknowledged_end: u64,
     /// Number of the first end that the runner still lists.
     first_listed_end: Option<u64>,
+    /// Number of the last end that the runner has listed.
+    last_listed_end: u64,
     orders: OrderSequence,
     fresh_snapshot: Option<RunnerSnapshot>,
     /// Runs in the newest snapshot, including those whose start is pending.
@@ -114,6 +116,7 @@
             unresponsive_since: None,
             acknowledged_end: 0,
             first_listed_end: None,
+            last_listed_end: 0,
             orders: OrderSequence::default(),
             fresh_snapshot: None,
             present: BTreeSet::new(),
@@ -270,6 +273,7 @@
         self.lease_watch = LeaseWatch::default();
         self.acknowledged_end = 0;
         self.first_listed_end = None;
+        self.last_listed_end = 0;
         self.tracker.clear();
         self.recent_starts = RecentStarts::default();
         self.is_confirmed = false;
@@ -362,6 +366,20 @@
         self.instances.may_have_successor() && (!self.is_confirmed || is_outdated)
     }
 
+    /// Returns whether a response lists an end that no earlier response has listed.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::external::runner_control::PollResponse;
+    /// use greengagearch::process::node::state::NodeState;
+    ///
+    /// assert!(!NodeState::new(Instant::now()).has_new_ends(&PollResponse::default()));
+    /// ```
+    pub fn has_new_ends(&self, response: &PollResponse) -> bool {
+        response.ended.last().is_some_and(|last| last.number > self.last_listed_end)
+    }
+
     /// Processes the response to the poll `number`. Returns whether the planner should get a report
     /// at once.
     pub fn on_poll_response(
@@ -400,6 +418,7 @@
         self.traits.retain(|task, _| present.iter().any(|run| run.task == *task));
         self.first_listed_end = ended.first().map(|ended| ended.number);
         let last = ended.last().map_or(0, |ended| ended.number);
+        self.last_listed_end = self.last_listed_end.max(last);
         self.has_changes |= last > self.last_reported_end || self.tracker.has_rejections();
         let (rejected, orders_seen) = (Vec::new(), self.orders.seen());
         self.fresh_snapshot =
--- a/tests/listed_ends.rs
+++ b/tests/listed_ends.rs
@@ -1,28 +1,50 @@
 //! Lists of ends that reach their limit: a run that such a list does not show may have ended.
 
+mod linked_agent;
 mod planning;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
 use greengagearch::connection::node_protocol::EndedRun;
+use greengagearch::connection::node_protocol::LinkStamp;
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::NodeReport;
+use greengagearch::connection::node_protocol::RejectReason;
 use greengagearch::connection::node_protocol::StartInDoubt;
+use greengagearch::connection::node_protocol::StartOrder;
+use greengagearch::external::runner_control::PollRequest;
 use greengagearch::external::runner_control::PollResponse;
 use greengagearch::external::runner_control::RunPresence;
+use greengagearch::external::runner_control::RunnerControl;
 use greengagearch::external::runner_control::RunnerError;
+use greengagearch::external::runner_control::RunnerMillis;
+use greengagearch::external::runner_control::RunnerTarget;
+use greengagearch::process::clock;
 use greengagearch::process::node::order_tracker::OrderTracker;
 use greengagearch::process::node::pending_start::StartConditions;
+use greengagearch::process::node::runner_poller::spawn_runner_poller;
+use greengagearch::process::node::shared::NodeShared;
 use greengagearch::workflow::progress::RunEnd;
+use greengagearch::workflow::task_name::TaskName;
 use greengagearch::workflow::worker_inventory::RunKey;
 
+use crate::linked_agent::LONG_LEASE;
+use crate::linked_agent::lease_call;
+use crate::linked_agent::look_at;
+use crate::linked_agent::registered_runner;
 use crate::planning::PlannedFleet;
+use crate::planning::PlayedRunner;
 use crate::planning::job;
 use crate::planning::step;
 
 /// Time for which a start without a response may still be carried out.
 const LATE_DELIVERY: Duration = Duration::from_secs(12);
+const STAMP: LinkStamp = LinkStamp { epoch: 3, link: 5 };
 const WORKER: &str = "i-1@1";
 const OTHER: &str = "i-2@1";
 
@@ -30,6 +52,16 @@
     (format!("a.0.0.{index}").parse().unwrap(), 1)
 }
 
+fn ended(index: u32) -> EndedRun {
+    EndedRun {
+        number: u64::from(index) + 1,
+        task: key(index).0,
+        run: 1,
+        end: RunEnd::Done,
+        checkpoint: String::new(),
+    }
+}
+
 /// A fleet in which four tasks of a job run on a worker that lists two ends at a time, while the agent reports that the first of them may
 /// be started late.
 fn fleet() -> PlannedFleet {
@@ -37,7 +69,7 @@
     fleet.submit("a", job(vec![step(4, 100)]));
     fleet.round();
     let labels = vec!["a".to_string(), "r1".to_string()];
-    let other = planning::PlayedRunner { labels, ..planning::PlayedRunner::default() };
+    let other = PlayedRunner { labels, ..PlayedRunner::default() };
     fleet.runners.insert(OTHER.to_string(), other);
     fleet.report(OTHER, true);
     fleet.runners.get_mut(WORKER).unwrap().max_listed_ends = Some(2);
@@ -130,18 +162,11 @@
         StartConditions { is_draining: false, has_capacity: true, lease_end: Some(9_000) };
     tracker.next_step(&key(3), &conditions, now);
     assert!(tracker.begin_attempt(&key(3), &conditions, now).is_some());
-    let reason = greengagearch::connection::node_protocol::RejectReason::Old;
+    let reason = RejectReason::Old;
     tracker.on_start_response(&key(3), &Err(RunnerError::Rejected { reason }), now);
     tracker.next_step(&key(3), &conditions, now);
     tracker.on_new_epoch();
 
-    let ended = |index: u32| EndedRun {
-        number: u64::from(index) + 1,
-        task: key(index).0,
-        run: 1,
-        end: RunEnd::Done,
-        checkpoint: String::new(),
-    };
     let limited = PollResponse {
         ended: vec![ended(0), ended(1)],
         may_omit_ends: true,
@@ -158,3 +183,60 @@
     assert!(tracker.reconcile(poll, &complete).is_empty());
     assert!(!tracker.has_rejections());
 }
+
+/// A runner that lists the same end for good, and responds at once as runners do then.
+#[derive(Default)]
+struct HeldEndRunner {
+    polls: AtomicUsize,
+}
+
+#[async_trait]
+impl RunnerControl for HeldEndRunner {
+    async fn start(
+        &self,
+        _: &RunnerTarget,
+        _: &StartOrder,
+        _: RunnerMillis,
+    ) -> Result<(), RunnerError> {
+        Ok(())
+    }
+
+    async fn stop(&self, _: &RunnerTarget, _: &TaskName, _: u32) -> Result<(), RunnerError> {
+        Ok(())
+    }
+
+    async fn pace(
+        &self,
+        _: &RunnerTarget,
+        _: &TaskName,
+        _: u32,
+        _: u32,
+    ) -> Result<(), RunnerError> {
+        Ok(())
+    }
+
+    async fn poll(&self, _: &RunnerTarget, _: PollRequest) -> Result<PollResponse, RunnerError> {
+        self.polls.fetch_add(1, Ordering::Relaxed);
+        Ok(PollResponse { clock: 500, ended: vec![ended(0)], ..PollResponse::default() })
+    }
+}
+
+/// Guards against an agent that polls without a pause for as long as an end cannot be acknowledged.
+#[tokio::test]
+async fn an_agent_pauses_between_polls_that_list_no_new_end() {
+    let runner = Arc::new(HeldEndRunner::default());
+    let shared = Arc::new(NodeShared::new(runner.clone()));
+    {
+        let (mut state, now) = (shared.state(), clock::now());
+        state.on_heartbeat(registered_runner(4_000, 4_000, 1));
+        state.admit(STAMP).unwrap();
+        look_at(&mut state, Vec::new(), 500, now);
+        state.on_sync(&lease_call(STAMP, LONG_LEASE));
+    }
+    spawn_runner_poller(shared);
+    let started_at = clock::now();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let polls = runner.polls.load(Ordering::Relaxed);
+    let pauses = clock::elapsed(started_at).as_millis() / 20;
+    assert!(polls >= 1 && polls as u128 <= pauses + 2, "{polls} polls in {pauses} pauses");
+}
