Admission: decision modules for accepting or refusing jobs

Cause: every job was accepted whatever the backlog, and callers of worthless jobs were never told to return later. Change: src/workflow/admission/ with JobDemand, WorkRate, WorkRatios, BacklogForecast, AdmissionPolicy, ReturnQueue, AdmissionLedger and AdmissionControl, and the planner's measurements for them. Planner::last_acked_end moves to planner_batch.rs, where its numbers are set, so that planner.rs does not grow.

--- /dev/null
+++ b/src/workflow/admission/backlog_forecast.rs
@@ -0,0 +1,174 @@
+//! Forecast of when a job would end if it was accepted now.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::QueueName;
+use crate::ids::ServiceName;
+use crate::workflow::admission::job_demand::JobDemand;
+use crate::workflow::admission::job_demand::WorkClass;
+
+/// Number of size buckets. The largest begins at 17 core-days.
+pub const SIZE_BUCKETS: u8 = 24;
+/// Upper bound of the smallest bucket in core-milliseconds; each further one is twice as large.
+const SMALLEST_BUCKET_CORE_MS: u64 = 256;
+
+/// Bucket of a job's remaining work.
+///
+/// ```
+/// use greengagearch::workflow::admission::backlog_forecast::size_bucket;
+///
+/// assert_eq!((size_bucket(0), size_bucket(256), size_bucket(u64::MAX)), (0, 1, 23));
+/// ```
+pub fn size_bucket(core_ms: u64) -> u8 {
+    let doublings = (core_ms / SMALLEST_BUCKET_CORE_MS).checked_ilog2().map_or(0, |log| log + 1);
+    u8::try_from(doublings).unwrap_or(u8::MAX).min(SIZE_BUCKETS - 1)
+}
+
+/// Work of one priority and size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SizedWork {
+    /// Priority of the queue; zero is the highest.
+    #[serde(rename = "p")]
+    pub priority: u32,
+    /// Size bucket of the jobs.
+    #[serde(rename = "b")]
+    pub bucket: u8,
+    /// Work in core-milliseconds.
+    #[serde(rename = "w")]
+    pub core_ms: u64,
+}
+
+impl SizedWork {
+    /// The part of this work that precedes a job in the planner's order: that of higher priority,
+    /// and of smaller jobs of the same priority. Of the jobs of its own size half precede it.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::backlog_forecast::SizedWork;
+    ///
+    /// let work = SizedWork { priority: 1, bucket: 4, core_ms: 100 };
+    /// assert_eq!((work.ahead_of(2, 0), work.ahead_of(1, 4), work.ahead_of(1, 3)), (100, 50, 0));
+    /// ```
+    pub fn ahead_of(&self, priority: u32, bucket: u8) -> u64 {
+        match (self.priority.cmp(&priority), self.bucket.cmp(&bucket)) {
+            (std::cmp::Ordering::Less, _) => self.core_ms,
+            (std::cmp::Ordering::Equal, std::cmp::Ordering::Less) => self.core_ms,
+            (std::cmp::Ordering::Equal, std::cmp::Ordering::Equal) => self.core_ms / 2,
+            _ => 0,
+        }
+    }
+}
+
+/// Open work of one class of a service, and the rate at which it is done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassBacklog {
+    /// The service.
+    pub service: ServiceName,
+    /// The class.
+    pub class: WorkClass,
+    /// Recent rate in core-milliseconds per second; zero while no capacity is known.
+    pub rate: u64,
+    /// What the open jobs still need.
+    pub open: Vec<SizedWork>,
+    /// Work of refused callers who have a place. What is due is in the smallest bucket, since no
+    /// job without a place may use its headroom.
+    pub promised: Vec<SizedWork>,
+}
+
+impl ClassBacklog {
+    /// Total open work in core-milliseconds.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::backlog_forecast::ClassBacklog;
+    /// use greengagearch::workflow::admission::job_demand::WorkClass;
+    ///
+    /// let class = WorkClass::Reserved;
+    /// let backlog = ClassBacklog { service: String::new(), class, rate: 0, open: vec![], promised: vec![] };
+    /// assert_eq!(backlog.open_core_ms(), 0);
+    /// ```
+    pub fn open_core_ms(&self) -> u64 {
+        self.open.iter().map(|work| work.core_ms).sum()
+    }
+
+    /// Time that work takes at the recent rate; zero while the rate is unknown.
+    pub(crate) fn time_for(&self, core_ms: u64) -> Duration {
+        if self.rate == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_millis(core_ms.saturating_mul(1_000) / self.rate)
+    }
+}
+
+/// Open work of all services, published with the planner's heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BacklogForecast {
+    /// Number of the forecast; each has a higher one than those before of the same planner.
+    pub number: u64,
+    /// The classes with open work or known capacity.
+    pub classes: Vec<ClassBacklog>,
+    /// Ratio of the actual to the declared work by queue in percent, where it is not 100.
+    #[serde(default)]
+    pub ratios: BTreeMap<QueueName, u32>,
+}
+
+impl BacklogForecast {
+    /// The backlog of a class; `None` if nothing is known of it.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::backlog_forecast::BacklogForecast;
+    /// use greengagearch::workflow::admission::job_demand::WorkClass;
+    ///
+    /// assert!(BacklogForecast::default().class("s", WorkClass::Reserved).is_none());
+    /// ```
+    pub fn class(&self, service: &str, class: WorkClass) -> Option<&ClassBacklog> {
+        self.classes.iter().find(|known| known.service == service && known.class == class)
+    }
+
+    /// Ratio of the actual to the declared work of a queue.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::backlog_forecast::BacklogForecast;
+    ///
+    /// assert_eq!(BacklogForecast::default().ratio("q"), 1.0);
+    /// ```
+    pub fn ratio(&self, queue: &str) -> f64 {
+        self.ratios.get(queue).map_or(1.0, |percent| f64::from(*percent) / 100.0)
+    }
+
+    /// Wait of a job in the planner's order. `extra_core_ms` is work ahead of it that the forecast
+    /// does not contain. Zero for a class of which nothing is known.
+    ///
+    /// Jobs that arrive later and precede it are not included, so that the estimate is rather too
+    /// short than too long.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::backlog_forecast::*;
+    /// use greengagearch::workflow::admission::job_demand::*;
+    ///
+    /// let open = vec![SizedWork { priority: 0, bucket: 3, core_ms: 9_000 }];
+    /// let class = WorkClass::Reserved;
+    /// let backlog = ClassBacklog { service: "s".into(), class, rate: 1_500, open, promised: vec![] };
+    /// let forecast = BacklogForecast { classes: vec![backlog], ..BacklogForecast::default() };
+    /// let demand = JobDemand { service: "s".into(), queue: "q".into(), class, priority: 1,
+    ///     core_ms: 10, critical_path_ms: 500, objective_ms: 1_000 };
+    /// assert_eq!(forecast.expected_wait(&demand, 0).as_secs(), 6);
+    /// assert_eq!(forecast.expected_end(&demand, 0).as_millis(), 6_500);
+    /// ```
+    pub fn expected_wait(&self, demand: &JobDemand, extra_core_ms: u64) -> Duration {
+        let Some(backlog) = self.class(&demand.service, demand.class) else {
+            return Duration::ZERO;
+        };
+        let bucket = size_bucket(demand.core_ms);
+        let known = backlog.open.iter().chain(&backlog.promised);
+        let ahead: u64 = known.map(|work| work.ahead_of(demand.priority, bucket)).sum();
+        backlog.time_for(ahead.saturating_add(extra_core_ms))
+    }
+
+    /// Time until a job ends: its wait and its critical path.
+    pub fn expected_end(&self, demand: &JobDemand, extra_core_ms: u64) -> Duration {
+        self.expected_wait(demand, extra_core_ms) + Duration::from_millis(demand.critical_path_ms)
+    }
+}
--- /dev/null
+++ b/src/workflow/admission/work_rate.rs
@@ -0,0 +1,132 @@
+//! Rate at which work of a class is done.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time over which the rate is averaged. It covers a full swing of demand, which takes about 15 s,
+/// so that capacity which is scarce only at the peak does not lead to refusals.
+const AVERAGING_TIME: Duration = Duration::from_secs(15);
+/// Least part of the available capacity that the rate is assumed to be. A class that does nothing
+/// because its waiting tasks fit no worker must not keep other jobs from being accepted.
+const MIN_SHARE: f64 = 0.05;
+
+/// Measurement of a class.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateSample {
+    /// Processor time that runs of the class use, in thousandths of a core.
+    pub done: f64,
+    /// Processor time that the class could use, in thousandths of a core.
+    pub available: f64,
+    /// Whether tasks of the class wait for capacity.
+    pub is_saturated: bool,
+}
+
+/// Average rate of a class.
+#[derive(Clone, Debug, Default)]
+pub struct WorkRate {
+    average: Option<f64>,
+    recorded_at: Option<Instant>,
+    latest: RateSample,
+}
+
+impl WorkRate {
+    /// A rate that continues that of an earlier planner, in core-milliseconds per second.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::work_rate::WorkRate;
+    ///
+    /// assert_eq!(WorkRate::inherited(500).millicores(), 0);
+    /// ```
+    pub fn inherited(millicores: u64) -> WorkRate {
+        let average = (millicores > 0).then_some(millicores as f64);
+        WorkRate { average, ..WorkRate::default() }
+    }
+
+    /// Adds a measurement. While no task waits, what is done tells the demand and not the capacity;
+    /// the available capacity counts instead.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::admission::work_rate::RateSample;
+    /// use greengagearch::workflow::admission::work_rate::WorkRate;
+    ///
+    /// let mut rate = WorkRate::default();
+    /// let sample = RateSample { done: 0.0, available: 4_000.0, is_saturated: false };
+    /// rate.record(sample, Instant::now());
+    /// assert_eq!(rate.millicores(), 4_000);
+    /// ```
+    pub fn record(&mut self, sample: RateSample, now: Instant) {
+        self.latest = sample;
+        let since = self.recorded_at.replace(now);
+        let capacity = sample.available.max(sample.done);
+        if capacity <= 0.0 {
+            return;
+        }
+        let rate = if sample.is_saturated { sample.done } else { capacity };
+        let average = self.average.unwrap_or(capacity);
+        let span = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        let weight = 1.0 - (-span.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp();
+        self.average = Some(average + (rate - average) * weight);
+    }
+
+    /// The rate in core-milliseconds per second, which are thousandths of a core; zero while no
+    /// capacity is known.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::work_rate::WorkRate;
+    ///
+    /// assert_eq!(WorkRate::default().millicores(), 0);
+    /// ```
+    pub fn millicores(&self) -> u64 {
+        let capacity = self.latest.available.max(self.latest.done);
+        let average = self.average.unwrap_or(capacity);
+        average.clamp(capacity * MIN_SHARE, capacity) as u64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn after(rate: &mut WorkRate, sample: RateSample, seconds: u64) -> u64 {
+        let mut now = rate.recorded_at.unwrap_or_else(Instant::now);
+        for _ in 0..seconds * 2 {
+            now += Duration::from_millis(500);
+            rate.record(sample, now);
+        }
+        rate.millicores()
+    }
+
+    /// Guards against an idle service whose small demand is taken for its capacity.
+    #[test]
+    fn demand_of_an_unsaturated_class_does_not_lower_its_rate() {
+        let mut rate = WorkRate::default();
+        let idle = RateSample { done: 10.0, available: 1_000.0, is_saturated: false };
+        assert_eq!(after(&mut rate, idle, 60), 1_000);
+    }
+
+    /// Guards against a rate that follows the trough of a swing instead of its mean.
+    #[test]
+    fn the_rate_of_a_swing_is_near_its_mean_and_never_below_it_by_much() {
+        let mut rate = WorkRate::default();
+        let sample = |done| RateSample { done, available: 1_000.0, is_saturated: true };
+        for _ in 0..8 {
+            after(&mut rate, sample(700.0), 7);
+            after(&mut rate, sample(300.0), 7);
+        }
+        let trough = rate.millicores();
+        assert!((380..=500).contains(&trough), "{trough}");
+    }
+
+    /// Guards against a rate above what the workers that are left can do, and against a rate of
+    /// zero from tasks that fit nowhere.
+    #[test]
+    fn the_rate_is_bounded_by_the_present_capacity() {
+        let mut rate = WorkRate::inherited(5_000);
+        let lost = RateSample { done: 0.0, available: 1_000.0, is_saturated: true };
+        assert!(after(&mut rate, lost, 1) <= 1_000);
+        assert_eq!(after(&mut rate, lost, 200), 50);
+        assert_eq!(after(&mut rate, RateSample::default(), 1), 0, "no capacity is known");
+    }
+}
--- a/src/workflow/job_forecast.rs
+++ b/src/workflow/job_forecast.rs
@@ -137,6 +137,28 @@
     }
 }
 
+impl JobForecast {
+    /// Work of the tasks whose progress was measured, and what was declared for them, in
+    /// core-milliseconds; `None` if none was measured or declared.
+    ///
+    /// ```
+    /// use greengagearch::workflow::job_forecast::JobForecast;
+    /// use greengagearch::workflow::spec::WorkflowSpec;
+    ///
+    /// assert_eq!(JobForecast::default().measured_work(&WorkflowSpec::unknown()), None);
+    /// ```
+    pub fn measured_work(&self, spec: &WorkflowSpec) -> Option<(f64, f64)> {
+        let (mut actual, mut declared) = (0.0, 0.0);
+        for (number, known) in &self.steps {
+            let step = spec.steps.get(*number as usize)?;
+            let cores = step.resources.millicores as f64 / 1_000.0;
+            actual += known.tasks.values().map(|task| task.total_ms).sum::<f64>() * cores;
+            declared += known.tasks.len() as f64 * step.estimate_ms as f64 * cores;
+        }
+        (declared > 0.0).then_some((actual, declared))
+    }
+}
+
 /// Number of tasks of a step and their declared duration in milliseconds.
 fn declared(spec: &WorkflowSpec, step: u32) -> (u32, f64) {
     let step = spec.steps.get(step as usize);
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! The modules do no I/O and read no clock; the current time is always an argument.
 
+pub mod admission;
 pub mod advice_cache;
 pub mod assigned_run;
 mod changed_jobs;
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -18,6 +18,7 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::process::suspicion::WorkerSuspicion;
+use crate::workflow::admission::admission_control::AdmissionControl;
 use crate::workflow::advice_cache::AdviceCache;
 use crate::workflow::advice_cache::AdviceQuery;
 use crate::workflow::assigned_run::OrderDelivery;
@@ -70,6 +71,7 @@
     pub(crate) acked_ends: BTreeMap<InstanceId, u64>,
     pub(crate) evacuations: KnownEvacuations,
     pub(crate) precedence: JobPrecedence,
+    pub(crate) admission: AdmissionControl,
     /// Time by which all leases granted by earlier planners have expired.
     pub(crate) inherited_lease_end: Instant,
 }
@@ -108,6 +110,7 @@
             acked_ends: BTreeMap::new(),
             evacuations: KnownEvacuations::default(),
             precedence: JobPrecedence::default(),
+            admission: AdmissionControl::default(),
             inherited_lease_end,
         }
     }
@@ -260,18 +263,6 @@
         run.is_some_and(|run| run.delivery == OrderDelivery::Queued)
     }
 
-    /// Number of the worker's last run end that is stored, up to which the worker may discard ends.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert_eq!(planner.last_acked_end("i-1"), 0);
-    /// ```
-    pub fn last_acked_end(&self, instance: &str) -> u64 {
-        self.acked_ends.get(instance).copied().unwrap_or(0)
-    }
-
     /// Assigns the next number to an order message for a worker and records it with the runs that
     /// the message starts, or stops before their start was sent. Returns `None` for an unknown
     /// worker.
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -153,6 +153,18 @@
         }
     }
 
+    /// Number of the worker's last run end that is stored, up to which the worker may discard ends.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert_eq!(planner.last_acked_end("i-1"), 0);
+    /// ```
+    pub fn last_acked_end(&self, instance: &str) -> u64 {
+        self.acked_ends.get(instance).copied().unwrap_or(0)
+    }
+
     fn send_start(&mut self, instance: InstanceId, key: &RunKey) {
         let is_pending = self
             .inventory
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -6,6 +6,7 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::workflow::admission::planner_admission::learn_ratio;
 use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::job_forecast::JobForecast;
 use crate::workflow::plan_decision::PlanDecision;
@@ -268,6 +269,9 @@
             return;
         }
         entry.end = Some(end);
+        if end == JobEnd::Completed {
+            learn_ratio(&mut self.admission, entry);
+        }
         self.interference.forget_job(job);
         self.task_suspicion.forget_job(job);
         self.decisions.push(PlanDecision::JobEnded {
--- a/src/workflow/remaining_work.rs
+++ b/src/workflow/remaining_work.rs
@@ -44,7 +44,7 @@
 }
 
 /// Length of the longest chain of dependent steps with the given durations.
-fn critical_path(steps: &[StepSpec], durations: &[f64]) -> f64 {
+pub(crate) fn critical_path(steps: &[StepSpec], durations: &[f64]) -> f64 {
     let mut finish_times: Vec<f64> = Vec::with_capacity(steps.len());
     for (step, duration) in steps.iter().zip(durations) {
         let predecessors =
--- a/src/workflow/urgency.rs
+++ b/src/workflow/urgency.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether the job can no longer be completed while it has any value to its caller.
+    pub(crate) fn is_worthless(&self) -> bool {
+        self.is_worthless
+    }
+
     /// Whether the job can no longer be completed within its objective.
     pub(crate) fn is_late(&self) -> bool {
         self.is_late
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -19,7 +19,7 @@
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Assumed share of its requested processor time that a serving task uses, for an estimate of what
 /// is left for best-effort tasks. The actual remainder shows in the usage that these report.
-const SERVING_UTILIZATION: f64 = 0.6;
+pub(crate) const SERVING_UTILIZATION: f64 = 0.6;
 /// Minimum pace assumed for a best-effort task in the estimate of its demand, since it may speed up
 /// again.
 const MIN_ASSUMED_PACE: f64 = 0.3;
