Admission: the planner publishes its forecast, and hosts refuse by it

Cause: the decision modules had no caller; Retry-After was the constant 1. Change: settings [admission] worthless-after; the planner computes the forecast with each heartbeat and publishes it in HeartbeatRow.admission; hosts decide from it, and ask the planner by request_admission (150 ms) before they refuse; a job with a row is accepted. JobRefusal::NotAdmitted is answered with 429 and the Retry-After of the decision at both listeners. Without the setting nothing is computed or published. A new planner does not lower rates while its workers have not all reported.

--- a/src/connection/planner_protocol.rs
+++ b/src/connection/planner_protocol.rs
@@ -9,6 +9,8 @@
 use crate::external::row_store::StoredRow;
 use crate::ids::JobId;
 use crate::ids::RowVersion;
+use crate::workflow::admission::admission_control::AdmissionRequest;
+use crate::workflow::admission::admission_control::AdmissionResponse;
 use crate::workflow::progress::JobStatus;
 
 /// Response of a planner process to a query of a job's status.
@@ -30,4 +32,6 @@
     async fn relay_commit(transaction: RowTransaction) -> Result<RowVersion, RowError>;
     /// Reads a row on behalf of a process that cannot reach the store.
     async fn relay_get(name: RowName) -> Result<Option<StoredRow>, RowError>;
+    /// Asks whether a job that the calling process would refuse is admitted.
+    async fn request_admission(request: AdmissionRequest) -> AdmissionResponse;
 }
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -4,7 +4,8 @@
 use std::fmt::Write;
 
 /// Events that affect all jobs. Those between the first and the last line of the job are shown with it.
-const BELIEFS: [&str; 16] = [
+const BELIEFS: [&str; 17] = [
+    "admission_view",
     "planning_started",
     "planning_ended",
     "evacuation_started",
@@ -101,7 +102,33 @@
     told
 }
 
+/// The likely cause of a job's end, and how often it was refused before it was admitted.
 fn cause(lines: &[&LogLine]) -> String {
+    let end = end_cause(lines);
+    let refused: Vec<&LogLine> =
+        lines.iter().copied().filter(|line| line.get("event") == "job_refused").collect();
+    let (Some(first), Some(last)) = (refused.first(), refused.last()) else {
+        return end;
+    };
+    let count = refused.len();
+    let admitted = lines.iter().find(|line| line.get("outcome") == "accepted");
+    match admitted {
+        Some(admitted) => {
+            let waited = admitted.seconds - first.seconds;
+            format!("{end}; admitted {waited:.1} s after the first of {count} refusals")
+        }
+        None => format!(
+            "refused by admission control {count} times, the last time for {}: expected end after \
+             {} ms, worthless after {} ms, asked to return after {} s",
+            last.get("reason"),
+            last.get("expected_end_ms"),
+            last.get("limit_ms"),
+            last.get("retry_after_s")
+        ),
+    }
+}
+
+fn end_cause(lines: &[&LogLine]) -> String {
     let of_event =
         |event: &'static str| lines.iter().copied().filter(move |line| line.get("event") == event);
     let accepted = of_event("job_submitted").any(|line| line.get("outcome") == "accepted");
--- a/src/platform/caller_gate.rs
+++ b/src/platform/caller_gate.rs
@@ -255,6 +255,13 @@
             let body = Json(json!({ "Error": reason, "RetryMs": 1_000 }));
             (StatusCode::SERVICE_UNAVAILABLE, [(RETRY_AFTER, "1")], body).into_response()
         }
+        JobRefusal::NotAdmitted { retry_after, .. } => {
+            let seconds = retry_after.as_secs();
+            let error = refused.to_string();
+            let body = Json(json!({ "Error": error, "RetryMs": seconds * 1_000 }));
+            let headers = [(RETRY_AFTER, seconds.to_string())];
+            (StatusCode::TOO_MANY_REQUESTS, headers, body).into_response()
+        }
         JobRefusal::OtherJob => {
             error(StatusCode::CONFLICT, "the name belongs to a job with another body")
         }
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -53,6 +53,14 @@
         /// Why.
         reason: String,
     },
+    /// The job would end too late to be of value. Nothing was done, and nothing will be.
+    #[snafu(display("not admitted: {reason}, retry after {} s", retry_after.as_secs()))]
+    NotAdmitted {
+        /// Why.
+        reason: String,
+        /// Time until the job is expected to be admitted, in whole seconds.
+        retry_after: Duration,
+    },
     /// The name belongs to another job.
     #[snafu(display("the name belongs to another job"))]
     OtherJob,
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::counted_stream::byte_counts;
 use crate::error::Error;
+use crate::process::admission_metrics::AdmissionMetrics;
 use crate::process::entry::listen;
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
@@ -48,6 +49,8 @@
     pub bytes_sent: IntGauge,
     /// Bytes received from other processes of the system, without TCP and IP headers.
     pub bytes_received: IntGauge,
+    /// Metrics of admission control.
+    pub admission: AdmissionMetrics,
 }
 
 impl ProcessMetrics {
@@ -81,6 +84,7 @@
             remembered_ids: gauge("gga_remembered_ids", "Request ids that are remembered"),
             bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
             bytes_received: gauge("gga_bytes_received", "Bytes received from other processes"),
+            admission: AdmissionMetrics::open(),
             registry,
         };
         metrics.register();
@@ -122,6 +126,7 @@
             // the tests of `render` show.
             let _ = self.registry.register(collector);
         }
+        self.admission.register(&self.registry);
     }
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a process: settings, logging, metrics, the programs' parts.
 
 pub mod accept;
+pub mod admission_metrics;
 pub mod agent;
 pub mod burn_cause;
 pub mod burn_ledger;
--- a/src/process/planning/job_http.rs
+++ b/src/process/planning/job_http.rs
@@ -189,6 +189,10 @@
             let answer = error_response(StatusCode::SERVICE_UNAVAILABLE, text);
             ([(RETRY_AFTER, RETRY_AFTER_SECONDS)], answer).into_response()
         }
+        JobRefusal::NotAdmitted { retry_after, .. } => {
+            let answer = error_response(StatusCode::TOO_MANY_REQUESTS, text);
+            ([(RETRY_AFTER, retry_after.as_secs().to_string())], answer).into_response()
+        }
         JobRefusal::OtherJob => error_response(StatusCode::CONFLICT, text),
         JobRefusal::Unknown { .. } => error_response(StatusCode::GATEWAY_TIMEOUT, text),
     }
--- a/src/process/planning/job_service.rs
+++ b/src/process/planning/job_service.rs
@@ -21,6 +21,7 @@
 use crate::process::gate::JobGate;
 use crate::process::gate::JobRefusal;
 use crate::process::logging::log_event;
+use crate::process::planning::host_admission::HostAdmission;
 use crate::process::planning::planner_client::PlannerClient;
 use crate::process::planning::rows::decode;
 use crate::process::planning::rows::encode;
@@ -44,6 +45,7 @@
 pub struct JobService {
     shared: Arc<PlannerShared>,
     planner: PlannerClient,
+    admission: HostAdmission,
     store: StoreAccess,
     withdrawals: Mutex<WriteBudget>,
 }
@@ -53,6 +55,7 @@
     pub fn open(shared: Arc<PlannerShared>) -> JobService {
         JobService {
             planner: PlannerClient::open(shared.clone()),
+            admission: HostAdmission::open(shared.clone()),
             store: StoreAccess::open(shared.clone()),
             withdrawals: Mutex::new(WriteBudget::new(MAX_WITHDRAWALS_PER_SECOND, clock::now())),
             shared,
@@ -76,6 +79,25 @@
         Err(JobRefusal::NotRun { reason })
     }
 
+    /// Refuses a job that would end too late to be of value, unless it has been accepted before.
+    /// This submission has stored nothing yet, so that the refusal is certain.
+    async fn check_admission(
+        &self,
+        job: &str,
+        spec: &WorkflowSpec,
+        deadline: CallDeadline,
+    ) -> Result<(), JobRefusal> {
+        let Some(refusal) = self.admission.decide(&self.planner, job, spec).await else {
+            return Ok(());
+        };
+        if self.read_job(job, deadline).await?.is_some_and(|row| row.value.is_some()) {
+            return Ok(());
+        }
+        self.admission.record_refusal(job, &spec.policy.queue, &refusal);
+        let (reason, retry_after) = (refusal.reason.as_str().to_string(), refusal.retry_after);
+        Err(JobRefusal::NotAdmitted { reason, retry_after })
+    }
+
     /// Inserts the row of a job. After a lost response the transaction is retried; since it is
     /// conditional on the row not existing, it is applied once at most.
     async fn insert_job(
@@ -210,6 +232,7 @@
     match result {
         Ok(()) => "accepted",
         Err(JobRefusal::NotRun { .. }) => "not_run",
+        Err(JobRefusal::NotAdmitted { .. }) => "not_admitted",
         Err(JobRefusal::OtherJob) => "other_job",
         Err(JobRefusal::Unknown { .. }) => "unknown",
     }
@@ -253,7 +276,11 @@
         let queue = spec.policy.queue.clone();
         let digest = spec_digest(&spec);
         let started_at = clock::now();
-        let result = match self.check_service(job, &spec.policy.service, deadline).await {
+        let checked = match self.check_service(job, &spec.policy.service, deadline).await {
+            Ok(()) => self.check_admission(job, &spec, deadline).await,
+            Err(refusal) => Err(refusal),
+        };
+        let result = match checked {
             Ok(()) => {
                 let record = JobRecord::Live { spec, cancelled: false };
                 self.insert_job(job, &record, deadline).await
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -6,6 +6,7 @@
 pub mod commit_writer;
 pub mod decision_log;
 pub mod evacuation_watch;
+pub mod host_admission;
 pub mod job_http;
 pub mod job_service;
 pub mod node_link;
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -17,7 +17,9 @@
 use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::logging::log_event;
+use crate::process::planning::host_admission::PublishedForecast;
 use crate::process::planning::planner_loop::PlannerLoop;
+use crate::process::planning::rows::HeartbeatRow;
 use crate::process::planning::rows::OWNER_KEY;
 use crate::process::planning::rows::OWNER_TABLE;
 use crate::process::planning::rows::OwnerRow;
@@ -149,7 +151,10 @@
     fn apply_row(&mut self, row: &StoredRow) {
         self.changed_at = clock::now();
         if row.name.key == PULSE_KEY {
-            self.shared.view().heartbeat = decode(row).unwrap_or_default();
+            let mut heartbeat: HeartbeatRow = decode(row).unwrap_or_default();
+            let mut view = self.shared.view();
+            view.forecast = PublishedForecast::received(view.forecast.take(), &mut heartbeat);
+            view.heartbeat = heartbeat;
         }
         if row.name.key == OWNER_KEY {
             let is_older = self.owner.as_ref().is_some_and(|(_, version)| *version > row.version);
@@ -230,6 +235,7 @@
         log_event(Level::Info, "planning_started", &[("epoch", &epoch)]);
         let reason = PlannerLoop::run(self.shared.clone(), ownership).await;
         *self.shared.owned() = None;
+        self.shared.metrics.admission.clear_backlog();
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/src/process/planning/planner_client.rs
+++ b/src/process/planning/planner_client.rs
@@ -7,6 +7,7 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 use crate::connection::planner_protocol::PlannerRpc;
 use crate::connection::planner_protocol::PlannerRpcClient;
@@ -22,11 +23,16 @@
 use crate::ids::JobId;
 use crate::ids::RowVersion;
 use crate::process::clock;
+use crate::process::planning::host_admission::answer_request;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::rpc_server::spawn_rpc_server;
+use crate::workflow::admission::admission_control::AdmissionRequest;
+use crate::workflow::admission::admission_control::AdmissionResponse;
 
 /// Timeout of a status call to the owner; after it the state is read from the store.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a request for admission, with its connection; after it the host decides by itself.
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Client of the current owner of planning, which may be this process.
 pub struct PlannerClient {
@@ -62,6 +68,27 @@
             }
         }
     }
+
+    /// Asks the owner, which is another process, whether a job is admitted. Returns
+    /// [`AdmissionResponse::Unknown`] if it does not respond in time.
+    pub async fn request_admission(&self, request: AdmissionRequest) -> AdmissionResponse {
+        let owner = self.shared.view().owner.clone();
+        let Some(owner) = owner.filter(|owner| !owner.released) else {
+            return AdmissionResponse::Unknown;
+        };
+        let call = async {
+            let client = self.connections.client(&owner.address).await.ok()?;
+            client.request_admission(call_within(ADMISSION_TIMEOUT), request).await.ok()
+        };
+        match timeout(ADMISSION_TIMEOUT, call).await {
+            Ok(Some(response)) => response,
+            Ok(None) | Err(_) => {
+                // The connection may be half-open; the next call opens a new one.
+                self.connections.drop_client(&owner.address);
+                AdmissionResponse::Unknown
+            }
+        }
+    }
 }
 
 fn status_answer(status: Option<crate::workflow::progress::JobStatus>) -> StatusResponse {
@@ -103,6 +130,10 @@
         }
         self.shared.store.get(&name).await
     }
+
+    async fn request_admission(self, _: Context, request: AdmissionRequest) -> AdmissionResponse {
+        answer_request(&self.shared, &request)
+    }
 }
 
 fn store_unreachable() -> RowError {
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -15,6 +15,7 @@
 use crate::process::planning::commit_writer::CommitOutcome;
 use crate::process::planning::commit_writer::commit_until_settled;
 use crate::process::planning::decision_log::log_load;
+use crate::process::planning::host_admission::next_forecast;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::planner_loop::StepResult;
 use crate::process::planning::rows::HeartbeatRow;
@@ -165,7 +166,8 @@
         let evacuated_services =
             self.with_planner(|planner| planner.evacuated_services()).unwrap_or_default();
         let epoch = self.ownership.owner.epoch;
-        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services };
+        let admission = next_forecast(&self.shared, epoch);
+        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services, admission };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         transaction.puts.push((name, encode(&heartbeat)));
         if now >= self.interference_due {
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -19,6 +19,7 @@
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
 use crate::process::logging::log_event;
+use crate::workflow::admission::backlog_forecast::BacklogForecast;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_batch::PlanWrite;
 use crate::workflow::progress::JobRecord;
@@ -74,6 +75,9 @@
     /// Services all of whose failure domains are being evacuated.
     #[serde(default)]
     pub evacuated_services: BTreeSet<ServiceName>,
+    /// Forecast from which jobs are admitted; `None` if admission control is disabled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<BacklogForecast>,
 }
 
 /// The address of a node agent or of a planner process.
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -9,6 +9,7 @@
 use crate::ids::DomainName;
 use crate::process::ini_reader::IniReader;
 use crate::process::planning::rows::JobLayout;
+use crate::workflow::admission::admission_policy::AdmissionPolicy;
 
 /// Default time between the stop signal and a forced termination (`stop-grace`).
 const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(6);
@@ -59,6 +60,8 @@
     pub ended_job_retention: Duration,
     /// Time after a request to evacuate a failure domain in which the last run starts there.
     pub evacuation_limit: Duration,
+    /// Rule by which jobs are refused; `None` accepts all.
+    pub admission: Option<AdmissionPolicy>,
 }
 
 impl PlannerSettings {
@@ -92,6 +95,7 @@
             processor_share: reader.value("planner", "processor-share", 1.0),
             ended_job_retention: reader.span("jobs", "kept-for", DEFAULT_JOB_RETENTION),
             evacuation_limit: read_evacuation_limit(&mut reader),
+            admission: read_admission(&mut reader),
         };
         reader.finish().or_value(settings)
     }
@@ -161,6 +165,17 @@
     limit
 }
 
+/// Reads the rule by which jobs are refused. A job that is refused before it exceeds its objective
+/// would still have its full value, so that a multiple below 1 is a mistake.
+fn read_admission(reader: &mut IniReader) -> Option<AdmissionPolicy> {
+    reader.text("admission", "worthless-after")?;
+    let worthless_after = reader.value("admission", "worthless-after", 1.0);
+    if !(1.0..=1_000.0).contains(&worthless_after) {
+        reader.report("admission", "worthless-after", "must be 1 to 1000");
+    }
+    Some(AdmissionPolicy { worthless_after })
+}
+
 fn read_optional_address(reader: &mut IniReader, section: &str, key: &str) -> Option<SocketAddr> {
     let text = reader.text(section, key).filter(|text| !text.is_empty())?;
     let address = text.parse().ok();
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -21,6 +21,7 @@
 use crate::process::clock;
 use crate::process::clock::SteadyClock;
 use crate::process::metrics::ProcessMetrics;
+use crate::process::planning::host_admission::PublishedForecast;
 use crate::process::planning::rows::HeartbeatRow;
 use crate::process::planning::rows::OwnerRow;
 use crate::process::planning::settings::PlannerSettings;
@@ -44,6 +45,8 @@
     pub owner: Option<OwnerRow>,
     /// The owner's latest heartbeat.
     pub heartbeat: HeartbeatRow,
+    /// The latest forecast; `None` if the owner does not control admission.
+    pub forecast: Option<PublishedForecast>,
 }
 
 /// State that exists for the lifetime of the process.
--- a/src/workflow/admission/admission_control.rs
+++ b/src/workflow/admission/admission_control.rs
@@ -130,6 +130,7 @@
     returns: ReturnQueue,
     unseen: BTreeMap<JobId, UnseenJob>,
     expired: Vec<QueueName>,
+    had_places: bool,
 }
 
 impl AdmissionControl {
@@ -155,6 +156,17 @@
         self.returns.len()
     }
 
+    /// Returns whether there were places at the previous call.
+    ///
+    /// ```
+    /// use greengagearch::workflow::admission::admission_control::AdmissionControl;
+    ///
+    /// assert!(!AdmissionControl::default().note_places());
+    /// ```
+    pub fn note_places(&mut self) -> bool {
+        std::mem::replace(&mut self.had_places, !self.returns.is_empty())
+    }
+
     /// Returns the queues of the callers that have not returned in time since the last call, one
     /// for each.
     ///
@@ -193,21 +205,22 @@
         self.unseen.retain(|job, unseen| {
             !is_known(job) && now.saturating_duration_since(unseen.admitted_at) < UNSEEN_RETENTION
         });
-        self.rates.retain(|key, _| sample.rates.contains_key(key));
         let mut promised = self.returns.promised(now);
         let mut open = sample.open;
-        let mut classes = Vec::with_capacity(sample.rates.len());
         for (key, rate) in sample.rates {
-            let average = self.rates.entry(key.clone()).or_default();
-            average.record(rate, now);
-            let work = open.remove(&key).unwrap_or_default().into_iter();
+            self.rates.entry(key).or_default().record(rate, now);
+        }
+        let mut classes = Vec::with_capacity(self.rates.len());
+        // A class whose workers have not reported yet keeps the rate that it had.
+        for (key, average) in &self.rates {
+            let work = open.remove(key).unwrap_or_default().into_iter();
             let open =
                 work.map(|((priority, bucket), core_ms)| SizedWork { priority, bucket, core_ms });
             classes.push(ClassBacklog {
                 rate: average.millicores(),
                 open: open.collect(),
-                promised: promised.remove(&key).unwrap_or_default(),
-                service: key.0,
+                promised: promised.remove(key).unwrap_or_default(),
+                service: key.0.clone(),
                 class: key.1,
             });
         }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -93,3 +93,28 @@
     ];
     assert_eq!(events, all, "{told}");
 }
+
+/// Guards against an explanation that hides that the job was refused for a backlog, or returned.
+#[test]
+fn a_job_that_was_not_admitted_names_forecast_and_limit() {
+    let refused = "time=5.000 level=info event=job_refused job=a1 queue=q reason=backlog expected_end_ms=9100 \
+                   limit_ms=6000 forecast_age_ms=120 retry_after_s=4 place=true";
+    let submitted =
+        "time=5.001 level=info event=job_submitted job=a1 outcome=\"not admitted: backlog\"";
+    let told_refused = told(&[refused, submitted]);
+    let expected = "cause: refused by admission control 1 times, the last time for backlog: expected end after 9100 ms, \
+                    worthless after 6000 ms, asked to return after 4 s\n";
+    assert!(told_refused.ends_with(expected), "{told_refused}");
+    let told_admitted = told(&[
+        refused,
+        submitted,
+        "time=9.000 level=info event=job_returned job=a1 queue=q outcome=admitted waited_ms=4000",
+        "time=9.010 level=info event=job_submitted job=a1 outcome=accepted",
+        "time=9.900 level=info event=job_ended job=a1 end=Completed age_ms=890 objective_ms=2000",
+    ]);
+    assert!(told_admitted.contains("outcome=admitted"), "{told_admitted}");
+    assert!(
+        told_admitted.ends_with("; admitted 4.0 s after the first of 1 refusals\n"),
+        "{told_admitted}"
+    );
+}
