--- a/src/workflow/admission/admission_policy.rs
+++ b/src/workflow/admission/admission_policy.rs
@@ -121,7 +121,8 @@
         if expected_end <= limit || has_waited {
             return AdmissionVerdict::Admit;
         }
-        let retry_after = whole_seconds(expected_end - limit);
+        let retry_after =
+            whole_seconds(forecast.time_to_admission(query.demand, query.extra_core_ms, limit));
         AdmissionVerdict::Refuse { reason: RefusalReason::Backlog, retry_after }
     }
 }
@@ -151,12 +152,13 @@
 
     /// A forecast by which jobs of the same queue wait this long, at 10 cores.
     pub(crate) fn forecast(number: u64, wait_ms: u64) -> BacklogForecast {
-        let work =
-            SizedWork { priority: 2, bucket: size_bucket(10_000) - 1, core_ms: wait_ms * 10 };
+        let bucket = size_bucket(10_000) - 1;
+        let work = SizedWork { priority: 2, bucket, is_late: false, core_ms: wait_ms * 10 };
         let backlog = ClassBacklog {
             service: "s".to_string(),
             class: WorkClass::BestEffort,
             rate: 10_000,
+            late_rate: 0,
             open: vec![work],
             promised: Vec::new(),
         };
@@ -199,4 +201,18 @@
         let urgent = JobDemand { priority: 0, ..demand("q") };
         assert_eq!(large.expected_wait(&urgent, 0), Duration::ZERO);
     }
+
+    /// Guards against refusals of jobs that would meet their objective before late ones, which come
+    /// after them in the order.
+    #[test]
+    fn late_jobs_delay_only_those_that_are_late_as_well() {
+        let mut mixed = forecast(1, 1_000);
+        let late = SizedWork { is_late: true, core_ms: 600_000, ..mixed.classes[0].open[0] };
+        mixed.classes[0].open.push(late);
+        mixed.classes[0].late_rate = 5_000;
+        assert_eq!(mixed.expected_wait(&demand("q"), 0), Duration::from_secs(1));
+        assert_eq!(mixed.expected_wait(&demand("q"), 12_000), Duration::from_millis(122_200));
+        let until = mixed.time_to_admission(&demand("q"), 12_000, Duration::from_secs(9));
+        assert_eq!(until, Duration::from_millis(200));
+    }
 }
--- a/src/workflow/admission/planner_admission.rs
+++ b/src/workflow/admission/planner_admission.rs
@@ -1,6 +1,7 @@
 //! Measurements of the planner for its forecast.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 
 use crate::ids::ServiceName;
 use crate::workflow::admission::admission_control::AdmissionControl;
@@ -99,30 +100,35 @@
     fn backlog_sample(&self) -> BacklogSample {
         let mut sample = BacklogSample::default();
         let mut unmet: BTreeMap<(ServiceName, WorkClass), f64> = BTreeMap::new();
+        let mut late_jobs: HashSet<&str> = HashSet::new();
+        for (job, entry) in self.jobs.iter().filter(|(_, entry)| entry.end.is_none()) {
+            let urgency = JobUrgency::of(entry, self.wall_ms);
+            if urgency.is_late() {
+                late_jobs.insert(job.as_str());
+            }
+            let is_long_running = entry.spec.steps.iter().any(|step| step.long_running);
+            if is_long_running || urgency.is_worthless() {
+                continue;
+            }
+            let key = (entry.spec.policy.service.clone(), WorkClass::of(&entry.spec));
+            *unmet.entry(key.clone()).or_default() += waiting_millicores(entry);
+            let core_ms = self.remaining_core_ms(entry);
+            let place = (entry.spec.policy.priority, size_bucket(core_ms), urgency.is_late());
+            *sample.open.entry(key).or_default().entry(place).or_default() += core_ms;
+        }
         for (_, worker) in self.inventory.iter().filter(|(_, worker)| worker.is_open(self.now)) {
             let Some(service) = worker.status.as_ref().map(|status| &status.service) else {
                 continue;
             };
-            for (class, measured, throttled) in measure_worker(worker) {
+            for (class, measured, throttled) in measure_worker(worker, &late_jobs) {
                 let key = (service.clone(), class);
                 let total = sample.rates.entry(key.clone()).or_default();
                 total.done += measured.done;
+                total.done_on_time += measured.done_on_time;
                 total.available += measured.available;
                 *unmet.entry(key).or_default() += throttled;
             }
         }
-        for entry in self.jobs.values().filter(|entry| entry.end.is_none()) {
-            if entry.spec.steps.iter().any(|step| step.long_running)
-                || JobUrgency::of(entry, self.wall_ms).is_worthless()
-            {
-                continue;
-            }
-            let key = (entry.spec.policy.service.clone(), WorkClass::of(&entry.spec));
-            *unmet.entry(key.clone()).or_default() += waiting_millicores(entry);
-            let core_ms = self.remaining_core_ms(entry);
-            let place = (entry.spec.policy.priority, size_bucket(core_ms));
-            *sample.open.entry(key).or_default().entry(place).or_default() += core_ms;
-        }
         for (key, rate) in &mut sample.rates {
             let lacking = unmet.get(key).copied().unwrap_or(0.0);
             rate.is_saturated = lacking > SATURATION_SHARE * rate.available;
@@ -153,21 +159,28 @@
 
 /// Usage and capacity of a worker by class, and the part of its requests by which runs are
 /// throttled, in thousandths of a core.
-fn measure_worker(worker: &WorkerEntry) -> [(WorkClass, RateSample, f64); 2] {
+fn measure_worker(
+    worker: &WorkerEntry,
+    late_jobs: &HashSet<&str>,
+) -> [(WorkClass, RateSample, f64); 2] {
     let capacity = worker.status.as_ref().map_or(0, |status| status.capacity.millicores) as f64;
     let (mut best_effort, mut reserved) = (RateSample::default(), RateSample::default());
     let (mut long_running, mut throttled) = (0.0, 0.0);
-    for run in worker.assigned.values() {
+    for (key, run) in &worker.assigned {
+        let is_late = late_jobs.contains(key.0.job.as_str());
         let requested = run.millicores as f64;
         let report = run.last_report.as_ref();
         if run.best_effort {
             let pace = report.map_or(100, |report| report.pace_percent.min(100));
             throttled += requested * f64::from(100 - pace) / 100.0;
-            best_effort.done += report.map_or(0, |report| report.usage) as f64;
+            let usage = report.map_or(0, |report| report.usage) as f64;
+            best_effort.done += usage;
+            best_effort.done_on_time += if is_late { 0.0 } else { usage };
         } else if run.long_running {
             long_running += requested;
         } else {
             reserved.done += requested;
+            reserved.done_on_time += if is_late { 0.0 } else { requested };
         }
     }
     let unused = capacity - (long_running + reserved.done) * SERVING_UTILIZATION;
