Admission: test with real processes that refusals are true

Change: tests/admission_path.rs: an overload at three hosts, repeated submissions, a caller that returns as told, a frozen and then killed planner, and the setting absent.

--- /dev/null
+++ b/tests/admission_path.rs
@@ -0,0 +1,148 @@
+//! Admission control with real processes: hosts refuse from the published forecast and ask the planner, and what they say
+//! of a job is true.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+
+use greengagearch_standins::platform_cluster::CALLER_HOST;
+use greengagearch_standins::platform_cluster::PlatformCluster;
+use greengagearch_standins::platform_cluster::job_name;
+use reqwest::StatusCode;
+use reqwest::header::RETRY_AFTER;
+use serde_json::Value;
+use serde_json::json;
+
+const SETTINGS: &str = "[admission]\nworthless-after = 1\n";
+/// A job of three tasks that each take a second on a core; the worker has four.
+fn job() -> Value {
+    json!({ "Spec": "run_ms=1000", "Steps": [
+        { "Count": 3, "Cpu": 1_000, "MemMb": 10, "EstimateMs": 1_000 },
+    ] })
+}
+
+async fn start(planners: usize, lines: &str) -> PlatformCluster {
+    let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap();
+    let mut env = PlatformCluster::start(programs, None, 0, 1).await;
+    env.add_planner_lines(lines);
+    for planner in 0..planners {
+        env.add_planner().await;
+        env.until_ready(planner).await;
+    }
+    env.until(async || env.store.keys("peers").len() == planners).await;
+    env
+}
+
+/// Hands a job in once. Returns the status and the seconds after which to return.
+async fn submit(
+    env: &PlatformCluster,
+    planner: usize,
+    job_number: u64,
+) -> (StatusCode, Option<u64>) {
+    let url = env.url(planner, &format!("/q/{}", job_name(job_number)));
+    let call = env.client().post(url).header("Host", CALLER_HOST).json(&job());
+    let answer = call.send().await.unwrap();
+    let seconds = answer.headers().get(RETRY_AFTER).map(|value| value.to_str().unwrap().parse());
+    (answer.status(), seconds.map(Result::unwrap))
+}
+
+/// Hands jobs in at all hosts in turn, faster than the worker completes them, until some are refused. Returns the numbers of
+/// those that were accepted and refused.
+async fn overload(env: &PlatformCluster, planners: usize) -> (BTreeSet<u64>, BTreeSet<u64>) {
+    let (mut accepted, mut refused) = (BTreeSet::new(), BTreeSet::new());
+    for number in 1..200 {
+        match submit(env, number as usize % planners, number).await {
+            (StatusCode::OK, _) => accepted.insert(number),
+            (StatusCode::TOO_MANY_REQUESTS, Some(seconds)) => {
+                assert!((1..=30).contains(&seconds), "{seconds}");
+                refused.insert(number)
+            }
+            other => panic!("{other:?}"),
+        };
+        if refused.len() >= 8 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    assert!(refused.len() >= 8, "{} jobs were accepted", accepted.len());
+    (accepted, refused)
+}
+
+fn jobs_that_ran(env: &PlatformCluster) -> BTreeSet<String> {
+    let records = env.journal.records();
+    records.iter().filter_map(|record| record.task.split('.').next().map(str::to_string)).collect()
+}
+
+/// Guards against refused jobs that run, accepted jobs that are refused later or lost, and a caller that returns as told and is
+/// not let in.
+#[tokio::test]
+async fn refused_jobs_never_run_and_accepted_ones_always_end() {
+    let env = start(3, SETTINGS).await;
+    let (accepted, mut refused) = overload(&env, 3).await;
+    for number in accepted.iter().take(5) {
+        let repeated = submit(&env, 1, *number).await.0;
+        assert_eq!(
+            repeated,
+            StatusCode::OK,
+            "a job that is stored is accepted whatever the backlog"
+        );
+    }
+    let returning = *refused.first().unwrap();
+    refused.remove(&returning);
+    let limit = tokio::time::Instant::now() + Duration::from_secs(45);
+    while let (StatusCode::TOO_MANY_REQUESTS, seconds) = submit(&env, 2, returning).await {
+        assert!(
+            tokio::time::Instant::now() < limit,
+            "the caller is told to return again and again"
+        );
+        tokio::time::sleep(Duration::from_secs(seconds.unwrap())).await;
+    }
+    for number in accepted.iter().chain([&returning]) {
+        env.until_state(0, &job_name(*number), "completed").await;
+    }
+    let ran = jobs_that_ran(&env);
+    assert!(refused.iter().all(|number| !ran.contains(&job_name(*number))), "{refused:?} {ran:?}");
+    assert_eq!(ran.len(), accepted.len() + 1);
+    env.assert_nothing_doubled();
+}
+
+/// Guards against hosts that refuse everything, or wait for the planner, when it does not answer, and against a successor that
+/// refuses without need.
+#[tokio::test]
+async fn a_frozen_planner_delays_no_answer_and_its_successor_admits() {
+    let mut env = start(2, SETTINGS).await;
+    let owner = env.store.changes_of("ownership", Some("planner"));
+    assert!(owner > 0);
+    let (accepted, refused) = overload(&env, 2).await;
+    // The first host is the planner, since it started alone.
+    env.planners[0].process.signal("STOP");
+    let (mut admitted, mut answers) = (0, 0);
+    for number in 500..520 {
+        let asked_at = tokio::time::Instant::now();
+        let (status, _) = submit(&env, 1, number).await;
+        assert!(asked_at.elapsed() < Duration::from_millis(900), "{:?}", asked_at.elapsed());
+        assert!([StatusCode::OK, StatusCode::TOO_MANY_REQUESTS].contains(&status), "{status}");
+        admitted += u64::from(status == StatusCode::OK);
+        answers += 1;
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    assert!(admitted > 0 && answers == 20, "{admitted} of {answers}");
+    env.planners[0].process.kill();
+    for number in &accepted {
+        env.until_state(1, &job_name(*number), "completed").await;
+    }
+    env.until(async || submit(&env, 1, 900).await.0 == StatusCode::OK).await;
+    env.until_state(1, &job_name(900), "completed").await;
+    let ran = jobs_that_ran(&env);
+    assert!(refused.iter().all(|number| !ran.contains(&job_name(*number))));
+    env.assert_nothing_doubled();
+}
+
+/// Guards against refusals where admission control is not enabled.
+#[tokio::test]
+async fn without_the_setting_everything_is_accepted() {
+    let env = start(2, "").await;
+    for number in 1..60 {
+        assert_eq!(submit(&env, number as usize % 2, number).await.0, StatusCode::OK);
+    }
+}
