--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -14,6 +14,13 @@
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerSnapshot;
 use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::workflow::admission::admission_control::AdmissionRequest;
+use greengagearch::workflow::admission::admission_control::AdmissionResponse;
+use greengagearch::workflow::admission::admission_ledger::AdmissionLedger;
+use greengagearch::workflow::admission::admission_ledger::ForecastView;
+use greengagearch::workflow::admission::admission_policy::AdmissionPolicy;
+use greengagearch::workflow::admission::admission_policy::AdmissionVerdict;
+use greengagearch::workflow::admission::job_demand::JobDemand;
 use greengagearch::workflow::planner::Planner;
 use greengagearch::workflow::progress::JobRecord;
 use greengagearch::workflow::spec::QueuePolicy;
@@ -29,6 +36,8 @@
 /// Tail of a serving task near its target, in milliseconds.
 const TAIL_MS: u64 = 42;
 const TARGET_MS: u64 = 50;
+/// Open jobs when a job is refused.
+const OPEN_JOBS: usize = 5_000;
 
 /// A planner, its clock, and what its workers run.
 struct BusyFleet {
@@ -59,25 +68,9 @@
     }
 
     fn submit(&mut self, job: &str, step: StepSpec) {
-        let policy = QueuePolicy {
-            queue: "q".to_string(),
-            service: "s".to_string(),
-            priority: 0,
-            max_attempts: 2,
-            stretch: 2.0,
-            target_ms: 500,
-            advice: None,
-        };
-        let spec = WorkflowSpec {
-            policy,
-            payload: "work".to_string(),
-            steps: vec![step],
-            times: 0,
-            first_due_ms: 0,
-            interval_ms: 0,
-            accepted_ms: 0,
-        };
-        self.planner.on_record(job, 1, JobRecord::Live { spec, cancelled: false });
+        let spec = spec_of(step);
+        let record = JobRecord::Live { spec, cancelled: false };
+        self.planner.on_record(job, 1, record);
     }
 
     fn report_of(&self, worker: usize) -> NodeReport {
@@ -134,6 +127,27 @@
     }
 }
 
+fn spec_of(step: StepSpec) -> WorkflowSpec {
+    let policy = QueuePolicy {
+        queue: "q".to_string(),
+        service: "s".to_string(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        target_ms: 500,
+        advice: None,
+    };
+    WorkflowSpec {
+        policy,
+        payload: "work".to_string(),
+        steps: vec![step],
+        times: 0,
+        first_due_ms: 0,
+        interval_ms: 0,
+        accepted_ms: 0,
+    }
+}
+
 fn instance(worker: usize) -> String {
     format!("i-{worker:04}")
 }
@@ -161,6 +175,10 @@
     }
 }
 
+fn large(number: usize) -> StepSpec {
+    StepSpec { count: 20, ..filling(number) }
+}
+
 fn bench_round(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("planner-round");
     group.sample_size(20);
@@ -189,5 +207,44 @@
     group.finish();
 }
 
-criterion_group!(benches, bench_round, bench_report);
+/// A refusal with many open jobs: at a host from the published forecast, at the planner with a place, and the forecast itself,
+/// which is computed with each heartbeat.
+fn bench_admission(criterion: &mut Criterion) {
+    let mut fleet = BusyFleet::new(74);
+    for number in 0..OPEN_JOBS {
+        fleet.submit(&format!("open-{number:04}"), large(number));
+    }
+    fleet.round();
+    let policy = AdmissionPolicy { worthless_after: 3.0 };
+    fleet.planner.update_admission(policy, None);
+    let demand = JobDemand::of(&spec_of(large(0)), 1.0).expect("a job that may be refused");
+    let forecast = fleet.planner.admission().forecast().cloned().expect("a forecast");
+    let mut group = criterion.benchmark_group("admission-5000-open");
+    group.sample_size(20);
+    group.bench_function("refusal-at-host", |bencher| {
+        let mut ledger = AdmissionLedger::default();
+        let view = ForecastView { forecast: &forecast, epoch: 1, age: Duration::ZERO, hosts: 8 };
+        bencher.iter(|| {
+            let verdict = ledger.decide(policy, Some(view), black_box(&demand), fleet.now);
+            assert_ne!(verdict, AdmissionVerdict::Admit);
+        });
+    });
+    group.bench_function("refusal-at-planner", |bencher| {
+        let mut planner = fleet.planner.clone();
+        let mut number = 0_u64;
+        bencher.iter(|| {
+            number += 1;
+            let request = AdmissionRequest { job: number.to_string(), demand: demand.clone() };
+            let response = planner.request_admission(black_box(&request));
+            assert!(matches!(response, AdmissionResponse::Refused(..)));
+        });
+    });
+    group.bench_function("forecast", |bencher| {
+        let mut planner = fleet.planner.clone();
+        bencher.iter(|| planner.update_admission(policy, None));
+    });
+    group.finish();
+}
+
+criterion_group!(benches, bench_round, bench_report, bench_admission);
 criterion_main!(benches);
--- a/src/workflow/admission/admission_control.rs
+++ b/src/workflow/admission/admission_control.rs
@@ -10,7 +10,6 @@
 
 use crate::ids::JobId;
 use crate::ids::QueueName;
-use crate::ids::ServiceName;
 use crate::workflow::admission::admission_policy::AdmissionPolicy;
 use crate::workflow::admission::admission_policy::AdmissionQuery;
 use crate::workflow::admission::admission_policy::AdmissionVerdict;
@@ -23,8 +22,8 @@
 use crate::workflow::admission::backlog_forecast::ClassBacklog;
 use crate::workflow::admission::backlog_forecast::SizedWork;
 use crate::workflow::admission::backlog_forecast::size_bucket;
+use crate::workflow::admission::job_demand::ClassKey;
 use crate::workflow::admission::job_demand::JobDemand;
-use crate::workflow::admission::job_demand::WorkClass;
 use crate::workflow::admission::return_queue::CountedPlaces;
 use crate::workflow::admission::return_queue::ReturnQueue;
 use crate::workflow::admission::work_rate::RateSample;
@@ -111,13 +110,16 @@
     admitted_at: Instant,
 }
 
+/// Priority, size bucket, and whether the jobs are late.
+type SizeKey = (u32, u8, bool);
+
 /// What the planner measures for a forecast.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BacklogSample {
     /// Usage and capacity by class.
-    pub(crate) rates: BTreeMap<(ServiceName, WorkClass), RateSample>,
-    /// Open work by class, priority, size bucket and whether it is late.
-    pub(crate) open: BTreeMap<(ServiceName, WorkClass), BTreeMap<(u32, u8, bool), u64>>,
+    pub(crate) rates: BTreeMap<ClassKey, RateSample>,
+    /// Open work by class and size.
+    pub(crate) open: BTreeMap<ClassKey, BTreeMap<SizeKey, u64>>,
 }
 
 /// Forecast, places and learned ratios of the planner.
@@ -126,7 +128,7 @@
     policy: Option<AdmissionPolicy>,
     forecast: BacklogForecast,
     computed_at: Option<Instant>,
-    rates: BTreeMap<(ServiceName, WorkClass), WorkRate>,
+    rates: BTreeMap<ClassKey, WorkRate>,
     pub(crate) ratios: WorkRatios,
     returns: ReturnQueue,
     unseen: BTreeMap<JobId, UnseenJob>,
@@ -336,6 +338,7 @@
     use super::*;
     use crate::workflow::admission::admission_policy::tests::POLICY;
     use crate::workflow::admission::admission_policy::tests::demand;
+    use crate::workflow::admission::job_demand::WorkClass;
 
     const RATE: f64 = 10_000.0;
 
--- a/src/workflow/admission/admission_ledger.rs
+++ b/src/workflow/admission/admission_ledger.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use crate::ids::PlannerEpoch;
-use crate::ids::ServiceName;
 use crate::workflow::admission::admission_policy::AdmissionPolicy;
 use crate::workflow::admission::admission_policy::AdmissionQuery;
 use crate::workflow::admission::admission_policy::AdmissionVerdict;
@@ -14,8 +13,8 @@
 use crate::workflow::admission::admission_policy::RefusalReason;
 use crate::workflow::admission::admission_policy::whole_seconds;
 use crate::workflow::admission::backlog_forecast::BacklogForecast;
+use crate::workflow::admission::job_demand::ClassKey;
 use crate::workflow::admission::job_demand::JobDemand;
-use crate::workflow::admission::job_demand::WorkClass;
 
 /// Unused allowance of a host without a fresh forecast that is kept, as a time at its rate.
 const MAX_SAVED_ALLOWANCE: Duration = Duration::from_secs(1);
@@ -33,8 +32,6 @@
     pub hosts: usize,
 }
 
-type ClassKey = (ServiceName, WorkClass);
-
 /// What this host may still accept of a class without a fresh forecast.
 #[derive(Clone, Copy, Debug)]
 struct StaleAllowance {
--- a/src/workflow/admission/job_demand.rs
+++ b/src/workflow/admission/job_demand.rs
@@ -20,6 +20,9 @@
     Reserved,
 }
 
+/// A class of a service.
+pub type ClassKey = (ServiceName, WorkClass);
+
 impl WorkClass {
     /// The class of a job, which is best-effort if any of its steps is.
     ///
--- a/src/workflow/admission/planner_admission.rs
+++ b/src/workflow/admission/planner_admission.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashSet;
 
-use crate::ids::ServiceName;
 use crate::workflow::admission::admission_control::AdmissionControl;
 use crate::workflow::admission::admission_control::AdmissionRequest;
 use crate::workflow::admission::admission_control::AdmissionResponse;
@@ -11,6 +10,7 @@
 use crate::workflow::admission::admission_policy::AdmissionPolicy;
 use crate::workflow::admission::backlog_forecast::BacklogForecast;
 use crate::workflow::admission::backlog_forecast::size_bucket;
+use crate::workflow::admission::job_demand::ClassKey;
 use crate::workflow::admission::job_demand::WorkClass;
 use crate::workflow::admission::job_demand::is_refusable;
 use crate::workflow::admission::work_rate::RateSample;
@@ -99,7 +99,7 @@
     /// the order and precede no new job, so that they do not count.
     fn backlog_sample(&self) -> BacklogSample {
         let mut sample = BacklogSample::default();
-        let mut unmet: BTreeMap<(ServiceName, WorkClass), f64> = BTreeMap::new();
+        let mut unmet: BTreeMap<ClassKey, f64> = BTreeMap::new();
         let mut late_jobs: HashSet<&str> = HashSet::new();
         for (job, entry) in self.jobs.iter().filter(|(_, entry)| entry.end.is_none()) {
             let urgency = JobUrgency::of(entry, self.wall_ms);
--- a/src/workflow/admission/return_queue.rs
+++ b/src/workflow/admission/return_queue.rs
@@ -11,10 +11,9 @@
 
 use crate::ids::JobId;
 use crate::ids::QueueName;
-use crate::ids::ServiceName;
 use crate::workflow::admission::backlog_forecast::SizedWork;
+use crate::workflow::admission::job_demand::ClassKey;
 use crate::workflow::admission::job_demand::JobDemand;
-use crate::workflow::admission::job_demand::WorkClass;
 
 /// Maximum number of places, at 250 bytes each.
 const MAX_PLACES: usize = 1_024;
@@ -137,10 +136,7 @@
 
     /// Work of the places that are due, by class, to publish it. It is in the smallest bucket, since
     /// it precedes all jobs without a place.
-    pub(crate) fn promised(
-        &self,
-        now: Instant,
-    ) -> BTreeMap<(ServiceName, WorkClass), Vec<SizedWork>> {
+    pub(crate) fn promised(&self, now: Instant) -> BTreeMap<ClassKey, Vec<SizedWork>> {
         let mut promised: BTreeMap<_, Vec<SizedWork>> = BTreeMap::new();
         for place in self.places.values().filter(|place| place.is_due(now)) {
             let key = (place.demand.service.clone(), place.demand.class);
@@ -272,6 +268,7 @@
 mod tests {
     use super::*;
     use crate::workflow::admission::admission_policy::tests::demand;
+    use crate::workflow::admission::job_demand::WorkClass;
 
     const RETRY: Duration = Duration::from_secs(2);
 
--- a/tests/admission_load.rs
+++ b/tests/admission_load.rs
@@ -318,3 +318,35 @@
     assert_eq!(outcome.refusals.len(), 0, "{outcome:?}");
     assert!(outcome.accepted["bulk"] > 200, "{outcome:?}");
 }
+
+/// Guards against a backlog of cancelled jobs, and against declared durations that are believed although the jobs of their queue
+/// have taken three times as long.
+#[test]
+fn cancelled_jobs_leave_the_backlog_and_completed_ones_teach_what_work_costs() {
+    let mut fleet = PlannedFleet::new(&WORKERS);
+    let open_core_ms = |fleet: &mut PlannedFleet| -> u64 {
+        fleet.planner.update_admission(POLICY, None);
+        let forecast = fleet.planner.admission().forecast().unwrap();
+        forecast.classes.iter().map(|class| class.open_core_ms()).sum()
+    };
+    for number in 0..10 {
+        fleet.submit(&format!("a{number}"), quick(0));
+        fleet.round();
+        for percent in [1, 41, 81] {
+            for runner in fleet.runners.values_mut() {
+                runner.present.values_mut().for_each(|run| run.progress_percent = percent);
+            }
+            fleet.report_all();
+            fleet.pass(Duration::from_millis(600));
+        }
+        fleet.end_all(RunEnd::Done);
+        assert!(fleet.finish(&format!("a{number}"), 5).is_some());
+    }
+    assert_eq!(open_core_ms(&mut fleet), 0);
+    let ratio = fleet.planner.admission().forecast().unwrap().ratio("quick");
+    assert!((2.5..=3.5).contains(&ratio), "{ratio}");
+    fleet.submit("b", WorkflowSpec { accepted_ms: fleet.wall_ms, ..quick(0) });
+    assert_eq!(open_core_ms(&mut fleet), (500.0 * ratio) as u64);
+    fleet.cancel("b");
+    assert_eq!(open_core_ms(&mut fleet), 0);
+}
--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -3,8 +3,24 @@
 
 use std::collections::BTreeSet;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
+use greengagearch::platform::caller_gate;
+use greengagearch::process::gate::CallDeadline;
+use greengagearch::process::gate::JobGate;
+use greengagearch::process::gate::JobRefusal;
+use greengagearch::process::http_server::HttpLimits;
+use greengagearch::process::http_server::spawn_http_server;
+use greengagearch::process::planning::job_http;
+use greengagearch::process::stop_signal::StopSwitch;
+use greengagearch::version::queue_table::QueueRoute;
+use greengagearch::version::queue_table::QueueTable;
+use greengagearch::version::queue_table::RequestLimits;
+use greengagearch::workflow::progress::JobStatus;
+use greengagearch::workflow::spec::QueuePolicy;
+use greengagearch::workflow::spec::WorkflowSpec;
 use greengagearch_standins::platform_cluster::CALLER_HOST;
 use greengagearch_standins::platform_cluster::PlatformCluster;
 use greengagearch_standins::platform_cluster::job_name;
@@ -12,6 +28,7 @@
 use reqwest::header::RETRY_AFTER;
 use serde_json::Value;
 use serde_json::json;
+use tokio::net::TcpListener;
 
 const SETTINGS: &str = "[admission]\nworthless-after = 1\n";
 /// A job of three tasks that each take a second on a core; the worker has four.
@@ -146,3 +163,66 @@
         assert_eq!(submit(&env, number as usize % 2, number).await.0, StatusCode::OK);
     }
 }
+
+/// A service that admits nothing.
+struct ClosedGate;
+
+#[async_trait]
+impl JobGate for ClosedGate {
+    fn is_ready(&self) -> bool {
+        true
+    }
+
+    fn queues(&self) -> Option<Arc<QueueTable>> {
+        let policy = QueuePolicy { queue: "q".to_string(), ..WorkflowSpec::unknown().policy };
+        let route = QueueRoute { prefix: "/q/".to_string(), policy };
+        let limits = RequestLimits { max_body_bytes: 10_000 };
+        Some(Arc::new(QueueTable::new(1, limits, vec![(CALLER_HOST.to_string(), route)])))
+    }
+
+    fn wall_millis(&self) -> u64 {
+        0
+    }
+
+    async fn submit(&self, _: &str, _: WorkflowSpec, _: CallDeadline) -> Result<(), JobRefusal> {
+        let retry_after = Duration::from_secs(7);
+        Err(JobRefusal::NotAdmitted { reason: "backlog".to_string(), retry_after })
+    }
+
+    async fn status(&self, _: &str, _: CallDeadline) -> Result<Option<JobStatus>, JobRefusal> {
+        Ok(None)
+    }
+
+    async fn cancel(&self, _: &str, _: CallDeadline) -> Result<bool, JobRefusal> {
+        Ok(false)
+    }
+
+    fn pending(&self, _: &str) -> u64 {
+        0
+    }
+}
+
+/// Guards against a listener that answers with a constant time instead of the one that was decided.
+#[tokio::test]
+async fn both_listeners_tell_when_to_return() {
+    let (_switch, stop) = StopSwitch::new();
+    let gate: Arc<dyn JobGate> = Arc::new(ClosedGate);
+    let routers = [
+        (caller_gate::router(gate.clone()), format!("/q/{}", job_name(1))),
+        (job_http::router(gate), "/v1/workflows".to_string()),
+    ];
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    for (router, path) in routers {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let url = format!("http://{}{path}", listener.local_addr().unwrap());
+        spawn_http_server(listener, router, HttpLimits::default(), stop.clone());
+        let body = if path.starts_with("/q/") {
+            job()
+        } else {
+            json!({ "id": "a", "queue": "q", "steps": [{ "count": 1 }] })
+        };
+        let answer = client.post(url).header("Host", CALLER_HOST).json(&body).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::TOO_MANY_REQUESTS, "{path}");
+        assert_eq!(answer.headers()[RETRY_AFTER], "7", "{path}");
+    }
+}
