Planner: order of jobs and preemption by shares of queues

The planner measures the usage and demand of queues in each round and tick while weights are set, ranks jobs by the share of their queue between priority and remaining work (urgency.rs), and preempts borrowed runs for a queue that has been below its entitlement for a second, reserving their resources for its task. A job whose wait exceeds the bound comes first in its priority; that it began so is stored with its first task, so that it keeps its place under a successor.

--- a/src/workflow/job_precedence.rs
+++ b/src/workflow/job_precedence.rs
@@ -65,6 +65,10 @@
             let Some(entry) = self.jobs.get(*job).filter(|entry| entry.is_best_effort()) else {
                 continue;
             };
+            // A job that comes first by its wait is late and has a quarter of the capacity already.
+            if urgency.is_first_by_wait() {
+                continue;
+            }
             // A late job gains nothing from precedence, and the first one always has it.
             if urgency.is_late() || (requested > 0.0 && requested >= limit) {
                 break;
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -26,6 +26,7 @@
 pub mod planner_preemption;
 pub mod planner_reports;
 pub mod planner_rounds;
+pub mod planner_shares;
 mod planner_traits;
 pub mod progress;
 pub mod remaining_work;
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -15,7 +15,7 @@
 
 /// Minimum share of its requested processor time that must be left for a best-effort task. With
 /// less it would occupy memory and delay the other best-effort tasks more than it gains.
-const MIN_BEST_EFFORT_SHARE: f64 = 0.5;
+pub(crate) const MIN_BEST_EFFORT_SHARE: f64 = 0.5;
 /// Cost of a worker outside the preferred rack, as a share of its capacity; equals the cost of the
 /// longest run there.
 const OFF_RACK_COST: f64 = 0.5;
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -5,6 +5,7 @@
 use crate::ids::DomainName;
 use crate::ids::InstanceId;
 use crate::ids::JobId;
+use crate::ids::QueueName;
 use crate::ids::RowVersion;
 use crate::ids::RunNumber;
 use crate::workflow::progress::JobEnd;
@@ -48,6 +49,29 @@
     WorkerLost(LossReason),
 }
 
+/// A run that is stopped to return resources to the queue that is entitled to them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareReclaim {
+    /// Queue that gets the resources.
+    pub queue: QueueName,
+    /// Queue of the stopped run.
+    pub from: QueueName,
+    /// Task of the stopped run.
+    pub task: TaskName,
+    /// Number of the stopped run.
+    pub run: RunNumber,
+    /// Worker that the run is on.
+    pub worker: InstanceId,
+    /// Task that gets the resources.
+    pub preemptor: TaskName,
+    /// Share of the service's capacity that the queue uses, and that it is entitled to.
+    pub share: (f64, f64),
+    /// The same of the queue of the stopped run.
+    pub from_share: (f64, f64),
+    /// Time for which the queue has been below its entitlement, in milliseconds.
+    pub waited_ms: u64,
+}
+
 /// A decision of the planner, or a change in its view of a worker or task.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlanDecision {
@@ -195,6 +219,8 @@
         /// Task that gets the resources.
         preemptor: TaskName,
     },
+    /// A run of a queue that uses more than its entitlement is stopped for a queue below its own.
+    ShareReclaimed(ShareReclaim),
     /// A job has ended.
     JobEnded {
         /// Job that ended.
@@ -292,6 +318,7 @@
             PlanDecision::EvacuationUnknown { .. } => "evacuation_unknown",
             PlanDecision::Moved { .. } => "moved",
             PlanDecision::Preempted { .. } => "displaced",
+            PlanDecision::ShareReclaimed(_) => "share_reclaimed",
             PlanDecision::JobEnded { .. } => "job_ended",
             PlanDecision::WorkerSuspected { .. } => "worker_suspected",
             PlanDecision::WorkerTrusted { .. } => "worker_trusted",
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -27,11 +27,11 @@
 use crate::workflow::plan_decision::EndCause;
 use crate::workflow::plan_decision::LossReason;
 use crate::workflow::plan_decision::PlanDecision;
-use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_consolidation::ConsolidationState;
 use crate::workflow::planner_evacuation::KnownEvacuations;
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
+use crate::workflow::planner_shares::FairShareState;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::start_doubts::StartDoubts;
 use crate::workflow::task_name::TaskName;
@@ -70,6 +70,7 @@
     pub(crate) acked_ends: BTreeMap<InstanceId, u64>,
     pub(crate) evacuations: KnownEvacuations,
     pub(crate) precedence: JobPrecedence,
+    pub(crate) fair_share: FairShareState,
     /// Time by which all leases granted by earlier planners have expired.
     pub(crate) inherited_lease_end: Instant,
 }
@@ -108,6 +109,7 @@
             acked_ends: BTreeMap::new(),
             evacuations: KnownEvacuations::default(),
             precedence: JobPrecedence::default(),
+            fair_share: FairShareState::default(),
             inherited_lease_end,
         }
     }
@@ -161,6 +163,7 @@
         self.leave_draining();
         self.leave_evacuated();
         self.consolidate();
+        self.reclaim_shares();
         for entry in self.jobs.values_mut() {
             entry.remaining_work = None;
             let spec = &entry.spec;
@@ -439,16 +442,4 @@
             self.give_up_task(task, instance);
         }
     }
-
-    /// Returns the next batch of rows to store, if any row has changed.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert!(planner.take_batch().is_none());
-    /// ```
-    pub fn take_batch(&mut self) -> Option<PlanBatch> {
-        PlanBatch::take(self)
-    }
 }
--- a/src/workflow/planner_consolidation.rs
+++ b/src/workflow/planner_consolidation.rs
@@ -24,6 +24,7 @@
 use crate::workflow::serving_layout::serving_runs;
 use crate::workflow::spec::ResourceVector;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::task_progress::TaskProgress;
 use crate::workflow::worker_inventory::RunKey;
 
 /// Minimum time between two evaluations of the layout; a move takes longer than that.
@@ -248,16 +249,20 @@
         let Some(tasks) = steps.and_then(|steps| steps.get(name.step as usize)) else {
             return false;
         };
-        (0..).zip(tasks).all(|(index, task)| {
-            let [attempt] = task.attempts.as_slice() else {
-                return false;
-            };
-            let key = (TaskName { index, ..name.clone() }, attempt.run);
-            let worker = self.inventory.get(&attempt.worker);
-            let reported =
-                worker.and_then(|worker| worker.assigned.get(&key)).filter(|run| !run.stopping);
-            let reported = reported.and_then(|run| run.last_report.as_ref());
-            reported.is_some_and(|reported| reported.progress_percent >= WORKING_PERCENT)
-        })
+        let mut tasks = (0..).zip(tasks);
+        tasks.all(|(index, task)| self.is_task_working(TaskName { index, ..name.clone() }, task))
+    }
+
+    /// Whether a long-running task has exactly one run, which works and is not stopping.
+    pub(crate) fn is_task_working(&self, name: TaskName, task: &TaskProgress) -> bool {
+        let [attempt] = task.attempts.as_slice() else {
+            return false;
+        };
+        let key = (name, attempt.run);
+        let worker = self.inventory.get(&attempt.worker);
+        let reported =
+            worker.and_then(|worker| worker.assigned.get(&key)).filter(|run| !run.stopping);
+        let reported = reported.and_then(|run| run.last_report.as_ref());
+        reported.is_some_and(|reported| reported.progress_percent >= WORKING_PERCENT)
     }
 }
--- a/src/workflow/planner_preemption.rs
+++ b/src/workflow/planner_preemption.rs
@@ -119,7 +119,7 @@
 
     /// Processor time lost by stopping a run. A task with checkpoints loses only the work since the
     /// last one.
-    fn lost_processor_time(&self, run: &AssignedRun) -> u64 {
+    pub(crate) fn lost_processor_time(&self, run: &AssignedRun) -> u64 {
         let ran = self.now.saturating_duration_since(run.assigned_at);
         let loss = if run.checkpoints { ran.min(MAX_CHECKPOINT_INTERVAL) } else { ran };
         u64::try_from(loss.as_millis()).unwrap_or(u64::MAX).saturating_mul(run.millicores)
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -21,7 +21,6 @@
 use crate::workflow::task_progress::RunAttempt;
 use crate::workflow::task_progress::TaskProgress;
 use crate::workflow::unplaceable_requests::UnplaceableRequests;
-use crate::workflow::urgency::JobUrgency;
 use crate::workflow::worker_entry::Competitors;
 use crate::workflow::worker_entry::WorkerEntry;
 
@@ -57,10 +56,8 @@
         for entry in self.jobs.values_mut().filter(|entry| entry.remaining_work.is_none()) {
             entry.remaining_work = Some(RemainingWork::of(entry));
         }
-        let open = self.jobs.iter().filter(|(_, entry)| entry.end.is_none());
-        let mut order: Vec<(JobUrgency<'_>, &JobId)> =
-            open.map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job)).collect();
-        order.sort();
+        self.update_shares();
+        let order = self.job_order();
         let preferred = self.preferred_jobs(&order);
         let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
         self.set_preferred_jobs(preferred);
@@ -69,7 +66,9 @@
         let mut unplaceable = UnplaceableRequests::default();
         let isolated = self.start_isolated();
         let others = jobs.iter().map(|job| self.plan_job(job, &reserved, &mut unplaceable));
-        isolated + others.sum::<usize>()
+        let started = isolated + others.sum::<usize>();
+        self.record_starts_by_wait();
+        started
     }
 
     fn plan_job(
--- /dev/null
+++ b/src/workflow/planner_shares.rs
@@ -0,0 +1,542 @@
+//! Shares of queues and the bound on waiting: what the planner measures for them, and the runs that
+//! it preempts for a queue that is owed resources.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::ids::InstanceId;
+use crate::ids::JobId;
+use crate::ids::QueueName;
+use crate::ids::ServiceName;
+use crate::workflow::assigned_run::AssignedRun;
+use crate::workflow::fair_share::dominant_share::DominantShare;
+use crate::workflow::fair_share::reclaim_policy::CLAIM_LIFETIME;
+use crate::workflow::fair_share::reclaim_policy::ReclaimCandidate;
+use crate::workflow::fair_share::reclaim_policy::ReclaimChoice;
+use crate::workflow::fair_share::reclaim_policy::ReclaimPolicy;
+use crate::workflow::fair_share::reclaim_policy::ReclaimRequest;
+use crate::workflow::fair_share::reclaim_policy::ShareClaim;
+use crate::workflow::fair_share::share_ledger::QueueDemand;
+use crate::workflow::fair_share::share_ledger::ShareLedger;
+use crate::workflow::fair_share::share_settings::ShareSettings;
+use crate::workflow::fair_share::wait_bound::WaitBound;
+use crate::workflow::fair_share::wait_bound::WaitCandidate;
+use crate::workflow::placement::MIN_BEST_EFFORT_SHARE;
+use crate::workflow::placement::RiskLimit;
+use crate::workflow::placement::is_eligible;
+use crate::workflow::plan_decision::PlanDecision;
+use crate::workflow::plan_decision::ShareReclaim;
+use crate::workflow::planner::Planner;
+use crate::workflow::planner_jobs::JobEntry;
+use crate::workflow::spec::ResourceVector;
+use crate::workflow::spec::StepSpec;
+use crate::workflow::task_name::TaskName;
+use crate::workflow::task_progress::TaskProgress;
+use crate::workflow::urgency::JobUrgency;
+use crate::workflow::worker_entry::Competitors;
+use crate::workflow::worker_entry::WorkerEntry;
+
+/// Maximum number of claims that are met in one tick, so that a tick stays short with many queues.
+const MAX_CLAIMS_PER_TICK: usize = 2;
+/// Maximum number of tasks of a queue for which a worker is sought in one tick.
+const MAX_TASKS_PER_CLAIM: usize = 4;
+
+/// Settings of fair sharing and the state that follows from them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairShareState {
+    settings: ShareSettings,
+    /// Shares as of the last planning round or tick.
+    ledger: ShareLedger,
+    reclaim: ReclaimPolicy,
+    /// Jobs that come first in their priority because their wait exceeds the bound.
+    first_by_wait: HashSet<JobId>,
+}
+
+impl FairShareState {
+    /// Whether a job comes first in its priority because its wait exceeds the bound.
+    pub(crate) fn is_first_by_wait(&self, job: &str) -> bool {
+        self.first_by_wait.contains(job)
+    }
+}
+
+impl JobEntry {
+    /// Resources that the tasks request which are ready and not running, and their number. The
+    /// processor time of best-effort tasks is included.
+    pub(crate) fn waiting_resources(&self) -> (ResourceVector, usize) {
+        self.requested_resources(|task| !task.done && task.attempts.is_empty())
+    }
+
+    /// Resources that the matching tasks of ready steps request, and their number.
+    fn requested_resources(
+        &self,
+        matches: impl Fn(&TaskProgress) -> bool,
+    ) -> (ResourceVector, usize) {
+        let (mut requested, mut count) = (ResourceVector::default(), 0);
+        for (occurrence, steps) in &self.progress.open {
+            for (tasks, step) in steps.iter().zip(&self.spec.steps) {
+                if self.progress.is_ready(*occurrence, step) {
+                    let tasks = tasks.iter().filter(|task| matches(task)).count();
+                    requested = requested.plus(&times(&step.resources, tasks as u64));
+                    count += tasks;
+                }
+            }
+        }
+        (requested, count)
+    }
+
+    /// Number and tasks of the first open occurrence.
+    fn first_open(&self) -> Option<(u32, impl Iterator<Item = &TaskProgress>)> {
+        let (occurrence, steps) = self.progress.open.iter().next()?;
+        Some((*occurrence, steps.iter().flatten()))
+    }
+
+    /// Whether any task of the first open occurrence has ever had a run.
+    fn has_begun(&self) -> bool {
+        let has_run = |task: &TaskProgress| task.done || task.last_run > 0;
+        self.first_open().is_some_and(|(_, mut tasks)| tasks.any(has_run))
+    }
+
+    fn has_begun_by_wait(&self) -> bool {
+        let first = self.first_open().and_then(|(_, mut tasks)| tasks.next());
+        first.is_some_and(|task| task.began_by_wait)
+    }
+}
+
+/// Capacity of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceCapacity {
+    total: ResourceVector,
+    /// Processor time that is left for best-effort tasks, in thousandths of a core.
+    best_effort_millicores: f64,
+}
+
+impl Planner {
+    /// Sets the weights of queues and the bound on waiting; they count from the next round on.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::planner::Planner;
+    ///
+    /// let mut planner = Planner::new(Instant::now());
+    /// planner.set_share_settings(Default::default());
+    /// assert!(planner.share_ledger().is_none());
+    /// ```
+    pub fn set_share_settings(&mut self, settings: ShareSettings) {
+        self.fair_share.settings = settings;
+    }
+
+    /// Returns the shares of all queues as of the last round or tick; `None` without weights.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.share_ledger().is_none());
+    /// ```
+    pub fn share_ledger(&self) -> Option<&ShareLedger> {
+        self.fair_share.settings.has_weights().then_some(&self.fair_share.ledger)
+    }
+
+    /// Computes the shares of queues and the jobs whose wait exceeds the bound, as far as settings
+    /// ask for them.
+    pub(crate) fn update_shares(&mut self) {
+        if self.fair_share.settings.has_weights() {
+            self.fair_share.ledger = self.measure_shares();
+        }
+        self.fair_share.first_by_wait = match self.fair_share.settings.longest_wait {
+            Some(longest_wait) => self.jobs_first_by_wait(WaitBound { longest_wait }),
+            None => HashSet::new(),
+        };
+    }
+
+    /// Usage and demand of all queues. Workers without a known status are not counted, neither with
+    /// their capacity nor with their runs, and neither are those that get no new runs.
+    fn measure_shares(&self) -> ShareLedger {
+        let mut demands: BTreeMap<ServiceName, BTreeMap<QueueName, QueueDemand>> = BTreeMap::new();
+        let mut queues: HashMap<&str, (&str, &str)> = HashMap::new();
+        for (job, entry) in &self.jobs {
+            let policy = &entry.spec.policy;
+            queues.insert(job, (&policy.service, &policy.queue));
+            if entry.end.is_some() {
+                continue;
+            }
+            let (waiting, count) = entry.waiting_resources();
+            let of_service = demands.entry(policy.service.clone()).or_default();
+            let new = QueueDemand { priority: policy.priority, ..QueueDemand::default() };
+            let demand = of_service.entry(policy.queue.clone()).or_insert(new);
+            demand.priority = demand.priority.min(policy.priority);
+            demand.waiting = demand.waiting.plus(&waiting);
+            demand.waiting_tasks += count;
+        }
+        for (_, worker) in self.inventory.iter().filter(|(_, worker)| is_counted(worker)) {
+            for (key, run) in worker.assigned.iter().filter(|(_, run)| !run.stopping) {
+                let queue = queues.get(key.0.job.as_str());
+                let demand = queue.and_then(|(service, queue)| {
+                    demands.get_mut(*service).and_then(|queues| queues.get_mut(*queue))
+                });
+                if let Some(demand) = demand {
+                    demand.usage = demand.usage.plus(&run_usage(run));
+                }
+            }
+        }
+        for queues in demands.values_mut() {
+            queues.retain(|_, demand| {
+                demand.waiting_tasks > 0 || demand.usage != ResourceVector::default()
+            });
+        }
+        let capacities = self.service_capacities().into_iter();
+        let totals = capacities.map(|(service, capacity)| (service, capacity.total));
+        ShareLedger::of(&self.fair_share.settings, totals.collect(), demands)
+    }
+
+    fn service_capacities(&self) -> BTreeMap<ServiceName, ServiceCapacity> {
+        let mut capacities: BTreeMap<ServiceName, ServiceCapacity> = BTreeMap::new();
+        for (_, worker) in self.inventory.iter().filter(|(_, worker)| is_counted(worker)) {
+            if let Some(status) = &worker.status {
+                let capacity = capacities.entry(status.service.clone()).or_default();
+                capacity.total = capacity.total.plus(&status.capacity);
+                capacity.best_effort_millicores += worker.best_effort_capacity();
+            }
+        }
+        capacities
+    }
+
+    /// Jobs whose wait exceeds the bound or that have begun because it did, as far as they may come
+    /// first.
+    fn jobs_first_by_wait(&self, bound: WaitBound) -> HashSet<JobId> {
+        let mut candidates = Vec::new();
+        let mut capacities = None;
+        for (job, entry) in self.jobs.iter().filter(|(_, entry)| entry.end.is_none()) {
+            let Some((occurrence, _)) = entry.first_open() else {
+                continue;
+            };
+            let waited_ms = self.wall_ms.saturating_sub(entry.spec.due_ms(occurrence));
+            let objective_ms = entry.remaining_work().objective_ms;
+            let has_begun_by_wait = entry.has_begun_by_wait();
+            let is_exceeded = || bound.is_exceeded(waited_ms, objective_ms) && !entry.has_begun();
+            if !has_begun_by_wait && !is_exceeded() {
+                continue;
+            }
+            let service = &entry.spec.policy.service;
+            let capacities = capacities.get_or_insert_with(|| self.service_capacities());
+            // Without a known capacity nothing can start.
+            let Some(capacity) = capacities.get(service) else {
+                continue;
+            };
+            let mut total = capacity.total;
+            if entry.is_best_effort() {
+                total.millicores = (capacity.best_effort_millicores as u64).max(1);
+            }
+            let (requested, _) = entry.requested_resources(|task| !task.done);
+            let share = DominantShare::of(&requested, &total);
+            candidates.push(WaitCandidate {
+                job: job.clone(),
+                service: service.clone(),
+                has_begun: has_begun_by_wait,
+                relative_wait: waited_ms as f64 / objective_ms.max(1) as f64,
+                share: share.map_or(0.0, |share| share.share),
+            });
+        }
+        bound.select(candidates, |candidate| self.has_fitting_worker(&candidate.job))
+    }
+
+    /// Whether some worker could run a task of each ready step of a job if it were empty.
+    fn has_fitting_worker(&self, job: &str) -> bool {
+        let Some(entry) = self.jobs.get(job) else {
+            return false;
+        };
+        let fits = |step: &StepSpec| {
+            let statuses = self.inventory.iter().filter_map(|(_, worker)| worker.status.as_ref());
+            let requested = step.reserved_resources();
+            statuses.into_iter().any(|status| {
+                let has_label =
+                    step.required_label.is_empty() || status.labels.contains(&step.required_label);
+                status.service == entry.spec.policy.service
+                    && has_label
+                    && status.capacity.contains(&requested)
+            })
+        };
+        let ready = self.ready_steps(job);
+        let mut steps = ready.iter().filter_map(|(_, step)| entry.spec.steps.get(*step as usize));
+        steps.all(fits)
+    }
+
+    /// Records the jobs that have begun because their wait exceeds the bound. The record is stored
+    /// with the progress of the job, so that they keep their place also under another planner.
+    pub(crate) fn record_starts_by_wait(&mut self) {
+        for job in &self.fair_share.first_by_wait {
+            let Some(entry) = self.jobs.get_mut(job) else {
+                continue;
+            };
+            if entry.has_begun_by_wait() || !entry.has_begun() {
+                continue;
+            }
+            let first = entry.progress.open.values_mut().next();
+            let first = first.and_then(|steps| steps.first_mut()?.first_mut());
+            if let Some(task) = first {
+                task.began_by_wait = true;
+                self.changed_jobs.insert(job.clone());
+            }
+        }
+    }
+
+    /// Preempts runs of queues that use more than their entitlement for queues that have been below
+    /// theirs for too long.
+    pub(crate) fn reclaim_shares(&mut self) {
+        if !self.fair_share.settings.has_weights() || !self.may_start() {
+            return;
+        }
+        let mut reclaim = std::mem::take(&mut self.fair_share.reclaim);
+        self.fair_share.ledger = self.measure_shares();
+        let is_running = |name: &TaskName| {
+            let task = self.jobs.get(&name.job).and_then(|entry| entry.progress.task(name));
+            task.is_none_or(|task| task.done || !task.attempts.is_empty())
+        };
+        reclaim.update(&self.fair_share.ledger, is_running, self.now);
+        let claims = reclaim.due_claims(&self.fair_share.ledger, self.now);
+        for claim in claims.into_iter().take(MAX_CLAIMS_PER_TICK) {
+            if !self.reclaim_for(&claim, &mut reclaim) {
+                reclaim.on_unmet(&claim, self.now);
+                continue;
+            }
+            // The next claim has to see what was taken for this one.
+            self.fair_share.ledger = self.measure_shares();
+        }
+        self.fair_share.reclaim = reclaim;
+    }
+
+    /// Preempts runs for a claim and reserves their resources. Returns whether any were preempted.
+    fn reclaim_for(&mut self, claim: &ShareClaim, reclaim: &mut ReclaimPolicy) -> bool {
+        let Some(shares) = self.fair_share.ledger.services.get(&claim.service) else {
+            return false;
+        };
+        let excesses = shares.excesses(claim.priority);
+        if excesses.is_empty() {
+            return false;
+        }
+        let capacity = shares.capacity;
+        for (name, step) in self.claiming_tasks(claim) {
+            let chosen = self.cheapest_reclaim(&name, &step, &excesses, reclaim, claim);
+            let Some((worker, choice)) = chosen else {
+                continue;
+            };
+            let requested = DominantShare::of(&step.resources, &capacity);
+            let requested = requested.map_or(0.0, |requested| requested.share);
+            reclaim.on_reclaimed(claim, (&name, requested), &choice, self.now);
+            self.carry_out(claim, &name, &step, worker, choice);
+            return true;
+        }
+        false
+    }
+
+    /// Tasks of a queue that may get reclaimed resources, those of the most urgent job first; one
+    /// of each step, since the tasks of a step have the same requirements. A gang needs more than
+    /// one worker's resources at once and waits for what ends by itself, and a job that has become
+    /// worthless interrupts nothing.
+    fn claiming_tasks(&self, claim: &ShareClaim) -> Vec<(TaskName, StepSpec)> {
+        let of_queue = self.jobs.iter().filter(|(_, entry)| {
+            let policy = &entry.spec.policy;
+            let is_claiming = policy.service == claim.service && policy.queue == claim.queue;
+            is_claiming && entry.end.is_none()
+        });
+        let mut jobs: Vec<(JobUrgency<'_>, &JobId, &JobEntry)> = of_queue
+            .map(|(job, entry)| (JobUrgency::of(entry, self.wall_ms), job, entry))
+            .filter(|(urgency, _, _)| !urgency.is_worthless())
+            .collect();
+        jobs.sort_by(|(a, _, _), (b, _, _)| a.cmp(b));
+        let reserved = self.inventory.reserved_tasks(self.now);
+        let mut tasks = Vec::new();
+        for (_, job, entry) in jobs {
+            for (occurrence, step) in self.ready_steps(job) {
+                let Some(spec) = entry.spec.steps.get(step as usize).filter(|spec| !spec.gang)
+                else {
+                    continue;
+                };
+                let indexes = self.startable(job, occurrence, step, spec).into_iter();
+                let mut names =
+                    indexes.map(|index| TaskName { job: job.clone(), occurrence, step, index });
+                let free = names.find(|name| {
+                    !reserved.contains(name) && !self.task_suspicion.is_isolated(name)
+                });
+                tasks.extend(free.map(|name| (name, spec.clone())));
+            }
+            if tasks.len() >= MAX_TASKS_PER_CLAIM {
+                break;
+            }
+        }
+        tasks.truncate(MAX_TASKS_PER_CLAIM);
+        tasks
+    }
+
+    /// The worker where preempting borrowed runs for a task costs the least, and these runs.
+    fn cheapest_reclaim(
+        &self,
+        name: &TaskName,
+        step: &StepSpec,
+        excesses: &BTreeMap<QueueName, f64>,
+        reclaim: &ReclaimPolicy,
+        claim: &ShareClaim,
+    ) -> Option<(InstanceId, ReclaimChoice)> {
+        let placement = self.placement_request(name, step, None, None)?;
+        // While its job has a running task, a best-effort task is placed only where its effects on
+        // others are known to be small, so that preempting runs for it could be in vain.
+        if step.best_effort && placement.risk != RiskLimit::Any {
+            return None;
+        }
+        let view = self.placement_view();
+        let capacity = self.fair_share.ledger.services.get(&claim.service)?.capacity;
+        let budget = reclaim.budget(&claim.service);
+        let mut best: Option<(InstanceId, ReclaimChoice)> = None;
+        for (instance, worker) in self.inventory.iter() {
+            if !is_eligible(&placement, &view, instance, worker) {
+                continue;
+            }
+            let (free, requested) = self.reclaimable(name, step, worker);
+            let request = ReclaimRequest { free, requested, excesses: excesses.clone(), budget };
+            let candidates = self.reclaim_candidates(step, worker, excesses, &capacity);
+            let Some(choice) = reclaim.select(&request, candidates) else {
+                continue;
+            };
+            let cost = |choice: &ReclaimChoice| (choice.without_checkpoints, choice.loss);
+            if best.as_ref().is_none_or(|(_, known)| cost(&choice) < cost(known)) {
+                best = Some((instance.clone(), choice));
+            }
+        }
+        best
+    }
+
+    /// Resources on a worker that are free for a task or become free as runs stop, and what the
+    /// task needs of them. For a best-effort task, the processor time is what others leave.
+    fn reclaimable(
+        &self,
+        name: &TaskName,
+        step: &StepSpec,
+        worker: &WorkerEntry,
+    ) -> (ResourceVector, ResourceVector) {
+        let stopping = || worker.assigned.values().filter(|run| run.stopping);
+        let free = stopping().fold(worker.free_resources(), |free, run| free.plus(&run.reserved));
+        let mut free = worker.reservations.available_to(free, name, self.now);
+        let mut requested = step.reserved_resources();
+        if step.best_effort {
+            let stopping = stopping().filter(|run| run.best_effort);
+            let ending: u64 = stopping.map(|run| run_usage(run).millicores).sum();
+            let used = worker.best_effort_demand(Competitors::All)
+                + worker.reservations.best_effort_millicores(name, self.now);
+            let left = worker.best_effort_capacity() - used + ending as f64;
+            free.millicores = left.max(0.0) as u64;
+            requested.millicores =
+                (step.resources.millicores as f64 * MIN_BEST_EFFORT_SHARE) as u64;
+        }
+        (free, requested)
+    }
+
+    /// Runs on a worker that belong to queues beyond their entitlement.
+    fn reclaim_candidates(
+        &self,
+        step: &StepSpec,
+        worker: &WorkerEntry,
+        excesses: &BTreeMap<QueueName, f64>,
+        capacity: &ResourceVector,
+    ) -> Vec<ReclaimCandidate> {
+        let mut candidates = Vec::new();
+        for (key, run) in worker.assigned.iter().filter(|(_, run)| !run.stopping) {
+            let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none());
+            let Some(queue) = entry.map(|entry| &entry.spec.policy.queue) else {
+                continue;
+            };
+            if !excesses.contains_key(queue) {
+                continue;
+            }
+            let usage = run_usage(run);
+            let frees = if step.best_effort { usage } else { run.reserved };
+            candidates.push(ReclaimCandidate {
+                key: key.clone(),
+                queue: queue.clone(),
+                frees,
+                share: DominantShare::of(&usage, capacity).map_or(0.0, |share| share.share),
+                checkpoints: run.checkpoints,
+                loss: self.lost_processor_time(run),
+                interruptible: run
+                    .long_running
+                    .then(|| (key.0.step_key(), self.interruptible_tasks(&key.0))),
+            });
+        }
+        candidates
+    }
+
+    /// Number of tasks of a long-running step that may be interrupted now: its limit less the tasks
+    /// that do not work already.
+    fn interruptible_tasks(&self, name: &TaskName) -> u32 {
+        let Some(entry) = self.jobs.get(&name.job) else {
+            return 0;
+        };
+        let limit = entry.step(name).map_or(0, |step| step.max_unavailable);
+        let steps = entry.progress.open.get(&name.occurrence);
+        let tasks = steps.and_then(|steps| steps.get(name.step as usize)).into_iter().flatten();
+        let unavailable = (0..).zip(tasks).filter(|(index, task)| {
+            !self.is_task_working(TaskName { index: *index, ..name.clone() }, task)
+        });
+        limit.saturating_sub(u32::try_from(unavailable.count()).unwrap_or(u32::MAX))
+    }
+
+    /// Stops the chosen runs and reserves their resources for a task.
+    fn carry_out(
+        &mut self,
+        claim: &ShareClaim,
+        name: &TaskName,
+        step: &StepSpec,
+        worker: InstanceId,
+        choice: ReclaimChoice,
+    ) {
+        if let Some(entry) = self.jobs.get_mut(&name.job) {
+            entry.last_preemption_ms = self.wall_ms;
+        }
+        if let Some(worker) = self.inventory.get_mut(&worker) {
+            worker.reservations.reserve(name, step, self.now, CLAIM_LIFETIME);
+        }
+        for (key, from) in choice.runs {
+            let from_share = self.fair_share.ledger.queue(&claim.service, &from);
+            let from_share =
+                from_share.map_or((0.0, 0.0), |share| (share.share, share.entitlement));
+            self.decisions.push(PlanDecision::ShareReclaimed(ShareReclaim {
+                queue: claim.queue.clone(),
+                from,
+                task: key.0.clone(),
+                run: key.1,
+                worker: worker.clone(),
+                preemptor: name.clone(),
+                share: (claim.share, claim.entitlement),
+                from_share,
+                waited_ms: u64::try_from(claim.waited.as_millis()).unwrap_or(u64::MAX),
+            }));
+            self.stop_run(&worker, key);
+        }
+    }
+}
+
+/// Whether a worker counts towards the capacity that queues share.
+fn is_counted(worker: &WorkerEntry) -> bool {
+    let is_in_use = worker.status.as_ref().is_some_and(|status| !status.draining);
+    is_in_use && !worker.is_evacuated
+}
+
+/// Resources that a run uses: what it reserves, and for a best-effort run also the processor time
+/// at its current pace.
+fn run_usage(run: &AssignedRun) -> ResourceVector {
+    let mut usage = run.reserved;
+    if run.best_effort {
+        let pace = run.last_report.as_ref().map_or(100, |report| report.pace_percent);
+        usage.millicores = run.millicores * u64::from(pace) / 100;
+    }
+    usage
+}
+
+fn times(resources: &ResourceVector, count: u64) -> ResourceVector {
+    ResourceVector {
+        millicores: resources.millicores * count,
+        memory_mib: resources.memory_mib * count,
+        accelerators: resources.accelerators * count,
+    }
+}
--- a/src/workflow/task_progress.rs
+++ b/src/workflow/task_progress.rs
@@ -58,6 +58,9 @@
     /// The highest run number that was assigned.
     #[serde(rename = "n", skip_serializing_if = "is_zero")]
     pub last_run: RunNumber,
+    /// Whether the occurrence began because its wait exceeded the bound; stored in its first task.
+    #[serde(rename = "b", skip_serializing_if = "is_false")]
+    pub began_by_wait: bool,
     /// The newest known checkpoint.
     #[serde(rename = "s", skip_serializing_if = "String::is_empty")]
     pub checkpoint: CheckpointRef,
--- a/src/workflow/urgency.rs
+++ b/src/workflow/urgency.rs
@@ -3,8 +3,13 @@
 //! Under overload, a fair distribution makes nearly all jobs late. Jobs that can still meet their
 //! objective therefore come first, and among them the one with the least remaining work, so that
 //! most jobs are completed in time. Larger jobs do not starve: a job without a running task may use
-//! any free resources after a while.
+//! any free resources after a while, and where the operator has set a bound on the wait, a job that
+//! exceeds it comes first in its priority. Where queues have weights, the share of a job's queue
+//! counts before its remaining work.
 
+use crate::ids::JobId;
+use crate::workflow::fair_share::share_order::ShareOrder;
+use crate::workflow::planner::Planner;
 use crate::workflow::planner_jobs::JobEntry;
 
 /// Multiple of its objective after which a completed job has no value to its caller, as users state
@@ -29,6 +34,10 @@
     is_worthless: bool,
     is_late: bool,
     priority: u32,
+    /// False if the job comes first in its priority because its wait exceeds the bound.
+    is_within_wait: bool,
+    /// Rank by the share of the job's queue; zero without weights.
+    share_rank: u32,
     /// Whether the job has best-effort tasks.
     is_best_effort: bool,
     /// Remaining work; zero for long-running jobs. The shortest of the competing jobs comes first
@@ -64,6 +73,8 @@
             is_worthless: exceeds(WORTHLESS_AFTER_OBJECTIVES),
             is_late: exceeds(1),
             priority: spec.policy.priority,
+            is_within_wait: true,
+            share_rank: 0,
             is_best_effort: entry.is_best_effort(),
             remaining_core_ms: if is_long_running { 0 } else { remaining_work.remaining_core_ms },
             deadline_ms: deadline_ms - deadline_ms % bucket_ms,
@@ -71,8 +82,51 @@
         }
     }
 
+    /// The sort key of a job whose wait exceeds the bound. It comes first in its priority also if it
+    /// is late, which it nearly always is.
+    fn first_by_wait(self) -> JobUrgency<'a> {
+        JobUrgency { is_worthless: false, is_late: false, is_within_wait: false, ..self }
+    }
+
     /// Whether the job can no longer be completed within its objective.
     pub(crate) fn is_late(&self) -> bool {
         self.is_late
     }
+
+    /// Whether the job has no value to its caller any more when it ends.
+    pub(crate) fn is_worthless(&self) -> bool {
+        self.is_worthless
+    }
+
+    /// Whether the job comes first in its priority because its wait exceeds the bound.
+    pub(crate) fn is_first_by_wait(&self) -> bool {
+        !self.is_within_wait
+    }
+}
+
+impl Planner {
+    /// All jobs that have not ended, the most urgent one first.
+    pub(crate) fn job_order(&self) -> Vec<(JobUrgency<'_>, &JobId)> {
+        let open = self.jobs.iter().filter(|(_, entry)| entry.end.is_none());
+        let urgency = |job: &JobId, entry| {
+            let urgency = JobUrgency::of(entry, self.wall_ms);
+            if self.fair_share.is_first_by_wait(job) { urgency.first_by_wait() } else { urgency }
+        };
+        let mut order: Vec<(JobUrgency<'_>, &JobId)> =
+            open.map(|(job, entry)| (urgency(job, entry), job)).collect();
+        order.sort();
+        if let Some(ledger) = self.share_ledger() {
+            let mut ranks = ShareOrder::new(ledger);
+            for (urgency, job) in &mut order {
+                let Some(entry) = self.jobs.get(*job) else {
+                    continue;
+                };
+                let policy = &entry.spec.policy;
+                let (waiting, _) = entry.waiting_resources();
+                urgency.share_rank = ranks.rank(&policy.service, &policy.queue, &waiting);
+            }
+            order.sort();
+        }
+        order
+    }
 }
