Planner process: section [shares], log lines and metrics of shares

Reads weight.QUEUE, default-weight and longest-wait, each of which takes effect only when it is present, and hands them to the planner when it takes over. Logs share_reclaimed and, while weights are set, shares with the load line; publishes gga_queue_share, gga_queue_entitlement and gga_share_reclaims, and withdraws the gauges when planning ends.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -5,6 +5,7 @@
 use axum::Router;
 use axum::routing::get;
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
@@ -40,6 +41,12 @@
     pub messages: IntCounterVec,
     /// Tries of orders at the runner, by order and outcome: done, no_answer, refused, other.
     pub order_tries: IntCounterVec,
+    /// Share of its service's capacity that a queue uses, by queue; only while queues have weights.
+    pub queue_share: GaugeVec,
+    /// Share that a queue is entitled to, by queue.
+    pub queue_entitlement: GaugeVec,
+    /// Runs of other queues that were preempted for a queue below its entitlement, by that queue.
+    pub share_reclaims: IntCounterVec,
     /// Generation of the documents in force.
     pub generation: IntGauge,
     /// Request ids that are remembered.
@@ -77,6 +84,17 @@
                 "Tries of orders at the runner",
                 &["order", "outcome"],
             ),
+            queue_share: gauges("gga_queue_share", "Share of capacity used", &["queue"]),
+            queue_entitlement: gauges(
+                "gga_queue_entitlement",
+                "Share of capacity that the queue is entitled to",
+                &["queue"],
+            ),
+            share_reclaims: counters(
+                "gga_share_reclaims",
+                "Runs preempted for a queue below its entitlement",
+                &["queue"],
+            ),
             generation: gauge("gga_generation", "Generation of the documents in force"),
             remembered_ids: gauge("gga_remembered_ids", "Request ids that are remembered"),
             bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
@@ -105,13 +123,16 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
             Box::new(self.table_calls.clone()),
             Box::new(self.messages.clone()),
             Box::new(self.order_tries.clone()),
+            Box::new(self.queue_share.clone()),
+            Box::new(self.queue_entitlement.clone()),
+            Box::new(self.share_reclaims.clone()),
             Box::new(self.generation.clone()),
             Box::new(self.remembered_ids.clone()),
             Box::new(self.bytes_sent.clone()),
@@ -154,6 +175,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("constant names are valid")
 }
 
+fn gauges(name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    GaugeVec::new(Opts::new(name, help), labels).expect("constant names are valid")
+}
+
 fn histogram(name: &str, help: &str) -> Histogram {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     Histogram::with_opts(options).expect("constant names are valid")
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -5,9 +5,19 @@
 use crate::connection::node_protocol::format_young_runs;
 use crate::ids::PlannerEpoch;
 use crate::process::logging::log_event;
+use crate::process::metrics::ProcessMetrics;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 
+/// Counts and logs one decision.
+pub fn record_decision(metrics: &ProcessMetrics, epoch: PlannerEpoch, decision: &PlanDecision) {
+    metrics.tasks.with_label_values(&[decision.label()]).inc();
+    if let PlanDecision::ShareReclaimed(reclaim) = decision {
+        metrics.share_reclaims.with_label_values(&[&reclaim.queue]).inc();
+    }
+    log_decision(epoch, decision);
+}
+
 /// Logs one decision, with the epoch of the planner that made it.
 pub fn log_decision(epoch: PlannerEpoch, decision: &PlanDecision) {
     match decision {
@@ -129,6 +139,22 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::ShareReclaimed(reclaim) => log_event(
+            Level::Info,
+            "share_reclaimed",
+            &[
+                ("queue", &reclaim.queue),
+                ("from", &reclaim.from),
+                ("task", &reclaim.task),
+                ("run", &reclaim.run),
+                ("worker", &reclaim.worker),
+                ("by", &reclaim.preemptor),
+                ("share", &format_share(reclaim.share)),
+                ("from_share", &format_share(reclaim.from_share)),
+                ("waited_ms", &reclaim.waited_ms),
+                ("epoch", &epoch),
+            ],
+        ),
         PlanDecision::JobEnded { job, end, age_ms, objective_ms } => log_event(
             Level::Info,
             "job_ended",
@@ -214,4 +240,44 @@
         ],
     );
     log_event(Level::Info, "learned_pairs", &[("pairs", &planner.learned_summary())]);
+    log_shares(epoch, planner);
+}
+
+/// Logs the shares of the queues of each service while weights are set.
+fn log_shares(epoch: PlannerEpoch, planner: &Planner) {
+    for (service, shares) in planner.share_ledger().into_iter().flat_map(|ledger| &ledger.services)
+    {
+        let queues = shares.queues.iter().map(|(queue, share)| {
+            format!("{queue}:{}", format_share((share.share, share.entitlement)))
+        });
+        let loans = shares.loans().into_iter();
+        let loans =
+            loans.map(|loan| format!("{}<{}:{:.2}", loan.borrower, loan.lender, loan.share));
+        log_event(
+            Level::Info,
+            "shares",
+            &[
+                ("service", service),
+                ("queues", &queues.collect::<Vec<String>>().join(",")),
+                ("loans", &loans.collect::<Vec<String>>().join(",")),
+                ("epoch", &epoch),
+            ],
+        );
+    }
+}
+
+/// A share that is used and the one that a queue is entitled to.
+fn format_share((used, entitlement): (f64, f64)) -> String {
+    format!("{used:.2}/{entitlement:.2}")
+}
+
+/// Publishes the shares of all queues; queues that are gone disappear.
+pub fn publish_shares(metrics: &ProcessMetrics, planner: &Planner) {
+    metrics.queue_share.reset();
+    metrics.queue_entitlement.reset();
+    let services = planner.share_ledger().into_iter().flat_map(|ledger| ledger.services.values());
+    for (queue, share) in services.flat_map(|shares| &shares.queues) {
+        metrics.queue_share.with_label_values(&[queue]).set(share.share);
+        metrics.queue_entitlement.with_label_values(&[queue]).set(share.entitlement);
+    }
 }
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -230,6 +230,9 @@
         log_event(Level::Info, "planning_started", &[("epoch", &epoch)]);
         let reason = PlannerLoop::run(self.shared.clone(), ownership).await;
         *self.shared.owned() = None;
+        // Another process publishes the shares from now on.
+        self.shared.metrics.queue_share.reset();
+        self.shared.metrics.queue_entitlement.reset();
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -20,7 +20,7 @@
 use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::logging::log_event;
-use crate::process::planning::decision_log::log_decision;
+use crate::process::planning::decision_log::record_decision;
 use crate::process::planning::evacuation_watch::EvacuationRead;
 use crate::process::planning::evacuation_watch::EvacuationWatch;
 use crate::process::planning::node_link::LinkEvent;
@@ -178,6 +178,7 @@
             answered_at
         };
         let mut planner = Planner::new(leases_expired_by);
+        planner.set_share_settings(self.shared.settings.shares.clone());
         // Nothing starts before the requests of operators have been read.
         planner.on_evacuations(EvacuationSet::default(), answered_at);
         let layout = self.shared.settings.layout;
@@ -364,8 +365,7 @@
         self.request_advice();
         let decisions = self.with_planner(Planner::take_decisions).unwrap_or_default();
         for decision in &decisions {
-            self.shared.metrics.tasks.with_label_values(&[decision.label()]).inc();
-            log_decision(self.ownership.owner.epoch, decision);
+            record_decision(&self.shared.metrics, self.ownership.owner.epoch, decision);
         }
     }
 
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -15,6 +15,7 @@
 use crate::process::planning::commit_writer::CommitOutcome;
 use crate::process::planning::commit_writer::commit_until_settled;
 use crate::process::planning::decision_log::log_load;
+use crate::process::planning::decision_log::publish_shares;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::planner_loop::StepResult;
 use crate::process::planning::rows::HeartbeatRow;
@@ -160,6 +161,7 @@
             self.load_log_due = now + LOAD_LOG_PERIOD;
             if let Some(owned) = self.shared.owned().as_ref() {
                 log_load(self.ownership.owner.epoch, &owned.planner);
+                publish_shares(&self.shared.metrics, &owned.planner);
             }
         }
         let evacuated_services =
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -2,6 +2,7 @@
 //!
 //! They are parsed from INI text; all findings are reported together.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use crate::ids::DomainName;
 use crate::process::ini_reader::IniReader;
 use crate::process::planning::rows::JobLayout;
+use crate::workflow::fair_share::share_settings::ShareSettings;
 
 /// Default time between the stop signal and a forced termination (`stop-grace`).
 const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(6);
@@ -59,6 +61,8 @@
     pub ended_job_retention: Duration,
     /// Time after a request to evacuate a failure domain in which the last run starts there.
     pub evacuation_limit: Duration,
+    /// Weights of queues and the bound on waiting.
+    pub shares: ShareSettings,
 }
 
 impl PlannerSettings {
@@ -92,6 +96,7 @@
             processor_share: reader.value("planner", "processor-share", 1.0),
             ended_job_retention: reader.span("jobs", "kept-for", DEFAULT_JOB_RETENTION),
             evacuation_limit: read_evacuation_limit(&mut reader),
+            shares: read_shares(&mut reader),
         };
         reader.finish().or_value(settings)
     }
@@ -161,6 +166,31 @@
     limit
 }
 
+/// Reads the weights of queues and the bound on waiting. Keys that are missing have no effect.
+fn read_shares(reader: &mut IniReader) -> ShareSettings {
+    let mut weights = BTreeMap::new();
+    for key in reader.keys("shares") {
+        if let Some(queue) = key.strip_prefix("weight.").filter(|queue| !queue.is_empty()) {
+            weights.extend(read_positive(reader, &key).map(|weight| (queue.to_string(), weight)));
+        }
+    }
+    ShareSettings {
+        weights,
+        default_weight: read_positive(reader, "default-weight"),
+        longest_wait: read_positive(reader, "longest-wait"),
+    }
+}
+
+/// Reads a number of the section `shares`; reports one that is not above zero.
+fn read_positive(reader: &mut IniReader, key: &str) -> Option<f64> {
+    let text = reader.text("shares", key)?;
+    let value = text.parse().ok().filter(|value: &f64| value.is_finite() && *value > 0.0);
+    if value.is_none() {
+        reader.report("shares", key, &format!("'{text}' is not a number above zero"));
+    }
+    value
+}
+
 fn read_optional_address(reader: &mut IniReader, section: &str, key: &str) -> Option<SocketAddr> {
     let text = reader.text(section, key).filter(|text| !text.is_empty())?;
     let address = text.parse().ok();
@@ -181,3 +211,42 @@
         unset
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn shares_of(section: &str) -> (ShareSettings, Vec<String>) {
+        let mut reader = IniReader::open("planner.ini", section);
+        let shares = read_shares(&mut reader);
+        let findings = reader.finish().0;
+        (shares, findings.iter().map(|finding| finding.to_string()).collect())
+    }
+
+    /// Guards against a planner that shares or bounds anything without being asked to.
+    #[test]
+    fn without_the_section_nothing_is_shared() {
+        assert_eq!(shares_of(""), (ShareSettings::default(), Vec::new()));
+        let (shares, findings) = shares_of("[shares]\nlongest-wait = 3\n");
+        assert_eq!((shares.has_weights(), shares.longest_wait), (false, Some(3.0)));
+        assert!(findings.is_empty());
+    }
+
+    #[test]
+    fn weights_are_read_by_queue() {
+        let (shares, findings) = shares_of("[shares]\nweight.quick = 2.5\ndefault-weight = 4\n");
+        assert!(findings.is_empty(), "{findings:?}");
+        assert_eq!((shares.weight_of("quick"), shares.weight_of("other")), (2.5, 4.0));
+        assert_eq!(shares.longest_wait, None);
+    }
+
+    /// Guards against a weight that would divide by zero or rank a queue by no number.
+    #[test]
+    fn weights_that_are_no_positive_numbers_are_reported() {
+        let (shares, findings) =
+            shares_of("[shares]\nweight.a = 0\nweight.b = NaN\nweight. = 1\nlongest-wait = -1\n");
+        assert_eq!(shares, ShareSettings::default());
+        assert_eq!(findings.len(), 4, "{findings:?}");
+        assert_eq!(findings[0], "planner.ini:2: shares.weight.a: '0' is not a number above zero");
+    }
+}
