--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -14,6 +14,7 @@
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerSnapshot;
 use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::workflow::fair_share::share_settings::ShareSettings;
 use greengagearch::workflow::planner::Planner;
 use greengagearch::workflow::progress::JobRecord;
 use greengagearch::workflow::spec::QueuePolicy;
@@ -26,6 +27,8 @@
 const FILL_IMAGES: usize = 9;
 /// Jobs that fill and find no place, as on the busiest day that was seen.
 const WAITING_JOBS: usize = 150;
+/// Queues that share the workers where they have weights.
+const QUEUES: u8 = 8;
 /// Tail of a serving task near its target, in milliseconds.
 const TAIL_MS: u64 = 42;
 const TARGET_MS: u64 = 50;
@@ -60,7 +63,7 @@
 
     fn submit(&mut self, job: &str, step: StepSpec) {
         let policy = QueuePolicy {
-            queue: "q".to_string(),
+            queue: format!("q-{}", job.bytes().last().unwrap_or_default() % QUEUES),
             service: "s".to_string(),
             priority: 0,
             max_attempts: 2,
@@ -175,6 +178,26 @@
     group.finish();
 }
 
+/// The same round with weights and a bound on waiting.
+fn bench_shares(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("planner-round-shares");
+    group.sample_size(20);
+    for workers in WORKERS {
+        let mut fleet = BusyFleet::new(workers);
+        fleet.planner.set_share_settings(ShareSettings {
+            default_weight: Some(1.0),
+            longest_wait: Some(3.0),
+            ..ShareSettings::default()
+        });
+        group.bench_with_input(BenchmarkId::from_parameter(workers), &fleet, |bencher, fleet| {
+            let setup = || fleet.planner.clone();
+            let round = |mut planner: Planner| black_box(planner.plan());
+            bencher.iter_batched(setup, round, BatchSize::LargeInput);
+        });
+    }
+    group.finish();
+}
+
 fn bench_report(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("planner-report");
     group.sample_size(20);
@@ -189,5 +212,5 @@
     group.finish();
 }
 
-criterion_group!(benches, bench_round, bench_report);
+criterion_group!(benches, bench_round, bench_shares, bench_report);
 criterion_main!(benches);
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -377,3 +377,45 @@
     assert_eq!(shares.capacity.millicores, 8_000);
     assert!(shares.queues["a"].share <= 1.0);
 }
+
+/// Guards against best-effort work that keeps the processor time of a queue which is owed a part,
+/// since best-effort tasks preempt nothing otherwise.
+#[test]
+fn best_effort_queues_reclaim_processor_time() {
+    for (settings, is_shared) in [(ShareSettings::default(), false), (equal_weights(), true)] {
+        let mut shared = SharedFleet::open(settings);
+        let filling = |count| StepSpec {
+            best_effort: true,
+            resources: ResourceVector { millicores: 1_000, memory_mib: 1_000, accelerators: 0 },
+            ..tasks(count, LONG_MS)
+        };
+        shared.submit("long-a", "a", vec![filling(16)]);
+        shared.rounds(10);
+        assert_eq!(shared.running("long-a"), 16);
+        (0..4).for_each(|n| shared.submit(&format!("long-b{n}"), "b", vec![filling(2)]));
+        shared.rounds(60);
+        assert_eq!(shared.running("long-b") >= 4, is_shared, "{}", shared.running("long-b"));
+        assert_eq!(shared.reclaims.is_empty(), !is_shared);
+    }
+}
+
+/// Guards against a successor that serves the queues in another order until it has learned their
+/// shares, or preempts for a claim that its predecessor has met.
+#[test]
+fn a_successor_knows_all_shares_from_the_rows() {
+    let mut shared = SharedFleet::open(equal_weights());
+    shared.submit("long-a", "a", vec![tasks(16, LONG_MS)]);
+    shared.submit("long-b", "b", vec![tasks(16, LONG_MS)]);
+    shared.rounds(50);
+    assert_eq!((shared.running("long-a"), shared.running("long-b")), (8, 8));
+    let (now, before) = (shared.fleet.now(), shared.reclaims.len());
+    shared.fleet.take_over(now);
+    shared.fleet.planner.set_share_settings(equal_weights());
+    WORKERS.iter().for_each(|worker| shared.fleet.report(worker, true));
+    shared.rounds(1);
+    let ledger = shared.fleet.planner.share_ledger().unwrap();
+    let shares = &ledger.services[planning::SERVICE].queues;
+    assert_eq!((shares["a"].share, shares["b"].share), (0.5, 0.5));
+    shared.rounds(40);
+    assert_eq!(shared.reclaims.len(), before);
+}
