--- a/src/workflow/planner_shares.rs
+++ b/src/workflow/planner_shares.rs
@@ -154,18 +154,18 @@
     /// Usage and demand of all queues. Workers without a known status are not counted, neither with
     /// their capacity nor with their runs, and neither are those that get no new runs.
     fn measure_shares(&self) -> ShareLedger {
-        let mut demands: BTreeMap<ServiceName, BTreeMap<QueueName, QueueDemand>> = BTreeMap::new();
+        let mut by_queue: HashMap<(&str, &str), QueueDemand> = HashMap::new();
         let mut queues: HashMap<&str, (&str, &str)> = HashMap::new();
         for (job, entry) in &self.jobs {
             let policy = &entry.spec.policy;
-            queues.insert(job, (&policy.service, &policy.queue));
+            let queue = (policy.service.as_str(), policy.queue.as_str());
+            queues.insert(job, queue);
             if entry.end.is_some() {
                 continue;
             }
             let (waiting, count) = entry.waiting_resources();
-            let of_service = demands.entry(policy.service.clone()).or_default();
             let new = QueueDemand { priority: policy.priority, ..QueueDemand::default() };
-            let demand = of_service.entry(policy.queue.clone()).or_insert(new);
+            let demand = by_queue.entry(queue).or_insert(new);
             demand.priority = demand.priority.min(policy.priority);
             demand.waiting = demand.waiting.plus(&waiting);
             demand.waiting_tasks += count;
@@ -173,18 +173,16 @@
         for (_, worker) in self.inventory.iter().filter(|(_, worker)| is_counted(worker)) {
             for (key, run) in worker.assigned.iter().filter(|(_, run)| !run.stopping) {
                 let queue = queues.get(key.0.job.as_str());
-                let demand = queue.and_then(|(service, queue)| {
-                    demands.get_mut(*service).and_then(|queues| queues.get_mut(*queue))
-                });
-                if let Some(demand) = demand {
+                if let Some(demand) = queue.and_then(|queue| by_queue.get_mut(queue)) {
                     demand.usage = demand.usage.plus(&run_usage(run));
                 }
             }
         }
-        for queues in demands.values_mut() {
-            queues.retain(|_, demand| {
-                demand.waiting_tasks > 0 || demand.usage != ResourceVector::default()
-            });
+        let mut demands: BTreeMap<ServiceName, BTreeMap<QueueName, QueueDemand>> = BTreeMap::new();
+        for ((service, queue), demand) in by_queue {
+            if demand.waiting_tasks > 0 || demand.usage != ResourceVector::default() {
+                demands.entry(service.to_string()).or_default().insert(queue.to_string(), demand);
+            }
         }
         let capacities = self.service_capacities().into_iter();
         let totals = capacities.map(|(service, capacity)| (service, capacity.total));
--- a/standins/src/laboratory/goodput.rs
+++ b/standins/src/laboratory/goodput.rs
@@ -29,6 +29,12 @@
     /// Worth of the best choice of jobs whose work is at most `done_work`: a bound, since it knows all and no job
     /// has a deadline in it.
     pub bound: f64,
+    /// Jobs of the largest tenth that were offered, and those of them that ended before they had lost all worth.
+    pub largest: usize,
+    /// See `largest`.
+    pub largest_served: usize,
+    /// Jobs of all sizes that ended before they had lost all worth.
+    pub served: usize,
 }
 
 impl GoodputReport {
@@ -56,6 +62,31 @@
         self.done_work / self.offered_work.max(f64::MIN_POSITIVE)
     }
 
+    /// How often the largest tenth is served, relative to all jobs; 1 where size makes no difference.
+    ///
+    /// ```
+    /// use greengagearch_standins::laboratory::goodput::GoodputReport;
+    ///
+    /// let report = GoodputReport { offered: 20, served: 10, largest: 2, largest_served: 1, ..GoodputReport::default() };
+    /// assert_eq!(report.largest_ratio(), 1.0);
+    /// ```
+    pub fn largest_ratio(&self) -> f64 {
+        let share = |served: usize, offered: usize| served as f64 / offered.max(1) as f64;
+        let all = share(self.served, self.offered);
+        if all > 0.0 { share(self.largest_served, self.largest) / all } else { 0.0 }
+    }
+
+    /// Counts the jobs that were served before they had lost all worth, and those of the largest tenth.
+    pub(crate) fn count_largest(&mut self, mut ages_ms: Vec<(&OfferedJob, Option<u64>)>) {
+        ages_ms.sort_by(|(a, _), (b, _)| b.work().total_cmp(&a.work()));
+        let is_served = |(job, age_ms): &&(&OfferedJob, Option<u64>)| {
+            age_ms.is_some_and(|age_ms| age_ms <= LATE_UNTIL * job.objective_ms())
+        };
+        self.largest = ages_ms.len().div_ceil(10);
+        self.largest_served = ages_ms.iter().take(self.largest).filter(is_served).count();
+        self.served = ages_ms.iter().filter(is_served).count();
+    }
+
     /// Counts a job that ended so long after it was handed in, or that did not end.
     pub(crate) fn count(&mut self, job: &OfferedJob, age_ms: Option<u64>) {
         self.offered += 1;
--- a/standins/src/laboratory/shared_fleet.rs
+++ b/standins/src/laboratory/shared_fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use greengagearch::connection::node_protocol::NodeOrder;
+use greengagearch::workflow::fair_share::share_settings::ShareSettings;
 use greengagearch::workflow::plan_decision::PlanDecision;
 use greengagearch::workflow::planner::Planner;
 use greengagearch::workflow::progress::JobRecord;
@@ -49,6 +50,9 @@
     pub span: Duration,
     /// For how long the rest may end afterwards.
     pub rest: Duration,
+    /// Multiple of its objective after which a job that has not begun comes first; without a bound
+    /// `None`.
+    pub longest_wait: Option<f64>,
 }
 
 /// A played fleet.
@@ -82,6 +86,7 @@
     ///     jobs_per_s: 1.0,
     ///     span: Duration::from_secs(1),
     ///     rest: Duration::ZERO,
+    ///     longest_wait: None,
     /// };
     /// let (first, again) = (SharedFleet::open(settings, 1).play(), SharedFleet::open(settings, 1).play());
     /// assert_eq!(first, again);
@@ -105,6 +110,10 @@
             rng,
         };
         fleet.planner.set_time(base, WALL_MS);
+        let longest_wait = settings.longest_wait;
+        fleet
+            .planner
+            .set_share_settings(ShareSettings { longest_wait, ..ShareSettings::default() });
         fleet.open_workers();
         fleet.draw_serving();
         while fleet.now < LEAD {
@@ -128,6 +137,7 @@
     ///     jobs_per_s: 0.1,
     ///     span: Duration::from_secs(1),
     ///     rest: Duration::from_secs(1),
+    ///     longest_wait: None,
     /// };
     /// assert_eq!(SharedFleet::open(settings, 2).play().over_target, 0.0);
     /// ```
@@ -284,6 +294,8 @@
         for (id, job) in &self.offered {
             report.count(job, self.ages_ms.get(id).copied());
         }
+        let ages = self.offered.iter().map(|(id, job)| (job, self.ages_ms.get(id).copied()));
+        report.count_largest(ages.collect());
         let tallies = self.workers.values().map(|worker| worker.tally);
         let (mut served, mut over) = (0.0, 0.0);
         for tally in tallies {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -29,6 +29,7 @@
         jobs_per_s: jobs_for_cores(CORES * offered_share),
         span: Duration::from_secs(34),
         rest: Duration::from_secs(14),
+        longest_wait: None,
     };
     SharedFleet::open(settings, seed).play()
 }
