--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -281,3 +281,40 @@
         metrics.queue_entitlement.with_label_values(&[queue]).set(share.entitlement);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Instant;
+
+    use super::*;
+    use crate::workflow::fair_share::share_settings::ShareSettings;
+    use crate::workflow::plan_decision::ShareReclaim;
+
+    /// Guards against reclaims that operators do not see, and against shares that are still shown
+    /// when no planner of the process computes them.
+    #[test]
+    fn reclaims_are_counted_and_old_shares_disappear() {
+        let metrics = ProcessMetrics::open();
+        let reclaim = ShareReclaim {
+            queue: "quick".to_string(),
+            from: "bulk".to_string(),
+            task: "a.0.0.0".parse().expect("a task"),
+            run: 1,
+            worker: "i-1".to_string(),
+            preemptor: "b.0.0.0".parse().expect("a task"),
+            share: (0.1, 0.5),
+            from_share: (0.9, 0.5),
+            waited_ms: 1_000,
+        };
+        record_decision(&metrics, 1, &PlanDecision::ShareReclaimed(reclaim));
+        metrics.queue_share.with_label_values(&["gone"]).set(0.5);
+        let mut planner = Planner::new(Instant::now());
+        let weights = ShareSettings { default_weight: Some(1.0), ..ShareSettings::default() };
+        planner.set_share_settings(weights);
+        publish_shares(&metrics, &planner);
+        let text = metrics.render();
+        assert!(text.contains("gga_share_reclaims{queue=\"quick\"} 1"), "{text}");
+        assert!(text.contains("gga_task_events{event=\"share_reclaimed\"} 1"), "{text}");
+        assert!(!text.contains("gone"), "{text}");
+    }
+}
