--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -21,6 +21,7 @@
 use greengagearch::workflow::admission::admission_policy::AdmissionPolicy;
 use greengagearch::workflow::admission::admission_policy::AdmissionVerdict;
 use greengagearch::workflow::admission::job_demand::JobDemand;
+use greengagearch::workflow::fair_share::share_settings::ShareSettings;
 use greengagearch::workflow::planner::Planner;
 use greengagearch::workflow::progress::JobRecord;
 use greengagearch::workflow::spec::QueuePolicy;
@@ -33,6 +34,8 @@
 const FILL_IMAGES: usize = 9;
 /// Jobs that fill and find no place, as on the busiest day that was seen.
 const WAITING_JOBS: usize = 150;
+/// Queues that share the workers where they have weights.
+const QUEUES: u8 = 8;
 /// Tail of a serving task near its target, in milliseconds.
 const TAIL_MS: u64 = 42;
 const TARGET_MS: u64 = 50;
@@ -68,9 +71,9 @@
     }
 
     fn submit(&mut self, job: &str, step: StepSpec) {
-        let spec = spec_of(step);
-        let record = JobRecord::Live { spec, cancelled: false };
-        self.planner.on_record(job, 1, record);
+        let mut spec = spec_of(step);
+        spec.policy.queue = format!("q-{}", job.bytes().last().unwrap_or_default() % QUEUES);
+        self.planner.on_record(job, 1, JobRecord::Live { spec, cancelled: false });
     }
 
     fn report_of(&self, worker: usize) -> NodeReport {
@@ -193,6 +196,26 @@
     group.finish();
 }
 
+/// The same round with weights and a bound on waiting.
+fn bench_shares(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("planner-round-shares");
+    group.sample_size(20);
+    for workers in WORKERS {
+        let mut fleet = BusyFleet::new(workers);
+        fleet.planner.set_share_settings(ShareSettings {
+            default_weight: Some(1.0),
+            longest_wait: Some(3.0),
+            ..ShareSettings::default()
+        });
+        group.bench_with_input(BenchmarkId::from_parameter(workers), &fleet, |bencher, fleet| {
+            let setup = || fleet.planner.clone();
+            let round = |mut planner: Planner| black_box(planner.plan());
+            bencher.iter_batched(setup, round, BatchSize::LargeInput);
+        });
+    }
+    group.finish();
+}
+
 fn bench_report(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("planner-report");
     group.sample_size(20);
@@ -246,5 +269,5 @@
     group.finish();
 }
 
-criterion_group!(benches, bench_round, bench_report, bench_admission);
+criterion_group!(benches, bench_round, bench_shares, bench_report, bench_admission);
 criterion_main!(benches);
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -236,6 +236,9 @@
         let reason = PlannerLoop::run(self.shared.clone(), ownership).await;
         *self.shared.owned() = None;
         self.shared.metrics.admission.clear_backlog();
+        // Another process publishes the shares from now on.
+        self.shared.metrics.queue_share.reset();
+        self.shared.metrics.queue_entitlement.reset();
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -43,6 +43,7 @@
     pub draining: bool,
     /// Failure domain; empty for the one that all others share.
     pub domain: String,
+    pub accelerators: u64,
     /// Maximum number of ends that a response lists, if there is one.
     pub max_listed_ends: Option<usize>,
 }
@@ -122,7 +123,11 @@
             instance: instance.to_string(),
             service: SERVICE.to_string(),
             domain: if runner.domain.is_empty() { "d".into() } else { runner.domain.clone() },
-            capacity: ResourceVector { millicores: 4_000, memory_mib: 4_000, accelerators: 0 },
+            capacity: ResourceVector {
+                millicores: 4_000,
+                memory_mib: 4_000,
+                accelerators: runner.accelerators,
+            },
             labels: runner.labels.clone(),
             draining: runner.draining,
         };
