Worker speed: decisions on learned speeds, not yet used

Cause: the planner does not know how fast a worker is. A worker that runs everything five times slower gets tasks like any other, and the last tasks of a step wait for it.

Nothing calls them yet.

--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -41,3 +41,4 @@
 mod urgency;
 pub mod worker_entry;
 pub mod worker_inventory;
+pub mod worker_speed;
