Planner: learn the speed of workers and decide by it

Cause: a worker that runs everything five times slower gets as many tasks as the others, and each step waits for its tasks there.

Change: with [workers] learn-speed = true the planner feeds the progress of runs to worker_speed, ejects and probes slow workers, adds the expected end to the cost of a placement, copies tasks of steps that allow it when the copy would end first, moves best-effort tasks with checkpoints and serving tasks (within max_unavailable) off slow workers. Decisions are logged as worker_slow, worker_ejected, worker_readmitted and task_moved why=Slow; gga_worker_speed and gga_ejected_workers show the present state. Without the setting nothing is learned.

Rates are computed by the clock of the agent, so that late reports change nothing.

--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 /// Events that affect all jobs. Those between the first and the last line of the job are shown with it.
-const BELIEFS: [&str; 16] = [
+const BELIEFS: [&str; 19] = [
     "planning_started",
     "planning_ended",
     "evacuation_started",
@@ -21,6 +21,9 @@
     "feed_lost",
     "commit_failed",
     "ownership_watch_lost",
+    "worker_slow",
+    "worker_ejected",
+    "worker_readmitted",
 ];
 
 /// One line of a log: its time in seconds and its pairs.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -5,6 +5,7 @@
 use axum::Router;
 use axum::routing::get;
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
@@ -15,6 +16,7 @@
 
 use crate::connection::counted_stream::byte_counts;
 use crate::error::Error;
+use crate::ids::InstanceId;
 use crate::process::entry::listen;
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
@@ -48,6 +50,10 @@
     pub bytes_sent: IntGauge,
     /// Bytes received from other processes of the system, without TCP and IP headers.
     pub bytes_received: IntGauge,
+    /// Speed of each slow or ejected worker as a share of the median, by worker.
+    pub worker_speed: GaugeVec,
+    /// Workers that get only probes because they are slow.
+    pub ejected_workers: IntGauge,
 }
 
 impl ProcessMetrics {
@@ -81,6 +87,12 @@
             remembered_ids: gauge("gga_remembered_ids", "Request ids that are remembered"),
             bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
             bytes_received: gauge("gga_bytes_received", "Bytes received from other processes"),
+            worker_speed: GaugeVec::new(
+                Opts::new("gga_worker_speed", "Speed of slow workers, 1 is the median"),
+                &["worker"],
+            )
+            .expect("constant names are valid"),
+            ejected_workers: gauge("gga_ejected_workers", "Workers ejected because they are slow"),
             registry,
         };
         metrics.register();
@@ -104,8 +116,25 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
+    /// Replaces the speeds of the slow workers and the number of ejected ones.
+    ///
+    /// ```
+    /// use greengagearch::process::metrics::ProcessMetrics;
+    ///
+    /// let metrics = ProcessMetrics::open();
+    /// metrics.set_worker_speeds(&[("i-1".to_string(), 0.2)], 1);
+    /// assert!(metrics.render().contains("gga_worker_speed{worker=\"i-1\"} 0.2"));
+    /// ```
+    pub fn set_worker_speeds(&self, slow: &[(InstanceId, f64)], ejected: usize) {
+        self.worker_speed.reset();
+        for (worker, speed) in slow {
+            self.worker_speed.with_label_values(&[worker.as_str()]).set(*speed);
+        }
+        self.ejected_workers.set(i64::try_from(ejected).unwrap_or(i64::MAX));
+    }
+
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
@@ -116,6 +145,8 @@
             Box::new(self.remembered_ids.clone()),
             Box::new(self.bytes_sent.clone()),
             Box::new(self.bytes_received.clone()),
+            Box::new(self.worker_speed.clone()),
+            Box::new(self.ejected_workers.clone()),
         ];
         for collector in collectors {
             // Names are constants and unique, so that a refusal is a mistake in this file, which
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -1,5 +1,7 @@
 //! Log lines for the planner's decisions.
 
+use std::fmt::Display;
+
 use log::Level;
 
 use crate::connection::node_protocol::format_young_runs;
@@ -7,6 +9,7 @@
 use crate::process::logging::log_event;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
+use crate::workflow::worker_speed::worker_ejection::EjectionChange;
 
 /// Logs one decision, with the epoch of the planner that made it.
 pub fn log_decision(epoch: PlannerEpoch, decision: &PlanDecision) {
@@ -179,9 +182,30 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::WorkerSpeed(change) => log_speed_change(epoch, change),
     }
 }
 
+/// Logs that a worker is slow, ejected or readmitted, with the evidence.
+fn log_speed_change(epoch: PlannerEpoch, change: &EjectionChange) {
+    let (worker, speed, reason) = match change {
+        EjectionChange::Slow(worker, speed) | EjectionChange::Ejected(worker, speed) => {
+            (worker, Some(speed), None)
+        }
+        EjectionChange::Readmitted(worker, reason, speed) => (worker, speed.as_ref(), Some(reason)),
+    };
+    let unknown = || "unknown".to_string();
+    let share = speed.map_or_else(unknown, |speed| format!("{:.2}", speed.speed));
+    let samples = speed.map_or(0, |speed| speed.tasks);
+    let age_ms = speed.map_or_else(unknown, |speed| speed.age.as_millis().to_string());
+    let reason = reason.map(|reason| format!("{reason:?}"));
+    let mut fields: Vec<(&str, &dyn Display)> =
+        vec![("worker", worker), ("speed", &share), ("samples", &samples), ("age_ms", &age_ms)];
+    fields.extend(reason.as_ref().map(|reason| ("reason", reason as &dyn Display)));
+    fields.push(("epoch", &epoch));
+    log_event(Level::Warn, change.label(), &fields);
+}
+
 /// A refused run that the worker reports as present nevertheless is logged as a warning: it may
 /// soon be executed twice.
 fn rejection_level(shown: bool) -> Level {
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -230,6 +230,7 @@
         log_event(Level::Info, "planning_started", &[("epoch", &epoch)]);
         let reason = PlannerLoop::run(self.shared.clone(), ownership).await;
         *self.shared.owned() = None;
+        self.shared.metrics.set_worker_speeds(&[], 0);
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -178,6 +178,7 @@
             answered_at
         };
         let mut planner = Planner::new(leases_expired_by);
+        planner.learn_speed(self.shared.settings.learn_speed);
         // Nothing starts before the requests of operators have been read.
         planner.on_evacuations(EvacuationSet::default(), answered_at);
         let layout = self.shared.settings.layout;
@@ -203,8 +204,7 @@
             "jobs_loaded",
             &[("jobs", &jobs.len()), ("in_progress", &progress.len()), ("version", &version)],
         );
-        let confirmed_at = self.ownership.sent_at;
-        *self.shared.owned() = Some(OwnedPlanner { planner, confirmed_at });
+        *self.shared.owned() = Some(OwnedPlanner { planner, confirmed_at: self.ownership.sent_at });
         Ok(version)
     }
 
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -162,6 +162,10 @@
                 log_load(self.ownership.owner.epoch, &owned.planner);
             }
         }
+        let speeds = self.with_planner(|planner| planner.slow_workers());
+        if let Some((slow, ejected)) = speeds.flatten() {
+            self.shared.metrics.set_worker_speeds(&slow, ejected);
+        }
         let evacuated_services =
             self.with_planner(|planner| planner.evacuated_services()).unwrap_or_default();
         let epoch = self.ownership.owner.epoch;
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -59,6 +59,8 @@
     pub ended_job_retention: Duration,
     /// Time after a request to evacuate a failure domain in which the last run starts there.
     pub evacuation_limit: Duration,
+    /// Whether the speeds of workers are learned and taken into account.
+    pub learn_speed: bool,
 }
 
 impl PlannerSettings {
@@ -92,6 +94,7 @@
             processor_share: reader.value("planner", "processor-share", 1.0),
             ended_job_retention: reader.span("jobs", "kept-for", DEFAULT_JOB_RETENTION),
             evacuation_limit: read_evacuation_limit(&mut reader),
+            learn_speed: reader.flag("workers", "learn-speed", false),
         };
         reader.finish().or_value(settings)
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -25,6 +25,8 @@
 pub mod planner_preemption;
 pub mod planner_reports;
 pub mod planner_rounds;
+mod planner_speed;
+mod planner_stragglers;
 mod planner_traits;
 pub mod progress;
 pub mod remaining_work;
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -12,6 +12,7 @@
 use crate::workflow::worker_entry::Competitors;
 use crate::workflow::worker_entry::WorkerEntry;
 use crate::workflow::worker_inventory::WorkerInventory;
+use crate::workflow::worker_speed::FleetSpeed;
 
 /// Minimum share of its requested processor time that must be left for a best-effort task. With
 /// less it would occupy memory and delay the other best-effort tasks more than it gains.
@@ -95,6 +96,8 @@
     pub advice: &'a AdviceCache,
     /// Worker that is being emptied of serving tasks, if any.
     pub being_emptied: Option<&'a str>,
+    /// Learned speeds of the workers, if they are learned.
+    pub speeds: Option<&'a FleetSpeed>,
     /// Current time.
     pub now: Instant,
 }
@@ -139,6 +142,7 @@
 ///     interference: &interference,
 ///     advice: &advice,
 ///     being_emptied: None,
+///     speeds: None,
 ///     now: Instant::now(),
 /// };
 /// assert_eq!(choose(&request, &view), None);
@@ -181,6 +185,13 @@
     };
     let is_below_limit =
         || step.max_per_worker == 0 || worker.runs_of_step(request.task) < step.max_per_worker;
+    // Copies and moves avoid slow workers, so they are no probes.
+    let is_fast = || {
+        view.speeds.is_none_or(|speeds| {
+            let may_be_probe = request.excluded_worker.is_none();
+            speeds.may_start(instance, step, may_be_probe, view.now)
+        })
+    };
     // A task that starts beside a suspected one would be lost in a crash and obscure its cause.
     let is_available = worker.isolated.as_ref().is_none_or(|key| is_same_gang(request, &key.0));
     request.excluded_worker != Some(instance)
@@ -189,6 +200,7 @@
         && request.rack.is_none_or(|rack| status.rack() == rack)
         && worker.is_open(view.now)
         && is_trusted()
+        && is_fast()
         && has_label()
         && has_ticket()
         && is_below_limit()
@@ -224,6 +236,7 @@
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
         cost += OFF_RACK_COST;
     }
+    cost += view.speeds.map_or(0.0, |speeds| speeds.cost(instance));
     if request.failed_on.iter().any(|failed| failed == instance) {
         cost += FAILED_BEFORE_COST;
     }
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -10,6 +10,7 @@
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::worker_speed::worker_ejection::EjectionChange;
 
 /// Why a task is moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +25,8 @@
     Gathered,
     /// The failure domain of its worker is being evacuated.
     Evacuated,
+    /// Its worker is slow.
+    Slow,
 }
 
 /// Why a runner instance is lost.
@@ -261,6 +264,8 @@
         /// Time since its agent last reported it, in milliseconds; `None` if it never did.
         silent_ms: Option<u64>,
     },
+    /// A worker was found to be slow, is ejected or readmitted.
+    WorkerSpeed(EjectionChange),
 }
 
 impl PlanDecision {
@@ -300,6 +305,7 @@
             PlanDecision::TaskCleared { .. } => "task_cleared",
             PlanDecision::TaskGivenUp { .. } => "task_given_up",
             PlanDecision::WorkerLost { .. } => "worker_lost",
+            PlanDecision::WorkerSpeed(change) => change.label(),
         }
     }
 }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -27,7 +27,6 @@
 use crate::workflow::plan_decision::EndCause;
 use crate::workflow::plan_decision::LossReason;
 use crate::workflow::plan_decision::PlanDecision;
-use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_consolidation::ConsolidationState;
 use crate::workflow::planner_evacuation::KnownEvacuations;
 use crate::workflow::planner_jobs::EndedJob;
@@ -38,6 +37,7 @@
 use crate::workflow::task_suspicion::TaskSuspicion;
 use crate::workflow::worker_inventory::RunKey;
 use crate::workflow::worker_inventory::WorkerInventory;
+use crate::workflow::worker_speed::FleetSpeed;
 
 /// An order and the runner instance that it is addressed to.
 pub type AddressedOrder = (InstanceId, NodeOrder);
@@ -70,6 +70,8 @@
     pub(crate) acked_ends: BTreeMap<InstanceId, u64>,
     pub(crate) evacuations: KnownEvacuations,
     pub(crate) precedence: JobPrecedence,
+    /// Learned speeds of the workers; `None` if they are not learned.
+    pub(crate) speeds: Option<FleetSpeed>,
     /// Time by which all leases granted by earlier planners have expired.
     pub(crate) inherited_lease_end: Instant,
 }
@@ -108,6 +110,7 @@
             acked_ends: BTreeMap::new(),
             evacuations: KnownEvacuations::default(),
             precedence: JobPrecedence::default(),
+            speeds: None,
             inherited_lease_end,
         }
     }
@@ -143,7 +146,7 @@
     }
 
     /// Opens the occurrences that are due, gives up the runs of silent workers, and moves tasks
-    /// that are throttled, on draining workers, in evacuated domains, or to be consolidated.
+    /// that are throttled, on draining or slow workers, in evacuated domains, or to be consolidated.
     ///
     /// ```
     /// use std::time::Instant;
@@ -160,6 +163,7 @@
         self.move_throttled();
         self.leave_draining();
         self.leave_evacuated();
+        self.leave_slow_workers();
         self.consolidate();
         for entry in self.jobs.values_mut() {
             entry.remaining_work = None;
@@ -439,16 +443,4 @@
             self.give_up_task(task, instance);
         }
     }
-
-    /// Returns the next batch of rows to store, if any row has changed.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert!(planner.take_batch().is_none());
-    /// ```
-    pub fn take_batch(&mut self) -> Option<PlanBatch> {
-        PlanBatch::take(self)
-    }
 }
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -93,6 +93,18 @@
 }
 
 impl Planner {
+    /// Returns the next batch of rows to store, if any row has changed.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.take_batch().is_none());
+    /// ```
+    pub fn take_batch(&mut self) -> Option<PlanBatch> {
+        PlanBatch::take(self)
+    }
+
     /// Records that a batch was stored with the given row version, and releases its start orders.
     ///
     /// ```
--- a/src/workflow/planner_consolidation.rs
+++ b/src/workflow/planner_consolidation.rs
@@ -35,13 +35,13 @@
 const MIN_UNMET_DEMAND: usize = 6;
 /// Minimum age of a run that is moved. A move costs about one second of service, so it follows at
 /// least four seconds of service.
-const MIN_RUN_AGE: Duration = Duration::from_secs(4);
+pub(crate) const MIN_RUN_AGE: Duration = Duration::from_secs(4);
 /// Time after which an attempt to empty a worker is abandoned.
 const EMPTYING_TIMEOUT: Duration = Duration::from_secs(6);
 /// Number of additional best-effort tasks that a single move has to allow.
 const MIN_GAIN: f64 = 1.0;
 /// Progress, in percent, that a long-running task reports while it is working.
-const WORKING_PERCENT: u32 = 100;
+pub(crate) const WORKING_PERCENT: u32 = 100;
 /// Maximum number of workers or tasks examined in one evaluation, which keeps its cost linear in
 /// the number of workers.
 const MAX_CANDIDATES: usize = 32;
--- a/src/workflow/planner_moves.rs
+++ b/src/workflow/planner_moves.rs
@@ -23,7 +23,7 @@
 const NEARLY_DONE_PERCENT: u32 = 60;
 /// Maximum number of tasks moved in one tick, so that each destination is chosen with the earlier
 /// moves in view.
-const MAX_MOVES_PER_TICK: usize = 3;
+pub(crate) const MAX_MOVES_PER_TICK: usize = 3;
 /// Lifetime of a reservation: covers the longest stop that platforms allow, the message delays and
 /// the start.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -111,7 +111,7 @@
     }
 
     /// Returns a worker that can run the task without risk to the serving tasks there.
-    fn destination_for(&self, instance: &str, key: &RunKey) -> Option<InstanceId> {
+    pub(crate) fn destination_for(&self, instance: &str, key: &RunKey) -> Option<InstanceId> {
         let request = self.move_request(&key.0, instance)?;
         choose(&request, &self.placement_view())
     }
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::connection::node_protocol::EndedRun;
@@ -17,7 +18,6 @@
 use crate::connection::node_protocol::StartOrder;
 use crate::ids::InstanceId;
 use crate::workflow::assigned_run::OrderDelivery;
-use crate::workflow::assigned_run::RunProgress;
 use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::expired_by;
 use crate::workflow::plan_decision::EndCause;
@@ -111,7 +111,7 @@
             self.give_up_task(task, worker);
         }
         if let (Some(status), Some(snapshot)) = (report.runner, report.snapshot) {
-            self.on_snapshot(&status.instance, snapshot);
+            self.on_snapshot(&status.instance, snapshot, report.now);
         }
     }
 
@@ -222,7 +222,7 @@
         }
     }
 
-    fn on_snapshot(&mut self, instance: &str, snapshot: RunnerSnapshot) {
+    fn on_snapshot(&mut self, instance: &str, snapshot: RunnerSnapshot, sent_at: Duration) {
         let shown = rejections_shown(&snapshot);
         let ended = snapshot.ended.iter().map(|ended| (ended.task.clone(), ended.run));
         let ended: BTreeSet<RunKey> = ended.collect();
@@ -248,10 +248,7 @@
             self.now,
         );
         self.interference.learn(worker, self.now);
-        let progress = worker.assigned.iter().filter(|(_, run)| !run.long_running);
-        let progress = progress.filter_map(|(key, run)| Some((key.0.clone(), run.progress?)));
-        let progress: Vec<(TaskName, RunProgress)> = progress.collect();
-        self.learn_durations(&progress);
+        self.learn_progress(instance, sent_at);
         self.send_changed_traits(instance);
         self.clear_surviving_tasks(instance);
         for key in absent {
@@ -295,15 +292,6 @@
         }
     }
 
-    fn learn_durations(&mut self, progress: &[(TaskName, RunProgress)]) {
-        for (name, done) in progress {
-            if let Some(entry) = self.jobs.get_mut(&name.job) {
-                let span = (f64::from(done.from_percent), f64::from(done.to_percent));
-                entry.forecast.record_progress(name.into(), span, done.worked_ms);
-            }
-        }
-    }
-
     fn on_ended(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
         self.mark_begun(&key.0);
@@ -353,7 +341,8 @@
         }
         match rejected.reason {
             RejectReason::Room => self.inventory.on_full(instance, self.now),
-            RejectReason::Unwell | RejectReason::Malformed => {
+            reason @ (RejectReason::Unwell | RejectReason::Malformed) => {
+                self.note_health(instance, reason);
                 self.on_failure(instance, &rejected.task);
             }
             RejectReason::Ticket => {
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashSet;
-use std::time::Duration;
 
 use crate::ids::InstanceId;
 use crate::ids::JobId;
@@ -25,11 +24,6 @@
 use crate::workflow::worker_entry::Competitors;
 use crate::workflow::worker_entry::WorkerEntry;
 
-/// Multiple of its estimate after which a running task gets a speculative copy; estimates may be
-/// off by half.
-const COPY_ESTIMATE_FACTOR: f64 = 3.0;
-/// Allowance added to that limit for the delivery of orders and ends.
-const COPY_SLACK: Duration = Duration::from_millis(250);
 /// Time without a run, in milliseconds, after which the best-effort tasks of a job are placed
 /// regardless of risk. Users tolerate three seconds during which a job stands still although
 /// capacity is free.
@@ -258,51 +252,6 @@
         names.len()
     }
 
-    /// Starts speculative copies of tasks that run far longer than estimated.
-    fn start_copies(&mut self, job: &str, occurrence: u32, step: u32, spec: &StepSpec) -> usize {
-        let slow = self.slow_tasks(job, occurrence, step, spec);
-        let mut started = 0;
-        for (name, current_worker) in slow {
-            if let Some(worker) = self.choose_worker(&name, spec, None, Some(&current_worker)) {
-                let run = self.last_run(&name) + 1;
-                self.assign(&name, run, worker, spec);
-                started += 1;
-            }
-        }
-        started
-    }
-
-    /// Tasks whose only run has taken far longer than estimated, each with the worker of that run.
-    fn slow_tasks(
-        &self,
-        job: &str,
-        occurrence: u32,
-        step: u32,
-        spec: &StepSpec,
-    ) -> Vec<(TaskName, InstanceId)> {
-        let tasks = self.jobs.get(job).and_then(|entry| entry.progress.open.get(&occurrence));
-        let tasks = tasks.and_then(|steps| steps.get(step as usize));
-        let limit =
-            Duration::from_millis(spec.estimate_ms).mul_f64(COPY_ESTIMATE_FACTOR) + COPY_SLACK;
-        let mut slow = Vec::new();
-        for (index, task) in (0..).zip(tasks.into_iter().flatten()) {
-            let [attempt] = task.attempts.as_slice() else {
-                continue;
-            };
-            let name = TaskName { job: job.to_string(), occurrence, step, index };
-            let run = self
-                .inventory
-                .get(&attempt.worker)
-                .and_then(|worker| worker.assigned.get(&(name.clone(), attempt.run)));
-            let age = run.map(|run| self.now.saturating_duration_since(run.assigned_at));
-            let is_suspected = !self.task_suspicion.crashes(&name).is_empty();
-            if age.is_some_and(|age| age > limit) && !task.done && !is_suspected {
-                slow.push((name, attempt.worker.clone()));
-            }
-        }
-        slow
-    }
-
     pub(crate) fn choose_worker(
         &self,
         name: &TaskName,
@@ -368,6 +317,7 @@
             interference: &self.interference,
             advice: &self.advice,
             being_emptied: self.consolidation.being_emptied(),
+            speeds: self.speeds.as_ref(),
             now: self.now,
         }
     }
@@ -416,6 +366,9 @@
             self.isolate(&worker, &key);
         }
         self.suspicion.on_start(&worker, &name.to_string(), self.now);
+        if let Some(speeds) = &mut self.speeds {
+            speeds.ejection.on_start(&worker, name, self.now);
+        }
         self.changed_jobs.insert(name.job.clone());
         self.pending_starts.entry(name.job.clone()).or_default().push((worker, key));
     }
--- a/src/workflow/unplaceable_requests.rs
+++ b/src/workflow/unplaceable_requests.rs
@@ -9,6 +9,7 @@
 use crate::workflow::placement::PlacementRequest;
 use crate::workflow::placement::RiskLimit;
 use crate::workflow::spec::ResourceVector;
+use crate::workflow::worker_speed::is_measurable;
 
 /// The unplaceable requests of the current round.
 #[derive(Debug, Default)]
@@ -23,6 +24,8 @@
     /// Image and risk limit of a best-effort task; `None` for other tasks.
     best_effort: Option<(ImageName, RiskLimit)>,
     resources: ResourceVector,
+    /// Whether the task could have started as a probe on an ejected worker.
+    is_measurable: bool,
 }
 
 impl UnplaceableRequests {
@@ -39,6 +42,7 @@
                 required_label: request.step.required_label.clone(),
                 best_effort: best_effort_of(request).map(|(image, risk)| (image.to_string(), risk)),
                 resources: request.step.resources,
+                is_measurable: is_measurable(request.step),
             });
         }
     }
@@ -51,6 +55,7 @@
             && self.required_label == request.step.required_label
             && best_effort == best_effort_of(request)
             && request.step.resources.contains(&self.resources)
+            && (self.is_measurable || !is_measurable(request.step))
     }
 }
 
--- a/src/workflow/worker_speed/mod.rs
+++ b/src/workflow/worker_speed/mod.rs
@@ -10,6 +10,7 @@
 pub mod worker_ejection;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::InstanceId;
@@ -18,7 +19,6 @@
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_speed::expected_end::ExpectedEnd;
 use crate::workflow::worker_speed::speed_model::SpeedModel;
-use crate::workflow::worker_speed::speed_sample::SpeedSample;
 use crate::workflow::worker_speed::straggler_policy::RunOutlook;
 use crate::workflow::worker_speed::straggler_policy::StragglerPolicy;
 use crate::workflow::worker_speed::worker_ejection::EjectionChange;
@@ -33,6 +33,11 @@
 /// Least number of tasks of a step whose tasks serve as probes: one, and three to compare it with.
 const MIN_PROBE_STEP: u32 = 4;
 
+/// Returns whether the speed of a single task of a step can be compared with that of others.
+pub(crate) fn is_measurable(step: &StepSpec) -> bool {
+    step.count >= MIN_PROBE_STEP && !step.long_running && !step.gang
+}
+
 /// The speeds of a fleet, which the planner owns if speeds are to be learned.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSpeed {
@@ -40,6 +45,8 @@
     pub(crate) ejection: WorkerEjection,
     pub(crate) expected_end: ExpectedEnd,
     pub(crate) stragglers: StragglerPolicy,
+    last_evaluated: Option<Instant>,
+    last_cleanup: Option<Instant>,
 }
 
 impl FleetSpeed {
@@ -70,7 +77,7 @@
             services.into_iter().map(|(service, workers)| (service, speeds(workers))).collect();
         let changes = self.ejection.evaluate(&services, now);
         for change in &changes {
-            if let EjectionChange::Readmitted(worker, _) = change {
+            if let EjectionChange::Readmitted(worker, ..) = change {
                 self.model.forget(worker);
             }
         }
@@ -83,13 +90,18 @@
         changes
     }
 
-    /// Records a sample of a worker's speed.
-    pub(crate) fn on_sample(&mut self, sample: &SpeedSample) {
-        self.ejection.on_sample(sample);
+    /// Returns whether the next evaluation is due, and counts it as done.
+    pub(crate) fn is_due(&mut self, now: Instant, interval: Duration) -> bool {
+        take_due(&mut self.last_evaluated, now, interval)
     }
 
-    /// Returns whether a task of a step may start on a worker: not on an ejected one, except as a
-    /// probe.
+    /// Returns whether the next cleanup is due, and counts it as done.
+    pub(crate) fn is_cleanup_due(&mut self, now: Instant, interval: Duration) -> bool {
+        take_due(&mut self.last_cleanup, now, interval)
+    }
+
+    /// Returns whether a task of a step may start on a worker: not on an ejected one, unless it
+    /// `may_be_probe` and its speed can be measured.
     ///
     /// ```
     /// use std::time::Instant;
@@ -97,11 +109,17 @@
     /// use greengagearch::workflow::spec::StepSpec;
     /// use greengagearch::workflow::worker_speed::FleetSpeed;
     ///
-    /// assert!(FleetSpeed::default().may_start("i-1", &StepSpec::default(), Instant::now()));
+    /// let speeds = FleetSpeed::default();
+    /// assert!(speeds.may_start("i-1", &StepSpec::default(), false, Instant::now()));
     /// ```
-    pub fn may_start(&self, worker: &str, step: &StepSpec, now: Instant) -> bool {
-        let may_be_probe = step.count >= MIN_PROBE_STEP && !step.long_running && !step.gang;
-        self.ejection.may_start(worker, may_be_probe, now)
+    pub fn may_start(
+        &self,
+        worker: &str,
+        step: &StepSpec,
+        may_be_probe: bool,
+        now: Instant,
+    ) -> bool {
+        self.ejection.may_start(worker, may_be_probe && is_measurable(step), now)
     }
 
     /// Cost of placing a task on a worker. Probes have none, since otherwise they would wait until
@@ -146,3 +164,11 @@
         })
     }
 }
+
+fn take_due(last: &mut Option<Instant>, now: Instant, interval: Duration) -> bool {
+    let is_due = last.is_none_or(|at| now.saturating_duration_since(at) >= interval);
+    if is_due {
+        *last = Some(now);
+    }
+    is_due
+}
--- a/src/workflow/worker_speed/worker_ejection.rs
+++ b/src/workflow/worker_speed/worker_ejection.rs
@@ -61,11 +61,31 @@
     /// It gets only probes from now on.
     Ejected(InstanceId, WorkerSpeed),
     /// It gets tasks as before.
-    Readmitted(InstanceId, ReadmissionReason),
+    Readmitted(InstanceId, ReadmissionReason, Option<WorkerSpeed>),
+}
+
+impl EjectionChange {
+    /// Label of this kind of change in the log and in the metrics.
+    ///
+    /// ```
+    /// use greengagearch::workflow::worker_speed::worker_ejection::EjectionChange;
+    /// use greengagearch::workflow::worker_speed::worker_ejection::ReadmissionReason;
+    ///
+    /// let change = EjectionChange::Readmitted("i-1".into(), ReadmissionReason::Probes, None);
+    /// assert_eq!(change.label(), "worker_readmitted");
+    /// ```
+    pub fn label(&self) -> &'static str {
+        match self {
+            EjectionChange::Slow(..) => "worker_slow",
+            EjectionChange::Ejected(..) => "worker_ejected",
+            EjectionChange::Readmitted(..) => "worker_readmitted",
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
 struct EjectedWorker {
+    since: Instant,
     last_slow_at: Instant,
     next_probe_at: Instant,
     /// The task that tries the worker, and since when.
@@ -76,6 +96,7 @@
 impl EjectedWorker {
     fn new(now: Instant) -> EjectedWorker {
         EjectedWorker {
+            since: now,
             last_slow_at: now,
             next_probe_at: now + PROBE_PAUSE,
             probe: None,
@@ -159,10 +180,10 @@
             ejected.chain(slow.iter().map(|(worker, _)| worker)).collect();
         if affected.len() > workers.len() / WORKERS_PER_EJECTION {
             self.fleet_slow_until.insert(service.clone(), now + FLEET_SLOW_PAUSE);
-            for worker in workers.keys() {
+            for (worker, speed) in workers {
                 if self.ejected.remove(worker).is_some() {
                     let reason = ReadmissionReason::FleetSlow;
-                    changes.push(EjectionChange::Readmitted(worker.clone(), reason));
+                    changes.push(EjectionChange::Readmitted(worker.clone(), reason, *speed));
                 }
             }
         }
@@ -189,7 +210,7 @@
         now: Instant,
         changes: &mut Vec<EjectionChange>,
     ) {
-        for worker in workers.keys() {
+        for (worker, speed) in workers {
             let Some(ejected) = self.ejected.get(worker) else {
                 continue;
             };
@@ -202,7 +223,7 @@
                 continue;
             };
             self.ejected.remove(worker);
-            changes.push(EjectionChange::Readmitted(worker.clone(), reason));
+            changes.push(EjectionChange::Readmitted(worker.clone(), reason, *speed));
         }
     }
 
@@ -224,6 +245,10 @@
             return;
         };
         let is_probe = ejected.probe.as_ref().is_some_and(|(task, _)| *task == sample.task);
+        // Runs that were there before had a part of their progress before the ejection.
+        if !is_probe && sample.taken_at < ejected.since + PROBE_PAUSE {
+            return;
+        }
         if sample.speed > READMISSION_SPEED {
             ejected.passed.insert(sample.task.clone());
             if is_probe {
@@ -372,7 +397,7 @@
         let changes = ejection.evaluate(&many, now);
         assert_matches!(
             changes.last(),
-            Some(EjectionChange::Readmitted(_, ReadmissionReason::FleetSlow))
+            Some(EjectionChange::Readmitted(_, ReadmissionReason::FleetSlow, _))
         );
         assert_eq!(ejection.count(), 0);
         ejection.evaluate(&ten(&[slow(0.2)]), now + Duration::from_secs(1));
@@ -398,7 +423,7 @@
         ejection.on_start("i-0", &"a.0.0.1".parse().unwrap(), probed);
         ejection.on_sample(&sample("a.0.0.1", 1.0, probed));
         let changes = ejection.evaluate(&ten(&[None]), probed);
-        let readmitted = EjectionChange::Readmitted("i-0".into(), ReadmissionReason::Probes);
+        let readmitted = EjectionChange::Readmitted("i-0".into(), ReadmissionReason::Probes, None);
         assert_eq!(changes, [readmitted]);
         assert!(ejection.may_start("i-0", false, probed));
     }
@@ -435,7 +460,8 @@
         let mut ejection = WorkerEjection::default();
         ejection.evaluate(&ten(&[slow(0.2)]), now);
         let changes = ejection.evaluate(&ten(&[None]), now + EJECTION_LIMIT);
-        let readmitted = EjectionChange::Readmitted("i-0".into(), ReadmissionReason::NoSamples);
+        let readmitted =
+            EjectionChange::Readmitted("i-0".into(), ReadmissionReason::NoSamples, None);
         assert_eq!(changes, [readmitted]);
         ejection.evaluate(&ten(&[slow(0.2)]), now + EJECTION_LIMIT);
         assert!(ejection.evaluate(&ServiceSpeeds::new(), now + EJECTION_LIMIT).is_empty());
