Worker speed: bound ejections by what is slow now, serve what only slow workers can

Cause: workers that had recovered and waited for their probes counted as slow, so that a second slow phase made the fleet look slow and readmitted all. A task that only ejected workers can run (label, ticket, size) waited for as long as they were slow.

Change: only workers with a slow sample of the last 5 s count for the limit; at most a fifth is ejected, the slowest first. A task without any other worker may start on an ejected one. Tests of both, of the setting, and of gga-ctl explain.

--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -190,6 +190,7 @@
         view.speeds.is_none_or(|speeds| {
             let may_be_probe = request.excluded_worker.is_none();
             speeds.may_start(instance, step, may_be_probe, view.now)
+                || !has_other_worker(request, view, speeds)
         })
     };
     // A task that starts beside a suspected one would be lost in a crash and obscure its cause.
@@ -206,6 +207,32 @@
         && is_below_limit()
 }
 
+/// Returns whether a worker that is not ejected could run a task if it were free. A task that only
+/// ejected workers can run would otherwise wait for as long as they are slow.
+fn has_other_worker(
+    request: &PlacementRequest<'_>,
+    view: &PlacementView<'_>,
+    speeds: &FleetSpeed,
+) -> bool {
+    let step = request.step;
+    let key = request.task.step_key();
+    let mut others = view.inventory.iter().filter(|(instance, worker)| {
+        !speeds.ejection.is_ejected(instance) && worker.is_open(view.now)
+    });
+    others.any(|(instance, worker)| {
+        worker.status.as_ref().is_some_and(|status| {
+            let has_label =
+                step.required_label.is_empty() || status.labels.contains(&step.required_label);
+            let has_ticket =
+                !request.needs_ticket || view.advice.ticket(&key, instance, view.now).is_some();
+            status.service == request.service
+                && has_label
+                && has_ticket
+                && status.capacity.contains(&step.reserved_resources())
+        })
+    })
+}
+
 /// Returns whether a task belongs to the gang that requests a worker; its members may share one.
 fn is_same_gang(request: &PlacementRequest<'_>, other: &TaskName) -> bool {
     request.step.gang && request.task.step_key() == other.step_key()
--- a/src/workflow/worker_speed/worker_ejection.rs
+++ b/src/workflow/worker_speed/worker_ejection.rs
@@ -32,6 +32,9 @@
 /// Time after which a probe that was not measured allows another one: longer than most tasks take
 /// at full speed.
 const PROBE_LIMIT: Duration = Duration::from_secs(3);
+/// Time after its last slow sample for which an ejected worker counts as slow. Later it waits for
+/// its probes and says nothing about the fleet.
+const RECENT_SLOWNESS: Duration = Duration::from_secs(5);
 /// Time without a slow sample after which a worker is readmitted without probes, since a service
 /// may have no task that can serve as a probe.
 const EJECTION_LIMIT: Duration = Duration::from_secs(30);
@@ -175,10 +178,15 @@
             }
         }
         self.readmit(workers, now, changes);
-        let ejected = self.ejected.keys().filter(|worker| workers.contains_key(*worker));
+        let limit = workers.len() / WORKERS_PER_EJECTION;
+        let is_recent = |ejected: &EjectedWorker| {
+            now.saturating_duration_since(ejected.last_slow_at) < RECENT_SLOWNESS
+        };
+        let ejected = self.ejected.iter().filter(|(worker, _)| workers.contains_key(*worker));
+        let recent = ejected.filter(|(_, ejected)| is_recent(ejected)).map(|(worker, _)| worker);
         let affected: BTreeSet<&InstanceId> =
-            ejected.chain(slow.iter().map(|(worker, _)| worker)).collect();
-        if affected.len() > workers.len() / WORKERS_PER_EJECTION {
+            recent.chain(slow.iter().map(|(worker, _)| worker)).collect();
+        if affected.len() > limit {
             self.fleet_slow_until.insert(service.clone(), now + FLEET_SLOW_PAUSE);
             for (worker, speed) in workers {
                 if self.ejected.remove(worker).is_some() {
@@ -190,11 +198,11 @@
         if self.fleet_slow_until.contains_key(service) {
             return;
         }
-        for (worker, speed) in slow {
-            if !self.ejected.contains_key(&worker) {
-                self.ejected.insert(worker.clone(), EjectedWorker::new(now));
-                changes.push(EjectionChange::Ejected(worker, speed));
-            }
+        let ejected = self.ejected.keys().filter(|worker| workers.contains_key(*worker)).count();
+        slow.retain(|(worker, _)| !self.ejected.contains_key(worker));
+        for (worker, speed) in slow.into_iter().take(limit.saturating_sub(ejected)) {
+            self.ejected.insert(worker.clone(), EjectedWorker::new(now));
+            changes.push(EjectionChange::Ejected(worker, speed));
         }
     }
 
@@ -406,6 +414,20 @@
         assert_eq!(ejection.count(), 1);
     }
 
+    /// Workers that recover while others become slow must not count as a slow fleet.
+    #[test]
+    fn no_more_than_a_fifth_is_ejected_while_others_recover() {
+        let now = Instant::now();
+        let mut ejection = WorkerEjection::default();
+        ejection.evaluate(&ten(&[slow(0.2)]), now);
+        let later = now + RECENT_SLOWNESS;
+        let changes = ejection.evaluate(&ten(&[None, slow(0.3), slow(0.2)]), later);
+        let ejected = EjectionChange::Ejected("i-2".into(), slow(0.2).unwrap());
+        assert_eq!(changes.last(), Some(&ejected));
+        assert_eq!(ejection.count(), 2);
+        assert!(ejection.is_ejected("i-0") && !ejection.is_ejected("i-1"));
+    }
+
     #[test]
     fn two_fast_probes_one_after_the_other_readmit_a_worker() {
         let now = Instant::now();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -93,3 +93,23 @@
     ];
     assert_eq!(events, all, "{told}");
 }
+
+/// A late job whose last task waited on a slow worker: the log has to name the worker beside the move.
+#[test]
+fn slow_workers_are_told_with_a_job() {
+    let told = told(&[
+        "time=5.000 level=info event=job_submitted job=a1 outcome=accepted",
+        "time=5.900 level=warn event=worker_slow worker=i-1 speed=0.21 samples=3 age_ms=90 epoch=3",
+        "time=5.900 level=warn event=worker_ejected worker=i-1 speed=0.21 samples=3 age_ms=90 epoch=3",
+        "time=6.000 level=info event=task_moved task=a1.0.0.0 run=1 worker=i-1 to=i-2 why=Slow epoch=3",
+        "time=8.000 level=warn event=worker_readmitted worker=i-1 speed=unknown samples=0 \
+         age_ms=unknown reason=Probes epoch=3",
+        "time=8.100 level=info event=job_ended job=a1 end=Completed age_ms=3100 objective_ms=900",
+    ]);
+    for expected in
+        ["worker_slow worker=i-1 speed=0.21", "worker_ejected", "why=Slow", "reason=Probes"]
+    {
+        assert!(told.contains(expected), "{expected} is missing in {told}");
+    }
+    assert!(told.contains("1 moved"), "{told}");
+}
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use greengagearch::connection::node_protocol::NodeReport;
+use greengagearch::process::planning::settings::PlannerSettings;
 use greengagearch::workflow::plan_decision::MoveReason;
 use greengagearch::workflow::plan_decision::PlanDecision;
 use greengagearch::workflow::progress::JobStatus;
@@ -177,6 +178,20 @@
     numbers.iter().map(|number| format!("i-{number:02}")).collect()
 }
 
+/// The setting is off unless it is given, so that a deployment without it is served as before.
+#[test]
+fn speeds_are_learned_only_if_the_settings_say_so() {
+    let settings = "[planner]\nid = a\ndomain = d\ncaller-listen = 127.0.0.1:0\n\
+        ready-listen = 127.0.0.1:0\ninternal-listen = 127.0.0.1:0\n[store]\naddress = s:1\n";
+    let learns = |more: &str| {
+        let parsed = PlannerSettings::parse("planner.ini", &format!("{settings}{more}"));
+        parsed.map(|settings| settings.learn_speed)
+    };
+    assert!(!learns("").unwrap());
+    assert!(learns("[workers]\nlearn-speed = true\n").unwrap());
+    assert!(learns("[workers]\nlearn-speed = perhaps\n").is_err());
+}
+
 /// Without ejection every step waits for its tasks on the slow workers.
 #[test]
 fn a_tenth_of_the_workers_is_ejected_while_it_is_slow() {
@@ -289,6 +304,27 @@
     assert_eq!(working.changes().count(), 0);
 }
 
+/// A task that no other worker can run must not wait until an ejected worker is fast again.
+#[test]
+fn a_task_that_only_ejected_workers_can_run_starts_there() {
+    let mut working = WorkingFleet::new(true);
+    working.fleet.runners.get_mut("i-03").unwrap().labels.push("ssd".to_string());
+    working.pass(30, 4);
+    working.slow(3..5, 0.2);
+    working.pass(40, 4);
+    assert_eq!(working.fleet.planner.slow_workers().unwrap().1, 2);
+    let plain = StepSpec { long_running: true, ..step(1, 100) };
+    working.fleet.submit("p0001", job(vec![plain.clone()]));
+    working.fleet.submit("q0001", job(vec![StepSpec { required_label: "ssd".into(), ..plain }]));
+    working.fleet.round();
+    let worker_of = |job: &str| {
+        let running = working.fleet.running().into_iter();
+        running.filter(|(_, key)| key.0.job == job).map(|(worker, _)| worker).next()
+    };
+    assert_eq!(worker_of("q0001").as_deref(), Some("i-03"));
+    assert!(worker_of("p0001").is_some_and(|worker| worker != "i-03" && worker != "i-04"));
+}
+
 /// A worker that is replaced is another instance, with its own speed.
 #[test]
 fn an_ejected_worker_that_disappears_is_forgotten() {
