--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -203,7 +203,8 @@
         vec![("worker", worker), ("speed", &share), ("samples", &samples), ("age_ms", &age_ms)];
     fields.extend(reason.as_ref().map(|reason| ("reason", reason as &dyn Display)));
     fields.push(("epoch", &epoch));
-    log_event(Level::Warn, change.label(), &fields);
+    let level = if reason.is_some() { Level::Info } else { Level::Warn };
+    log_event(level, change.label(), &fields);
 }
 
 /// A refused run that the worker reports as present nevertheless is logged as a warning: it may
--- a/src/workflow/planner_speed.rs
+++ b/src/workflow/planner_speed.rs
@@ -56,8 +56,8 @@
         self.speeds = is_enabled.then(FleetSpeed::default);
     }
 
-    /// Speeds of the slow workers, and the number of ejected workers; `None` if speeds are not
-    /// learned.
+    /// Speeds of the slow and the ejected workers, as far as they are known, and the number of
+    /// ejected workers; `None` if speeds are not learned.
     ///
     /// ```
     /// use std::time::Instant;
@@ -67,8 +67,13 @@
     /// ```
     pub fn slow_workers(&self) -> Option<(Vec<(InstanceId, f64)>, usize)> {
         let speeds = self.speeds.as_ref()?;
-        let slow = speeds.expected_end.iter().map(|(worker, speed)| (worker.clone(), speed));
-        Some((slow.collect(), speeds.ejection.count()))
+        let slow = speeds.expected_end.iter().map(|(worker, _)| worker);
+        let workers: BTreeSet<&InstanceId> = slow.chain(speeds.ejection.workers()).collect();
+        let known = workers.into_iter().filter_map(|worker| {
+            let speed = speeds.model.speed(worker, self.now)?;
+            Some((worker.clone(), speed.speed))
+        });
+        Some((known.collect(), speeds.ejection.count()))
     }
 
     /// Learns from a snapshot of a worker that its agent sent at `sent_at` by the agent's clock.
--- a/src/workflow/worker_speed/worker_ejection.rs
+++ b/src/workflow/worker_speed/worker_ejection.rs
@@ -326,6 +326,17 @@
         self.ejected.contains_key(worker)
     }
 
+    /// The ejected workers.
+    ///
+    /// ```
+    /// use greengagearch::workflow::worker_speed::worker_ejection::WorkerEjection;
+    ///
+    /// assert_eq!(WorkerEjection::default().workers().count(), 0);
+    /// ```
+    pub fn workers(&self) -> impl Iterator<Item = &InstanceId> {
+        self.ejected.keys()
+    }
+
     /// Number of ejected workers.
     ///
     /// ```
