--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -239,6 +239,7 @@
         // Another process publishes the shares from now on.
         self.shared.metrics.queue_share.reset();
         self.shared.metrics.queue_entitlement.reset();
+        self.shared.metrics.set_worker_speeds(&[], 0);
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -66,6 +66,8 @@
     pub admission: Option<AdmissionPolicy>,
     /// Weights of queues and the bound on waiting.
     pub shares: ShareSettings,
+    /// Whether the speeds of workers are learned and taken into account.
+    pub learn_speed: bool,
 }
 
 impl PlannerSettings {
@@ -101,6 +103,7 @@
             evacuation_limit: read_evacuation_limit(&mut reader),
             admission: read_admission(&mut reader),
             shares: read_shares(&mut reader),
+            learn_speed: reader.flag("workers", "learn-speed", false),
         };
         reader.finish().or_value(settings)
     }
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -11,6 +11,7 @@
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::TaskName;
+use crate::workflow::worker_speed::worker_ejection::EjectionChange;
 
 /// Why a task is moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     Gathered,
     /// The failure domain of its worker is being evacuated.
     Evacuated,
+    /// Its worker is slow.
+    Slow,
 }
 
 /// Why a runner instance is lost.
@@ -299,6 +302,8 @@
         /// Time since its agent last reported it, in milliseconds; `None` if it never did.
         silent_ms: Option<u64>,
     },
+    /// A worker was found to be slow, is ejected or readmitted.
+    WorkerSpeed(EjectionChange),
 }
 
 impl PlanDecision {
@@ -340,6 +345,7 @@
             PlanDecision::TaskCleared { .. } => "task_cleared",
             PlanDecision::TaskGivenUp { .. } => "task_given_up",
             PlanDecision::WorkerLost { .. } => "worker_lost",
+            PlanDecision::WorkerSpeed(change) => change.label(),
         }
     }
 }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -39,6 +39,7 @@
 use crate::workflow::task_suspicion::TaskSuspicion;
 use crate::workflow::worker_inventory::RunKey;
 use crate::workflow::worker_inventory::WorkerInventory;
+use crate::workflow::worker_speed::FleetSpeed;
 
 /// An order and the runner instance that it is addressed to.
 pub type AddressedOrder = (InstanceId, NodeOrder);
@@ -73,6 +74,8 @@
     pub(crate) precedence: JobPrecedence,
     pub(crate) admission: AdmissionControl,
     pub(crate) fair_share: FairShareState,
+    /// Learned speeds of the workers; `None` if they are not learned.
+    pub(crate) speeds: Option<FleetSpeed>,
     /// Time by which all leases granted by earlier planners have expired.
     pub(crate) inherited_lease_end: Instant,
 }
@@ -113,6 +116,7 @@
             precedence: JobPrecedence::default(),
             admission: AdmissionControl::default(),
             fair_share: FairShareState::default(),
+            speeds: None,
             inherited_lease_end,
         }
     }
@@ -148,7 +152,7 @@
     }
 
     /// Opens the occurrences that are due, gives up the runs of silent workers, and moves tasks
-    /// that are throttled, on draining workers, in evacuated domains, or to be consolidated.
+    /// that are throttled, on draining or slow workers, in evacuated domains, or to be consolidated.
     ///
     /// ```
     /// use std::time::Instant;
@@ -165,6 +169,7 @@
         self.move_throttled();
         self.leave_draining();
         self.leave_evacuated();
+        self.leave_slow_workers();
         self.consolidate();
         self.reclaim_shares();
         for entry in self.jobs.values_mut() {
