Publish a summary of the evacuations in force with the heartbeat

Cause: operators saw the start and the end of an evacuation in the log, and not what still runs in the domain.

Change: EvacuationSummary counts the workers and the runs by kind in each evacuated domain; the planner adds it to HeartbeatRow.evacuations and shows it in gga_evacuated_workers and gga_evacuated_runs. Since when a domain is evacuated is taken over from the heartbeat by a successor. Power may be cut only if no run is left, no run is on a worker that has not reported to this planner, and the requests have been read.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -19,6 +20,7 @@
 use crate::process::http_server::HttpLimits;
 use crate::process::http_server::spawn_http_server;
 use crate::process::stop_signal::StopSwitch;
+use crate::workflow::evacuation_summary::EvacuationSummary;
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
@@ -48,6 +50,59 @@
     pub bytes_sent: IntGauge,
     /// Bytes received from other processes of the system, without TCP and IP headers.
     pub bytes_received: IntGauge,
+    /// Evacuations in force; shown by the planner only.
+    pub evacuations: EvacuationGauges,
+}
+
+/// Workers and runs in evacuated failure domains, by domain.
+#[derive(Clone, Debug)]
+pub struct EvacuationGauges {
+    workers: IntGaugeVec,
+    runs: IntGaugeVec,
+}
+
+impl EvacuationGauges {
+    fn open() -> EvacuationGauges {
+        EvacuationGauges {
+            workers: gauges("gga_evacuated_workers", "Workers in evacuated domains", &["domain"]),
+            runs: gauges("gga_evacuated_runs", "Runs left in evacuated domains", &["domain"]),
+        }
+    }
+
+    /// Shows the domains of a summary and no others.
+    ///
+    /// ```
+    /// use greengagearch::process::metrics::ProcessMetrics;
+    /// use greengagearch::workflow::evacuation_summary::DomainEvacuation;
+    /// use greengagearch::workflow::evacuation_summary::EvacuationSummary;
+    ///
+    /// let metrics = ProcessMetrics::open();
+    /// let mut summary = EvacuationSummary::default();
+    /// summary.domains.insert("a".into(), DomainEvacuation { workers: 8, ..Default::default() });
+    /// metrics.evacuations.show(&summary);
+    /// assert!(metrics.render().contains("gga_evacuated_workers{domain=\"a\"} 8"));
+    /// metrics.evacuations.show(&EvacuationSummary::default());
+    /// assert!(!metrics.render().contains("gga_evacuated_workers{"));
+    /// ```
+    pub fn show(&self, summary: &EvacuationSummary) {
+        self.clear();
+        let value = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        for (domain, evacuation) in &summary.domains {
+            let runs = evacuation.runs.total();
+            self.workers.with_label_values(&[domain]).set(value(evacuation.workers));
+            self.runs.with_label_values(&[domain]).set(value(runs));
+        }
+    }
+
+    /// Removes all domains, for a process that has ceased to plan.
+    ///
+    /// ```
+    /// greengagearch::process::metrics::ProcessMetrics::open().evacuations.clear();
+    /// ```
+    pub fn clear(&self) {
+        self.workers.reset();
+        self.runs.reset();
+    }
 }
 
 impl ProcessMetrics {
@@ -81,6 +136,7 @@
             remembered_ids: gauge("gga_remembered_ids", "Request ids that are remembered"),
             bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
             bytes_received: gauge("gga_bytes_received", "Bytes received from other processes"),
+            evacuations: EvacuationGauges::open(),
             registry,
         };
         metrics.register();
@@ -105,7 +161,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
@@ -116,6 +172,8 @@
             Box::new(self.remembered_ids.clone()),
             Box::new(self.bytes_sent.clone()),
             Box::new(self.bytes_received.clone()),
+            Box::new(self.evacuations.workers.clone()),
+            Box::new(self.evacuations.runs.clone()),
         ];
         for collector in collectors {
             // Names are constants and unique, so that a refusal is a mistake in this file, which
@@ -154,6 +212,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("constant names are valid")
 }
 
+fn gauges(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), labels).expect("constant names are valid")
+}
+
 fn histogram(name: &str, help: &str) -> Histogram {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     Histogram::with_opts(options).expect("constant names are valid")
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -149,7 +149,9 @@
     fn apply_row(&mut self, row: &StoredRow) {
         self.changed_at = clock::now();
         if row.name.key == PULSE_KEY {
-            self.shared.view().heartbeat = decode(row).unwrap_or_default();
+            let mut view = self.shared.view();
+            view.heartbeat = decode(row).unwrap_or_default();
+            view.heartbeat_at = Some(clock::now());
         }
         if row.name.key == OWNER_KEY {
             let is_older = self.owner.as_ref().is_some_and(|(_, version)| *version > row.version);
@@ -230,6 +232,7 @@
         log_event(Level::Info, "planning_started", &[("epoch", &epoch)]);
         let reason = PlannerLoop::run(self.shared.clone(), ownership).await;
         *self.shared.owned() = None;
+        self.shared.metrics.evacuations.clear();
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -180,6 +180,7 @@
         let mut planner = Planner::new(leases_expired_by);
         // Nothing starts before the requests of operators have been read.
         planner.on_evacuations(EvacuationSet::default(), answered_at);
+        planner.restore_evacuations(&self.shared.view().heartbeat.evacuations);
         let layout = self.shared.settings.layout;
         let (jobs, version) = self.read_table(JOB_TABLE, &layout.partition_names()).await?;
         let partitions = [PARTITION.to_string()];
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -164,8 +164,11 @@
         }
         let evacuated_services =
             self.with_planner(|planner| planner.evacuated_services()).unwrap_or_default();
+        let evacuations =
+            self.with_planner(|planner| planner.evacuation_summary()).unwrap_or_default();
+        self.shared.metrics.evacuations.show(&evacuations);
         let epoch = self.ownership.owner.epoch;
-        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services };
+        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services, evacuations };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         transaction.puts.push((name, encode(&heartbeat)));
         if now >= self.interference_due {
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -19,6 +19,7 @@
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
 use crate::process::logging::log_event;
+use crate::workflow::evacuation_summary::EvacuationSummary;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_batch::PlanWrite;
 use crate::workflow::progress::JobRecord;
@@ -74,6 +75,9 @@
     /// Services all of whose failure domains are being evacuated.
     #[serde(default)]
     pub evacuated_services: BTreeSet<ServiceName>,
+    /// The evacuations in force.
+    #[serde(default)]
+    pub evacuations: EvacuationSummary,
 }
 
 /// The address of a node agent or of a planner process.
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -44,6 +44,8 @@
     pub owner: Option<OwnerRow>,
     /// The owner's latest heartbeat.
     pub heartbeat: HeartbeatRow,
+    /// When this process received that heartbeat.
+    pub heartbeat_at: Option<Instant>,
 }
 
 /// State that exists for the lifetime of the process.
--- a/src/version/evacuation.rs
+++ b/src/version/evacuation.rs
@@ -44,6 +44,19 @@
         self.domains.contains_key(domain)
     }
 
+    /// Returns the version of the request for a domain, if there is one.
+    ///
+    /// ```
+    /// use greengagearch::version::evacuation::EvacuationSet;
+    ///
+    /// let evacuations: EvacuationSet = [("wien-a".to_string(), 7)].into_iter().collect();
+    /// assert_eq!(evacuations.version("wien-a"), Some(7));
+    /// assert_eq!(evacuations.version("wien-b"), None);
+    /// ```
+    pub fn version(&self, domain: &str) -> Option<RowVersion> {
+        self.domains.get(domain).copied()
+    }
+
     /// Returns the domains with the versions of their requests.
     ///
     /// ```
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -6,6 +6,7 @@
 pub mod advice_cache;
 pub mod assigned_run;
 mod changed_jobs;
+pub mod evacuation_summary;
 pub mod grant;
 pub mod job_forecast;
 mod job_precedence;
--- a/src/workflow/planner_evacuation.rs
+++ b/src/workflow/planner_evacuation.rs
@@ -13,6 +13,8 @@
 use crate::ids::ServiceName;
 use crate::version::evacuation::EvacuationChange;
 use crate::version::evacuation::EvacuationSet;
+use crate::workflow::evacuation_summary::EvacuationStart;
+use crate::workflow::evacuation_summary::EvacuationSummary;
 use crate::workflow::plan_decision::MoveReason;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
@@ -27,6 +29,21 @@
     valid_until: Option<Instant>,
     /// Requested domains without any worker, each of which is logged once.
     unknown: BTreeSet<DomainName>,
+    /// When each request was first seen. Until the first read of the requests these are the ones
+    /// that an earlier planner has published.
+    starts: BTreeMap<DomainName, EvacuationStart>,
+}
+
+impl KnownEvacuations {
+    /// Records the start of new requests, and forgets those that are no longer in force.
+    fn record_starts(&mut self, wall_ms: u64) {
+        let requested = &self.requested;
+        self.starts.retain(|domain, start| requested.version(domain) == Some(start.version));
+        for (domain, version) in requested.iter() {
+            let start = EvacuationStart { version, since_ms: wall_ms };
+            self.starts.entry(domain.clone()).or_insert(start);
+        }
+    }
 }
 
 impl Planner {
@@ -51,9 +68,51 @@
             let decisions: Vec<PlanDecision> = decisions.collect();
             self.decisions.extend(decisions);
         }
+        self.evacuations.record_starts(self.wall_ms);
         self.log_unknown_domains();
     }
 
+    /// Takes over since when domains have been evacuated from the summary that an earlier planner
+    /// has published. Until the requests are read, the summary of this planner names the same
+    /// domains.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::evacuation_summary::DomainEvacuation;
+    /// use greengagearch::workflow::evacuation_summary::EvacuationSummary;
+    ///
+    /// let mut published = EvacuationSummary::default();
+    /// published.domains.insert("wien-a".to_string(), DomainEvacuation::default());
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// planner.restore_evacuations(&published);
+    /// assert!(planner.evacuation_summary().domains.contains_key("wien-a"));
+    /// ```
+    pub fn restore_evacuations(&mut self, published: &EvacuationSummary) {
+        for (domain, evacuation) in &published.domains {
+            let start =
+                EvacuationStart { version: evacuation.version, since_ms: evacuation.since_ms };
+            self.evacuations.starts.insert(domain.clone(), start);
+        }
+    }
+
+    /// Summarizes the evacuations in force and what still runs in their domains.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.evacuation_summary().domains.is_empty());
+    /// ```
+    pub fn evacuation_summary(&self) -> EvacuationSummary {
+        let workers = self.inventory.iter().map(|(_, worker)| worker);
+        EvacuationSummary {
+            at_ms: self.wall_ms,
+            requests_read: self.may_start(),
+            ..EvacuationSummary::count(&self.evacuations.starts, workers, self.now)
+        }
+    }
+
     /// Returns the services that no worker may run tasks for, because all of their failure domains
     /// are being evacuated.
     ///
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -9,6 +9,7 @@
 use greengagearch::external::row_store::StoredRow;
 use greengagearch::platform::evacuations;
 use greengagearch::version::evacuation::EvacuationSet;
+use greengagearch::workflow::evacuation_summary::PowerHindrance;
 use greengagearch::workflow::plan_decision::PlanDecision;
 use greengagearch::workflow::planner::Planner;
 use greengagearch::workflow::progress::RunEnd;
@@ -285,3 +286,100 @@
     assert_eq!(running_on(&fleet, "i-1"), 1);
     assert!(Planner::new(fleet.now()).evacuated_services().is_empty());
 }
+
+/// Whether the summary of a planner allows to cut the power of a domain.
+fn power_hindrance(fleet: &PlannedFleet, domain: &str) -> Option<PowerHindrance> {
+    let summary = fleet.planner.evacuation_summary();
+    summary.power_hindrance(&summary.domains[domain], Duration::ZERO)
+}
+
+/// Guards against operators who cannot see what is left, or cut power before everything has ended.
+#[test]
+fn the_summary_counts_down_to_the_last_run_of_the_domain() {
+    let mut fleet = fleet_in(&[("i-1", "a"), ("i-2", "b")]);
+    fleet.submit("j", job(vec![step(8, 1_000)]));
+    fleet.round();
+    evacuate(&mut fleet, &[("a", 7)]);
+    let since_ms = fleet.wall_ms;
+    fleet.round();
+    let summary = fleet.planner.evacuation_summary();
+    let domain = summary.domains["a"];
+    assert_eq!(summary.domains.len(), 1);
+    assert_eq!((domain.version, domain.since_ms, domain.workers), (7, since_ms, 1));
+    assert_eq!((domain.runs.batch, domain.runs.total()), (4, 4));
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RunsLeft));
+    fleet.end_all(RunEnd::Done);
+    (0..3).for_each(|_| fleet.round());
+    assert_eq!(power_hindrance(&fleet, "a"), None);
+    evacuate(&mut fleet, &[]);
+    assert!(fleet.planner.evacuation_summary().domains.is_empty());
+}
+
+/// Guards against power that is cut while a start is stored and not yet sent, or withdrawn and not yet confirmed.
+#[test]
+fn a_start_that_is_on_its_way_keeps_the_power_on() {
+    let mut fleet = fleet_in(&[("i-1", "a"), ("i-2", "b")]);
+    fleet.submit("j", job(vec![step(8, 1_000)]));
+    fleet.planner.plan();
+    evacuate(&mut fleet, &[("a", 7)]);
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RunsLeft));
+    fleet.store();
+    fleet.planner.take_orders();
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RunsLeft));
+}
+
+/// Guards against a successor that says nothing is evacuated, or that power can be cut, before it has read the
+/// requests and heard of the workers; and against a start time that is lost with each planner.
+#[test]
+fn a_successor_keeps_to_the_published_summary_until_it_knows_more() {
+    let mut fleet = fleet_in(&[("i-1", "a"), ("i-2", "b")]);
+    fleet.submit("j", job(vec![step(8, 1_000)]));
+    fleet.round();
+    evacuate(&mut fleet, &[("a", 7)]);
+    let since_ms = fleet.wall_ms;
+    fleet.round();
+    for _ in 0..2 {
+        let published = fleet.planner.evacuation_summary();
+        let lease_end = fleet.now() + Duration::from_secs(5);
+        fleet.take_over(lease_end);
+        fleet.planner.on_evacuations(set_of(&[]), fleet.now());
+        fleet.planner.restore_evacuations(&published);
+        let summary = fleet.planner.evacuation_summary();
+        assert_eq!((summary.domains["a"].since_ms, summary.unlocated_runs), (since_ms, 8));
+        assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RequestsNotRead));
+    }
+    fleet.pass(Duration::from_secs(1));
+    evacuate(&mut fleet, &[("a", 7)]);
+    fleet.report("i-1", true);
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RunsLeft));
+    fleet.report("i-2", true);
+    let summary = fleet.planner.evacuation_summary();
+    assert_eq!((summary.domains["a"].since_ms, summary.domains["a"].runs.batch), (since_ms, 4));
+    assert_eq!(summary.unlocated_runs, 0);
+    evacuate(&mut fleet, &[("a", 9)]);
+    let restarted = fleet.planner.evacuation_summary().domains["a"].since_ms;
+    assert_eq!(restarted, fleet.wall_ms, "another request counts from when it was seen");
+}
+
+/// Guards against domains that a successor goes on showing although their requests were taken back meanwhile.
+#[test]
+fn a_request_that_was_taken_back_during_a_takeover_is_not_shown() {
+    let mut fleet = fleet_in(&[("i-1", "a")]);
+    evacuate(&mut fleet, &[("a", 7)]);
+    let published = fleet.planner.evacuation_summary();
+    let lease_end = fleet.now();
+    fleet.take_over(lease_end);
+    fleet.planner.restore_evacuations(&published);
+    evacuate(&mut fleet, &[]);
+    assert!(fleet.planner.evacuation_summary().domains.is_empty());
+}
+
+/// Guards against a summary that says that requests are read while they cannot be.
+#[test]
+fn the_summary_tells_that_requests_cannot_be_read() {
+    let mut fleet = fleet_in(&[("i-1", "a")]);
+    fleet.planner.on_evacuations(set_of(&[("a", 7)]), fleet.now() + Duration::from_secs(2));
+    assert_eq!(power_hindrance(&fleet, "a"), None);
+    fleet.pass(Duration::from_secs(2));
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RequestsNotRead));
+}
