Show the evacuations at GET /v1/evacuations and in gga-ctl

Cause: the summary of the evacuations could only be read in the store.

Change: every planner process answers GET /v1/evacuations on the job interface: the owner of planning from its planner, with the time since the store confirmed the ownership, the others from the heartbeat, with its age. In the stand-in of the cluster the section of the planner comes last in the settings, so that tests can add its keys.

--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -17,7 +17,8 @@
     gga-ctl apply PATH... --entry ADDRESS --team TEAM --key-file FILE [--wait SPAN]
     gga-ctl show [SERVICE] --entry ADDRESS
     gga-ctl report burn [SERVICE] --entry ADDRESS [--html FILE]
-    gga-ctl explain JOB LOG...";
+    gga-ctl explain JOB LOG...
+    gga-ctl evacuations --planner ADDRESS";
 
 /// What `gga-ctl` was asked to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +42,8 @@
     ReportBurn,
     /// Explain from logs what became of a job.
     Explain,
+    /// Show the evacuations of failure domains.
+    Evacuations,
 }
 
 /// The parsed command line.
@@ -52,6 +55,8 @@
     pub operands: Vec<String>,
     /// Operators' listener of any entry.
     pub entry: String,
+    /// Job interface of any planner process.
+    pub planner: String,
     /// The team that signs in.
     pub team: String,
     /// File that holds the team's key.
@@ -77,6 +82,7 @@
 pub fn parse_ctl(args: &[String]) -> Result<CtlCommand, Error> {
     let mut options = Options::new();
     options.optopt("e", "entry", "operators' listener of any entry", "ADDRESS");
+    options.optopt("p", "planner", "job interface of any planner process", "ADDRESS");
     options.optopt("t", "team", "sign in as this team", "TEAM");
     options.optopt("k", "key-file", "read the team's key from this file", "FILE");
     options.optopt("", "html", "write the report as a page to this file", "FILE");
@@ -92,6 +98,7 @@
         Some("apply") => CtlAction::Apply,
         Some("show") => CtlAction::Show,
         Some("explain") => CtlAction::Explain,
+        Some("evacuations") => CtlAction::Evacuations,
         Some("report") => match operands.next().as_deref() {
             Some("burn") => CtlAction::ReportBurn,
             _ => return usage("report: the only report is 'burn'"),
@@ -111,6 +118,7 @@
         action,
         operands: operands.collect(),
         entry: text("entry"),
+        planner: text("planner"),
         team: text("team"),
         key_file: text("key-file"),
         html_file: matches.opt_str("html"),
@@ -127,6 +135,13 @@
             Ok(CtlCommand::Run(config))
         };
     }
+    if config.action == CtlAction::Evacuations {
+        return match (config.operands.is_empty(), config.planner.is_empty()) {
+            (true, false) => Ok(CtlCommand::Run(config)),
+            (true, true) => usage("--planner ADDRESS is missing"),
+            (false, _) => usage("evacuations takes no operands"),
+        };
+    }
     let needs_entry = config.action != CtlAction::Check;
     let takes_paths = matches!(config.action, CtlAction::Check | CtlAction::Apply);
     if takes_paths && config.operands.is_empty() {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' command: checks, applies and shows documents.
 
 pub mod cli;
+pub mod evacuations;
 pub mod explain;
 pub mod report;
 pub mod status;
@@ -15,6 +16,7 @@
 use crate::cli::read_file;
 use crate::ctl::cli::CtlAction;
 use crate::ctl::cli::CtlConfig;
+use crate::ctl::evacuations::show_evacuations;
 use crate::ctl::explain::explain;
 use crate::ctl::report::html_report;
 use crate::ctl::report::text_report;
@@ -63,6 +65,7 @@
         CtlAction::Show => show(config).await,
         CtlAction::ReportBurn => report_burn(config).await,
         CtlAction::Explain => explain_job(&config.operands),
+        CtlAction::Evacuations => show_evacuations(&open_client(), &config.planner).await,
     }
 }
 
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 
 use crate::process::clock;
+use crate::process::planning::evacuation_status::EvacuationStatus;
 use crate::version::queue_table::QueueTable;
 use crate::workflow::progress::JobStatus;
 use crate::workflow::spec::WorkflowSpec;
@@ -108,4 +109,7 @@
 
     /// Jobs of a queue of which no task has started, as far as known.
     fn pending(&self, queue: &str) -> u64;
+
+    /// The evacuations in force; `None` while no planner has published any state.
+    fn evacuations(&self) -> Option<EvacuationStatus>;
 }
--- a/src/process/planning/job_http.rs
+++ b/src/process/planning/job_http.rs
@@ -90,6 +90,7 @@
         .route("/v1/workflows", post(submit))
         .route("/v1/workflows/{job}", get(status).delete(cancel))
         .route("/v1/queues/{queue}", get(pending))
+        .route("/v1/evacuations", get(evacuations))
         .layer(DefaultBodyLimit::max(MAX_BODY_BYTES));
     closing_after_unread(router).with_state(gate)
 }
@@ -174,6 +175,16 @@
     Json(JobResponse { pending, ..JobResponse::default() }).into_response()
 }
 
+async fn evacuations(State(gate): State<SharedGate>) -> Response {
+    match gate.evacuations() {
+        Some(status) => Json(status).into_response(),
+        None => {
+            let reason = "no planner has published its state yet".to_string();
+            refusal_response(&JobRefusal::NotRun { reason })
+        }
+    }
+}
+
 fn state_name(status: JobStatus) -> &'static str {
     match status {
         JobStatus::Queued => "queued",
--- a/src/process/planning/job_service.rs
+++ b/src/process/planning/job_service.rs
@@ -21,6 +21,8 @@
 use crate::process::gate::JobGate;
 use crate::process::gate::JobRefusal;
 use crate::process::logging::log_event;
+use crate::process::planning::evacuation_status::EvacuationStatus;
+use crate::process::planning::evacuation_status::evacuation_status;
 use crate::process::planning::planner_client::PlannerClient;
 use crate::process::planning::rows::decode;
 use crate::process::planning::rows::encode;
@@ -307,4 +309,8 @@
         let pending = owned.unwrap_or_else(|| self.shared.view().heartbeat.pending.clone());
         pending.get(queue).copied().unwrap_or(0)
     }
+
+    fn evacuations(&self) -> Option<EvacuationStatus> {
+        evacuation_status(&self.shared)
+    }
 }
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod commit_writer;
 pub mod decision_log;
+pub mod evacuation_status;
 pub mod evacuation_watch;
 pub mod job_http;
 pub mod job_service;
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -127,7 +127,8 @@
         ProductProcess::spawn_logged(&self.programs.join(program), &settings, log.as_deref())
     }
 
-    /// Adds lines to the settings of entry hosts that are added from now on.
+    /// Adds lines to the settings of entry hosts that are added from now on; the first ones belong to the
+    /// section of the planner.
     pub fn add_planner_lines(&mut self, lines: &str) {
         self.planner_lines.push_str(lines);
     }
@@ -312,8 +313,8 @@
 ) -> String {
     let [callers, ready, internal] = addresses;
     format!(
-        "[planner]\nid = p{number}\ndomain = d{domain}\ncaller-listen = {callers}\nready-listen = {ready}\n\
-         internal-listen = {internal}\n[store]\naddress = {store}\n"
+        "[store]\naddress = {store}\n[planner]\nid = p{number}\ndomain = d{domain}\ncaller-listen = {callers}\n\
+         ready-listen = {ready}\ninternal-listen = {internal}\n"
     )
 }
 
