--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -44,7 +44,6 @@
 use crate::process::planning::shared::OwnedPlanner;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::table_feed::TableFeed;
-use crate::version::evacuation::EvacuationSet;
 use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::predecessor_leases_expired_by;
 use crate::workflow::learned_interference::LearnedInterference;
@@ -179,8 +178,7 @@
         };
         let mut planner = Planner::new(leases_expired_by);
         // Nothing starts before the requests of operators have been read.
-        planner.on_evacuations(EvacuationSet::default(), answered_at);
-        planner.restore_evacuations(&self.shared.view().heartbeat.evacuations);
+        planner.restore_evacuations(&self.shared.view().heartbeat.evacuations, answered_at);
         let layout = self.shared.settings.layout;
         let (jobs, version) = self.read_table(JOB_TABLE, &layout.partition_names()).await?;
         let partitions = [PARTITION.to_string()];
--- a/src/workflow/planner_evacuation.rs
+++ b/src/workflow/planner_evacuation.rs
@@ -72,9 +72,9 @@
         self.log_unknown_domains();
     }
 
-    /// Takes over since when domains have been evacuated from the summary that an earlier planner
-    /// has published. Until the requests are read, the summary of this planner names the same
-    /// domains.
+    /// Holds back all starts until the requests have been read, and takes over from the summary
+    /// that an earlier planner has published since when domains have been evacuated. Until the read
+    /// the summary of this planner names the same domains.
     ///
     /// ```
     /// use std::time::Instant;
@@ -84,11 +84,13 @@
     ///
     /// let mut published = EvacuationSummary::default();
     /// published.domains.insert("wien-a".to_string(), DomainEvacuation::default());
-    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// planner.restore_evacuations(&published);
+    /// let now = Instant::now();
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(now);
+    /// planner.restore_evacuations(&published, now);
     /// assert!(planner.evacuation_summary().domains.contains_key("wien-a"));
     /// ```
-    pub fn restore_evacuations(&mut self, published: &EvacuationSummary) {
+    pub fn restore_evacuations(&mut self, published: &EvacuationSummary, now: Instant) {
+        self.on_evacuations(EvacuationSet::default(), now);
         for (domain, evacuation) in &published.domains {
             let start =
                 EvacuationStart { version: evacuation.version, since_ms: evacuation.since_ms };
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -342,8 +342,7 @@
         let published = fleet.planner.evacuation_summary();
         let lease_end = fleet.now() + Duration::from_secs(5);
         fleet.take_over(lease_end);
-        fleet.planner.on_evacuations(set_of(&[]), fleet.now());
-        fleet.planner.restore_evacuations(&published);
+        fleet.planner.restore_evacuations(&published, fleet.now());
         let summary = fleet.planner.evacuation_summary();
         assert_eq!((summary.domains["a"].since_ms, summary.unlocated_runs), (since_ms, 8));
         assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RequestsNotRead));
@@ -369,7 +368,7 @@
     let published = fleet.planner.evacuation_summary();
     let lease_end = fleet.now();
     fleet.take_over(lease_end);
-    fleet.planner.restore_evacuations(&published);
+    fleet.planner.restore_evacuations(&published, lease_end);
     evacuate(&mut fleet, &[]);
     assert!(fleet.planner.evacuation_summary().domains.is_empty());
 }
