Search schedules for work that is lost where operators may cut power

Cause: no test held the summary of evacuations against what really runs when planners are replaced, stand still, or hear late of workers.

Change: in the schedule search the owner of planning publishes its summary after each read of the requests, and its successor takes it over. A run whose end counts must not be at work, or begin while the request stands, after the summary has allowed to cut power.

--- a/tests/planning_world/evacuations.rs
+++ b/tests/planning_world/evacuations.rs
@@ -30,6 +30,10 @@
     late_starts: Vec<(RunKey, u64)>,
     /// Spans in which agents stood still or were cut off.
     disturbances: Vec<(usize, u64, u64)>,
+    /// The newest summary of an owner of planning, as its heartbeat publishes it.
+    published: EvacuationSummary,
+    /// Agents, each with a time at which the owner of planning told that power can be cut there.
+    permits: Vec<(usize, u64)>,
 }
 
 impl PlanningWorld {
@@ -66,7 +70,8 @@
     pub(super) fn begin_reads(&mut self, planner: usize) {
         if self.evacuations.is_enabled {
             let now = self.planner_instant(planner);
-            self.planners[planner].planner.on_evacuations(EvacuationSet::default(), now);
+            let published = &self.evacuations.published;
+            self.planners[planner].planner.restore_evacuations(published, now);
             self.at(1, Event::ReadRequests { planner });
         }
     }
@@ -114,6 +119,24 @@
         process.planner.set_time(now, WALL + self.now);
         process.planner.on_evacuations(requested, sent + validity);
         self.flush(planner);
+        self.publish_summary(planner);
+    }
+
+    /// Publishes what the owner of planning tells operators, and notes where it allows to cut power.
+    fn publish_summary(&mut self, planner: usize) {
+        let process = &self.planners[planner];
+        if process.epoch != self.owner_epoch {
+            return;
+        }
+        let summary = process.planner.evacuation_summary();
+        for agent in 0..AGENTS {
+            let domain = summary.domains.get(&format!("d{agent}"));
+            let may_cut = |domain| summary.power_hindrance(domain, Duration::ZERO).is_none();
+            if domain.is_some_and(may_cut) {
+                self.evacuations.permits.push((agent, self.now));
+            }
+        }
+        self.evacuations.published = summary;
     }
 
     /// Time for which start orders are valid that are sent under a lease of `span`.
@@ -138,6 +161,31 @@
         !self.evacuations.disturbances.iter().any(disturbs)
     }
 
+    /// Runs whose ends count although power could have been cut before: they were at work then, or began there while
+    /// the request still stood.
+    pub(super) fn check_permits(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        for record in self.audit.records.iter().filter(|record| record.acked) {
+            let agent: usize = record.life.split('-').next().unwrap().parse().unwrap();
+            let ended = record.ended.map_or(u64::MAX, |(at, _)| at);
+            let is_lost = |(of, at): &&(usize, u64)| {
+                let stands = |span: &RequestSpan| {
+                    span.agent == agent
+                        && span.from <= *at
+                        && span.until.is_none_or(|until| record.began < until)
+                };
+                let begins_later = record.began > *at && self.evacuations.spans.iter().any(stands);
+                *of == agent && ended > *at && (record.began <= *at || begins_later)
+            };
+            if let Some((_, at)) = self.evacuations.permits.iter().find(is_lost) {
+                let (task, began) = (&record.key.0, record.began);
+                found
+                    .push(format!("{task} began at {began} and is lost by a cut of power at {at}"));
+            }
+        }
+        found
+    }
+
     /// Starts in evacuated domains later than operators are promised.
     pub(super) fn check_evacuations(&self) -> Vec<String> {
         let mut found = Vec::new();
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -35,6 +35,7 @@
 use greengagearch::process::node::registered_runner::RegisteredRunner;
 use greengagearch::process::node::state::NodeState;
 use greengagearch::version::evacuation::EvacuationSet;
+use greengagearch::workflow::evacuation_summary::EvacuationSummary;
 use greengagearch::workflow::grant::expired_by;
 use greengagearch::workflow::grant::lease_duration;
 use greengagearch::workflow::grant::predecessor_leases_expired_by;
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -368,6 +368,7 @@
             }
         }
         found.extend(self.check_evacuations());
+        found.extend(self.check_permits());
         found.extend(self.check_cancelled());
         found.extend(self.check_runners());
         for record in &self.audit.records {
