Evacuate failure domains at random in the soak

Cause: the soak had no evacuations, so nothing checked the limit under faults of real processes.

Change: an operator for each failure domain requests and withdraws its evacuation at random; the seed decides on a limit of 2 s or 5 s. A violation is a start that is ordered at a runner of the domain later than the limit. Orders within a second after a pause of their agent are passed over. The short kind has two domains. The draws of jobs and faults are as they were.

--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -176,7 +176,7 @@
     }
 
     fn traits_of(&self, node: usize) -> LifeTraits {
-        LifeTraits { domain: self.domain_of(node), ..LifeTraits::default() }
+        LifeTraits { domain: self.domain_of(node), host: node, ..LifeTraits::default() }
     }
 
     /// Failure domain of a host by its number among its kind.
--- a/standins/src/platform_journal.rs
+++ b/standins/src/platform_journal.rs
@@ -16,6 +16,10 @@
     pub run: u32,
     /// The life of the runner.
     pub instance: String,
+    /// Number of the runner's host.
+    pub host: usize,
+    /// When the order to start it came.
+    pub ordered: Instant,
     /// When it began.
     pub began: Instant,
     /// When and how it ended.
@@ -92,11 +96,18 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn begin(&self, task: &str, run: u32, instance: &str) {
+    pub(crate) fn begin(
+        &self,
+        (task, run): (&str, u32),
+        (instance, host): (&str, usize),
+        ordered: Instant,
+    ) {
         let record = RunRecord {
             task: task.to_string(),
             run,
             instance: instance.to_string(),
+            host,
+            ordered,
             began: Instant::now(),
             ended: None,
             noted: false,
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -80,11 +80,13 @@
     pub speed: f64,
     /// Failure domain: a zone with one rack.
     pub domain: usize,
+    /// Number of the host among those of its kind.
+    pub host: usize,
 }
 
 impl Default for LifeTraits {
     fn default() -> LifeTraits {
-        LifeTraits { speed: 1.0, domain: 0 }
+        LifeTraits { speed: 1.0, domain: 0, host: 0 }
     }
 }
 
--- a/standins/src/platform_runner/calls.rs
+++ b/standins/src/platform_runner/calls.rs
@@ -56,8 +56,9 @@
     headers: HeaderMap,
     Json(body): Json<StartBody>,
 ) -> Response {
+    let ordered = Instant::now();
     runner.lock().came.insert((body.task.clone(), body.run));
-    carry_out(runner, move |runner| start(runner, &headers, body)).await
+    carry_out(runner, move |runner| start(runner, &headers, body, ordered)).await
 }
 
 /// Carries an order out to its end, also when the caller gives up. An order tells its answer and whether that is lost.
@@ -84,6 +85,7 @@
     runner: &PlatformRunner,
     headers: &HeaderMap,
     body: StartBody,
+    ordered: Instant,
 ) -> Result<(Response, bool), Box<Response>> {
     let mut life = runner.admit(headers, body.fence)?;
     if body.until_ms < runner.clock_ms() {
@@ -106,7 +108,8 @@
     }
     life.highest.insert(body.task.clone(), body.run);
     life.running.insert(key, Instant::now());
-    runner.journal.begin(&body.task, body.run, &runner.label());
+    let place = (runner.label(), runner.traits.host);
+    runner.journal.begin((&body.task, body.run), (&place.0, place.1), ordered);
     let is_lost = life.faults.loses_answer();
     drop(life);
     tokio::spawn(work(runner.clone(), body.task, body.run, body.payload));
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -155,6 +155,7 @@
 
     pub(super) async fn pause_agent(&mut self, node: usize) -> String {
         let span = self.later(Mend::AgentRuns(node));
+        self.shared.evacuations().note_pause(node, span);
         self.shared.cluster.lock().await.nodes[node].process.signal("STOP");
         format!("agent {node} stands still for {span:?}")
     }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! runs from what callers and runners see.
 
 mod callers;
+mod evacuations;
 mod faults;
 mod ledger;
 mod long_faults;
@@ -28,6 +29,9 @@
 use crate::platform_journal::RunJournal;
 use crate::platform_journal::RunRecord;
 use crate::soak::callers::spawn_callers;
+use crate::soak::evacuations::EvacuationLedger;
+use crate::soak::evacuations::draw_limit;
+use crate::soak::evacuations::spawn_operators;
 use crate::soak::faults::FaultPlayer;
 use crate::soak::ledger::SoakLedger;
 pub use crate::soak::scale::SoakKind;
@@ -86,6 +90,7 @@
     started: Instant,
     cluster: tokio::sync::Mutex<PlatformCluster>,
     ledger: Mutex<SoakLedger>,
+    evacuations: Mutex<EvacuationLedger>,
     timeline: Mutex<Vec<TimelineEntry>>,
 }
 
@@ -94,6 +99,15 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn evacuations(&self) -> MutexGuard<'_, EvacuationLedger> {
+        self.evacuations.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Numbers of what was done.
+    fn counts(&self) -> String {
+        format!("{}, {}", self.ledger().counts(), self.evacuations().counts())
+    }
+
     fn tell(&self, text: String) {
         self.tell_at(Instant::now(), text);
     }
@@ -126,8 +140,15 @@
     let scale = plan.kind.scale();
     let (nodes, domains) = (scale.nodes - scale.returning_nodes, scale.domains);
     let programs = &plan.programs;
-    let mut cluster =
-        PlatformCluster::start_in_domains(programs, logs, scale.planners, nodes, domains).await;
+    // The callers' and the faults' seeds come first, so that they are the same as before there were evacuations.
+    let (callers_seed, faults_seed) = (rng.random(), rng.random());
+    let limit = draw_limit(&mut rng);
+    let mut cluster = PlatformCluster::start_in_domains(programs, logs, 0, nodes, domains).await;
+    cluster.add_planner_lines(&format!("evacuation-limit = {}ms\n", limit.as_millis()));
+    for planner in 0..scale.planners {
+        cluster.add_planner().await;
+        cluster.until_ready(planner).await;
+    }
     for number in 0..scale.returning_nodes {
         cluster.add_returning_node(&format!("i-b{number}")).await;
     }
@@ -136,25 +157,28 @@
         started: Instant::now(),
         cluster: tokio::sync::Mutex::new(cluster),
         ledger: Mutex::default(),
+        evacuations: Mutex::new(EvacuationLedger::new(domains, limit)),
         timeline: Mutex::default(),
     });
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     shared.tell(format!("starts at {:.3} of the logs", since.as_secs_f64()));
     let (stop, stopped) = watch::channel(false);
-    let callers = spawn_callers(&shared, &scale, rng.random(), &stopped).await;
-    let player = FaultPlayer::new(shared.clone(), scale.clone(), rng.random());
+    let callers = spawn_callers(&shared, &scale, callers_seed, &stopped).await;
+    let operators = spawn_operators(&shared, domains, rng.random(), Instant::now() + plan.length);
+    let player = FaultPlayer::new(shared.clone(), scale.clone(), faults_seed);
     let faults = tokio::spawn(player.play(plan.length));
     let mut told = Instant::now();
     let mut broken = check_until(&shared, &journal, || {
         if told.elapsed() > PROGRESS_EVERY {
             told = Instant::now();
             let seconds = shared.started.elapsed().as_secs();
-            progress(&format!("{seconds} s: {}", shared.ledger().counts()));
+            progress(&format!("{seconds} s: {}", shared.counts()));
         }
         faults.is_finished()
     })
     .await;
     faults.abort();
+    operators.iter().for_each(JoinHandle::abort);
     // Callers hand nothing in any more and ask for what they have until it has ended.
     stop.send_replace(true);
     if broken.is_none() {
@@ -171,7 +195,7 @@
     }
     let mut timeline = shared.timeline.lock().unwrap_or_else(PoisonError::into_inner).clone();
     timeline.sort_by_key(|(at, _)| *at);
-    let counts = shared.ledger().counts();
+    let counts = shared.counts();
     SoakReport { seed: plan.seed, timeline, broken, counts }
 }
 
@@ -184,6 +208,7 @@
     while !is_over() {
         tokio::time::sleep(CHECK_EVERY).await;
         let broken = shared.ledger().first_broken(journal);
+        let broken = broken.or_else(|| shared.evacuations().first_late(&journal.records()));
         if broken.is_some() {
             return broken;
         }
--- a/standins/src/soak/scale.rs
+++ b/standins/src/soak/scale.rs
@@ -47,7 +47,7 @@
                 planners: 3,
                 nodes: 4,
                 returning_nodes: 2,
-                domains: 1,
+                domains: 2,
                 callers: 16,
                 run_millis: 20..900,
                 task_cpu: None,
