Keep the store's section last in the settings of the stand-in cluster

Cause: with the planner's section last, two tests of slow_store failed, whose lines add keys to the section of the store.

Change: the sections are in their former order; add_planner_keys adds keys to the planner's section.

--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -68,6 +68,7 @@
     /// Number of failure domains; hosts take turns.
     domains: usize,
     planner_lines: String,
+    planner_keys: String,
     client: reqwest::Client,
 }
 
@@ -101,6 +102,7 @@
             logs,
             domains,
             planner_lines: String::new(),
+            planner_keys: String::new(),
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
         };
         cluster.configure(1, &["q"]);
@@ -127,12 +129,16 @@
         ProductProcess::spawn_logged(&self.programs.join(program), &settings, log.as_deref())
     }
 
-    /// Adds lines to the settings of entry hosts that are added from now on; the first ones belong to the
-    /// section of the planner.
+    /// Adds lines to the settings of entry hosts that are added from now on.
     pub fn add_planner_lines(&mut self, lines: &str) {
         self.planner_lines.push_str(lines);
     }
 
+    /// Adds lines to the section `[planner]` in the settings of entry hosts that are added from now on.
+    pub fn add_planner_keys(&mut self, lines: &str) {
+        self.planner_keys.push_str(lines);
+    }
+
     /// Adds an entry host.
     pub async fn add_planner(&mut self) {
         let listener = self.store.listen().await;
@@ -140,7 +146,8 @@
         let number = self.planners.len();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let domain = self.domain_of(number);
-        let text = planner_settings(number, domain, [any; 3], line.address) + &self.planner_lines;
+        let text = planner_settings((number, domain), [any; 3], line.address, &self.planner_keys)
+            + &self.planner_lines;
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners.push(PlannerSeat { process, listener, line });
     }
@@ -151,7 +158,8 @@
         let addresses = ["callers", "ready", "internal"].map(|name| seat.process.address(name));
         let domain = self.domain_of(number);
         let text =
-            planner_settings(number, domain, addresses, seat.line.address) + &self.planner_lines;
+            planner_settings((number, domain), addresses, seat.line.address, &self.planner_keys)
+                + &self.planner_lines;
         self.planners[number].process.kill();
         let process = self.spawn("gga-planner", &text, &format!("planner-{number}"));
         self.planners[number].process = process;
@@ -306,15 +314,15 @@
 }
 
 fn planner_settings(
-    number: usize,
-    domain: usize,
+    (number, domain): (usize, usize),
     addresses: [SocketAddr; 3],
     store: SocketAddr,
+    keys: &str,
 ) -> String {
     let [callers, ready, internal] = addresses;
     format!(
-        "[store]\naddress = {store}\n[planner]\nid = p{number}\ndomain = d{domain}\ncaller-listen = {callers}\n\
-         ready-listen = {ready}\ninternal-listen = {internal}\n"
+        "[planner]\nid = p{number}\ndomain = d{domain}\ncaller-listen = {callers}\nready-listen = {ready}\n\
+         internal-listen = {internal}\n{keys}[store]\naddress = {store}\n"
     )
 }
 
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -144,7 +144,7 @@
     let (callers_seed, faults_seed) = (rng.random(), rng.random());
     let limit = draw_limit(&mut rng);
     let mut cluster = PlatformCluster::start_in_domains(programs, logs, 0, nodes, domains).await;
-    cluster.add_planner_lines(&format!("evacuation-limit = {}ms\n", limit.as_millis()));
+    cluster.add_planner_keys(&format!("evacuation-limit = {}ms\n", limit.as_millis()));
     for planner in 0..scale.planners {
         cluster.add_planner().await;
         cluster.until_ready(planner).await;
--- a/tests/evacuation_status.rs
+++ b/tests/evacuation_status.rs
@@ -22,7 +22,7 @@
 async fn start(planners: usize, lines: &str) -> PlatformCluster {
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap();
     let mut env = PlatformCluster::start_in_domains(programs, None, 0, 4, 2).await;
-    env.add_planner_lines(&format!("job-listen = 127.0.0.1:0\n{lines}"));
+    env.add_planner_keys(&format!("job-listen = 127.0.0.1:0\n{lines}"));
     for planner in 0..planners {
         env.add_planner().await;
         env.until_ready(planner).await;
