--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -155,6 +155,7 @@
             let mut view = self.shared.view();
             view.forecast = PublishedForecast::received(view.forecast.take(), &mut heartbeat);
             view.heartbeat = heartbeat;
+            view.heartbeat_at = Some(clock::now());
         }
         if row.name.key == OWNER_KEY {
             let is_older = self.owner.as_ref().is_some_and(|(_, version)| *version > row.version);
@@ -240,6 +241,7 @@
         self.shared.metrics.queue_share.reset();
         self.shared.metrics.queue_entitlement.reset();
         self.shared.metrics.set_worker_speeds(&[], 0);
+        self.shared.metrics.evacuations.clear();
         log_event(Level::Info, "planning_ended", &[("epoch", &epoch), ("reason", &reason)]);
         self.feed_version = None;
         self.owner = None;
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -20,6 +20,7 @@
 use crate::ids::ServiceName;
 use crate::process::logging::log_event;
 use crate::workflow::admission::backlog_forecast::BacklogForecast;
+use crate::workflow::evacuation_summary::EvacuationSummary;
 use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_batch::PlanWrite;
 use crate::workflow::progress::JobRecord;
@@ -78,6 +79,9 @@
     /// Forecast from which jobs are admitted; `None` if admission control is disabled.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub admission: Option<BacklogForecast>,
+    /// The evacuations in force.
+    #[serde(default)]
+    pub evacuations: EvacuationSummary,
 }
 
 /// The address of a node agent or of a planner process.
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -47,6 +47,8 @@
     pub heartbeat: HeartbeatRow,
     /// The latest forecast; `None` if the owner does not control admission.
     pub forecast: Option<PublishedForecast>,
+    /// When this process received that heartbeat.
+    pub heartbeat_at: Option<Instant>,
 }
 
 /// State that exists for the lifetime of the process.
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -7,6 +7,7 @@
 pub mod advice_cache;
 pub mod assigned_run;
 mod changed_jobs;
+pub mod evacuation_summary;
 pub mod fair_share;
 pub mod grant;
 pub mod job_forecast;
