Admission: a job whose submission may still be stored is not refused

Cause: the store may carry a write out after its host has given up; a refusal of the repeated submission at another host would then not be true. Change: a host that cannot tell whether a submission is stored reports the job to the planner (report_unsettled), which admits it for 30 s; log event unsettled_not_reported.

--- a/src/connection/planner_protocol.rs
+++ b/src/connection/planner_protocol.rs
@@ -34,4 +34,6 @@
     async fn relay_get(name: RowName) -> Result<Option<StoredRow>, RowError>;
     /// Asks whether a job that the calling process would refuse is admitted.
     async fn request_admission(request: AdmissionRequest) -> AdmissionResponse;
+    /// Tells that a submission of a job may still be stored, so that the job is not refused.
+    async fn report_unsettled(job: JobId);
 }
--- a/src/process/planning/host_admission.rs
+++ b/src/process/planning/host_admission.rs
@@ -224,6 +224,17 @@
     Some(forecast.map_or(1.0, |forecast| forecast.ratio(queue)))
 }
 
+/// Records as the planner that a submission of a job may still be stored. Returns whether this
+/// process is the planner.
+pub(super) fn note_unsettled(shared: &PlannerShared, job: &str) -> bool {
+    let mut owned = shared.owned();
+    let Some(owned) = owned.as_mut() else {
+        return false;
+    };
+    owned.planner.admission_mut().note_unsettled(job, clock::now());
+    true
+}
+
 /// Answers a request for admission as the planner, and logs and counts the return of a caller.
 pub(super) fn answer_request(
     shared: &PlannerShared,
--- a/src/process/planning/job_service.rs
+++ b/src/process/planning/job_service.rs
@@ -287,6 +287,15 @@
             }
             Err(refusal) => Err(refusal),
         };
+        if matches!(result, Err(JobRefusal::Unknown { .. }))
+            && self.shared.settings.admission.is_some()
+        {
+            // The caller gets its answer in time also if the planner does not respond.
+            let report = self.planner.report_unsettled(job);
+            if tokio::time::timeout(deadline.left() / 2, report).await.is_err() {
+                log_event(Level::Warn, "unsettled_not_reported", &[("job", &job)]);
+            }
+        }
         let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "accepted".to_string());
         let metrics = &self.shared.metrics;
         metrics.latency.observe(clock::elapsed(started_at).as_secs_f64());
--- a/src/process/planning/planner_client.rs
+++ b/src/process/planning/planner_client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::Level;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -23,7 +24,9 @@
 use crate::ids::JobId;
 use crate::ids::RowVersion;
 use crate::process::clock;
+use crate::process::logging::log_event;
 use crate::process::planning::host_admission::answer_request;
+use crate::process::planning::host_admission::note_unsettled;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::rpc_server::spawn_rpc_server;
 use crate::workflow::admission::admission_control::AdmissionRequest;
@@ -89,6 +92,26 @@
             }
         }
     }
+
+    /// Tells the owner that a submission of a job may still be stored.
+    pub async fn report_unsettled(&self, job: &str) {
+        if note_unsettled(&self.shared, job) {
+            return;
+        }
+        let owner = self.shared.view().owner.clone();
+        let Some(owner) = owner.filter(|owner| !owner.released) else {
+            return;
+        };
+        let call = async {
+            let client = self.connections.client(&owner.address).await.ok()?;
+            let context = call_within(ADMISSION_TIMEOUT);
+            client.report_unsettled(context, job.to_string()).await.ok()
+        };
+        if !matches!(timeout(ADMISSION_TIMEOUT, call).await, Ok(Some(()))) {
+            self.connections.drop_client(&owner.address);
+            log_event(Level::Warn, "unsettled_not_reported", &[("job", &job)]);
+        }
+    }
 }
 
 fn status_answer(status: Option<crate::workflow::progress::JobStatus>) -> StatusResponse {
@@ -134,6 +157,10 @@
     async fn request_admission(self, _: Context, request: AdmissionRequest) -> AdmissionResponse {
         answer_request(&self.shared, &request)
     }
+
+    async fn report_unsettled(self, _: Context, job: JobId) {
+        note_unsettled(&self.shared, &job);
+    }
 }
 
 fn store_unreachable() -> RowError {
--- a/src/workflow/admission/admission_control.rs
+++ b/src/workflow/admission/admission_control.rs
@@ -34,6 +34,12 @@
 /// takes to store a job, unless the store is unavailable.
 const UNSEEN_RETENTION: Duration = Duration::from_secs(4);
 
+/// Time for which a job of which a submission may still be stored is not refused. The store has been
+/// seen to carry out writes seconds after their callers had given up.
+const UNSETTLED_RETENTION: Duration = Duration::from_secs(30);
+/// Maximum number of such jobs. Beyond it the store is unavailable, and submissions fail anyway.
+const MAX_UNSETTLED: usize = 4_096;
+
 /// A host's question whether a job that it would refuse is admitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionRequest {
@@ -132,6 +138,8 @@
     pub(crate) ratios: WorkRatios,
     returns: ReturnQueue,
     unseen: BTreeMap<JobId, UnseenJob>,
+    /// Jobs of which a submission may still be stored, since when.
+    unsettled: BTreeMap<JobId, Instant>,
     expired: Vec<QueueName>,
     had_places: bool,
 }
@@ -182,6 +190,22 @@
         std::mem::take(&mut self.expired)
     }
 
+    /// Records that a submission of a job may still be stored. The job is admitted from then on,
+    /// since a refusal might not be true.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::admission::admission_control::AdmissionControl;
+    ///
+    /// AdmissionControl::default().note_unsettled("a", Instant::now());
+    /// ```
+    pub fn note_unsettled(&mut self, job: &str, now: Instant) {
+        if self.unsettled.len() < MAX_UNSETTLED {
+            self.unsettled.insert(job.to_string(), now);
+        }
+    }
+
     /// Continues rates and ratios of an earlier planner. Has no effect after the first forecast.
     pub(crate) fn inherit(&mut self, published: &BacklogForecast) {
         if self.computed_at.is_some() {
@@ -208,6 +232,9 @@
         self.unseen.retain(|job, unseen| {
             !is_known(job) && now.saturating_duration_since(unseen.admitted_at) < UNSEEN_RETENTION
         });
+        self.unsettled.retain(|job, since| {
+            !is_known(job) && now.saturating_duration_since(*since) < UNSETTLED_RETENTION
+        });
         let mut promised = self.returns.promised(now);
         let mut open = sample.open;
         for (key, rate) in sample.rates {
@@ -244,7 +271,8 @@
         now: Instant,
         is_known: bool,
     ) -> AdmissionResponse {
-        if is_known || self.unseen.contains_key(&request.job) {
+        let is_known = is_known || self.unseen.contains_key(&request.job);
+        if is_known || self.unsettled.contains_key(&request.job) {
             let waited = self.remove_place(&request.job, now);
             return AdmissionResponse::Admitted { waited };
         }
@@ -449,6 +477,18 @@
         assert!(loaded.retry_of(&jobs[0]).is_none(), "the first refused is among them");
     }
 
+    /// Guards against a refusal of a job whose earlier submission is carried out later by the store.
+    #[test]
+    fn a_job_that_may_be_stored_is_not_refused() {
+        let mut loaded = LoadedControl::new(10_000);
+        loaded.control.note_unsettled("a", loaded.now);
+        assert_eq!(loaded.retry_of("a"), None);
+        (0..29).for_each(|_| loaded.update(10_000, &[]));
+        assert_eq!(loaded.retry_of("a"), None);
+        loaded.update(10_000, &[]);
+        assert!(loaded.retry_of("a").is_some(), "a new submission long after the first one");
+    }
+
     /// Guards against a successor that refuses from nothing, or forgets what work costs.
     #[test]
     fn a_successor_knows_rates_but_no_places() {
--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -24,6 +24,7 @@
 use greengagearch_standins::platform_cluster::CALLER_HOST;
 use greengagearch_standins::platform_cluster::PlatformCluster;
 use greengagearch_standins::platform_cluster::job_name;
+use greengagearch_standins::platform_store::StoreFault;
 use reqwest::StatusCode;
 use reqwest::header::RETRY_AFTER;
 use serde_json::Value;
@@ -123,6 +124,22 @@
     env.assert_nothing_doubled();
 }
 
+/// Guards against a refusal of a job whose first submission got no answer and is carried out by the store after it.
+#[tokio::test]
+async fn a_job_whose_submission_may_be_stored_later_is_not_refused() {
+    let env = start(3, SETTINGS).await;
+    env.planners[2].listener.set_fault(StoreFault::LateWrites(Duration::from_secs(6)));
+    let url = env.url(2, &format!("/q/{}", job_name(700)));
+    let call = env.client().post(url).header("Host", CALLER_HOST).json(&job());
+    let first = call.header("X-Greengagearch-Deadline-Ms", "1200").send().await.unwrap();
+    assert_eq!(first.status(), StatusCode::GATEWAY_TIMEOUT);
+    let (_, refused) = overload(&env, 2).await;
+    assert_eq!(submit(&env, 1, 700).await.0, StatusCode::OK);
+    assert_eq!(submit(&env, 1, *refused.first().unwrap()).await.0, StatusCode::TOO_MANY_REQUESTS);
+    env.until_state(0, &job_name(700), "completed").await;
+    env.assert_nothing_doubled();
+}
+
 /// Guards against hosts that refuse everything, or wait for the planner, when it does not answer, and against a successor that
 /// refuses without need.
 #[tokio::test]
