--- a/tests/admission_load.rs
+++ b/tests/admission_load.rs
@@ -288,7 +288,6 @@
         run.finish()
     };
     let (open, controlled) = (run(false), run(true));
-    println!("open {open:?}\ncontrolled {controlled:?}");
     assert_eq!(open.refusals.len(), 0);
     assert!(controlled.refusals["bulk"] > 0);
     assert_eq!(controlled.refusals.get("quick"), None);
