Worker speed: tests of throttled runs and of runs away from their data

Cause: both kinds of runs take a multiple of the time on workers of usual speed. No test of the planner showed that they give no samples.

Change: two tests with the played fleet.

With the guard against throttled runs removed the one test fails, with the guard against runs away from their data the other.

--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -29,6 +29,8 @@
 const WORKERS: usize = 20;
 /// Usual duration of a task, in milliseconds.
 const DURATION_MS: f64 = 1_500.0;
+/// How much longer a task takes away from the rack of its data.
+const AWAY_FACTOR: f64 = 2.5;
 /// Time of a round, in milliseconds.
 const ROUND_MS: f64 = 100.0;
 
@@ -39,6 +41,10 @@
     progress: BTreeMap<TaskName, BTreeMap<u32, f64>>,
     /// Workers that are slow, with their speeds.
     speeds: BTreeMap<String, f64>,
+    /// Workers that are away from the data of all tasks.
+    away: BTreeSet<String>,
+    /// Pace to which best-effort runs are throttled, in percent, by worker.
+    paces: BTreeMap<String, u32>,
     /// Every so many tasks there is one that takes seven times as long; zero for none.
     large_every: u64,
     decisions: Vec<PlanDecision>,
@@ -54,6 +60,8 @@
             fleet,
             progress: BTreeMap::new(),
             speeds: BTreeMap::new(),
+            away: BTreeSet::new(),
+            paces: BTreeMap::new(),
             large_every: 30,
             decisions: Vec::new(),
             jobs: 0,
@@ -84,7 +92,10 @@
         let running: Vec<(String, RunKey)> = self.fleet.running();
         for (worker, key) in running {
             let speed = self.speeds.get(&worker).copied().unwrap_or(1.0);
-            let done = ROUND_MS / (DURATION_MS * self.size(&key.0)) * speed * 100.0;
+            let pace = self.paces.get(&worker).copied().unwrap_or(100);
+            let is_away = self.away.contains(&worker);
+            let share = speed * f64::from(pace) / 100.0 / if is_away { AWAY_FACTOR } else { 1.0 };
+            let done = ROUND_MS / (DURATION_MS * self.size(&key.0)) * share * 100.0;
             let runs = self.progress.entry(key.0.clone()).or_default();
             let kept = runs.values().copied().fold(0.0, f64::max);
             let progress = runs.entry(key.1).or_insert(kept);
@@ -94,7 +105,9 @@
                 self.fleet.end(&worker, &key, RunEnd::Done, "");
             } else {
                 let runner = self.fleet.runners.get_mut(&worker).unwrap();
-                runner.present.get_mut(&key).unwrap().progress_percent = progress as u32;
+                let run = runner.present.get_mut(&key).unwrap();
+                run.progress_percent = progress as u32;
+                run.pace_percent = pace;
             }
         }
     }
@@ -105,6 +118,12 @@
             if round % every == 0 {
                 self.submit(bulk());
             }
+            self.pass_without_jobs(1);
+        }
+    }
+
+    fn pass_without_jobs(&mut self, rounds: usize) {
+        for _ in 0..rounds {
             self.work();
             self.fleet.round();
             self.decisions.extend(self.fleet.planner.take_decisions());
@@ -246,6 +265,38 @@
     }
 }
 
+/// Runs away from the rack of their data take a multiple of the time, also on workers that run nothing else.
+#[test]
+fn tasks_away_from_their_data_do_not_make_a_worker_slow() {
+    let mut working = WorkingFleet::new(true);
+    working.large_every = 0;
+    working.away = names(&[16, 17, 18, 19]).into_iter().collect();
+    for (name, runner) in &mut working.fleet.runners {
+        if !working.away.contains(name) {
+            runner.labels.insert(0, "data".to_string());
+        }
+    }
+    for _ in 0..40 {
+        working.submit(StepSpec { preferred_rack: "data".to_string(), ..bulk() });
+        working.pass_without_jobs(3);
+    }
+    let assigned = working.assignments().into_iter();
+    let away = assigned.filter(|(_, _, worker)| working.away.contains(worker)).count();
+    assert!((10..300).contains(&away), "{away} tasks away from their data");
+    assert_eq!(working.changes().count(), 0);
+}
+
+/// The node agent throttles best-effort runs for serving tasks beside them. The worker is not slow.
+#[test]
+fn throttled_tasks_do_not_make_a_worker_slow() {
+    let mut working = WorkingFleet::new(true);
+    working.paces = names(&[3, 4]).into_iter().map(|worker| (worker, 40)).collect();
+    working.pass(100, 4);
+    let on_throttled = working.assignments().into_iter().filter(|(_, _, worker)| worker == "i-03");
+    assert!(on_throttled.count() > 10);
+    assert_eq!(working.changes().count(), 0);
+}
+
 /// With `learn-speed` off, nothing is learned or decided, however slow workers are.
 #[test]
 fn without_the_setting_slow_workers_are_treated_as_before() {
