Give the tests of the evacuation status work for both domains

Cause: the job of the metrics test fits on the workers of one domain, so that where those report first nothing runs in the other one and the test waits in vain: 1 of 3 runs, and 2 of 3 with a backtrace, which shows the wait for the first run in z0.

Change: 30 tasks, of which one domain holds 26, in this test and in that of the takeover, which had 24. No check is changed.

--- a/tests/evacuation_status.rs
+++ b/tests/evacuation_status.rs
@@ -18,6 +18,9 @@
 use greengagearch_standins::platform_store::StoreFault;
 use reqwest::StatusCode;
 
+/// Tasks of a job that do not all fit on the workers of one domain (26), and all on the workers of both.
+const TASKS: u32 = 30;
+
 /// Planner processes, and four workers in the domains z0 and z1.
 async fn start(planners: usize, lines: &str) -> PlatformCluster {
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap();
@@ -101,7 +104,7 @@
 async fn every_process_shows_the_evacuation_also_across_a_takeover() {
     let mut env = start(2, "").await;
     let job = job_name(1);
-    env.submit_until_accepted(0, &job, &job_of_steps("run_ms=9000", &[24])).await;
+    env.submit_until_accepted(0, &job, &job_of_steps("run_ms=9000", &[TASKS])).await;
     env.until(async || running_in_domain(&env) > 0).await;
     evacuate(&env);
     let first = owner(&env, &[0, 1]).await;
@@ -175,7 +178,7 @@
 async fn the_planner_counts_what_is_left_in_its_metrics() {
     let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let env = start(1, &format!("metrics-listen = {free}\n")).await;
-    env.submit_until_accepted(0, &job_name(1), &job_of_steps("run_ms=60000", &[8])).await;
+    env.submit_until_accepted(0, &job_name(1), &job_of_steps("run_ms=60000", &[TASKS])).await;
     env.until(async || running_in_domain(&env) > 0).await;
     let metrics = async || {
         let response = env.client().get(format!("http://{free}/metrics")).send().await.unwrap();
