--- a/tests/admission_load.rs
+++ b/tests/admission_load.rs
@@ -77,7 +77,8 @@
     /// that their callers cancelled.
     in_time: u64,
     worthless: u64,
-    /// Longest time from the first refusal of a caller who always returns as told to its admission.
+    /// Longest time from the first refusal of a caller who always returns as told to its admission. The rules bound it
+    /// only for callers with a place.
     longest_return: Duration,
     returned: u64,
 }
