Worker speed: start serving tasks that only ejected workers have room for

Cause: a long-running step with max_per_worker kept its last tasks waiting for as long as workers were ejected, since workers that already have their share of the step counted as able to run them.

Change: workers at max_per_worker of a long-running step do not count. The search is made once per placement and after the cheaper conditions.

--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -1,5 +1,6 @@
 //! Selection of a worker for a task.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -149,10 +150,13 @@
 /// ```
 pub fn choose(request: &PlacementRequest<'_>, view: &PlacementView<'_>) -> Option<InstanceId> {
     let mut best: Option<(f64, &InstanceId)> = None;
+    // Looked up once, since it takes a pass over the workers.
+    let other_worker = OnceCell::new();
+    let has_other = || *other_worker.get_or_init(|| has_other_worker(request, view));
     for (instance, worker) in view.inventory.iter() {
         let available = worker.available_to(request.task, view.now);
         let has_capacity = available.contains(&request.step.reserved_resources());
-        if !has_capacity || !is_eligible(request, view, instance, worker) {
+        if !has_capacity || !is_eligible_unless(request, view, (instance, worker), has_other) {
             continue;
         }
         let Some(cost) = cost(request, view, instance, worker) else {
@@ -171,6 +175,16 @@
     view: &PlacementView<'_>,
     instance: &str,
     worker: &WorkerEntry,
+) -> bool {
+    is_eligible_unless(request, view, (instance, worker), || has_other_worker(request, view))
+}
+
+/// The same, with a function that tells whether a worker that is not ejected could run the task.
+fn is_eligible_unless(
+    request: &PlacementRequest<'_>,
+    view: &PlacementView<'_>,
+    (instance, worker): (&str, &WorkerEntry),
+    has_other: impl Fn() -> bool,
 ) -> bool {
     let Some(status) = worker.status.as_ref() else {
         return false;
@@ -189,8 +203,7 @@
     let is_fast = || {
         view.speeds.is_none_or(|speeds| {
             let may_be_probe = request.excluded_worker.is_none();
-            speeds.may_start(instance, step, may_be_probe, view.now)
-                || !has_other_worker(request, view, speeds)
+            speeds.may_start(instance, step, may_be_probe, view.now) || !has_other()
         })
     };
     // A task that starts beside a suspected one would be lost in a crash and obscure its cause.
@@ -201,35 +214,41 @@
         && request.rack.is_none_or(|rack| status.rack() == rack)
         && worker.is_open(view.now)
         && is_trusted()
-        && is_fast()
         && has_label()
         && has_ticket()
         && is_below_limit()
+        && is_fast()
 }
 
 /// Returns whether a worker that is not ejected could run a task if it were free. A task that only
 /// ejected workers can run would otherwise wait for as long as they are slow.
-fn has_other_worker(
-    request: &PlacementRequest<'_>,
-    view: &PlacementView<'_>,
-    speeds: &FleetSpeed,
-) -> bool {
+fn has_other_worker(request: &PlacementRequest<'_>, view: &PlacementView<'_>) -> bool {
+    let is_ejected =
+        |instance: &str| view.speeds.is_some_and(|speeds| speeds.ejection.is_ejected(instance));
     let step = request.step;
     let key = request.task.step_key();
-    let mut others = view.inventory.iter().filter(|(instance, worker)| {
-        !speeds.ejection.is_ejected(instance) && worker.is_open(view.now)
-    });
-    others.any(|(instance, worker)| {
-        worker.status.as_ref().is_some_and(|status| {
-            let has_label =
-                step.required_label.is_empty() || status.labels.contains(&step.required_label);
-            let has_ticket =
-                !request.needs_ticket || view.advice.ticket(&key, instance, view.now).is_some();
-            status.service == request.service
-                && has_label
-                && has_ticket
-                && status.capacity.contains(&step.reserved_resources())
-        })
+    // A worker that has its share of a step of long-running tasks takes no more of them, however
+    // long they wait.
+    let is_below_limit = |worker: &WorkerEntry| {
+        !step.long_running
+            || step.max_per_worker == 0
+            || worker.runs_of_step(request.task) < step.max_per_worker
+    };
+    view.inventory.iter().any(|(instance, worker)| {
+        worker.status.as_ref().filter(|status| status.service == request.service).is_some_and(
+            |status| {
+                let has_label =
+                    step.required_label.is_empty() || status.labels.contains(&step.required_label);
+                let has_ticket =
+                    !request.needs_ticket || view.advice.ticket(&key, instance, view.now).is_some();
+                !is_ejected(instance)
+                    && worker.is_open(view.now)
+                    && has_label
+                    && has_ticket
+                    && is_below_limit(worker)
+                    && status.capacity.contains(&step.reserved_resources())
+            },
+        )
     })
 }
 
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -380,6 +380,24 @@
     assert!(worker_of("p0001").is_some_and(|worker| worker != "i-03" && worker != "i-04"));
 }
 
+/// The other workers have their share of the step for good, so that its last tasks would wait for as long as the slow
+/// workers are slow.
+#[test]
+fn a_serving_step_with_one_task_per_worker_starts_on_ejected_workers() {
+    let mut working = WorkingFleet::new(true);
+    working.pass(30, 4);
+    working.slow(3..5, 0.2);
+    working.pass(40, 4);
+    assert_eq!(working.fleet.planner.slow_workers().unwrap().1, 2);
+    let each = StepSpec { long_running: true, max_per_worker: 1, ..step(WORKERS as u32, 1) };
+    working.fleet.submit("p0001", job(vec![each]));
+    for _ in 0..3 {
+        working.fleet.round();
+    }
+    let running = working.fleet.running().into_iter();
+    assert_eq!(running.filter(|(_, key)| key.0.job == "p0001").count(), WORKERS);
+}
+
 /// A worker that is replaced is another instance, with its own speed.
 #[test]
 fn an_ejected_worker_that_disappears_is_forgotten() {
