Worker speed: one serving task does not keep a worker ejected

Cause: each slow sample prolonged an ejection. A serving task with more load than the others of its step gives such samples for as long as it runs, and a service without best-effort work has no probes, so that the worker stayed ejected for good.

Change: samples of serving tasks prolong an ejection only through the speed of the worker, which takes three distinct tasks.

With the condition removed, one_serving_task_with_more_load_does_not_keep_a_ worker_ejected fails.

--- a/src/workflow/worker_speed/worker_ejection.rs
+++ b/src/workflow/worker_speed/worker_ejection.rs
@@ -265,7 +265,9 @@
             return;
         }
         ejected.passed.remove(&sample.task);
-        if sample.speed < EJECTION_SPEED {
+        // A serving task may have more load than the others of its step, for as long as it runs.
+        // Alone it must not keep its worker ejected; several of them do in `evaluate`.
+        if sample.speed < EJECTION_SPEED && !sample.is_serving {
             ejected.last_slow_at = sample.taken_at;
         }
         if is_probe {
@@ -468,6 +470,21 @@
         assert!(ejection.may_start("i-0", false, probed));
     }
 
+    /// A service without best-effort work has no probes, and its tasks run for months.
+    #[test]
+    fn one_serving_task_with_more_load_does_not_keep_a_worker_ejected() {
+        let now = Instant::now();
+        let mut ejection = WorkerEjection::default();
+        ejection.evaluate(&ten(&[slow(0.2)]), now);
+        for second in 0..30 {
+            let at = now + Duration::from_secs(second);
+            ejection.on_sample(&SpeedSample { is_serving: true, ..sample("a.0.0.0", 0.3, at) });
+        }
+        let changes = ejection.evaluate(&ten(&[None]), now + EJECTION_LIMIT);
+        let reason = ReadmissionReason::NoSamples;
+        assert_eq!(changes, [EjectionChange::Readmitted("i-0".into(), reason, None)]);
+    }
+
     #[test]
     fn a_slow_probe_is_followed_by_a_pause() {
         let now = Instant::now();
