Worker speed: bound the work per report and round, and the state of jobs

Cause: each report and each running task of a step that allows copies was compared with all tasks of its step. Tasks that lag were given a search for a worker in every round although the limit per second was reached. Moves searched a destination for every slow run, and counted the tasks of its occurrence anew. Rates and moves of finished occurrences of a scheduled job stayed until the job ended. Tail latencies were compared with those of any earlier time, so that a worker could look slow when demand rose.

Change: a rate is compared with at most 31 others. The limits are checked before the search, and 16 destinations are searched in a pass. Rates and moves are kept while their occurrence is open. Tail latencies are compared with those of the last second.

Each of few_rates_are_compared_in_ a_large_step, tail_latencies_of_another_time_are_not_compared and rates_of_occurrences_that_are_not_open_are_discarded fails without its change. The limits of searches have no test that fails without them.

--- a/src/workflow/planner_speed.rs
+++ b/src/workflow/planner_speed.rs
@@ -8,7 +8,9 @@
 
 use crate::connection::node_protocol::RejectReason;
 use crate::ids::InstanceId;
+use crate::ids::JobId;
 use crate::ids::ServiceName;
+use crate::workflow::advice_cache::StepKey;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::RunProgress;
 use crate::workflow::plan_decision::MoveReason;
@@ -33,6 +35,9 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 /// Pace of a run that is not throttled, in percent.
 const FULL_PACE: u32 = 100;
+/// Number of runs for which a destination is looked for in one tick. Each takes a pass over all
+/// workers, and when these are full it finds none.
+const MAX_SEARCHES_PER_TICK: usize = 16;
 
 /// What a worker's snapshot says about the speed of the worker.
 enum SpeedEvidence {
@@ -187,7 +192,10 @@
     }
 
     fn discard_obsolete_speeds(&self, speeds: &mut FleetSpeed) {
-        let is_open = |job: &str| self.jobs.get(job).is_some_and(|entry| entry.end.is_none());
+        let is_open = |(job, occurrence, _): &StepKey| {
+            let entry = self.jobs.get(job).filter(|entry| entry.end.is_none());
+            entry.is_some_and(|entry| entry.progress.open.contains_key(occurrence))
+        };
         let is_assigned = |worker: &str, key: &RunKey| {
             self.inventory.get(worker).is_some_and(|worker| worker.assigned.contains_key(key))
         };
@@ -202,14 +210,23 @@
         let Some(speeds) = &self.speeds else {
             return;
         };
+        if !speeds.stragglers.may_act(self.now) {
+            return;
+        }
+        let mut unfinished: BTreeMap<(JobId, u32), usize> = BTreeMap::new();
         let mut runs: Vec<(usize, InstanceId, RunKey)> = Vec::new();
         let slow = self.inventory.iter().filter(|(instance, _)| speeds.is_slow(instance));
         for (instance, worker) in slow {
             for (key, run) in &worker.assigned {
-                if self.can_continue_elsewhere(key, run)
+                if speeds.stragglers.may_move(&key.0, self.now)
+                    && self.can_continue_elsewhere(key, run)
                     && self.saves_time(speeds, instance, key, run)
                 {
-                    runs.push((self.unfinished_tasks(&key.0), instance.clone(), key.clone()));
+                    let occurrence = (key.0.job.clone(), key.0.occurrence);
+                    let tasks = unfinished
+                        .entry(occurrence)
+                        .or_insert_with(|| self.unfinished_tasks(&key.0));
+                    runs.push((*tasks, instance.clone(), key.clone()));
                 }
             }
         }
@@ -280,14 +297,18 @@
     fn move_slow_runs(&mut self, runs: Vec<(InstanceId, RunKey)>) {
         let now = self.now;
         let mut moves = 0;
+        let mut searches = 0;
         for (instance, key) in runs {
-            if moves == MAX_MOVES_PER_TICK {
+            if moves == MAX_MOVES_PER_TICK || searches == MAX_SEARCHES_PER_TICK {
                 break;
             }
-            let may_move = |speeds: &FleetSpeed| speeds.stragglers.may_move(&key.0, now);
+            let may_move = |speeds: &FleetSpeed| {
+                speeds.stragglers.may_act(now) && speeds.stragglers.may_move(&key.0, now)
+            };
             if !self.speeds.as_ref().is_some_and(may_move) {
                 continue;
             }
+            searches += 1;
             let Some(to) = self.destination_for(&instance, &key) else {
                 continue;
             };
@@ -321,3 +342,34 @@
     let group = SampleGroup { step: key.0.step_key(), domain };
     Some(SpeedEvidence::Tail(key.0.clone(), group, 1.0 / report.usage as f64))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::workflow::progress::JobRecord;
+    use crate::workflow::spec::StepSpec;
+    use crate::workflow::spec::WorkflowSpec;
+
+    /// A scheduled job may last for months, and has new occurrences all the time.
+    #[test]
+    fn rates_of_occurrences_that_are_not_open_are_discarded() {
+        let now = Instant::now();
+        let mut planner = Planner::new(now);
+        planner.learn_speed(true);
+        let steps = vec![StepSpec { count: 4, ..StepSpec::default() }];
+        let spec = WorkflowSpec { steps, times: 9, interval_ms: 1_000, ..WorkflowSpec::unknown() };
+        planner.on_record("a", 1, JobRecord::Live { spec, cancelled: false });
+        planner.set_time(now, 500);
+        planner.on_tick();
+        let mut speeds = planner.speeds.take().unwrap();
+        let tasks: [TaskName; 2] = ["a.0.0.0".parse().unwrap(), "a.7.0.0".parse().unwrap()];
+        for task in &tasks {
+            let group = SampleGroup { step: task.step_key(), domain: String::new() };
+            let rate = TaskRate { worker: "i-1".into(), rate: 0.1, at: now };
+            speeds.model.on_rate(group, task, rate);
+        }
+        planner.discard_obsolete_speeds(&mut speeds);
+        assert_eq!(speeds.model.rate(&tasks[0], "i-1", now), Some(0.1), "it is open");
+        assert_eq!(speeds.model.rate(&tasks[1], "i-1", now), None);
+    }
+}
--- a/src/workflow/planner_stragglers.rs
+++ b/src/workflow/planner_stragglers.rs
@@ -26,6 +26,9 @@
         let slow = self.slow_tasks(job, occurrence, step, spec);
         let mut started = 0;
         for (name, current_worker) in slow {
+            if !self.is_copy_within_limit() {
+                break;
+            }
             if let Some(worker) = self.choose_worker(&name, spec, None, Some(&current_worker)) {
                 if !self.may_copy_to(&worker) {
                     continue;
@@ -38,6 +41,11 @@
         started
     }
 
+    /// Returns whether another copy may start now: always, unless speeds are learned.
+    fn is_copy_within_limit(&self) -> bool {
+        self.speeds.as_ref().is_none_or(|speeds| speeds.stragglers.may_act(self.now))
+    }
+
     /// Returns whether a copy may start on a worker: always, unless speeds are learned.
     fn may_copy_to(&mut self, worker: &str) -> bool {
         let now = self.now;
--- a/src/workflow/worker_speed/speed_model.rs
+++ b/src/workflow/worker_speed/speed_model.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::ops::Bound;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::InstanceId;
+use crate::workflow::advice_cache::StepKey;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_inventory::RunKey;
 use crate::workflow::worker_speed::speed_sample::ProgressReport;
@@ -160,8 +162,12 @@
         let is_serving = !group.domain.is_empty();
         let rates = self.rates.entry(group).or_default();
         rates.insert(task.index, rate.clone());
-        let others = rates.iter().filter(|(index, _)| **index != task.index);
-        let sample = SpeedSample::compare(task.clone(), &rate, others.map(|(_, rate)| rate))?;
+        // Tail latencies follow the demand, so that older ones do not compare with new ones.
+        let is_comparable = |other: &&TaskRate| {
+            !is_serving || rate.at.saturating_duration_since(other.at) < MAX_RATE_AGE
+        };
+        let others = other_rates(rates, task.index).filter(is_comparable);
+        let sample = SpeedSample::compare(task.clone(), &rate, others)?;
         let sample = SpeedSample { is_serving, ..sample };
         let records = self.samples.entry(rate.worker).or_default();
         if sample.speed > USUAL_SPEED && !is_serving {
@@ -235,8 +241,7 @@
     /// assert!(SpeedModel::default().reference(&"a.0.0.0".parse().unwrap(), "i-1").is_none());
     /// ```
     pub fn reference(&self, task: &TaskName, worker: &str) -> Option<f64> {
-        let others = self.group(task)?.iter().filter(|(index, _)| **index != task.index);
-        reference_rate(worker, others.map(|(_, rate)| rate))
+        reference_rate(worker, other_rates(self.group(task)?, task.index))
     }
 
     fn group(&self, task: &TaskName) -> Option<&BTreeMap<u32, TaskRate>> {
@@ -252,7 +257,8 @@
         self.samples.remove(worker);
     }
 
-    /// Discards what belongs to ended runs, ended jobs and workers that are gone, and old samples.
+    /// Discards what belongs to ended runs, steps that are not open and workers that are gone, and
+    /// old samples.
     ///
     /// ```
     /// use std::time::Instant;
@@ -264,12 +270,12 @@
     pub fn retain(
         &mut self,
         is_assigned: impl Fn(&str, &RunKey) -> bool,
-        is_open: impl Fn(&str) -> bool,
+        is_open: impl Fn(&StepKey) -> bool,
         is_known: impl Fn(&str) -> bool,
         now: Instant,
     ) {
         self.windows.retain(|key, (worker, _)| is_assigned(worker, key));
-        self.rates.retain(|group, _| is_open(&group.step.0));
+        self.rates.retain(|group, _| is_open(&group.step));
         let is_recent = |record: &TaskRecord| {
             now.saturating_duration_since(record.sample.taken_at) < MAX_SAMPLE_AGE
         };
@@ -278,6 +284,12 @@
     }
 }
 
+/// Rates of the other tasks of a group, the next ones by index first.
+fn other_rates(rates: &BTreeMap<u32, TaskRate>, index: u32) -> impl Iterator<Item = &TaskRate> {
+    let following = rates.range((Bound::Excluded(index), Bound::Unbounded));
+    following.chain(rates.range(..index)).map(|(_, rate)| rate)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -371,6 +383,35 @@
         assert!(model.speed("i-1", start + 20 * SECOND).is_none());
     }
 
+    /// A worker whose tails are compared with those of a time of less demand would look slow.
+    #[test]
+    fn tail_latencies_of_another_time_are_not_compared() {
+        let now = Instant::now();
+        let mut model = SpeedModel::default();
+        let name = |index: u32| -> TaskName { format!("a.0.0.{index}").parse().unwrap() };
+        let group = SampleGroup { step: name(0).step_key(), domain: "d".into() };
+        let rate = |worker: &str, rate, at| TaskRate { worker: worker.to_string(), rate, at };
+        for index in 1..4 {
+            model.on_rate(group.clone(), &name(index), rate("other", 0.1, now));
+        }
+        let later = now + 2 * SECOND;
+        assert!(model.on_rate(group.clone(), &name(0), rate("i-1", 0.03, later)).is_none());
+        assert!(model.on_rate(group, &name(0), rate("i-1", 0.03, now)).is_some());
+    }
+
+    /// A report of one task must not cost more in a step of thousands of tasks.
+    #[test]
+    fn few_rates_are_compared_in_a_large_step() {
+        let others = std::cell::Cell::new(0);
+        let rate = TaskRate { worker: "other".into(), rate: 0.1, at: Instant::now() };
+        let rates: BTreeMap<u32, TaskRate> =
+            (0..20_000).map(|index| (index, rate.clone())).collect();
+        let counted = other_rates(&rates, 9_000).inspect(|_| others.set(others.get() + 1));
+        assert_eq!(reference_rate("i-1", counted), Some(0.1));
+        assert!(others.get() < 100, "{} rates of 20,000 were compared", others.get());
+        assert_eq!(other_rates(&rates, 9_000).count(), 19_999);
+    }
+
     #[test]
     fn what_is_gone_is_discarded() {
         let now = Instant::now();
--- a/src/workflow/worker_speed/speed_sample.rs
+++ b/src/workflow/worker_speed/speed_sample.rs
@@ -24,6 +24,9 @@
 /// Number of rates of other tasks on other workers that a rate is compared with at least. With
 /// fewer, one unusual task would decide the comparison.
 const MIN_REFERENCES: usize = 3;
+/// Number of rates that a rate is compared with at most, so that a report costs the same in a step
+/// of thousands of tasks. Large tasks are too few to be half of them.
+const MAX_REFERENCES: usize = 31;
 
 /// Runs whose rates are comparable.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -178,8 +181,8 @@
     worker: &str,
     others: impl Iterator<Item = &'a TaskRate>,
 ) -> Option<f64> {
-    let mut rates: Vec<f64> =
-        others.filter(|other| other.worker != worker).map(|other| other.rate).collect();
+    let others = others.filter(|other| other.worker != worker).take(MAX_REFERENCES);
+    let mut rates: Vec<f64> = others.map(|other| other.rate).collect();
     rates.sort_by(f64::total_cmp);
     let median = *rates.get(rates.len() / 2)?;
     (rates.len() >= MIN_REFERENCES && median > 0.0).then_some(median)
--- a/src/workflow/worker_speed/straggler_policy.rs
+++ b/src/workflow/worker_speed/straggler_policy.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::workflow::advice_cache::StepKey;
 use crate::workflow::task_name::TaskName;
 
 /// Time from the order to start a run until it works.
@@ -23,6 +24,8 @@
 const MAX_MOVES_PER_TASK: u32 = 2;
 /// Moves and copies of all tasks per second. Each takes an order to stop or start and a row.
 const MAX_ACTIONS_PER_SECOND: usize = 10;
+/// Time that this limit applies to.
+const ACTION_PERIOD: Duration = Duration::from_secs(1);
 
 /// What is known of a run that may be a straggler.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -97,6 +100,21 @@
 }
 
 impl StragglerPolicy {
+    /// Returns whether another copy or move is within the limit per second. Callers ask before they
+    /// look for a worker, which is the larger part of the work.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::worker_speed::straggler_policy::StragglerPolicy;
+    ///
+    /// assert!(StragglerPolicy::default().may_act(Instant::now()));
+    /// ```
+    pub fn may_act(&self, now: Instant) -> bool {
+        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < ACTION_PERIOD;
+        self.recent.iter().filter(is_recent).count() < MAX_ACTIONS_PER_SECOND
+    }
+
     /// Returns whether another copy is within the limit, and counts it.
     ///
     /// ```
@@ -148,26 +166,26 @@
     }
 
     fn take_action(&mut self, now: Instant) -> bool {
-        let is_past = |at: &Instant| now.saturating_duration_since(*at) >= Duration::from_secs(1);
+        let is_past = |at: &Instant| now.saturating_duration_since(*at) >= ACTION_PERIOD;
         while self.recent.front().is_some_and(is_past) {
             self.recent.pop_front();
         }
-        let is_allowed = self.recent.len() < MAX_ACTIONS_PER_SECOND;
+        let is_allowed = self.may_act(now);
         if is_allowed {
             self.recent.push_back(now);
         }
         is_allowed
     }
 
-    /// Discards the counts of ended jobs.
+    /// Discards the counts of steps that are not open.
     ///
     /// ```
     /// use greengagearch::workflow::worker_speed::straggler_policy::StragglerPolicy;
     ///
     /// StragglerPolicy::default().retain(|_| false);
     /// ```
-    pub fn retain(&mut self, is_open: impl Fn(&str) -> bool) {
-        self.moves.retain(|task, _| is_open(&task.job));
+    pub fn retain(&mut self, is_open: impl Fn(&StepKey) -> bool) {
+        self.moves.retain(|task, _| is_open(&task.step_key()));
     }
 }
 
@@ -227,7 +245,7 @@
         let mut policy = StragglerPolicy::default();
         let taken = (0..30).filter(|_| policy.take_copy(now)).count();
         assert_eq!(taken, MAX_ACTIONS_PER_SECOND);
-        assert!(!policy.take_move(&"a.0.0.0".parse().unwrap(), now));
+        assert!(!policy.take_move(&"a.0.0.0".parse().unwrap(), now) && !policy.may_act(now));
         assert!(policy.take_copy(now + Duration::from_secs(1)));
     }
 }
