Admission: refusals stay true when a caller disconnects or the store is slow

Cause: a call whose caller disconnects is dropped by the HTTP server at any point, so that the host did not report a submission that the store carried out later; its repetition at another host was refused and the job ran. A failed check of a job's row was answered with 503, also for a job that had been accepted before.

Change: `UnsettledReport` reports the submission to the planner when the call is dropped before the store has answered. If the row cannot be read, the job is inserted as without admission control, or the answer is 504 when no time is left for that.

--- a/src/process/planning/job_service.rs
+++ b/src/process/planning/job_service.rs
@@ -28,6 +28,7 @@
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::store_access::RESPONSE_RESERVE;
 use crate::process::planning::store_access::StoreAccess;
+use crate::process::planning::unsettled_report::UnsettledReport;
 use crate::version::queue_table::QueueTable;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobRecord;
@@ -44,7 +45,7 @@
 /// The job service of a planner process. All processes offer it, whether or not they own planning.
 pub struct JobService {
     shared: Arc<PlannerShared>,
-    planner: PlannerClient,
+    planner: Arc<PlannerClient>,
     admission: HostAdmission,
     store: StoreAccess,
     withdrawals: Mutex<WriteBudget>,
@@ -54,7 +55,7 @@
     /// Creates the service.
     pub fn open(shared: Arc<PlannerShared>) -> JobService {
         JobService {
-            planner: PlannerClient::open(shared.clone()),
+            planner: Arc::new(PlannerClient::open(shared.clone())),
             admission: HostAdmission::open(shared.clone()),
             store: StoreAccess::open(shared.clone()),
             withdrawals: Mutex::new(WriteBudget::new(MAX_WITHDRAWALS_PER_SECOND, clock::now())),
@@ -90,14 +91,44 @@
         let Some(refusal) = self.admission.decide(&self.planner, job, spec).await else {
             return Ok(());
         };
-        if self.read_job(job, deadline).await?.is_some_and(|row| row.value.is_some()) {
-            return Ok(());
+        let row = self.store.get(&self.shared.settings.layout.row(job), deadline).await;
+        match row {
+            Ok(None | Some(StoredRow { value: None, .. })) => {}
+            Ok(Some(_)) => return Ok(()),
+            // The job may have been accepted before. It is inserted as if there were no admission
+            // control, unless there is no time left in which the store could answer.
+            Err(_) if deadline.left() >= RESPONSE_RESERVE + RETRY_DELAY => return Ok(()),
+            Err(error) => return Err(JobRefusal::Unknown { reason: error.to_string() }),
         }
         self.admission.record_refusal(job, &spec.policy.queue, &refusal);
         let (reason, retry_after) = (refusal.reason.as_str().to_string(), refusal.retry_after);
         Err(JobRefusal::NotAdmitted { reason, retry_after })
     }
 
+    /// Inserts the row of a job, and tells the planner if the outcome is unknown, or if the caller
+    /// disconnects before it is known.
+    async fn insert_and_settle(
+        &self,
+        job: &str,
+        record: &JobRecord,
+        deadline: CallDeadline,
+    ) -> Result<(), JobRefusal> {
+        if self.shared.settings.admission.is_none() {
+            return self.insert_job(job, record, deadline).await;
+        }
+        let unsettled = UnsettledReport::open(self.planner.clone(), job);
+        let result = self.insert_job(job, record, deadline).await;
+        if matches!(result, Err(JobRefusal::Unknown { .. })) {
+            // The caller gets its answer in time also if the planner does not respond.
+            let report = self.planner.report_unsettled(job);
+            if tokio::time::timeout(deadline.left() / 2, report).await.is_err() {
+                log_event(Level::Warn, "unsettled_not_reported", &[("job", &job)]);
+            }
+        }
+        unsettled.settle();
+        result
+    }
+
     /// Inserts the row of a job. After a lost response the transaction is retried; since it is
     /// conditional on the row not existing, it is applied once at most.
     async fn insert_job(
@@ -283,19 +314,10 @@
         let result = match checked {
             Ok(()) => {
                 let record = JobRecord::Live { spec, cancelled: false };
-                self.insert_job(job, &record, deadline).await
+                self.insert_and_settle(job, &record, deadline).await
             }
             Err(refusal) => Err(refusal),
         };
-        if matches!(result, Err(JobRefusal::Unknown { .. }))
-            && self.shared.settings.admission.is_some()
-        {
-            // The caller gets its answer in time also if the planner does not respond.
-            let report = self.planner.report_unsettled(job);
-            if tokio::time::timeout(deadline.left() / 2, report).await.is_err() {
-                log_event(Level::Warn, "unsettled_not_reported", &[("job", &job)]);
-            }
-        }
         let outcome = result.as_ref().map_or_else(ToString::to_string, |()| "accepted".to_string());
         let metrics = &self.shared.metrics;
         metrics.latency.observe(clock::elapsed(started_at).as_secs_f64());
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -22,6 +22,7 @@
 pub mod shared;
 pub mod store_access;
 pub mod table_feed;
+mod unsettled_report;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -140,6 +140,40 @@
     env.assert_nothing_doubled();
 }
 
+/// Guards against a refusal of a job whose caller disconnected while the store was called, so that its host ended the call
+/// without an answer.
+#[tokio::test]
+async fn a_job_whose_caller_disconnected_is_not_refused() {
+    let env = start(3, SETTINGS).await;
+    env.planners[2].listener.set_fault(StoreFault::LateWrites(Duration::from_secs(6)));
+    let url = env.url(2, &format!("/q/{}", job_name(700)));
+    let call = env.client().post(url).header("Host", CALLER_HOST).json(&job());
+    assert!(call.timeout(Duration::from_millis(400)).send().await.unwrap_err().is_timeout());
+    let (_, refused) = overload(&env, 2).await;
+    assert_eq!(submit(&env, 1, 700).await.0, StatusCode::OK);
+    assert_eq!(submit(&env, 1, *refused.first().unwrap()).await.0, StatusCode::TOO_MANY_REQUESTS);
+    env.until_state(0, &job_name(700), "completed").await;
+    env.assert_nothing_doubled();
+}
+
+/// Guards against a host that says of an accepted job that it was not accepted, because neither the planner nor the store
+/// tells it in time whether the job exists.
+#[tokio::test]
+async fn an_accepted_job_is_not_refused_while_nobody_knows_it() {
+    let env = start(2, SETTINGS).await;
+    let (accepted, _) = overload(&env, 2).await;
+    env.planners[0].process.signal("STOP");
+    env.planners[1].listener.set_fault(StoreFault::Slow(Duration::from_secs(3)));
+    let repeated = accepted.iter().take(5).map(async |number| {
+        let url = env.url(1, &format!("/q/{}", job_name(*number)));
+        let call = env.client().post(url).header("Host", CALLER_HOST).json(&job());
+        call.header("X-Greengagearch-Deadline-Ms", "1200").send().await.unwrap().status()
+    });
+    for status in futures::future::join_all(repeated).await {
+        assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    }
+}
+
 /// Guards against hosts that refuse everything, or wait for the planner, when it does not answer, and against a successor that
 /// refuses without need.
 #[tokio::test]
