Admission: no refusals on a service with idle workers or unknown capacity

Cause: the wait was the open work divided by the capacity, also while no task waited, so that a few long tasks on a mostly idle service led to refusals. A job whose critical path exceeds its limit (a queue with a Stretch below 1) was refused on an idle service. The first planner of a service took the capacity of the few workers that had reported for all of it.

Change: `ClassBacklog::has_spare_capacity`; while no tasks wait, only what was admitted since the forecast and what is promised counts. A job that exceeds its limit without any wait is accepted. Without an inherited rate nothing is refused in the 4 s in which workers report. The fixture of the unit tests inherits its rate, as their planner is not the first one.

--- a/src/workflow/admission/admission_control.rs
+++ b/src/workflow/admission/admission_control.rs
@@ -2,6 +2,7 @@
 //! hosts that would refuse.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -237,7 +238,11 @@
         });
         let mut promised = self.returns.promised(now);
         let mut open = sample.open;
+        let mut spare = BTreeSet::new();
         for (key, rate) in sample.rates {
+            if !rate.is_saturated {
+                spare.insert(key.clone());
+            }
             self.rates.entry(key).or_default().record(rate, now);
         }
         let mut classes = Vec::with_capacity(self.rates.len());
@@ -250,9 +255,12 @@
                 bucket,
                 core_ms,
             });
+            // While few workers have reported, their capacity is not the rate of the class.
+            let is_known = average.is_known(now);
             classes.push(ClassBacklog {
-                rate: average.millicores(),
-                late_rate: average.late_millicores(),
+                rate: if is_known { average.millicores() } else { 0 },
+                late_rate: if is_known { average.late_millicores() } else { 0 },
+                has_spare_capacity: spare.contains(key),
                 open: open.collect(),
                 promised: promised.remove(key).unwrap_or_default(),
                 service: key.0.clone(),
@@ -366,6 +374,7 @@
     use super::*;
     use crate::workflow::admission::admission_policy::tests::POLICY;
     use crate::workflow::admission::admission_policy::tests::demand;
+    use crate::workflow::admission::admission_policy::tests::forecast;
     use crate::workflow::admission::job_demand::WorkClass;
 
     const RATE: f64 = 10_000.0;
@@ -380,6 +389,7 @@
         fn new(backlog_ms: u64) -> LoadedControl {
             let mut loaded =
                 LoadedControl { control: AdmissionControl::default(), now: Instant::now() };
+            loaded.control.inherit(&forecast(0, 0));
             loaded.update(backlog_ms, &[]);
             loaded
         }
@@ -511,4 +521,34 @@
         loaded.now += Duration::from_secs(5);
         assert_eq!(loaded.ask("a", "q"), AdmissionResponse::Unknown);
     }
+
+    /// Guards against refusals by the first planner of a service, which has read the whole backlog
+    /// while only a few workers have reported.
+    #[test]
+    fn nothing_is_refused_while_few_workers_are_known() {
+        let mut loaded =
+            LoadedControl { control: AdmissionControl::default(), now: Instant::now() };
+        (0..4).for_each(|_| loaded.update(60_000, &[]));
+        assert_eq!(loaded.ask("a", "q"), AdmissionResponse::Admitted { waited: None });
+        loaded.update(60_000, &[]);
+        assert!(loaded.retry_of("b").is_some(), "all workers have reported");
+    }
+
+    /// Guards against open work that delays new jobs although no task waits, and against a class
+    /// without workers that is taken for one with spare capacity.
+    #[test]
+    fn open_work_counts_unless_workers_report_spare_capacity() {
+        let mut loaded = LoadedControl::new(60_000);
+        let key = ("s".to_string(), WorkClass::BestEffort);
+        let open = BTreeMap::from([(key.clone(), BTreeMap::from([((2, 1, false), 600_000)]))]);
+        let idle =
+            RateSample { done: 100.0, done_on_time: 100.0, available: RATE, is_saturated: false };
+        let rates = BTreeMap::from([(key, idle)]);
+        let spare = BacklogSample { rates, open: open.clone() };
+        loaded.control.update(POLICY, spare, loaded.now, |_| false);
+        assert_eq!(loaded.ask("a", "q"), AdmissionResponse::Admitted { waited: None });
+        let no_workers = BacklogSample { rates: BTreeMap::new(), open };
+        loaded.control.update(POLICY, no_workers, loaded.now, |_| false);
+        assert!(loaded.retry_of("b").is_some());
+    }
 }
--- a/src/workflow/admission/admission_policy.rs
+++ b/src/workflow/admission/admission_policy.rs
@@ -97,8 +97,8 @@
         Duration::from_millis((demand.objective_ms as f64 * self.worthless_after) as u64)
     }
 
-    /// Decides on a submission. Without a forecast, or with one that is too old, it is accepted. A
-    /// caller that holds a place and was first refused [`MAX_RETRY`] ago is accepted as well:
+    /// Decides on a submission. Without a forecast, or with one that is too old, it is accepted, and
+    /// so is a job whose critical path alone exceeds its limit. A caller that holds a place and was first refused [`MAX_RETRY`] ago is accepted as well:
     /// places are only given for work that is done in that time.
     ///
     /// ```
@@ -118,7 +118,9 @@
         let expected_end = forecast.expected_end(query.demand, query.extra_core_ms);
         let limit = self.limit(query.demand);
         let has_waited = query.since_refused.is_some_and(|since| since >= MAX_RETRY);
-        if expected_end <= limit || has_waited {
+        // No return would help a job that takes longer than its limit without any wait.
+        let is_hopeless = Duration::from_millis(query.demand.critical_path_ms) > limit;
+        if expected_end <= limit || has_waited || is_hopeless {
             return AdmissionVerdict::Admit;
         }
         let retry_after =
@@ -159,6 +161,7 @@
             class: WorkClass::BestEffort,
             rate: 10_000,
             late_rate: 0,
+            has_spare_capacity: false,
             open: vec![work],
             promised: Vec::new(),
         };
@@ -192,6 +195,34 @@
         assert_eq!(decide(60_000, Duration::ZERO, Some(MAX_RETRY)), AdmissionVerdict::Admit);
     }
 
+    /// Guards against refusals on an idle service, of jobs that take longer than a short objective.
+    #[test]
+    fn a_job_that_exceeds_its_limit_without_any_wait_is_not_refused() {
+        let short = JobDemand { objective_ms: 300, ..demand("q") };
+        for wait_ms in [0, 60_000] {
+            let forecast = forecast(1, wait_ms);
+            let query = AdmissionQuery {
+                demand: &short,
+                forecast: Some((&forecast, Duration::ZERO)),
+                extra_core_ms: 0,
+                since_refused: None,
+            };
+            assert_eq!(POLICY.decide(&query), AdmissionVerdict::Admit, "{wait_ms}");
+        }
+    }
+
+    /// Guards against refusals on a barely loaded service, where a few long tasks have much work
+    /// left and most workers are idle. What has been admitted since the forecast counts.
+    #[test]
+    fn open_work_delays_no_job_while_no_task_waits() {
+        let mut idle = forecast(1, 60_000);
+        idle.classes[0].has_spare_capacity = true;
+        assert_eq!(idle.expected_wait(&demand("q"), 0), Duration::ZERO);
+        assert_eq!(idle.expected_wait(&demand("q"), 100_000), Duration::from_secs(10));
+        idle.classes[0].promised = idle.classes[0].open.clone();
+        assert_eq!(idle.expected_wait(&demand("q"), 0), Duration::from_secs(60));
+    }
+
     /// Guards against small jobs that are refused because of large ones, which they precede.
     #[test]
     fn a_small_job_does_not_wait_for_large_ones() {
--- a/src/workflow/admission/backlog_forecast.rs
+++ b/src/workflow/admission/backlog_forecast.rs
@@ -94,6 +94,10 @@
     /// tell it.
     #[serde(default)]
     pub late_rate: u64,
+    /// Whether tasks of the class wait for no capacity, so that a new job does not wait for the open
+    /// ones, however much work they have left.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_spare_capacity: bool,
     /// What the open jobs still need.
     pub open: Vec<SizedWork>,
     /// Work of refused callers who have a place. What is due is in the smallest bucket, since no
@@ -110,7 +114,7 @@
     ///
     /// let class = WorkClass::Reserved;
     /// let backlog = ClassBacklog { service: String::new(), class, rate: 0, late_rate: 0,
-    ///     open: vec![], promised: vec![] };
+    ///     has_spare_capacity: true, open: vec![], promised: vec![] };
     /// assert_eq!(backlog.open_core_ms(), 0);
     /// ```
     pub fn open_core_ms(&self) -> u64 {
@@ -185,8 +189,8 @@
     ///
     /// let open = vec![SizedWork { priority: 0, bucket: 3, is_late: false, core_ms: 9_000 }];
     /// let class = WorkClass::Reserved;
-    /// let backlog = ClassBacklog { service: "s".into(), class, rate: 1_500, late_rate: 0, open,
-    ///     promised: vec![] };
+    /// let backlog = ClassBacklog { service: "s".into(), class, rate: 1_500, late_rate: 0,
+    ///     has_spare_capacity: false, open, promised: vec![] };
     /// let forecast = BacklogForecast { classes: vec![backlog], ..BacklogForecast::default() };
     /// let demand = JobDemand { service: "s".into(), queue: "q".into(), class, priority: 1,
     ///     core_ms: 4_000, critical_path_ms: 500, objective_ms: 1_000 };
@@ -217,8 +221,9 @@
         let Some(backlog) = self.class(&demand.service, demand.class) else {
             return (Duration::ZERO, Duration::ZERO);
         };
+        let open = if backlog.has_spare_capacity { &[] } else { backlog.open.as_slice() };
         let (mut on_time, mut late) = (extra_core_ms, 0_u64);
-        for work in backlog.open.iter().chain(&backlog.promised) {
+        for work in open.iter().chain(&backlog.promised) {
             let ahead = work.ahead_of(demand.priority, demand.core_ms);
             let sum = if work.is_late { &mut late } else { &mut on_time };
             *sum = sum.saturating_add(ahead);
--- a/src/workflow/admission/work_rate.rs
+++ b/src/workflow/admission/work_rate.rs
@@ -85,6 +85,22 @@
         self.average_on_time += (sample.done_on_time - self.average_on_time) * weight;
     }
 
+    /// Whether the rate may be used: it is an earlier planner's, or the workers have had time to
+    /// report.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::admission::work_rate::WorkRate;
+    ///
+    /// assert!(WorkRate::inherited(500).is_known(Instant::now()));
+    /// assert!(!WorkRate::default().is_known(Instant::now()));
+    /// ```
+    pub fn is_known(&self, now: Instant) -> bool {
+        let reported_for = |started_at| now.saturating_duration_since(started_at);
+        self.is_inherited || self.started_at.is_some_and(|at| reported_for(at) >= WARM_UP_TIME)
+    }
+
     /// The rate in core-milliseconds per second, which are thousandths of a core; zero while no
     /// capacity is known.
     ///
