Admission: a process does not refuse by the first forecast that it reads

Cause: the age of a forecast counted from its receipt. A process that starts after an outage reads the heartbeat that was stored before it, and refused by its forecast for 3 s, whatever its real age.

Change: the age of the first forecast is unknown, and everything is accepted until the next one, 0.4 s later if there is a planner. The tests with processes wait until their first planner refuses.

--- a/src/process/planning/host_admission.rs
+++ b/src/process/planning/host_admission.rs
@@ -37,8 +37,9 @@
     pub forecast: Arc<BacklogForecast>,
     /// Epoch of the planner that computed it.
     pub epoch: PlannerEpoch,
-    /// When it was first received.
-    pub received_at: Instant,
+    /// When it was first received; `None` for the first forecast of this process, which the store may
+    /// have kept since a planner that ended long ago.
+    pub received_at: Option<Instant>,
 }
 
 impl PublishedForecast {
@@ -55,13 +56,16 @@
         heartbeat: &mut HeartbeatRow,
     ) -> Option<PublishedForecast> {
         let (forecast, epoch) = (heartbeat.admission.take()?, heartbeat.epoch);
-        let is_same = |previous: &PublishedForecast| {
-            (previous.epoch, previous.forecast.number) == (epoch, forecast.number)
+        let received_at = match previous {
+            Some(previous)
+                if (previous.epoch, previous.forecast.number) == (epoch, forecast.number) =>
+            {
+                return Some(previous);
+            }
+            Some(_) => Some(clock::now()),
+            None => None,
         };
-        if let Some(previous) = previous.filter(is_same) {
-            return Some(previous);
-        }
-        Some(PublishedForecast { forecast: Arc::new(forecast), epoch, received_at: clock::now() })
+        Some(PublishedForecast { forecast: Arc::new(forecast), epoch, received_at })
     }
 }
 
@@ -140,11 +144,13 @@
     ) -> Option<AdmissionRefusal> {
         let now = clock::now();
         let hosts = self.shared.peers().len() + 1;
-        let view = published.map(|published| ForecastView {
-            forecast: &published.forecast,
-            epoch: published.epoch,
-            age: now.saturating_duration_since(published.received_at),
-            hosts,
+        let view = published.and_then(|published| {
+            Some(ForecastView {
+                forecast: &published.forecast,
+                epoch: published.epoch,
+                age: now.saturating_duration_since(published.received_at?),
+                hosts,
+            })
         });
         let verdict = {
             let mut state = self.state();
@@ -312,3 +318,24 @@
     }
     Some(forecast)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a process that starts after a long outage and refuses from the forecast of a
+    /// planner that ended before.
+    #[test]
+    fn the_first_forecast_of_a_process_has_no_known_age() {
+        let heartbeat = |number| {
+            let forecast = BacklogForecast { number, ..BacklogForecast::default() };
+            HeartbeatRow { epoch: 1, admission: Some(forecast), ..HeartbeatRow::default() }
+        };
+        let first = PublishedForecast::received(None, &mut heartbeat(7)).unwrap();
+        assert_eq!(first.received_at, None);
+        let repeated = PublishedForecast::received(Some(first), &mut heartbeat(7)).unwrap();
+        assert_eq!(repeated.received_at, None);
+        let next = PublishedForecast::received(Some(repeated), &mut heartbeat(8)).unwrap();
+        assert!(next.received_at.is_some());
+    }
+}
--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -48,6 +48,10 @@
         env.until_ready(planner).await;
     }
     env.until(async || env.store.keys("peers").len() == planners).await;
+    if !lines.is_empty() {
+        // The first planner refuses nothing until its workers have had 4 s to report.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
     env
 }
 
