Admission: a large job does not block a host without a fresh forecast

Cause: with an old forecast a job was charged in full, so that after one large job, or one with an absurd EstimateMs, the host refused its class for as long as the forecast stayed old, while it told callers to return after 30 s at most. Sums of such jobs overflowed.

Change: the charge is bounded to the longest Retry-After at the host's part of the rate; the ledger's sums saturate.

--- a/src/workflow/admission/admission_ledger.rs
+++ b/src/workflow/admission/admission_ledger.rs
@@ -96,7 +96,7 @@
             since_refused: None,
         });
         if verdict == AdmissionVerdict::Admit {
-            *admitted += demand.core_ms;
+            *admitted = admitted.saturating_add(demand.core_ms);
         }
         verdict
     }
@@ -113,7 +113,8 @@
     /// ```
     pub fn charge(&mut self, demand: &JobDemand) {
         let key = (demand.service.clone(), demand.class);
-        *self.admitted.entry(key).or_default() += demand.core_ms;
+        let admitted = self.admitted.entry(key).or_default();
+        *admitted = admitted.saturating_add(demand.core_ms);
     }
 
     fn decide_stale(
@@ -135,7 +136,9 @@
         allowance.core_ms = (allowance.core_ms + since * share).min(saved);
         allowance.updated_at = now;
         if allowance.core_ms >= 0.0 {
-            allowance.core_ms -= demand.core_ms as f64;
+            // A larger debt would refuse callers for longer than the longest `Retry-After`.
+            let max_debt = share * MAX_RETRY.as_secs_f64();
+            allowance.core_ms = (allowance.core_ms - demand.core_ms as f64).max(-max_debt);
             return AdmissionVerdict::Admit;
         }
         let wait = Duration::from_secs_f64(-allowance.core_ms / share).min(MAX_RETRY);
@@ -198,6 +201,19 @@
         assert!((29..=32).contains(&total), "{total}");
     }
 
+    /// Guards against a single large job, or one with an absurd estimate, after which a host without a
+    /// fresh forecast refuses a class for longer than it tells its callers.
+    #[test]
+    fn a_large_job_delays_others_for_the_longest_time_at_most() {
+        let (start, old) = (Instant::now(), forecast(7, 60_000));
+        let mut ledger = AdmissionLedger::default();
+        let view = |age| view(&old, Duration::from_secs(age), 2);
+        let huge = JobDemand { core_ms: u64::MAX, ..demand("q") };
+        assert_eq!(ledger.decide(POLICY, view(5), &huge, start), AdmissionVerdict::Admit);
+        assert_eq!(admitted(&mut ledger, view(5), 1, start), 0);
+        assert_eq!(admitted(&mut ledger, view(35), 1, start + MAX_RETRY), 1);
+    }
+
     /// Guards against refusals of a host that has never seen a forecast, or an idle one.
     #[test]
     fn without_a_forecast_and_on_an_idle_service_everything_is_admitted() {
