--- a/src/workflow/planner_shares.rs
+++ b/src/workflow/planner_shares.rs
@@ -474,7 +474,8 @@
         (free, requested)
     }
 
-    /// Runs on a worker that belong to queues beyond their entitlement.
+    /// Runs on a worker that belong to queues beyond their entitlement. A run whose start may still
+    /// be carried out is left out: stopped now, it could begin after its successor.
     fn reclaim_candidates(
         &self,
         step: &StepSpec,
@@ -483,7 +484,8 @@
         capacity: &ResourceVector,
     ) -> Vec<ReclaimCandidate> {
         let mut candidates = Vec::new();
-        for (key, run) in worker.assigned.iter().filter(|(_, run)| !run.stopping) {
+        let can_stop = |run: &AssignedRun| run.is_settled && !run.stopping;
+        for (key, run) in worker.assigned.iter().filter(|(_, run)| can_stop(run)) {
             let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none());
             let Some(queue) = entry.map(|entry| &entry.spec.policy.queue) else {
                 continue;
