--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -419,3 +419,25 @@
     shared.rounds(40);
     assert_eq!(shared.reclaims.len(), before);
 }
+
+/// Guards against a task that runs twice at once: a run that is stopped while its start is on its
+/// way may begin after its successor.
+#[test]
+fn runs_whose_start_may_still_be_carried_out_are_not_preempted() {
+    let mut shared = SharedFleet::open(equal_weights());
+    shared.submit("long-a", "a", vec![tasks(16, LONG_MS)]);
+    for round in 0..40 {
+        if round == 3 {
+            shared.submit("long-b", "b", vec![tasks(8, LONG_MS)]);
+        }
+        shared.fleet.plan();
+        // The agents are slow: orders do not come through.
+        shared.fleet.planner.take_orders();
+        shared.fleet.pass(Duration::from_millis(100));
+        shared.fleet.report_all();
+        shared.fleet.planner.on_tick();
+        shared.fleet.store();
+    }
+    let decisions = shared.fleet.planner.take_decisions();
+    assert!(decisions.iter().all(|decision| decision.label() != "share_reclaimed"));
+}
