Planner: move reclaim of shares to its own file

The functions that choose and stop runs for a queue below its entitlement are now in planner_reclaim.rs; nothing else changes.

--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -24,6 +24,7 @@
 pub mod planner_load;
 pub mod planner_moves;
 pub mod planner_preemption;
+mod planner_reclaim;
 pub mod planner_reports;
 pub mod planner_rounds;
 pub mod planner_shares;
