Reclaim: only jobs of the claim's priority preempt for it

A queue is counted with the priority of its most urgent job. When its jobs differ in priority, the tasks of a less urgent one could have runs of more urgent queues preempted. Now only jobs of the claim's priority get reclaimed resources.

--- a/src/workflow/planner_reclaim.rs
+++ b/src/workflow/planner_reclaim.rs
@@ -90,7 +90,10 @@
     fn claiming_tasks(&self, claim: &ShareClaim) -> Vec<(TaskName, StepSpec)> {
         let of_queue = self.jobs.iter().filter(|(_, entry)| {
             let policy = &entry.spec.policy;
-            let is_claiming = policy.service == claim.service && policy.queue == claim.queue;
+            let is_claiming = policy.service == claim.service
+                && policy.queue == claim.queue
+                // The priority of the claim is that of the most urgent job of the queue.
+                && policy.priority == claim.priority;
             is_claiming && entry.end.is_none()
         });
         let mut jobs: Vec<(JobUrgency<'_>, &JobId, &JobEntry)> = of_queue
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -441,3 +441,19 @@
     let decisions = shared.fleet.planner.take_decisions();
     assert!(decisions.iter().all(|decision| decision.label() != "share_reclaimed"));
 }
+
+/// Guards against runs of an urgent queue that are preempted for less urgent jobs, because another
+/// job of their queue is urgent.
+#[test]
+fn a_less_urgent_job_of_a_claiming_queue_preempts_nothing() {
+    let mut shared = SharedFleet::open(equal_weights());
+    shared.submit("long-a", "a", vec![tasks(15, LONG_MS)]);
+    shared.submit("long-b-urgent", "b", vec![tasks(1, LONG_MS)]);
+    shared.rounds(10);
+    assert_eq!((shared.running("long-a"), shared.running("long-b")), (15, 1));
+    let mut spec = spec_of("b", vec![tasks(8, LONG_MS)], shared.fleet.wall_ms);
+    spec.policy.priority = 2;
+    shared.fleet.submit("long-b", spec);
+    shared.rounds(40);
+    assert_eq!((shared.reclaims.len(), shared.running("long-a")), (0, 15));
+}
