Bound on waiting: reserve only workers that can run the task

A worker was reserved for a task as large as a worker although a long-running task was on it, or although it had begun to drain, and the reservation was renewed, also for a task that ran elsewhere by then; the job never began. A job that fits beside the long-running tasks of no worker kept all others from the quarter of the capacity. Long-running tasks now count as occupying their resources, and a reservation is renewed only for a waiting task on a worker that may run it. Whether a job fits is determined once for each set of requirements in a round, not for each job.

--- a/src/workflow/fair_share/wait_bound.rs
+++ b/src/workflow/fair_share/wait_bound.rs
@@ -51,7 +51,8 @@
 
     /// Selects the jobs that come first in their priority: those that have begun because of the
     /// bound, then those that exceeded it first, as far as a quarter of the capacity goes. In an
-    /// order by the multiple of the objective, a large job would stay behind all small ones. Of the jobs of a service one is always selected, however large it is.
+    /// order by the multiple of the objective, a large job would stay behind all small ones. Of the
+    /// jobs of a service one is always selected, however large it is.
     /// `fits` tells whether any worker could run the job; others must not take up the quarter.
     ///
     /// ```
@@ -62,7 +63,7 @@
     pub fn select(
         &self,
         mut candidates: Vec<WaitCandidate>,
-        fits: impl Fn(&WaitCandidate) -> bool,
+        mut fits: impl FnMut(&WaitCandidate) -> bool,
     ) -> HashSet<JobId> {
         candidates.sort_by(|a, b| {
             let begun_first = b.has_begun.cmp(&a.has_begun);
--- a/src/workflow/planner_shares.rs
+++ b/src/workflow/planner_shares.rs
@@ -17,9 +17,12 @@
 use crate::workflow::fair_share::share_settings::ShareSettings;
 use crate::workflow::fair_share::wait_bound::WaitBound;
 use crate::workflow::fair_share::wait_bound::WaitCandidate;
+use crate::workflow::placement::PlacementRequest;
+use crate::workflow::placement::PlacementView;
 use crate::workflow::placement::is_eligible;
 use crate::workflow::planner::Planner;
 use crate::workflow::planner_jobs::JobEntry;
+use crate::workflow::serving_layout::long_term_free;
 use crate::workflow::spec::ResourceVector;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
@@ -221,28 +224,39 @@
                 share: share.map_or(0.0, |share| share.share),
             });
         }
-        bound.select(candidates, |candidate| self.has_fitting_worker(&candidate.job))
+        let mut known = HashMap::new();
+        bound.select(candidates, |candidate| self.has_fitting_worker(&candidate.job, &mut known))
     }
 
-    /// Whether some worker could run a task of each ready step of a job if it were empty.
-    fn has_fitting_worker(&self, job: &str) -> bool {
+    /// Whether some worker could run a task of each ready step of a job if only long-running tasks
+    /// were on it. `known` holds the answers by service, label and resources, so that many jobs with
+    /// the same requirements cost one search.
+    fn has_fitting_worker<'a>(
+        &'a self,
+        job: &str,
+        known: &mut HashMap<(&'a str, &'a str, [u64; 3]), bool>,
+    ) -> bool {
         let Some(entry) = self.jobs.get(job) else {
             return false;
         };
-        let fits = |step: &StepSpec| {
-            let statuses = self.inventory.iter().filter_map(|(_, worker)| worker.status.as_ref());
+        let service = entry.spec.policy.service.as_str();
+        let mut fits = |step: &'a StepSpec| {
             let requested = step.reserved_resources();
-            statuses.into_iter().any(|status| {
-                let has_label =
-                    step.required_label.is_empty() || status.labels.contains(&step.required_label);
-                status.service == entry.spec.policy.service
-                    && has_label
-                    && status.capacity.contains(&requested)
+            let amounts = [requested.millicores, requested.memory_mib, requested.accelerators];
+            let key = (service, step.required_label.as_str(), amounts);
+            *known.entry(key).or_insert_with(|| {
+                self.inventory.iter().any(|(_, worker)| {
+                    worker.status.as_ref().is_some_and(|status| {
+                        let has_label = step.required_label.is_empty()
+                            || status.labels.contains(&step.required_label);
+                        status.service == service && has_label
+                    }) && long_term_free(worker).contains(&requested)
+                })
             })
         };
         let ready = self.ready_steps(job);
         let mut steps = ready.iter().filter_map(|(_, step)| entry.spec.steps.get(*step as usize));
-        steps.all(fits)
+        steps.all(&mut fits)
     }
 
     /// Reserves resources for a task of a job that comes first by its wait and fits on no worker, on
@@ -253,11 +267,7 @@
         if step.best_effort || !self.fair_share.is_first_by_wait(&name.job) {
             return;
         }
-        let reserved = self.inventory.iter().find_map(|(instance, worker)| {
-            let mut tasks = worker.reservations.tasks(self.now);
-            let task = tasks.find(|task| task.step_key() == name.step_key())?;
-            Some((instance.clone(), task.clone()))
-        });
+        let reserved = self.worker_reserved_for_step(name, step);
         let Some((instance, task)) = reserved.or_else(|| self.nearest_worker(name, step)) else {
             return;
         };
@@ -266,18 +276,42 @@
         }
     }
 
-    /// The worker that could run a task if it were empty and lacks the least resources for it.
+    /// A worker that is reserved for a waiting task of the same step and can still run it, and that
+    /// task.
+    fn worker_reserved_for_step(
+        &self,
+        name: &TaskName,
+        step: &StepSpec,
+    ) -> Option<(InstanceId, TaskName)> {
+        let is_waiting = |task: &TaskName| {
+            let progress = self.jobs.get(&task.job).and_then(|entry| entry.progress.task(task));
+            progress.is_some_and(|task| !task.done && task.attempts.is_empty())
+        };
+        let is_of_step = |task: &TaskName| {
+            (task.step, task.occurrence) == (name.step, name.occurrence) && task.job == name.job
+        };
+        let request = self.placement_request(name, step, None, None)?;
+        let view = self.placement_view();
+        self.inventory.iter().find_map(|(instance, worker)| {
+            let mut tasks = worker.reservations.tasks(self.now);
+            let task = tasks.find(|task| is_of_step(task) && is_waiting(task))?;
+            let can_run = can_run_later(&request, &view, instance, worker);
+            can_run.then(|| (instance.clone(), task.clone()))
+        })
+    }
+
+    /// The worker that could run a task once its other runs have ended and that lacks the least
+    /// resources for it.
     fn nearest_worker(&self, name: &TaskName, step: &StepSpec) -> Option<(InstanceId, TaskName)> {
         let request = self.placement_request(name, step, None, None)?;
         let view = self.placement_view();
         let requested = step.reserved_resources();
         let mut nearest: Option<(f64, &InstanceId)> = None;
         for (instance, worker) in self.inventory.iter() {
-            let capacity = worker.status.as_ref().map(|status| status.capacity);
-            let Some(capacity) = capacity.filter(|capacity| capacity.contains(&requested)) else {
+            let Some(capacity) = worker.status.as_ref().map(|status| status.capacity) else {
                 continue;
             };
-            if !is_eligible(&request, &view, instance, worker) {
+            if !can_run_later(&request, &view, instance, worker) {
                 continue;
             }
             let missing = requested.minus(&worker.available_to(name, self.now));
@@ -309,6 +343,18 @@
     }
 }
 
+/// Whether a worker could run a task once its runs have ended, except long-running ones, which do
+/// not end by themselves.
+fn can_run_later(
+    request: &PlacementRequest<'_>,
+    view: &PlacementView<'_>,
+    instance: &str,
+    worker: &WorkerEntry,
+) -> bool {
+    is_eligible(request, view, instance, worker)
+        && long_term_free(worker).contains(&request.step.reserved_resources())
+}
+
 /// Whether a worker counts towards the capacity that queues share.
 fn is_counted(worker: &WorkerEntry) -> bool {
     let is_in_use = worker.status.as_ref().is_some_and(|status| !status.draining);
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -457,3 +457,85 @@
     shared.rounds(40);
     assert_eq!((shared.reclaims.len(), shared.running("long-a")), (0, 15));
 }
+
+/// Guards against a task as large as a worker for which a worker is reserved that a long-running
+/// task never leaves.
+#[test]
+fn no_worker_with_a_long_running_task_is_reserved_for_a_task_as_large_as_a_worker() {
+    let mut shared = SharedFleet::open(longest_wait(2.0));
+    let resources = ResourceVector { millicores: 2_500, memory_mib: 100, accelerators: 0 };
+    let serving = StepSpec { resources, long_running: true, ..tasks(3, 320) };
+    shared.submit("long-serving", "q", vec![serving]);
+    shared.rounds(3);
+    assert_eq!(shared.running("long-serving"), 3);
+    for round in 0..80 {
+        offer_small(&mut shared, round);
+        if round == 10 {
+            shared.submit("large", "q", vec![step(1, 4_000)]);
+        }
+        shared.round();
+    }
+    assert!(shared.has_begun("large"));
+}
+
+/// Guards against a job that no worker can run, because long-running tasks are on all of them,
+/// taking up the capacity for jobs whose wait exceeds the bound.
+#[test]
+fn a_job_that_fits_beside_no_long_running_task_does_not_block_others() {
+    let mut shared = SharedFleet::open(longest_wait(2.0));
+    let resources = ResourceVector { millicores: 2_500, memory_mib: 100, accelerators: 0 };
+    let serving = StepSpec { resources, long_running: true, ..tasks(4, 320) };
+    shared.submit("long-serving", "q", vec![serving]);
+    shared.submit("blocked", "q", vec![step(1, 4_000)]);
+    shared.rounds(3);
+    for round in 0..100 {
+        offer_small(&mut shared, round);
+        if round == 10 {
+            shared.submit("large", "q", vec![tasks(3, 500)]);
+        }
+        shared.round();
+    }
+    assert_eq!((shared.has_begun("blocked"), shared.has_begun("large")), (false, true));
+}
+
+/// Guards against a worker that stays reserved for a task which runs elsewhere by now, while another
+/// task of its step waits.
+#[test]
+fn a_reservation_by_wait_is_not_renewed_for_a_task_that_runs() {
+    let mut shared = SharedFleet::open(longest_wait(2.0));
+    for number in 0..4 {
+        shared.submit(&format!("long-{number}"), "q", vec![step(1, 4_000)]);
+    }
+    shared.rounds(3);
+    shared.submit("long-large", "q", vec![step(2, 4_000)]);
+    shared.rounds(40);
+    for worker in ["i-2", "i-1"] {
+        let running = shared.fleet.running();
+        let (_, key) = running.into_iter().find(|(instance, _)| instance == worker).unwrap();
+        shared.fleet.end(worker, &key, RunEnd::Done, "");
+        shared.rounds(30);
+    }
+    assert_eq!(shared.running("long-large"), 2);
+}
+
+/// Guards against a task that waits for a worker which is reserved for it and starts nothing more.
+#[test]
+fn a_reservation_by_wait_leaves_a_worker_that_drains() {
+    let mut shared = SharedFleet::open(longest_wait(2.0));
+    for round in 0..90 {
+        offer_small(&mut shared, round);
+        if round == 10 {
+            shared.submit("long-large", "q", vec![step(3, 4_000)]);
+        }
+        let running = shared.running("long-large");
+        if running == 1 && shared.fleet.runners.values().all(|runner| !runner.draining) {
+            // The first task runs, and a worker is reserved for the second.
+            let runners = shared.fleet.runners.iter_mut();
+            let mut others = runners
+                .filter(|(_, runner)| runner.present.keys().all(|key| key.0.job != "long-large"));
+            others.next().unwrap().1.draining = true;
+        }
+        shared.round();
+    }
+    assert_eq!(shared.running("long-large"), 3);
+}
