Reclaim: no copies of names for runs that are not preempted

The search for a claim's task copied the excesses of all queues twice for each worker and the names of each run, and copied names again in each comparison of the sort. Now a worker that is too small or lacks nothing is skipped first, and names are copied only where the runs free enough.

--- a/src/workflow/fair_share/reclaim_policy.rs
+++ b/src/workflow/fair_share/reclaim_policy.rs
@@ -75,14 +75,14 @@
 }
 
 /// Resources that a claim's task needs on a worker, and the limits within which they are reclaimed.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ReclaimRequest {
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReclaimRequest<'a> {
     /// Resources that are free there, or become free as runs stop.
     pub free: ResourceVector,
     /// Resources that the task needs.
     pub requested: ResourceVector,
     /// How much each queue uses beyond its entitlement.
-    pub excesses: BTreeMap<QueueName, f64>,
+    pub excesses: &'a BTreeMap<QueueName, f64>,
     /// Share of the capacity that may be reclaimed now.
     pub budget: f64,
 }
@@ -208,6 +208,12 @@
         (MAX_SHARE_PER_PERIOD - shares.iter().sum::<f64>()).max(0.0)
     }
 
+    /// Whether a run that uses `share` may be preempted: its queue uses that much beyond its
+    /// entitlement, and its task was not preempted shortly before.
+    pub(crate) fn is_reclaimable(&self, task: &TaskName, share: f64, excess: f64) -> bool {
+        share <= excess + SHARE_TOLERANCE && !self.preempted.contains_key(task)
+    }
+
     /// Selects the runs on a worker that are preempted for a task: those with checkpoints first, of
     /// these the one that loses the least work first. `None` if that frees too little within the
     /// limits, or if nothing has to be preempted.
@@ -219,19 +225,22 @@
     /// let request = ReclaimRequest {
     ///     free: Default::default(),
     ///     requested: Default::default(),
-    ///     excesses: Default::default(),
+    ///     excesses: &Default::default(),
     ///     budget: 0.1,
     /// };
     /// assert_eq!(ReclaimPolicy::default().select(&request, Vec::new()), None);
     /// ```
     pub fn select(
         &self,
-        request: &ReclaimRequest,
+        request: &ReclaimRequest<'_>,
         mut candidates: Vec<ReclaimCandidate>,
     ) -> Option<ReclaimChoice> {
-        candidates.sort_by_key(|one| (!one.checkpoints, one.loss, one.key.clone()));
+        candidates.sort_by(|a, b| {
+            let cost = |one: &ReclaimCandidate| (!one.checkpoints, one.loss);
+            cost(a).cmp(&cost(b)).then_with(|| a.key.cmp(&b.key))
+        });
         let mut free = request.free;
-        let mut excesses = request.excesses.clone();
+        let mut reclaimed: BTreeMap<QueueName, f64> = BTreeMap::new();
         let mut interrupted: HashMap<StepKey, u32> = HashMap::new();
         let mut chosen: Vec<ReclaimCandidate> = Vec::new();
         for candidate in candidates {
@@ -239,10 +248,11 @@
                 break;
             }
             let missing = request.requested.minus(&free);
-            let excess = excesses.get(&candidate.queue).copied().unwrap_or(0.0);
-            let is_borrowed = candidate.share <= excess + SHARE_TOLERANCE;
-            let is_recent = self.preempted.contains_key(&candidate.key.0);
-            if is_recent || !is_borrowed || !overlaps(&candidate.frees, &missing) {
+            let excess = request.excesses.get(&candidate.queue).copied().unwrap_or(0.0);
+            let excess = excess - reclaimed.get(&candidate.queue).copied().unwrap_or(0.0);
+            if !self.is_reclaimable(&candidate.key.0, candidate.share, excess)
+                || !overlaps(&candidate.frees, &missing)
+            {
                 continue;
             }
             if let Some((step, allowed)) = &candidate.interruptible {
@@ -252,7 +262,7 @@
                 }
                 *interrupted += 1;
             }
-            excesses.insert(candidate.queue.clone(), excess - candidate.share);
+            *reclaimed.entry(candidate.queue.clone()).or_default() += candidate.share;
             free = free.plus(&candidate.frees);
             chosen.push(candidate);
         }
@@ -317,7 +327,7 @@
 }
 
 /// Whether an amount has some of a resource that is missing.
-fn overlaps(amount: &ResourceVector, missing: &ResourceVector) -> bool {
+pub(crate) fn overlaps(amount: &ResourceVector, missing: &ResourceVector) -> bool {
     amount.millicores.min(missing.millicores) > 0
         || amount.memory_mib.min(missing.memory_mib) > 0
         || amount.accelerators.min(missing.accelerators) > 0
@@ -345,8 +355,8 @@
         }
     }
 
-    fn request(requested: ResourceVector, excess: f64) -> ReclaimRequest {
-        let excesses = BTreeMap::from([("borrower".to_string(), excess)]);
+    fn request(requested: ResourceVector, excess: f64) -> ReclaimRequest<'static> {
+        let excesses = Box::leak(Box::new(BTreeMap::from([("borrower".to_string(), excess)])));
         ReclaimRequest { free: amount(0, 0), requested, excesses, budget: f64::INFINITY }
     }
 
--- a/src/workflow/planner_reclaim.rs
+++ b/src/workflow/planner_reclaim.rs
@@ -13,6 +13,7 @@
 use crate::workflow::fair_share::reclaim_policy::ReclaimPolicy;
 use crate::workflow::fair_share::reclaim_policy::ReclaimRequest;
 use crate::workflow::fair_share::reclaim_policy::ShareClaim;
+use crate::workflow::fair_share::reclaim_policy::overlaps;
 use crate::workflow::placement::MIN_BEST_EFFORT_SHARE;
 use crate::workflow::placement::RiskLimit;
 use crate::workflow::placement::is_eligible;
@@ -27,6 +28,7 @@
 use crate::workflow::urgency::JobUrgency;
 use crate::workflow::worker_entry::Competitors;
 use crate::workflow::worker_entry::WorkerEntry;
+use crate::workflow::worker_inventory::RunKey;
 
 /// Maximum number of claims that are met in one tick, so that a tick stays short with many queues.
 const MAX_CLAIMS_PER_TICK: usize = 2;
@@ -149,8 +151,13 @@
                 continue;
             }
             let (free, requested) = self.reclaimable(name, step, worker);
-            let request = ReclaimRequest { free, requested, excesses: excesses.clone(), budget };
-            let candidates = self.reclaim_candidates(step, worker, excesses, &capacity);
+            // Most searches end here: nothing is missing, or the worker is too small.
+            let whole = worker.status.as_ref().map(|status| status.capacity).unwrap_or_default();
+            if free.contains(&requested) || !whole.contains(&requested) {
+                continue;
+            }
+            let request = ReclaimRequest { free, requested, excesses, budget };
+            let candidates = self.reclaim_candidates(step, worker, &request, reclaim, &capacity);
             let Some(choice) = reclaim.select(&request, candidates) else {
                 continue;
             };
@@ -187,40 +194,52 @@
         (free, requested)
     }
 
-    /// Runs on a worker that belong to queues beyond their entitlement. A run whose start may still
-    /// be carried out is left out: stopped now, it could begin after its successor.
+    /// Runs on a worker that belong to queues beyond their entitlement and free a missing resource;
+    /// none if all of them free too little. A run whose start may still be carried out is left out:
+    /// stopped now, it could begin after its successor.
     fn reclaim_candidates(
         &self,
         step: &StepSpec,
         worker: &WorkerEntry,
-        excesses: &BTreeMap<QueueName, f64>,
+        request: &ReclaimRequest<'_>,
+        reclaim: &ReclaimPolicy,
         capacity: &ResourceVector,
     ) -> Vec<ReclaimCandidate> {
-        let mut candidates = Vec::new();
-        let can_stop = |run: &AssignedRun| run.is_settled && !run.stopping;
-        for (key, run) in worker.assigned.iter().filter(|(_, run)| can_stop(run)) {
-            let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none());
-            let Some(queue) = entry.map(|entry| &entry.spec.policy.queue) else {
-                continue;
-            };
-            if !excesses.contains_key(queue) {
-                continue;
+        let missing = request.requested.minus(&request.free);
+        let frees =
+            |run: &AssignedRun| if step.best_effort { run_usage(run) } else { run.reserved };
+        let frees_enough = |runs: &[(&RunKey, &AssignedRun, &QueueName, f64)]| {
+            let freed = runs.iter().fold(request.free, |sum, (_, run, _, _)| sum.plus(&frees(run)));
+            freed.contains(&request.requested)
+        };
+        let settled = worker.assigned.iter().filter(|(_, run)| run.is_settled && !run.stopping);
+        let borrowed = settled.filter_map(|(key, run)| {
+            if !overlaps(&frees(run), &missing) {
+                return None;
             }
-            let usage = run_usage(run);
-            let frees = if step.best_effort { usage } else { run.reserved };
-            candidates.push(ReclaimCandidate {
-                key: key.clone(),
-                queue: queue.clone(),
-                frees,
-                share: DominantShare::of(&usage, capacity).map_or(0.0, |share| share.share),
-                checkpoints: run.checkpoints,
-                loss: self.lost_processor_time(run),
-                interruptible: run
-                    .long_running
-                    .then(|| (key.0.step_key(), self.interruptible_tasks(&key.0))),
-            });
+            let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none())?;
+            let queue = &entry.spec.policy.queue;
+            let excess = *request.excesses.get(queue)?;
+            let share = DominantShare::of(&run_usage(run), capacity);
+            let share = share.map_or(0.0, |share| share.share);
+            reclaim.is_reclaimable(&key.0, share, excess).then_some((key, run, queue, share))
+        });
+        let borrowed: Vec<(&RunKey, &AssignedRun, &QueueName, f64)> = borrowed.collect();
+        if !frees_enough(&borrowed) {
+            return Vec::new();
         }
-        candidates
+        let candidates = borrowed.into_iter().map(|(key, run, queue, share)| ReclaimCandidate {
+            key: key.clone(),
+            queue: queue.clone(),
+            frees: frees(run),
+            share,
+            checkpoints: run.checkpoints,
+            loss: self.lost_processor_time(run),
+            interruptible: run
+                .long_running
+                .then(|| (key.0.step_key(), self.interruptible_tasks(&key.0))),
+        });
+        candidates.collect()
     }
 
     /// Number of tasks of a long-running step that may be interrupted now: its limit less the tasks
