--- a/src/workflow/fair_share/mod.rs
+++ b/src/workflow/fair_share/mod.rs
@@ -4,6 +4,7 @@
 //! capacity are arguments, as is the current time.
 
 pub mod dominant_share;
+pub mod reclaim_choice;
 pub mod reclaim_policy;
 pub mod share_ledger;
 pub(crate) mod share_order;
