--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -13,6 +13,7 @@
 use greengagearch::process::gate::JobRefusal;
 use greengagearch::process::http_server::HttpLimits;
 use greengagearch::process::http_server::spawn_http_server;
+use greengagearch::process::planning::evacuation_status::EvacuationStatus;
 use greengagearch::process::planning::job_http;
 use greengagearch::process::stop_signal::StopSwitch;
 use greengagearch::version::queue_table::QueueRoute;
@@ -255,6 +256,10 @@
     fn pending(&self, _: &str) -> u64 {
         0
     }
+
+    fn evacuations(&self) -> Option<EvacuationStatus> {
+        None
+    }
 }
 
 /// Guards against a listener that answers with a constant time instead of the one that was decided.
