Count runs that are not assigned to their workers as left in an evacuated domain

Cause: the summary counted assigned runs only. A worker that returns after its leases ended, or that carries out a start late, shows runs that are not assigned to it and are being stopped; power could be cut by the summary while they were still at work.

Change: such runs are counted as runs left, under a kind of their own (`unassigned`), in the heartbeat, the response and gga-ctl.

--- a/src/ctl/evacuations.rs
+++ b/src/ctl/evacuations.rs
@@ -71,7 +71,7 @@
         let _ = write!(
             text,
             "evacuation domain={} since_ms={} evacuated_s={} workers={} silent_workers={} runs={} serving={} \
-             long_running={} best_effort={} batch={} can_cut_power={}",
+             long_running={} best_effort={} batch={} unassigned={} can_cut_power={}",
             one.domain,
             evacuation.since_ms,
             one.evacuated_ms / 1_000,
@@ -82,6 +82,7 @@
             runs.long_running,
             runs.best_effort,
             runs.batch,
+            runs.unassigned,
             one.can_cut_power
         );
         let hindrance = one.hindrance.map(|hindrance| format!(" hindrance={}", hindrance.as_str()));
@@ -130,9 +131,9 @@
         let lines = [
             "evacuations domains=2 source=heartbeat epoch=3 age_ms=400 requests_read=true unlocated_runs=0",
             "evacuation domain=a since_ms=1000 evacuated_s=30 workers=8 silent_workers=1 runs=5 serving=2 \
-             long_running=0 best_effort=0 batch=3 can_cut_power=false hindrance=runs_left",
+             long_running=0 best_effort=0 batch=3 unassigned=0 can_cut_power=false hindrance=runs_left",
             "evacuation domain=b since_ms=1000 evacuated_s=30 workers=8 silent_workers=1 runs=0 serving=0 \
-             long_running=0 best_effort=0 batch=0 can_cut_power=true",
+             long_running=0 best_effort=0 batch=0 unassigned=0 can_cut_power=true",
         ];
         assert_eq!(evacuation_text(&received), lines.map(|line| format!("{line}\n")).concat());
     }
--- a/src/workflow/evacuation_summary.rs
+++ b/src/workflow/evacuation_summary.rs
@@ -43,6 +43,10 @@
     /// All other runs.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub batch: u64,
+    /// Runs that workers show although they are not assigned to them. They are ordered to stop, and
+    /// run until then.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unassigned: u64,
 }
 
 /// State of the evacuation of one failure domain.
@@ -58,7 +62,7 @@
     /// leases have expired.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub silent_workers: u64,
-    /// Runs assigned to the workers, including those that were ordered to stop.
+    /// Runs assigned to the workers or shown by them, including those that were ordered to stop.
     #[serde(flatten)]
     pub runs: RunCounts,
 }
@@ -128,7 +132,7 @@
     /// assert_eq!(RunCounts { serving: 2, batch: 3, ..RunCounts::default() }.total(), 5);
     /// ```
     pub fn total(&self) -> u64 {
-        self.serving + self.long_running + self.best_effort + self.batch
+        self.serving + self.long_running + self.best_effort + self.batch + self.unassigned
     }
 
     fn add(&mut self, run: &AssignedRun) {
@@ -149,6 +153,7 @@
         self.silent_workers +=
             u64::from(silent_for.is_none_or(|silent_for| silent_for >= SILENCE_TIMEOUT));
         worker.assigned.values().for_each(|run| self.runs.add(run));
+        self.runs.unassigned += worker.unknown_runs.len() as u64;
     }
 }
 
@@ -277,7 +282,8 @@
         }
         let summary = summary_of(&inventory, now);
         let domain = summary.domains["a"];
-        let runs = RunCounts { serving: 1, long_running: 1, best_effort: 1, batch: 1 };
+        let runs =
+            RunCounts { serving: 1, long_running: 1, best_effort: 1, batch: 1, unassigned: 0 };
         assert_eq!((domain.workers, domain.silent_workers, domain.runs), (1, 0, runs));
         assert_eq!((domain.version, domain.since_ms), (7, 1_000));
         assert_eq!(summary.domains.len(), 1);
@@ -340,7 +346,13 @@
             since_ms: 1_800_000_000_000,
             workers: 870,
             silent_workers: 870,
-            runs: RunCounts { serving: 999, long_running: 999, best_effort: 9_999, batch: 9_999 },
+            runs: RunCounts {
+                serving: 999,
+                long_running: 999,
+                best_effort: 9_999,
+                batch: 9_999,
+                unassigned: 999,
+            },
         };
         let summary = EvacuationSummary {
             at_ms: 1_800_000_000_000,
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -17,6 +17,7 @@
 
 use crate::planning::PlannedFleet;
 use crate::planning::job;
+use crate::planning::present;
 use crate::planning::step;
 
 /// Time for which a read of the requests is valid.
@@ -328,6 +329,21 @@
     assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RunsLeft));
 }
 
+/// Guards against power that is cut while a worker still shows a run that is not assigned to it.
+#[test]
+fn a_run_that_is_not_assigned_keeps_the_power_on_until_it_has_stopped() {
+    let mut fleet = fleet_in(&[("i-1", "a")]);
+    evacuate(&mut fleet, &[("a", 7)]);
+    let key = ("j.0.0.0".parse().unwrap(), 1);
+    fleet.runners.get_mut("i-1").unwrap().present.insert(key.clone(), present(&key));
+    fleet.report("i-1", false);
+    let summary = fleet.planner.evacuation_summary();
+    assert_eq!(summary.domains["a"].runs.unassigned, 1);
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::RunsLeft));
+    (0..2).for_each(|_| fleet.round());
+    assert_eq!(power_hindrance(&fleet, "a"), None);
+}
+
 /// Guards against a successor that says nothing is evacuated, or that power can be cut, before it has read the
 /// requests and heard of the workers; and against a start time that is lost with each planner.
 #[test]
