Keep the age of a heartbeat whose row is read again

Cause: a process that reads the ownership rows anew, after a failed takeover or a lost feed, recorded the time of that read as the arrival of the heartbeat. If the writer's clock is ahead, the age of the evacuation status is the time since the arrival, so an old heartbeat passed for a recent one.

Change: a heartbeat row with the version that is already known leaves the time of arrival as it is.

--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -150,8 +150,12 @@
         self.changed_at = clock::now();
         if row.name.key == PULSE_KEY {
             let mut view = self.shared.view();
-            view.heartbeat = decode(row).unwrap_or_default();
-            view.heartbeat_at = Some(clock::now());
+            // A row that is read again has not become newer.
+            if view.heartbeat_at.is_none() || view.heartbeat_version != row.version {
+                view.heartbeat = decode(row).unwrap_or_default();
+                view.heartbeat_version = row.version;
+                view.heartbeat_at = Some(clock::now());
+            }
         }
         if row.name.key == OWNER_KEY {
             let is_older = self.owner.as_ref().is_some_and(|(_, version)| *version > row.version);
@@ -239,3 +243,43 @@
         self.changed_at = clock::now();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::external::row_store::RowName;
+    use crate::platform::store_client::StoreClient;
+    use crate::process::planning::rows::HeartbeatRow;
+    use crate::process::planning::rows::encode;
+    use crate::process::planning::settings::PlannerSettings;
+
+    const SETTINGS: &str = "[planner]\nid = p\ndomain = d\ncaller-listen = 127.0.0.1:0\n\
+        ready-listen = 127.0.0.1:0\ninternal-listen = 127.0.0.1:0\n[store]\naddress = 127.0.0.1:1\n";
+
+    /// Guards against an old heartbeat that is taken for new because its row was read again.
+    #[test]
+    fn a_heartbeat_that_is_read_again_does_not_become_newer() {
+        let settings = PlannerSettings::parse("planner.ini", SETTINGS).unwrap();
+        let store = StoreClient::open(&settings.store);
+        let shared = Arc::new(PlannerShared::new(settings, Arc::new(store), None));
+        let mut elector = OwnershipElector {
+            shared: shared.clone(),
+            owner: None,
+            changed_at: clock::now(),
+            feed_version: None,
+            has_failed: false,
+        };
+        let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
+        let heartbeat = HeartbeatRow { epoch: 4, ..HeartbeatRow::default() };
+        let mut row = StoredRow { name, value: Some(encode(&heartbeat)), version: 7 };
+        elector.apply_row(&row);
+        let first_at = shared.view().heartbeat_at;
+        std::thread::sleep(Duration::from_millis(2));
+        elector.apply_row(&row);
+        assert_eq!(shared.view().heartbeat.epoch, 4);
+        assert_eq!(shared.view().heartbeat_at, first_at);
+        row.version = 8;
+        elector.apply_row(&row);
+        assert!(shared.view().heartbeat_at > first_at);
+    }
+}
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -18,6 +18,7 @@
 use crate::external::observed_store::ObservedStore;
 use crate::external::row_store::RowError;
 use crate::external::row_store::RowStore;
+use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::clock::SteadyClock;
 use crate::process::metrics::ProcessMetrics;
@@ -44,7 +45,9 @@
     pub owner: Option<OwnerRow>,
     /// The owner's latest heartbeat.
     pub heartbeat: HeartbeatRow,
-    /// When this process received that heartbeat.
+    /// Version of its row.
+    pub heartbeat_version: RowVersion,
+    /// When this process received that heartbeat for the first time.
     pub heartbeat_at: Option<Instant>,
 }
 
