Keep the power on until the reported ends of runs are stored

Cause: a run left the summary of an evacuation as soon as its worker reported its end, before the end was stored and acknowledged. If the planner is in the same domain, a cut of power loses both copies of the end, and the task runs again although can_cut_power was true.

Change: a worker whose last reported end is not acknowledged is counted in unstored_workers, and the hindrance is ends_unstored.

--- a/src/ctl/evacuations.rs
+++ b/src/ctl/evacuations.rs
@@ -110,6 +110,7 @@
             since_ms: 1_000,
             workers: 8,
             silent_workers: 1,
+            unstored_workers: 0,
             runs,
         };
         let summary = EvacuationSummary {
--- a/src/workflow/evacuation_summary.rs
+++ b/src/workflow/evacuation_summary.rs
@@ -62,6 +62,9 @@
     /// leases have expired.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub silent_workers: u64,
+    /// Of the workers, those that have reported run ends which are not stored yet.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unstored_workers: u64,
     /// Runs assigned to the workers or shown by them, including those that were ordered to stop.
     #[serde(flatten)]
     pub runs: RunCounts,
@@ -102,6 +105,9 @@
     RunsLeft,
     /// Runs on workers that have not reported may be in the domain.
     RunsUnlocated,
+    /// Ends of runs in the domain are not stored yet. If the planner were lost as well, the tasks
+    /// would run again.
+    EndsUnstored,
 }
 
 impl PowerHindrance {
@@ -119,6 +125,7 @@
             PowerHindrance::NoWorkers => "no_workers",
             PowerHindrance::RunsLeft => "runs_left",
             PowerHindrance::RunsUnlocated => "runs_unlocated",
+            PowerHindrance::EndsUnstored => "ends_unstored",
         }
     }
 }
@@ -147,9 +154,10 @@
 }
 
 impl DomainEvacuation {
-    fn add(&mut self, worker: &WorkerEntry, now: Instant) {
+    fn add(&mut self, worker: &WorkerEntry, acked_end: u64, now: Instant) {
         let silent_for = worker.last_contact.map(|at| now.saturating_duration_since(at));
         self.workers += 1;
+        self.unstored_workers += u64::from(worker.reported_end > acked_end);
         self.silent_workers +=
             u64::from(silent_for.is_none_or(|silent_for| silent_for >= SILENCE_TIMEOUT));
         worker.assigned.values().for_each(|run| self.runs.add(run));
@@ -158,10 +166,11 @@
 }
 
 impl EvacuationSummary {
-    /// Counts the workers and runs of the evacuated domains.
+    /// Counts the workers and runs of the evacuated domains. With each worker comes the number of
+    /// its last run end that is stored.
     pub(crate) fn count<'a>(
         starts: &BTreeMap<DomainName, EvacuationStart>,
-        workers: impl Iterator<Item = &'a WorkerEntry>,
+        workers: impl Iterator<Item = (&'a WorkerEntry, u64)>,
         now: Instant,
     ) -> EvacuationSummary {
         let open = |(domain, start): (&DomainName, &EvacuationStart)| {
@@ -170,12 +179,12 @@
         };
         let mut domains: BTreeMap<DomainName, DomainEvacuation> = starts.iter().map(open).collect();
         let mut unlocated_runs = 0;
-        for worker in workers {
+        for (worker, acked_end) in workers {
             match &worker.status {
                 None => unlocated_runs += worker.assigned.len() as u64,
                 Some(status) => {
                     if let Some(domain) = domains.get_mut(&status.domain) {
-                        domain.add(worker, now);
+                        domain.add(worker, acked_end, now);
                     }
                 }
             }
@@ -214,6 +223,8 @@
             Some(PowerHindrance::RunsLeft)
         } else if self.unlocated_runs > 0 {
             Some(PowerHindrance::RunsUnlocated)
+        } else if domain.unstored_workers > 0 {
+            Some(PowerHindrance::EndsUnstored)
         } else {
             None
         }
@@ -257,7 +268,7 @@
     }
 
     fn summary_of(inventory: &WorkerInventory, now: Instant) -> EvacuationSummary {
-        let workers = inventory.iter().map(|(_, worker)| worker);
+        let workers = inventory.iter().map(|(_, worker)| (worker, 0));
         EvacuationSummary {
             requests_read: true,
             ..EvacuationSummary::count(&starts(&["a"]), workers, now)
@@ -346,6 +357,7 @@
             since_ms: 1_800_000_000_000,
             workers: 870,
             silent_workers: 870,
+            unstored_workers: 870,
             runs: RunCounts {
                 serving: 999,
                 long_running: 999,
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -153,6 +153,15 @@
         }
     }
 
+    /// Records the number of the last run end that a worker has reported. It is acknowledged when
+    /// the changes that it caused are stored.
+    pub(crate) fn record_reported_end(&mut self, instance: &str, number: u64) {
+        self.pending_acks.insert(instance.to_string(), number);
+        if let Some(worker) = self.inventory.get_mut(instance) {
+            worker.reported_end = number;
+        }
+    }
+
     fn send_start(&mut self, instance: InstanceId, key: &RunKey) {
         let is_pending = self
             .inventory
--- a/src/workflow/planner_evacuation.rs
+++ b/src/workflow/planner_evacuation.rs
@@ -107,7 +107,8 @@
     /// assert!(planner.evacuation_summary().domains.is_empty());
     /// ```
     pub fn evacuation_summary(&self) -> EvacuationSummary {
-        let workers = self.inventory.iter().map(|(_, worker)| worker);
+        let workers =
+            self.inventory.iter().map(|(instance, worker)| (worker, self.last_acked_end(instance)));
         EvacuationSummary {
             at_ms: self.wall_ms,
             requests_read: self.may_start(),
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -291,7 +291,7 @@
             self.on_ended(instance, ended);
         }
         if let Some(last) = last {
-            self.pending_acks.insert(instance.to_string(), last);
+            self.record_reported_end(instance, last);
         }
     }
 
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -67,6 +67,8 @@
     pub resync: bool,
     /// Runs in its newest snapshot that are not assigned to it, and whether each has started.
     pub unknown_runs: BTreeMap<RunKey, bool>,
+    /// Number of the last run end that it has reported to this planner.
+    pub reported_end: u64,
     /// Capacity reserved for tasks that are being moved here.
     pub reservations: Reservations,
     /// Whether the instance has ended. Runs that are still assigned to it may be started by its
@@ -93,6 +95,7 @@
             traits_sent_at: None,
             resync: true,
             unknown_runs: BTreeMap::new(),
+            reported_end: 0,
             reservations: Reservations::default(),
             has_ended: false,
             is_evacuated: false,
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -344,6 +344,25 @@
     assert_eq!(power_hindrance(&fleet, "a"), None);
 }
 
+/// Guards against power that is cut while the end of a run is known to the planner and its worker alone. If both are
+/// in the domain, the task would run again.
+#[test]
+fn an_end_that_is_not_stored_keeps_the_power_on() {
+    let mut fleet = fleet_in(&[("i-1", "a")]);
+    fleet.submit("j", job(vec![step(1, 1_000)]));
+    fleet.round();
+    evacuate(&mut fleet, &[("a", 7)]);
+    fleet.end_all(RunEnd::Done);
+    fleet.report("i-1", false);
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::EndsUnstored));
+    let batch = fleet.planner.take_batch().unwrap();
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::EndsUnstored), "being stored");
+    fleet.planner.on_conflict(batch, Vec::new());
+    assert_eq!(power_hindrance(&fleet, "a"), Some(PowerHindrance::EndsUnstored));
+    fleet.store();
+    assert_eq!(power_hindrance(&fleet, "a"), None);
+}
+
 /// Guards against a successor that says nothing is evacuated, or that power can be cut, before it has read the
 /// requests and heard of the workers; and against a start time that is lost with each planner.
 #[test]
