--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -18,6 +18,7 @@
 use crate::external::observed_store::ObservedStore;
 use crate::external::row_store::RowError;
 use crate::external::row_store::RowStore;
+use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::clock::SteadyClock;
 use crate::process::metrics::ProcessMetrics;
@@ -45,9 +46,11 @@
     pub owner: Option<OwnerRow>,
     /// The owner's latest heartbeat.
     pub heartbeat: HeartbeatRow,
+    /// Version of its row.
+    pub heartbeat_version: RowVersion,
     /// The latest forecast; `None` if the owner does not control admission.
     pub forecast: Option<PublishedForecast>,
-    /// When this process received that heartbeat.
+    /// When this process received that heartbeat for the first time.
     pub heartbeat_at: Option<Instant>,
 }
 
