Let tasks that cannot be probes hide others again where no speed is learned

Cause: the list of unplaceable requests tells tasks that can be probes on an ejected worker from others, also where speeds are not learned and nothing is ejected. Searches that were skipped before found places in another order.

Change: the distinction is made only where speeds are learned.

--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -57,7 +57,7 @@
         self.set_preferred_jobs(preferred);
         let reserved = self.inventory.reserved_tasks(self.now);
         self.unknown_tasks = self.inventory.tasks_with_unknown_runs();
-        let mut unplaceable = UnplaceableRequests::default();
+        let mut unplaceable = UnplaceableRequests::new(self.speeds.is_some());
         let isolated = self.start_isolated();
         let others = jobs.iter().map(|job| self.plan_job(job, &reserved, &mut unplaceable));
         let started = isolated + others.sum::<usize>();
--- a/src/workflow/unplaceable_requests.rs
+++ b/src/workflow/unplaceable_requests.rs
@@ -12,9 +12,12 @@
 use crate::workflow::worker_speed::is_measurable;
 
 /// The unplaceable requests of the current round.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UnplaceableRequests {
     requests: Vec<UnplaceableRequest>,
+    /// Whether ejected workers take tasks as probes, so that a task that cannot be one says nothing
+    /// about the others.
+    has_probes: bool,
 }
 
 #[derive(Debug)]
@@ -29,6 +32,11 @@
 }
 
 impl UnplaceableRequests {
+    /// Creates an empty list; `has_probes` tells whether speeds of workers are learned.
+    pub(crate) fn new(has_probes: bool) -> UnplaceableRequests {
+        UnplaceableRequests { requests: Vec::new(), has_probes }
+    }
+
     /// Whether a request is known to be unplaceable in this round.
     pub(crate) fn covers(&self, request: &PlacementRequest<'_>) -> bool {
         is_generic(request) && self.requests.iter().any(|known| known.covers(request))
@@ -42,7 +50,7 @@
                 required_label: request.step.required_label.clone(),
                 best_effort: best_effort_of(request).map(|(image, risk)| (image.to_string(), risk)),
                 resources: request.step.resources,
-                is_measurable: is_measurable(request.step),
+                is_measurable: !self.has_probes || is_measurable(request.step),
             });
         }
     }
