--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -14,6 +14,14 @@
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerSnapshot;
 use greengagearch::connection::node_protocol::RunnerStatus;
+use greengagearch::workflow::admission::admission_control::AdmissionRequest;
+use greengagearch::workflow::admission::admission_control::AdmissionResponse;
+use greengagearch::workflow::admission::admission_ledger::AdmissionLedger;
+use greengagearch::workflow::admission::admission_ledger::ForecastView;
+use greengagearch::workflow::admission::admission_policy::AdmissionPolicy;
+use greengagearch::workflow::admission::admission_policy::AdmissionVerdict;
+use greengagearch::workflow::admission::job_demand::JobDemand;
+use greengagearch::workflow::fair_share::share_settings::ShareSettings;
 use greengagearch::workflow::planner::Planner;
 use greengagearch::workflow::progress::JobRecord;
 use greengagearch::workflow::spec::QueuePolicy;
@@ -26,9 +34,13 @@
 const FILL_IMAGES: usize = 9;
 /// Jobs that fill and find no place, as on the busiest day that was seen.
 const WAITING_JOBS: usize = 150;
+/// Queues that share the workers where they have weights.
+const QUEUES: u8 = 8;
 /// Tail of a serving task near its target, in milliseconds.
 const TAIL_MS: u64 = 42;
 const TARGET_MS: u64 = 50;
+/// Open jobs when a job is refused.
+const OPEN_JOBS: usize = 5_000;
 
 /// A planner, its clock, and what its workers run.
 struct BusyFleet {
@@ -59,24 +71,8 @@
     }
 
     fn submit(&mut self, job: &str, step: StepSpec) {
-        let policy = QueuePolicy {
-            queue: "q".to_string(),
-            service: "s".to_string(),
-            priority: 0,
-            max_attempts: 2,
-            stretch: 2.0,
-            target_ms: 500,
-            advice: None,
-        };
-        let spec = WorkflowSpec {
-            policy,
-            payload: "work".to_string(),
-            steps: vec![step],
-            times: 0,
-            first_due_ms: 0,
-            interval_ms: 0,
-            accepted_ms: 0,
-        };
+        let mut spec = spec_of(step);
+        spec.policy.queue = format!("q-{}", job.bytes().last().unwrap_or_default() % QUEUES);
         self.planner.on_record(job, 1, JobRecord::Live { spec, cancelled: false });
     }
 
@@ -134,6 +130,27 @@
     }
 }
 
+fn spec_of(step: StepSpec) -> WorkflowSpec {
+    let policy = QueuePolicy {
+        queue: "q".to_string(),
+        service: "s".to_string(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        target_ms: 500,
+        advice: None,
+    };
+    WorkflowSpec {
+        policy,
+        payload: "work".to_string(),
+        steps: vec![step],
+        times: 0,
+        first_due_ms: 0,
+        interval_ms: 0,
+        accepted_ms: 0,
+    }
+}
+
 fn instance(worker: usize) -> String {
     format!("i-{worker:04}")
 }
@@ -161,6 +178,10 @@
     }
 }
 
+fn large(number: usize) -> StepSpec {
+    StepSpec { count: 20, ..filling(number) }
+}
+
 fn bench_round(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("planner-round");
     group.sample_size(20);
@@ -175,6 +196,26 @@
     group.finish();
 }
 
+/// The same round with weights and a bound on waiting.
+fn bench_shares(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("planner-round-shares");
+    group.sample_size(20);
+    for workers in WORKERS {
+        let mut fleet = BusyFleet::new(workers);
+        fleet.planner.set_share_settings(ShareSettings {
+            default_weight: Some(1.0),
+            longest_wait: Some(3.0),
+            ..ShareSettings::default()
+        });
+        group.bench_with_input(BenchmarkId::from_parameter(workers), &fleet, |bencher, fleet| {
+            let setup = || fleet.planner.clone();
+            let round = |mut planner: Planner| black_box(planner.plan());
+            bencher.iter_batched(setup, round, BatchSize::LargeInput);
+        });
+    }
+    group.finish();
+}
+
 fn bench_report(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("planner-report");
     group.sample_size(20);
@@ -189,5 +230,44 @@
     group.finish();
 }
 
-criterion_group!(benches, bench_round, bench_report);
+/// A refusal with many open jobs: at a host from the published forecast, at the planner with a place, and the forecast itself,
+/// which is computed with each heartbeat.
+fn bench_admission(criterion: &mut Criterion) {
+    let mut fleet = BusyFleet::new(74);
+    for number in 0..OPEN_JOBS {
+        fleet.submit(&format!("open-{number:04}"), large(number));
+    }
+    fleet.round();
+    let policy = AdmissionPolicy { worthless_after: 3.0 };
+    fleet.planner.update_admission(policy, None);
+    let demand = JobDemand::of(&spec_of(large(0)), 1.0).expect("a job that may be refused");
+    let forecast = fleet.planner.admission().forecast().cloned().expect("a forecast");
+    let mut group = criterion.benchmark_group("admission-5000-open");
+    group.sample_size(20);
+    group.bench_function("refusal-at-host", |bencher| {
+        let mut ledger = AdmissionLedger::default();
+        let view = ForecastView { forecast: &forecast, epoch: 1, age: Duration::ZERO, hosts: 8 };
+        bencher.iter(|| {
+            let verdict = ledger.decide(policy, Some(view), black_box(&demand), fleet.now);
+            assert_ne!(verdict, AdmissionVerdict::Admit);
+        });
+    });
+    group.bench_function("refusal-at-planner", |bencher| {
+        let mut planner = fleet.planner.clone();
+        let mut number = 0_u64;
+        bencher.iter(|| {
+            number += 1;
+            let request = AdmissionRequest { job: number.to_string(), demand: demand.clone() };
+            let response = planner.request_admission(black_box(&request));
+            assert!(matches!(response, AdmissionResponse::Refused(..)));
+        });
+    });
+    group.bench_function("forecast", |bencher| {
+        let mut planner = fleet.planner.clone();
+        bencher.iter(|| planner.update_admission(policy, None));
+    });
+    group.finish();
+}
+
+criterion_group!(benches, bench_round, bench_shares, bench_report, bench_admission);
 criterion_main!(benches);
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 
 use crate::process::clock;
+use crate::process::planning::evacuation_status::EvacuationStatus;
 use crate::version::queue_table::QueueTable;
 use crate::workflow::progress::JobStatus;
 use crate::workflow::spec::WorkflowSpec;
@@ -53,6 +54,14 @@
         /// Why.
         reason: String,
     },
+    /// The job would end too late to be of value. Nothing was done, and nothing will be.
+    #[snafu(display("not admitted: {reason}, retry after {} s", retry_after.as_secs()))]
+    NotAdmitted {
+        /// Why.
+        reason: String,
+        /// Time until the job is expected to be admitted, in whole seconds.
+        retry_after: Duration,
+    },
     /// The name belongs to another job.
     #[snafu(display("the name belongs to another job"))]
     OtherJob,
@@ -108,4 +117,7 @@
 
     /// Jobs of a queue of which no task has started, as far as known.
     fn pending(&self, queue: &str) -> u64;
+
+    /// The evacuations in force; `None` while no planner has published any state.
+    fn evacuations(&self) -> Option<EvacuationStatus>;
 }
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -1,12 +1,25 @@
 //! Log lines for the planner's decisions.
 
+use std::fmt::Display;
+
 use log::Level;
 
 use crate::connection::node_protocol::format_young_runs;
 use crate::ids::PlannerEpoch;
 use crate::process::logging::log_event;
+use crate::process::metrics::ProcessMetrics;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
+use crate::workflow::worker_speed::worker_ejection::EjectionChange;
+
+/// Counts and logs one decision.
+pub fn record_decision(metrics: &ProcessMetrics, epoch: PlannerEpoch, decision: &PlanDecision) {
+    metrics.tasks.with_label_values(&[decision.label()]).inc();
+    if let PlanDecision::ShareReclaimed(reclaim) = decision {
+        metrics.share_reclaims.with_label_values(&[&reclaim.queue]).inc();
+    }
+    log_decision(epoch, decision);
+}
 
 /// Logs one decision, with the epoch of the planner that made it.
 pub fn log_decision(epoch: PlannerEpoch, decision: &PlanDecision) {
@@ -140,6 +153,22 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::ShareReclaimed(reclaim) => log_event(
+            Level::Info,
+            "share_reclaimed",
+            &[
+                ("queue", &reclaim.queue),
+                ("from", &reclaim.from),
+                ("task", &reclaim.task),
+                ("run", &reclaim.run),
+                ("worker", &reclaim.worker),
+                ("by", &reclaim.preemptor),
+                ("share", &format_share(reclaim.share)),
+                ("from_share", &format_share(reclaim.from_share)),
+                ("waited_ms", &reclaim.waited_ms),
+                ("epoch", &epoch),
+            ],
+        ),
         PlanDecision::JobEnded { job, end, age_ms, objective_ms } => log_event(
             Level::Info,
             "job_ended",
@@ -190,9 +219,31 @@
                 ("epoch", &epoch),
             ],
         ),
+        PlanDecision::WorkerSpeed(change) => log_speed_change(epoch, change),
     }
 }
 
+/// Logs that a worker is slow, ejected or readmitted, with the evidence.
+fn log_speed_change(epoch: PlannerEpoch, change: &EjectionChange) {
+    let (worker, speed, reason) = match change {
+        EjectionChange::Slow(worker, speed) | EjectionChange::Ejected(worker, speed) => {
+            (worker, Some(speed), None)
+        }
+        EjectionChange::Readmitted(worker, reason, speed) => (worker, speed.as_ref(), Some(reason)),
+    };
+    let unknown = || "unknown".to_string();
+    let share = speed.map_or_else(unknown, |speed| format!("{:.2}", speed.speed));
+    let samples = speed.map_or(0, |speed| speed.tasks);
+    let age_ms = speed.map_or_else(unknown, |speed| speed.age.as_millis().to_string());
+    let reason = reason.map(|reason| format!("{reason:?}"));
+    let mut fields: Vec<(&str, &dyn Display)> =
+        vec![("worker", worker), ("speed", &share), ("samples", &samples), ("age_ms", &age_ms)];
+    fields.extend(reason.as_ref().map(|reason| ("reason", reason as &dyn Display)));
+    fields.push(("epoch", &epoch));
+    let level = if reason.is_some() { Level::Info } else { Level::Warn };
+    log_event(level, change.label(), &fields);
+}
+
 /// A refused run that the worker reports as present nevertheless is logged as a warning: it may
 /// soon be executed twice.
 fn rejection_level(shown: bool) -> Level {
@@ -225,4 +276,81 @@
         ],
     );
     log_event(Level::Info, "learned_pairs", &[("pairs", &planner.learned_summary())]);
+    log_shares(epoch, planner);
+}
+
+/// Logs the shares of the queues of each service while weights are set.
+fn log_shares(epoch: PlannerEpoch, planner: &Planner) {
+    for (service, shares) in planner.share_ledger().into_iter().flat_map(|ledger| &ledger.services)
+    {
+        let queues = shares.queues.iter().map(|(queue, share)| {
+            format!("{queue}:{}", format_share((share.share, share.entitlement)))
+        });
+        let loans = shares.loans().into_iter();
+        let loans =
+            loans.map(|loan| format!("{}<{}:{:.2}", loan.borrower, loan.lender, loan.share));
+        log_event(
+            Level::Info,
+            "shares",
+            &[
+                ("service", service),
+                ("queues", &queues.collect::<Vec<String>>().join(",")),
+                ("loans", &loans.collect::<Vec<String>>().join(",")),
+                ("epoch", &epoch),
+            ],
+        );
+    }
+}
+
+/// A share that is used and the one that a queue is entitled to.
+fn format_share((used, entitlement): (f64, f64)) -> String {
+    format!("{used:.2}/{entitlement:.2}")
+}
+
+/// Publishes the shares of all queues; queues that are gone disappear.
+pub fn publish_shares(metrics: &ProcessMetrics, planner: &Planner) {
+    metrics.queue_share.reset();
+    metrics.queue_entitlement.reset();
+    let services = planner.share_ledger().into_iter().flat_map(|ledger| ledger.services.values());
+    for (queue, share) in services.flat_map(|shares| &shares.queues) {
+        metrics.queue_share.with_label_values(&[queue]).set(share.share);
+        metrics.queue_entitlement.with_label_values(&[queue]).set(share.entitlement);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Instant;
+
+    use super::*;
+    use crate::workflow::fair_share::share_settings::ShareSettings;
+    use crate::workflow::plan_decision::ShareReclaim;
+
+    /// Guards against reclaims that operators do not see, and against shares that are still shown
+    /// when no planner of the process computes them.
+    #[test]
+    fn reclaims_are_counted_and_old_shares_disappear() {
+        let metrics = ProcessMetrics::open();
+        let reclaim = ShareReclaim {
+            queue: "quick".to_string(),
+            from: "bulk".to_string(),
+            task: "a.0.0.0".parse().expect("a task"),
+            run: 1,
+            worker: "i-1".to_string(),
+            preemptor: "b.0.0.0".parse().expect("a task"),
+            share: (0.1, 0.5),
+            from_share: (0.9, 0.5),
+            waited_ms: 1_000,
+        };
+        record_decision(&metrics, 1, &PlanDecision::ShareReclaimed(reclaim));
+        metrics.queue_share.with_label_values(&["gone"]).set(0.5);
+        let mut planner = Planner::new(Instant::now());
+        let weights = ShareSettings { default_weight: Some(1.0), ..ShareSettings::default() };
+        planner.set_share_settings(weights);
+        publish_shares(&metrics, &planner);
+        let text = metrics.render();
+        assert!(text.contains("gga_share_reclaims{queue=\"quick\"} 1"), "{text}");
+        assert!(text.contains("gga_task_events{event=\"share_reclaimed\"} 1"), "{text}");
+        assert!(!text.contains("gone"), "{text}");
+    }
 }
--- a/src/process/planning/job_http.rs
+++ b/src/process/planning/job_http.rs
@@ -90,6 +90,7 @@
         .route("/v1/workflows", post(submit))
         .route("/v1/workflows/{job}", get(status).delete(cancel))
         .route("/v1/queues/{queue}", get(pending))
+        .route("/v1/evacuations", get(evacuations))
         .layer(DefaultBodyLimit::max(MAX_BODY_BYTES));
     closing_after_unread(router).with_state(gate)
 }
@@ -174,6 +175,16 @@
     Json(JobResponse { pending, ..JobResponse::default() }).into_response()
 }
 
+async fn evacuations(State(gate): State<SharedGate>) -> Response {
+    match gate.evacuations() {
+        Some(status) => Json(status).into_response(),
+        None => {
+            let reason = "no planner has published its state yet".to_string();
+            refusal_response(&JobRefusal::NotRun { reason })
+        }
+    }
+}
+
 fn state_name(status: JobStatus) -> &'static str {
     match status {
         JobStatus::Queued => "queued",
@@ -189,6 +200,10 @@
             let answer = error_response(StatusCode::SERVICE_UNAVAILABLE, text);
             ([(RETRY_AFTER, RETRY_AFTER_SECONDS)], answer).into_response()
         }
+        JobRefusal::NotAdmitted { retry_after, .. } => {
+            let answer = error_response(StatusCode::TOO_MANY_REQUESTS, text);
+            ([(RETRY_AFTER, retry_after.as_secs().to_string())], answer).into_response()
+        }
         JobRefusal::OtherJob => error_response(StatusCode::CONFLICT, text),
         JobRefusal::Unknown { .. } => error_response(StatusCode::GATEWAY_TIMEOUT, text),
     }
--- a/src/process/planning/job_service.rs
+++ b/src/process/planning/job_service.rs
@@ -21,12 +21,16 @@
 use crate::process::gate::JobGate;
 use crate::process::gate::JobRefusal;
 use crate::process::logging::log_event;
+use crate::process::planning::evacuation_status::EvacuationStatus;
+use crate::process::planning::evacuation_status::evacuation_status;
+use crate::process::planning::host_admission::HostAdmission;
 use crate::process::planning::planner_client::PlannerClient;
 use crate::process::planning::rows::decode;
 use crate::process::planning::rows::encode;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::store_access::RESPONSE_RESERVE;
 use crate::process::planning::store_access::StoreAccess;
+use crate::process::planning::unsettled_report::UnsettledReport;
 use crate::version::queue_table::QueueTable;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobRecord;
@@ -43,7 +47,8 @@
 /// The job service of a planner process. All processes offer it, whether or not they own planning.
 pub struct JobService {
     shared: Arc<PlannerShared>,
-    planner: PlannerClient,
+    planner: Arc<PlannerClient>,
+    admission: HostAdmission,
     store: StoreAccess,
     withdrawals: Mutex<WriteBudget>,
 }
@@ -52,7 +57,8 @@
     /// Creates the service.
     pub fn open(shared: Arc<PlannerShared>) -> JobService {
         JobService {
-            planner: PlannerClient::open(shared.clone()),
+            planner: Arc::new(PlannerClient::open(shared.clone())),
+            admission: HostAdmission::open(shared.clone()),
             store: StoreAccess::open(shared.clone()),
             withdrawals: Mutex::new(WriteBudget::new(MAX_WITHDRAWALS_PER_SECOND, clock::now())),
             shared,
@@ -76,6 +82,55 @@
         Err(JobRefusal::NotRun { reason })
     }
 
+    /// Refuses a job that would end too late to be of value, unless it has been accepted before.
+    /// This submission has stored nothing yet, so that the refusal is certain.
+    async fn check_admission(
+        &self,
+        job: &str,
+        spec: &WorkflowSpec,
+        deadline: CallDeadline,
+    ) -> Result<(), JobRefusal> {
+        let Some(refusal) = self.admission.decide(&self.planner, job, spec).await else {
+            return Ok(());
+        };
+        let row = self.store.get(&self.shared.settings.layout.row(job), deadline).await;
+        match row {
+            Ok(None | Some(StoredRow { value: None, .. })) => {}
+            Ok(Some(_)) => return Ok(()),
+            // The job may have been accepted before. It is inserted as if there were no admission
+            // control, unless there is no time left in which the store could answer.
+            Err(_) if deadline.left() >= RESPONSE_RESERVE + RETRY_DELAY => return Ok(()),
+            Err(error) => return Err(JobRefusal::Unknown { reason: error.to_string() }),
+        }
+        self.admission.record_refusal(job, &spec.policy.queue, &refusal);
+        let (reason, retry_after) = (refusal.reason.as_str().to_string(), refusal.retry_after);
+        Err(JobRefusal::NotAdmitted { reason, retry_after })
+    }
+
+    /// Inserts the row of a job, and tells the planner if the outcome is unknown, or if the caller
+    /// disconnects before it is known.
+    async fn insert_and_settle(
+        &self,
+        job: &str,
+        record: &JobRecord,
+        deadline: CallDeadline,
+    ) -> Result<(), JobRefusal> {
+        if self.shared.settings.admission.is_none() {
+            return self.insert_job(job, record, deadline).await;
+        }
+        let unsettled = UnsettledReport::open(self.planner.clone(), job);
+        let result = self.insert_job(job, record, deadline).await;
+        if matches!(result, Err(JobRefusal::Unknown { .. })) {
+            // The caller gets its answer in time also if the planner does not respond.
+            let report = self.planner.report_unsettled(job);
+            if tokio::time::timeout(deadline.left() / 2, report).await.is_err() {
+                log_event(Level::Warn, "unsettled_not_reported", &[("job", &job)]);
+            }
+        }
+        unsettled.settle();
+        result
+    }
+
     /// Inserts the row of a job. After a lost response the transaction is retried; since it is
     /// conditional on the row not existing, it is applied once at most.
     async fn insert_job(
@@ -210,6 +265,7 @@
     match result {
         Ok(()) => "accepted",
         Err(JobRefusal::NotRun { .. }) => "not_run",
+        Err(JobRefusal::NotAdmitted { .. }) => "not_admitted",
         Err(JobRefusal::OtherJob) => "other_job",
         Err(JobRefusal::Unknown { .. }) => "unknown",
     }
@@ -253,10 +309,14 @@
         let queue = spec.policy.queue.clone();
         let digest = spec_digest(&spec);
         let started_at = clock::now();
-        let result = match self.check_service(job, &spec.policy.service, deadline).await {
+        let checked = match self.check_service(job, &spec.policy.service, deadline).await {
+            Ok(()) => self.check_admission(job, &spec, deadline).await,
+            Err(refusal) => Err(refusal),
+        };
+        let result = match checked {
             Ok(()) => {
                 let record = JobRecord::Live { spec, cancelled: false };
-                self.insert_job(job, &record, deadline).await
+                self.insert_and_settle(job, &record, deadline).await
             }
             Err(refusal) => Err(refusal),
         };
@@ -307,4 +367,8 @@
         let pending = owned.unwrap_or_else(|| self.shared.view().heartbeat.pending.clone());
         pending.get(queue).copied().unwrap_or(0)
     }
+
+    fn evacuations(&self) -> Option<EvacuationStatus> {
+        evacuation_status(&self.shared)
+    }
 }
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod commit_writer;
 pub mod decision_log;
+pub mod evacuation_status;
 pub mod evacuation_watch;
+pub mod host_admission;
 pub mod job_http;
 pub mod job_service;
 pub mod node_link;
@@ -21,6 +23,7 @@
 pub mod shared;
 pub mod store_access;
 pub mod table_feed;
+mod unsettled_report;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -20,7 +20,7 @@
 use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::logging::log_event;
-use crate::process::planning::decision_log::log_decision;
+use crate::process::planning::decision_log::record_decision;
 use crate::process::planning::evacuation_watch::EvacuationRead;
 use crate::process::planning::evacuation_watch::EvacuationWatch;
 use crate::process::planning::node_link::LinkEvent;
@@ -44,7 +44,6 @@
 use crate::process::planning::shared::OwnedPlanner;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::table_feed::TableFeed;
-use crate::version::evacuation::EvacuationSet;
 use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::predecessor_leases_expired_by;
 use crate::workflow::learned_interference::LearnedInterference;
@@ -178,8 +177,10 @@
             answered_at
         };
         let mut planner = Planner::new(leases_expired_by);
+        planner.set_share_settings(self.shared.settings.shares.clone());
+        planner.learn_speed(self.shared.settings.learn_speed);
         // Nothing starts before the requests of operators have been read.
-        planner.on_evacuations(EvacuationSet::default(), answered_at);
+        planner.restore_evacuations(&self.shared.view().heartbeat.evacuations, answered_at);
         let layout = self.shared.settings.layout;
         let (jobs, version) = self.read_table(JOB_TABLE, &layout.partition_names()).await?;
         let partitions = [PARTITION.to_string()];
@@ -203,8 +204,7 @@
             "jobs_loaded",
             &[("jobs", &jobs.len()), ("in_progress", &progress.len()), ("version", &version)],
         );
-        let confirmed_at = self.ownership.sent_at;
-        *self.shared.owned() = Some(OwnedPlanner { planner, confirmed_at });
+        *self.shared.owned() = Some(OwnedPlanner { planner, confirmed_at: self.ownership.sent_at });
         Ok(version)
     }
 
@@ -364,8 +364,7 @@
         self.request_advice();
         let decisions = self.with_planner(Planner::take_decisions).unwrap_or_default();
         for decision in &decisions {
-            self.shared.metrics.tasks.with_label_values(&[decision.label()]).inc();
-            log_decision(self.ownership.owner.epoch, decision);
+            record_decision(&self.shared.metrics, self.ownership.owner.epoch, decision);
         }
     }
 
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -15,6 +15,8 @@
 use crate::process::planning::commit_writer::CommitOutcome;
 use crate::process::planning::commit_writer::commit_until_settled;
 use crate::process::planning::decision_log::log_load;
+use crate::process::planning::decision_log::publish_shares;
+use crate::process::planning::host_admission::next_forecast;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::planner_loop::StepResult;
 use crate::process::planning::rows::HeartbeatRow;
@@ -160,12 +162,21 @@
             self.load_log_due = now + LOAD_LOG_PERIOD;
             if let Some(owned) = self.shared.owned().as_ref() {
                 log_load(self.ownership.owner.epoch, &owned.planner);
+                publish_shares(&self.shared.metrics, &owned.planner);
             }
         }
+        let speeds = self.with_planner(|planner| planner.slow_workers());
+        if let Some((slow, ejected)) = speeds.flatten() {
+            self.shared.metrics.set_worker_speeds(&slow, ejected);
+        }
         let evacuated_services =
             self.with_planner(|planner| planner.evacuated_services()).unwrap_or_default();
+        let evacuations =
+            self.with_planner(|planner| planner.evacuation_summary()).unwrap_or_default();
+        self.shared.metrics.evacuations.show(&evacuations);
         let epoch = self.ownership.owner.epoch;
-        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services };
+        let admission = next_forecast(&self.shared, epoch);
+        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services, admission, evacuations };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         transaction.puts.push((name, encode(&heartbeat)));
         if now >= self.interference_due {
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -18,9 +18,11 @@
 use crate::external::observed_store::ObservedStore;
 use crate::external::row_store::RowError;
 use crate::external::row_store::RowStore;
+use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::clock::SteadyClock;
 use crate::process::metrics::ProcessMetrics;
+use crate::process::planning::host_admission::PublishedForecast;
 use crate::process::planning::rows::HeartbeatRow;
 use crate::process::planning::rows::OwnerRow;
 use crate::process::planning::settings::PlannerSettings;
@@ -44,6 +46,12 @@
     pub owner: Option<OwnerRow>,
     /// The owner's latest heartbeat.
     pub heartbeat: HeartbeatRow,
+    /// Version of its row.
+    pub heartbeat_version: RowVersion,
+    /// The latest forecast; `None` if the owner does not control admission.
+    pub forecast: Option<PublishedForecast>,
+    /// When this process received that heartbeat for the first time.
+    pub heartbeat_at: Option<Instant>,
 }
 
 /// State that exists for the lifetime of the process.
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -3,9 +3,12 @@
 //!
 //! The modules do no I/O and read no clock; the current time is always an argument.
 
+pub mod admission;
 pub mod advice_cache;
 pub mod assigned_run;
 mod changed_jobs;
+pub mod evacuation_summary;
+pub mod fair_share;
 pub mod grant;
 pub mod job_forecast;
 mod job_precedence;
@@ -24,8 +27,12 @@
 pub mod planner_load;
 pub mod planner_moves;
 pub mod planner_preemption;
+mod planner_reclaim;
 pub mod planner_reports;
 pub mod planner_rounds;
+pub mod planner_shares;
+mod planner_speed;
+mod planner_stragglers;
 mod planner_traits;
 pub mod progress;
 pub mod remaining_work;
@@ -42,3 +49,4 @@
 mod urgency;
 pub mod worker_entry;
 pub mod worker_inventory;
+pub mod worker_speed;
--- a/src/workflow/placement.rs
+++ b/src/workflow/placement.rs
@@ -1,5 +1,6 @@
 //! Selection of a worker for a task.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,10 +13,11 @@
 use crate::workflow::worker_entry::Competitors;
 use crate::workflow::worker_entry::WorkerEntry;
 use crate::workflow::worker_inventory::WorkerInventory;
+use crate::workflow::worker_speed::FleetSpeed;
 
 /// Minimum share of its requested processor time that must be left for a best-effort task. With
 /// less it would occupy memory and delay the other best-effort tasks more than it gains.
-const MIN_BEST_EFFORT_SHARE: f64 = 0.5;
+pub(crate) const MIN_BEST_EFFORT_SHARE: f64 = 0.5;
 /// Cost of a worker outside the preferred rack, as a share of its capacity; equals the cost of the
 /// longest run there.
 const OFF_RACK_COST: f64 = 0.5;
@@ -95,6 +97,8 @@
     pub advice: &'a AdviceCache,
     /// Worker that is being emptied of serving tasks, if any.
     pub being_emptied: Option<&'a str>,
+    /// Learned speeds of the workers, if they are learned.
+    pub speeds: Option<&'a FleetSpeed>,
     /// Current time.
     pub now: Instant,
 }
@@ -139,16 +143,20 @@
 ///     interference: &interference,
 ///     advice: &advice,
 ///     being_emptied: None,
+///     speeds: None,
 ///     now: Instant::now(),
 /// };
 /// assert_eq!(choose(&request, &view), None);
 /// ```
 pub fn choose(request: &PlacementRequest<'_>, view: &PlacementView<'_>) -> Option<InstanceId> {
     let mut best: Option<(f64, &InstanceId)> = None;
+    // Looked up once, since it takes a pass over the workers.
+    let other_worker = OnceCell::new();
+    let has_other = || *other_worker.get_or_init(|| has_other_worker(request, view));
     for (instance, worker) in view.inventory.iter() {
         let available = worker.available_to(request.task, view.now);
         let has_capacity = available.contains(&request.step.reserved_resources());
-        if !has_capacity || !is_eligible(request, view, instance, worker) {
+        if !has_capacity || !is_eligible_unless(request, view, (instance, worker), has_other) {
             continue;
         }
         let Some(cost) = cost(request, view, instance, worker) else {
@@ -167,6 +175,16 @@
     view: &PlacementView<'_>,
     instance: &str,
     worker: &WorkerEntry,
+) -> bool {
+    is_eligible_unless(request, view, (instance, worker), || has_other_worker(request, view))
+}
+
+/// The same, with a function that tells whether a worker that is not ejected could run the task.
+fn is_eligible_unless(
+    request: &PlacementRequest<'_>,
+    view: &PlacementView<'_>,
+    (instance, worker): (&str, &WorkerEntry),
+    has_other: impl Fn() -> bool,
 ) -> bool {
     let Some(status) = worker.status.as_ref() else {
         return false;
@@ -181,6 +199,13 @@
     };
     let is_below_limit =
         || step.max_per_worker == 0 || worker.runs_of_step(request.task) < step.max_per_worker;
+    // Copies and moves avoid slow workers, so they are no probes.
+    let is_fast = || {
+        view.speeds.is_none_or(|speeds| {
+            let may_be_probe = request.excluded_worker.is_none();
+            speeds.may_start(instance, step, may_be_probe, view.now) || !has_other()
+        })
+    };
     // A task that starts beside a suspected one would be lost in a crash and obscure its cause.
     let is_available = worker.isolated.as_ref().is_none_or(|key| is_same_gang(request, &key.0));
     request.excluded_worker != Some(instance)
@@ -192,6 +217,39 @@
         && has_label()
         && has_ticket()
         && is_below_limit()
+        && is_fast()
+}
+
+/// Returns whether a worker that is not ejected could run a task if it were free. A task that only
+/// ejected workers can run would otherwise wait for as long as they are slow.
+fn has_other_worker(request: &PlacementRequest<'_>, view: &PlacementView<'_>) -> bool {
+    let is_ejected =
+        |instance: &str| view.speeds.is_some_and(|speeds| speeds.ejection.is_ejected(instance));
+    let step = request.step;
+    let key = request.task.step_key();
+    // A worker that has its share of a step of long-running tasks takes no more of them, however
+    // long they wait.
+    let is_below_limit = |worker: &WorkerEntry| {
+        !step.long_running
+            || step.max_per_worker == 0
+            || worker.runs_of_step(request.task) < step.max_per_worker
+    };
+    view.inventory.iter().any(|(instance, worker)| {
+        worker.status.as_ref().filter(|status| status.service == request.service).is_some_and(
+            |status| {
+                let has_label =
+                    step.required_label.is_empty() || status.labels.contains(&step.required_label);
+                let has_ticket =
+                    !request.needs_ticket || view.advice.ticket(&key, instance, view.now).is_some();
+                !is_ejected(instance)
+                    && worker.is_open(view.now)
+                    && has_label
+                    && has_ticket
+                    && is_below_limit(worker)
+                    && status.capacity.contains(&step.reserved_resources())
+            },
+        )
+    })
 }
 
 /// Returns whether a task belongs to the gang that requests a worker; its members may share one.
@@ -224,6 +282,7 @@
     if !step.preferred_rack.is_empty() && !status.labels.contains(&step.preferred_rack) {
         cost += OFF_RACK_COST;
     }
+    cost += view.speeds.map_or(0.0, |speeds| speeds.cost(instance));
     if request.failed_on.iter().any(|failed| failed == instance) {
         cost += FAILED_BEFORE_COST;
     }
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -18,6 +18,7 @@
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::process::suspicion::WorkerSuspicion;
+use crate::workflow::admission::admission_control::AdmissionControl;
 use crate::workflow::advice_cache::AdviceCache;
 use crate::workflow::advice_cache::AdviceQuery;
 use crate::workflow::assigned_run::OrderDelivery;
@@ -27,17 +28,18 @@
 use crate::workflow::plan_decision::EndCause;
 use crate::workflow::plan_decision::LossReason;
 use crate::workflow::plan_decision::PlanDecision;
-use crate::workflow::planner_batch::PlanBatch;
 use crate::workflow::planner_consolidation::ConsolidationState;
 use crate::workflow::planner_evacuation::KnownEvacuations;
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
+use crate::workflow::planner_shares::FairShareState;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::start_doubts::StartDoubts;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::task_suspicion::TaskSuspicion;
 use crate::workflow::worker_inventory::RunKey;
 use crate::workflow::worker_inventory::WorkerInventory;
+use crate::workflow::worker_speed::FleetSpeed;
 
 /// An order and the runner instance that it is addressed to.
 pub type AddressedOrder = (InstanceId, NodeOrder);
@@ -70,6 +72,10 @@
     pub(crate) acked_ends: BTreeMap<InstanceId, u64>,
     pub(crate) evacuations: KnownEvacuations,
     pub(crate) precedence: JobPrecedence,
+    pub(crate) admission: AdmissionControl,
+    pub(crate) fair_share: FairShareState,
+    /// Learned speeds of the workers; `None` if they are not learned.
+    pub(crate) speeds: Option<FleetSpeed>,
     /// Time by which all leases granted by earlier planners have expired.
     pub(crate) inherited_lease_end: Instant,
 }
@@ -108,6 +114,9 @@
             acked_ends: BTreeMap::new(),
             evacuations: KnownEvacuations::default(),
             precedence: JobPrecedence::default(),
+            admission: AdmissionControl::default(),
+            fair_share: FairShareState::default(),
+            speeds: None,
             inherited_lease_end,
         }
     }
@@ -143,7 +152,7 @@
     }
 
     /// Opens the occurrences that are due, gives up the runs of silent workers, and moves tasks
-    /// that are throttled, on draining workers, in evacuated domains, or to be consolidated.
+    /// that are throttled, on draining or slow workers, in evacuated domains, or to be consolidated.
     ///
     /// ```
     /// use std::time::Instant;
@@ -160,7 +169,9 @@
         self.move_throttled();
         self.leave_draining();
         self.leave_evacuated();
+        self.leave_slow_workers();
         self.consolidate();
+        self.reclaim_shares();
         for entry in self.jobs.values_mut() {
             entry.remaining_work = None;
             let spec = &entry.spec;
@@ -260,18 +271,6 @@
         run.is_some_and(|run| run.delivery == OrderDelivery::Queued)
     }
 
-    /// Number of the worker's last run end that is stored, up to which the worker may discard ends.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert_eq!(planner.last_acked_end("i-1"), 0);
-    /// ```
-    pub fn last_acked_end(&self, instance: &str) -> u64 {
-        self.acked_ends.get(instance).copied().unwrap_or(0)
-    }
-
     /// Assigns the next number to an order message for a worker and records it with the runs that
     /// the message starts, or stops before their start was sent. Returns `None` for an unknown
     /// worker.
@@ -425,16 +424,4 @@
             self.give_up_task(task, instance);
         }
     }
-
-    /// Returns the next batch of rows to store, if any row has changed.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert!(planner.take_batch().is_none());
-    /// ```
-    pub fn take_batch(&mut self) -> Option<PlanBatch> {
-        PlanBatch::take(self)
-    }
 }
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -93,6 +93,18 @@
 }
 
 impl Planner {
+    /// Returns the next batch of rows to store, if any row has changed.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.take_batch().is_none());
+    /// ```
+    pub fn take_batch(&mut self) -> Option<PlanBatch> {
+        PlanBatch::take(self)
+    }
+
     /// Records that a batch was stored with the given row version, and releases its start orders.
     ///
     /// ```
@@ -153,6 +165,27 @@
         }
     }
 
+    /// Number of the worker's last run end that is stored, up to which the worker may discard ends.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert_eq!(planner.last_acked_end("i-1"), 0);
+    /// ```
+    pub fn last_acked_end(&self, instance: &str) -> u64 {
+        self.acked_ends.get(instance).copied().unwrap_or(0)
+    }
+
+    /// Records the number of the last run end that a worker has reported. It is acknowledged when
+    /// the changes that it caused are stored.
+    pub(crate) fn record_reported_end(&mut self, instance: &str, number: u64) {
+        self.pending_acks.insert(instance.to_string(), number);
+        if let Some(worker) = self.inventory.get_mut(instance) {
+            worker.reported_end = number;
+        }
+    }
+
     fn send_start(&mut self, instance: InstanceId, key: &RunKey) {
         let is_pending = self
             .inventory
--- a/src/workflow/unplaceable_requests.rs
+++ b/src/workflow/unplaceable_requests.rs
@@ -9,11 +9,15 @@
 use crate::workflow::placement::PlacementRequest;
 use crate::workflow::placement::RiskLimit;
 use crate::workflow::spec::ResourceVector;
+use crate::workflow::worker_speed::is_measurable;
 
 /// The unplaceable requests of the current round.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UnplaceableRequests {
     requests: Vec<UnplaceableRequest>,
+    /// Whether ejected workers take tasks as probes, so that a task that cannot be one says nothing
+    /// about the others.
+    has_probes: bool,
 }
 
 #[derive(Debug)]
@@ -23,9 +27,16 @@
     /// Image and risk limit of a best-effort task; `None` for other tasks.
     best_effort: Option<(ImageName, RiskLimit)>,
     resources: ResourceVector,
+    /// Whether the task could have started as a probe on an ejected worker.
+    is_measurable: bool,
 }
 
 impl UnplaceableRequests {
+    /// Creates an empty list; `has_probes` tells whether speeds of workers are learned.
+    pub(crate) fn new(has_probes: bool) -> UnplaceableRequests {
+        UnplaceableRequests { requests: Vec::new(), has_probes }
+    }
+
     /// Whether a request is known to be unplaceable in this round.
     pub(crate) fn covers(&self, request: &PlacementRequest<'_>) -> bool {
         is_generic(request) && self.requests.iter().any(|known| known.covers(request))
@@ -39,6 +50,7 @@
                 required_label: request.step.required_label.clone(),
                 best_effort: best_effort_of(request).map(|(image, risk)| (image.to_string(), risk)),
                 resources: request.step.resources,
+                is_measurable: !self.has_probes || is_measurable(request.step),
             });
         }
     }
@@ -51,6 +63,7 @@
             && self.required_label == request.step.required_label
             && best_effort == best_effort_of(request)
             && request.step.resources.contains(&self.resources)
+            && (self.is_measurable || !is_measurable(request.step))
     }
 }
 
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -19,7 +19,7 @@
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Assumed share of its requested processor time that a serving task uses, for an estimate of what
 /// is left for best-effort tasks. The actual remainder shows in the usage that these report.
-const SERVING_UTILIZATION: f64 = 0.6;
+pub(crate) const SERVING_UTILIZATION: f64 = 0.6;
 /// Minimum pace assumed for a best-effort task in the estimate of its demand, since it may speed up
 /// again.
 const MIN_ASSUMED_PACE: f64 = 0.3;
@@ -80,6 +80,8 @@
     pub may_omit_ends: bool,
     /// Runs in its newest snapshot that are not assigned to it, and whether each has started.
     pub unknown_runs: BTreeMap<RunKey, bool>,
+    /// Number of the last run end that it has reported to this planner.
+    pub reported_end: u64,
     /// Capacity reserved for tasks that are being moved here.
     pub reservations: Reservations,
     /// Whether the instance has ended. Runs that are still assigned to it may be started by its
@@ -107,6 +109,7 @@
             resync: true,
             may_omit_ends: false,
             unknown_runs: BTreeMap::new(),
+            reported_end: 0,
             reservations: Reservations::default(),
             has_ended: false,
             is_evacuated: false,
