Planner: searches in slices between heartbeats

Cause: a round of planning searched a place for every waiting task before the loop wrote the next heartbeat, and reports were drained without a bound. On an eighth of a core, with hundreds of tasks waiting and 800 workers, that takes longer than the takeover timeout; the owner was replaced, and so was its successor.

Change: a round is done in slices. The number of searches of a slice follows the time that the last one took (50 ms is aimed at), and a round continues where the slice ended; jobs that end meanwhile are passed over. The loop handles at most 64 reports before it looks at the result of a write, and missed ticks are not made up for.

--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -12,6 +12,7 @@
 
 use log::Level;
 use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
 
 use crate::connection::node_protocol::NodeOrder;
 use crate::external::row_store::StoredRow;
@@ -48,12 +49,13 @@
 use crate::workflow::grant::predecessor_leases_expired_by;
 use crate::workflow::learned_interference::LearnedInterference;
 use crate::workflow::planner::Planner;
+use crate::workflow::search_budget::SearchBudget;
 
 /// Time between two ticks, at which the planner handles time-dependent work such as expired runner
 /// instances, task moves and due jobs.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
-/// Minimum pause between two placement searches, as a multiple of the duration of the last one.
-/// With thousands of waiting tasks, reports arrive faster than searches end; without the pause,
+/// Minimum pause between two slices of placement searches, as a multiple of the duration of the last
+/// one. With thousands of waiting tasks, reports arrive faster than searches end; without the pause,
 /// heartbeats and orders would be delayed.
 const PLAN_PAUSE_FACTOR: u32 = 3;
 /// Delay before a failed read of a table at a takeover is retried.
@@ -64,6 +66,9 @@
 /// only come from a faulty sender; the set is then cleared.
 const MAX_DISPUTED_INSTANCES: usize = 256;
 
+/// Maximum number of events of links that are handled before the loop looks at its other inputs.
+const MAX_EVENTS_PER_STEP: usize = 64;
+
 /// The node agent that has reported a runner instance as its own.
 struct AgentContact {
     address: String,
@@ -93,6 +98,8 @@
     pub(super) load_log_due: Instant,
     /// Earliest time of the next placement search.
     next_plan_at: Instant,
+    /// Number of searches until the loop looks at its inputs again.
+    search_budget: SearchBudget,
     /// Whether anything has changed since the last placement search.
     has_changes: bool,
 }
@@ -117,6 +124,7 @@
             written_interference: LearnedInterference::default(),
             load_log_due: clock::now(),
             next_plan_at: clock::now(),
+            search_budget: SearchBudget::default(),
             has_changes: false,
         };
         match planner_loop.run_until_lost(events).await {
@@ -144,21 +152,28 @@
         let mut nodes = TableFeed::spawn(self.shared.clone(), NODE_TABLE, node_partitions, None);
         let mut evacuations = EvacuationWatch::spawn(self.shared.clone());
         let mut tick = tokio::time::interval(TICK_PERIOD);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.shared.is_stopping() {
             let shared = self.shared.clone();
             let pause = self.next_plan_at.saturating_duration_since(clock::now());
             tokio::select! {
+                // Reports of hundreds of agents may always be waiting. The result of a write comes
+                // first, since the next heartbeat waits for it.
+                biased;
+                result = write_result(&mut self.write) => self.on_write_result(result)?,
+                _ = tick.tick() => self.on_tick(),
+                read = evacuations.next() => self.on_evacuations(read),
                 rows = jobs.next() => self.on_jobs(&rows),
                 rows = nodes.next() => self.on_nodes(&rows),
-                read = evacuations.next() => self.on_evacuations(read),
                 Some(first) = events.recv() => {
                     self.on_link_event(first)?;
-                    while let Ok(more) = events.try_recv() {
+                    for _ in 1..MAX_EVENTS_PER_STEP {
+                        let Ok(more) = events.try_recv() else {
+                            break;
+                        };
                         self.on_link_event(more)?;
                     }
                 }
-                result = write_result(&mut self.write) => self.on_write_result(result)?,
-                _ = tick.tick() => self.on_tick(),
                 () = shared.wake.notified() => {}
                 () = tokio::time::sleep(pause), if self.has_changes => {}
             }
@@ -353,9 +368,12 @@
         self.has_changes = true;
         let started = clock::now();
         if started >= self.next_plan_at {
-            self.with_planner(Planner::plan);
-            self.next_plan_at = clock::now() + clock::elapsed(started) * PLAN_PAUSE_FACTOR;
-            self.has_changes = false;
+            let searches = self.search_budget.searches();
+            let slice = self.with_planner(|planner| planner.plan_slice(searches));
+            let elapsed = clock::elapsed(started);
+            self.has_changes = slice.is_some_and(|slice| !slice.is_complete);
+            self.search_budget.on_slice(self.has_changes, elapsed);
+            self.next_plan_at = clock::now() + elapsed * PLAN_PAUSE_FACTOR;
         }
         if self.write.is_none() {
             self.write = self.next_write();
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -38,6 +38,7 @@
 pub mod remaining_work;
 pub mod reservation;
 mod run_pace;
+pub mod search_budget;
 pub mod serving_layout;
 pub mod spec;
 pub mod start_doubts;
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -32,6 +32,7 @@
 use crate::workflow::planner_evacuation::KnownEvacuations;
 use crate::workflow::planner_jobs::EndedJob;
 use crate::workflow::planner_jobs::JobEntry;
+use crate::workflow::planner_rounds::PlanRound;
 use crate::workflow::planner_shares::FairShareState;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::start_doubts::StartDoubts;
@@ -76,6 +77,8 @@
     pub(crate) fair_share: FairShareState,
     /// Learned speeds of the workers; `None` if they are not learned.
     pub(crate) speeds: Option<FleetSpeed>,
+    /// The planning round that is not complete yet.
+    pub(crate) round: Option<PlanRound>,
     /// Time by which all leases granted by earlier planners have expired.
     pub(crate) inherited_lease_end: Instant,
 }
@@ -117,6 +120,7 @@
             admission: AdmissionControl::default(),
             fair_share: FairShareState::default(),
             speeds: None,
+            round: None,
             inherited_lease_end,
         }
     }
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 
 use crate::ids::InstanceId;
 use crate::ids::JobId;
@@ -28,6 +29,31 @@
 /// capacity is free.
 const STARVED_AFTER_MS: u64 = 1_200;
 
+/// A planning round that is done in slices.
+#[derive(Clone, Debug)]
+pub(crate) struct PlanRound {
+    /// Jobs that are still to be planned, the first in front.
+    jobs: VecDeque<JobId>,
+    unplaceable: UnplaceableRequests,
+    /// Searches left in the current slice.
+    searches_left: usize,
+}
+
+impl PlanRound {
+    fn on_searches(&mut self, count: usize) {
+        self.searches_left = self.searches_left.saturating_sub(count);
+    }
+}
+
+/// Result of a slice of a planning round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlanSlice {
+    /// Number of tasks assigned.
+    pub started: usize,
+    /// Whether all jobs have been planned.
+    pub is_complete: bool,
+}
+
 fn task_of_step(step: &StepKey, index: u32) -> TaskName {
     let (job, occurrence, step) = step.clone();
     TaskName { job, occurrence, step, index }
@@ -44,32 +70,71 @@
     /// assert_eq!(planner.plan(), 0);
     /// ```
     pub fn plan(&mut self) -> usize {
+        self.round = None;
+        self.plan_slice(usize::MAX).started
+    }
+
+    /// Continues the current planning round, or begins one, and stops after about `max_searches`
+    /// searches for a worker.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert!(planner.plan_slice(64).is_complete);
+    /// ```
+    pub fn plan_slice(&mut self, max_searches: usize) -> PlanSlice {
         if !self.may_start() {
-            return 0;
+            self.round = None;
+            return PlanSlice { started: 0, is_complete: true };
         }
+        let mut round = self.round.take().unwrap_or_else(|| self.begin_round());
+        round.searches_left = max_searches;
+        let reserved = self.inventory.reserved_tasks(self.now);
+        self.unknown_tasks = self.inventory.tasks_with_unknown_runs();
+        let mut started = self.start_isolated();
+        while round.searches_left > 0
+            && let Some(job) = round.jobs.pop_front()
+        {
+            // The job may have ended since the round began.
+            if self.jobs.get(&job).is_none_or(|entry| entry.end.is_some()) {
+                continue;
+            }
+            let started_of_job = self.plan_job(&job, &reserved, &mut round);
+            started += started_of_job;
+            // A job that uses up a slice without a start waits for the next round, so that it does
+            // not hold up the others.
+            if round.searches_left == 0 && started_of_job > 0 {
+                round.jobs.push_front(job);
+            }
+        }
+        self.record_starts_by_wait();
+        let is_complete = round.jobs.is_empty();
+        if !is_complete {
+            self.round = Some(round);
+        }
+        PlanSlice { started, is_complete }
+    }
+
+    /// Determines the order of the jobs for a planning round.
+    fn begin_round(&mut self) -> PlanRound {
         for entry in self.jobs.values_mut().filter(|entry| entry.remaining_work.is_none()) {
             entry.remaining_work = Some(RemainingWork::of(entry));
         }
         self.update_shares();
         let order = self.job_order();
         let preferred = self.preferred_jobs(&order);
-        let jobs: Vec<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
+        let jobs: VecDeque<JobId> = order.into_iter().map(|(_, job)| job.clone()).collect();
         self.set_preferred_jobs(preferred);
-        let reserved = self.inventory.reserved_tasks(self.now);
-        self.unknown_tasks = self.inventory.tasks_with_unknown_runs();
-        let mut unplaceable = UnplaceableRequests::new(self.speeds.is_some());
-        let isolated = self.start_isolated();
-        let others = jobs.iter().map(|job| self.plan_job(job, &reserved, &mut unplaceable));
-        let started = isolated + others.sum::<usize>();
-        self.record_starts_by_wait();
-        started
+        let unplaceable = UnplaceableRequests::new(self.speeds.is_some());
+        PlanRound { jobs, unplaceable, searches_left: 0 }
     }
 
     fn plan_job(
         &mut self,
         job: &str,
         reserved: &HashSet<TaskName>,
-        unplaceable: &mut UnplaceableRequests,
+        round: &mut PlanRound,
     ) -> usize {
         let mut started = 0;
         for (occurrence, step) in self.ready_steps(job) {
@@ -86,15 +151,18 @@
             }
             let names = indexes.into_iter().map(|index| task_of_step(&key, index));
             started += if spec.gang {
-                self.start_gang(&names.collect::<Vec<TaskName>>(), &spec)
+                let members: Vec<TaskName> = names.collect();
+                round.on_searches(members.len());
+                self.start_gang(&members, &spec)
             } else {
                 let names = names.filter(|name| !self.task_suspicion.is_isolated(name));
                 // That the other tasks of the step cannot be placed does not affect a task with a
                 // reservation.
                 let (reserved, others): (Vec<TaskName>, Vec<TaskName>) =
                     names.partition(|name| reserved.contains(name));
+                round.on_searches(reserved.len());
                 self.start_reserved(reserved, &spec)
-                    + self.start_each(others.into_iter(), &spec, unplaceable)
+                    + self.start_each(others.into_iter(), &spec, round)
             };
             if spec.speculative && !spec.gang {
                 started += self.start_copies(job, occurrence, step, &spec);
@@ -185,11 +253,14 @@
         &mut self,
         names: impl Iterator<Item = TaskName>,
         spec: &StepSpec,
-        unplaceable: &mut UnplaceableRequests,
+        round: &mut PlanRound,
     ) -> usize {
         let mut started = 0;
         for name in names {
-            let Some(worker) = self.choose_unless_unplaceable(&name, spec, unplaceable) else {
+            if round.searches_left == 0 {
+                break;
+            }
+            let Some(worker) = self.choose_unless_unplaceable(&name, spec, round) else {
                 // The tasks of a step have the same requirements, so the others cannot be placed
                 // either.
                 self.preempt_for(&name, spec);
@@ -267,15 +338,16 @@
         &self,
         name: &TaskName,
         spec: &StepSpec,
-        unplaceable: &mut UnplaceableRequests,
+        round: &mut PlanRound,
     ) -> Option<InstanceId> {
         let request = self.placement_request(name, spec, None, None)?;
-        if unplaceable.covers(&request) {
+        if round.unplaceable.covers(&request) {
             return None;
         }
+        round.on_searches(1);
         let chosen = choose(&request, &self.placement_view());
         if chosen.is_none() {
-            unplaceable.add(&request);
+            round.unplaceable.add(&request);
         }
         chosen
     }
--- a/src/workflow/unplaceable_requests.rs
+++ b/src/workflow/unplaceable_requests.rs
@@ -12,7 +12,7 @@
 use crate::workflow::worker_speed::is_measurable;
 
 /// The unplaceable requests of the current round.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct UnplaceableRequests {
     requests: Vec<UnplaceableRequest>,
     /// Whether ejected workers take tasks as probes, so that a task that cannot be one says nothing
@@ -20,7 +20,7 @@
     has_probes: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct UnplaceableRequest {
     service: ServiceName,
     required_label: String,
