Takeover: turns, a longer timeout after unsettled owners, bounded first contacts

Cause: all hosts with the same share of a core took over at the same moment, so that their writes queue in one partition of the store; the new owner dialled all agents at once; and the timeout was the same for the first and the tenth takeover in a row, so that a host that needs longer than it to contact its agents was always replaced.

Change: processes take turns by a hash of epoch and address, each turn with twice as many processes as the one before, so that the last turn comes after a time that grows with the logarithm of their number. First contacts are limited to 128 at once. The heartbeat tells whether the owner has contacted all agents that it found; the takeover timeout doubles, three times at most, after each owner that fell silent before that.

--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -23,6 +23,7 @@
 pub mod shared;
 pub mod store_access;
 pub mod table_feed;
+pub mod takeover_delay;
 mod unsettled_report;
 
 use std::net::SocketAddr;
--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -7,6 +7,8 @@
 use log::Level;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -65,6 +67,13 @@
         /// Whether the link is new: true for all reports of a link up to and including the first
         /// that names a runner.
         is_new_link: bool,
+        /// Held until the first report of a new agent has been processed.
+        first_contact: Option<OwnedSemaphorePermit>,
+    },
+    /// The first attempt to contact an agent has failed.
+    Unreachable {
+        /// Address of the agent.
+        address: String,
     },
     /// An agent refused a call because it has received one with this later stamp.
     Replaced(LinkStamp),
@@ -85,12 +94,14 @@
 }
 
 impl NodeLink {
-    /// Starts a link to the agent at `address`.
+    /// Starts a link to the agent at `address`, which is contacted once `first_contacts` has a
+    /// permit.
     pub fn spawn(
         shared: Arc<PlannerShared>,
         epoch: PlannerEpoch,
         address: String,
         events: mpsc::UnboundedSender<LinkEvent>,
+        first_contacts: Arc<Semaphore>,
     ) -> NodeLink {
         let (orders, batches) = mpsc::unbounded_channel();
         let task = LinkTask {
@@ -101,8 +112,14 @@
             stamp: LinkStamp { epoch, link: 0 },
             unanswered: Arc::default(),
             outage: None,
+            first_contact: None,
         };
-        NodeLink { orders, task: tokio::spawn(task.run(batches)) }
+        let task = async move {
+            // The semaphore is never closed.
+            let permit = first_contacts.acquire_owned().await.ok();
+            LinkTask { first_contact: permit, ..task }.run(batches).await;
+        };
+        NodeLink { orders, task: tokio::spawn(task) }
     }
 }
 
@@ -124,6 +141,8 @@
     unanswered: Arc<Notify>,
     /// The current outage; `None` once the agent has reported over the current connection.
     outage: Option<LinkOutage>,
+    /// Permit of the first contact, until the agent has reported or the attempt has failed.
+    first_contact: Option<OwnedSemaphorePermit>,
 }
 
 impl LinkTask {
@@ -148,6 +167,10 @@
 
     /// Logs the loss of the link. During an outage the same reason is logged only once.
     fn on_lost(&mut self, reason: String) {
+        if self.first_contact.take().is_some() {
+            // The receiver is closed if planning has ended.
+            let _ = self.events.send(LinkEvent::Unreachable { address: self.address.clone() });
+        }
         let is_logged = self.outage.as_ref().is_some_and(|outage| outage.reason == reason);
         if !is_logged {
             log_event(
@@ -207,7 +230,9 @@
             // The runner may not have registered yet with an agent that has just started.
             let names_runner = report.runner.is_some();
             let report = Box::new(report);
-            let event = LinkEvent::Report { address: self.address.clone(), report, is_new_link };
+            let first_contact = self.first_contact.take();
+            let address = self.address.clone();
+            let event = LinkEvent::Report { address, report, is_new_link, first_contact };
             is_new_link &= !names_runner;
             if self.events.send(event).is_err() {
                 return "planning ended".to_string();
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -29,17 +29,10 @@
 use crate::process::planning::rows::encode;
 use crate::process::planning::rows::owner_row;
 use crate::process::planning::shared::PlannerShared;
+use crate::process::planning::takeover_delay::takeover_delay;
+use crate::process::planning::takeover_delay::turn_delay;
+use crate::process::planning::takeover_delay::unsettled_takeovers;
 
-/// Time without a heartbeat after which another process takes over. Heartbeats are written every
-/// 0.4 s; the timeout also covers one heartbeat at a store that is sixty times slower than usual.
-const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_400);
-/// Additional delay of a process with no share of a core, proportionally less for a larger share,
-/// so that the process with the most processor time takes over first.
-const SHARE_STAGGER: Duration = Duration::from_millis(400);
-/// Additional delay, scaled like [`SHARE_STAGGER`], after the owner has released the ownership. A
-/// host with half a core takes over 60 ms before one with an eighth, which is longer than the
-/// notification and the write take.
-const RELEASE_STAGGER: Duration = Duration::from_millis(150);
 /// Maximum time that one feed call waits for changes.
 const FEED_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -58,30 +51,6 @@
     pub has_predecessor: bool,
 }
 
-/// Time after the last change of the owner's row or heartbeat at which a process may take over
-/// planning. `own_address` is the address of that process, `share` its share of a core.
-///
-/// ```
-/// use std::time::Duration;
-///
-/// use greengagearch::process::planning::ownership::takeover_delay;
-///
-/// assert_eq!(takeover_delay(None, "10.0.0.1:7000", 0.5), Duration::ZERO);
-/// ```
-pub fn takeover_delay(owner: Option<&OwnerRow>, own_address: &str, share: f64) -> Duration {
-    // At most one process runs at an address, so a row with this address was written by an earlier
-    // run that has ended.
-    let Some(owner) = owner.filter(|owner| owner.address != own_address) else {
-        return Duration::ZERO;
-    };
-    let missing_share = 1.0 - share.clamp(0.0, 1.0);
-    if owner.released {
-        RELEASE_STAGGER.mul_f64(missing_share)
-    } else {
-        TAKEOVER_TIMEOUT + SHARE_STAGGER.mul_f64(missing_share)
-    }
-}
-
 /// Watches the owner's row and heartbeat, and takes over planning when the owner has released it or
 /// is silent.
 pub struct OwnershipElector {
@@ -185,7 +154,9 @@
     fn takeover_delay(&self) -> Duration {
         let settings = &self.shared.settings;
         let owner = self.owner.as_ref().map(|(owner, _)| owner);
-        takeover_delay(owner, &settings.internal_listen.to_string(), settings.processor_share)
+        let address = settings.internal_listen.to_string();
+        let turn = turn_delay(owner, &address, &self.shared.peers());
+        takeover_delay(owner, &address, settings.processor_share) + turn
     }
 
     fn until_takeover(&self) -> Duration {
@@ -198,12 +169,15 @@
 
     async fn take_over(&mut self) {
         let before = self.owner.clone();
-        let epoch = before.as_ref().map_or(0, |(owner, _)| owner.epoch) + 1;
+        let predecessor = before.as_ref().map(|(owner, _)| owner);
+        let epoch = predecessor.map_or(0, |owner| owner.epoch) + 1;
+        let has_settled = predecessor.is_some_and(|owner| self.shared.view().has_settled(owner));
         let owner = OwnerRow {
             epoch,
             holder: self.shared.holder.clone(),
             address: self.shared.settings.internal_listen.to_string(),
             released: false,
+            unsettled_takeovers: unsettled_takeovers(predecessor, has_settled),
         };
         let transaction = RowTransaction {
             expected: vec![(owner_row(), before.map_or(0, |(_, version)| version))],
@@ -237,7 +211,8 @@
     /// Plans until the ownership is lost or the process stops.
     async fn plan_as_owner(&mut self, ownership: ConfirmedOwnership) {
         let epoch = ownership.owner.epoch;
-        log_event(Level::Info, "planning_started", &[("epoch", &epoch)]);
+        let unsettled = ownership.owner.unsettled_takeovers;
+        log_event(Level::Info, "planning_started", &[("epoch", &epoch), ("unsettled", &unsettled)]);
         let reason = PlannerLoop::run(self.shared.clone(), ownership).await;
         *self.shared.owned() = None;
         self.shared.metrics.admission.clear_backlog();
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use log::Level;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -68,6 +69,10 @@
 
 /// Maximum number of events of links that are handled before the loop looks at its other inputs.
 const MAX_EVENTS_PER_STEP: usize = 64;
+/// Maximum number of agents that are contacted for the first time at once. It bounds the work that a
+/// takeover in a large fleet brings in one step of the loop: on an eighth of a core, the first
+/// contact with so many agents takes about as long as the time between two heartbeats.
+const MAX_FIRST_CONTACTS: usize = 128;
 
 /// The node agent that has reported a runner instance as its own.
 struct AgentContact {
@@ -89,6 +94,11 @@
     disputed_instances: BTreeSet<(InstanceId, String)>,
     /// Sender for the events of the links; each link has a clone.
     event_sender: mpsc::UnboundedSender<LinkEvent>,
+    /// Limits the number of agents that are contacted for the first time at once.
+    first_contacts: Arc<Semaphore>,
+    /// Agents that were found at the takeover and have not been contacted yet; `None` until they
+    /// are read.
+    uncontacted: Option<BTreeSet<String>>,
     /// The write in flight, if there is one.
     pub(super) write: Option<WriteTask>,
     pub(super) heartbeat_due: Instant,
@@ -118,6 +128,8 @@
             agent_contacts: BTreeMap::new(),
             disputed_instances: BTreeSet::new(),
             event_sender,
+            first_contacts: Arc::new(Semaphore::new(MAX_FIRST_CONTACTS)),
+            uncontacted: None,
             write: None,
             heartbeat_due: clock::now(),
             interference_due: clock::now() + INTERFERENCE_PERIOD,
@@ -282,11 +294,38 @@
                 continue;
             };
             let (shared, event_sender) = (self.shared.clone(), self.event_sender.clone());
+            let first_contacts = self.first_contacts.clone();
             let epoch = self.ownership.owner.epoch;
             let address = node.address.clone();
-            let link = || NodeLink::spawn(shared, epoch, node.address, event_sender);
+            let link =
+                || NodeLink::spawn(shared, epoch, node.address, event_sender, first_contacts);
             self.links.entry(address).or_insert_with(link);
         }
+        if self.uncontacted.is_none() {
+            self.uncontacted = Some(self.links.keys().cloned().collect());
+        }
+    }
+
+    /// Whether all agents that were found at the takeover have been contacted, or could not be
+    /// reached.
+    pub(super) fn has_settled(&self) -> bool {
+        self.uncontacted.as_ref().is_some_and(BTreeSet::is_empty)
+    }
+
+    /// Records the end of the first attempt to contact an agent.
+    fn on_first_contact(&mut self, address: &str) {
+        let Some(uncontacted) = self.uncontacted.as_mut() else {
+            return;
+        };
+        if uncontacted.remove(address) && uncontacted.is_empty() {
+            let (epoch, agents) = (self.ownership.owner.epoch, self.links.len());
+            let elapsed_ms = clock::elapsed(self.ownership.answered_at).as_millis();
+            log_event(
+                Level::Info,
+                "agents_contacted",
+                &[("epoch", &epoch), ("agents", &agents), ("after_ms", &elapsed_ms)],
+            );
+        }
     }
 
     fn on_evacuations(&mut self, read: EvacuationRead) {
@@ -295,7 +334,8 @@
 
     fn on_link_event(&mut self, event: LinkEvent) -> StepResult {
         match event {
-            LinkEvent::Report { address, mut report, is_new_link } => {
+            LinkEvent::Report { address, mut report, is_new_link, first_contact: _ } => {
+                self.on_first_contact(&address);
                 report.former.retain(|instance| self.may_report_ended(&address, instance));
                 report.crashes.retain(|crash| report.former.contains(&crash.instance));
                 let runner =
@@ -310,6 +350,10 @@
                 self.with_planner(|planner| planner.on_report(*report, is_new_link));
                 Ok(())
             }
+            LinkEvent::Unreachable { address } => {
+                self.on_first_contact(&address);
+                Ok(())
+            }
             LinkEvent::Replaced(newest) if newest.epoch > self.ownership.owner.epoch => {
                 Err(format!("an agent has received calls of epoch {}", newest.epoch))
             }
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -176,7 +176,14 @@
         self.shared.metrics.evacuations.show(&evacuations);
         let epoch = self.ownership.owner.epoch;
         let admission = next_forecast(&self.shared, epoch);
-        let heartbeat = HeartbeatRow { epoch, pending, evacuated_services, admission, evacuations };
+        let heartbeat = HeartbeatRow {
+            epoch,
+            pending,
+            evacuated_services,
+            admission,
+            evacuations,
+            has_settled: self.has_settled(),
+        };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         transaction.puts.push((name, encode(&heartbeat)));
         if now >= self.interference_due {
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -64,6 +64,10 @@
     pub address: String,
     /// Whether the owner has released the ownership in a graceful stop.
     pub released: bool,
+    /// Number of takeovers in a row, this one included, from owners that fell silent before they
+    /// had contacted all node agents.
+    #[serde(default)]
+    pub unsettled_takeovers: u32,
 }
 
 /// The owner's heartbeat, which it writes about twice a second.
@@ -82,6 +86,9 @@
     /// The evacuations in force.
     #[serde(default)]
     pub evacuations: EvacuationSummary,
+    /// Whether the owner has contacted all node agents that it found at its takeover, or failed to.
+    #[serde(default)]
+    pub has_settled: bool,
 }
 
 /// The address of a node agent or of a planner process.
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -54,6 +54,27 @@
     pub heartbeat_at: Option<Instant>,
 }
 
+impl OwnershipView {
+    /// Whether the latest heartbeat is of `owner` and says that it has settled.
+    ///
+    /// ```
+    /// use greengagearch::process::planning::rows::OwnerRow;
+    /// use greengagearch::process::planning::shared::OwnershipView;
+    ///
+    /// let owner = OwnerRow {
+    ///     epoch: 3,
+    ///     holder: "h".to_string(),
+    ///     address: "10.0.0.1:7000".to_string(),
+    ///     released: false,
+    ///     unsettled_takeovers: 0,
+    /// };
+    /// assert!(!OwnershipView::default().has_settled(&owner));
+    /// ```
+    pub fn has_settled(&self, owner: &OwnerRow) -> bool {
+        self.heartbeat.epoch == owner.epoch && self.heartbeat.has_settled
+    }
+}
+
 /// State that exists for the lifetime of the process.
 pub struct PlannerShared {
     /// The process's settings.
