Agents' rows in sixteen partitions; retries at a pace

Cause: all agents write about themselves at the same moment, into one partition, which carries out 300 transactions a second and refuses more than a second of waiting. The writes of 800 agents and 184 entry hosts take six seconds there; refused ones came back together, 0.3 s later.

Change: rows of agents are spread over 16 partitions by a hash of the address; planners read these and the one of earlier versions. Retries of registrations follow the pace of other retries, with jitter.

--- a/src/process/node/instance_recorder.rs
+++ b/src/process/node/instance_recorder.rs
@@ -5,10 +5,10 @@
 //! when the longest lease has expired.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use log::Level;
 
+use crate::connection::retry_pace::RetryPace;
 use crate::external::row_store::RowError;
 use crate::external::row_store::RowName;
 use crate::external::row_store::RowStore;
@@ -16,19 +16,17 @@
 use crate::external::row_store::StoredRow;
 use crate::ids::InstanceId;
 use crate::ids::RowVersion;
+use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::node::shared::NodeShared;
-use crate::process::planning::rows::HOST_PARTITION;
 use crate::process::planning::rows::LIFE_TABLE;
 use crate::process::planning::rows::RunnerInstancesRow;
+use crate::process::planning::rows::agent_row;
 use crate::process::planning::rows::decode;
 use crate::process::planning::rows::encode;
 
 /// Instances kept in the row: more than can end while a planner waits for their leases to expire.
 const MAX_STORED_INSTANCES: usize = 8;
-/// Pause before a call to the store is repeated. If an instance is not recorded, its work has to
-/// wait for the leases.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Records the runner's instances in the row of this host, and holds the content of the row that
 /// was read or written last.
@@ -38,14 +36,22 @@
     name: RowName,
     instances: Vec<InstanceId>,
     version: RowVersion,
+    retry_pace: RetryPace,
 }
 
 impl InstanceRecorder {
     /// Spawns a task that reads the row of the host whose agent is reached at `address`, and adds
     /// new instances. The task ends with the process.
     pub fn spawn(shared: Arc<NodeShared>, store: Arc<dyn RowStore>, address: &str) {
-        let name = RowName::new(LIFE_TABLE, HOST_PARTITION, address);
-        let recorder = InstanceRecorder { shared, store, name, instances: Vec::new(), version: 0 };
+        let name = agent_row(LIFE_TABLE, address);
+        let recorder = InstanceRecorder {
+            shared,
+            store,
+            name,
+            instances: Vec::new(),
+            version: 0,
+            retry_pace: RetryPace::default(),
+        };
         tokio::spawn(recorder.run());
     }
 
@@ -110,8 +116,11 @@
         }
     }
 
-    async fn pause_after(&self, error: &RowError) {
+    /// Pauses before a call to the store is repeated. If an instance is not recorded, its work has to
+    /// wait for the leases.
+    async fn pause_after(&mut self, error: &RowError) {
         log_event(Level::Warn, "lives_not_kept", &[("error", error)]);
-        tokio::time::sleep(RETRY_PAUSE).await;
+        let pause = self.retry_pace.on_failure(clock::now(), rand::random());
+        tokio::time::sleep(pause).await;
     }
 }
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -42,6 +42,9 @@
 use crate::process::node::shared::NodeShared;
 use crate::process::planning::registration::register;
 use crate::process::planning::rows::NODE_TABLE;
+use crate::process::planning::rows::NodeRow;
+use crate::process::planning::rows::agent_row;
+use crate::process::planning::rows::encode;
 use crate::process::planning::settings::NodeSettings;
 use crate::process::stop_signal::StopSignal;
 
@@ -94,7 +97,9 @@
         InstanceRecorder::spawn(shared.clone(), store.clone(), &advertised_address);
         let router = runner_registry::router(shared);
         spawn_http_server(registry, router, HttpLimits::default(), stop.clone());
-        tokio::spawn(register(store, NODE_TABLE, settings.id, advertised_address));
+        let name = agent_row(NODE_TABLE, &advertised_address);
+        let row = NodeRow { id: settings.id, address: advertised_address };
+        tokio::spawn(register(store, name, encode(&row)));
         let running = tokio::spawn(async move {
             stop.raised().await;
             log_event(Level::Info, "stopping", &[]);
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -32,7 +32,6 @@
 use crate::process::planning::planner_writes::INTERFERENCE_PERIOD;
 use crate::process::planning::planner_writes::WriteTask;
 use crate::process::planning::planner_writes::write_result;
-use crate::process::planning::rows::HOST_PARTITION;
 use crate::process::planning::rows::IMAGES_KEY;
 use crate::process::planning::rows::JOB_TABLE;
 use crate::process::planning::rows::JobLayout;
@@ -41,6 +40,7 @@
 use crate::process::planning::rows::NodeRow;
 use crate::process::planning::rows::PARTITION;
 use crate::process::planning::rows::PROGRESS_TABLE;
+use crate::process::planning::rows::agent_partitions;
 use crate::process::planning::rows::decode;
 use crate::process::planning::rows::job_records;
 use crate::process::planning::shared::OwnedPlanner;
@@ -154,7 +154,7 @@
     ) -> StepResult {
         let jobs_after = self.load().await?;
         let layout = self.shared.settings.layout;
-        let node_partitions = vec![HOST_PARTITION.to_string()];
+        let node_partitions = agent_partitions();
         let mut jobs = TableFeed::spawn(
             self.shared.clone(),
             JOB_TABLE,
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -28,10 +28,14 @@
 /// Partition of the rows that the planner writes. The owner's row and the progress rows share it,
 /// so that one transaction can write progress on condition that the ownership has not changed.
 pub const PARTITION: &str = "main";
-/// Partition of the rows that hosts write about themselves. It is separate from [`PARTITION`], so
-/// that the planner's writes do not queue behind those of hundreds of hosts that start at the same
-/// time.
+/// Partition of the rows that planner processes write about themselves, and in earlier versions node
+/// agents as well. It is separate from [`PARTITION`], so that the planner's writes do not queue behind
+/// those of hundreds of hosts that start at the same time.
 pub const HOST_PARTITION: &str = "hosts";
+/// Number of partitions of the rows that node agents write about themselves. The store serializes
+/// the transactions of a partition and refuses them when those of a second are waiting. When a fleet
+/// of 2,000 agents starts, each of these partitions gets about 250 writes, less than a second's worth.
+const AGENT_PARTITIONS: u64 = 16;
 /// Table of jobs: the submitted specification, or how the job ended.
 pub const JOB_TABLE: &str = "jobs";
 /// Table of the progress of jobs, which only the planner writes.
@@ -154,6 +158,31 @@
     format!("jobs-{number}")
 }
 
+/// Name of the row in `table` that the node agent at `address` writes about itself.
+///
+/// ```
+/// use greengagearch::process::planning::rows::NODE_TABLE;
+/// use greengagearch::process::planning::rows::agent_partitions;
+/// use greengagearch::process::planning::rows::agent_row;
+///
+/// let name = agent_row(NODE_TABLE, "10.0.0.1:7000");
+/// assert!(agent_partitions().contains(&name.partition));
+/// ```
+pub fn agent_row(table: &str, address: &str) -> RowName {
+    let number = xxh3_64(address.as_bytes()) % AGENT_PARTITIONS;
+    RowName::new(table, &agent_partition(number), address)
+}
+
+/// Names of all partitions that hold rows of node agents, including rows of earlier versions.
+pub fn agent_partitions() -> Vec<String> {
+    let numbered = (0..AGENT_PARTITIONS).map(agent_partition);
+    numbered.chain([HOST_PARTITION.to_string()]).collect()
+}
+
+fn agent_partition(number: u64) -> String {
+    format!("{HOST_PARTITION}-{number}")
+}
+
 /// Name of the owner's row.
 pub fn owner_row() -> RowName {
     RowName::new(OWNER_TABLE, PARTITION, OWNER_KEY)
