Watches through a few hosts of each failure domain

Cause: every entry host watched the owner's heartbeat, the configuration and the list of hosts by itself, 846 calls of the store a second at 184 hosts whatever the load. A store that is sixty times slower answers 266.

Change: in each failure domain four hosts, or one in seventeen, watch the store; the others follow them over the connections between planner processes. A page tells how long ago the store confirmed it; a follower falls back to its own watch when that is longer than its own watch would take to notice that it is silent, when its watcher does not answer, and while a call of its own to the store has no response. Rows above 4 KiB are named and not passed on, so that thin links are not filled. Only silence that the store has confirmed counts for a takeover. A host without a watch counts the store as reachable until a call shows otherwise, and relays a call after four times the response time that its watcher measures.

--- a/src/connection/planner_protocol.rs
+++ b/src/connection/planner_protocol.rs
@@ -1,8 +1,11 @@
 //! RPC protocol between planner processes.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::connection::feed_cache::RelayedPage;
 use crate::external::row_store::RowError;
 use crate::external::row_store::RowName;
 use crate::external::row_store::RowTransaction;
@@ -36,4 +39,12 @@
     async fn request_admission(request: AdmissionRequest) -> AdmissionResponse;
     /// Tells that a submission of a job may still be stored, so that the job is not refused.
     async fn report_unsettled(job: JobId);
+    /// Waits up to `wait` for changes of a watched table after a version, on behalf of a process
+    /// that follows this one. Returns at once if what this process knows is older than `max_age`.
+    async fn relay_feed(
+        table: String,
+        after: RowVersion,
+        wait: Duration,
+        max_age: Duration,
+    ) -> Result<RelayedPage, RowError>;
 }
--- a/src/connection/store_health.rs
+++ b/src/connection/store_health.rs
@@ -3,23 +3,32 @@
 //!
 //! It distinguishes a store that only this host cannot reach, where calls can be relayed through
 //! another host, from a store that is slow for all hosts, where each relayed call only lengthens
-//! the same queue.
+//! the same queue. A process that makes no calls, since it follows another one, learns nothing by
+//! itself; the store then counts as reachable until a call shows otherwise.
 
 use std::time::Duration;
 use std::time::Instant;
 
-/// Time without a response after which the store counts as unreachable. It exceeds one long poll of
-/// the configuration watch, which calls the store continuously.
+/// Time without a response to any call after which the store counts as unreachable. It exceeds one
+/// long poll of the configuration watch.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(1_300);
 /// Time after a refusal during which this process relays no calls of other processes: an overloaded
 /// store refuses the calls of all hosts, and each relayed call adds to its load.
 const RELAY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Weight of the newest response time in the mean.
+const LATENCY_WEIGHT: f64 = 0.25;
 
 /// Health of the store as seen by this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreHealth {
-    responded_at: Option<Instant>,
+    responded_at: Instant,
     refused_at: Option<Instant>,
+    /// When the first call after the last response was sent.
+    waiting_since: Option<Instant>,
+    /// Whether a call timed out while no other call was answered.
+    is_silent: bool,
+    /// Mean response time of calls that wait for nothing.
+    latency: Duration,
 }
 
 impl StoreHealth {
@@ -34,12 +43,60 @@
     /// assert!(StoreHealth::new(now).is_reachable(now));
     /// ```
     pub fn new(now: Instant) -> StoreHealth {
-        StoreHealth { responded_at: Some(now), refused_at: None }
+        StoreHealth {
+            responded_at: now,
+            refused_at: None,
+            waiting_since: None,
+            is_silent: false,
+            latency: Duration::ZERO,
+        }
+    }
+
+    /// Records that a call is sent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::store_health::StoreHealth;
+    ///
+    /// let sent = Instant::now();
+    /// let mut health = StoreHealth::new(sent);
+    /// assert!(health.is_reachable(sent + Duration::from_secs(60)));
+    /// health.on_call(sent);
+    /// assert!(!health.is_reachable(sent + Duration::from_secs(2)));
+    /// ```
+    pub fn on_call(&mut self, now: Instant) {
+        self.waiting_since.get_or_insert(now);
     }
 
     /// Records a response of the store: the call was carried out or its condition did not hold.
     pub fn on_response(&mut self, now: Instant) {
-        self.responded_at = Some(now);
+        self.responded_at = now;
+        self.waiting_since = None;
+        self.is_silent = false;
+    }
+
+    /// Records how long the store took to respond to a call, without the time that it was asked to
+    /// wait for changes.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::store_health::StoreHealth;
+    ///
+    /// let mut health = StoreHealth::new(Instant::now());
+    /// health.on_latency(Duration::from_millis(8));
+    /// assert!(health.latency() <= Duration::from_millis(8));
+    /// ```
+    pub fn on_latency(&mut self, latency: Duration) {
+        self.latency = self.latency.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT);
+    }
+
+    /// Returns the mean time that the store takes to respond; zero if it is not known.
+    pub fn latency(&self) -> Duration {
+        self.latency
     }
 
     /// Records that the store refused a call.
@@ -63,13 +120,32 @@
     /// assert!(health.is_reachable(now));
     /// ```
     pub fn on_timeout(&mut self) {
-        self.responded_at = None;
+        self.is_silent = true;
+    }
+
+    /// Returns whether the store has responded to the last calls, or none was made.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::store_health::StoreHealth;
+    ///
+    /// let now = Instant::now();
+    /// let mut health = StoreHealth::new(now);
+    /// health.on_call(now);
+    /// assert!(!health.has_responded());
+    /// health.on_response(now);
+    /// assert!(health.has_responded());
+    /// ```
+    pub fn has_responded(&self) -> bool {
+        self.waiting_since.is_none() && !self.is_silent
     }
 
-    /// Returns whether the store has responded recently.
+    /// Returns whether the store counts as reachable: no call has waited for long without any
+    /// response.
     pub fn is_reachable(&self, now: Instant) -> bool {
-        self.responded_at
-            .is_some_and(|answered| now.saturating_duration_since(answered) < UNREACHABLE_AFTER)
+        let is_overdue = |since: Instant| now.saturating_duration_since(since) >= UNREACHABLE_AFTER;
+        !self.is_silent && !self.waiting_since.is_some_and(is_overdue)
     }
 
     /// Returns whether the store has responded to any call after `sent`. If so, a call sent at that
@@ -88,7 +164,7 @@
     /// assert!(health.has_responded_since(sent));
     /// ```
     pub fn has_responded_since(&self, sent: Instant) -> bool {
-        self.responded_at.is_some_and(|answered| answered > sent)
+        self.responded_at > sent
     }
 
     /// Returns whether this process may relay calls of other processes to the store.
--- a/src/external/observed_store.rs
+++ b/src/external/observed_store.rs
@@ -36,6 +36,24 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Makes a call and notes its outcome, and how long the store took beyond the time that it was
+    /// asked to wait.
+    async fn observe<T>(
+        &self,
+        call: impl Future<Output = Result<T, RowError>>,
+        wait: Duration,
+    ) -> Result<T, RowError> {
+        let sent_at = clock::now();
+        self.health().on_call(sent_at);
+        let result = self.note(call.await);
+        let elapsed = clock::elapsed(sent_at);
+        // A feed that ends early has waited for an unknown part of the time.
+        if result.is_ok() && elapsed >= wait {
+            self.health().on_latency(elapsed - wait);
+        }
+        result
+    }
+
     fn note<T>(&self, result: Result<T, RowError>) -> Result<T, RowError> {
         let now = clock::now();
         match &result {
@@ -51,15 +69,15 @@
 #[async_trait]
 impl RowStore for ObservedStore {
     async fn commit(&self, transaction: &RowTransaction) -> Result<RowVersion, RowError> {
-        self.note(self.inner.commit(transaction).await)
+        self.observe(self.inner.commit(transaction), Duration::ZERO).await
     }
 
     async fn range(&self, table: &str, partition: &str, from: &str) -> Result<RangePage, RowError> {
-        self.note(self.inner.range(table, partition, from).await)
+        self.observe(self.inner.range(table, partition, from), Duration::ZERO).await
     }
 
     async fn get(&self, name: &RowName) -> Result<Option<StoredRow>, RowError> {
-        self.note(self.inner.get(name).await)
+        self.observe(self.inner.get(name), Duration::ZERO).await
     }
 
     async fn feed(
@@ -68,6 +86,6 @@
         after: RowVersion,
         wait: Duration,
     ) -> Result<FeedPage, RowError> {
-        self.note(self.inner.feed(table, after, wait).await)
+        self.observe(self.inner.feed(table, after, wait), wait).await
     }
 }
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -7,6 +7,7 @@
 pub mod decision_log;
 pub mod evacuation_status;
 pub mod evacuation_watch;
+pub mod feed_router;
 pub mod host_admission;
 pub mod job_http;
 pub mod job_service;
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -17,6 +17,8 @@
 use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::logging::log_event;
+use crate::process::planning::feed_router::ConfirmedPage;
+use crate::process::planning::feed_router::FeedCall;
 use crate::process::planning::host_admission::PublishedForecast;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::rows::HeartbeatRow;
@@ -35,6 +37,9 @@
 
 /// Maximum time that one feed call waits for changes.
 const FEED_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time that a feed call waits once a takeover is only waiting for the store to confirm that the
+/// owner is still silent.
+const UNCONFIRMED_FEED_WAIT: Duration = Duration::from_millis(50);
 
 /// An ownership of planning that the store has confirmed.
 #[derive(Clone, Debug)]
@@ -58,6 +63,8 @@
     owner: Option<(OwnerRow, RowVersion)>,
     /// When the owner's row or heartbeat last changed, or reading them last failed.
     changed_at: Instant,
+    /// When the store has last confirmed that there are no later changes.
+    confirmed_at: Instant,
     /// Version of the store up to which changes have been read.
     feed_version: Option<RowVersion>,
     has_failed: bool,
@@ -70,6 +77,7 @@
             shared,
             owner: None,
             changed_at: clock::now(),
+            confirmed_at: clock::now(),
             feed_version: None,
             has_failed: false,
         };
@@ -95,15 +103,21 @@
 
     /// Reads the rows of the ownership the first time, and waits for changes of them later.
     async fn watch(&mut self) -> Result<(), RowError> {
-        let store = self.shared.store.clone();
         let (rows, version) = match self.feed_version {
             Some(after) => {
-                let wait = FEED_TIMEOUT.min(self.until_takeover()).max(Duration::from_millis(1));
-                let page = store.feed(OWNER_TABLE, after, wait).await?;
+                let wait = Some(self.until_takeover()).filter(|left| !left.is_zero());
+                let wait = FEED_TIMEOUT.min(wait.unwrap_or(UNCONFIRMED_FEED_WAIT));
+                let max_wait = FEED_TIMEOUT;
+                let call = FeedCall { table: OWNER_TABLE, after, wait, max_wait };
+                let ConfirmedPage { page, confirmed_at } = self.shared.feed(call).await?;
+                self.confirmed_at = confirmed_at;
                 (page.rows, page.version)
             }
             None => {
-                let page = store.range(OWNER_TABLE, PARTITION, "").await?;
+                let sent_at = clock::now();
+                let page = self.shared.store.range(OWNER_TABLE, PARTITION, "").await?;
+                self.shared.feeds.on_read(OWNER_TABLE, &page.rows, page.version, sent_at);
+                self.confirmed_at = sent_at;
                 (page.rows, page.version)
             }
         };
@@ -163,8 +177,11 @@
         (self.changed_at + self.takeover_delay()).saturating_duration_since(clock::now())
     }
 
+    /// Whether the owner has been silent for long enough. A process that follows another one learns
+    /// of a heartbeat later than the store; only time that the store has confirmed counts.
     fn is_takeover_due(&self) -> bool {
-        self.until_takeover().is_zero()
+        let silence = self.confirmed_at.saturating_duration_since(self.changed_at);
+        self.until_takeover().is_zero() && silence >= self.takeover_delay()
     }
 
     async fn take_over(&mut self) {
@@ -250,6 +267,7 @@
             shared: shared.clone(),
             owner: None,
             changed_at: clock::now(),
+            confirmed_at: clock::now(),
             feed_version: None,
             has_failed: false,
         };
--- a/src/process/planning/planner_client.rs
+++ b/src/process/planning/planner_client.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
+use crate::connection::feed_cache::RelayedPage;
 use crate::connection::planner_protocol::PlannerRpc;
 use crate::connection::planner_protocol::PlannerRpcClient;
 use crate::connection::planner_protocol::StatusResponse;
@@ -154,6 +155,17 @@
         self.shared.store.get(&name).await
     }
 
+    async fn relay_feed(
+        self,
+        _: Context,
+        table: String,
+        after: RowVersion,
+        wait: Duration,
+        max_age: Duration,
+    ) -> Result<RelayedPage, RowError> {
+        self.shared.feeds.serve(&self.shared.store, (&table, after), wait, max_age).await
+    }
+
     async fn request_admission(self, _: Context, request: AdmissionRequest) -> AdmissionResponse {
         answer_request(&self.shared, &request)
     }
--- a/src/process/planning/queue_watch.rs
+++ b/src/process/planning/queue_watch.rs
@@ -13,7 +13,9 @@
 use crate::platform::configuration::CONFIGURATION_KEY;
 use crate::platform::configuration::OPERATOR_TABLE;
 use crate::platform::configuration::decode;
+use crate::process::clock;
 use crate::process::logging::log_event;
+use crate::process::planning::feed_router::FeedCall;
 use crate::process::planning::shared::PlannerShared;
 
 /// Maximum time that one feed call waits for changes. It is short enough to detect a half-open
@@ -59,11 +61,15 @@
 ) -> Result<RowVersion, RowError> {
     let (rows, version) = match after {
         Some(after) => {
-            let page = shared.store.feed(OPERATOR_TABLE, after, FEED_TIMEOUT).await?;
+            let wait = FEED_TIMEOUT;
+            let call = FeedCall { table: OPERATOR_TABLE, after, wait, max_wait: wait };
+            let page = shared.feed(call).await?.page;
             (page.rows, page.version)
         }
         None => {
+            let sent_at = clock::now();
             let page = shared.store.range(OPERATOR_TABLE, "", CONFIGURATION_KEY).await?;
+            shared.feeds.on_read(OPERATOR_TABLE, &page.rows, page.version, sent_at);
             (page.rows, page.version)
         }
     };
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -12,6 +12,7 @@
 use crate::external::row_store::RowName;
 use crate::external::row_store::RowTransaction;
 use crate::external::row_store::StoredRow;
+use crate::ids::DomainName;
 use crate::ids::InstanceId;
 use crate::ids::JobId;
 use crate::ids::PlannerEpoch;
@@ -95,7 +96,22 @@
     pub has_settled: bool,
 }
 
-/// The address of a node agent or of a planner process.
+/// A planner process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerRow {
+    /// Name of the host.
+    pub id: String,
+    /// Address for other processes of the system.
+    pub address: String,
+    /// Failure domain of the host.
+    #[serde(default)]
+    pub domain: DomainName,
+    /// Share of a core that the process may use.
+    #[serde(default)]
+    pub share: f64,
+}
+
+/// The address of a node agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRow {
     /// Name of the host.
--- a/src/process/planning/shared.rs
+++ b/src/process/planning/shared.rs
@@ -1,6 +1,5 @@
 //! State that the tasks of a planner process share.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +12,8 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
+use crate::connection::host_roster::HostRoster;
+use crate::connection::host_roster::PeerHost;
 use crate::connection::retry_pace::RetryPace;
 use crate::external::advice_service::AdviceService;
 use crate::external::observed_store::ObservedStore;
@@ -22,6 +23,9 @@
 use crate::process::clock;
 use crate::process::clock::SteadyClock;
 use crate::process::metrics::ProcessMetrics;
+use crate::process::planning::feed_router::ConfirmedPage;
+use crate::process::planning::feed_router::FeedCall;
+use crate::process::planning::feed_router::FeedRouter;
 use crate::process::planning::host_admission::PublishedForecast;
 use crate::process::planning::rows::HeartbeatRow;
 use crate::process::planning::rows::OwnerRow;
@@ -95,7 +99,9 @@
     pub wake: Notify,
     is_stopping: AtomicBool,
     retry_pace: Mutex<RetryPace>,
-    peers: Mutex<BTreeSet<String>>,
+    /// Watches of the store's tables, directly or through other processes.
+    pub feeds: FeedRouter,
+    roster: Mutex<HostRoster>,
     view: Mutex<OwnershipView>,
     owned: Mutex<Option<OwnedPlanner>>,
 }
@@ -118,7 +124,8 @@
             wake: Notify::new(),
             is_stopping: AtomicBool::new(false),
             retry_pace: Mutex::new(RetryPace::default()),
-            peers: Mutex::new(BTreeSet::new()),
+            feeds: FeedRouter::default(),
+            roster: Mutex::default(),
             view: Mutex::new(OwnershipView::default()),
             owned: Mutex::new(None),
         }
@@ -155,24 +162,62 @@
         self.retry_pace.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits for changes of a table, directly or through another process.
+    ///
+    /// # Errors
+    ///
+    /// As [`RowStore::feed`].
+    pub async fn feed(&self, call: FeedCall<'_>) -> Result<ConfirmedPage, RowError> {
+        self.feeds.feed(&self.store, self.sources(), call).await
+    }
+
+    /// Addresses of the processes that this one follows; empty if it watches the store itself.
+    fn sources(&self) -> Vec<String> {
+        let own = self.settings.internal_listen.to_string();
+        let owner = self.owner_address();
+        self.roster().sources(&own, &self.settings.domain, owner.as_deref())
+    }
+
+    /// Whether this process follows others instead of watching the store itself.
+    pub fn is_follower(&self) -> bool {
+        !self.sources().is_empty()
+    }
+
+    fn owner_address(&self) -> Option<String> {
+        self.view().owner.as_ref().map(|owner| owner.address.clone())
+    }
+
     /// Addresses of the other planner processes, the owner's first.
     pub fn peers(&self) -> Vec<String> {
         let own = self.settings.internal_listen.to_string();
-        let owner = self.view().owner.as_ref().map(|owner| owner.address.clone());
-        let known = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let others = known.iter().filter(|peer| Some(*peer) != owner.as_ref()).cloned();
+        let owner = self.owner_address();
+        let roster = self.roster();
+        let others = roster.addresses().filter(|peer| Some(*peer) != owner.as_ref()).cloned();
         let all = owner.iter().cloned().chain(others);
         all.filter(|peer| *peer != own).collect()
     }
 
-    /// Records the address of a planner process.
-    pub fn add_peer(&self, address: String) {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner).insert(address);
+    /// Addresses of the other planner processes that watch the store, without the owner.
+    pub fn watchers(&self) -> Vec<String> {
+        let own = self.settings.internal_listen.to_string();
+        let owner = self.owner_address();
+        let roster = self.roster();
+        let watchers = roster.watchers(owner.as_deref()).into_values().flatten();
+        watchers.filter(|watcher| *watcher != own).map(str::to_string).collect()
+    }
+
+    /// Records a planner process.
+    pub fn add_peer(&self, host: PeerHost) {
+        self.roster().insert(host);
     }
 
-    /// Removes the address of a planner process whose row was removed.
+    /// Removes the planner process at an address, whose row was removed.
     pub fn remove_peer(&self, address: &str) {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
+        self.roster().remove(address);
+    }
+
+    fn roster(&self) -> MutexGuard<'_, HostRoster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the process is stopping.
--- a/src/process/planning/store_access.rs
+++ b/src/process/planning/store_access.rs
@@ -37,6 +37,12 @@
 /// Time after which an unanswered direct call is checked: it is relayed if the store has answered
 /// no other call of this process since.
 const DIRECT_CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Multiple of the store's response time after which a process that follows another one considers a
+/// direct call unanswered, with its bounds: the usual time of a transaction with a margin, and the
+/// time in which a store answers that is a hundred times slower than usual.
+const FOLLOWER_LATENCY_FACTOR: u32 = 4;
+const FOLLOWER_MIN_TIMEOUT: Duration = Duration::from_millis(100);
+const FOLLOWER_MAX_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Timeout of a call relayed by another process.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(650);
 /// Timeout of a connection to another process; the round-trip time is about a millisecond.
@@ -112,8 +118,9 @@
             return self.call_through_relays(unreachable_here(), relay, deadline).await;
         }
         let sent_at = clock::now();
+        let limit = self.direct_call_timeout();
         tokio::pin!(direct);
-        let first = timeout(DIRECT_CALL_TIMEOUT.min(time_left(deadline)), &mut direct).await;
+        let first = timeout(limit.min(time_left(deadline)), &mut direct).await;
         if let Ok(result) = first {
             return match result {
                 Err(error) if is_worth_relaying(&error) => {
@@ -138,6 +145,17 @@
         }
     }
 
+    /// Time after which an unanswered direct call is checked. A process that follows another one has
+    /// no watch of its own that would have shown before that the store does not answer this host;
+    /// it waits for a multiple of the time that the store takes to respond to the other one.
+    fn direct_call_timeout(&self) -> Duration {
+        if !self.shared.is_follower() {
+            return DIRECT_CALL_TIMEOUT;
+        }
+        let expected = self.shared.feeds.relayed_latency() * FOLLOWER_LATENCY_FACTOR;
+        expected.clamp(FOLLOWER_MIN_TIMEOUT, FOLLOWER_MAX_TIMEOUT)
+    }
+
     /// Repeats a failed direct call through other processes, one after another, until one succeeds
     /// or the caller's deadline is reached. `failure` is the error of the direct call.
     async fn call_through_relays<T, E, F, C>(
@@ -182,13 +200,20 @@
     }
 
     /// Addresses of the processes to relay through: the owner first, since it writes all the time
-    /// and so is likely to reach the store, then others in turn.
+    /// and so is likely to reach the store, then others in turn. Those that watch the store know
+    /// whether they reach it.
     fn relay_addresses(&self) -> Vec<String> {
         let mut peers = self.shared.peers();
+        let watchers = self.shared.watchers();
         if let Some((_, others)) = peers.split_first_mut().filter(|(_, others)| !others.is_empty())
         {
-            let start = self.next_peer.fetch_add(MAX_RELAYS - 1, Ordering::Relaxed) % others.len();
-            others.rotate_left(start);
+            let start = self.next_peer.fetch_add(MAX_RELAYS - 1, Ordering::Relaxed);
+            others.sort_by_key(|peer| !watchers.contains(peer));
+            let (first, last) = others.split_at_mut(watchers.len().min(others.len()));
+            [first, last]
+                .into_iter()
+                .filter(|part| !part.is_empty())
+                .for_each(|part| part.rotate_left(start % part.len()));
         }
         peers.truncate(MAX_RELAYS);
         peers
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Json;
@@ -132,6 +134,8 @@
     pub address: SocketAddr,
     store: PlatformStore,
     fault: Arc<Mutex<StoreFault>>,
+    /// Calls for changes of a table, so far.
+    feeds: Arc<AtomicUsize>,
 }
 
 impl PlatformStore {
@@ -139,7 +143,12 @@
     pub async fn listen(&self) -> StoreListener {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound listener has an address");
-        let opened = StoreListener { address, store: self.clone(), fault: Arc::default() };
+        let opened = StoreListener {
+            address,
+            store: self.clone(),
+            fault: Arc::default(),
+            feeds: Arc::default(),
+        };
         let router = Router::new()
             .route("/-/rows-tx", post(take_transaction))
             .route("/-/rows-get", get(take_range))
@@ -204,6 +213,12 @@
         rows.rows.keys().filter(|place| place.0 == table).map(|place| place.2.clone()).collect()
     }
 
+    /// Value of a row, base64.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<String> {
+        let place = (table.to_string(), part.to_string(), key.to_string());
+        self.lock().rows.get(&place)?.value.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, StoreRows> {
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -240,6 +255,11 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Number of calls for changes of a table that came in here so far.
+    pub fn feeds(&self) -> usize {
+        self.feeds.load(Ordering::Relaxed)
+    }
+
     /// Answers as the fault has it, if it keeps a call from being carried out.
     async fn refusal(&self) -> Option<Response> {
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
@@ -385,6 +405,7 @@
     State(listener): State<StoreListener>,
     Query(query): Query<FeedQuery>,
 ) -> Response {
+    listener.feeds.fetch_add(1, Ordering::Relaxed);
     if let Some(refusal) = listener.refusal().await {
         return refusal;
     }
