Takeover at once when the owner's process has ended

Cause: an owner that was killed is noticed by its missing heartbeats only, after 1.4 s; jobs that come meanwhile start nowhere.

Change: processes that watch the store keep a connection to the owner. When it ends and the address refuses another one, nobody listens there any more, and they take their turns as after a release. The store still has to confirm that there is no later owner.

--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -12,6 +12,7 @@
 pub mod job_http;
 pub mod job_service;
 pub mod node_link;
+pub mod owner_probe;
 pub mod ownership;
 pub mod peer_watch;
 pub mod planner_client;
--- a/src/process/planning/ownership.rs
+++ b/src/process/planning/ownership.rs
@@ -20,6 +20,7 @@
 use crate::process::planning::feed_router::ConfirmedPage;
 use crate::process::planning::feed_router::FeedCall;
 use crate::process::planning::host_admission::PublishedForecast;
+use crate::process::planning::owner_probe::OwnerProbe;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::rows::HeartbeatRow;
 use crate::process::planning::rows::OWNER_KEY;
@@ -68,6 +69,10 @@
     /// Version of the store up to which changes have been read.
     feed_version: Option<RowVersion>,
     has_failed: bool,
+    /// Probe of the owner's process, if this process watches the store.
+    probe: Option<OwnerProbe>,
+    /// Holder of the ownership whose process has ended without a release.
+    ended_owner: Option<String>,
 }
 
 impl OwnershipElector {
@@ -80,6 +85,8 @@
             confirmed_at: clock::now(),
             feed_version: None,
             has_failed: false,
+            probe: None,
+            ended_owner: None,
         };
         tokio::spawn(elector.run())
     }
@@ -87,9 +94,19 @@
     async fn run(mut self) {
         while !self.shared.is_stopping() {
             let shared = self.shared.clone();
+            self.update_probe();
+            let mut probe = self.probe.take();
             let watched = tokio::select! {
-                watched = self.watch() => watched,
-                () = shared.wake.notified() => continue,
+                watched = self.watch() => Some(watched),
+                () = shared.wake.notified() => None,
+                () = owner_ended(&mut probe) => {
+                    self.on_owner_ended(probe.as_ref());
+                    None
+                }
+            };
+            self.probe = probe;
+            let Some(watched) = watched else {
+                continue;
             };
             if let Err(error) = &watched {
                 self.on_failure(error);
@@ -165,12 +182,40 @@
         }
     }
 
+    /// Probes the present owner, unless it is known to have ended. A process that follows others
+    /// leaves that to them, so that the owner has few such connections.
+    fn update_probe(&mut self) {
+        let owner = self.owner.as_ref().map(|(owner, _)| owner);
+        let own_address = self.shared.settings.internal_listen.to_string();
+        let probed = owner.filter(|owner| {
+            !owner.released
+                && owner.address != own_address
+                && self.ended_owner.as_ref() != Some(&owner.holder)
+                && !self.shared.is_follower()
+        });
+        let holder = probed.map(|owner| owner.holder.as_str());
+        if self.probe.as_ref().map(OwnerProbe::holder) != holder {
+            self.probe = probed.map(|owner| OwnerProbe::spawn(&owner.holder, &owner.address));
+        }
+    }
+
+    /// Records that a holder of the ownership has ended. The time until a takeover begins anew, as
+    /// after a release; the store has to confirm that there is no later owner.
+    fn on_owner_ended(&mut self, probe: Option<&OwnerProbe>) {
+        self.ended_owner = probe.map(|probe| probe.holder().to_string());
+        self.changed_at = clock::now();
+    }
+
     fn takeover_delay(&self) -> Duration {
         let settings = &self.shared.settings;
-        let owner = self.owner.as_ref().map(|(owner, _)| owner);
+        let has_ended = |owner: &OwnerRow| self.ended_owner.as_ref() == Some(&owner.holder);
+        let owner = self.owner.as_ref().map(|(owner, _)| OwnerRow {
+            released: owner.released || has_ended(owner),
+            ..owner.clone()
+        });
         let address = settings.internal_listen.to_string();
-        let turn = turn_delay(owner, &address, &self.shared.peers());
-        takeover_delay(owner, &address, settings.processor_share) + turn
+        let turn = turn_delay(owner.as_ref(), &address, &self.shared.peers());
+        takeover_delay(owner.as_ref(), &address, settings.processor_share) + turn
     }
 
     fn until_takeover(&self) -> Duration {
@@ -245,6 +290,14 @@
     }
 }
 
+/// Waits until the process has ended that a probe watches. Never returns without a probe.
+async fn owner_ended(probe: &mut Option<OwnerProbe>) {
+    match probe {
+        Some(probe) => probe.ended().await,
+        None => std::future::pending().await,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -270,6 +323,8 @@
             confirmed_at: clock::now(),
             feed_version: None,
             has_failed: false,
+            probe: None,
+            ended_owner: None,
         };
         let name = RowName::new(OWNER_TABLE, PARTITION, PULSE_KEY);
         let heartbeat = HeartbeatRow { epoch: 4, ..HeartbeatRow::default() };
