Agents that are gone hold up no first call

Cause: a link took one of the 128 permits before it connected, and an agent that is gone holds it for the connection timeout. At a takeover with 408 of 1,160 registered agents gone the others were contacted within 1.33 s on a host with a whole core.

Change: the permit is taken once the connection is made.

--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -101,7 +101,7 @@
 }
 
 impl NodeLink {
-    /// Starts a link to the agent at `address`, which is contacted once `first_contacts` has a
+    /// Starts a link to the agent at `address`. Its first call is sent once `first_contacts` has a
     /// permit.
     pub fn spawn(
         shared: Arc<PlannerShared>,
@@ -121,13 +121,10 @@
             stamp: LinkStamp { epoch, link: 0 },
             unanswered: Arc::default(),
             outage: None,
+            first_contacts: Some(first_contacts),
             first_contact: None,
         };
-        let task = async move {
-            // The semaphore is never closed.
-            let permit = first_contacts.acquire_owned().await.ok();
-            LinkTask { first_contact: permit, ..task }.run(batches).await;
-        };
+        let task = task.run(batches);
         NodeLink { orders, registered, task: tokio::spawn(task) }
     }
 
@@ -171,7 +168,10 @@
     unanswered: Arc<Notify>,
     /// The current outage; `None` once the agent has reported over the current connection.
     outage: Option<LinkOutage>,
-    /// Permit of the first contact, until the agent has reported or the attempt has failed.
+    /// Limits the first calls of all links; `None` once this link has made its own, or the first
+    /// attempt has failed.
+    first_contacts: Option<Arc<Semaphore>>,
+    /// Permit of the first call, until the agent has reported.
     first_contact: Option<OwnedSemaphorePermit>,
 }
 
@@ -183,6 +183,7 @@
             self.unanswered = Arc::default();
             let reason = match self.connect().await {
                 Some(client) => {
+                    self.await_first_contact().await;
                     // Drops orders queued for the earlier connection. The planner orders again what
                     // it still needs.
                     while batches.try_recv().is_ok() {}
@@ -197,10 +198,20 @@
         }
     }
 
+    /// Waits until the first call of this link may be sent. A host that does not respond to a
+    /// connection takes no permit.
+    async fn await_first_contact(&mut self) {
+        if let Some(first_contacts) = self.first_contacts.take() {
+            // The semaphore is never closed.
+            self.first_contact = first_contacts.acquire_owned().await.ok();
+        }
+    }
+
     /// Logs the loss of the link. During an outage the same reason is logged only once. Returns the
     /// time without a link.
     fn on_lost(&mut self, reason: String) -> Duration {
-        if self.first_contact.take().is_some() {
+        let is_first = self.first_contacts.take().is_some();
+        if self.first_contact.take().is_some() || is_first {
             // The receiver is closed if planning has ended.
             let _ = self.events.send(LinkEvent::Unreachable { address: self.address.clone() });
         }
--- a/tests/node_link.rs
+++ b/tests/node_link.rs
@@ -105,11 +105,7 @@
 }
 
 fn spawn_link_to(agent: SocketAddr) -> (NodeLink, mpsc::UnboundedReceiver<LinkEvent>) {
-    let settings = PlannerSettings::parse("planner.ini", SETTINGS).unwrap();
-    let store = Arc::new(StoreClient::open("127.0.0.1:1"));
-    let shared = Arc::new(PlannerShared::new(settings, store, None));
-    let (sender, news) = mpsc::unbounded_channel();
-    (NodeLink::spawn(shared, 1, agent.to_string(), sender, Arc::new(Semaphore::new(1))), news)
+    spawn_limited_link(agent, &Arc::new(Semaphore::new(1)))
 }
 
 /// A listener whose queue is full, so that connecting to it times out.
@@ -221,3 +217,42 @@
     let back = outage + Duration::from_millis(400) + reconnect_delay(outage);
     assert!(back < Duration::from_millis(9_600) - Duration::from_millis(900), "{back:?}");
 }
+
+/// Starts a link whose first call waits for a permit of `first_contacts`.
+fn spawn_limited_link(
+    agent: SocketAddr,
+    first_contacts: &Arc<Semaphore>,
+) -> (NodeLink, mpsc::UnboundedReceiver<LinkEvent>) {
+    let settings = PlannerSettings::parse("planner.ini", SETTINGS).unwrap();
+    let store = Arc::new(StoreClient::open("127.0.0.1:1"));
+    let shared = Arc::new(PlannerShared::new(settings, store, None));
+    let (sender, news) = mpsc::unbounded_channel();
+    let link = NodeLink::spawn(shared, 1, agent.to_string(), sender, first_contacts.clone());
+    (link, news)
+}
+
+/// The load: a new owner contacts all agents at once. The next first call is made when the report of one before it has
+/// been processed.
+#[tokio::test]
+async fn first_calls_wait_for_the_reports_before_them() {
+    let first_contacts = Arc::new(Semaphore::new(1));
+    let (_first, mut first_news) = spawn_limited_link(spawn_agent().await, &first_contacts);
+    let report = first_news.recv().await;
+    let (_second, mut second_news) = spawn_limited_link(spawn_agent().await, &first_contacts);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(second_news.try_recv().is_err(), "the first report has not been processed");
+    drop(report);
+    assert_eq!(next_report(&mut second_news).await, (true, false));
+}
+
+/// Seen at a takeover with 400 of 1,160 registered agents gone: those that lived waited 1.3 s behind them.
+#[tokio::test]
+async fn agents_that_are_gone_hold_up_no_first_call() {
+    let (gone, _queued) = bind_congested().await;
+    let first_contacts = Arc::new(Semaphore::new(1));
+    let (_silent, mut silent_news) =
+        spawn_limited_link(gone.local_addr().unwrap(), &first_contacts);
+    let (_link, mut news) = spawn_limited_link(spawn_agent().await, &first_contacts);
+    assert_eq!(next_report(&mut news).await, (true, false));
+    assert!(matches!(silent_news.recv().await, Some(LinkEvent::Unreachable { .. })));
+}
