Owners that the store turns away hand planning over

Cause: an owner that the store turns away, while it answers others, went on until its heartbeats had been missing for 1.4 s; in that time it can start nothing, and nobody else may.

Change: an owner that gets no response to a prompt call for 0.6 s, or 0.3 s if calls are refused, releases the ownership through a process that watches the store. While the store is away for all, nobody relays the release and the owner keeps its leases. Responses of feeds do not count, since such a call may have been sent long before.

--- a/src/connection/store_health.rs
+++ b/src/connection/store_health.rs
@@ -15,6 +15,11 @@
 /// Time after a refusal during which this process relays no calls of other processes: an overloaded
 /// store refuses the calls of all hosts, and each relayed call adds to its load.
 const RELAY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time without a response after which the store seems to turn this host away: twice that in which a
+/// store responds that is sixty times slower than usual.
+const SILENT_AFTER: Duration = Duration::from_millis(600);
+/// The same if it refuses calls; watches are called again within 0.2 s after a refusal.
+const REFUSED_AFTER: Duration = Duration::from_millis(300);
 /// Weight of the newest response time in the mean.
 const LATENCY_WEIGHT: f64 = 0.25;
 
@@ -25,6 +30,8 @@
     refused_at: Option<Instant>,
     /// When the first call after the last response was sent.
     waiting_since: Option<Instant>,
+    /// The same for calls that the store responds to without waiting for changes.
+    prompt_since: Option<Instant>,
     /// Whether a call timed out while no other call was answered.
     is_silent: bool,
     /// Mean response time of calls that wait for nothing.
@@ -47,12 +54,14 @@
             responded_at: now,
             refused_at: None,
             waiting_since: None,
+            prompt_since: None,
             is_silent: false,
             latency: Duration::ZERO,
         }
     }
 
-    /// Records that a call is sent.
+    /// Records that a call is sent; `is_waiting` tells whether the store may wait for changes before
+    /// it responds.
     ///
     /// ```
     /// use std::time::Duration;
@@ -63,18 +72,26 @@
     /// let sent = Instant::now();
     /// let mut health = StoreHealth::new(sent);
     /// assert!(health.is_reachable(sent + Duration::from_secs(60)));
-    /// health.on_call(sent);
+    /// health.on_call(sent, false);
     /// assert!(!health.is_reachable(sent + Duration::from_secs(2)));
     /// ```
-    pub fn on_call(&mut self, now: Instant) {
+    pub fn on_call(&mut self, now: Instant, is_waiting: bool) {
         self.waiting_since.get_or_insert(now);
+        if !is_waiting {
+            self.prompt_since.get_or_insert(now);
+        }
     }
 
     /// Records a response of the store: the call was carried out or its condition did not hold.
-    pub fn on_response(&mut self, now: Instant) {
+    /// `was_waiting` tells whether the store may have waited for changes; such a call may have been
+    /// sent long before.
+    pub fn on_response(&mut self, now: Instant, was_waiting: bool) {
         self.responded_at = now;
         self.waiting_since = None;
         self.is_silent = false;
+        if !was_waiting {
+            self.prompt_since = None;
+        }
     }
 
     /// Records how long the store took to respond to a call, without the time that it was asked to
@@ -116,7 +133,7 @@
     /// let mut health = StoreHealth::new(now);
     /// health.on_timeout();
     /// assert!(!health.is_reachable(now));
-    /// health.on_response(now);
+    /// health.on_response(now, false);
     /// assert!(health.is_reachable(now));
     /// ```
     pub fn on_timeout(&mut self) {
@@ -132,9 +149,9 @@
     ///
     /// let now = Instant::now();
     /// let mut health = StoreHealth::new(now);
-    /// health.on_call(now);
+    /// health.on_call(now, false);
     /// assert!(!health.has_responded());
-    /// health.on_response(now);
+    /// health.on_response(now, false);
     /// assert!(health.has_responded());
     /// ```
     pub fn has_responded(&self) -> bool {
@@ -148,6 +165,30 @@
         !self.is_silent && !self.waiting_since.is_some_and(is_overdue)
     }
 
+    /// Returns whether the store seems to turn this host away: it has responded to no call for a
+    /// while, or for a shorter while if it refuses calls. A store that is slow responds to some.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::store_health::StoreHealth;
+    ///
+    /// let sent = Instant::now();
+    /// let mut health = StoreHealth::new(sent);
+    /// health.on_call(sent, false);
+    /// assert!(!health.is_turning_away(sent + Duration::from_millis(400)));
+    /// assert!(health.is_turning_away(sent + Duration::from_millis(1_000)));
+    /// ```
+    pub fn is_turning_away(&self, now: Instant) -> bool {
+        let Some(since) = self.prompt_since else {
+            return false;
+        };
+        let is_refused = self.refused_at.is_some_and(|refused| refused >= since);
+        let limit = if is_refused { REFUSED_AFTER } else { SILENT_AFTER };
+        now.saturating_duration_since(since) >= limit
+    }
+
     /// Returns whether the store has responded to any call after `sent`. If so, a call sent at that
     /// time and still without a response is slow, and would be as slow from other processes.
     ///
@@ -160,7 +201,7 @@
     /// let sent = Instant::now();
     /// let mut health = StoreHealth::new(sent);
     /// assert!(!health.has_responded_since(sent));
-    /// health.on_response(sent + Duration::from_millis(400));
+    /// health.on_response(sent + Duration::from_millis(400), false);
     /// assert!(health.has_responded_since(sent));
     /// ```
     pub fn has_responded_since(&self, sent: Instant) -> bool {
--- a/src/external/observed_store.rs
+++ b/src/external/observed_store.rs
@@ -44,8 +44,8 @@
         wait: Duration,
     ) -> Result<T, RowError> {
         let sent_at = clock::now();
-        self.health().on_call(sent_at);
-        let result = self.note(call.await);
+        self.health().on_call(sent_at, !wait.is_zero());
+        let result = self.note(call.await, !wait.is_zero());
         let elapsed = clock::elapsed(sent_at);
         // A feed that ends early has waited for an unknown part of the time.
         if result.is_ok() && elapsed >= wait {
@@ -54,13 +54,13 @@
         result
     }
 
-    fn note<T>(&self, result: Result<T, RowError>) -> Result<T, RowError> {
+    fn note<T>(&self, result: Result<T, RowError>, was_waiting: bool) -> Result<T, RowError> {
         let now = clock::now();
         match &result {
             Err(RowError::Refused { .. }) => self.health().on_refusal(now),
             // Whether the store has done it is open; silence shows by the time without answers.
             Err(RowError::Ambiguous { .. }) => {}
-            Ok(_) | Err(_) => self.health().on_response(now),
+            Ok(_) | Err(_) => self.health().on_response(now, was_waiting),
         }
         result
     }
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -8,6 +8,7 @@
 pub mod evacuation_status;
 pub mod evacuation_watch;
 pub mod feed_router;
+pub mod handover;
 pub mod host_admission;
 pub mod job_http;
 pub mod job_service;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -13,6 +13,7 @@
 use log::Level;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio::time::MissedTickBehavior;
 
 use crate::connection::node_protocol::NodeOrder;
@@ -25,12 +26,14 @@
 use crate::process::planning::decision_log::record_decision;
 use crate::process::planning::evacuation_watch::EvacuationRead;
 use crate::process::planning::evacuation_watch::EvacuationWatch;
+use crate::process::planning::handover::HandoverOutcome;
 use crate::process::planning::node_link::LinkEvent;
 use crate::process::planning::node_link::NodeLink;
 use crate::process::planning::node_link::OrderBatch;
 use crate::process::planning::ownership::ConfirmedOwnership;
 use crate::process::planning::planner_writes::INTERFERENCE_PERIOD;
 use crate::process::planning::planner_writes::WriteTask;
+use crate::process::planning::planner_writes::handover_outcome;
 use crate::process::planning::planner_writes::write_result;
 use crate::process::planning::rows::IMAGES_KEY;
 use crate::process::planning::rows::JOB_TABLE;
@@ -101,6 +104,10 @@
     uncontacted: Option<BTreeSet<String>>,
     /// The write in flight, if there is one.
     pub(super) write: Option<WriteTask>,
+    /// The attempt to release the ownership through another process, if there is one.
+    pub(super) handover: Option<JoinHandle<HandoverOutcome>>,
+    /// Earliest time of the next such attempt.
+    pub(super) handover_due: Instant,
     pub(super) heartbeat_due: Instant,
     pub(super) interference_due: Instant,
     /// Learned interference as last written.
@@ -131,6 +138,8 @@
             first_contacts: Arc::new(Semaphore::new(MAX_FIRST_CONTACTS)),
             uncontacted: None,
             write: None,
+            handover: None,
+            handover_due: clock::now(),
             heartbeat_due: clock::now(),
             interference_due: clock::now() + INTERFERENCE_PERIOD,
             written_interference: LearnedInterference::default(),
@@ -173,6 +182,7 @@
                 // first, since the next heartbeat waits for it.
                 biased;
                 result = write_result(&mut self.write) => self.on_write_result(result)?,
+                outcome = handover_outcome(&mut self.handover) => self.on_handover(outcome)?,
                 _ = tick.tick() => self.on_tick(),
                 read = evacuations.next() => self.on_evacuations(read),
                 rows = jobs.next() => self.on_jobs(&rows),
@@ -407,6 +417,7 @@
 
     fn on_tick(&mut self) {
         self.with_planner(Planner::on_tick);
+        self.hand_over_if_rejected();
     }
 
     /// Plans unless the pause after the last search is not over, starts the next write, and sends
