Reports of a large fleet at an interval that grows with it

Cause: every agent reports each 0.4 s whether anything has happened or not, 2,000 reports a second at 800 agents, which take a fifth of a core: more than a host with 0.12 of one has.

Change: the interval follows the number of workers, one second at 1,000 and more, bounded by the validity of start orders; a worker is silent after the interval and 1.1 s. Ends of runs are reported at once as before. Up to 400 workers nothing changes.

--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -32,12 +32,13 @@
 use crate::process::planning::shared::PlannerShared;
 use crate::workflow::grant::expired_by;
 use crate::workflow::grant::lease_duration;
+use crate::workflow::report_interval::MIN_REPORT_INTERVAL;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum time that an agent may wait for changes before it answers a sync call. It bounds the
-/// time between two lease extensions, and between two checks that the agent still answers.
-const SYNC_WAIT: Duration = Duration::from_millis(400);
+/// Maximum part of the validity of start orders that an agent may wait for changes before it answers
+/// a sync call, since each answer renews that validity.
+const MAX_WAIT_SHARE: f64 = 0.4;
 /// Time that an agent has for a response beyond the requested wait, sufficient also if its host is
 /// five times slower than usual.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(900);
@@ -344,12 +345,14 @@
             grant: None,
             instance: instance.clone(),
             last_acked_end: 0,
-            wait: SYNC_WAIT,
+            wait: MIN_REPORT_INTERVAL,
         };
         let mut owned = self.shared.owned();
         if let (Some(owned), Some(instance)) = (owned.as_mut(), instance) {
             let span = lease_duration(owned.confirmed_at, received);
-            let valid = span.min(order_validity(self.shared.settings.evacuation_limit));
+            let validity = order_validity(self.shared.settings.evacuation_limit);
+            let valid = span.min(validity);
+            call.wait = owned.planner.report_interval().min(validity.mul_f64(MAX_WAIT_SHARE));
             let granted = OrderLease { link: self.stamp.link, end: report.now + valid };
             owned.planner.on_grant(&instance, expired_by(received, span), granted);
             call.grant = Some(LeaseGrant { since: report.now, span });
--- a/src/workflow/evacuation_summary.rs
+++ b/src/workflow/evacuation_summary.rs
@@ -12,7 +12,6 @@
 use crate::ids::DomainName;
 use crate::ids::RowVersion;
 use crate::workflow::assigned_run::AssignedRun;
-use crate::workflow::worker_entry::SILENCE_TIMEOUT;
 use crate::workflow::worker_entry::WorkerEntry;
 
 /// Maximum age of a summary by which power may be cut. It covers several heartbeats and a takeover
@@ -155,11 +154,9 @@
 
 impl DomainEvacuation {
     fn add(&mut self, worker: &WorkerEntry, acked_end: u64, now: Instant) {
-        let silent_for = worker.last_contact.map(|at| now.saturating_duration_since(at));
         self.workers += 1;
         self.unstored_workers += u64::from(worker.reported_end > acked_end);
-        self.silent_workers +=
-            u64::from(silent_for.is_none_or(|silent_for| silent_for >= SILENCE_TIMEOUT));
+        self.silent_workers += u64::from(worker.is_silent(now));
         worker.assigned.values().for_each(|run| self.runs.add(run));
         self.runs.unassigned += worker.unknown_runs.len() as u64;
     }
@@ -240,6 +237,8 @@
     use super::*;
 
     use crate::connection::node_protocol::RunnerStatus;
+    use crate::workflow::report_interval::MIN_REPORT_INTERVAL;
+    use crate::workflow::report_interval::silence_timeout;
     use crate::workflow::spec::ResourceVector;
     use crate::workflow::spec::StepSpec;
     use crate::workflow::worker_inventory::WorkerInventory;
@@ -345,7 +344,8 @@
         let now = Instant::now();
         let mut inventory = WorkerInventory::default();
         locate(&mut inventory, "i-1", "a", now);
-        let domain = summary_of(&inventory, now + SILENCE_TIMEOUT).domains["a"];
+        let domain =
+            summary_of(&inventory, now + silence_timeout(MIN_REPORT_INTERVAL)).domains["a"];
         assert_eq!((domain.workers, domain.silent_workers), (1, 1));
     }
 
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -36,6 +36,7 @@
 mod planner_traits;
 pub mod progress;
 pub mod remaining_work;
+pub mod report_interval;
 pub mod reservation;
 mod run_pace;
 pub mod search_budget;
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -35,6 +35,8 @@
 use crate::workflow::planner_rounds::PlanRound;
 use crate::workflow::planner_shares::FairShareState;
 use crate::workflow::progress::RunEnd;
+use crate::workflow::report_interval::MIN_REPORT_INTERVAL;
+use crate::workflow::report_interval::report_interval;
 use crate::workflow::start_doubts::StartDoubts;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::task_suspicion::TaskSuspicion;
@@ -77,6 +79,8 @@
     pub(crate) fair_share: FairShareState,
     /// Learned speeds of the workers; `None` if they are not learned.
     pub(crate) speeds: Option<FleetSpeed>,
+    /// Time between two reports of an agent without events.
+    pub(crate) report_interval: Duration,
     /// The planning round that is not complete yet.
     pub(crate) round: Option<PlanRound>,
     /// Time by which all leases granted by earlier planners have expired.
@@ -120,6 +124,7 @@
             admission: AdmissionControl::default(),
             fair_share: FairShareState::default(),
             speeds: None,
+            report_interval: MIN_REPORT_INTERVAL,
             round: None,
             inherited_lease_end,
         }
@@ -166,6 +171,8 @@
     /// ```
     pub fn on_tick(&mut self) {
         let (now, wall_ms) = (self.now, self.wall_ms);
+        let reporting = self.inventory.iter().filter(|(_, worker)| !worker.is_silent(now));
+        self.report_interval = report_interval(reporting.count());
         for instance in self.inventory.expired(now) {
             self.give_up_settled_runs(&instance, &[], LossReason::LeasesExpired);
         }
@@ -189,6 +196,19 @@
         }
     }
 
+    /// Returns the time between two reports of an agent without events.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// let planner = greengagearch::workflow::planner::Planner::new(Instant::now());
+    /// assert_eq!(planner.report_interval(), Duration::from_millis(400));
+    /// ```
+    pub fn report_interval(&self) -> Duration {
+        self.report_interval
+    }
+
     /// Returns the decisions made since the last call, for the log.
     ///
     /// ```
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -24,6 +24,7 @@
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
+use crate::workflow::report_interval::silence_timeout;
 use crate::workflow::start_doubts::StartDoubts;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_entry::OmissionChange;
@@ -122,6 +123,7 @@
         worker.is_evacuated = self.evacuations.requested.contains(&status.domain);
         worker.status = Some(status.clone());
         worker.last_contact = Some(self.now);
+        worker.silence_timeout = silence_timeout(self.report_interval);
         worker.resync |= is_new_link;
         worker.may_omit_ends &= !is_new_link;
     }
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -9,14 +9,13 @@
 use crate::connection::node_protocol::RunnerStatus;
 use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::assigned_run::EndedBestEffortRun;
+use crate::workflow::report_interval::MIN_REPORT_INTERVAL;
+use crate::workflow::report_interval::silence_timeout;
 use crate::workflow::reservation::Reservations;
 use crate::workflow::spec::ResourceVector;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_inventory::RunKey;
 
-/// Time without a report after which a worker gets no new runs; somewhat longer than two
-/// long-polling sync calls.
-pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Assumed share of its requested processor time that a serving task uses, for an estimate of what
 /// is left for best-effort tasks. The actual remainder shows in the usage that these report.
 pub(crate) const SERVING_UTILIZATION: f64 = 0.6;
@@ -64,6 +63,8 @@
     pub granted: OrderLease,
     /// When its agent last reported.
     pub last_contact: Option<Instant>,
+    /// Time after that at which it is silent.
+    pub silence_timeout: Duration,
     /// Time until which it gets no runs because it rejected one for lack of capacity.
     pub full_until: Option<Instant>,
     /// When a best-effort run was last assigned, removed or changed in pace here, as far as this
@@ -102,6 +103,7 @@
             lease_end,
             granted: OrderLease::default(),
             last_contact: None,
+            silence_timeout: silence_timeout(MIN_REPORT_INTERVAL),
             full_until: None,
             best_effort_changed: None,
             ended_best_effort: Vec::new(),
@@ -145,6 +147,19 @@
         self.reservations.available_to(self.free_resources(), task, now)
     }
 
+    /// Returns whether its agent has not reported for so long that it may be unreachable.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut inventory = greengagearch::workflow::worker_inventory::WorkerInventory::default();
+    /// assert!(inventory.entry("i-1", Instant::now()).is_silent(Instant::now()));
+    /// ```
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let silent_for = self.last_contact.map(|at| now.saturating_duration_since(at));
+        silent_for.is_none_or(|silent_for| silent_for >= self.silence_timeout)
+    }
+
     /// Returns whether it accepts new runs at `now`.
     ///
     /// ```
@@ -154,13 +169,10 @@
     /// assert!(!inventory.entry("i-1", Instant::now()).is_open(Instant::now()));
     /// ```
     pub fn is_open(&self, now: Instant) -> bool {
-        let is_reachable = self.last_contact.is_some_and(|last_contact| {
-            now.saturating_duration_since(last_contact) < SILENCE_TIMEOUT
-        });
         let is_full = self.full_until.is_some_and(|until| now < until);
         let is_draining = self.status.as_ref().is_none_or(|status| status.draining);
         let is_known = !self.resync && !self.may_omit_ends;
-        is_reachable && !is_full && !is_draining && !self.is_evacuated && is_known
+        !self.is_silent(now) && !is_full && !is_draining && !self.is_evacuated && is_known
     }
 
     /// Records whether the newest snapshot may omit ends, and ends the comparison of runs with the
--- a/src/workflow/worker_inventory.rs
+++ b/src/workflow/worker_inventory.rs
@@ -13,7 +13,6 @@
 use crate::workflow::spec::StepSpec;
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_entry::ENDED_RETENTION;
-use crate::workflow::worker_entry::SILENCE_TIMEOUT;
 use crate::workflow::worker_entry::WorkerEntry;
 
 /// Time for which a worker gets no new runs after it rejected one for lack of capacity. By then its
@@ -239,10 +238,7 @@
     /// ```
     pub fn expired(&self, now: Instant) -> Vec<InstanceId> {
         let is_expired = |entry: &(&InstanceId, &WorkerEntry)| {
-            let last_contact = entry.1.last_contact;
-            let is_silent =
-                last_contact.is_none_or(|at| now.saturating_duration_since(at) >= SILENCE_TIMEOUT);
-            is_silent && now >= entry.1.lease_end
+            entry.1.is_silent(now) && now >= entry.1.lease_end
         };
         self.workers.iter().filter(is_expired).map(|(instance, _)| instance.clone()).collect()
     }
