--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -3,6 +3,7 @@
 //! Several of these processes run at the same time. Each accepts jobs from callers and stores them;
 //! the one that holds the ownership of planning assigns the tasks of all jobs to workers.
 
+pub mod agent_links;
 pub mod commit_writer;
 pub mod decision_log;
 pub mod evacuation_status;
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,31 +15,30 @@
 use tokio::task::JoinHandle;
 use tokio::time::MissedTickBehavior;
 
-use crate::connection::node_protocol::NodeOrder;
 use crate::external::row_store::StoredRow;
 use crate::external::row_store::read_partitions;
 use crate::ids::InstanceId;
 use crate::ids::RowVersion;
 use crate::process::clock;
 use crate::process::logging::log_event;
+use crate::process::planning::agent_links::AgentContact;
+use crate::process::planning::agent_links::MAX_FIRST_CONTACTS;
 use crate::process::planning::decision_log::record_decision;
 use crate::process::planning::evacuation_watch::EvacuationRead;
 use crate::process::planning::evacuation_watch::EvacuationWatch;
 use crate::process::planning::handover::HandoverOutcome;
+use crate::process::planning::handover::handover_outcome;
 use crate::process::planning::node_link::LinkEvent;
 use crate::process::planning::node_link::NodeLink;
-use crate::process::planning::node_link::OrderBatch;
 use crate::process::planning::ownership::ConfirmedOwnership;
 use crate::process::planning::planner_writes::INTERFERENCE_PERIOD;
 use crate::process::planning::planner_writes::WriteTask;
-use crate::process::planning::planner_writes::handover_outcome;
 use crate::process::planning::planner_writes::write_result;
 use crate::process::planning::rows::IMAGES_KEY;
 use crate::process::planning::rows::JOB_TABLE;
 use crate::process::planning::rows::JobLayout;
 use crate::process::planning::rows::LEARNED_TABLE;
 use crate::process::planning::rows::NODE_TABLE;
-use crate::process::planning::rows::NodeRow;
 use crate::process::planning::rows::PARTITION;
 use crate::process::planning::rows::PROGRESS_TABLE;
 use crate::process::planning::rows::agent_partitions;
@@ -49,7 +47,6 @@
 use crate::process::planning::shared::OwnedPlanner;
 use crate::process::planning::shared::PlannerShared;
 use crate::process::planning::table_feed::TableFeed;
-use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::predecessor_leases_expired_by;
 use crate::workflow::learned_interference::LearnedInterference;
 use crate::workflow::planner::Planner;
@@ -66,42 +63,27 @@
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay before the planner may query the advice service again after a failed query.
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Maximum number of disputed instances that are remembered in order to log each once. More can
-/// only come from a faulty sender; the set is then cleared.
-const MAX_DISPUTED_INSTANCES: usize = 256;
-
 /// Maximum number of events of links that are handled before the loop looks at its other inputs.
 const MAX_EVENTS_PER_STEP: usize = 64;
-/// Maximum number of agents that are contacted for the first time at once. It bounds the work that a
-/// takeover in a large fleet brings in one step of the loop: on an eighth of a core, the first
-/// contact with so many agents takes about as long as the time between two heartbeats.
-const MAX_FIRST_CONTACTS: usize = 128;
-
-/// The node agent that has reported a runner instance as its own.
-struct AgentContact {
-    address: String,
-    /// When its last such report was processed.
-    reported_at: Instant,
-}
 
 /// The planner's loop and its state.
 pub struct PlannerLoop {
     pub(super) shared: Arc<PlannerShared>,
     pub(super) ownership: ConfirmedOwnership,
     /// Links to node agents, by address.
-    links: BTreeMap<String, NodeLink>,
+    pub(super) links: BTreeMap<String, NodeLink>,
     /// Node agent of each runner instance.
-    agent_contacts: BTreeMap<InstanceId, AgentContact>,
+    pub(super) agent_contacts: BTreeMap<InstanceId, AgentContact>,
     /// Runner instances that run at one agent but were reported by another, as its own or as ended,
     /// each with the address of the reporting agent. Each pair is logged once.
-    disputed_instances: BTreeSet<(InstanceId, String)>,
+    pub(super) disputed_instances: BTreeSet<(InstanceId, String)>,
     /// Sender for the events of the links; each link has a clone.
-    event_sender: mpsc::UnboundedSender<LinkEvent>,
+    pub(super) event_sender: mpsc::UnboundedSender<LinkEvent>,
     /// Limits the number of agents that are contacted for the first time at once.
-    first_contacts: Arc<Semaphore>,
+    pub(super) first_contacts: Arc<Semaphore>,
     /// Agents that were found at the takeover and have not been contacted yet; `None` until they
     /// are read.
-    uncontacted: Option<BTreeSet<String>>,
+    pub(super) uncontacted: Option<BTreeSet<String>>,
     /// The write in flight, if there is one.
     pub(super) write: Option<WriteTask>,
     /// The attempt to release the ownership through another process, if there is one.
@@ -297,124 +279,10 @@
         });
     }
 
-    fn on_nodes(&mut self, rows: &[StoredRow]) {
-        for row in rows {
-            let Some(node) = decode::<NodeRow>(row) else {
-                self.links.remove(&row.name.key);
-                continue;
-            };
-            if let Some(link) = self.links.get(&node.address) {
-                link.on_registered();
-                continue;
-            }
-            let (shared, event_sender) = (self.shared.clone(), self.event_sender.clone());
-            let first_contacts = self.first_contacts.clone();
-            let epoch = self.ownership.owner.epoch;
-            let address = node.address.clone();
-            let link = NodeLink::spawn(shared, epoch, node.address, event_sender, first_contacts);
-            self.links.insert(address, link);
-        }
-        if self.uncontacted.is_none() {
-            self.uncontacted = Some(self.links.keys().cloned().collect());
-        }
-    }
-
-    /// Whether all agents that were found at the takeover have been contacted, or could not be
-    /// reached.
-    pub(super) fn has_settled(&self) -> bool {
-        self.uncontacted.as_ref().is_some_and(BTreeSet::is_empty)
-    }
-
-    /// Records the end of the first attempt to contact an agent.
-    fn on_first_contact(&mut self, address: &str) {
-        let Some(uncontacted) = self.uncontacted.as_mut() else {
-            return;
-        };
-        if uncontacted.remove(address) && uncontacted.is_empty() {
-            let (epoch, agents) = (self.ownership.owner.epoch, self.links.len());
-            let elapsed_ms = clock::elapsed(self.ownership.answered_at).as_millis();
-            log_event(
-                Level::Info,
-                "agents_contacted",
-                &[("epoch", &epoch), ("agents", &agents), ("after_ms", &elapsed_ms)],
-            );
-        }
-    }
-
     fn on_evacuations(&mut self, read: EvacuationRead) {
         self.with_planner(|planner| planner.on_evacuations(read.evacuations, read.valid_until));
     }
 
-    fn on_link_event(&mut self, event: LinkEvent) -> StepResult {
-        match event {
-            LinkEvent::Report { address, mut report, is_new_link, first_contact: _ } => {
-                self.on_first_contact(&address);
-                report.former.retain(|instance| self.may_report_ended(&address, instance));
-                report.crashes.retain(|crash| report.former.contains(&crash.instance));
-                let runner =
-                    report.runner.take_if(|runner| !self.is_agent_of(&address, &runner.instance));
-                if runner.is_some() {
-                    report.snapshot = None;
-                }
-                if let Some(runner) = &report.runner {
-                    let contact = AgentContact { address, reported_at: clock::now() };
-                    self.agent_contacts.insert(runner.instance.clone(), contact);
-                }
-                self.with_planner(|planner| planner.on_report(*report, is_new_link));
-                Ok(())
-            }
-            LinkEvent::Unreachable { address } => {
-                self.on_first_contact(&address);
-                Ok(())
-            }
-            LinkEvent::Replaced(newest) if newest.epoch > self.ownership.owner.epoch => {
-                Err(format!("an agent has received calls of epoch {}", newest.epoch))
-            }
-            // The event comes from an old link, which a newer link of this planner to the same
-            // agent has replaced.
-            LinkEvent::Replaced(_) => Ok(()),
-        }
-    }
-
-    /// Whether an agent may report that a runner instance has ended: not if the instance is known
-    /// to run at another agent. An agent gets the name of such an instance from a heartbeat that
-    /// another program sent, or that was sent to the wrong host.
-    fn may_report_ended(&mut self, address: &str, instance: &InstanceId) -> bool {
-        let known = self.agent_contacts.get(instance);
-        if known.is_none_or(|known| known.address == address) {
-            return true;
-        }
-        self.log_dispute(address, instance);
-        false
-    }
-
-    /// Whether an agent may report a runner instance as its own: not if another agent has done so
-    /// recently, since its leases may still be valid.
-    fn is_agent_of(&mut self, address: &str, instance: &InstanceId) -> bool {
-        let known = self.agent_contacts.get(instance);
-        let is_agent = known.is_none_or(|known| {
-            known.address == address || clock::elapsed(known.reported_at) > MAX_LEASE
-        });
-        if !is_agent {
-            self.log_dispute(address, instance);
-        }
-        is_agent
-    }
-
-    /// Logs that an agent reports an instance that runs at another one.
-    fn log_dispute(&mut self, address: &str, instance: &InstanceId) {
-        if self.disputed_instances.len() >= MAX_DISPUTED_INSTANCES {
-            self.disputed_instances.clear();
-        }
-        if self.disputed_instances.insert((instance.clone(), address.to_string())) {
-            let known = self.agent_contacts.get(instance);
-            let known = known.map_or("", |known| known.address.as_str());
-            let fields: [(&str, &dyn Display); 3] =
-                [("instance", instance), ("agent", &address), ("known_at", &known)];
-            log_event(Level::Warn, "foreign_life_ignored", &fields);
-        }
-    }
-
     fn on_tick(&mut self) {
         self.with_planner(Planner::on_tick);
         self.hand_over_if_rejected();
@@ -468,26 +336,4 @@
             });
         }
     }
-
-    fn send_orders(&mut self) {
-        let orders = self.with_planner(Planner::take_orders).unwrap_or_default();
-        let mut batches: BTreeMap<InstanceId, Vec<NodeOrder>> = BTreeMap::new();
-        for (instance, order) in orders {
-            batches.entry(instance).or_default().push(order);
-        }
-        for (instance, orders) in batches {
-            let numbered =
-                self.with_planner(|planner| planner.assign_order_number(&instance, &orders));
-            let Some(number) = numbered.flatten() else {
-                continue;
-            };
-            let contact = self.agent_contacts.get(&instance);
-            let link = contact.and_then(|contact| self.links.get(&contact.address));
-            if let Some(link) = link {
-                // If the link has ended, a new one replaces it and the planner sends the orders
-                // again.
-                let _ = link.orders.send(OrderBatch { instance, number, orders });
-            }
-        }
-    }
 }
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -16,8 +16,6 @@
 use crate::process::planning::commit_writer::commit_until_settled;
 use crate::process::planning::decision_log::log_load;
 use crate::process::planning::decision_log::publish_shares;
-use crate::process::planning::handover::HandoverOutcome;
-use crate::process::planning::handover::release_through_peers;
 use crate::process::planning::host_admission::next_forecast;
 use crate::process::planning::planner_loop::PlannerLoop;
 use crate::process::planning::planner_loop::StepResult;
@@ -42,8 +40,6 @@
 pub(super) const INTERFERENCE_PERIOD: Duration = Duration::from_secs(4);
 /// Time between two log lines with the planner's load.
 const LOAD_LOG_PERIOD: Duration = Duration::from_secs(2);
-/// Time between two attempts to release the ownership through another process.
-const HANDOVER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Timeout of releasing the ownership at a graceful stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of rows of ended jobs that one transaction removes.
@@ -242,37 +238,13 @@
     }
 
     /// Creates the transaction that releases the ownership.
-    fn release_transaction(&self) -> RowTransaction {
+    pub(super) fn release_transaction(&self) -> RowTransaction {
         let released = OwnerRow { released: true, ..self.ownership.owner.clone() };
         let mut transaction = self.owner_transaction();
         transaction.puts.push((owner_row(), encode(&released)));
         transaction
     }
 
-    /// Starts to release the ownership through another process, if the store turns this host away.
-    pub(super) fn hand_over_if_rejected(&mut self) {
-        let now = clock::now();
-        if self.handover.is_some() || now < self.handover_due {
-            return;
-        }
-        if !self.shared.store.health().is_turning_away(now) {
-            return;
-        }
-        self.handover_due = now + HANDOVER_RETRY_DELAY;
-        let (shared, release) = (self.shared.clone(), self.release_transaction());
-        let handover = async move { release_through_peers(&shared, &release).await };
-        self.handover = Some(tokio::spawn(handover));
-    }
-
-    /// Handles the end of an attempt to hand over. Fails if the ownership is released.
-    pub(super) fn on_handover(&mut self, outcome: HandoverOutcome) -> StepResult {
-        self.handover = None;
-        match outcome {
-            HandoverOutcome::Ended => Err("the store turns this host away".to_string()),
-            HandoverOutcome::NotRelayed => Ok(()),
-        }
-    }
-
     /// Releases the ownership, so that another process takes over without the takeover timeout.
     pub(super) async fn release(&mut self) {
         let transaction = self.release_transaction();
@@ -289,17 +261,6 @@
     }
 }
 
-/// Waits for the attempt to hand over. Never returns if there is none.
-pub(super) async fn handover_outcome(
-    handover: &mut Option<JoinHandle<HandoverOutcome>>,
-) -> HandoverOutcome {
-    match handover {
-        // The runtime has printed a panic of the task, which has released nothing.
-        Some(task) => task.await.unwrap_or(HandoverOutcome::NotRelayed),
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits for the write in flight. Never returns if there is none.
 pub(super) async fn write_result(
     write: &mut Option<WriteTask>,
