Followers notice an outage of the store when their watchers do

Cause: a follower counts the store as reachable until a call of its own shows otherwise. When the store was silent for all, each follower learned it by the first job that was handed in there, which waited and got no certain answer.

Change: when no watcher serves a follower, the store counts as silent since it last confirmed what the follower knows, and a call that waits for nothing tells whether it is.

--- a/src/connection/feed_cache.rs
+++ b/src/connection/feed_cache.rs
@@ -107,6 +107,17 @@
         known.confirmed_at = known.confirmed_at.max(confirmed_at);
     }
 
+    /// Returns when the store last confirmed what is known of a table.
+    ///
+    /// ```
+    /// use greengagearch::connection::feed_cache::FeedCache;
+    ///
+    /// assert_eq!(FeedCache::default().confirmed_at("ownership"), None);
+    /// ```
+    pub fn confirmed_at(&self, table: &str) -> Option<Instant> {
+        self.tables.get(table).map(|known| known.confirmed_at)
+    }
+
     /// Returns the changes of a table after a version.
     ///
     /// # Errors
--- a/src/connection/store_health.rs
+++ b/src/connection/store_health.rs
@@ -82,6 +82,27 @@
         }
     }
 
+    /// Records that the store may have been silent since a time, according to the processes that
+    /// watch it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::connection::store_health::StoreHealth;
+    ///
+    /// let since = Instant::now();
+    /// let now = since + Duration::from_millis(1_500);
+    /// let mut health = StoreHealth::new(since);
+    /// health.on_silence(since);
+    /// assert!(!health.is_reachable(now));
+    /// health.on_response(now, false);
+    /// assert!(health.is_reachable(now));
+    /// ```
+    pub fn on_silence(&mut self, since: Instant) {
+        self.waiting_since.get_or_insert(since);
+    }
+
     /// Records a response of the store: the call was carried out or its condition did not hold.
     /// `was_waiting` tells whether the store may have waited for changes; such a call may have been
     /// sent long before.
--- a/src/process/planning/feed_router.rs
+++ b/src/process/planning/feed_router.rs
@@ -119,6 +119,7 @@
         if !sources.is_empty() && !store.health().has_responded() {
             return self.feed_directly(store, FeedCall { wait: Duration::ZERO, ..call }).await;
         }
+        let mut has_failed = false;
         for source in sources {
             if self.is_avoided(&source) {
                 continue;
@@ -129,8 +130,17 @@
                 }
                 None => self.avoid(source),
             }
+            has_failed = true;
         }
-        self.feed_directly(store, call).await
+        if !has_failed {
+            return self.feed_directly(store, call).await;
+        }
+        // The watchers may have ended, or the store may have been silent since it last confirmed
+        // their state; a call that waits for nothing tells which.
+        if let Some(confirmed_at) = self.cache().confirmed_at(call.table) {
+            store.health().on_silence(confirmed_at);
+        }
+        self.feed_directly(store, FeedCall { wait: Duration::ZERO, ..call }).await
     }
 
     async fn feed_directly(
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// Guards against callers of followers that wait in an outage of the store, and are told nothing certain: once all
+/// processes have noticed it, a job is refused at once, also by a follower that has made no call of its own.
+#[tokio::test]
+async fn followers_refuse_jobs_in_an_outage_that_their_watchers_have_noticed() {
+    let env = start().await;
+    env.planners.iter().for_each(|seat| seat.listener.set_fault(StoreFault::Silent));
+    for planner in 0..PLANNERS {
+        env.until(async || !is_ready(&env, planner).await).await;
+    }
+    for planner in followers(&env) {
+        let status = env.submit(planner, &job_name(1), &job_of_steps("run_ms=10", &[1])).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert!(env.store.keys("jobs").is_empty());
+}
+
+async fn is_ready(env: &PlatformCluster, planner: usize) -> bool {
+    let url = format!("http://{}/-/ready", env.planners[planner].process.address("ready"));
+    env.client().get(&url).send().await.is_ok_and(|answer| answer.status().is_success())
+}
+
 /// A follower has no watch of its own that would show that the store does not answer its host.
 #[tokio::test]
 async fn a_follower_that_is_cut_off_from_the_store_serves_through_others() {
@@ -124,12 +145,7 @@
     env.planners[follower].line.set_fault(ProxyFault::Cut);
     let body = job_of_steps("run_ms=10", &[1]);
     env.submit_until_accepted(follower, &job_name(1), &body).await;
-    let ready = format!("http://{}/-/ready", env.planners[follower].process.address("ready"));
-    let client = env.client();
-    env.until(async || {
-        client.get(&ready).send().await.is_ok_and(|answer| !answer.status().is_success())
-    })
-    .await;
+    env.until(async || !is_ready(&env, follower).await).await;
     env.planners[follower].line.set_fault(ProxyFault::None);
     env.until_ready(follower).await;
     env.until_state(follower, &job_name(1), "completed").await;
