--- a/tests/node_link.rs
+++ b/tests/node_link.rs
@@ -196,7 +196,7 @@
     }
 }
 
-/// Seen on a day on which 360 of 800 agents were replaced: their rows stay, and the planner made 740 connections a second
+/// Rows of agents that are gone stay. With 408 of them, as on a day of releases, a fixed delay makes 740 connections a second
 /// to nobody.
 #[test]
 fn links_to_agents_that_are_gone_are_tried_less_and_less() {
--- a/tests/report_interval.rs
+++ b/tests/report_interval.rs
@@ -11,7 +11,7 @@
 
 use crate::planning::PlannedFleet;
 
-/// What the planner takes for a report, of a core, measured at 800 workers.
+/// Upper bound of what the planner takes for a report: all that it takes at 800 workers, divided by its reports.
 const REPORT_SECONDS: f64 = 0.000_1;
 /// Share of a core of the weakest host that plans at the largest deployment.
 const WEAK_SHARE: f64 = 0.12;
