Review, case 3: a task that was done runs again after a crash

Promise: nothing runs again after an end that counts as taken note of (TWICE).

Case: a start gets no answer and its repeat does, on a runner that may start again under its id.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 //! With `TROUBLE=0` in the environment the disruption is left out.
 
 mod client;
+mod doubt;
 mod gang;
 mod pile;
 mod record;
@@ -147,6 +148,7 @@
 
 async fn play(case: &str, record: EventRecord) -> Verdict {
     match case {
+        "doubt" => doubt::play(record).await,
         "gang" => gang::play(record).await,
         "pile" => pile::play(record).await,
         _ => Verdict::NotRun,
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -88,9 +88,6 @@
     born: Option<u64>,
     /// Number of the life; late orders find the newest one.
     life: u32,
-    /// Until when every second order gets no answer and is carried out after a delay.
-    late: Option<(Instant, Duration)>,
-    orders: u64,
     /// Where this life's connections are served; they break when it ends.
     process: Option<Runtime>,
 }
@@ -121,6 +118,17 @@
     runners: Vec<RunnerState>,
     starts: Vec<StartEvent>,
     ends: Vec<EndEvent>,
+    late: Option<LateOrders>,
+    /// Runners and tasks of the starts that went unanswered.
+    unanswered: Vec<(String, String)>,
+}
+
+/// Orders that get no answer and are carried out late: every so many of all that come until a time.
+struct LateOrders {
+    until: Instant,
+    every: u64,
+    delay: Duration,
+    orders: u64,
 }
 
 /// All runners of the platform.
@@ -273,8 +281,6 @@
                 is_gone: false,
                 born: may_return.then(unix_millis),
                 life: 1,
-                late: None,
-                orders: 0,
                 process: None,
             });
             state.runners.len() - 1
@@ -304,15 +310,25 @@
         runner.process = Some(process);
     }
 
-    /// Lets every second order to a runner go without an answer for a time, and carries it out
-    /// after a delay.
-    pub fn set_late(&self, id: &str, span: Duration, delay: Duration) {
-        let mut state = self.lock();
-        for runner in state.runners.iter_mut().filter(|runner| runner.id == id) {
-            runner.late = Some((Instant::now() + span, delay));
-        }
-        let text = format!("runner {id} leaves every second order unanswered for {span:?}");
-        self.record.write(&format!("{text}, and carries it out {delay:?} late"));
+    /// Lets one of every so many orders go without an answer for a time, and carries it out after
+    /// a delay.
+    pub fn set_late(&self, span: Duration, every: u64, delay: Duration) {
+        let until = Instant::now() + span;
+        self.lock().late = Some(LateOrders { until, every, delay, orders: 0 });
+        let text = format!("for {span:?}, one of {every} orders goes unanswered");
+        self.record.write(&format!("{text} and is carried out {delay:?} late"));
+    }
+
+    /// Runners and tasks of the starts that went unanswered.
+    pub fn unanswered(&self) -> Vec<(String, String)> {
+        self.lock().unanswered.clone()
+    }
+
+    /// Whether a runner still lists the end `done` of a task, which nobody has taken note of.
+    pub fn lists_done(&self, id: &str, task: &str) -> bool {
+        let state = self.lock();
+        let mut runners = state.runners.iter().filter(|runner| runner.id == id && !runner.is_gone);
+        runners.any(|runner| runner.ended.iter().any(|end| end.task == task && end.how == "done"))
     }
 
     /// Ends a runner's process. Another one starts under its id and at its address after a while.
@@ -522,10 +538,17 @@
 async fn carry_out(seat: RunnerSeat, headers: HeaderMap, body: Value, order: Order) -> Response {
     let delay = {
         let mut state = seat.world.lock();
-        let runner = &mut state.runners[seat.index];
-        let late = runner.late.filter(|(until, _)| Instant::now() < *until);
-        runner.orders += u64::from(late.is_some());
-        late.filter(|_| runner.orders % 2 == 1).map(|(_, delay)| delay)
+        let id = state.runners[seat.index].id.clone();
+        let late = state.late.as_mut().filter(|late| Instant::now() < late.until);
+        let delay = late.and_then(|late| {
+            late.orders += 1;
+            (late.orders % late.every == 0).then_some(late.delay)
+        });
+        if delay.is_some() {
+            let task = body["Task"].as_str().unwrap_or_default().to_string();
+            state.unanswered.push((id, task));
+        }
+        delay
     };
     let Some(delay) = delay else {
         return order(&seat, &headers, &body);
