--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -25,8 +25,6 @@
     pub ready: SocketAddr,
     pub control: SocketAddr,
     child: Child,
-    command: Vec<String>,
-    settings: PathBuf,
     log: PathBuf,
 }
 
@@ -37,17 +35,6 @@
         let _ = self.child.wait();
     }
 
-    /// Starts the process again with the same settings.
-    pub fn restart(&mut self) {
-        self.kill();
-        self.child = spawn(&self.command, &self.settings, &self.log);
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
     /// What the process has written so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
@@ -107,8 +94,8 @@
         let command = vec![program.to_string(), "--settings-from".into(), SETTINGS_VARIABLE.into()];
         let log = self.folder.join(format!("{name}.log"));
         let child = spawn(&command, &file, &log);
-        let (name, settings) = (name.to_string(), file);
-        SystemProcess { name, front, ready, control, child, command, settings, log }
+        let name = name.to_string();
+        SystemProcess { name, front, ready, control, child, log }
     }
 
     fn free_port(&mut self, ip: IpAddr) -> u16 {
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -86,8 +86,6 @@
     is_gone: bool,
     /// Unix milliseconds of its start, where runners start again under their ids.
     born: Option<u64>,
-    /// Number of the life; late orders find the newest one.
-    life: u32,
     /// Where this life's connections are served; they break when it ends.
     process: Option<Runtime>,
 }
@@ -280,7 +278,6 @@
                 is_draining: false,
                 is_gone: false,
                 born: may_return.then(unix_millis),
-                life: 1,
                 process: None,
             });
             state.runners.len() - 1
@@ -358,7 +355,6 @@
             runner.highest.clear();
             runner.ended.clear();
             runner.born = Some(unix_millis());
-            runner.life += 1;
             runner.is_gone = false;
         }
         self.record.write(&format!("runner {id} has started again under its id"));
