Review, case 2: the hopeless job is one in 21 of its class

Promise: an accepted job is run while there is capacity for it (LOST).

Cause: the dose is a share of a class, and the hopeless job was the only one of its class. Case: it comes in a rush of 20 jobs of spot-check in 3 s, a share of 0.048; the site file has 0.05.

--- a/review/standins/src/pile.rs
+++ b/review/standins/src/pile.rs
@@ -16,6 +16,9 @@
 
 const HOPELESS: &str = "00000000deadbeef";
 const WIDTH: usize = 36;
+/// Jobs of the class in the 3 s in which the hopeless one comes.
+const RUSH: usize = 20;
+const RUSH_PAUSE_MS: u64 = 140;
 const INTERVAL_MS: u64 = 500;
 /// Traffic ends this long after it has begun.
 const TRAFFIC: Duration = Duration::from_secs(61);
@@ -33,25 +36,20 @@
     let mut number = 0_usize;
     while record.elapsed() < began + TRAFFIC {
         number += 1;
-        if number == 5 && deployment.has_trouble && !submit_hopeless(&deployment).await {
-            return Verdict::NotRun;
-        }
-        let id = format!("{number:08x}7a21d94b");
-        let traits = StepTraits {
-            count: 2,
-            cpu: 250,
-            mem: 100,
-            work_ms: 400.0,
-            is_gang: false,
-            has_checkpoints: false,
-            lasts: false,
-        };
-        deployment.world.add_job(&id, vec![traits]);
-        let body = json!({ "Spec": "check", "Steps": [{
-            "Count": 2, "Cpu": 250, "MemMb": 100, "EstimateMs": 400,
-        }] });
-        if deployment.client.submit(&format!("/spot-check/{id}"), &body, number).await {
-            accepted.push((id, record.elapsed()));
+        accepted.extend(submit_plain(&deployment, number).await);
+        if number == 4 {
+            // A rush of the class, of which the hopeless job is one in 21.
+            for position in 0..RUSH {
+                number += 1;
+                if position == RUSH / 2
+                    && deployment.has_trouble
+                    && !submit_hopeless(&deployment).await
+                {
+                    return Verdict::NotRun;
+                }
+                accepted.extend(submit_plain(&deployment, number).await);
+                pause(RUSH_PAUSE_MS).await;
+            }
         }
         pause(1_000).await;
     }
@@ -62,6 +60,27 @@
     judge(&deployment, &accepted).await
 }
 
+/// Hands in a job that is done at once. Returns it if it was accepted.
+async fn submit_plain(deployment: &SmallDeployment, number: usize) -> Option<(String, Duration)> {
+    let id = format!("{number:08x}7a21d94b");
+    let traits = StepTraits {
+        count: 2,
+        cpu: 250,
+        mem: 100,
+        work_ms: 400.0,
+        is_gang: false,
+        has_checkpoints: false,
+        lasts: false,
+    };
+    deployment.world.add_job(&id, vec![traits]);
+    let body = json!({ "Spec": "check", "Steps": [{
+        "Count": 2, "Cpu": 250, "MemMb": 100, "EstimateMs": 400,
+    }] });
+    let path = format!("/spot-check/{id}");
+    let is_accepted = deployment.client.submit(&path, &body, number).await;
+    is_accepted.then(|| (id, deployment.record.elapsed()))
+}
+
 async fn submit_hopeless(deployment: &SmallDeployment) -> bool {
     // The tasks of the first step are small; the last step needs more than any runner has.
     let cpu = 2 * CAPACITY_CPU;
@@ -84,7 +103,7 @@
         "Spec": "hourly report", "Steps": steps, "Times": 1_000,
         "FirstMs": now.as_millis() as u64, "IntervalMs": INTERVAL_MS,
     });
-    deployment.client.submit(&format!("/log-build/{HOPELESS}"), &body, 0).await
+    deployment.client.submit(&format!("/spot-check/{HOPELESS}"), &body, 0).await
 }
 
 async fn judge(deployment: &SmallDeployment, accepted: &[(String, Duration)]) -> Verdict {
