Review, case 3: one runner of eleven is taken away

Promise: no run ends alone while nothing is wrong (GANG).

Cause: one runner of six is more than the site's share. Case: eleven runners, as the site has.

--- a/review/standins/src/gang.rs
+++ b/review/standins/src/gang.rs
@@ -25,7 +25,7 @@
 
 pub async fn play(record: EventRecord) -> Verdict {
     let routes = json!([route("log-build", 2, 1_000, 4)]);
-    let Some(deployment) = SmallDeployment::start(record.clone(), routes, 6, false).await else {
+    let Some(deployment) = SmallDeployment::start(record.clone(), routes, 11, false).await else {
         return Verdict::NotRun;
     };
     let world = &deployment.world;
