Ends are stored while an attempt to start their run is in doubt

Cause: a start without an answer may be carried out for 12 s by any instance with the runner's id. Until then the planner passed over the end of the run, so that only the runner's memory held it, and a crash of the runner lost it.

Change: the end takes effect and is stored at once, with the attempt that stays. What needs the doubt to be over still waits: to acknowledge the end and the later ones of that runner, to show the job as completed, to start a task that is not done elsewhere. A next instance that shows the run of a done task is told to stop it.

Why it works: the row outlives the runner, its agent and the planner, and a stored end is never started again; the late start that the wait was made for still finds its end unacknowledged.

--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -99,6 +99,17 @@
             "start_in_doubt",
             &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
         ),
+        PlanDecision::EndRecorded { task, run, worker, end } => log_event(
+            Level::Info,
+            "end_recorded",
+            &[
+                ("task", task),
+                ("run", run),
+                ("worker", worker),
+                ("end", &format!("{end:?}")),
+                ("epoch", &epoch),
+            ],
+        ),
         PlanDecision::StartWithdrawn { task, run, worker } => log_event(
             Level::Info,
             "start_withdrawn",
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -164,7 +164,7 @@
         worker: InstanceId,
     },
     /// An attempt to start a run may still be carried out, also by a later instance of its runner.
-    /// The end of the run does not count until then, and the task starts nowhere else.
+    /// Until then the end of the run is not acknowledged, and the task starts nowhere else.
     StartInDoubt {
         /// Task of the run.
         task: TaskName,
@@ -173,6 +173,18 @@
         /// Instance that the run is assigned to.
         worker: InstanceId,
     },
+    /// The end of a run is recorded, and not acknowledged yet, since an attempt to start the run is
+    /// in doubt.
+    EndRecorded {
+        /// Task of the run.
+        task: TaskName,
+        /// Number of the run.
+        run: RunNumber,
+        /// Instance that has reported the end.
+        worker: InstanceId,
+        /// How the run ended.
+        end: RunEnd,
+    },
     /// A start was decided before the failure domain of its worker was evacuated, and is not
     /// ordered.
     StartWithdrawn {
@@ -330,6 +342,7 @@
             PlanDecision::RunUnknown { .. } => "unknown",
             PlanDecision::RunAdopted { .. } => "adopted",
             PlanDecision::StartInDoubt { .. } => "start_in_doubt",
+            PlanDecision::EndRecorded { .. } => "end_recorded",
             PlanDecision::StartWithdrawn { .. } => "start_withdrawn",
             PlanDecision::EvacuationStarted { .. } => "evacuation_started",
             PlanDecision::EvacuationEnded { .. } => "evacuation_ended",
--- a/src/workflow/planner_crashes.rs
+++ b/src/workflow/planner_crashes.rs
@@ -22,9 +22,11 @@
     /// together with its job, if there is one.
     pub(crate) fn on_crash(&mut self, crash: &RunnerCrash) -> Option<TaskName> {
         let worker = self.inventory.get(&crash.instance).filter(|worker| !worker.has_ended)?;
-        let is_assigned = |task: &TaskName, run| worker.assigned.contains_key(&(task.clone(), run));
-        let assigned = crash.young.iter().filter(|recent| is_assigned(&recent.task, recent.run));
-        let recent = assigned.map(|run| CrashedRun {
+        let is_active =
+            |key: &RunKey| worker.assigned.contains_key(key) && !self.has_recorded_end(key);
+        let active =
+            crash.young.iter().filter(|recent| is_active(&(recent.task.clone(), recent.run)));
+        let recent = active.map(|run| CrashedRun {
             task: run.task.clone(),
             max_age: run.max_age,
             min_age: run.min_age,
--- a/src/workflow/planner_doubts.rs
+++ b/src/workflow/planner_doubts.rs
@@ -74,13 +74,28 @@
     /// start it may still be carried out. Of a long-running task nothing is ever done, and it must
     /// not be away for so long.
     pub(crate) fn is_retained(&self, key: &RunKey) -> bool {
-        if !self.start_doubts.contains(key, self.now) {
+        let Some(entry) = self.jobs.get(&key.0.job) else {
             return false;
-        }
-        let Some(entry) = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none()) else {
+        };
+        let Some(task) = entry.progress.task(&key.0) else {
             return false;
         };
-        let is_done = entry.progress.task(&key.0).is_none_or(|task| task.done);
-        !is_done && !entry.step(&key.0).is_some_and(|step| step.long_running)
+        let may_begin = self.start_doubts.contains(key, self.now)
+            && !entry.step(&key.0).is_some_and(|step| step.long_running);
+        may_begin && (self.has_recorded_end(key) || (entry.end.is_none() && !task.done))
+    }
+
+    /// Returns whether the end of a run is recorded that is still assigned.
+    pub(crate) fn has_recorded_end(&self, key: &RunKey) -> bool {
+        let task = self.jobs.get(&key.0.job).and_then(|entry| entry.progress.task(&key.0));
+        task.and_then(|task| task.attempt(key.1)).is_some_and(|attempt| attempt.end.is_some())
+    }
+
+    /// Returns whether a task of a job is done that may begin again, since an attempt to start one
+    /// of its runs may still be carried out.
+    pub(crate) fn may_begin_again(&self, job: &str) -> bool {
+        let attempts = self.jobs.get(job).map(|entry| entry.progress.attempts(job));
+        let mut runs = attempts.into_iter().flatten().map(|(name, attempt)| (name, attempt.run));
+        runs.any(|key| self.has_recorded_end(&key) && self.is_retained(&key))
     }
 }
--- a/src/workflow/planner_ends.rs
+++ b/src/workflow/planner_ends.rs
@@ -5,17 +5,21 @@
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
+use crate::workflow::spec::StepSpec;
+use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_inventory::RunKey;
 
 impl Planner {
-    /// Records the ends that a worker reports, except those of retained runs. The worker may discard
-    /// the ends before the first of these.
+    /// Records the ends that a worker reports, and has it discard those before the first end of a
+    /// retained run: once an end is acknowledged, its task must not begin again, not even by an
+    /// attempt that is carried out late. The later ends are numbered and wait as well.
     pub(crate) fn on_ends(&mut self, instance: &str, ends: Vec<EndedRun>) {
         let mut last = None;
         let mut has_retained = false;
         for ended in ends {
             if self.is_retained(&(ended.task.clone(), ended.run)) {
                 has_retained = true;
+                self.record_retained_end(instance, ended);
                 continue;
             }
             if !has_retained {
@@ -28,23 +32,57 @@
         }
     }
 
+    /// Records the end of a run that stays assigned. Without the record a crash of the runner would
+    /// lose the end, since the runner keeps its ends in memory only.
+    fn record_retained_end(&mut self, instance: &str, ended: EndedRun) {
+        let key = (ended.task, ended.run);
+        self.mark_begun(&key.0);
+        let Some(entry) = self.jobs.get_mut(&key.0.job) else {
+            return;
+        };
+        let step = entry.step(&key.0).cloned().unwrap_or_default();
+        let progress = &mut entry.progress;
+        if !progress.record_end(&key.0, key.1, ended.end, &ended.checkpoint, &step) {
+            return;
+        }
+        entry.on_run_end(self.wall_ms);
+        self.decisions.push(PlanDecision::EndRecorded {
+            task: key.0.clone(),
+            run: key.1,
+            worker: instance.to_string(),
+            end: ended.end,
+        });
+        self.learn_from_end(instance, &key.0, ended.end);
+        if let Some(worker) = self.inventory.get_mut(instance) {
+            worker.isolated.take_if(|isolated| *isolated == key);
+        }
+        self.apply_run_end(&key, ended.end, &step);
+    }
+
     fn on_ended(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
         self.mark_begun(&key.0);
         // An end is reported until the runner has discarded it, and counts once.
-        let is_new =
-            self.inventory.get(instance).is_some_and(|worker| worker.assigned.contains_key(&key));
-        match ended.end {
-            RunEnd::Done if is_new => self.on_success(instance, &key.0),
-            RunEnd::Failed if is_new => self.on_failure(instance, &key.0),
-            _ => {}
-        }
-        if matches!(ended.end, RunEnd::Done | RunEnd::Failed) {
+        let worker = self.inventory.get(instance);
+        let is_new = worker.is_some_and(|worker| worker.assigned.contains_key(&key));
+        if is_new && !self.has_recorded_end(&key) {
+            self.learn_from_end(instance, &key.0, ended.end);
+        } else if matches!(ended.end, RunEnd::Done | RunEnd::Failed) {
             self.clear_task(&key.0);
         }
         self.end_run(instance, &key, (ended.end, EndCause::Reported), &ended.checkpoint);
     }
 
+    /// Updates what is suspected of the worker and the task of a run that has ended.
+    fn learn_from_end(&mut self, instance: &str, name: &TaskName, end: RunEnd) {
+        match end {
+            RunEnd::Done => self.on_success(instance, name),
+            RunEnd::Failed => self.on_failure(instance, name),
+            _ => return,
+        }
+        self.clear_task(name);
+    }
+
     /// Removes a run from its worker and records its end in its job.
     pub(crate) fn end_run(
         &mut self,
@@ -72,14 +110,23 @@
             return;
         };
         let step = entry.step(&key.0).cloned().unwrap_or_default();
-        entry.last_run_ms = self.wall_ms;
-        entry.remaining_work = None;
-        if !entry.progress.on_end(&key.0, key.1, end, checkpoint, &step) {
-            return;
+        entry.on_run_end(self.wall_ms);
+        if entry.progress.on_end(&key.0, key.1, end, checkpoint, &step) {
+            self.apply_run_end(key, end, &step);
         }
+    }
+
+    /// Updates the other runs and the completion of a job whose progress an end has changed.
+    fn apply_run_end(&mut self, key: &RunKey, end: RunEnd, step: &StepSpec) {
+        let Some(entry) = self.jobs.get_mut(&key.0.job) else {
+            return;
+        };
         self.changed_jobs.insert(key.0.job.clone());
-        let has_other_runs =
-            || entry.progress.task(&key.0).is_some_and(|task| !task.attempts.is_empty());
+        let has_other_runs = || {
+            let mut attempts =
+                entry.progress.task(&key.0).into_iter().flat_map(|one| &one.attempts);
+            attempts.any(|attempt| attempt.run != key.1)
+        };
         let stops_others =
             step.speculative || step.gang || (!step.long_running && has_other_runs());
         if end == RunEnd::Done && stops_others {
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -99,6 +99,12 @@
         self.spec.steps.get(name.step as usize)
     }
 
+    /// Notes that a run has ended, which changes the work that remains.
+    pub(crate) fn on_run_end(&mut self, wall_ms: u64) {
+        self.last_run_ms = wall_ms;
+        self.remaining_work = None;
+    }
+
     /// Work that remains, as of the last planning round.
     pub(crate) fn remaining_work(&self) -> RemainingWork {
         self.remaining_work.unwrap_or_else(|| RemainingWork::of(self))
@@ -254,7 +260,9 @@
         }
         if entry.progress.max_failures() >= entry.spec.policy.max_attempts {
             self.end_job(job, JobEnd::Failed);
-        } else if entry.next_occurrence >= entry.spec.occurrences() && entry.progress.is_all_done()
+        } else if entry.next_occurrence >= entry.spec.occurrences()
+            && entry.progress.is_all_done()
+            && !self.may_begin_again(job)
         {
             self.end_job(job, JobEnd::Completed);
         }
@@ -282,7 +290,9 @@
         });
         self.changed_jobs.insert(job.to_string());
         for (name, attempt) in entry.progress.attempts(job) {
-            self.stop_run(&attempt.worker, (name, attempt.run));
+            if attempt.end.is_none() {
+                self.stop_run(&attempt.worker, (name, attempt.run));
+            }
         }
     }
 
@@ -297,7 +307,9 @@
                 && (whole_step || other.index == name.index)
         };
         let attempts = entry.progress.attempts(&name.job);
-        for (task, attempt) in attempts.into_iter().filter(|(task, _)| is_same(task)) {
+        let active =
+            attempts.into_iter().filter(|(task, attempt)| is_same(task) && attempt.end.is_none());
+        for (task, attempt) in active {
             self.stop_run(&attempt.worker, (task, attempt.run));
         }
     }
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -146,8 +146,7 @@
     /// The instance to which an active run is assigned.
     fn assigned_instance(&self, key: &RunKey) -> Option<InstanceId> {
         let task = self.jobs.get(&key.0.job)?.progress.task(&key.0)?;
-        let attempt = task.attempts.iter().find(|attempt| attempt.run == key.1)?;
-        Some(attempt.worker.clone())
+        task.attempt(key.1).map(|attempt| attempt.worker.clone())
     }
 
     fn adopt_run(&mut self, key: &RunKey, former: &str, instance: &str) {
@@ -158,24 +157,26 @@
             worker: instance.to_string(),
         });
         let was_stopping = self.inventory.transfer(former, instance, key);
-        self.record_instance(key, instance);
-        if was_stopping {
+        let is_done = self.record_instance(key, instance);
+        if was_stopping || is_done {
             self.stop_run(instance, key.clone());
         }
     }
 
-    /// Records in the row of the job which instance has a run.
-    fn record_instance(&mut self, key: &RunKey, instance: &str) {
-        let Some(entry) = self.jobs.get_mut(&key.0.job) else {
-            return;
+    /// Records in the row of the job which instance has a run. A recorded end that did not complete
+    /// the task is discarded, since the run has begun again. Returns whether the task is done.
+    fn record_instance(&mut self, key: &RunKey, instance: &str) -> bool {
+        let entry = self.jobs.get_mut(&key.0.job);
+        let Some(task) = entry.and_then(|entry| entry.progress.task_mut(&key.0)) else {
+            return false;
         };
-        let task = entry.progress.task_mut(&key.0);
-        let attempt =
-            task.and_then(|task| task.attempts.iter_mut().find(|attempt| attempt.run == key.1));
-        if let Some(attempt) = attempt {
+        let is_done = task.done;
+        if let Some(attempt) = task.attempt_mut(key.1) {
             attempt.worker = instance.to_string();
+            attempt.end.take_if(|end| *end != RunEnd::Done);
             self.changed_jobs.insert(key.0.job.clone());
         }
+        is_done
     }
 
     fn on_snapshot(&mut self, instance: &str, snapshot: RunnerSnapshot, sent_at: Duration) {
@@ -211,11 +212,11 @@
         self.log_omission(instance, omission, ended.len());
         // A run whose end may be omitted from the list is not absent.
         for key in absent.into_iter().filter(|_| !snapshot.may_omit_ends) {
-            let is_retained = self.is_retained(&key);
-            match (resync, is_retained) {
-                (true, _) if !ended.contains(&key) => self.resend_start(instance, &key),
-                (_, true) => {}
-                (_, false) => self.end_absent_run(instance, &key),
+            let is_lost_order = resync && !ended.contains(&key) && !self.has_recorded_end(&key);
+            match (is_lost_order, self.is_retained(&key)) {
+                (true, _) => self.resend_start(instance, &key),
+                (false, true) => {}
+                (false, false) => self.end_absent_run(instance, &key),
             }
         }
         if resync && omission != Some(OmissionChange::Continues) {
--- a/src/workflow/planner_rounds.rs
+++ b/src/workflow/planner_rounds.rs
@@ -430,7 +430,7 @@
             age_ms: self.wall_ms.saturating_sub(due_ms),
             failures: task.failures,
         });
-        task.attempts.push(RunAttempt { run, worker: worker.clone(), in_doubt: false });
+        task.attempts.push(RunAttempt { run, worker: worker.clone(), in_doubt: false, end: None });
         self.inventory.assign(&worker, key.clone(), spec, self.now, self.inherited_lease_end);
         self.set_yields(&worker, &key);
         if self.task_suspicion.is_isolated(name) {
--- a/src/workflow/run_ends.rs
+++ b/src/workflow/run_ends.rs
@@ -32,14 +32,60 @@
         let Some(task) = self.task_mut(name) else {
             return false;
         };
-        let count_before = task.attempts.len();
-        task.attempts.retain(|attempt| attempt.run != run);
-        let was_given_up = task.attempts.len() == count_before;
+        let ended = task.attempts.extract_if(.., |attempt| attempt.run == run).next();
         let is_done_late = end == RunEnd::Done && !task.done && run <= task.last_run;
-        if was_given_up && !is_done_late {
-            return false;
+        let is_recorded = ended.as_ref().is_some_and(|attempt| attempt.end.is_some());
+        if is_done_late || (ended.is_some() && !is_recorded) {
+            self.apply_end(name, run, end, checkpoint, step);
         }
-        if !checkpoint.is_empty() {
+        ended.is_some() || is_done_late
+    }
+
+    /// Records the end of a run of which an attempt to start may still be carried out: the end takes
+    /// effect, and the attempt stays. Returns whether the end is new.
+    ///
+    /// ```
+    /// use greengagearch::workflow::progress::JobProgress;
+    /// use greengagearch::workflow::progress::RunEnd;
+    /// use greengagearch::workflow::spec::StepSpec;
+    /// use greengagearch::workflow::task_progress::RunAttempt;
+    ///
+    /// let mut progress = JobProgress::default();
+    /// progress.open_occurrence(0, &[1]);
+    /// let name = "a.0.0.0".parse().unwrap();
+    /// let attempt = RunAttempt { run: 1, worker: "i-1".into(), in_doubt: true, end: None };
+    /// progress.task_mut(&name).unwrap().attempts.push(attempt);
+    /// let step = StepSpec { count: 1, ..StepSpec::default() };
+    /// assert!(progress.record_end(&name, 1, RunEnd::Done, "", &step));
+    /// assert!(!progress.record_end(&name, 1, RunEnd::Done, "", &step));
+    /// assert!(progress.is_all_done() && !progress.is_idle());
+    /// ```
+    pub fn record_end(
+        &mut self,
+        name: &TaskName,
+        run: RunNumber,
+        end: RunEnd,
+        checkpoint: &str,
+        step: &StepSpec,
+    ) -> bool {
+        let attempt = self.task_mut(name).and_then(|task| task.attempt_mut(run));
+        let Some(attempt) = attempt.filter(|attempt| attempt.end.is_none()) else {
+            return false;
+        };
+        attempt.end = Some(end);
+        self.apply_end(name, run, end, checkpoint, step);
+        true
+    }
+
+    fn apply_end(
+        &mut self,
+        name: &TaskName,
+        run: RunNumber,
+        end: RunEnd,
+        checkpoint: &str,
+        step: &StepSpec,
+    ) {
+        if let Some(task) = self.task_mut(name).filter(|_| !checkpoint.is_empty()) {
             task.checkpoint = checkpoint.to_string();
         }
         match end {
@@ -47,7 +93,6 @@
             RunEnd::Failed if !step.long_running => self.on_failed(name, run, step),
             _ => {}
         }
-        true
     }
 
     fn on_failed(&mut self, name: &TaskName, run: RunNumber, step: &StepSpec) {
--- a/src/workflow/task_progress.rs
+++ b/src/workflow/task_progress.rs
@@ -6,6 +6,7 @@
 use crate::ids::CheckpointRef;
 use crate::ids::InstanceId;
 use crate::ids::RunNumber;
+use crate::workflow::progress::RunEnd;
 
 /// A run of a task that may still be active.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +20,9 @@
     /// Whether an attempt to start it had no response and may still be carried out.
     #[serde(rename = "u", default, skip_serializing_if = "is_false")]
     pub in_doubt: bool,
+    /// How the run ended, if the attempt stays only because an attempt to start the run is in doubt.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<RunEnd>,
 }
 
 /// Crash of a runner instance shortly after a run of the task had started on it.
@@ -69,6 +73,30 @@
     pub attempts: Vec<RunAttempt>,
 }
 
+impl TaskProgress {
+    /// Returns the attempt with a run number, unless it was given up.
+    ///
+    /// ```
+    /// use greengagearch::workflow::task_progress::TaskProgress;
+    ///
+    /// assert_eq!(TaskProgress::default().attempt(1), None);
+    /// ```
+    pub fn attempt(&self, run: RunNumber) -> Option<&RunAttempt> {
+        self.attempts.iter().find(|attempt| attempt.run == run)
+    }
+
+    /// Returns the attempt with a run number for changes, unless it was given up.
+    ///
+    /// ```
+    /// use greengagearch::workflow::task_progress::TaskProgress;
+    ///
+    /// assert_eq!(TaskProgress::default().attempt_mut(1), None);
+    /// ```
+    pub fn attempt_mut(&mut self, run: RunNumber) -> Option<&mut RunAttempt> {
+        self.attempts.iter_mut().find(|attempt| attempt.run == run)
+    }
+}
+
 fn is_false(value: &bool) -> bool {
     !value
 }
