Ends of gangs and cancelled jobs wait while a start is in doubt

A task may run again after an end as done was acknowledged.

Cause: ends were kept back only where the planner needed the task: not after another member of the gang was done or the job was cancelled. An acknowledged end is final all the same, and the next instance of the runner may carry out the start in doubt.

Change: ends as done or failed are recorded and wait wherever an attempt is in doubt; the rows name such attempts, whatever became of the task.

--- a/src/workflow/planner_doubts.rs
+++ b/src/workflow/planner_doubts.rs
@@ -6,7 +6,9 @@
 use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
+use crate::workflow::progress::RunEnd;
 use crate::workflow::start_doubts::LATE_DELIVERY_SPAN;
+use crate::workflow::task_progress::RunAttempt;
 use crate::workflow::worker_inventory::RunKey;
 
 impl Planner {
@@ -53,7 +55,7 @@
     fn store_doubts(&mut self, keys: &[RunKey]) {
         for key in keys {
             let (name, run) = key;
-            if !self.is_retained(key) {
+            if !self.may_begin(key) {
                 continue;
             }
             let task = self.jobs.get_mut(&name.job).and_then(|entry| entry.progress.task_mut(name));
@@ -70,9 +72,16 @@
         }
     }
 
+    /// Returns whether an attempt to start a run may still be carried out. Of a long-running task
+    /// nothing is ever done, and it must not be away for so long.
+    fn may_begin(&self, key: &RunKey) -> bool {
+        let step = self.jobs.get(&key.0.job).and_then(|entry| entry.step(&key.0));
+        let is_long_running = step.is_some_and(|step| step.long_running);
+        self.start_doubts.contains(key, self.now) && !is_long_running
+    }
+
     /// Returns whether a run has to stay assigned whatever its worker reports, since an attempt to
-    /// start it may still be carried out. Of a long-running task nothing is ever done, and it must
-    /// not be away for so long.
+    /// start it may still be carried out.
     pub(crate) fn is_retained(&self, key: &RunKey) -> bool {
         let Some(entry) = self.jobs.get(&key.0.job) else {
             return false;
@@ -80,22 +89,39 @@
         let Some(task) = entry.progress.task(&key.0) else {
             return false;
         };
-        let may_begin = self.start_doubts.contains(key, self.now)
-            && !entry.step(&key.0).is_some_and(|step| step.long_running);
-        may_begin && (self.has_recorded_end(key) || (entry.end.is_none() && !task.done))
+        let is_needed = entry.end.is_none() && !task.done;
+        self.may_begin(key) && (is_needed || self.has_recorded_end(key))
+    }
+
+    /// Returns whether the end of a run has to be recorded while the run stays assigned: it counts
+    /// as soon as it is acknowledged, even if its job has ended or another member of its gang is
+    /// done. Copies of a speculative task may run again.
+    pub(crate) fn retains_end(&self, key: &RunKey, end: RunEnd) -> bool {
+        let step = self.jobs.get(&key.0.job).and_then(|entry| entry.step(&key.0));
+        let is_speculative = step.is_some_and(|step| step.speculative);
+        let counts = matches!(end, RunEnd::Done | RunEnd::Failed) && !is_speculative;
+        let is_assigned = self.attempt(key).is_some();
+        self.is_retained(key) || (counts && is_assigned && self.may_begin(key))
+    }
+
+    fn attempt(&self, key: &RunKey) -> Option<&RunAttempt> {
+        self.jobs.get(&key.0.job)?.progress.task(&key.0)?.attempt(key.1)
     }
 
     /// Returns whether the end of a run is recorded that is still assigned.
     pub(crate) fn has_recorded_end(&self, key: &RunKey) -> bool {
-        let task = self.jobs.get(&key.0.job).and_then(|entry| entry.progress.task(&key.0));
-        task.and_then(|task| task.attempt(key.1)).is_some_and(|attempt| attempt.end.is_some())
+        self.attempt(key).is_some_and(|attempt| attempt.end.is_some())
     }
 
-    /// Returns whether a task of a job is done that may begin again, since an attempt to start one
+    /// Returns whether a task of a job that is done may begin again, since an attempt to start one
     /// of its runs may still be carried out.
     pub(crate) fn may_begin_again(&self, job: &str) -> bool {
-        let attempts = self.jobs.get(job).map(|entry| entry.progress.attempts(job));
-        let mut runs = attempts.into_iter().flatten().map(|(name, attempt)| (name, attempt.run));
-        runs.any(|key| self.has_recorded_end(&key) && self.is_retained(&key))
+        let Some(entry) = self.jobs.get(job) else {
+            return false;
+        };
+        entry.progress.attempts(job).into_iter().any(|(name, attempt)| {
+            let is_gang = entry.step(&name).is_some_and(|step| step.gang);
+            (attempt.end.is_some() || is_gang) && self.may_begin(&(name, attempt.run))
+        })
     }
 }
--- a/src/workflow/planner_ends.rs
+++ b/src/workflow/planner_ends.rs
@@ -17,7 +17,7 @@
         let mut last = None;
         let mut has_retained = false;
         for ended in ends {
-            if self.is_retained(&(ended.task.clone(), ended.run)) {
+            if self.retains_end(&(ended.task.clone(), ended.run), ended.end) {
                 has_retained = true;
                 self.record_retained_end(instance, ended);
                 continue;
--- a/src/workflow/run_ends.rs
+++ b/src/workflow/run_ends.rs
@@ -73,6 +73,7 @@
             return false;
         };
         attempt.end = Some(end);
+        attempt.in_doubt = true;
         self.apply_end(name, run, end, checkpoint, step);
         true
     }
--- a/tests/recorded_ends.rs
+++ b/tests/recorded_ends.rs
@@ -238,3 +238,30 @@
     assert_eq!(fleet.runners[NEXT].stops.first(), Some(&key));
     assert_eq!(fleet.planner.status("a"), completed());
 }
+
+/// Guards against a member of a gang that runs again after it was done: the end of another member had settled the step.
+#[test]
+fn the_end_of_a_gang_member_in_doubt_is_not_acknowledged_after_that_of_another() {
+    let mut fleet = fleet(job(vec![StepSpec { gang: true, ..step(2, 100) }]));
+    let (first, second) = (run("a.0.0.0", 1), run("a.0.0.1", 1));
+    fleet.end(FIRST, &first, RunEnd::Done, "");
+    fleet.end(FIRST, &second, RunEnd::Done, "");
+    report_doubts(&mut fleet, std::slice::from_ref(&second), LATE_FOR);
+    assert_eq!(fleet.planner.last_acked_end(FIRST), 1);
+    assert_eq!(fleet.planner.status("a"), Some(JobStatus::Running));
+}
+
+/// Guards against a task that runs again after it was done: the cancelling of its job ended the wait for an attempt in doubt.
+#[test]
+fn an_end_in_doubt_is_not_acknowledged_when_its_job_is_cancelled() {
+    let mut fleet = fleet(job(vec![step(2, 100)]));
+    let key = run("a.0.0.0", 1);
+    fleet.end(FIRST, &key, RunEnd::Done, "");
+    fleet.cancel("a");
+    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    assert_eq!(fleet.planner.last_acked_end(FIRST), 0);
+    assert_eq!(fleet.planner.status("a"), Some(JobStatus::Ended(JobEnd::Cancelled)));
+    pass_doubt(&mut fleet);
+    assert!(!fleet.progress.contains_key("a"));
+    assert!(fleet.planner.last_acked_end(FIRST) > 0);
+}
