A doubt about a start ends with a look, not by the clock alone

Cause: an agent stood still while the next instance of its runner, which it had not called, carried out an attempt. When it woke, the time of the attempt was over: it reported no doubt, and the planner gave the run up on a report that did not show what that instance had done. For silent hosts the planner counted the attempt, and not the lease of what it may have begun.

Change: a doubt ends when a poll that was sent after the attempt's time is answered, or when the lease of what it began has expired; runs of former instances are given up only on a report that shows the current one; on a silent host a task waits for that lease as well.

The search also checks that no run begins after its job was completed, and that without the wait for starts in doubt something runs twice.

--- a/src/process/node/unsettled_starts.rs
+++ b/src/process/node/unsettled_starts.rs
@@ -13,11 +13,15 @@
 use crate::connection::node_protocol::StartInDoubt;
 use crate::external::runner_control::RunPresence;
 use crate::ids::PollNumber;
+use crate::workflow::grant::MAX_LEASE;
+use crate::workflow::grant::expired_by;
 use crate::workflow::start_doubts::LATE_DELIVERY_SPAN;
 use crate::workflow::worker_inventory::RunKey;
 
 /// Longest wait for the successor, so that a runner that does not return does not block its tasks.
 const MAX_SUCCESSOR_WAIT: Duration = Duration::from_secs(5);
+/// Least time that is reported for a start in doubt: until a poll has shown what became of it.
+const MIN_REPORTED_DOUBT: Duration = Duration::from_secs(1);
 
 /// The attempts to start one run.
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,14 +56,29 @@
     now.saturating_duration_since(sent_at) < LATE_DELIVERY_SPAN
 }
 
+/// Returns whether a run may be active that an attempt without a response has begun at the latest.
+fn may_be_active(sent_at: Instant, now: Instant) -> bool {
+    now < expired_by(sent_at + LATE_DELIVERY_SPAN, MAX_LEASE)
+}
+
+/// An attempt without a response, which any instance with the runner's id may carry out.
+#[derive(Clone, Copy, Debug)]
+struct DoubtfulAttempt {
+    /// Time by which it had been sent.
+    sent_at: Instant,
+    /// Whether a poll was answered after it could no longer be carried out. The next poll then
+    /// shows what became of it.
+    is_overdue: bool,
+}
+
 /// Starts sent to the runner's current instance, and unsettled starts of former instances.
 #[derive(Debug, Default)]
 pub struct UnsettledStarts {
     sent: HashMap<RunKey, StartAttempts>,
     /// Starts of former instances, with the time until which they wait for the successor.
     inherited: HashMap<RunKey, Instant>,
-    /// Time by which the newest attempt without a response had been sent, over all instances.
-    in_doubt: HashMap<RunKey, Instant>,
+    /// The newest attempt without a response of each run, over all instances.
+    in_doubt: HashMap<RunKey, DoubtfulAttempt>,
 }
 
 impl UnsettledStarts {
@@ -81,7 +100,7 @@
         start.count += 1;
         if let Some(previous) = start.in_flight_since.replace(now) {
             start.unanswered_at = Some(previous);
-            self.in_doubt.insert(key.clone(), previous);
+            self.doubt(key, previous);
         }
     }
 
@@ -103,11 +122,29 @@
             start.in_flight_since = None;
             start.unanswered_at = Some(now);
             if start.has_surplus() {
-                self.in_doubt.insert(key.clone(), now);
+                self.doubt(key, now);
             }
         }
     }
 
+    fn doubt(&mut self, key: &RunKey, sent_at: Instant) {
+        let attempt = DoubtfulAttempt { sent_at, is_overdue: false };
+        self.in_doubt.insert(key.clone(), attempt);
+    }
+
+    /// Discards the attempts that were overdue when the last poll was answered, so that the response
+    /// to a poll sent since then has shown what became of them. Time alone does not tell: this agent
+    /// may have been suspended while an instance carried out the attempt. Returns whether there
+    /// were any.
+    fn discard_overdue(&mut self, now: Instant) -> bool {
+        let before = self.in_doubt.len();
+        self.in_doubt.retain(|_, attempt| !attempt.is_overdue);
+        for attempt in self.in_doubt.values_mut() {
+            attempt.is_overdue = !may_be_carried_out(attempt.sent_at, now);
+        }
+        self.in_doubt.len() < before
+    }
+
     /// Records that a runner has responded to the last attempt when `newest_poll` was the newest
     /// poll.
     ///
@@ -170,10 +207,10 @@
             }
         }
         self.sent.retain(|_, start| start.is_unsettled(now));
-        self.in_doubt.retain(|_, sent| may_be_carried_out(*sent, now));
+        let has_discarded = self.discard_overdue(now);
         let before = self.inherited.len();
         self.inherited.retain(|key, _| presence(key) != RunPresence::Absent);
-        self.inherited.len() < before
+        has_discarded || self.inherited.len() < before
     }
 
     /// Records that the connection of a poll broke as the current instance ended: responses that
@@ -198,9 +235,10 @@
     /// UnsettledStarts::default().end_instance(Instant::now());
     /// ```
     pub fn end_instance(&mut self, now: Instant) {
-        for (key, start) in self.sent.drain().filter(|(_, start)| start.is_unsettled(now)) {
+        let sent = std::mem::take(&mut self.sent);
+        for (key, start) in sent.into_iter().filter(|(_, start)| start.is_unsettled(now)) {
             if start.in_flight_since.is_some() && start.has_surplus() {
-                self.in_doubt.insert(key.clone(), now);
+                self.doubt(&key, now);
             }
             self.inherited.insert(key, now + MAX_SUCCESSOR_WAIT);
         }
@@ -240,6 +278,7 @@
     /// ```
     pub fn on_successor_absent(&mut self, now: Instant) {
         self.inherited.retain(|_, until| now < *until);
+        self.discard_overdue(now);
     }
 
     /// Records that the successor is no longer polled.
@@ -262,12 +301,13 @@
     /// assert!(UnsettledStarts::default().in_doubt(Instant::now()).is_empty());
     /// ```
     pub fn in_doubt(&self, now: Instant) -> Vec<StartInDoubt> {
-        let remaining = self.in_doubt.iter().map(|(key, since)| {
-            let remaining =
-                LATE_DELIVERY_SPAN.saturating_sub(now.saturating_duration_since(*since));
+        let active = self.in_doubt.iter().filter(|(_, one)| may_be_active(one.sent_at, now));
+        let remaining = active.map(|(key, attempt)| {
+            let age = now.saturating_duration_since(attempt.sent_at);
+            let remaining = LATE_DELIVERY_SPAN.saturating_sub(age).max(MIN_REPORTED_DOUBT);
             StartInDoubt { key: key.clone(), remaining }
         });
-        remaining.filter(|start| !start.remaining.is_zero()).collect()
+        remaining.collect()
     }
 
     /// Returns the runs sent to former instances that must not start elsewhere yet.
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -376,9 +376,12 @@
         let Some(worker) = self.inventory.get(instance) else {
             return;
         };
-        let keys = worker.assigned.keys().cloned();
+        let is_retained = |key: &RunKey| match reason {
+            LossReason::InstanceEnded => unsettled.contains(key) || self.is_retained(key),
+            LossReason::LeasesExpired => self.is_retained(key) || self.may_be_active(key),
+        };
         let (retained, lost): (Vec<RunKey>, Vec<RunKey>) =
-            keys.partition(|key| unsettled.contains(key) || self.is_retained(key));
+            worker.assigned.keys().cloned().partition(is_retained);
         if !worker.has_ended || !lost.is_empty() {
             let silence = worker.last_contact.map(|at| self.now.saturating_duration_since(at));
             self.decisions.push(PlanDecision::WorkerLost {
--- a/src/workflow/planner_doubts.rs
+++ b/src/workflow/planner_doubts.rs
@@ -93,6 +93,17 @@
         self.may_begin(key) && (is_needed || self.has_recorded_end(key))
     }
 
+    /// Returns whether a run that is needed may be active on a silent host, where the next instance
+    /// of the runner has carried out an attempt to start it.
+    pub(crate) fn may_be_active(&self, key: &RunKey) -> bool {
+        let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none());
+        let is_needed = entry.is_some_and(|entry| {
+            let is_long_running = entry.step(&key.0).is_some_and(|step| step.long_running);
+            !is_long_running && entry.progress.task(&key.0).is_some_and(|task| !task.done)
+        });
+        is_needed && self.start_doubts.may_be_active(key, self.now)
+    }
+
     /// Returns whether the end of a run has to be recorded while the run stays assigned: it counts
     /// as soon as it is acknowledged, even if its job has ended or another member of its gang is
     /// done. Copies of a speculative task may run again.
--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -101,7 +101,9 @@
         for crash in &report.crashes {
             given_up.extend(self.on_crash(crash).map(|task| (task, crash.instance.as_str())));
         }
-        for former in &report.former {
+        // The current instance may have carried out starts meant for former ones.
+        let shows_late_starts = report.runner.is_none() || report.snapshot.is_some();
+        for former in report.former.iter().filter(|_| shows_late_starts) {
             self.give_up_settled_runs(former, &report.unsettled, LossReason::InstanceEnded);
         }
         for (task, worker) in given_up {
--- a/src/workflow/start_doubts.rs
+++ b/src/workflow/start_doubts.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use crate::connection::node_protocol::StartInDoubt;
+use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::grant::expired_by;
 use crate::workflow::worker_inventory::RunKey;
 
@@ -42,7 +43,7 @@
     /// assert!(!doubts.contains(&key, now + Duration::from_secs(6)));
     /// ```
     pub fn on_report(&mut self, starts: &[StartInDoubt], now: Instant) {
-        self.until.retain(|_, until| now < *until);
+        self.until.retain(|_, until| now < expired_by(*until, MAX_LEASE));
         for start in starts {
             let until = expired_by(now, start.remaining);
             let known = self.until.entry(start.key.clone()).or_insert(until);
@@ -96,4 +97,23 @@
     pub fn contains(&self, key: &RunKey, now: Instant) -> bool {
         self.until.get(key).is_some_and(|until| now < *until)
     }
+
+    /// Returns whether a run may be active that an attempt in doubt has begun at the latest, under a
+    /// lease of its own.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::start_doubts::StartDoubts;
+    ///
+    /// let (key, now) = (("a.0.0.0".parse().unwrap(), 1), Instant::now());
+    /// let mut doubts = StartDoubts::default();
+    /// doubts.restore(&key, now);
+    /// assert!(doubts.may_be_active(&key, now + Duration::from_secs(20)));
+    /// assert!(!doubts.may_be_active(&key, now + Duration::from_secs(25)));
+    /// ```
+    pub fn may_be_active(&self, key: &RunKey, now: Instant) -> bool {
+        self.until.get(key).is_some_and(|until| now < expired_by(*until, MAX_LEASE))
+    }
 }
--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -27,6 +27,7 @@
 
 /// Schedules that have tests of their own.
 const LATE_START_MEETS_NEXT_LIFE: u64 = 118;
+const LATE_START_WHILE_AGENT_STANDS_STILL: u64 = 3014;
 const LIVES_BREAK_OFF_BY_CHANCE: u64 = 39;
 const LIVES_BREAK_OFF_WHERE_FEW_ENDS_ARE_LISTED: u64 = 58;
 
@@ -119,6 +120,17 @@
     assert!(found.is_some(), "nothing breaks without {:?}", Missing::InstanceConnections);
 }
 
+/// Guards against starts in doubt that nothing waits for: late starts then run beside or after other runs of their tasks.
+#[test]
+fn the_wait_for_starts_in_doubt_is_needed() {
+    let without = |seed: &u64| {
+        let world = PlanningWorld::new(*seed, Missing::StartDoubts, specs());
+        let found = world.with_same_ids().with_refusals().run();
+        found.iter().any(|what| what.ends_with("after it was done") || what.ends_with("at once"))
+    };
+    assert!((0..SCHEDULES_WITHOUT).any(|seed| without(&seed)));
+}
+
 /// Guards against a fleet that shrinks for good, and against calls for a former life that the present one carries out: runners come
 /// back under the ids that they had.
 #[test]
@@ -178,6 +190,15 @@
     assert_eq!(world.with_same_ids().with_refusals().run(), Vec::<String>::new());
 }
 
+/// Guards against a task that runs again after it was done: a late start is carried out while the agent stands still, and the doubt is over
+/// before the agent looks at the life that carried it out.
+#[test]
+fn a_late_start_is_found_by_an_agent_that_stood_still_until_its_time_was_over() {
+    let seed = LATE_START_WHILE_AGENT_STANDS_STILL;
+    let world = PlanningWorld::new(seed, Missing::Nothing, specs());
+    assert_eq!(world.with_same_ids().run(), Vec::<String>::new());
+}
+
 /// Guards against starts in an evacuated domain by planners that are replaced, stand still or cannot read the requests, and by orders
 /// that are held up on their way; and against jobs that do not end afterwards.
 #[test]
--- a/tests/planning_world/agents.rs
+++ b/tests/planning_world/agents.rs
@@ -98,10 +98,14 @@
     fn reply(&mut self, agent: usize, stamp: LinkStamp, planner: usize, link: u64) {
         let now = self.agent_instant(agent);
         let state = &mut self.agents[agent].state;
-        let report = match state.is_current(stamp) {
+        let mut report = match state.is_current(stamp) {
             true => Ok(state.report(now)),
             false => Err(state.newest_stamp()),
         };
+        if let (Missing::StartDoubts, Ok(report)) = (self.missing, &mut report) {
+            report.keeps_id = false;
+            report.in_doubt.clear();
+        }
         self.send(Event::Answer { planner, agent, link, report });
     }
 
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -110,6 +110,8 @@
     RequestAge,
     /// Calls leave on a connection to whichever life of the runner listens.
     InstanceConnections,
+    /// Planners do not know which starts may still be carried out.
+    StartDoubts,
 }
 
 #[derive(Clone, Debug)]
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -375,6 +375,7 @@
                 found.push(format!("job {job} is shown as failed and could have been done"));
             }
         }
+        found.extend(self.check_starts_after_completion());
         found.extend(self.check_evacuations());
         found.extend(self.check_permits());
         found.extend(self.check_cancelled());
--- a/tests/planning_world/store.rs
+++ b/tests/planning_world/store.rs
@@ -81,6 +81,24 @@
         }
     }
 
+    /// Runs that begin after their job was shown as completed, on time or late.
+    pub(super) fn check_starts_after_completion(&self) -> Vec<String> {
+        let completed_at = |job: &str| match self.records.get(job) {
+            Some((_, JobRecord::Ended { end: JobEnd::Completed, ended_ms, .. })) => {
+                Some(ended_ms - WALL)
+            }
+            _ => None,
+        };
+        let runs = self.audit.records.iter();
+        let late = runs.filter(|run| {
+            completed_at(&run.key.0.job).is_some_and(|completed| run.began > completed)
+        });
+        late.map(|run| {
+            format!("at {}: {} starts after its job was completed", run.began, run.key.0)
+        })
+        .collect()
+    }
+
     pub(super) fn on_committed(&mut self, planner: usize, number: u64, fate: WriteFate) {
         let now = self.planner_instant(planner);
         let process = &mut self.planners[planner];
--- a/tests/start_doubts.rs
+++ b/tests/start_doubts.rs
@@ -21,6 +21,8 @@
 use greengagearch::external::runner_control::RunnerError;
 use greengagearch::process::node::registered_runner::RegisteredRunner;
 use greengagearch::process::node::state::NodeState;
+use greengagearch::workflow::grant::MAX_LEASE;
+use greengagearch::workflow::grant::expired_by;
 use greengagearch::workflow::progress::JobEnd;
 use greengagearch::workflow::progress::JobStatus;
 use greengagearch::workflow::progress::RunEnd;
@@ -28,6 +30,7 @@
 use greengagearch::workflow::worker_inventory::RunKey;
 
 use crate::planning::PlannedFleet;
+use crate::planning::PlayedRunner;
 use crate::planning::job;
 use crate::planning::step;
 
@@ -60,6 +63,16 @@
     NodeReport { keeps_id: true, in_doubt, ..fleet.report_of("i-1@1") }
 }
 
+/// The runs that are ordered to start.
+fn starts(fleet: &mut PlannedFleet) -> Vec<RunKey> {
+    let orders = fleet.deliver().into_iter();
+    let starts = orders.filter_map(|(_, order)| match order {
+        NodeOrder::Start(start) => Some((start.traits.task, start.run)),
+        _ => None,
+    });
+    starts.collect()
+}
+
 /// Whether the job is shown as completed or the worker may discard its end: from then on no attempt may be carried out.
 fn is_final(fleet: &PlannedFleet) -> bool {
     let is_shown = matches!(fleet.planner.status("a"), Some(JobStatus::Ended(_)));
@@ -122,9 +135,33 @@
     fleet.report("i-1@2", false);
     fleet.planner.on_tick();
     fleet.plan();
-    let orders = fleet.deliver();
-    let starts = orders.iter().filter(|(_, order)| matches!(order, NodeOrder::Start(_)));
-    assert_eq!(starts.count(), 0, "{orders:?}");
+    assert_eq!(starts(&mut fleet), []);
+}
+
+/// Guards against two runs at once: a host is silent, and the next life of its runner has carried out an attempt at the last moment, with
+/// a lease of its own.
+#[test]
+fn a_task_starts_elsewhere_only_when_a_late_start_on_a_silent_host_has_lapsed() {
+    let mut fleet = fleet();
+    let report = doubtful_report(&fleet, LATE_FOR);
+    fleet.planner.on_report(report, false);
+    let runner = PlayedRunner { labels: vec!["a".to_string()], ..PlayedRunner::default() };
+    fleet.runners.remove("i-1@1");
+    fleet.runners.insert("i-2@1".to_string(), runner);
+    let reported = fleet.now();
+    let lapsed = expired_by(expired_by(reported, LATE_FOR), MAX_LEASE);
+    while fleet.now() + Duration::from_millis(200) < lapsed {
+        fleet.pass(Duration::from_millis(200));
+        fleet.report("i-2@1", false);
+        fleet.planner.on_tick();
+        fleet.plan();
+        assert_eq!(starts(&mut fleet), [], "{:?} after the report", fleet.now() - reported);
+    }
+    fleet.pass(Duration::from_secs(1));
+    fleet.report("i-2@1", false);
+    fleet.planner.on_tick();
+    fleet.plan();
+    assert_eq!(starts(&mut fleet), [(key().0, 2)]);
 }
 
 /// An agent with a lease for the runner `i-1`, which is back under its id after each crash.
@@ -212,7 +249,59 @@
     assert_eq!(state.report(now).in_doubt, [start_in_doubt(LATE_FOR)]);
     state.on_crash("i-1@200", now);
     assert_eq!(state.report(now).in_doubt, [start_in_doubt(LATE_FOR)], "also by the next life");
-    assert!(state.report(now + LATE_FOR).in_doubt.is_empty());
+    assert_eq!(
+        state.report(now + LATE_FOR).in_doubt.len(),
+        1,
+        "no look has shown what became of it"
+    );
+}
+
+/// Guards against a task that runs twice: the agent stood still while a life that it had not called carried out the attempt, and told of
+/// no doubt before it had looked at that life.
+#[test]
+fn an_attempt_is_in_doubt_until_a_look_after_its_time_is_answered() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    accept(&mut state, now);
+    attempt(&mut state, silence(), now);
+    attempt(&mut state, Ok(()), now + Duration::from_millis(30));
+    look(&mut state, vec![begun()], Vec::new(), now);
+    let woken = now + LATE_FOR + Duration::from_secs(2);
+    // Sent before the agent stood still, or so it may be: it shows what was there then.
+    look(&mut state, vec![begun()], Vec::new(), woken);
+    assert_eq!(state.report(woken).in_doubt.len(), 1);
+    look(&mut state, vec![begun()], Vec::new(), woken);
+    assert!(state.report(woken).in_doubt.is_empty());
+}
+
+/// Guards against tasks that wait for ever: the runner answers nothing any more, and what an attempt could have begun has lost its lease.
+#[test]
+fn an_attempt_is_in_doubt_no_longer_than_what_it_may_have_begun() {
+    let now = Instant::now();
+    let mut state = linked(now);
+    accept(&mut state, now);
+    attempt(&mut state, silence(), now);
+    assert_eq!(state.report(now + LATE_FOR).in_doubt.len(), 1);
+    let lapsed = expired_by(now + LATE_FOR, MAX_LEASE);
+    assert!(state.report(lapsed).in_doubt.is_empty());
+}
+
+/// Guards against a task that runs twice: the former life of its runner is over, and the report does not show what the next one runs.
+#[test]
+fn runs_of_a_former_life_are_kept_until_a_look_at_the_next_one_is_told() {
+    let mut fleet = fleet();
+    let former = vec!["i-1@1".to_string()];
+    let runner = fleet.runners.remove("i-1@1").unwrap();
+    fleet.runners.insert("i-1@2".to_string(), runner);
+    let whole = NodeReport { keeps_id: true, former, ..fleet.report_of("i-1@2") };
+    fleet.planner.on_report(NodeReport { snapshot: None, ..whole.clone() }, true);
+    fleet.plan();
+    assert_eq!(starts(&mut fleet), []);
+    fleet.planner.on_report(whole, false);
+    fleet.plan();
+    assert_eq!(starts(&mut fleet), []);
+    let progress = &fleet.progress["a"].1;
+    assert_eq!(progress.task(&key().0).unwrap().attempts[0].worker, "i-1@2");
 }
 
 /// Guards against ends that wait without need: a run that is there has been begun by the only attempt, though its answer was lost.
