Crashes are counted by the report that gives their instance up

Change: both are left to the report that shows the current instance, and only where an instance may follow under the same id.

--- a/src/workflow/planner_reports.rs
+++ b/src/workflow/planner_reports.rs
@@ -97,21 +97,27 @@
             self.record_status(status, has_former, is_new_link);
             self.adopt_runs(&report, &status.instance);
         }
+        // An instance under the same id may have carried out starts meant for former ones.
+        if !report.keeps_id || report.snapshot.is_some() {
+            self.on_former_instances(&report);
+        }
+        if let (Some(status), Some(snapshot)) = (report.runner, report.snapshot) {
+            self.on_snapshot(&status.instance, snapshot, report.now);
+        }
+    }
+
+    /// Gives up the runs of instances that have ended, and tasks that are found to crash them.
+    fn on_former_instances(&mut self, report: &NodeReport) {
         let mut given_up = Vec::new();
         for crash in &report.crashes {
             given_up.extend(self.on_crash(crash).map(|task| (task, crash.instance.as_str())));
         }
-        // The current instance may have carried out starts meant for former ones.
-        let shows_late_starts = report.runner.is_none() || report.snapshot.is_some();
-        for former in report.former.iter().filter(|_| shows_late_starts) {
+        for former in &report.former {
             self.give_up_settled_runs(former, &report.unsettled, LossReason::InstanceEnded);
         }
         for (task, worker) in given_up {
             self.give_up_task(task, worker);
         }
-        if let (Some(status), Some(snapshot)) = (report.runner, report.snapshot) {
-            self.on_snapshot(&status.instance, snapshot, report.now);
-        }
     }
 
     fn record_status(&mut self, status: &RunnerStatus, has_former: bool, is_new_link: bool) {
