Doubts about starts: the cheap check first

Cause: each listed end looked up its job and task before it was known whether any start of the run is in doubt. Change: the doubts are asked first; the lookups have names of their own.

--- a/src/workflow/planner_doubts.rs
+++ b/src/workflow/planner_doubts.rs
@@ -7,6 +7,7 @@
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
 use crate::workflow::progress::RunEnd;
+use crate::workflow::spec::StepSpec;
 use crate::workflow::start_doubts::LATE_DELIVERY_SPAN;
 use crate::workflow::task_progress::RunAttempt;
 use crate::workflow::worker_inventory::RunKey;
@@ -75,44 +76,48 @@
     /// Returns whether an attempt to start a run may still be carried out. Of a long-running task
     /// nothing is ever done, and it must not be away for so long.
     fn may_begin(&self, key: &RunKey) -> bool {
-        let step = self.jobs.get(&key.0.job).and_then(|entry| entry.step(&key.0));
-        let is_long_running = step.is_some_and(|step| step.long_running);
-        self.start_doubts.contains(key, self.now) && !is_long_running
+        if !self.start_doubts.contains(key, self.now) {
+            return false;
+        }
+        !self.step_of(key).is_some_and(|step| step.long_running)
+    }
+
+    fn step_of(&self, key: &RunKey) -> Option<&StepSpec> {
+        self.jobs.get(&key.0.job)?.step(&key.0)
     }
 
     /// Returns whether a run has to stay assigned whatever its worker reports, since an attempt to
     /// start it may still be carried out.
     pub(crate) fn is_retained(&self, key: &RunKey) -> bool {
-        let Some(entry) = self.jobs.get(&key.0.job) else {
-            return false;
-        };
-        let Some(task) = entry.progress.task(&key.0) else {
-            return false;
-        };
-        let is_needed = entry.end.is_none() && !task.done;
-        self.may_begin(key) && (is_needed || self.has_recorded_end(key))
+        self.may_begin(key) && (self.is_needed(key) || self.has_recorded_end(key))
+    }
+
+    /// Returns whether the task of a run has still to be done.
+    fn is_needed(&self, key: &RunKey) -> bool {
+        let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none());
+        let task = entry.and_then(|entry| entry.progress.task(&key.0));
+        task.is_some_and(|task| !task.done)
     }
 
     /// Returns whether a run that is needed may be active on a silent host, where the next instance
     /// of the runner has carried out an attempt to start it.
     pub(crate) fn may_be_active(&self, key: &RunKey) -> bool {
-        let entry = self.jobs.get(&key.0.job).filter(|entry| entry.end.is_none());
-        let is_needed = entry.is_some_and(|entry| {
-            let is_long_running = entry.step(&key.0).is_some_and(|step| step.long_running);
-            !is_long_running && entry.progress.task(&key.0).is_some_and(|task| !task.done)
-        });
-        is_needed && self.start_doubts.may_be_active(key, self.now)
+        if !self.start_doubts.may_be_active(key, self.now) {
+            return false;
+        }
+        !self.step_of(key).is_some_and(|step| step.long_running) && self.is_needed(key)
     }
 
     /// Returns whether the end of a run has to be recorded while the run stays assigned: it counts
     /// as soon as it is acknowledged, even if its job has ended or another member of its gang is
     /// done. Copies of a speculative task may run again.
     pub(crate) fn retains_end(&self, key: &RunKey, end: RunEnd) -> bool {
-        let step = self.jobs.get(&key.0.job).and_then(|entry| entry.step(&key.0));
-        let is_speculative = step.is_some_and(|step| step.speculative);
+        if !self.may_begin(key) {
+            return false;
+        }
+        let is_speculative = self.step_of(key).is_some_and(|step| step.speculative);
         let counts = matches!(end, RunEnd::Done | RunEnd::Failed) && !is_speculative;
-        let is_assigned = self.attempt(key).is_some();
-        self.is_retained(key) || (counts && is_assigned && self.may_begin(key))
+        self.is_retained(key) || (counts && self.attempt(key).is_some())
     }
 
     fn attempt(&self, key: &RunKey) -> Option<&RunAttempt> {
