A gang starts with one checkpoint for all members

Cause: each member was started with the checkpoint of its own last end. Members of a gang that carry different checkpoints do not work together.

Change: a gang has one checkpoint, that of the last end with one; it is kept with the first member, as the failures of a gang are.

Why it works: all members of a run are started with the value of one place, which changes only when a run has ended.

--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -352,11 +352,11 @@
     /// Builds the order that starts a run. Its lease is set when it is sent.
     pub(crate) fn start_order(&self, instance: &str, key: &RunKey) -> Option<StartOrder> {
         let entry = self.jobs.get(&key.0.job)?;
-        let task = entry.progress.task(&key.0)?;
+        let step = entry.step(&key.0)?;
         Some(StartOrder {
             run: key.1,
             payload: entry.spec.payload.clone(),
-            checkpoint: task.checkpoint.clone(),
+            checkpoint: entry.progress.checkpoint(&key.0, step)?.to_string(),
             ticket: self.advice.ticket(&key.0.step_key(), instance, self.now).map(str::to_string),
             lease: OrderLease::default(),
             traits: self.task_traits(&key.0)?,
--- a/src/workflow/run_ends.rs
+++ b/src/workflow/run_ends.rs
@@ -41,6 +41,24 @@
         ended.is_some() || is_done_late
     }
 
+    /// Returns the checkpoint from which the next run of a task resumes, empty if there is none;
+    /// `None` if the task's occurrence is not open.
+    ///
+    /// ```
+    /// use greengagearch::workflow::progress::JobProgress;
+    /// use greengagearch::workflow::spec::StepSpec;
+    ///
+    /// let mut progress = JobProgress::default();
+    /// progress.open_occurrence(0, &[2]);
+    /// progress.task_mut(&"a.0.0.0".parse().unwrap()).unwrap().checkpoint = "c7".to_string();
+    /// let step = StepSpec { count: 2, gang: true, ..StepSpec::default() };
+    /// assert_eq!(progress.checkpoint(&"a.0.0.1".parse().unwrap(), &step), Some("c7"));
+    /// ```
+    pub fn checkpoint(&self, name: &TaskName, step: &StepSpec) -> Option<&str> {
+        let holder = self.task(&shared_state_holder(name, step))?;
+        Some(holder.checkpoint.as_str())
+    }
+
     /// Records the end of a run of which an attempt to start may still be carried out: the end takes
     /// effect, and the attempt stays. Returns whether the end is new.
     ///
@@ -86,7 +104,8 @@
         checkpoint: &str,
         step: &StepSpec,
     ) {
-        if let Some(task) = self.task_mut(name).filter(|_| !checkpoint.is_empty()) {
+        let holder = self.task_mut(&shared_state_holder(name, step));
+        if let Some(task) = holder.filter(|_| !checkpoint.is_empty()) {
             task.checkpoint = checkpoint.to_string();
         }
         match end {
@@ -97,8 +116,7 @@
     }
 
     fn on_failed(&mut self, name: &TaskName, run: RunNumber, step: &StepSpec) {
-        let counted = TaskName { index: if step.gang { 0 } else { name.index }, ..name.clone() };
-        let Some(task) = self.task_mut(&counted) else {
+        let Some(task) = self.task_mut(&shared_state_holder(name, step)) else {
             return;
         };
         // Several members of a gang may fail in the same run, which counts as one failure of the
@@ -124,3 +142,9 @@
         }
     }
 }
+
+/// Returns the task that holds the failures and the checkpoint of a task: the first member for all
+/// members of a gang, which fail together and resume from the same checkpoint.
+fn shared_state_holder(name: &TaskName, step: &StepSpec) -> TaskName {
+    TaskName { index: if step.gang { 0 } else { name.index }, ..name.clone() }
+}
--- a/src/workflow/task_progress.rs
+++ b/src/workflow/task_progress.rs
@@ -65,7 +65,7 @@
     /// Whether the occurrence began because its wait exceeded the bound; stored in its first task.
     #[serde(rename = "b", skip_serializing_if = "is_false")]
     pub began_by_wait: bool,
-    /// The newest known checkpoint.
+    /// The newest known checkpoint; that of a gang is stored in the first member.
     #[serde(rename = "s", skip_serializing_if = "String::is_empty")]
     pub checkpoint: CheckpointRef,
     /// Runs that may still be active.
--- a/tests/planner_steps.rs
+++ b/tests/planner_steps.rs
@@ -64,6 +64,32 @@
     assert_eq!(fleet.running().len(), 3);
 }
 
+/// Guards against a gang that never works again: its members ended with checkpoints of their own, were started with these, and waited for
+/// each other in vain.
+#[test]
+fn a_gang_starts_again_with_one_checkpoint_for_all_members() {
+    let mut fleet = PlannedFleet::new(&["i-1"]);
+    fleet.submit("a", job(vec![StepSpec { gang: true, checkpoints: true, ..step(3, 1_000) }]));
+    fleet.round();
+    let ends = [(RunEnd::Stopped, "c9"), (RunEnd::Broken, "c7"), (RunEnd::Broken, "")];
+    for ((instance, key), (end, checkpoint)) in fleet.running().iter().zip(ends) {
+        fleet.end(instance, key, end, checkpoint);
+    }
+    fleet.report_all();
+    fleet.store();
+    fleet.take_over(fleet.now());
+    fleet.report("i-1", true);
+    fleet.plan();
+    let orders = fleet.planner.take_orders().into_iter();
+    let started = orders.filter_map(|(_, order)| match order {
+        NodeOrder::Start(start) => Some((start.run, start.checkpoint)),
+        _ => None,
+    });
+    let started: Vec<(u32, String)> = started.collect();
+    assert_eq!(started, vec![(2, started[0].1.clone()); 3]);
+    assert!(["c7", "c9"].contains(&started[0].1.as_str()), "{started:?}");
+}
+
 #[test]
 fn occurrences_start_when_they_are_due_and_may_overlap() {
     let mut fleet = PlannedFleet::new(&["i-1"]);
