The last reported checkpoint counts for recorded ends as well

Cause: an end without a checkpoint falls back to the last that its run had reported. That was done where a run is removed, and not where its end is recorded while a start is in doubt, so that the task would begin anew.

Change: both use the same function.

Result: the_last_reported_checkpoint_is_kept_where_a_recorded_end_has_none fails before and passes after.

--- a/src/workflow/planner_ends.rs
+++ b/src/workflow/planner_ends.rs
@@ -1,6 +1,8 @@
 //! Processing of the ends of runs, as workers report them or the planner infers them.
 
 use crate::connection::node_protocol::EndedRun;
+use crate::ids::CheckpointRef;
+use crate::workflow::assigned_run::AssignedRun;
 use crate::workflow::plan_decision::EndCause;
 use crate::workflow::plan_decision::PlanDecision;
 use crate::workflow::planner::Planner;
@@ -9,6 +11,15 @@
 use crate::workflow::task_name::TaskName;
 use crate::workflow::worker_inventory::RunKey;
 
+/// Returns the checkpoint that a run has ended with, or the last that was reported of it.
+fn last_checkpoint(at_end: &str, run: Option<&AssignedRun>) -> CheckpointRef {
+    let reported = run.and_then(|run| run.last_report.as_ref()).map(|report| &report.checkpoint);
+    match at_end {
+        "" => reported.cloned().unwrap_or_default(),
+        _ => at_end.to_string(),
+    }
+}
+
 impl Planner {
     /// Records the ends that a worker reports, and has it discard those before the first end of a
     /// retained run: once an end is acknowledged, its task must not begin again, not even by an
@@ -37,12 +48,14 @@
     fn record_retained_end(&mut self, instance: &str, ended: EndedRun) {
         let key = (ended.task, ended.run);
         self.mark_begun(&key.0);
+        let worker = self.inventory.get(instance);
+        let run = worker.and_then(|worker| worker.assigned.get(&key));
+        let checkpoint = last_checkpoint(&ended.checkpoint, run);
         let Some(entry) = self.jobs.get_mut(&key.0.job) else {
             return;
         };
         let step = entry.step(&key.0).cloned().unwrap_or_default();
-        let progress = &mut entry.progress;
-        if !progress.record_end(&key.0, key.1, ended.end, &ended.checkpoint, &step) {
+        if !entry.progress.record_end(&key.0, key.1, ended.end, &checkpoint, &step) {
             return;
         }
         entry.on_run_end(self.wall_ms);
@@ -103,15 +116,13 @@
                 ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
             });
         }
-        let reported = released.and_then(|run| run.last_report).map(|report| report.checkpoint);
-        let last_checkpoint = reported.unwrap_or_default();
-        let checkpoint = if checkpoint.is_empty() { last_checkpoint.as_str() } else { checkpoint };
+        let checkpoint = last_checkpoint(checkpoint, released.as_ref());
         let Some(entry) = self.jobs.get_mut(&key.0.job) else {
             return;
         };
         let step = entry.step(&key.0).cloned().unwrap_or_default();
         entry.on_run_end(self.wall_ms);
-        if entry.progress.on_end(&key.0, key.1, end, checkpoint, &step) {
+        if entry.progress.on_end(&key.0, key.1, end, &checkpoint, &step) {
             self.apply_run_end(key, end, &step);
         }
     }
--- a/src/workflow/start_doubts.rs
+++ b/src/workflow/start_doubts.rs
@@ -1,8 +1,10 @@
 //! Runs that may still begin because an attempt to start them had no response.
 //!
 //! A runner that restarts under its id knows nothing of its former instances, so it begins such a
-//! run even if the run has ended before, and nothing in the call tells it not to. Until the attempt
-//! can no longer be carried out, the task must neither count as done nor start elsewhere.
+//! run even if the run has ended before, and nothing in the call tells it not to. The end of the run
+//! is stored at once, since the runner may lose it. Until the attempt can no longer be carried out,
+//! the end is not acknowledged, the job is not shown as completed, and a task that is not done
+//! starts nowhere else.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/tests/recorded_ends.rs
+++ b/tests/recorded_ends.rs
@@ -7,6 +7,7 @@
 
 use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::NodeReport;
+use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerCrash;
 use greengagearch::connection::node_protocol::StartInDoubt;
 use greengagearch::workflow::progress::JobEnd;
@@ -192,6 +193,21 @@
     assert_eq!(pass_doubt(&mut fleet), [run("a.0.0.0", 2)]);
 }
 
+/// Guards against work that is lost: an end without a checkpoint took the place of the checkpoint that had been reported before it.
+#[test]
+fn the_last_reported_checkpoint_is_kept_where_a_recorded_end_has_none() {
+    let resumable = StepSpec { checkpoints: true, ..step(1, 100) };
+    let mut fleet = fleet(job(vec![resumable]));
+    let key = run("a.0.0.0", 1);
+    let begun = planning::present(&key);
+    let saved = PresentRun { checkpoint: "c3".to_string(), ..begun };
+    fleet.runners.get_mut(FIRST).unwrap().present.insert(key.clone(), saved);
+    fleet.report(FIRST, false);
+    fleet.end(FIRST, &key, RunEnd::Lapsed, "");
+    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    assert_eq!(stored(&fleet, &key).checkpoint, "c3");
+}
+
 /// Guards against a gang that runs again after it was done: the only end that was reported before the crash was in doubt.
 #[test]
 fn a_done_gang_does_not_run_again_when_its_runner_crashes_while_an_attempt_is_in_doubt() {
