Tests of recorded ends: one place for what they share

Cause: the tests repeated the report of a doubt, the restart of a runner, and the reading of start orders. Change: end_in_doubt, restart_runner and PlannedFleet::deliver_starts; one test has a shorter name. What the tests assert is unchanged.

--- a/tests/planning/mod.rs
+++ b/tests/planning/mod.rs
@@ -224,6 +224,15 @@
         orders
     }
 
+    /// Delivers orders. Gives the runs that are ordered to start.
+    pub fn deliver_starts(&mut self) -> Vec<RunKey> {
+        let starts = self.deliver().into_iter().filter_map(|(_, order)| match order {
+            NodeOrder::Start(start) => Some((start.traits.task, start.run)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
     /// Ends a run at its runner.
     pub fn end(&mut self, instance: &str, key: &RunKey, end: RunEnd, checkpoint: &str) {
         let runner = self.runners.get_mut(instance).unwrap();
--- a/tests/recorded_ends.rs
+++ b/tests/recorded_ends.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::NodeReport;
 use greengagearch::connection::node_protocol::PresentRun;
 use greengagearch::connection::node_protocol::RunnerCrash;
@@ -47,21 +46,27 @@
     fleet.runners.insert(instance.to_string(), PlayedRunner { labels, ..PlayedRunner::default() });
 }
 
-/// The agent reports that attempts to start these runs are in doubt.
-fn report_doubts(fleet: &mut PlannedFleet, keys: &[RunKey], remaining: Duration) {
-    let start = |key: &RunKey| StartInDoubt { key: key.clone(), remaining };
-    let in_doubt = keys.iter().map(start).collect();
-    let report = NodeReport { keeps_id: true, in_doubt, ..fleet.report_of(FIRST) };
+fn doubt(key: &RunKey) -> Vec<StartInDoubt> {
+    vec![StartInDoubt { key: key.clone(), remaining: LATE_FOR }]
+}
+
+/// The agent reports that an attempt to start this run is in doubt.
+fn report_doubt(fleet: &mut PlannedFleet, key: &RunKey) {
+    let report = NodeReport { keeps_id: true, in_doubt: doubt(key), ..fleet.report_of(FIRST) };
     fleet.planner.on_report(report, false);
     fleet.plan();
 }
 
-/// The runner crashes and restarts under its id; the agent knows the attempts in doubt.
-fn restart_runner(fleet: &mut PlannedFleet, keys: &[RunKey], remaining: Duration) {
+/// A run ends, and the agent reports that with a start in doubt.
+fn end_in_doubt(fleet: &mut PlannedFleet, key: &RunKey, end: RunEnd, checkpoint: &str) {
+    fleet.end(FIRST, key, end, checkpoint);
+    report_doubt(fleet, key);
+}
+
+/// The runner crashes and restarts under its id; its agent, unless it was replaced, knows the start in doubt.
+fn restart_runner(fleet: &mut PlannedFleet, in_doubt: Vec<StartInDoubt>) {
     fleet.runners.remove(FIRST);
     add_runner(fleet, NEXT);
-    let start = |key: &RunKey| StartInDoubt { key: key.clone(), remaining };
-    let in_doubt = keys.iter().map(start).collect();
     let former = vec![FIRST.to_string()];
     let report = NodeReport { keeps_id: true, in_doubt, former, ..fleet.report_of(NEXT) };
     fleet.planner.on_report(report, false);
@@ -81,11 +86,7 @@
         }
         fleet.planner.on_tick();
         fleet.plan();
-        let orders = fleet.deliver().into_iter();
-        starts.extend(orders.filter_map(|(_, order)| match order {
-            NodeOrder::Start(start) => Some((start.traits.task, start.run)),
-            _ => None,
-        }));
+        starts.extend(fleet.deliver_starts());
     }
     starts
 }
@@ -103,9 +104,8 @@
 fn a_done_task_does_not_run_again_when_its_runner_crashes_while_an_attempt_is_in_doubt() {
     let mut fleet = fleet(job(vec![step(1, 100)]));
     let key = run("a.0.0.0", 1);
-    fleet.end(FIRST, &key, RunEnd::Done, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
-    restart_runner(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Done, "");
+    restart_runner(&mut fleet, doubt(&key));
     assert_eq!(pass_doubt(&mut fleet), Vec::<RunKey>::new());
     assert_eq!(fleet.planner.status("a"), completed());
 }
@@ -113,13 +113,11 @@
 /// Guards against the same where the runner is emptied and leaves, or falls silent until its leases have expired, and another one has
 /// room for the task.
 #[test]
-fn a_done_task_does_not_run_again_when_its_runner_leaves_or_falls_silent_while_an_attempt_is_in_doubt()
- {
+fn a_done_task_does_not_run_again_when_its_runner_leaves_or_falls_silent() {
     for leaves in [true, false] {
         let mut fleet = fleet(job(vec![step(1, 100)]));
         let key = run("a.0.0.0", 1);
-        fleet.end(FIRST, &key, RunEnd::Done, "");
-        report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+        end_in_doubt(&mut fleet, &key, RunEnd::Done, "");
         fleet.runners.remove(FIRST);
         add_runner(&mut fleet, "i-2@1");
         fleet.report("i-2@1", true);
@@ -139,7 +137,7 @@
     let (first, second) = (run("a.0.0.0", 1), run("a.0.0.1", 1));
     fleet.end(FIRST, &first, RunEnd::Done, "");
     fleet.end(FIRST, &second, RunEnd::Done, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&first), LATE_FOR);
+    report_doubt(&mut fleet, &first);
     assert!(stored(&fleet, &first).done && stored(&fleet, &second).done);
     assert_eq!(fleet.planner.last_acked_end(FIRST), 0);
     assert_eq!(fleet.planner.status("a"), Some(JobStatus::Running));
@@ -157,8 +155,7 @@
     let second = StepSpec { after: vec![0], ..step(1, 100) };
     let mut fleet = fleet(job(vec![step(1, 100), second]));
     let key = run("a.0.0.0", 1);
-    fleet.end(FIRST, &key, RunEnd::Done, "");
-    report_doubts(&mut fleet, &[key], LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Done, "");
     fleet.deliver();
     assert!(fleet.runners[FIRST].present.contains_key(&run("a.0.1.0", 1)));
 }
@@ -170,12 +167,12 @@
     let key = run("a.0.0.0", 1);
     fleet.end(FIRST, &key, RunEnd::Failed, "");
     for _ in 0..3 {
-        report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+        report_doubt(&mut fleet, &key);
     }
     assert_eq!(stored(&fleet, &key).failures, 1);
     let starts = fleet.deliver();
     assert!(starts.is_empty(), "{starts:?}");
-    restart_runner(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    restart_runner(&mut fleet, doubt(&key));
     assert_eq!(pass_doubt(&mut fleet), [run("a.0.0.0", 2)]);
     assert_eq!(stored(&fleet, &key).failures, 1);
 }
@@ -186,9 +183,8 @@
     let resumable = StepSpec { checkpoints: true, ..step(1, 100) };
     let mut fleet = fleet(job(vec![resumable]));
     let key = run("a.0.0.0", 1);
-    fleet.end(FIRST, &key, RunEnd::Stopped, "c7");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
-    restart_runner(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Stopped, "c7");
+    restart_runner(&mut fleet, doubt(&key));
     assert_eq!(stored(&fleet, &key).checkpoint, "c7");
     assert_eq!(pass_doubt(&mut fleet), [run("a.0.0.0", 2)]);
 }
@@ -203,8 +199,7 @@
     let saved = PresentRun { checkpoint: "c3".to_string(), ..begun };
     fleet.runners.get_mut(FIRST).unwrap().present.insert(key.clone(), saved);
     fleet.report(FIRST, false);
-    fleet.end(FIRST, &key, RunEnd::Lapsed, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Lapsed, "");
     assert_eq!(stored(&fleet, &key).checkpoint, "c3");
 }
 
@@ -213,9 +208,8 @@
 fn a_done_gang_does_not_run_again_when_its_runner_crashes_while_an_attempt_is_in_doubt() {
     let mut fleet = fleet(job(vec![StepSpec { gang: true, ..step(3, 100) }]));
     let key = run("a.0.0.1", 1);
-    fleet.end(FIRST, &key, RunEnd::Done, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
-    restart_runner(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Done, "");
+    restart_runner(&mut fleet, doubt(&key));
     assert_eq!(pass_doubt(&mut fleet), Vec::<RunKey>::new());
     assert_eq!(fleet.planner.status("a"), completed());
 }
@@ -226,8 +220,7 @@
 fn a_recorded_end_holds_after_planner_and_agent_were_replaced() {
     let mut fleet = fleet(job(vec![step(1, 100)]));
     let key = run("a.0.0.0", 1);
-    fleet.end(FIRST, &key, RunEnd::Done, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Done, "");
     fleet.take_over(fleet.now());
     let report = NodeReport { now: Duration::ZERO, keeps_id: true, ..fleet.report_of(FIRST) };
     fleet.planner.on_report(report, true);
@@ -235,7 +228,7 @@
     assert_eq!(fleet.planner.last_acked_end(FIRST), 0);
     assert_eq!(fleet.planner.status("a"), Some(JobStatus::Running));
 
-    restart_runner(&mut fleet, &[], Duration::ZERO);
+    restart_runner(&mut fleet, Vec::new());
     assert_eq!(pass_doubt(&mut fleet), Vec::<RunKey>::new());
     assert_eq!(fleet.planner.status("a"), completed());
 }
@@ -245,9 +238,8 @@
 fn a_late_start_of_a_done_task_is_stopped_on_the_next_instance() {
     let mut fleet = fleet(job(vec![step(1, 100)]));
     let key = run("a.0.0.0", 1);
-    fleet.end(FIRST, &key, RunEnd::Done, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
-    restart_runner(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    end_in_doubt(&mut fleet, &key, RunEnd::Done, "");
+    restart_runner(&mut fleet, doubt(&key));
     let begun = planning::present(&key);
     fleet.runners.get_mut(NEXT).unwrap().present.insert(key.clone(), begun);
     assert_eq!(pass_doubt(&mut fleet), Vec::<RunKey>::new());
@@ -262,7 +254,7 @@
     let (first, second) = (run("a.0.0.0", 1), run("a.0.0.1", 1));
     fleet.end(FIRST, &first, RunEnd::Done, "");
     fleet.end(FIRST, &second, RunEnd::Done, "");
-    report_doubts(&mut fleet, std::slice::from_ref(&second), LATE_FOR);
+    report_doubt(&mut fleet, &second);
     assert_eq!(fleet.planner.last_acked_end(FIRST), 1);
     assert_eq!(fleet.planner.status("a"), Some(JobStatus::Running));
 }
@@ -274,7 +266,7 @@
     let key = run("a.0.0.0", 1);
     fleet.end(FIRST, &key, RunEnd::Done, "");
     fleet.cancel("a");
-    report_doubts(&mut fleet, std::slice::from_ref(&key), LATE_FOR);
+    report_doubt(&mut fleet, &key);
     assert_eq!(fleet.planner.last_acked_end(FIRST), 0);
     assert_eq!(fleet.planner.status("a"), Some(JobStatus::Ended(JobEnd::Cancelled)));
     pass_doubt(&mut fleet);
--- a/tests/start_doubts.rs
+++ b/tests/start_doubts.rs
@@ -8,7 +8,6 @@
 use greengagearch::connection::node_protocol::EndedRun;
 use greengagearch::connection::node_protocol::LeaseGrant;
 use greengagearch::connection::node_protocol::LinkStamp;
-use greengagearch::connection::node_protocol::NodeOrder;
 use greengagearch::connection::node_protocol::NodeReport;
 use greengagearch::connection::node_protocol::OrderLease;
 use greengagearch::connection::node_protocol::PresentRun;
@@ -63,16 +62,6 @@
     NodeReport { keeps_id: true, in_doubt, ..fleet.report_of("i-1@1") }
 }
 
-/// The runs that are ordered to start.
-fn starts(fleet: &mut PlannedFleet) -> Vec<RunKey> {
-    let orders = fleet.deliver().into_iter();
-    let starts = orders.filter_map(|(_, order)| match order {
-        NodeOrder::Start(start) => Some((start.traits.task, start.run)),
-        _ => None,
-    });
-    starts.collect()
-}
-
 /// Whether the job is shown as completed or the worker may discard its end: from then on no attempt may be carried out.
 fn is_final(fleet: &PlannedFleet) -> bool {
     let is_shown = matches!(fleet.planner.status("a"), Some(JobStatus::Ended(_)));
@@ -135,7 +124,7 @@
     fleet.report("i-1@2", false);
     fleet.planner.on_tick();
     fleet.plan();
-    assert_eq!(starts(&mut fleet), []);
+    assert_eq!(fleet.deliver_starts(), []);
 }
 
 /// Guards against two runs at once: a host is silent, and the next life of its runner has carried out an attempt at the last moment, with
@@ -155,13 +144,13 @@
         fleet.report("i-2@1", false);
         fleet.planner.on_tick();
         fleet.plan();
-        assert_eq!(starts(&mut fleet), [], "{:?} after the report", fleet.now() - reported);
+        assert_eq!(fleet.deliver_starts(), [], "{:?} after the report", fleet.now() - reported);
     }
     fleet.pass(Duration::from_secs(1));
     fleet.report("i-2@1", false);
     fleet.planner.on_tick();
     fleet.plan();
-    assert_eq!(starts(&mut fleet), [(key().0, 2)]);
+    assert_eq!(fleet.deliver_starts(), [(key().0, 2)]);
 }
 
 /// An agent with a lease for the runner `i-1`, which is back under its id after each crash.
@@ -296,10 +285,10 @@
     let whole = NodeReport { keeps_id: true, former, ..fleet.report_of("i-1@2") };
     fleet.planner.on_report(NodeReport { snapshot: None, ..whole.clone() }, true);
     fleet.plan();
-    assert_eq!(starts(&mut fleet), []);
+    assert_eq!(fleet.deliver_starts(), []);
     fleet.planner.on_report(whole, false);
     fleet.plan();
-    assert_eq!(starts(&mut fleet), []);
+    assert_eq!(fleet.deliver_starts(), []);
     let progress = &fleet.progress["a"].1;
     assert_eq!(progress.task(&key().0).unwrap().attempts[0].worker, "i-1@2");
 }
