--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -80,6 +80,16 @@
     })
 }
 
+/// The processes that run now, by their ids.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the processes that still run.
+pub fn kill_all() {
+    for id in RUNNING.lock().unwrap().drain(..) {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+}
+
 /// A process of the project.
 pub struct Process {
     /// Name in records.
@@ -110,12 +120,15 @@
             .stdout(log)
             .stderr(copy)
             .spawn();
-        self.child = Some(child.expect("the deploy file's build was run"));
+        let child = child.expect("the deploy file's build was run");
+        RUNNING.lock().unwrap().push(child.id());
+        self.child = Some(child);
     }
 
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            RUNNING.lock().unwrap().retain(|id| *id != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -41,6 +41,7 @@
         }
         _ => {
             record.line("the case could not run");
+            deployment::kill_all();
             2
         }
     };
