--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -1,4 +1,4 @@
-//! Plays a case of the review: `lab CASE FOLDER`. Ends with 1 if a rule was broken, 0 if it held, and
+//! Plays a case of the review: `lab CASE RECORD`. Ends with 1 if a rule was broken, 0 if it held, and
 //! 2 if the case couldn't run. With `TROUBLE=0` it does the same without the disruption.
 
 mod base;
@@ -17,12 +17,12 @@
 
 fn main() {
     let words: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &words[..] else {
-        eprintln!("usage: lab CASE FOLDER");
+    let [_, case, path] = &words[..] else {
+        eprintln!("usage: lab CASE RECORD");
         std::process::exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Record::open(&Path::new(folder).join("record.txt"));
+    let record = Record::open(Path::new(path));
     let scratch = std::env::temp_dir().join(format!("review-{}-{case}", std::process::id()));
     std::fs::create_dir_all(&scratch).expect("a temporary folder");
     let (playing, place) = (case.clone(), scratch.clone());
