Settings name the memory and descriptors of the host

Cause: a process did not know what its host grants it, so that no limit could follow from it; the deploy templates left out the platform's figures. Nothing follows from them yet. Measured: nothing; the unit test of the ranges is new.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub mod interference;
 pub mod line_queue;
 pub mod logging;
+pub mod machine_limits;
 pub mod metrics;
 pub mod node;
 pub mod planning;
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -9,6 +9,7 @@
 use crate::findings::FindingList;
 use crate::ids::DomainName;
 use crate::process::ini_reader::IniReader;
+use crate::process::machine_limits::MachineLimits;
 use crate::process::planning::rows::JobLayout;
 use crate::workflow::admission::admission_policy::AdmissionPolicy;
 use crate::workflow::fair_share::share_settings::ShareSettings;
@@ -68,6 +69,8 @@
     pub shares: ShareSettings,
     /// Whether the speeds of workers are learned and taken into account.
     pub learn_speed: bool,
+    /// What the host grants the process.
+    pub machine: MachineLimits,
 }
 
 impl PlannerSettings {
@@ -104,6 +107,7 @@
             admission: read_admission(&mut reader),
             shares: read_shares(&mut reader),
             learn_speed: reader.flag("workers", "learn-speed", false),
+            machine: MachineLimits::read(&mut reader),
         };
         reader.finish().or_value(settings)
     }
@@ -126,6 +130,8 @@
     pub metrics_listen: Option<SocketAddr>,
     /// Address of the store.
     pub store: String,
+    /// What the host grants the process.
+    pub machine: MachineLimits,
 }
 
 impl NodeSettings {
@@ -150,6 +156,7 @@
             internal_advertise: read_optional_address(&mut reader, "node", "internal-advertise"),
             metrics_listen: read_optional_address(&mut reader, "node", "metrics-listen"),
             store: reader.required("store", "address"),
+            machine: MachineLimits::read(&mut reader),
         };
         reader.finish().or_value(settings)
     }
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -12,6 +12,7 @@
 use crate::ids::WorkerId;
 use crate::process::http_server::HttpLimits;
 use crate::process::ini_reader::IniReader;
+use crate::process::machine_limits::MachineLimits;
 use crate::request::placement_policy::PlacementPolicyKind;
 
 /// Length of a SHA-256 digest in hexadecimal digits.
@@ -57,6 +58,8 @@
     pub caller_limits: HttpLimits,
     /// Longest wait for requests in flight when stopping.
     pub drain_limit: Duration,
+    /// What the host grants the process.
+    pub machine: MachineLimits,
 }
 
 impl EntrySettings {
@@ -89,6 +92,7 @@
             placement: reader.value("batch", "placement", PlacementPolicyKind::default()),
             caller_limits: read_limits(&mut reader),
             drain_limit: reader.span("entry", "drain-limit", Duration::from_secs(30)),
+            machine: MachineLimits::read(&mut reader),
         };
         reader.finish().or_value(settings)
     }
@@ -115,6 +119,8 @@
     pub worker_control: Option<SocketAddr>,
     /// Longest wait for requests in flight when stopping.
     pub drain_limit: Duration,
+    /// What the host grants the process.
+    pub machine: MachineLimits,
 }
 
 impl AgentSettings {
@@ -148,6 +154,7 @@
             table: read_target(&mut reader, "platform", "table"),
             worker_control: read_optional_address(&mut reader, "platform", "worker"),
             drain_limit: reader.span("agent", "drain-limit", Duration::from_secs(30)),
+            machine: MachineLimits::read(&mut reader),
         };
         reader.finish().or_value(settings)
     }
