Crowds of clients that don't behave, as a load and as tests

Change: the crowd is a load kind of the stand-ins, gathered of one kind of client each; one test a kind sends it to each listener that clients reach (planner: callers, jobs, ready; node agent: registry; entry: callers, operators; agent: endpoints) of processes with 64 MiB and 1,000 descriptors. Bytes that the kernel holds for a listener count as memory. No time is checked.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform and the endpoints: small, for tests and a first try, never shipped.
 
 pub mod caller;
+pub mod crowd;
 pub mod deployment;
 pub mod experiments;
 pub mod laboratory;
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -69,6 +69,7 @@
     domains: usize,
     planner_lines: String,
     planner_keys: String,
+    node_lines: String,
     client: reqwest::Client,
 }
 
@@ -103,6 +104,7 @@
             domains,
             planner_lines: String::new(),
             planner_keys: String::new(),
+            node_lines: String::new(),
             client: reqwest::Client::builder().no_proxy().build().expect("a client"),
         };
         cluster.configure(1, &["q"]);
@@ -139,6 +141,11 @@
         self.planner_keys.push_str(lines);
     }
 
+    /// Adds lines to the settings of agents that are added from now on.
+    pub fn add_node_lines(&mut self, lines: &str) {
+        self.node_lines.push_str(lines);
+    }
+
     /// Adds an entry host.
     pub async fn add_planner(&mut self) {
         let listener = self.store.listen().await;
@@ -197,7 +204,8 @@
         let line = FaultProxy::bind(&[]).await;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let domain = self.domain_of(self.nodes.len());
-        let text = node_settings(domain, [any; 2], line.address, listener.address);
+        let text =
+            node_settings(domain, [any; 2], line.address, listener.address) + &self.node_lines;
         let name = format!("node-{}", self.nodes.len());
         let process = self.spawn("gga-node", &text, &name);
         line.set_targets(&[process.address("internal")]);
@@ -220,7 +228,8 @@
         let seat = &self.nodes[node];
         let addresses = ["registry", "internal"].map(|name| seat.process.address(name));
         let domain = self.domain_of(node);
-        let text = node_settings(domain, addresses, seat.line.address, seat.listener.address);
+        let text = node_settings(domain, addresses, seat.line.address, seat.listener.address)
+            + &self.node_lines;
         self.nodes[node].process.kill();
         self.nodes[node].process = self.spawn("gga-node", &text, &format!("node-{node}"));
     }
--- a/standins/src/processes.rs
+++ b/standins/src/processes.rs
@@ -98,13 +98,49 @@
 
     /// Resident memory in MiB.
     pub fn resident_mib(&self) -> f64 {
+        self.status_mib("VmRSS:")
+    }
+
+    /// Highest resident memory so far in MiB.
+    pub fn peak_resident_mib(&self) -> f64 {
+        self.status_mib("VmHWM:")
+    }
+
+    fn status_mib(&self, name: &str) -> f64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
+        let line = status.lines().find(|line| line.starts_with(name)).unwrap_or("");
         let kib = line.split_whitespace().nth(1).and_then(|text| text.parse::<f64>().ok());
         kib.unwrap_or(0.0) / 1_024.0
     }
 
+    /// Number of open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.map_or(0, Iterator::count)
+    }
+
+    /// Bytes that the kernel holds for the connections of a listener: received and not yet read, and
+    /// sent and not yet taken.
+    pub fn socket_bytes(&self, listener: &str) -> u64 {
+        let port = format!(":{:04X}", self.address(listener).port());
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let queues = table.lines().skip(1).filter_map(|line| {
+            let mut words = line.split_whitespace().skip(1);
+            let is_local = words.next()?.ends_with(&port);
+            let (sent, received) = words.nth(2)?.split_once(':')?;
+            let held = |text| u64::from_str_radix(text, 16).unwrap_or(0);
+            is_local.then(|| held(sent) + held(received))
+        });
+        queues.sum()
+    }
+
+    /// Whether the process is still running.
+    pub fn is_running(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        status.is_ok_and(|text| !text.contains("State:\tZ"))
+    }
+
     /// Sum of a metric over all its labels, from the listener that serves metrics.
     pub async fn metric(&self, listener: &str, name: &str) -> f64 {
         let url = format!("http://{}/metrics", self.address(listener));
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -50,6 +50,8 @@
     pub entry_keys: String,
     /// Lines that the settings of each entry end with.
     pub entry_lines: String,
+    /// Lines that the settings of each agent end with.
+    pub agent_lines: String,
     folder: SettingsFolder,
 }
 
@@ -74,6 +76,7 @@
             entry_lines:
                 "[timing]\nentry-beat = 100ms\nagent-beat = 200ms\nlongest-grant-only = 8s\n"
                     .to_string(),
+            agent_lines: String::new(),
             folder: SettingsFolder::open(),
         }
     }
@@ -131,8 +134,8 @@
     ) -> ProductProcess {
         let text = format!(
             "[agent]\nworker = {name}\ndomain = wien-a\nrack = r1\nbalancer = {}\n\
-             [platform]\ntable = {table}\nworker = {worker}\n",
-            self.balancer.address,
+             [platform]\ntable = {table}\nworker = {worker}\n{}",
+            self.balancer.address, self.agent_lines,
         );
         let file = self.folder.write(&text);
         ProductProcess::spawn(Path::new(env!("CARGO_BIN_EXE_gga-agent")), &file)
