A crowd of connections no longer keeps other callers out

What callers saw: with as many connections open as a listener bears, a new caller got no answer for up to a minute, or for as long as the crowd liked. Cause: at its limit a listener stopped accepting, so that those who were there first decided who is served; each listener had a limit of 2,000 of its own, together more than the descriptors of a host. Change: all listeners for HTTP of a process share its descriptors. When they run short, the connection that has waited longest for its peer is closed; one whose request is worked on stays. Heads, idle connections and responses that are not taken have limits of time of their own, and partial requests hold a stop up for a second at most. Closed connections are counted and logged. Why it works: an ordinary caller leaves each phase of its connection soon, so that it is never the one that waited longest among a crowd that stays.

--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -29,8 +29,9 @@
 use crate::process::agent::shared::AgentShared;
 use crate::process::entry::listen;
 use crate::process::entry::local_address;
-use crate::process::http_server::HttpLimits;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::spawn_http_server;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::process::logging::log_event;
 use crate::process::settings::AgentSettings;
 use crate::process::stop_signal::StopSignal;
@@ -89,7 +90,10 @@
         reconciler::spawn_ticks(shared.clone(), reconciler.clone());
         let (close, closed) = StopSwitch::new();
         let router = announce_http::router(shared.clone());
-        let server = spawn_http_server(endpoints, router, HttpLimits::default(), closed);
+        let counter = shared.metrics.closed_connections.clone();
+        let guard = Arc::new(ConnectionGuard::new(shared.settings.machine, counter));
+        let listener = ListenerSettings::new("endpoints", guard);
+        let server = spawn_http_server(endpoints, router, listener, closed);
         let running = tokio::spawn(async move {
             stop.raised().await;
             drain(&shared, &reconciler).await;
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -39,8 +39,9 @@
 use crate::process::entry::membership::MembershipActor;
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::shared::EntryShared;
-use crate::process::http_server::HttpLimits;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::spawn_http_server;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::process::logging::log_event;
 use crate::process::settings::EntrySettings;
 use crate::process::stop_signal::StopSignal;
@@ -104,11 +105,14 @@
         burn_desk::spawn_flushes(shared.clone());
         let (close, closed) = StopSwitch::new();
         let caller_router = caller_http::router(shared.clone(), scheduler);
-        let limits = shared.settings.caller_limits;
-        let caller_server = spawn_http_server(callers, caller_router, limits, closed.clone());
+        let counter = shared.metrics.closed_connections.clone();
+        let guard = Arc::new(ConnectionGuard::new(shared.settings.machine, counter));
+        let listener = ListenerSettings::new("callers", guard.clone())
+            .with_limits(shared.settings.caller_limits);
+        let caller_server = spawn_http_server(callers, caller_router, listener, closed.clone());
         let operator_router = operator_http::router(shared.clone());
-        let limits = HttpLimits::default();
-        let operator_server = spawn_http_server(operators, operator_router, limits, closed);
+        let listener = ListenerSettings::new("operators", guard);
+        let operator_server = spawn_http_server(operators, operator_router, listener, closed);
         let running = tokio::spawn(async move {
             stop.raised().await;
             drain(&shared, &membership).await;
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP and stops gracefully.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -16,47 +17,93 @@
 use axum::middleware::from_fn;
 use axum::response::Response;
 use futures::StreamExt;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
 use crate::process::accept::next_stream;
+use crate::process::inbound::connection_guard::ConnectionGuard;
+use crate::process::inbound::connection_guard::ConnectionHandle;
+use crate::process::inbound::connection_ledger::ConnectionPhase;
+use crate::process::inbound::connection_ledger::ListenerNumber;
+use crate::process::inbound::guarded_stream::GuardedStream;
+pub use crate::process::inbound::http_limits::HttpLimits;
 use crate::process::stop_signal::StopSignal;
 
-/// What a listener bears.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HttpLimits {
-    /// Longest time for a peer to send a request's headers, and to leave its connection idle.
-    pub header_timeout: Duration,
-    /// Connections that are open at once; more wait to be accepted.
-    pub connections: usize,
+/// Time after the stop signal in which requests that are being received may be completed.
+const LAST_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Response on a connection for which there is no room. Nothing of its request was read.
+const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
+    Connection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Supplies the limits for the next connection.
+pub type LimitSource = Arc<dyn Fn() -> HttpLimits + Send + Sync>;
+
+/// What a listener needs besides its routes.
+#[derive(Clone)]
+pub struct ListenerSettings {
+    /// Name under which its connections are logged and counted.
+    pub name: &'static str,
+    /// Limits on its connections.
+    pub limits: LimitSource,
+    /// All connections of the process.
+    pub guard: Arc<ConnectionGuard>,
 }
 
-impl Default for HttpLimits {
-    fn default() -> HttpLimits {
-        HttpLimits { header_timeout: Duration::from_secs(60), connections: 2_000 }
+impl Default for ListenerSettings {
+    fn default() -> ListenerSettings {
+        ListenerSettings::new("http", Arc::default())
+    }
+}
+
+impl ListenerSettings {
+    /// Settings with the default limits.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use greengagearch::process::http_server::ListenerSettings;
+    ///
+    /// assert_eq!(ListenerSettings::new("callers", Arc::default()).name, "callers");
+    /// ```
+    pub fn new(name: &'static str, guard: Arc<ConnectionGuard>) -> ListenerSettings {
+        let limits = Arc::new(HttpLimits::default);
+        ListenerSettings { name, limits, guard }
+    }
+
+    /// The same settings with these limits.
+    ///
+    /// ```
+    /// use greengagearch::process::http_server::HttpLimits;
+    /// use greengagearch::process::http_server::ListenerSettings;
+    ///
+    /// let limits = HttpLimits { connections: 8, ..HttpLimits::default() };
+    /// let settings = ListenerSettings::default().with_limits(limits);
+    /// assert_eq!((settings.limits)().connections, 8);
+    /// ```
+    pub fn with_limits(self, limits: HttpLimits) -> ListenerSettings {
+        ListenerSettings { limits: Arc::new(move || limits), ..self }
     }
 }
 
 /// Serves `router` on `listener` until `stop` is raised and the requests in flight have ended.
 ///
 /// ```
-/// use greengagearch::process::http_server::HttpLimits;
+/// use greengagearch::process::http_server::ListenerSettings;
 /// use greengagearch::process::http_server::spawn_http_server;
 /// use greengagearch::process::stop_signal::StopSwitch;
 ///
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
 /// let (switch, signal) = StopSwitch::new();
-/// let limits = HttpLimits::default();
-/// let server = spawn_http_server(listener, axum::Router::new(), limits, signal);
+/// let settings = ListenerSettings::default();
+/// let server = spawn_http_server(listener, axum::Router::new(), settings, signal);
 /// switch.stop();
 /// server.await.unwrap();
 /// # });
@@ -64,18 +111,27 @@
 pub fn spawn_http_server(
     listener: TcpListener,
     router: Router,
-    limits: HttpLimits,
+    settings: ListenerSettings,
     stop: StopSignal,
 ) -> JoinHandle<()> {
+    let number = settings.guard.add_listener(settings.name);
     tokio::spawn(async move {
         let connections = GracefulShutdown::new();
-        let accepting = accept_all(&listener, &router, limits, &connections);
+        let accepting = accept_all(&listener, &router, &settings, number, &connections);
         tokio::select! {
             () = accepting => {}
             () = stop.raised() => {}
         }
         drop(listener);
-        connections.shutdown().await;
+        let closing = async {
+            tokio::time::sleep(LAST_REQUEST_TIME).await;
+            settings.guard.close_unfinished(number);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = connections.shutdown() => {}
+            () = closing => {}
+        }
     })
 }
 
@@ -83,35 +139,55 @@
 async fn accept_all(
     listener: &TcpListener,
     router: &Router,
-    limits: HttpLimits,
+    settings: &ListenerSettings,
+    number: ListenerNumber,
     connections: &GracefulShutdown,
 ) {
-    let permits = Arc::new(Semaphore::new(limits.connections));
-    // The semaphore is never closed.
-    while let Ok(permit) = permits.clone().acquire_owned().await {
+    loop {
         let stream = next_stream(listener).await;
-        serve(stream, router.clone(), limits, connections, permit);
+        let limits = (settings.limits)();
+        match ConnectionGuard::open(&settings.guard, number, limits.connections) {
+            Some(handle) => {
+                let handle = Arc::new(handle);
+                let stream = GuardedStream::new(stream, handle.clone(), limits);
+                let exchange =
+                    HttpExchange { router: TowerToHyperService::new(router.clone()), handle };
+                serve(stream, exchange, connections);
+            }
+            // The response fits into the buffer of a new connection.
+            None => drop(stream.try_write(NO_ROOM)),
+        }
     }
 }
 
-fn serve(
-    stream: TcpStream,
-    router: Router,
-    limits: HttpLimits,
-    connections: &GracefulShutdown,
-    permit: OwnedSemaphorePermit,
-) {
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(limits.header_timeout);
-    let service = TowerToHyperService::new(router);
+fn serve(stream: GuardedStream, exchange: HttpExchange, connections: &GracefulShutdown) {
+    let builder = http1::Builder::new();
+    let service = service_fn(move |request| exchange.clone().answer(request));
     let connection = connections.watch(builder.serve_connection(TokioIo::new(stream), service));
     tokio::spawn(async move {
         // Errors are the peer's: it went away, was too slow, or sent no HTTP.
         let _ = connection.await;
-        drop(permit);
     });
 }
 
+/// The requests of one connection and their responses.
+#[derive(Clone)]
+struct HttpExchange {
+    router: TowerToHyperService<Router>,
+    handle: Arc<ConnectionHandle>,
+}
+
+impl HttpExchange {
+    /// Answers a request.
+    async fn answer(self, request: Request<Incoming>) -> Result<Response, Infallible> {
+        let handle = self.handle;
+        handle.begin_phase(ConnectionPhase::Working);
+        let response = self.router.call(request).await?;
+        handle.begin_phase(ConnectionPhase::Answering);
+        Ok(response)
+    }
+}
+
 /// Adds `Connection: close` to responses that are sent before the request body has been read. The unread rest of the
 /// body may reset the connection, and the peer would not know whether its next request was executed. Routes with tight
 /// latency bounds add the header themselves, see [`with_close`].
@@ -123,7 +199,7 @@
     router.layer(from_fn(close_after_unread))
 }
 
-async fn close_after_unread(request: Request, next: Next) -> Response {
+async fn close_after_unread(request: Request<Body>, next: Next) -> Response {
     if request.body().is_end_stream() {
         return next.run(request).await;
     }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use axum::Router;
 use axum::routing::get;
@@ -20,8 +21,9 @@
 use crate::ids::InstanceId;
 use crate::process::admission_metrics::AdmissionMetrics;
 use crate::process::entry::listen;
-use crate::process::http_server::HttpLimits;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::spawn_http_server;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::process::stop_signal::StopSwitch;
 use crate::workflow::evacuation_summary::EvacuationSummary;
 
@@ -67,6 +69,9 @@
     pub ejected_workers: IntGauge,
     /// Evacuations in force; shown by the planner only.
     pub evacuations: EvacuationGauges,
+    /// Connections that were closed, and requests that were refused, before their peer had a
+    /// response, by listener and reason.
+    pub closed_connections: IntCounterVec,
 }
 
 /// Workers and runs in evacuated failure domains, by domain.
@@ -178,6 +183,11 @@
             .expect("constant names are valid"),
             ejected_workers: gauge("gga_ejected_workers", "Workers ejected because they are slow"),
             evacuations: EvacuationGauges::open(),
+            closed_connections: counters(
+                "gga_closed_connections",
+                "Connections closed and requests refused before a response",
+                &["listener", "reason"],
+            ),
             registry,
         };
         metrics.register();
@@ -219,7 +229,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
@@ -237,6 +247,7 @@
             Box::new(self.ejected_workers.clone()),
             Box::new(self.evacuations.workers.clone()),
             Box::new(self.evacuations.runs.clone()),
+            Box::new(self.closed_connections.clone()),
         ];
         for collector in collectors {
             // Names are constants and unique, so that a refusal is a mistake in this file, which
@@ -256,14 +267,20 @@
 /// ```no_run
 /// # async fn f(metrics: greengagearch::process::metrics::ProcessMetrics) {
 /// let address = "127.0.0.1:0".parse().unwrap();
-/// greengagearch::process::metrics::serve_metrics(address, metrics).await.unwrap();
+/// let guard = Default::default();
+/// greengagearch::process::metrics::serve_metrics(address, metrics, guard).await.unwrap();
 /// # }
 /// ```
-pub async fn serve_metrics(address: SocketAddr, metrics: ProcessMetrics) -> Result<(), Error> {
+pub async fn serve_metrics(
+    address: SocketAddr,
+    metrics: ProcessMetrics,
+    guard: Arc<ConnectionGuard>,
+) -> Result<(), Error> {
     let listener = listen(address).await?;
     let router = Router::new().route("/metrics", get(async move || metrics.render()));
     let (switch, never) = StopSwitch::new();
-    let server = spawn_http_server(listener, router, HttpLimits::default(), never);
+    let settings = ListenerSettings::new("metrics", guard);
+    let server = spawn_http_server(listener, router, settings, never);
     tokio::spawn(async move {
         // The switch lives as long as the server, which it never stops.
         let _ = server.await;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod gate;
 pub mod http_server;
+pub mod inbound;
 pub mod ini_reader;
 pub mod interference;
 pub mod line_queue;
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -34,8 +34,9 @@
 use crate::platform::runner_registry;
 use crate::process::entry::listen;
 use crate::process::entry::local_address;
-use crate::process::http_server::HttpLimits;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::spawn_http_server;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::process::logging::log_event;
 use crate::process::metrics::serve_metrics;
 use crate::process::node::instance_recorder::InstanceRecorder;
@@ -87,8 +88,10 @@
             internal: local_address(&internal)?,
         };
         let shared = Arc::new(NodeShared::new(control));
+        let closed = shared.metrics.closed_connections.clone();
+        let guard = Arc::new(ConnectionGuard::new(settings.machine, closed));
         if let Some(address) = settings.metrics_listen {
-            serve_metrics(address, shared.metrics.clone()).await?;
+            serve_metrics(address, shared.metrics.clone(), guard.clone()).await?;
         }
         rpc::spawn_node_rpc(internal, shared.clone());
         runner_poller::spawn_runner_poller(shared.clone());
@@ -96,7 +99,8 @@
             settings.internal_advertise.unwrap_or(addresses.internal).to_string();
         InstanceRecorder::spawn(shared.clone(), store.clone(), &advertised_address);
         let router = runner_registry::router(shared);
-        spawn_http_server(registry, router, HttpLimits::default(), stop.clone());
+        let listener = ListenerSettings::new("registry", guard);
+        spawn_http_server(registry, router, listener, stop.clone());
         let name = agent_row(NODE_TABLE, &advertised_address);
         let row = NodeRow { id: settings.id, address: advertised_address };
         tokio::spawn(register(store, name, encode(&row)));
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -44,8 +44,9 @@
 use crate::process::entry::listen;
 use crate::process::entry::local_address;
 use crate::process::gate::JobGate;
-use crate::process::http_server::HttpLimits;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::spawn_http_server;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::process::logging::log_event;
 use crate::process::metrics::serve_metrics;
 use crate::process::planning::job_service::JobService;
@@ -108,24 +109,28 @@
         settings.internal_listen = addresses.internal;
         let drain_limit = settings.drain_limit;
         let shared = Arc::new(PlannerShared::new(settings, store, advice));
+        let closed = shared.metrics.closed_connections.clone();
+        let guard = Arc::new(ConnectionGuard::new(shared.settings.machine, closed));
         if let Some(address) = shared.settings.metrics_listen {
-            serve_metrics(address, shared.metrics.clone()).await?;
+            serve_metrics(address, shared.metrics.clone(), guard.clone()).await?;
         }
         queue_watch::spawn_queue_watch(shared.clone());
         peer_watch::spawn_peer_watch(shared.clone());
         planner_client::spawn_planner_rpc(internal, shared.clone());
         let gate: Arc<dyn JobGate> = Arc::new(JobService::open(shared.clone()));
         let (caller_switch, caller_stop) = StopSwitch::new();
-        let limits = HttpLimits::default();
-        let router = caller_gate::router(gate.clone());
         if let Some(jobs) = jobs {
-            spawn_http_server(jobs, job_http::router(gate.clone()), limits, caller_stop.clone());
+            let settings = ListenerSettings::new("jobs", guard.clone());
+            spawn_http_server(jobs, job_http::router(gate.clone()), settings, caller_stop.clone());
         }
-        let server = spawn_http_server(callers, router, limits, caller_stop);
+        let settings = ListenerSettings::new("callers", guard.clone());
+        let router = caller_gate::router(gate.clone());
+        let server = spawn_http_server(callers, router, settings, caller_stop);
         // The readiness listener runs until the process ends, so that the load balancer gets a
         // negative response while the process drains.
         let (ready_switch, ready_stop) = StopSwitch::new();
-        spawn_http_server(ready, caller_gate::ready_router(gate), limits, ready_stop);
+        let settings = ListenerSettings::new("ready", guard);
+        spawn_http_server(ready, caller_gate::ready_router(gate), settings, ready_stop);
         let elector = OwnershipElector::spawn(shared.clone());
         let task = tokio::spawn(async move {
             stop.raised().await;
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -197,7 +197,11 @@
     }
     let most = default.connections as u64;
     let connections = reader.number("entry", "connections", most, 1..=LARGEST_CONNECTIONS);
-    HttpLimits { header_timeout, connections: connections as usize }
+    let idle_timeout = reader.span("entry", "idle-timeout", default.idle_timeout);
+    if idle_timeout.is_zero() {
+        reader.report("entry", "idle-timeout", "must be longer than 0s");
+    }
+    HttpLimits { header_timeout, idle_timeout, connections: connections as usize, ..default }
 }
 
 fn read_key_hashes(reader: &mut IniReader) -> BTreeMap<TeamName, String> {
--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -11,7 +11,7 @@
 use greengagearch::process::gate::CallDeadline;
 use greengagearch::process::gate::JobGate;
 use greengagearch::process::gate::JobRefusal;
-use greengagearch::process::http_server::HttpLimits;
+use greengagearch::process::http_server::ListenerSettings;
 use greengagearch::process::http_server::spawn_http_server;
 use greengagearch::process::planning::evacuation_status::EvacuationStatus;
 use greengagearch::process::planning::job_http;
@@ -275,7 +275,7 @@
     for (router, path) in routers {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let url = format!("http://{}{path}", listener.local_addr().unwrap());
-        spawn_http_server(listener, router, HttpLimits::default(), stop.clone());
+        spawn_http_server(listener, router, ListenerSettings::default(), stop.clone());
         let body = if path.starts_with("/q/") {
             job()
         } else {
