Bodies that are being received share a part of the host's memory

What callers saw: the process was killed when many clients sent bodies of legal size, whole, or but for their end. Cause: nothing bounded the sum of unfinished bodies; a piece of one byte kept the read buffer that it came in; nothing bounded how long a body may stand still. Change: pieces are copied together and accounted for as they arrive, until the request is answered. A body that stands still for 15 s is refused. Why it works: what a peer has sent and the process keeps is counted before the next piece is read, and an ordinary body is complete long before it is the one that waited longest.

--- a/src/platform/caller_gate.rs
+++ b/src/platform/caller_gate.rs
@@ -22,8 +22,11 @@
 use crate::process::gate::CallDeadline;
 use crate::process::gate::JobGate;
 use crate::process::gate::JobRefusal;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::closing_after_unread;
 use crate::process::http_server::with_close;
+use crate::process::inbound::connection_guard::CloseReason;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::version::queue_table::QueueRoute;
 use crate::version::queue_table::QueueTable;
 use crate::workflow::progress::JobEnd;
@@ -113,6 +116,20 @@
     closing_after_unread(Router::new().fallback(take_call)).with_state(gate)
 }
 
+/// Settings of the callers' listener.
+///
+/// ```no_run
+/// let settings = greengagearch::platform::caller_gate::listener_settings(Default::default());
+/// ```
+pub fn listener_settings(guard: Arc<ConnectionGuard>) -> ListenerSettings {
+    ListenerSettings { refusal: refuse_unread, ..ListenerSettings::new("callers", guard) }
+}
+
+/// The response to a request that was refused while its body was received, so that it has not run.
+fn refuse_unread(_: &HeaderMap, reason: CloseReason) -> Response {
+    refusal(&JobRefusal::NotRun { reason: reason.as_str().to_string() })
+}
+
 /// The routes of the listener at which the platform asks whether the process is ready.
 ///
 /// ```no_run
--- a/src/process/entry/caller_http.rs
+++ b/src/process/entry/caller_http.rs
@@ -34,8 +34,11 @@
 use crate::process::entry::job_http;
 use crate::process::entry::scheduler::SchedulerActor;
 use crate::process::entry::shared::EntryShared;
+use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::closing_after_unread;
 use crate::process::http_server::with_close;
+use crate::process::inbound::connection_guard::CloseReason;
+use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::request::outcome::NotRunReason;
 use crate::request::outcome::RequestOutcome;
 use crate::request::outcome::UnknownReason;
@@ -57,6 +60,9 @@
 /// Longest time for which a caller may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Copies of a body while its request is served: as received, in the request, in the message to the
+/// agent and in the buffer of its connection.
+const BODY_COPIES: u64 = 4;
 /// When to come back after a refusal that is expected to pass.
 const RETRY_HINT: Duration = Duration::from_secs(1);
 
@@ -80,6 +86,25 @@
     pub retry_after_millis: u64,
 }
 
+/// Settings of the callers' listener.
+pub fn listener_settings(guard: Arc<ConnectionGuard>) -> ListenerSettings {
+    let settings = ListenerSettings::new("callers", guard);
+    ListenerSettings { refusal: refuse_unread, body_copies: BODY_COPIES, ..settings }
+}
+
+/// The response to a request that was refused while its body was received, so that this try of it
+/// has not run.
+fn refuse_unread(headers: &HeaderMap, reason: CloseReason) -> Response {
+    if reason == CloseReason::BodyTimeout {
+        return bad_request(StatusCode::REQUEST_TIMEOUT, "body: not sent in time");
+    }
+    if headers.contains_key(REQUEST_ID_HEADER) {
+        // An earlier try with this id may have run, which only the owner of the id knows.
+        return respond(RequestOutcome::Unknown(UnknownReason::NoOwner));
+    }
+    refuse(NotRunReason::Overloaded)
+}
+
 /// The routes of the callers' listener.
 pub fn router(shared: Arc<EntryShared>, scheduler: ActorRef<SchedulerActor>) -> Router {
     let jobs = Router::new().route("/v1/jobs", post(job_http::handle_submit)).route(
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -107,7 +107,7 @@
         let caller_router = caller_http::router(shared.clone(), scheduler);
         let counter = shared.metrics.closed_connections.clone();
         let guard = Arc::new(ConnectionGuard::new(shared.settings.machine, counter));
-        let listener = ListenerSettings::new("callers", guard.clone())
+        let listener = caller_http::listener_settings(guard.clone())
             .with_limits(shared.settings.caller_limits);
         let caller_server = spawn_http_server(callers, caller_router, listener, closed.clone());
         let operator_router = operator_http::router(shared.clone());
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -11,10 +11,14 @@
 use axum::body::Bytes;
 use axum::body::HttpBody;
 use axum::extract::Request;
+use axum::http::HeaderMap;
 use axum::http::HeaderValue;
+use axum::http::StatusCode;
 use axum::http::header::CONNECTION;
+use axum::http::header::RETRY_AFTER;
 use axum::middleware::Next;
 use axum::middleware::from_fn;
+use axum::response::IntoResponse;
 use axum::response::Response;
 use futures::StreamExt;
 use hyper::body::Incoming;
@@ -28,10 +32,13 @@
 use tokio::task::JoinHandle;
 
 use crate::process::accept::next_stream;
+use crate::process::inbound::connection_guard::CloseReason;
 use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::process::inbound::connection_guard::ConnectionHandle;
 use crate::process::inbound::connection_ledger::ConnectionPhase;
 use crate::process::inbound::connection_ledger::ListenerNumber;
+use crate::process::inbound::guarded_body::BodyLimits;
+use crate::process::inbound::guarded_body::GuardedBody;
 use crate::process::inbound::guarded_stream::GuardedStream;
 pub use crate::process::inbound::http_limits::HttpLimits;
 use crate::process::stop_signal::StopSignal;
@@ -41,9 +48,16 @@
 /// Response on a connection for which there is no room. Nothing of its request was read.
 const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
     Connection: close\r\nContent-Length: 0\r\n\r\n";
+/// Copies of a body while its request is served, unless a listener says otherwise: as received, and
+/// decoded.
+const BODY_COPIES: u64 = 2;
+/// Value of `Retry-After` in the response to a request that was refused for want of memory.
+const RETRY_AFTER_SECONDS: &str = "1";
 
 /// Supplies the limits for the next connection.
 pub type LimitSource = Arc<dyn Fn() -> HttpLimits + Send + Sync>;
+/// Creates the response to a request that was refused while it was received, from its headers.
+pub type RefusalResponse = fn(&HeaderMap, CloseReason) -> Response;
 
 /// What a listener needs besides its routes.
 #[derive(Clone)]
@@ -54,6 +68,10 @@
     pub limits: LimitSource,
     /// All connections of the process.
     pub guard: Arc<ConnectionGuard>,
+    /// Response to a request that was refused while it was received.
+    pub refusal: RefusalResponse,
+    /// Copies of a request's body that exist at the same time while it is served.
+    pub body_copies: u64,
 }
 
 impl Default for ListenerSettings {
@@ -74,7 +92,7 @@
     /// ```
     pub fn new(name: &'static str, guard: Arc<ConnectionGuard>) -> ListenerSettings {
         let limits = Arc::new(HttpLimits::default);
-        ListenerSettings { name, limits, guard }
+        ListenerSettings { name, limits, guard, refusal, body_copies: BODY_COPIES }
     }
 
     /// The same settings with these limits.
@@ -92,6 +110,17 @@
     }
 }
 
+/// The response to a request that was refused while it was received, on listeners without one of
+/// their own.
+fn refusal(_: &HeaderMap, reason: CloseReason) -> Response {
+    match reason {
+        CloseReason::BodyTimeout => StatusCode::REQUEST_TIMEOUT.into_response(),
+        _ => {
+            (StatusCode::SERVICE_UNAVAILABLE, [(RETRY_AFTER, RETRY_AFTER_SECONDS)]).into_response()
+        }
+    }
+}
+
 /// Serves `router` on `listener` until `stop` is raised and the requests in flight have ended.
 ///
 /// ```
@@ -150,8 +179,12 @@
             Some(handle) => {
                 let handle = Arc::new(handle);
                 let stream = GuardedStream::new(stream, handle.clone(), limits);
-                let exchange =
-                    HttpExchange { router: TowerToHyperService::new(router.clone()), handle };
+                let exchange = HttpExchange {
+                    router: TowerToHyperService::new(router.clone()),
+                    handle,
+                    body: BodyLimits { timeout: limits.body_timeout, copies: settings.body_copies },
+                    refusal: settings.refusal,
+                };
                 serve(stream, exchange, connections);
             }
             // The response fits into the buffer of a new connection.
@@ -175,14 +208,21 @@
 struct HttpExchange {
     router: TowerToHyperService<Router>,
     handle: Arc<ConnectionHandle>,
+    body: BodyLimits,
+    refusal: RefusalResponse,
 }
 
 impl HttpExchange {
-    /// Answers a request.
+    /// Answers a request, with a refusal if its body was refused while it was received.
     async fn answer(self, request: Request<Incoming>) -> Result<Response, Infallible> {
         let handle = self.handle;
         handle.begin_phase(ConnectionPhase::Working);
-        let response = self.router.call(request).await?;
+        let headers = (!request.body().is_end_stream()).then(|| request.headers().clone());
+        let request = request.map(|body| GuardedBody::new(body, handle.clone(), self.body));
+        let mut response = self.router.call(request).await?;
+        if let (Some(reason), Some(headers)) = (handle.refusal(), headers) {
+            response = with_close((self.refusal)(&headers, reason));
+        }
         handle.begin_phase(ConnectionPhase::Answering);
         Ok(response)
     }
--- a/src/process/inbound/http_limits.rs
+++ b/src/process/inbound/http_limits.rs
@@ -10,6 +10,8 @@
     /// Longest time between two requests of a connection, and for a peer to take the next bytes of a
     /// response.
     pub idle_timeout: Duration,
+    /// Longest time between two pieces of a request body.
+    pub body_timeout: Duration,
     /// Connections of the listener that are open at once. One more closes the one that has waited
     /// longest for its peer.
     pub connections: usize,
@@ -20,6 +22,7 @@
         HttpLimits {
             header_timeout: Duration::from_secs(60),
             idle_timeout: Duration::from_secs(60),
+            body_timeout: Duration::from_secs(15),
             connections: 2_000,
         }
     }
--- a/src/process/inbound/mod.rs
+++ b/src/process/inbound/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod connection_guard;
 pub mod connection_ledger;
+pub mod guarded_body;
 pub mod guarded_stream;
 pub mod http_limits;
