Read buffers and heads of connections are bounded

What callers saw: the process was killed when clients sent heads over the limit, empty lines without end, or many large bodies at once. Cause: the HTTP library reads up to 400 KB ahead for each connection, of heads and bodies alike, and the kernel's buffers grow to megabytes for a peer that sends faster than it is read; both count as the process's memory. A head had no limit but that. The kernel holds 32 KiB each way. Why it works: what a connection may hold unread and unaccounted for is now a few buffers of known size, the sum of which stays under the memory that is not the requests'.

--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -28,6 +28,9 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
+use log::Level;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -41,10 +44,19 @@
 use crate::process::inbound::guarded_body::GuardedBody;
 use crate::process::inbound::guarded_stream::GuardedStream;
 pub use crate::process::inbound::http_limits::HttpLimits;
+use crate::process::logging::log_event;
 use crate::process::stop_signal::StopSignal;
 
+/// Bytes that a head may be larger than its limit before it is refused, so that one of the largest
+/// legal size is always served.
+const HEAD_RESERVE: usize = 1_024;
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
 /// Time after the stop signal in which requests that are being received may be completed.
 const LAST_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Bytes that the kernel may hold for a connection before the process reads them, and before the
+/// peer takes them. They count as memory of the process.
+const SOCKET_BUFFER_BYTES: usize = 32 * 1_024;
 /// Response on a connection for which there is no room. Nothing of its request was read.
 const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
     Connection: close\r\nContent-Length: 0\r\n\r\n";
@@ -144,6 +156,7 @@
     stop: StopSignal,
 ) -> JoinHandle<()> {
     let number = settings.guard.add_listener(settings.name);
+    bound_socket_buffers(&listener);
     tokio::spawn(async move {
         let connections = GracefulShutdown::new();
         let accepting = accept_all(&listener, &router, &settings, number, &connections);
@@ -164,6 +177,17 @@
     })
 }
 
+/// Bounds the socket buffers of the connections that a listener accepts, which inherit them.
+fn bound_socket_buffers(listener: &TcpListener) {
+    let results = [
+        set_socket_recv_buffer_size(listener, SOCKET_BUFFER_BYTES),
+        set_socket_send_buffer_size(listener, SOCKET_BUFFER_BYTES),
+    ];
+    for error in results.iter().filter_map(|result| result.as_ref().err()) {
+        log_event(Level::Warn, "socket_buffers_unbounded", &[("error", error)]);
+    }
+}
+
 /// Serves each connection in a task of its own.
 async fn accept_all(
     listener: &TcpListener,
@@ -185,7 +209,7 @@
                     body: BodyLimits { timeout: limits.body_timeout, copies: settings.body_copies },
                     refusal: settings.refusal,
                 };
-                serve(stream, exchange, connections);
+                serve(stream, exchange, limits.head_bytes, connections);
             }
             // The response fits into the buffer of a new connection.
             None => drop(stream.try_write(NO_ROOM)),
@@ -193,8 +217,14 @@
     }
 }
 
-fn serve(stream: GuardedStream, exchange: HttpExchange, connections: &GracefulShutdown) {
-    let builder = http1::Builder::new();
+fn serve(
+    stream: GuardedStream,
+    exchange: HttpExchange,
+    head_bytes: usize,
+    connections: &GracefulShutdown,
+) {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size((head_bytes + HEAD_RESERVE).max(MIN_BUFFER_BYTES));
     let service = service_fn(move |request| exchange.clone().answer(request));
     let connection = connections.watch(builder.serve_connection(TokioIo::new(stream), service));
     tokio::spawn(async move {
--- a/src/process/inbound/http_limits.rs
+++ b/src/process/inbound/http_limits.rs
@@ -12,6 +12,8 @@
     pub idle_timeout: Duration,
     /// Longest time between two pieces of a request body.
     pub body_timeout: Duration,
+    /// Largest head of a request in bytes.
+    pub head_bytes: usize,
     /// Connections of the listener that are open at once. One more closes the one that has waited
     /// longest for its peer.
     pub connections: usize,
@@ -23,6 +25,7 @@
             header_timeout: Duration::from_secs(60),
             idle_timeout: Duration::from_secs(60),
             body_timeout: Duration::from_secs(15),
+            head_bytes: 16_384,
             connections: 2_000,
         }
     }
