Limits on heads and idle connections of the configuration are applied

What callers saw: half a head and an idle connection stayed open for a minute whatever the operator's configuration says, and a head of four times its largest size was served; a stop took all of its grace when a caller left a request unfinished. Cause: of the operator's limits the product read only the one on bodies. Change: the largest head, the time for it and for idle connections are read as well and apply to connections of the callers' listener from then on, with a second for the network.

--- a/src/platform/caller_gate.rs
+++ b/src/platform/caller_gate.rs
@@ -22,6 +22,7 @@
 use crate::process::gate::CallDeadline;
 use crate::process::gate::JobGate;
 use crate::process::gate::JobRefusal;
+use crate::process::http_server::HttpLimits;
 use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::closing_after_unread;
 use crate::process::http_server::with_close;
@@ -29,6 +30,7 @@
 use crate::process::inbound::connection_guard::ConnectionGuard;
 use crate::version::queue_table::QueueRoute;
 use crate::version::queue_table::QueueTable;
+use crate::version::queue_table::RequestLimits;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobStatus;
 use crate::workflow::spec::QueuePolicy;
@@ -40,6 +42,8 @@
 const DEADLINE: &str = "X-Greengagearch-Deadline-Ms";
 /// How long a client waits that does not say.
 const DEFAULT_WAIT: Duration = Duration::from_millis(3_000);
+/// Added to the times that the configuration gives callers: what was sent in time may arrive later.
+const NETWORK_RESERVE: Duration = Duration::from_secs(1);
 /// Length of a job's name, in hexadecimal digits.
 const NAME_DIGITS: usize = 16;
 
@@ -119,10 +123,25 @@
 /// Settings of the callers' listener.
 ///
 /// ```no_run
-/// let settings = greengagearch::platform::caller_gate::listener_settings(Default::default());
+/// # use std::sync::Arc;
+/// # fn f(gate: Arc<dyn greengagearch::process::gate::JobGate>) {
+/// let settings = greengagearch::platform::caller_gate::listener_settings(gate, Arc::default());
+/// # }
 /// ```
-pub fn listener_settings(guard: Arc<ConnectionGuard>) -> ListenerSettings {
-    ListenerSettings { refusal: refuse_unread, ..ListenerSettings::new("callers", guard) }
+pub fn listener_settings(gate: SharedGate, guard: Arc<ConnectionGuard>) -> ListenerSettings {
+    let limits = move || gate.queues().map(|table| http_limits(&table.limits)).unwrap_or_default();
+    let settings = ListenerSettings::new("callers", guard);
+    ListenerSettings { limits: Arc::new(limits), refusal: refuse_unread, ..settings }
+}
+
+fn http_limits(limits: &RequestLimits) -> HttpLimits {
+    HttpLimits {
+        header_timeout: limits.head_timeout + NETWORK_RESERVE,
+        idle_timeout: limits.idle_timeout + NETWORK_RESERVE,
+        body_timeout: limits.idle_timeout + NETWORK_RESERVE,
+        head_bytes: limits.max_head_bytes,
+        ..HttpLimits::default()
+    }
 }
 
 /// The response to a request that was refused while its body was received, so that it has not run.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,5 +1,7 @@
 //! The operator's configuration, decoded into the product's queues.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -15,8 +17,6 @@
 pub const OPERATOR_TABLE: &str = "op";
 /// Key of the newest configuration there.
 pub const CONFIGURATION_KEY: &str = "config";
-/// Largest body where the configuration names none.
-const DEFAULT_BODY_BYTES: usize = 262_144;
 
 /// A configuration that cannot be read.
 #[derive(Debug, Snafu)]
@@ -70,6 +70,12 @@
 struct WireLimits {
     #[serde(rename = "MaxBodyBytes")]
     max_body_bytes: Option<usize>,
+    #[serde(rename = "MaxHeaderBytes")]
+    max_head_bytes: Option<usize>,
+    #[serde(rename = "HeaderTimeoutMs")]
+    head_timeout_ms: Option<u64>,
+    #[serde(rename = "IdleTimeoutMs")]
+    idle_timeout_ms: Option<u64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -94,9 +100,20 @@
 /// ```
 pub fn decode(bytes: &[u8]) -> Result<QueueTable, ConfigurationError> {
     let wire: WireConfiguration = serde_json::from_slice(bytes).context(ConfigurationSnafu)?;
-    let max_body_bytes = wire.limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
     let routes = wire.routes.into_iter().map(decode_route).collect();
-    Ok(QueueTable::new(wire.version, RequestLimits { max_body_bytes }, routes))
+    Ok(QueueTable::new(wire.version, decode_limits(&wire.limits), routes))
+}
+
+/// Limits that the configuration does not name have their defaults.
+fn decode_limits(wire: &WireLimits) -> RequestLimits {
+    let default = RequestLimits::default();
+    let time = |millis: Option<u64>, default| millis.map_or(default, Duration::from_millis);
+    RequestLimits {
+        max_body_bytes: wire.max_body_bytes.unwrap_or(default.max_body_bytes),
+        max_head_bytes: wire.max_head_bytes.unwrap_or(default.max_head_bytes),
+        head_timeout: time(wire.head_timeout_ms, default.head_timeout),
+        idle_timeout: time(wire.idle_timeout_ms, default.idle_timeout),
+    }
 }
 
 fn decode_route(wire: WireRoute) -> (String, QueueRoute) {
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -52,6 +52,8 @@
 const HEAD_RESERVE: usize = 1_024;
 /// Smallest read buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Largest read buffer that a configuration may ask for, in bytes.
+const MAX_BUFFER_BYTES: usize = 65_536;
 /// Time after the stop signal in which requests that are being received may be completed.
 const LAST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Bytes that the kernel may hold for a connection before the process reads them, and before the
@@ -224,7 +226,8 @@
     connections: &GracefulShutdown,
 ) {
     let mut builder = http1::Builder::new();
-    builder.max_buf_size((head_bytes + HEAD_RESERVE).max(MIN_BUFFER_BYTES));
+    let buffer_bytes = head_bytes.saturating_add(HEAD_RESERVE);
+    builder.max_buf_size(buffer_bytes.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES));
     let service = service_fn(move |request| exchange.clone().answer(request));
     let connection = connections.watch(builder.serve_connection(TokioIo::new(stream), service));
     tokio::spawn(async move {
--- a/src/process/planning/mod.rs
+++ b/src/process/planning/mod.rs
@@ -123,7 +123,7 @@
             let settings = ListenerSettings::new("jobs", guard.clone());
             spawn_http_server(jobs, job_http::router(gate.clone()), settings, caller_stop.clone());
         }
-        let settings = caller_gate::listener_settings(guard.clone());
+        let settings = caller_gate::listener_settings(gate.clone(), guard.clone());
         let router = caller_gate::router(gate.clone());
         let server = spawn_http_server(callers, router, settings, caller_stop);
         // The readiness listener runs until the process ends, so that the load balancer gets a
--- a/src/version/queue_table.rs
+++ b/src/version/queue_table.rs
@@ -1,6 +1,7 @@
 //! Queues of jobs in one version of the operator's configuration, with the paths routed to them.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::ids::GenerationNumber;
 use crate::workflow::spec::QueuePolicy;
@@ -19,6 +20,23 @@
 pub struct RequestLimits {
     /// Greatest size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Greatest size of a request's head in bytes.
+    pub max_head_bytes: usize,
+    /// Longest time for a caller to send the head of a request.
+    pub head_timeout: Duration,
+    /// Longest time for which a caller may leave a connection or an unfinished request idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for RequestLimits {
+    fn default() -> RequestLimits {
+        RequestLimits {
+            max_body_bytes: 262_144,
+            max_head_bytes: 16_384,
+            head_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
 }
 
 /// All queues of one version of the configuration.
@@ -38,7 +56,7 @@
     /// use greengagearch::version::queue_table::RequestLimits;
     /// use greengagearch::version::queue_table::QueueTable;
     ///
-    /// let table = QueueTable::new(1, RequestLimits { max_body_bytes: 10 }, Vec::new());
+    /// let table = QueueTable::new(1, RequestLimits::default(), Vec::new());
     /// assert!(table.find_route("a.example", "/x/1").is_none());
     /// ```
     pub fn new(
@@ -63,7 +81,7 @@
     /// use greengagearch::version::queue_table::RequestLimits;
     /// use greengagearch::version::queue_table::QueueTable;
     ///
-    /// let table = QueueTable::new(1, RequestLimits { max_body_bytes: 10 }, Vec::new());
+    /// let table = QueueTable::new(1, RequestLimits::default(), Vec::new());
     /// assert!(table.find_route("a.example", "/x/1").is_none());
     /// ```
     pub fn find_route<'a>(&self, host: &str, path: &'a str) -> Option<(&QueueRoute, &'a str)> {
@@ -77,7 +95,7 @@
     /// use greengagearch::version::queue_table::RequestLimits;
     /// use greengagearch::version::queue_table::QueueTable;
     ///
-    /// let table = QueueTable::new(1, RequestLimits { max_body_bytes: 1_000 }, Vec::new());
+    /// let table = QueueTable::new(1, RequestLimits::default(), Vec::new());
     /// assert!(table.find_queue("logs").is_none());
     /// ```
     pub fn find_queue(&self, name: &str) -> Option<&QueuePolicy> {
@@ -91,7 +109,7 @@
     /// use greengagearch::version::queue_table::RequestLimits;
     /// use greengagearch::version::queue_table::QueueTable;
     ///
-    /// let table = QueueTable::new(1, RequestLimits { max_body_bytes: 10 }, Vec::new());
+    /// let table = QueueTable::new(1, RequestLimits::default(), Vec::new());
     /// assert_eq!(table.len(), 0);
     /// ```
     pub fn len(&self) -> usize {
@@ -104,7 +122,7 @@
     /// use greengagearch::version::queue_table::RequestLimits;
     /// use greengagearch::version::queue_table::QueueTable;
     ///
-    /// assert!(QueueTable::new(1, RequestLimits { max_body_bytes: 10 }, Vec::new()).is_empty());
+    /// assert!(QueueTable::new(1, RequestLimits::default(), Vec::new()).is_empty());
     /// ```
     pub fn is_empty(&self) -> bool {
         self.routes.is_empty()
--- a/standins/src/platform_cluster.rs
+++ b/standins/src/platform_cluster.rs
@@ -125,6 +125,13 @@
         self.store.put("op", "", "config", queue_configuration(version, queues));
     }
 
+    /// Writes a configuration with these queues and limits on requests.
+    pub fn configure_limits(&self, version: u64, queues: &[&str], limits: &Value) {
+        let routes = queue_routes(queues);
+        let text = json!({ "Version": version, "Routes": routes, "Limits": limits }).to_string();
+        self.store.put("op", "", "config", STANDARD.encode(text));
+    }
+
     fn spawn(&mut self, program: &str, text: &str, name: &str) -> ProductProcess {
         let settings = self.folder.write(text);
         let log = self.logs.as_ref().map(|folder| folder.join(format!("{name}.log")));
@@ -351,6 +358,10 @@
 /// A configuration with queues of these names, as the store keeps it. Those whose name begins with `advised`
 /// need the advice service.
 pub fn queue_configuration(version: u64, queues: &[&str]) -> String {
+    STANDARD.encode(json!({ "Version": version, "Routes": queue_routes(queues) }).to_string())
+}
+
+fn queue_routes(queues: &[&str]) -> Vec<Value> {
     let route = |name: &&str| {
         let advice = json!({ "DecideMs": 5, "EachMs": 1, "ValidityMs": 1_000 });
         let advice = if name.starts_with("advised") { advice } else { Value::Null };
@@ -360,8 +371,7 @@
             "MaxAttempts": ATTEMPTS, "Priority": 0, "Advice": advice,
         })
     };
-    let routes: Vec<Value> = queues.iter().map(route).collect();
-    STANDARD.encode(json!({ "Version": version, "Routes": routes }).to_string())
+    queues.iter().map(route).collect()
 }
 
 /// The name of a job by its number.
--- a/tests/admission_path.rs
+++ b/tests/admission_path.rs
@@ -232,7 +232,7 @@
     fn queues(&self) -> Option<Arc<QueueTable>> {
         let policy = QueuePolicy { queue: "q".to_string(), ..WorkflowSpec::unknown().policy };
         let route = QueueRoute { prefix: "/q/".to_string(), policy };
-        let limits = RequestLimits { max_body_bytes: 10_000 };
+        let limits = RequestLimits { max_body_bytes: 10_000, ..RequestLimits::default() };
         Some(Arc::new(QueueTable::new(1, limits, vec![(CALLER_HOST.to_string(), route)])))
     }
 
