Bodies that grow when they are decoded cost no more than their bytes

What callers saw: bodies of legal size with many small items ended the process: 262,144 bytes of empty steps took tens of megabytes when decoded, and as much for an error that named each of them. Cause: lists were decoded whole before they were counted, findings were collected for each item, and errors repeated what the request said. Why it works: what is decoded and answered is bounded by what a legal job takes, whatever is sent.

--- a/src/platform/caller_gate.rs
+++ b/src/platform/caller_gate.rs
@@ -26,13 +26,16 @@
 use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::closing_after_unread;
 use crate::process::http_server::with_close;
+use crate::process::inbound::bounded_list::bounded_list;
 use crate::process::inbound::connection_guard::CloseReason;
 use crate::process::inbound::connection_guard::ConnectionGuard;
+use crate::process::inbound::error_text::bounded_text;
 use crate::version::queue_table::QueueRoute;
 use crate::version::queue_table::QueueTable;
 use crate::version::queue_table::RequestLimits;
 use crate::workflow::progress::JobEnd;
 use crate::workflow::progress::JobStatus;
+use crate::workflow::spec::MAX_WORKFLOW_TASKS;
 use crate::workflow::spec::QueuePolicy;
 use crate::workflow::spec::ResourceVector;
 use crate::workflow::spec::StepSpec;
@@ -44,6 +47,8 @@
 const DEFAULT_WAIT: Duration = Duration::from_millis(3_000);
 /// Added to the times that the configuration gives callers: what was sent in time may arrive later.
 const NETWORK_RESERVE: Duration = Duration::from_secs(1);
+/// Most steps of a job; each has a task at least.
+const MAX_STEPS: usize = MAX_WORKFLOW_TASKS as usize;
 /// Length of a job's name, in hexadecimal digits.
 const NAME_DIGITS: usize = 16;
 
@@ -96,7 +101,7 @@
     /// Text for the tasks; the specification of the work is in the steps.
     #[serde(rename = "Spec")]
     payload: String,
-    #[serde(rename = "Steps")]
+    #[serde(rename = "Steps", deserialize_with = "bounded_list::<_, _, MAX_STEPS>")]
     steps: Vec<WireStep>,
     #[serde(rename = "Times")]
     times: u32,
@@ -306,5 +311,6 @@
 }
 
 fn error(status: StatusCode, message: &str) -> Response {
+    let message = bounded_text(message.to_string());
     (status, Json(json!({ "Error": message }))).into_response()
 }
--- a/src/platform/runner_registry.rs
+++ b/src/platform/runner_registry.rs
@@ -7,6 +7,7 @@
 use axum::Router;
 use axum::extract::Path;
 use axum::extract::State;
+use axum::extract::rejection::JsonRejection;
 use axum::http::StatusCode;
 use axum::routing::put;
 use serde::Deserialize;
@@ -16,6 +17,7 @@
 use crate::ids::RunnerId;
 use crate::ids::StartMillis;
 use crate::platform::instance_name::instance_name;
+use crate::process::inbound::error_text::bounded_text;
 use crate::process::node::registered_runner::RegisteredRunner;
 use crate::workflow::spec::ResourceVector;
 
@@ -76,8 +78,10 @@
 async fn take_beat(
     State(registry): State<SharedRegistry>,
     Path(runner): Path<RunnerId>,
-    Json(beat): Json<WireBeat>,
-) -> Json<Value> {
+    beat: Result<Json<WireBeat>, JsonRejection>,
+) -> Result<Json<Value>, (StatusCode, String)> {
+    let refuse = |error: JsonRejection| (error.status(), bounded_text(error.body_text()));
+    let Json(beat) = beat.map_err(refuse)?;
     let status = RunnerStatus {
         instance: instance_name(&runner, beat.started_at),
         service: beat.service,
@@ -93,7 +97,7 @@
     let address = beat.address.to_string();
     let (sequence, started_at) = (beat.sequence, beat.started_at);
     registry.on_heartbeat(RegisteredRunner { runner, status, address, sequence, started_at });
-    Json(Value::Object(serde_json::Map::new()))
+    Ok(Json(Value::Object(serde_json::Map::new())))
 }
 
 async fn take_leave(
--- a/src/process/agent/announce_http.rs
+++ b/src/process/agent/announce_http.rs
@@ -17,6 +17,7 @@
 use crate::process::agent::shared::AgentShared;
 use crate::process::clock;
 use crate::process::http_server::closing_after_unread;
+use crate::process::inbound::error_text::bounded_text;
 
 /// Most slots that one endpoint may announce.
 const LARGEST_SLOTS: u32 = 4_096;
@@ -40,9 +41,9 @@
     announcement: Result<Json<EndpointAnnouncement>, JsonRejection>,
 ) -> Result<StatusCode, (StatusCode, String)> {
     let Json(announcement) =
-        announcement.map_err(|error| (StatusCode::BAD_REQUEST, error.body_text()))?;
+        announcement.map_err(|error| (StatusCode::BAD_REQUEST, bounded_text(error.body_text())))?;
     if let Some(finding) = check(&announcement) {
-        return Err((StatusCode::BAD_REQUEST, finding));
+        return Err((StatusCode::BAD_REQUEST, bounded_text(finding)));
     }
     let is_known = {
         let mut table = shared.endpoints();
--- a/src/process/entry/job_http.rs
+++ b/src/process/entry/job_http.rs
@@ -18,6 +18,7 @@
 use crate::process::entry::caller_http::CallerState;
 use crate::process::entry::scheduler::SchedulerNews;
 use crate::process::entry::shared::EntryShared;
+use crate::process::inbound::error_text::bounded_text;
 use crate::request::job::JobRow;
 use crate::request::job::JobSpec;
 use crate::request::job::JobState;
@@ -90,7 +91,8 @@
             JobError::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             JobError::Ambiguous => StatusCode::GATEWAY_TIMEOUT,
         };
-        (status, Json(serde_json::json!({ "error": self.to_string() }))).into_response()
+        (status, Json(serde_json::json!({ "error": bounded_text(self.to_string()) })))
+            .into_response()
     }
 }
 
--- a/src/process/planning/job_http.rs
+++ b/src/process/planning/job_http.rs
@@ -25,6 +25,7 @@
 use crate::process::gate::JobGate;
 use crate::process::gate::JobRefusal;
 use crate::process::http_server::closing_after_unread;
+use crate::process::inbound::error_text::bounded_text;
 use crate::workflow::progress::JobStatus;
 use crate::workflow::spec::StepSpec;
 use crate::workflow::spec::WorkflowSpec;
@@ -210,5 +211,6 @@
 }
 
 fn error_response(status: StatusCode, text: String) -> Response {
+    let text = bounded_text(text);
     (status, Json(JobResponse { error: Some(text), ..JobResponse::default() })).into_response()
 }
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -330,7 +330,7 @@
             spec.tasks.len()
         ));
     }
-    for (index, task) in spec.tasks.iter().enumerate() {
+    for (index, task) in spec.tasks.iter().enumerate().take(MAX_JOB_TASKS) {
         if task.resources.millicores == 0 || task.resources.memory_mib == 0 {
             findings.push(format!(
                 "tasks[{index}].resources: millicores and memory_mib must be at least 1"
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -295,6 +295,10 @@
     /// ```
     pub fn findings(&self) -> Vec<String> {
         let mut findings = Vec::new();
+        if self.steps.len() > MAX_WORKFLOW_TASKS as usize {
+            // Each step has a task at least. A finding for each would be larger than the job.
+            return vec![format!("steps: at most {MAX_WORKFLOW_TASKS}, not {}", self.steps.len())];
+        }
         if self.steps.is_empty() {
             findings.push("steps: give at least one".to_string());
         }
--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -44,11 +44,14 @@
     SmallChunks,
     /// They send many whole requests at once and read no answer.
     UnreadAnswers,
+    /// They send a body of the legal size with as many items in a list as it takes, and read no
+    /// answer.
+    LongLists,
 }
 
 impl CrowdKind {
     /// All kinds.
-    pub const ALL: [CrowdKind; 10] = [
+    pub const ALL: [CrowdKind; 11] = [
         CrowdKind::Silent,
         CrowdKind::HalfHeads,
         CrowdKind::LongHeads,
@@ -59,6 +62,7 @@
         CrowdKind::LargeChunks,
         CrowdKind::SmallChunks,
         CrowdKind::UnreadAnswers,
+        CrowdKind::LongLists,
     ];
 
     fn pieces(self, target: &CrowdTarget) -> Vec<Vec<u8>> {
@@ -73,6 +77,7 @@
                 vec![format!("{head}X-Long: {}", "a".repeat(ENDLESS_BYTES)).into_bytes()]
             }
             CrowdKind::EmptyLines => vec![b"\r\n".repeat(ENDLESS_BYTES / 2)],
+            CrowdKind::LongLists => vec![[sized, target.list_body().into_bytes()].concat()],
             CrowdKind::WholeBodies => vec![[sized, vec![b' '; size]].concat()],
             CrowdKind::ShortBodies => vec![[sized, vec![b' '; size - 1]].concat()],
             CrowdKind::PiecewiseBodies => {
@@ -108,9 +113,20 @@
     pub host: String,
     /// Size of a legal body in bytes.
     pub body_bytes: usize,
+    /// Text of a body up to a list, such as `{"Steps":[`.
+    pub list_start: String,
 }
 
 impl CrowdTarget {
+    /// A body whose list has as many empty items as it takes.
+    fn list_body(&self) -> String {
+        let (start, item, end) = (&self.list_start, "{},", "{}]}");
+        let count = (self.body_bytes - start.len() - end.len()) / item.len();
+        let text = format!("{start}{}{end}", item.repeat(count));
+        let filler = " ".repeat(self.body_bytes - text.len());
+        text + &filler
+    }
+
     /// The first lines of a request's head, without its end.
     fn head(&self) -> String {
         let (call, host) = (&self.call, &self.host);
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -34,10 +34,16 @@
 const DESCRIPTORS: usize = 1_000;
 /// Largest body that a client may send.
 const BODY_BYTES: usize = 262_144;
+/// Largest body of a job by the product's own interface.
+const JOB_BODY_BYTES: usize = 60_000;
+/// Such a body up to its list.
+const JOB_LIST_START: &str = "{\"id\":\"w\",\"queue\":\"q\",\"steps\":[";
 /// Clients whose bodies together are larger than the memory of the host.
 const BODY_CROWD: usize = 300;
 /// Clients whose chunks of one byte together are larger than the memory of the host.
 const SMALL_CHUNK_CROWD: usize = 8;
+/// Clients whose lists together are larger than the memory of the host.
+const LIST_CROWD: usize = 40;
 /// Clients that send many requests at once.
 const PIPELINE_CROWD: usize = 60;
 /// Clients that are more than the descriptors of the host.
@@ -90,6 +96,10 @@
     name: &'static str,
     /// Method and path of the crowd's calls.
     crowd_call: &'static str,
+    /// Largest body that it takes.
+    body_bytes: usize,
+    /// Body of a call up to its list.
+    list_start: &'static str,
     /// Sends one ordinary request on a new connection; whether it is answered with success.
     answers: &'a dyn Fn() -> BoxFuture<'a, bool>,
 }
@@ -100,7 +110,8 @@
             address: self.process.address(self.name),
             call: self.crowd_call.to_string(),
             host: CALLER_HOST.to_string(),
-            body_bytes: BODY_BYTES,
+            body_bytes: self.body_bytes,
+            list_start: self.list_start.to_string(),
         }
     }
 
@@ -199,7 +210,14 @@
         (node, "registry", "PUT /-/instances/i-crowd", &leave),
     ];
     let (process, name, crowd_call, answers) = listeners[position];
-    Listener { process, name, crowd_call, answers }.withstand(kind, size).await
+    let (body_bytes, list_start) = match name {
+        "callers" => (BODY_BYTES, "{\"Steps\":["),
+        "jobs" if kind == CrowdKind::LongLists => (JOB_BODY_BYTES, JOB_LIST_START),
+        _ => (BODY_BYTES, "{\"Labels\":["),
+    };
+    Listener { process, name, crowd_call, body_bytes, list_start, answers }
+        .withstand(kind, size)
+        .await
 }
 
 /// Sends a crowd to a listener of an entry or of an agent, which are started for it.
@@ -228,7 +246,10 @@
         (agent, "endpoints", "POST /v1/endpoints", &poll),
     ];
     let (process, name, crowd_call, answers) = listeners[position];
-    Listener { process, name, crowd_call, answers }.withstand(kind, size).await
+    let (body_bytes, list_start) = (BODY_BYTES, "{\"tasks\":[");
+    Listener { process, name, crowd_call, body_bytes, list_start, answers }
+        .withstand(kind, size)
+        .await
 }
 
 /// Sends a crowd to each listener in turn.
@@ -293,3 +314,8 @@
 async fn clients_that_read_no_answers() {
     withstand(CrowdKind::UnreadAnswers, PIPELINE_CROWD).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_whose_bodies_grow_when_they_are_decoded() {
+    withstand(CrowdKind::LongLists, LIST_CROWD).await;
+}
