Soak with crowds of clients that don't behave

Cause: the crowd tests send one kind of client to a process that is otherwise calm. Crowds draw from a seed of their own, so that the faults of a seed are the same without them.

--- a/standins/src/bin/gga-soak.rs
+++ b/standins/src/bin/gga-soak.rs
@@ -24,6 +24,7 @@
     count: u64,
     length: Duration,
     kind: SoakKind,
+    crowds: bool,
     logs: PathBuf,
 }
 
@@ -58,8 +59,14 @@
     std::fs::create_dir_all(&logs).map_err(write)?;
     let programs = std::env::current_exe().map_err(write)?;
     let programs = programs.parent().map(PathBuf::from).unwrap_or_default();
-    let plan =
-        SoakPlan { seed, kind: config.kind, length: config.length, programs, logs: logs.clone() };
+    let plan = SoakPlan {
+        seed,
+        kind: config.kind,
+        length: config.length,
+        crowds: config.crowds,
+        programs,
+        logs: logs.clone(),
+    };
     let report = run_soak(&plan, |line| println!("seed {seed} {line}")).await;
     std::fs::write(logs.join("report.txt"), report.to_string()).map_err(write)?;
     let result = report.broken.as_ref().map_or("held".to_string(), |(_, text)| text.clone());
@@ -73,6 +80,7 @@
     options.optopt("", "seeds", "number of seeds, one after another (1)", "COUNT");
     options.optopt("", "minutes", "how long faults come with each (1)", "M");
     options.optflag("", "long", "tasks of seconds, faults that outlast leases, eleven runners");
+    options.optflag("", "crowds", "crowds of clients that do not behave come to entry hosts");
     options.optopt("", "logs", "folder for logs and reports (soak-logs)", "FOLDER");
     add_common(&mut options);
     let matches = parse(&options, args)?;
@@ -86,6 +94,7 @@
         count: number(&matches, "seeds", 1)?,
         length: Duration::from_secs_f64(minutes.max(0.0) * 60.0),
         kind: if matches.opt_present("long") { SoakKind::Long } else { SoakKind::Short },
+        crowds: matches.opt_present("crowds"),
         logs: matches.opt_str("logs").unwrap_or_else(|| "soak-logs".to_string()).into(),
     }))
 }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! runs from what callers and runners see.
 
 mod callers;
+mod crowds;
 mod evacuations;
 mod faults;
 mod ledger;
@@ -29,6 +30,8 @@
 use crate::platform_journal::RunJournal;
 use crate::platform_journal::RunRecord;
 use crate::soak::callers::spawn_callers;
+use crate::soak::crowds::HOST_LIMITS;
+use crate::soak::crowds::spawn_crowds;
 use crate::soak::evacuations::EvacuationLedger;
 use crate::soak::evacuations::draw_limit;
 use crate::soak::evacuations::spawn_operators;
@@ -49,6 +52,8 @@
     pub kind: SoakKind,
     /// How long faults come.
     pub length: Duration,
+    /// Whether crowds of clients that do not behave come as well.
+    pub crowds: bool,
     /// Where the product's programs are.
     pub programs: PathBuf,
     /// Where the logs are kept.
@@ -145,6 +150,9 @@
     let limit = draw_limit(&mut rng);
     let mut cluster = PlatformCluster::start_in_domains(programs, logs, 0, nodes, domains).await;
     cluster.add_planner_keys(&format!("evacuation-limit = {}ms\n", limit.as_millis()));
+    if plan.crowds {
+        cluster.add_planner_lines(HOST_LIMITS);
+    }
     for planner in 0..scale.planners {
         cluster.add_planner().await;
         cluster.until_ready(planner).await;
@@ -165,6 +173,9 @@
     let (stop, stopped) = watch::channel(false);
     let callers = spawn_callers(&shared, &scale, callers_seed, &stopped).await;
     let operators = spawn_operators(&shared, domains, rng.random(), Instant::now() + plan.length);
+    // Crowds have a seed of their own, so that the faults are the same without them.
+    let crowds =
+        plan.crowds.then(|| spawn_crowds(&shared, plan.seed, Instant::now() + plan.length));
     let player = FaultPlayer::new(shared.clone(), scale.clone(), faults_seed);
     let faults = tokio::spawn(player.play(plan.length));
     let mut told = Instant::now();
@@ -178,6 +189,7 @@
     })
     .await;
     faults.abort();
+    crowds.iter().for_each(JoinHandle::abort);
     operators.iter().for_each(JoinHandle::abort);
     // Callers hand nothing in any more and ask for what they have until it has ended.
     stop.send_replace(true);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -8,17 +8,27 @@
 use greengagearch_standins::soak::SoakPlan;
 use greengagearch_standins::soak::run_soak;
 
-#[tokio::test(flavor = "multi_thread")]
-async fn no_promise_is_broken_in_a_short_soak() {
+async fn play(seed: u64, crowds: bool) {
     let logs = SettingsFolder::open();
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap().to_path_buf();
     let plan = SoakPlan {
-        seed: 1,
+        seed,
         kind: SoakKind::Short,
         length: Duration::from_secs(8),
+        crowds,
         programs,
         logs: logs.path().to_path_buf(),
     };
     let report = run_soak(&plan, |_| {}).await;
     assert!(report.broken.is_none(), "{report}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak() {
+    play(1, false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_beside_crowds_of_clients_that_do_not_behave() {
+    play(1, true).await;
+}
