review/11: tasks of cancelled jobs start seconds after the cancel's answer

No machine in touch starts a task later than cancel_ms after the cancel was acknowledged.

Case: review/11/run.sh, the three entry hosts are cut off from the store for 4 s each, 0.3 s apart; jobs are cancelled at the last one while the acting planner is cut off. When its link heals, its starts are stored before it reads the cancels.

--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use crate::http;
+use crate::link::Link;
 use crate::processes::Process;
 use crate::processes::filled;
 use crate::runner::Event;
@@ -53,6 +54,8 @@
     pub runners: Vec<Arc<Runner>>,
     pub entries: Vec<SocketAddr>,
     pub ready: Vec<SocketAddr>,
+    /// Links of the entry hosts to the store.
+    pub links: Vec<Link>,
     pub processes: Vec<Process>,
     pub events: Arc<Mutex<Vec<Event>>>,
     folder: PathBuf,
@@ -85,6 +88,7 @@
             runners: Vec::new(),
             entries: Vec::new(),
             ready: Vec::new(),
+            links: Vec::new(),
             processes: Vec::new(),
             events,
             folder,
@@ -101,6 +105,7 @@
     fn start_planner(&mut self, number: u8, zone: &str, template: &str, store: SocketAddr) {
         let ip = Ipv4Addr::new(127, 71, number, 1);
         let (front, ready) = (free_address(ip), free_address(ip));
+        let link = Link::open(listener(ip), store);
         let name = format!("front-{zone}-1");
         let values = BTreeMap::from([
             ("Node", name.clone()),
@@ -115,13 +120,14 @@
             ("Limits.CpuShare", "1".to_string()),
             ("Limits.MemoryMb", "260".to_string()),
             ("Limits.MaxFds", "4100".to_string()),
-            ("platform.Address", store.to_string()),
+            ("platform.Address", link.address.to_string()),
             ("platform.Spanning", "true".to_string()),
         ]);
         let settings = filled(template, &values);
         self.processes.push(Process::start(&name, PLANNER, &settings, &self.folder));
         self.entries.push(front);
         self.ready.push(ready);
+        self.links.push(link);
     }
 
     fn start_node(&mut self, number: u8, template: &str, store: SocketAddr) {
--- a/review/standins-3/lab.rs
+++ b/review/standins-3/lab.rs
@@ -6,8 +6,10 @@
 mod http;
 mod json;
 mod large_row;
+mod link;
 mod processes;
 mod runner;
+mod stale_cancel;
 mod store;
 
 use std::path::Path;
@@ -26,6 +28,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
         "large-row" => large_row::play(Path::new(&folder), trouble),
+        "stale-cancel" => stale_cancel::play(Path::new(&folder), trouble),
         _ => Verdict::NotRun,
     };
     std::process::exit(match verdict {
