--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -50,7 +50,6 @@
 
 /// The processes and stand-ins of a deployment.
 pub struct Deployment {
-    pub store: Store,
     pub runners: Vec<Arc<Runner>>,
     pub entries: Vec<SocketAddr>,
     pub ready: Vec<SocketAddr>,
@@ -78,13 +77,12 @@
         store.put("op", "config", config);
         let store_listener = listener(Ipv4Addr::new(127, 71, 9, 1));
         let store_address = store_listener.local_addr().expect("an address");
-        let served = store.clone();
-        http::serve(store_listener, move |request| served.answer(request));
-        let read = |name: &str| std::fs::read_to_string(name).expect("a template of the deploy folder");
+        http::serve(store_listener, move |request| store.answer(request));
+        let read =
+            |name: &str| std::fs::read_to_string(name).expect("a template of the deploy folder");
         let (planner, node) = (read("deploy/planner.ini"), read("deploy/node.ini"));
         let events = Arc::default();
         let mut deployment = Deployment {
-            store,
             runners: Vec::new(),
             entries: Vec::new(),
             ready: Vec::new(),
@@ -185,24 +183,6 @@
         http::call(address, method, path, &headers, body, WAIT).unwrap_or_default()
     }
 
-    /// Submits a job, again with the same name after no answer, 502 or 504. Returns the last answer.
-    pub fn submit(&self, entry: usize, path: &str, body: &str) -> Told {
-        let mut told = Told::default();
-        for attempt in 0..4 {
-            told = self.call(entry + attempt, "POST", path, body);
-            if !matches!(told.0, 0 | 502 | 504) {
-                break;
-            }
-            std::thread::sleep(Duration::from_millis(200));
-        }
-        told
-    }
-
-    /// Runs at work on all runners, as task and run.
-    pub fn running(&self) -> Vec<(String, u64)> {
-        self.runners.iter().flat_map(|runner| runner.running()).collect()
-    }
-
     /// Ends all processes and removes the temporary folder.
     pub fn end(mut self) {
         self.processes.iter_mut().for_each(Process::kill);
@@ -211,9 +191,3 @@
         }
     }
 }
-
-/// Milliseconds since 1970.
-pub fn wall_ms() -> u128 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.unwrap_or_default().as_millis()
-}
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -33,10 +33,7 @@
 pub type Answer = Option<(u16, String)>;
 
 /// Answers requests on a listener until the program ends.
-pub fn serve(
-    listener: TcpListener,
-    handler: impl Fn(&Request) -> Answer + Send + Sync + 'static,
-) {
+pub fn serve(listener: TcpListener, handler: impl Fn(&Request) -> Answer + Send + Sync + 'static) {
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -48,10 +45,7 @@
     });
 }
 
-fn serve_connection(
-    stream: TcpStream,
-    handler: &dyn Fn(&Request) -> Answer,
-) -> Result<(), Error> {
+fn serve_connection(stream: TcpStream, handler: &dyn Fn(&Request) -> Answer) -> Result<(), Error> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
@@ -100,7 +94,8 @@
 }
 
 fn read_body(reader: &mut impl BufRead, headers: &[(String, String)]) -> Result<String, Error> {
-    let header = |name: &str| headers.iter().find(|header| header.0 == name).map(|header| header.1.clone());
+    let header =
+        |name: &str| headers.iter().find(|header| header.0 == name).map(|header| header.1.clone());
     let mut body = Vec::new();
     if header("transfer-encoding").is_some() {
         loop {
--- a/review/standins-3/lab.rs
+++ b/review/standins-3/lab.rs
@@ -5,7 +5,6 @@
 mod deployment;
 mod http;
 mod json;
-mod large_row;
 mod link;
 mod processes;
 mod runner;
@@ -27,7 +26,6 @@
     let folder = words.next().unwrap_or_default();
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
-        "large-row" => large_row::play(Path::new(&folder), trouble),
         "stale-cancel" => stale_cancel::play(Path::new(&folder), trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standins-3/processes.rs
+++ b/review/standins-3/processes.rs
@@ -33,7 +33,6 @@
 
 /// A process of the product. It ends with its handle.
 pub struct Process {
-    pub name: String,
     pub log: PathBuf,
     child: Child,
 }
@@ -55,7 +54,7 @@
             .stderr(errors)
             .spawn()
             .expect("the program can be started");
-        Process { name: name.to_string(), log, child }
+        Process { log, child }
     }
 
     pub fn is_running(&mut self) -> bool {
@@ -67,12 +66,6 @@
         let _ = self.child.wait();
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(id).status();
-    }
-
     /// Lines of its log that contain a text.
     pub fn lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -112,12 +112,6 @@
         self.born.elapsed().as_millis() as u64 + 1_000
     }
 
-    /// Runs that are at work, as task and run.
-    pub fn running(&self) -> Vec<(String, u64)> {
-        let life = self.life.lock().unwrap();
-        life.running.iter().map(|(task, run)| (task.clone(), run.run)).collect()
-    }
-
     fn beat(&self, registry: SocketAddr) {
         for sequence in 1_u64.. {
             let (service, zone, rack) =
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -54,18 +54,6 @@
         self.rows.1.notify_all();
     }
 
-    /// What was refused, with its number.
-    pub fn refused(&self) -> BTreeMap<String, u64> {
-        self.rows.0.lock().unwrap().refused.clone()
-    }
-
-    /// Size of the largest value, and where it lies.
-    pub fn largest(&self) -> (usize, String) {
-        let rows = self.rows.0.lock().unwrap();
-        let sizes = rows.rows.iter().map(|(place, row)| (decoded_size(&row.0), row_name(place)));
-        sizes.max().unwrap_or_default()
-    }
-
     pub fn answer(&self, request: &Request) -> Answer {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/-/rows-tx") => Some(self.transact(&request.body)),
@@ -106,9 +94,9 @@
             return (403, "{}".to_string());
         }
         let version_of = |rows: &Rows, place: &Place| rows.rows.get(place).map_or(0, |row| row.1);
-        let holds = expected.iter().all(|row| {
-            version_of(&rows, &place(row)) == row.get("Ver").number() as u64
-        });
+        let holds = expected
+            .iter()
+            .all(|row| version_of(&rows, &place(row)) == row.get("Ver").number() as u64);
         if !holds {
             let found: Vec<String> = expected
                 .iter()
