--- a/review/standins-3/lab.rs
+++ b/review/standins-3/lab.rs
@@ -1,5 +1,5 @@
 //! Small deployments of the product with stand-ins for the platform, its runners and the clients.
-//! `lab CASE FOLDER` plays a case, writes `record.txt` into the folder, and exits with 1 if the rule
+//! `lab CASE RECORD` plays a case, writes the record to a file, and exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
 mod deployment;
@@ -23,10 +23,10 @@
 fn main() {
     let mut words = std::env::args().skip(1);
     let case = words.next().unwrap_or_default();
-    let folder = words.next().unwrap_or_default();
+    let record = words.next().unwrap_or_default();
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
-        "stale-cancel" => stale_cancel::play(Path::new(&folder), trouble),
+        "stale-cancel" => stale_cancel::play(Path::new(&record), trouble),
         _ => Verdict::NotRun,
     };
     std::process::exit(match verdict {
--- a/review/standins-3/stale_cancel.rs
+++ b/review/standins-3/stale_cancel.rs
@@ -41,8 +41,8 @@
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
-pub fn play(folder: &Path, trouble: bool) -> Verdict {
-    let mut record = Record::open(folder);
+pub fn play(path: &Path, trouble: bool) -> Verdict {
+    let mut record = Record::open(path);
     let mut deployment = Deployment::start(CONFIG, 4);
     if !deployment.wait_until_ready() {
         record.line("the processes do not become ready");
