Planner: log and metric for the age of what is known of jobs when starts are sent

Nothing told how old the planner's knowledge of cancels was when a start left it: the feed of jobs logged only when it was lost and regained.

TableFeed passes on when the store has last confirmed its state, also without changes. The planner's loop logs starts_sent with jobs_age_ms, a line for each pass that sends starts, and counts gga_start_knowledge_age_seconds.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -41,6 +41,8 @@
     pub latency: Histogram,
     /// Events of tasks, by event: started, finished, failed, requeued, cancelled.
     pub tasks: IntCounterVec,
+    /// Age of what is known of jobs when starts are sent, in seconds; shown by the planner only.
+    pub start_knowledge_age: Histogram,
     /// Calls of the table service, by call and result.
     pub table_calls: IntCounterVec,
     /// Messages to other processes of the system, by kind.
@@ -153,6 +155,10 @@
             ),
             latency: histogram("gga_latency_seconds", "Time from request to outcome"),
             tasks: counters("gga_task_events", "Task events", &["event"]),
+            start_knowledge_age: histogram(
+                "gga_start_knowledge_age_seconds",
+                "Age of what is known of jobs when starts are sent",
+            ),
             table_calls: counters("gga_table_calls", "Table service calls", &["call", "result"]),
             messages: counters("gga_messages", "Messages to other processes", &["kind"]),
             order_tries: counters(
@@ -229,10 +235,11 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
+            Box::new(self.start_knowledge_age.clone()),
             Box::new(self.table_calls.clone()),
             Box::new(self.messages.clone()),
             Box::new(self.order_tries.clone()),
--- a/src/process/planning/agent_links.rs
+++ b/src/process/planning/agent_links.rs
@@ -20,6 +20,7 @@
 use crate::process::planning::rows::NodeRow;
 use crate::process::planning::rows::decode;
 use crate::workflow::grant::MAX_LEASE;
+use crate::workflow::planner::AddressedOrder;
 use crate::workflow::planner::Planner;
 
 /// Maximum number of disputed instances that are remembered in order to log each once. More can
@@ -41,6 +42,9 @@
 impl PlannerLoop {
     /// Opens a link to each agent that has registered.
     pub(super) fn on_nodes(&mut self, rows: &[StoredRow]) {
+        if rows.is_empty() {
+            return;
+        }
         for row in rows {
             let Some(node) = decode::<NodeRow>(row) else {
                 self.links.remove(&row.name.key);
@@ -155,9 +159,36 @@
         }
     }
 
+    /// Logs the starts among the orders that are about to be sent, with the age of what is known of
+    /// jobs.
+    fn log_starts(&self, orders: &[AddressedOrder]) {
+        let starts = orders.iter().filter_map(|(_, order)| match order {
+            NodeOrder::Start(start) => Some(&start.traits.task),
+            NodeOrder::Stop(..) | NodeOrder::Describe(_) => None,
+        });
+        let mut starts = starts.peekable();
+        let Some(first) = starts.peek().copied() else {
+            return;
+        };
+        let age = clock::elapsed(self.jobs_confirmed_at);
+        self.shared.metrics.start_knowledge_age.observe(age.as_secs_f64());
+        let (epoch, starts) = (self.ownership.owner.epoch, starts.count());
+        log_event(
+            Level::Info,
+            "starts_sent",
+            &[
+                ("starts", &starts),
+                ("first", first),
+                ("jobs_age_ms", &age.as_millis()),
+                ("epoch", &epoch),
+            ],
+        );
+    }
+
     /// Sends the planner's orders over the links of their agents.
     pub(super) fn send_orders(&mut self) {
         let orders = self.with_planner(Planner::take_orders).unwrap_or_default();
+        self.log_starts(&orders);
         let mut batches: BTreeMap<InstanceId, Vec<NodeOrder>> = BTreeMap::new();
         for (instance, order) in orders {
             batches.entry(instance).or_default().push(order);
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -46,6 +46,7 @@
 use crate::process::planning::rows::job_records;
 use crate::process::planning::shared::OwnedPlanner;
 use crate::process::planning::shared::PlannerShared;
+use crate::process::planning::table_feed::FeedRead;
 use crate::process::planning::table_feed::TableFeed;
 use crate::workflow::grant::predecessor_leases_expired_by;
 use crate::workflow::learned_interference::LearnedInterference;
@@ -84,6 +85,8 @@
     /// Agents that were found at the takeover and have not been contacted yet; `None` until they
     /// are read.
     pub(super) uncontacted: Option<BTreeSet<String>>,
+    /// Time by which all changes of jobs that the store had applied are known.
+    pub(super) jobs_confirmed_at: Instant,
     /// The write in flight, if there is one.
     pub(super) write: Option<WriteTask>,
     /// The attempt to release the ownership through another process, if there is one.
@@ -119,6 +122,7 @@
             event_sender,
             first_contacts: Arc::new(Semaphore::new(MAX_FIRST_CONTACTS)),
             uncontacted: None,
+            jobs_confirmed_at: clock::now(),
             write: None,
             handover: None,
             handover_due: clock::now(),
@@ -167,8 +171,8 @@
                 outcome = handover_outcome(&mut self.handover) => self.on_handover(outcome)?,
                 _ = tick.tick() => self.on_tick(),
                 read = evacuations.next() => self.on_evacuations(read),
-                rows = jobs.next() => self.on_jobs(&rows),
-                rows = nodes.next() => self.on_nodes(&rows),
+                read = jobs.next() => self.on_jobs(&read),
+                read = nodes.next() => self.on_nodes(&read.rows),
                 Some(first) = events.recv() => {
                     self.on_link_event(first)?;
                     for _ in 1..MAX_EVENTS_PER_STEP {
@@ -201,6 +205,7 @@
         // Nothing starts before the requests of operators have been read.
         planner.restore_evacuations(&self.shared.view().heartbeat.evacuations, answered_at);
         let layout = self.shared.settings.layout;
+        self.jobs_confirmed_at = clock::now();
         let (jobs, version) = self.read_table(JOB_TABLE, &layout.partition_names()).await?;
         let partitions = [PARTITION.to_string()];
         let (progress, _) = self.read_table(PROGRESS_TABLE, &partitions).await?;
@@ -270,8 +275,9 @@
         Some(act(planner))
     }
 
-    fn on_jobs(&mut self, rows: &[StoredRow]) {
-        let records = job_records(rows);
+    fn on_jobs(&mut self, read: &FeedRead) {
+        self.jobs_confirmed_at = self.jobs_confirmed_at.max(read.confirmed_at);
+        let records = job_records(&read.rows);
         self.with_planner(|planner| {
             for (job, version, record) in records {
                 planner.on_record(&job, version, record);
--- a/src/process/planning/table_feed.rs
+++ b/src/process/planning/table_feed.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::Level;
 use tokio::sync::mpsc;
@@ -12,6 +13,7 @@
 use crate::external::row_store::StoredRow;
 use crate::external::row_store::read_partitions;
 use crate::ids::RowVersion;
+use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::planning::shared::PlannerShared;
 
@@ -19,10 +21,19 @@
 /// connection causes.
 const FEED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// A response of the store to a call for changes.
+#[derive(Clone, Debug)]
+pub struct FeedRead {
+    /// The changed rows, or all rows if the store no longer has the history of the changes.
+    pub rows: Vec<StoredRow>,
+    /// Time by which all changes are included that the store had applied before.
+    pub confirmed_at: Instant,
+}
+
 /// Handle of a feed, whose task is aborted when the handle is dropped.
 #[derive(Debug)]
 pub struct TableFeed {
-    rows: mpsc::UnboundedReceiver<Vec<StoredRow>>,
+    reads: mpsc::UnboundedReceiver<FeedRead>,
     task: JoinHandle<()>,
 }
 
@@ -41,15 +52,14 @@
         partitions: Vec<String>,
         after: Option<RowVersion>,
     ) -> TableFeed {
-        let (sender, rows) = mpsc::unbounded_channel();
-        TableFeed { rows, task: tokio::spawn(run_feed(shared, table, partitions, after, sender)) }
+        let (sender, reads) = mpsc::unbounded_channel();
+        TableFeed { reads, task: tokio::spawn(run_feed(shared, table, partitions, after, sender)) }
     }
 
-    /// Waits for the next rows: the changed ones, or all rows if the store no longer has the
-    /// history of the changes.
-    pub async fn next(&mut self) -> Vec<StoredRow> {
-        match self.rows.recv().await {
-            Some(rows) => rows,
+    /// Waits for the next response, which contains no rows if nothing has changed for a while.
+    pub async fn next(&mut self) -> FeedRead {
+        match self.reads.recv().await {
+            Some(read) => read,
             None => std::future::pending().await,
         }
     }
@@ -60,10 +70,11 @@
     table: &'static str,
     partitions: Vec<String>,
     mut after: Option<RowVersion>,
-    sender: mpsc::UnboundedSender<Vec<StoredRow>>,
+    sender: mpsc::UnboundedSender<FeedRead>,
 ) {
     let mut has_failed = false;
     loop {
+        let sent_at = clock::now();
         let read = next_rows(shared.store.as_ref(), table, &partitions, after).await;
         shared.pace_retries(&read).await;
         match read {
@@ -71,8 +82,9 @@
                 if std::mem::take(&mut has_failed) {
                     log_event(Level::Info, "feed_regained", &[("table", &table)]);
                 }
+                let confirmed_at = confirmation_time(sent_at, after.is_some() && rows.is_empty());
                 after = Some(version);
-                if !rows.is_empty() && sender.send(rows).is_err() {
+                if sender.send(FeedRead { rows, confirmed_at }).is_err() {
                     return;
                 }
             }
@@ -88,6 +100,13 @@
     }
 }
 
+/// Time by which the store had applied no other changes than those in the response to a call that
+/// was sent at `sent_at`. The response may have been under way for long, but the store delays one
+/// without changes by the whole [`FEED_TIMEOUT`].
+fn confirmation_time(sent_at: Instant, was_delayed: bool) -> Instant {
+    if was_delayed { clock::now().min(sent_at + FEED_TIMEOUT) } else { sent_at }
+}
+
 async fn next_rows(
     store: &dyn RowStore,
     table: &str,
