Planner: a start is bound to the last confirmation of its job's row

Cause: a cancel reaches the planner through the feed of jobs alone, and nothing asked for the age of that feed. After a cut each kind of call finds out by itself that the store answers again. The reads of operators' requests and the writes were back before the feed, and a start needs no more than both.

An assignment is stored on condition of the version of its job's row. A start that is too old for that has its job confirmed by one more write, so that no start waits for the feed. A write whose response was lost counts as applied also when a job has been cancelled since.

Why it works: the store orders the cancel and the condition. A write that is applied after the cancel was answered fails, and a start that was stored before it is bound to the time of that write.

--- a/src/process/planning/agent_links.rs
+++ b/src/process/planning/agent_links.rs
@@ -159,18 +159,19 @@
         }
     }
 
-    /// Logs the starts among the orders that are about to be sent, with the age of what is known of
-    /// jobs.
+    /// Logs the starts among the orders that are about to be sent, with the one whose job is known
+    /// for the longest time without a confirmation.
     fn log_starts(&self, orders: &[AddressedOrder]) {
         let starts = orders.iter().filter_map(|(_, order)| match order {
             NodeOrder::Start(start) => Some(&start.traits.task),
             NodeOrder::Stop(..) | NodeOrder::Describe(_) => None,
         });
-        let mut starts = starts.peekable();
-        let Some(first) = starts.peek().copied() else {
+        let ages = self.with_planner(|planner| {
+            starts.clone().map(|task| (planner.job_age(&task.job), task)).max()
+        });
+        let Some((age, oldest)) = ages.flatten() else {
             return;
         };
-        let age = clock::elapsed(self.jobs_confirmed_at);
         self.shared.metrics.start_knowledge_age.observe(age.as_secs_f64());
         let (epoch, starts) = (self.ownership.owner.epoch, starts.count());
         log_event(
@@ -178,7 +179,7 @@
             "starts_sent",
             &[
                 ("starts", &starts),
-                ("first", first),
+                ("oldest", oldest),
                 ("jobs_age_ms", &age.as_millis()),
                 ("epoch", &epoch),
             ],
--- a/src/process/planning/commit_writer.rs
+++ b/src/process/planning/commit_writer.rs
@@ -21,14 +21,23 @@
 /// Outcome of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CommitOutcome {
-    /// The transaction was applied with this version. If the store confirmed it directly, the time
-    /// is when that call was sent: the ownership was still valid then. `None` if the response was
-    /// lost and the rows show that the transaction was applied.
-    Stored(RowVersion, Option<Instant>),
+    /// The transaction was applied.
+    Stored(StoredCommit),
     /// A condition did not hold. Contains the current rows that the conditions name.
     Conflict(Vec<StoredRow>),
 }
 
+/// A transaction that was applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredCommit {
+    /// Version under which it was applied.
+    pub version: RowVersion,
+    /// When the call that showed this was sent: the ownership was still valid then.
+    pub confirmed_at: Instant,
+    /// If the response was lost, the rows that its conditions name, as they were at that call.
+    pub rows: Vec<StoredRow>,
+}
+
 /// Commits a transaction, retrying until it is known to be applied or in conflict. A retry, or an
 /// earlier attempt that the store executes late, does no harm because of the conditions on row
 /// versions.
@@ -41,11 +50,17 @@
     loop {
         let sent_at = clock::now();
         match store.commit(transaction).await {
-            Ok(version) => return CommitOutcome::Stored(version, Some(sent_at)),
+            Ok(version) => {
+                let (confirmed_at, rows) = (sent_at, Vec::new());
+                return CommitOutcome::Stored(StoredCommit { version, confirmed_at, rows });
+            }
             Err(RowError::Conflict { rows }) => {
                 let applied = applied_version(transaction, &rows).filter(|_| is_ambiguous);
                 return match applied {
-                    Some(version) => CommitOutcome::Stored(version, None),
+                    Some(version) => {
+                        let confirmed_at = sent_at;
+                        CommitOutcome::Stored(StoredCommit { version, confirmed_at, rows })
+                    }
                     None => CommitOutcome::Conflict(rows),
                 };
             }
--- a/src/process/planning/decision_log.rs
+++ b/src/process/planning/decision_log.rs
@@ -115,6 +115,21 @@
             "start_withdrawn",
             &[("task", task), ("run", run), ("worker", worker), ("epoch", &epoch)],
         ),
+        PlanDecision::StartsHeld { first, starts, age } => log_event(
+            Level::Warn,
+            "starts_held",
+            &[
+                ("first", first),
+                ("starts", starts),
+                ("jobs_age_ms", &age.as_millis()),
+                ("epoch", &epoch),
+            ],
+        ),
+        PlanDecision::StartsReleased { held } => log_event(
+            Level::Info,
+            "starts_released",
+            &[("held_ms", &held.as_millis()), ("epoch", &epoch)],
+        ),
         PlanDecision::EvacuationStarted { domain, version, workers, runs } => log_event(
             Level::Warn,
             "evacuation_started",
--- a/src/process/planning/node_link.rs
+++ b/src/process/planning/node_link.rs
@@ -354,6 +354,7 @@
             let valid = span.min(validity);
             call.wait = owned.planner.report_interval().min(validity.mul_f64(MAX_WAIT_SHARE));
             let granted = OrderLease { link: self.stamp.link, end: report.now + valid };
+            let granted = (granted, received + valid);
             owned.planner.on_grant(&instance, expired_by(received, span), granted);
             call.grant = Some(LeaseGrant { since: report.now, span });
             call.last_acked_end = owned.planner.last_acked_end(&instance);
--- a/src/process/planning/planner_loop.rs
+++ b/src/process/planning/planner_loop.rs
@@ -85,8 +85,6 @@
     /// Agents that were found at the takeover and have not been contacted yet; `None` until they
     /// are read.
     pub(super) uncontacted: Option<BTreeSet<String>>,
-    /// Time by which all changes of jobs that the store had applied are known.
-    pub(super) jobs_confirmed_at: Instant,
     /// The write in flight, if there is one.
     pub(super) write: Option<WriteTask>,
     /// The attempt to release the ownership through another process, if there is one.
@@ -122,7 +120,6 @@
             event_sender,
             first_contacts: Arc::new(Semaphore::new(MAX_FIRST_CONTACTS)),
             uncontacted: None,
-            jobs_confirmed_at: clock::now(),
             write: None,
             handover: None,
             handover_due: clock::now(),
@@ -200,12 +197,13 @@
             answered_at
         };
         let mut planner = Planner::new(leases_expired_by);
+        let read_at = clock::now();
         planner.set_share_settings(self.shared.settings.shares.clone());
         planner.learn_speed(self.shared.settings.learn_speed);
+        planner.set_cancel_limit(self.shared.settings.cancel_limit, read_at);
         // Nothing starts before the requests of operators have been read.
         planner.restore_evacuations(&self.shared.view().heartbeat.evacuations, answered_at);
         let layout = self.shared.settings.layout;
-        self.jobs_confirmed_at = clock::now();
         let (jobs, version) = self.read_table(JOB_TABLE, &layout.partition_names()).await?;
         let partitions = [PARTITION.to_string()];
         let (progress, _) = self.read_table(PROGRESS_TABLE, &partitions).await?;
@@ -276,12 +274,12 @@
     }
 
     fn on_jobs(&mut self, read: &FeedRead) {
-        self.jobs_confirmed_at = self.jobs_confirmed_at.max(read.confirmed_at);
         let records = job_records(&read.rows);
         self.with_planner(|planner| {
             for (job, version, record) in records {
                 planner.on_record(&job, version, record);
             }
+            planner.on_jobs_confirmed(read.confirmed_at);
         });
     }
 
--- a/src/process/planning/planner_writes.rs
+++ b/src/process/planning/planner_writes.rs
@@ -13,6 +13,7 @@
 use crate::process::clock;
 use crate::process::logging::log_event;
 use crate::process::planning::commit_writer::CommitOutcome;
+use crate::process::planning::commit_writer::StoredCommit;
 use crate::process::planning::commit_writer::commit_until_settled;
 use crate::process::planning::decision_log::log_load;
 use crate::process::planning::decision_log::publish_shares;
@@ -67,22 +68,28 @@
         self.write = None;
         let (purpose, transaction, outcome) = result;
         match outcome {
-            CommitOutcome::Stored(version, confirmed_at) => {
-                if let (Some(owned), Some(confirmed_at)) =
-                    (self.shared.owned().as_mut(), confirmed_at)
-                {
-                    owned.confirmed_at = owned.confirmed_at.max(confirmed_at);
+            CommitOutcome::Stored(stored) => {
+                if let Some(owned) = self.shared.owned().as_mut() {
+                    owned.confirmed_at = owned.confirmed_at.max(stored.confirmed_at);
                 }
-                self.on_stored(purpose, version);
+                self.on_stored(purpose, &stored);
                 Ok(())
             }
             CommitOutcome::Conflict(rows) => self.on_conflict(purpose, &transaction, &rows),
         }
     }
 
-    pub(super) fn on_stored(&mut self, purpose: WritePurpose, version: RowVersion) {
+    pub(super) fn on_stored(&mut self, purpose: WritePurpose, stored: &StoredCommit) {
+        let changed = job_records(&stored.rows);
         self.with_planner(|planner| match purpose {
-            WritePurpose::Batch(batch) => planner.on_committed(batch, version),
+            WritePurpose::Batch(batch) => {
+                let conditions = batch.conditions.clone();
+                planner.on_committed(batch, stored.version);
+                for (job, version, record) in changed {
+                    planner.on_record(&job, version, record);
+                }
+                planner.on_rows_confirmed(&conditions, stored.confirmed_at);
+            }
             WritePurpose::RemoveExpired(jobs) => {
                 jobs.iter().for_each(|job| planner.on_record_removed(job))
             }
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -228,7 +228,7 @@
 }
 
 /// Builds the transaction that stores a batch on condition that the owner's row still has the
-/// version `owner_version`.
+/// version `owner_version`, and that the jobs with starts have not been changed.
 pub fn batch_transaction(
     batch: &PlanBatch,
     owner_version: RowVersion,
@@ -236,6 +236,9 @@
 ) -> RowTransaction {
     let mut transaction = RowTransaction::default();
     transaction.expected.push((owner_row(), owner_version));
+    for (job, version) in &batch.conditions {
+        transaction.expected.push((layout.row(job), *version));
+    }
     for write in &batch.writes {
         match write {
             PlanWrite::Progress(job, version, progress) => {
@@ -257,8 +260,9 @@
 }
 
 /// Determines from the rows of a conflict whether a transaction was applied although its response
-/// was lost. This is so if all rows that its conditions name are as the transaction leaves them.
-/// Returns the version under which it was applied, or 0 if it only removes rows.
+/// was lost. This is so if the owner's row has not changed, and all rows that it writes on condition
+/// are as it leaves them; only the owner writes those. A job's row that it does not write may have
+/// changed since. Returns the version under which it was applied, or 0 if it only removes rows.
 ///
 /// Rows that it writes without a condition, such as the heartbeat, are not considered: a conflict
 /// returns only the rows that conditions name.
@@ -269,14 +273,14 @@
         let value = row.and_then(|row| row.value.as_ref());
         let put = transaction.puts.iter().find(|(put, _)| put == name);
         if let Some((_, written)) = put {
-            let row = row.filter(|_| value == Some(written))?;
+            let row = row.filter(|row| value == Some(written) && row.version != *version)?;
             applied = Some(row.version);
         } else if transaction.removes.contains(name) {
             if value.is_some() {
                 return None;
             }
             applied = applied.or(Some(0));
-        } else if row.map_or(0, |row| row.version) != *version {
+        } else if name.table != JOB_TABLE && row.map_or(0, |row| row.version) != *version {
             return None;
         }
     }
--- a/src/process/planning/settings.rs
+++ b/src/process/planning/settings.rs
@@ -27,6 +27,11 @@
 const DEFAULT_EVACUATION_LIMIT: Duration = Duration::from_secs(5);
 /// Shortest such time: a start order on its way to a slow host takes about a second.
 const MIN_EVACUATION_LIMIT: Duration = Duration::from_secs(2);
+/// Default time after the cancel of a job in which the last task of it starts (`cancel-limit`).
+const DEFAULT_CANCEL_LIMIT: Duration = Duration::from_secs(3);
+/// Shortest such time: the feed of jobs confirms its state every 1.5 s, and a start order on its way
+/// to a slow host takes about a second.
+const MIN_CANCEL_LIMIT: Duration = Duration::from_secs(2);
 /// Default time for which the row of an ended job is retained, so that its state can be queried
 /// (`kept-for`).
 const DEFAULT_JOB_RETENTION: Duration = Duration::from_secs(120);
@@ -63,6 +68,8 @@
     pub ended_job_retention: Duration,
     /// Time after a request to evacuate a failure domain in which the last run starts there.
     pub evacuation_limit: Duration,
+    /// Time after the cancel of a job in which the last task of it starts.
+    pub cancel_limit: Duration,
     /// Rule by which jobs are refused; `None` accepts all.
     pub admission: Option<AdmissionPolicy>,
     /// Weights of queues and the bound on waiting.
@@ -103,7 +110,18 @@
                 .saturating_sub(STOP_RESERVE),
             processor_share: reader.value("planner", "processor-share", 1.0),
             ended_job_retention: reader.span("jobs", "kept-for", DEFAULT_JOB_RETENTION),
-            evacuation_limit: read_evacuation_limit(&mut reader),
+            evacuation_limit: read_limit(
+                &mut reader,
+                "evacuation-limit",
+                DEFAULT_EVACUATION_LIMIT,
+                MIN_EVACUATION_LIMIT,
+            ),
+            cancel_limit: read_limit(
+                &mut reader,
+                "cancel-limit",
+                DEFAULT_CANCEL_LIMIT,
+                MIN_CANCEL_LIMIT,
+            ),
             admission: read_admission(&mut reader),
             shares: read_shares(&mut reader),
             learn_speed: reader.flag("workers", "learn-speed", false),
@@ -171,11 +189,16 @@
     JobLayout { partitions }
 }
 
-fn read_evacuation_limit(reader: &mut IniReader) -> Duration {
-    let limit = reader.span("planner", "evacuation-limit", DEFAULT_EVACUATION_LIMIT);
-    if limit < MIN_EVACUATION_LIMIT {
-        let message = format!("must be at least {}s", MIN_EVACUATION_LIMIT.as_secs());
-        reader.report("planner", "evacuation-limit", &message);
+/// Reads a time of the section `planner`, and reports one that is shorter than `shortest`.
+fn read_limit(
+    reader: &mut IniReader,
+    key: &str,
+    default: Duration,
+    shortest: Duration,
+) -> Duration {
+    let limit = reader.span("planner", key, default);
+    if limit < shortest {
+        reader.report("planner", key, &format!("must be at least {}s", shortest.as_secs()));
     }
     limit
 }
--- a/src/process/planning/table_feed.rs
+++ b/src/process/planning/table_feed.rs
@@ -73,16 +73,24 @@
     sender: mpsc::UnboundedSender<FeedRead>,
 ) {
     let mut has_failed = false;
+    let mut is_first = true;
     loop {
         let sent_at = clock::now();
-        let read = next_rows(shared.store.as_ref(), table, &partitions, after).await;
+        // A call that waits for nothing shows at once that the store answers again, and what has
+        // changed since the rows were read that the feed begins with.
+        let wait = if has_failed || is_first { Duration::ZERO } else { FEED_TIMEOUT };
+        is_first = false;
+        let read = next_rows(shared.store.as_ref(), table, &partitions, (after, wait)).await;
         shared.pace_retries(&read).await;
         match read {
             Ok((rows, version)) => {
                 if std::mem::take(&mut has_failed) {
                     log_event(Level::Info, "feed_regained", &[("table", &table)]);
                 }
-                let confirmed_at = confirmation_time(sent_at, after.is_some() && rows.is_empty());
+                // The response may have been under way for long, but the store delays one without
+                // changes by the whole wait.
+                let delay = if rows.is_empty() { wait } else { Duration::ZERO };
+                let confirmed_at = clock::now().min(sent_at + delay);
                 after = Some(version);
                 if sender.send(FeedRead { rows, confirmed_at }).is_err() {
                     return;
@@ -100,22 +108,15 @@
     }
 }
 
-/// Time by which the store had applied no other changes than those in the response to a call that
-/// was sent at `sent_at`. The response may have been under way for long, but the store delays one
-/// without changes by the whole [`FEED_TIMEOUT`].
-fn confirmation_time(sent_at: Instant, was_delayed: bool) -> Instant {
-    if was_delayed { clock::now().min(sent_at + FEED_TIMEOUT) } else { sent_at }
-}
-
 async fn next_rows(
     store: &dyn RowStore,
     table: &str,
     partitions: &[String],
-    after: Option<RowVersion>,
+    (after, wait): (Option<RowVersion>, Duration),
 ) -> Result<(Vec<StoredRow>, RowVersion), RowError> {
     match after {
         Some(after) => {
-            let page = store.feed(table, after, FEED_TIMEOUT).await?;
+            let page = store.feed(table, after, wait).await?;
             Ok((page.rows, page.version))
         }
         None => read_partitions(store, table, partitions).await,
--- a/src/workflow/plan_decision.rs
+++ b/src/workflow/plan_decision.rs
@@ -1,5 +1,7 @@
 //! Decisions and findings of the planner, as recorded in its log and metrics.
 
+use std::time::Duration;
+
 use crate::connection::node_protocol::RejectReason;
 use crate::connection::node_protocol::YoungRun;
 use crate::ids::DomainName;
@@ -195,6 +197,20 @@
         /// Worker that the run was assigned to.
         worker: InstanceId,
     },
+    /// Starts are held back because cancels of their jobs may have been missed.
+    StartsHeld {
+        /// Task of the first such start.
+        first: TaskName,
+        /// Number of such starts.
+        starts: usize,
+        /// Age of what is known of its job.
+        age: Duration,
+    },
+    /// No start is held back for that reason any more.
+    StartsReleased {
+        /// Time for which starts have been held back.
+        held: Duration,
+    },
     /// The workers of a failure domain get no new runs from now on.
     EvacuationStarted {
         /// The failure domain.
@@ -344,6 +360,8 @@
             PlanDecision::StartInDoubt { .. } => "start_in_doubt",
             PlanDecision::EndRecorded { .. } => "end_recorded",
             PlanDecision::StartWithdrawn { .. } => "start_withdrawn",
+            PlanDecision::StartsHeld { .. } => "starts_held",
+            PlanDecision::StartsReleased { .. } => "starts_released",
             PlanDecision::EvacuationStarted { .. } => "evacuation_started",
             PlanDecision::EvacuationEnded { .. } => "evacuation_ended",
             PlanDecision::EvacuationUnknown { .. } => "evacuation_unknown",
--- a/src/workflow/planner.rs
+++ b/src/workflow/planner.rs
@@ -8,6 +8,7 @@
 //! it starts, and a worker may discard the end of a run only after the store holds it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +24,7 @@
 use crate::workflow::advice_cache::AdviceQuery;
 use crate::workflow::assigned_run::OrderDelivery;
 use crate::workflow::changed_jobs::ChangedJobs;
+use crate::workflow::job_knowledge::JobKnowledge;
 use crate::workflow::job_precedence::JobPrecedence;
 use crate::workflow::pair_interference::PairInterferenceModel;
 use crate::workflow::plan_decision::EndCause;
@@ -74,6 +76,10 @@
     pub(crate) consolidation: ConsolidationState,
     pub(crate) acked_ends: BTreeMap<InstanceId, u64>,
     pub(crate) evacuations: KnownEvacuations,
+    /// What is known of jobs; `None` if starts after a cancel are not limited.
+    pub(crate) job_knowledge: Option<JobKnowledge>,
+    /// Jobs whose rows have to be confirmed before starts of them that are queued are sent.
+    pub(crate) unconfirmed_jobs: BTreeSet<JobId>,
     pub(crate) precedence: JobPrecedence,
     pub(crate) admission: AdmissionControl,
     pub(crate) fair_share: FairShareState,
@@ -120,6 +126,8 @@
             consolidation: ConsolidationState::default(),
             acked_ends: BTreeMap::new(),
             evacuations: KnownEvacuations::default(),
+            job_knowledge: None,
+            unconfirmed_jobs: BTreeSet::new(),
             precedence: JobPrecedence::default(),
             admission: AdmissionControl::default(),
             fair_share: FairShareState::default(),
@@ -143,21 +151,29 @@
         self.wall_ms = wall_ms;
     }
 
-    /// Records that the leases on a worker were extended by `granted` and may last until
-    /// `expired_by`. Starts that are ordered from now on are valid until the end of `granted`.
+    /// Records that the leases on a worker were extended by `granted`, which ends at `granted_until`
+    /// on the planner's clock, and may last until `expired_by`. Starts that are ordered from now on
+    /// are valid until the end of `granted`.
     ///
     /// ```
     /// use std::time::Instant;
     ///
     /// use greengagearch::connection::node_protocol::OrderLease;
     ///
-    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// planner.on_grant("i-1", Instant::now(), OrderLease::default());
+    /// let now = Instant::now();
+    /// let mut planner = greengagearch::workflow::planner::Planner::new(now);
+    /// planner.on_grant("i-1", now, (OrderLease::default(), now));
     /// ```
-    pub fn on_grant(&mut self, instance: &str, expired_by: Instant, granted: OrderLease) {
+    pub fn on_grant(
+        &mut self,
+        instance: &str,
+        expired_by: Instant,
+        (granted, granted_until): (OrderLease, Instant),
+    ) {
         let worker = self.inventory.entry(instance, self.inherited_lease_end);
         worker.lease_end = worker.lease_end.max(expired_by);
         worker.granted = granted;
+        worker.granted_until = granted_until;
     }
 
     /// Opens the occurrences that are due, gives up the runs of silent workers, and moves tasks
@@ -250,51 +266,6 @@
         self.advice.on_answer(answer, asked_at);
     }
 
-    /// Returns the orders that may be sent now. Starts of runs that have been given up or
-    /// transferred since they were queued are dropped, and starts on evacuated workers are
-    /// withdrawn; the others are valid until the end of the newest lease that was granted to their
-    /// worker. All starts stay queued while requests of operators may have been missed.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// let mut planner = greengagearch::workflow::planner::Planner::new(Instant::now());
-    /// assert!(planner.take_orders().is_empty());
-    /// ```
-    pub fn take_orders(&mut self) -> Vec<AddressedOrder> {
-        let queued = std::mem::take(&mut self.outbox);
-        let mut released = Vec::with_capacity(queued.len());
-        for (instance, mut order) in queued {
-            if let NodeOrder::Start(start) = &mut order {
-                if !self.confirm_start(&instance, start) {
-                    continue;
-                }
-                if self.is_evacuated(&instance) {
-                    self.withdraw_start(&instance, &(start.traits.task.clone(), start.run));
-                    continue;
-                }
-                if !self.may_start() {
-                    self.outbox.push((instance, order));
-                    continue;
-                }
-            }
-            released.push((instance, order));
-        }
-        released
-    }
-
-    /// Returns whether the order of a start is still queued, and sets the lease that it is given
-    /// under.
-    fn confirm_start(&self, instance: &str, start: &mut StartOrder) -> bool {
-        let Some(worker) = self.inventory.get(instance) else {
-            return false;
-        };
-        start.lease = worker.granted;
-        let key = (start.traits.task.clone(), start.run);
-        let run = worker.assigned.get(&key);
-        run.is_some_and(|run| run.delivery == OrderDelivery::Queued)
-    }
-
     /// Assigns the next number to an order message for a worker and records it with the runs that
     /// the message starts, or stops before their start was sent. Returns `None` for an unknown
     /// worker.
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -16,10 +16,11 @@
 use crate::workflow::progress::spec_digest;
 use crate::workflow::worker_inventory::RunKey;
 
-/// Maximum number of job rows in a batch. Each row takes a check and a write, and the ownership
-/// row, the pulse row and the row of learned interference are added, within the store's limit of
-/// 100 entries in a transaction.
-const MAX_ROWS: usize = 48;
+/// Maximum number of entries in a batch. The ownership row, the pulse row and the row of learned
+/// interference are added, within the store's limit of 100 entries in a transaction.
+const MAX_ENTRIES: usize = 96;
+/// Entries that a write takes: the check of the row's version, and its new value.
+const ENTRIES_PER_WRITE: usize = 2;
 /// Maximum number of tasks whose state is written in a batch. At 120 bytes each, with worker and
 /// checkpoint, they stay within the store's limit of 1 MB for a transaction.
 const MAX_TASKS: usize = 6_000;
@@ -38,6 +39,9 @@
 pub struct PlanBatch {
     /// Rows to write.
     pub writes: Vec<PlanWrite>,
+    /// Jobs with starts that are stored or wait to be sent, and the versions that their rows must
+    /// have: a job may have been cancelled since its starts were decided.
+    pub conditions: Vec<(JobId, RowVersion)>,
     /// Runs whose start orders are sent once the rows are stored.
     pub starts: Vec<(InstanceId, RunKey)>,
     /// For each worker, the number of the last run end that it may discard once the rows are
@@ -53,13 +57,15 @@
         while let Some(job) = planner.changed_jobs.first().cloned() {
             if let Some(entry) = planner.jobs.get(&job) {
                 let writes = writes(&job, entry, planner.wall_ms);
+                let condition = planner.start_condition(&job, entry);
+                let entries = ENTRIES_PER_WRITE * writes.len() + usize::from(condition.is_some());
                 tasks += entry.progress.task_count();
                 let is_first = batch.writes.is_empty();
-                if !is_first && (batch.writes.len() + writes.len() > MAX_ROWS || tasks > MAX_TASKS)
-                {
+                if !is_first && (batch.entries() + entries > MAX_ENTRIES || tasks > MAX_TASKS) {
                     break;
                 }
                 batch.writes.extend(writes);
+                batch.conditions.extend(condition);
                 batch.starts.extend(planner.pending_starts.remove(&job).unwrap_or_default());
             }
             planner.changed_jobs.remove(&job);
@@ -74,6 +80,10 @@
         planner.acked_ends.extend(batch.acks);
         None
     }
+
+    fn entries(&self) -> usize {
+        ENTRIES_PER_WRITE * self.writes.len() + self.conditions.len()
+    }
 }
 
 fn writes(job: &str, entry: &JobEntry, wall_ms: u64) -> Vec<PlanWrite> {
@@ -105,6 +115,13 @@
         PlanBatch::take(self)
     }
 
+    /// Returns the version that the row of a job must have for its starts to be stored or sent.
+    fn start_condition(&self, job: &JobId, entry: &JobEntry) -> Option<(JobId, RowVersion)> {
+        let has_starts =
+            self.pending_starts.contains_key(job) || self.unconfirmed_jobs.contains(job);
+        (has_starts && entry.end.is_none()).then(|| (job.clone(), entry.record_version))
+    }
+
     /// Records that a batch was stored with the given row version, and releases its start orders.
     ///
     /// ```
@@ -152,6 +169,9 @@
             let (PlanWrite::Progress(job, _, _) | PlanWrite::End(job, _, _)) = write;
             self.changed_jobs.insert(job.clone());
         }
+        for (job, _) in &batch.conditions {
+            self.unconfirmed_jobs.remove(job);
+        }
         for (instance, key) in batch.starts {
             let job = key.0.job.clone();
             self.pending_starts.entry(job).or_default().push((instance, key));
@@ -212,6 +232,7 @@
         });
         if is_finished && !self.changed_jobs.contains(job) {
             self.jobs.remove(job);
+            self.unconfirmed_jobs.remove(job);
             self.advice.forget_job(job);
         }
     }
--- a/src/workflow/planner_evacuation.rs
+++ b/src/workflow/planner_evacuation.rs
@@ -141,11 +141,6 @@
         self.evacuations.valid_until.is_none_or(|until| self.now < until)
     }
 
-    /// Whether a worker gets no new runs because its failure domain is being evacuated.
-    pub(crate) fn is_evacuated(&self, instance: &str) -> bool {
-        self.inventory.get(instance).is_some_and(|worker| worker.is_evacuated)
-    }
-
     /// Stops a run whose start order was decided before the evacuation and has not been sent. An
     /// earlier planner may have sent it, so the worker has to confirm the stop. The members of a
     /// gang start together or not at all.
--- a/src/workflow/planner_jobs.rs
+++ b/src/workflow/planner_jobs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::ids::InstanceId;
 use crate::ids::JobId;
@@ -31,6 +32,8 @@
     pub spec: WorkflowSpec,
     /// Version of the job's row.
     pub record_version: RowVersion,
+    /// When the store has last confirmed that version, by itself or as a condition of a write.
+    pub confirmed_at: Option<Instant>,
     /// State of the job's tasks.
     pub progress: JobProgress,
     /// Version of the row that holds the progress; zero if there is no such row.
@@ -82,6 +85,7 @@
             last_run_ms: spec.accepted_ms,
             spec,
             record_version,
+            confirmed_at: None,
             progress: JobProgress::default(),
             progress_version: 0,
             end: None,
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -61,6 +61,8 @@
     pub lease_end: Instant,
     /// The newest lease granted by this planner.
     pub granted: OrderLease,
+    /// End of that lease on the planner's clock.
+    pub granted_until: Instant,
     /// When its agent last reported.
     pub last_contact: Option<Instant>,
     /// Time after that at which it is silent.
@@ -102,6 +104,7 @@
             assigned: BTreeMap::new(),
             lease_end,
             granted: OrderLease::default(),
+            granted_until: lease_end,
             last_contact: None,
             silence_timeout: silence_timeout(MIN_REPORT_INTERVAL),
             full_until: None,
@@ -120,6 +123,12 @@
         }
     }
 
+    /// Returns the newest lease, shortened to end at `deadline` if it lasts longer.
+    pub(crate) fn granted_before(&self, deadline: Instant) -> OrderLease {
+        let excess = self.granted_until.saturating_duration_since(deadline);
+        OrderLease { end: self.granted.end.saturating_sub(excess), ..self.granted }
+    }
+
     /// Returns the allocatable capacity that is not assigned.
     ///
     /// ```
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -60,6 +60,8 @@
         /// Time of a transaction.
         write: Duration,
     },
+    /// Calls for changes get no answer, all others do.
+    SilentFeeds,
     /// Writes get no answer and are carried out later, if their conditions still hold.
     LateWrites(Duration),
 }
@@ -280,10 +282,16 @@
             StoreFault::None
             | StoreFault::LoseAnswers(_)
             | StoreFault::LateWrites(_)
+            | StoreFault::SilentFeeds
             | StoreFault::Queued { .. } => None,
         }
     }
 
+    fn has_silent_feeds(&self) -> bool {
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        fault == StoreFault::SilentFeeds
+    }
+
     /// Takes the time of a read.
     async fn wait_to_read(&self) {
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
@@ -422,6 +430,10 @@
     };
     // The wait is over when there is a change or when it has been long enough.
     let _ = timeout(Duration::from_millis(query.wait_ms), waiting).await;
+    if listener.has_silent_feeds() {
+        // Also calls that came in before the fault.
+        tokio::time::sleep(HANG).await;
+    }
     match changes(&listener.store, &query) {
         Ok((rows, version)) => Json(json!({ "rows": rows, "Ver": version })).into_response(),
         Err(()) => StatusCode::GONE.into_response(),
--- a/tests/held_orders.rs
+++ b/tests/held_orders.rs
@@ -62,10 +62,11 @@
 
     /// The planner grants a lease from now on, and the agent hears of it at once.
     fn grant(&mut self, stamp: LinkStamp) {
-        let since = self.fleet.clock;
+        let (since, now) = (self.fleet.clock, self.now());
         let grant = LeaseGrant { since, span: LONG_LEASE };
         let granted = OrderLease { link: stamp.link, end: since + LONG_LEASE };
-        self.fleet.planner.on_grant(LIFE, expired_by(self.fleet.now(), LONG_LEASE), granted);
+        let expired = expired_by(now, LONG_LEASE);
+        self.fleet.planner.on_grant(LIFE, expired, (granted, now + LONG_LEASE));
         self.agent.on_sync(&SyncCall { grant: Some(grant), ..lease_call(stamp, LONG_LEASE) });
     }
 
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -232,7 +232,7 @@
     fleet.round();
     let (lost, _) = fleet.running()[0].clone();
     let end = fleet.now() + Duration::from_secs(9);
-    fleet.planner.on_grant(&lost, end, OrderLease::default());
+    fleet.planner.on_grant(&lost, end, (OrderLease::default(), end));
     fleet.runners.remove(&lost);
     for _ in 0..80 {
         fleet.round();
--- a/tests/planning_search.rs
+++ b/tests/planning_search.rs
@@ -131,6 +131,24 @@
     assert!((0..SCHEDULES_WITHOUT).any(|seed| without(&seed)));
 }
 
+/// Guards against tasks of cancelled jobs that start long after the cancelling: the planner cannot read the jobs, while its writes and
+/// orders come through.
+#[test]
+fn no_task_starts_late_after_the_cancelling_of_its_job_where_jobs_are_read_late() {
+    assert_eq!(broken(PlanningWorld::with_late_reads), Vec::<String>::new());
+}
+
+/// Guards against starts that are stored and sent whatever became of their jobs since these were read.
+#[test]
+fn the_age_of_what_is_known_of_jobs_is_needed() {
+    let without = |seed: &u64| {
+        let world = PlanningWorld::new(*seed, Missing::JobKnowledge, specs());
+        let found = world.with_late_reads().run();
+        found.iter().any(|what| what.ends_with("after the cancelling of its job"))
+    };
+    assert!((0..SCHEDULES_WITHOUT).any(|seed| without(&seed)));
+}
+
 /// Guards against a fleet that shrinks for good, and against calls for a former life that the present one carries out: runners come
 /// back under the ids that they had.
 #[test]
--- a/tests/planning_world/evacuations.rs
+++ b/tests/planning_world/evacuations.rs
@@ -148,13 +148,17 @@
         self.evacuations.late_starts.push((key.clone(), self.now));
     }
 
+    pub(super) fn is_late_start(&self, key: &RunKey, began: u64) -> bool {
+        self.evacuations.late_starts.contains(&(key.clone(), began))
+    }
+
     pub(super) fn note_disturbance(&mut self, agent: usize, until: u64) {
         self.evacuations.disturbances.push((agent, self.now, until));
     }
 
     /// Whether an agent's host has been undisturbed for long enough. One that stood still between its decision to send
     /// a start and the call sends it when it wakes.
-    fn is_in_touch(&self, agent: usize, at: u64) -> bool {
+    pub(super) fn is_in_touch(&self, agent: usize, at: u64) -> bool {
         let disturbs = |(of, from, until): &(usize, u64, u64)| {
             *of == agent && *from <= at && at < until + CONTACT_TIME
         };
@@ -196,8 +200,7 @@
                     && record.began > span.from + EVACUATION_LIMIT
                     && span.until.is_none_or(|until| record.began < until)
             };
-            let is_late =
-                self.evacuations.late_starts.contains(&(record.key.clone(), record.began));
+            let is_late = self.is_late_start(&record.key, record.began);
             let is_excused = is_late || !self.is_in_touch(agent, record.began);
             if !is_excused && self.evacuations.spans.iter().any(is_inside) {
                 let (task, at) = (&record.key.0, record.began);
--- a/tests/planning_world/events.rs
+++ b/tests/planning_world/events.rs
@@ -38,6 +38,12 @@
                 self.on_answer(planner, agent, link, report);
             }
             Event::Submit(number) => self.on_submit(number),
+            Event::Cancel { job } => self.on_cancel(&job),
+            Event::SilentFeed => self.on_silent_feed(),
+            Event::ReadJobs { planner } => self.on_read_jobs(planner),
+            Event::JobsConfirmed { planner, confirmed_at } => {
+                self.on_jobs_confirmed(planner, confirmed_at);
+            }
             Event::Fault => self.on_fault(),
             Event::Evacuate => self.on_evacuate(),
             Event::ReadRequests { planner } => self.on_read_requests(planner),
@@ -241,7 +247,7 @@
                 _ => expired_by(now, span),
             };
             let granted = OrderLease { link, end: since + valid };
-            process.planner.on_grant(&instance, known_end, granted);
+            process.planner.on_grant(&instance, known_end, (granted, now + valid));
             call.grant = Some(LeaseGrant { since, span });
             call.last_acked_end = process.planner.last_acked_end(&instance);
             if self.missing == Missing::StoredBeforeSeen {
--- a/tests/planning_world/mod.rs
+++ b/tests/planning_world/mod.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod evacuations;
 mod events;
+mod late_reads;
 mod order_loop;
 mod outages;
 mod refusals;
@@ -57,6 +58,7 @@
 use self::agents::call_of;
 use self::connections::LifeConnection;
 use self::evacuations::EvacuationState;
+use self::late_reads::LateReadState;
 use self::order_loop::QueuedOrder;
 use self::order_loop::StartTry;
 use self::order_loop::silence;
@@ -108,6 +110,8 @@
     OrderLease,
     /// Runs start however long ago the requests of operators were read.
     RequestAge,
+    /// Starts are stored whether or not the rows of their jobs have changed, and sent however long ago these were read.
+    JobKnowledge,
     /// Calls leave on a connection to whichever life of the runner listens.
     InstanceConnections,
     /// Planners do not know which starts may still be carried out.
@@ -247,6 +251,19 @@
         agent: usize,
     },
     Submit(usize),
+    /// A caller cancels a job.
+    Cancel {
+        job: String,
+    },
+    /// The feed of jobs of the newest planner goes silent.
+    SilentFeed,
+    ReadJobs {
+        planner: usize,
+    },
+    JobsConfirmed {
+        planner: usize,
+        confirmed_at: Instant,
+    },
     Fault,
     /// An operator evacuates a failure domain, or takes that back.
     Evacuate,
@@ -370,6 +387,7 @@
     has_refusals: bool,
     outages: OutageState,
     evacuations: EvacuationState,
+    late_reads: LateReadState,
     /// A task that crashes each runner that starts it.
     crasher: Option<TaskName>,
     specs: Vec<WorkflowSpec>,
--- a/tests/planning_world/schedule.rs
+++ b/tests/planning_world/schedule.rs
@@ -31,6 +31,7 @@
             has_refusals: false,
             outages: OutageState::default(),
             evacuations: EvacuationState::default(),
+            late_reads: LateReadState::default(),
             crasher: None,
             specs,
             audit: RunAudit::default(),
@@ -318,6 +319,7 @@
         });
         let planner = self.planners.len() - 1;
         self.begin_reads(planner);
+        self.begin_job_reads(planner);
         for agent in 0..AGENTS {
             self.at(1, Event::Relink { planner, agent });
         }
@@ -346,7 +348,7 @@
     /// The feed of jobs, to all that plan or believe so.
     pub(super) fn tell(&mut self, job: &str) {
         for planner in 0..self.planners.len() {
-            let delay = self.rng.random_range(1..60);
+            let delay = self.rng.random_range(1..60) + self.feed_silence(planner);
             self.at(delay, Event::News { planner, job: job.to_string() });
         }
     }
@@ -379,6 +381,7 @@
         found.extend(self.check_evacuations());
         found.extend(self.check_permits());
         found.extend(self.check_cancelled());
+        found.extend(self.check_cancel_limit());
         found.extend(self.check_runners());
         for record in &self.audit.records {
             let cancelled = self.cancelled.get(&record.key.0.job);
--- a/tests/planning_world/store.rs
+++ b/tests/planning_world/store.rs
@@ -36,6 +36,13 @@
                 self.records.get(job).map_or(0, |(known, _)| *known) == *version
             }
         });
+        let are_jobs_unchanged = batch
+            .conditions
+            .iter()
+            .all(|(job, version)| self.records.get(job).map_or(0, |(known, _)| *known) == *version);
+        if !are_jobs_unchanged && self.missing != Missing::JobKnowledge {
+            return WriteFate::Conflict;
+        }
         // Without the owner's row nothing binds a batch to the rows that it was made from.
         if !is_current && self.missing != Missing::OwnerCondition {
             return WriteFate::Conflict;
@@ -118,6 +125,7 @@
                 if let Some(sent) = proof {
                     let sent = self.base + Duration::from_millis(sent);
                     process.proof = process.proof.max(sent);
+                    process.planner.on_rows_confirmed(&batch.conditions, sent);
                 }
                 process.planner.on_committed(batch, version);
             }
--- a/tests/unknown_lease.rs
+++ b/tests/unknown_lease.rs
@@ -38,7 +38,7 @@
     let now = Instant::now();
     let mut planner = Planner::new(now);
     planner.set_time(now, 0);
-    planner.on_grant(LIFE, now + Duration::from_secs(1), OrderLease::default());
+    planner.on_grant(LIFE, now + Duration::from_secs(1), (OrderLease::default(), now));
     planner.on_report(report(former), true);
     planner.set_time(now + Duration::from_secs(seconds), 0);
     planner.on_tick();
