Planner: starts have conditions on their jobs only where the feed is silent

Cause: with each job with starts took a third entry of a transaction, so that one held 32 jobs in place of 48. On a store that carries out one or two transactions a second all starts take a third longer; a_batch_stays_within_the_entries_of_a_transaction (at least 40 jobs) failed. Conditions on jobs in other partitions also make a transaction span these, which takes the store twice as long.

Change: an assignment is stored under the condition only if neither the feed nor a write has confirmed its job within three tenths of planner.cancel-limit. A start that was stored without it is bound to the feed's confirmation, at most that old, and is confirmed by a write if the commit takes too long.

Ways weighed: a condition on every start, the age of the feed alone (holds all starts back while the feed is silent or slow), and this one. The first costs an entry and about 90 bytes for each job with starts, the last nothing while the feed is well.

--- a/src/workflow/job_knowledge.rs
+++ b/src/workflow/job_knowledge.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Parts of the limit: the greatest age of what is known of a job when a start of it is sent, and
-/// the age at which the start is no longer carried out. The remainder covers the agent's call to
-/// its runner and the drift of the clocks.
+/// Parts of the limit: the age of what is known of a job from which a start of it is stored only on
+/// condition that the job's row has not changed, the greatest age when the start is sent, and the
+/// age at which it is no longer carried out. The remainder covers the agent's call to its runner and
+/// the drift of the clocks.
+const CONDITION_AGE_SHARE: f64 = 0.3;
 const MAX_AGE_SHARE: f64 = 0.6;
 const VALIDITY_SHARE: f64 = 0.9;
 
@@ -87,6 +89,24 @@
         now.saturating_duration_since(self.known_at(row_confirmed_at))
     }
 
+    /// Returns whether a start of such a job is stored on condition that its row has not changed.
+    /// While the feed confirms its state, a write needs no such conditions, which are limited.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    ///
+    /// use greengagearch::workflow::job_knowledge::JobKnowledge;
+    ///
+    /// let now = Instant::now();
+    /// let knowledge = JobKnowledge::new(Duration::from_secs(3), now);
+    /// assert!(!knowledge.needs_condition(None, now));
+    /// assert!(knowledge.needs_condition(None, now + Duration::from_secs(1)));
+    /// ```
+    pub fn needs_condition(&self, row_confirmed_at: Option<Instant>, now: Instant) -> bool {
+        self.age(row_confirmed_at, now) >= self.cancel_limit.mul_f64(CONDITION_AGE_SHARE)
+    }
+
     /// Returns the time until which a start of such a job may be carried out; `None` if too little
     /// is known of the job to send the start.
     ///
--- a/src/workflow/planner_batch.rs
+++ b/src/workflow/planner_batch.rs
@@ -39,8 +39,8 @@
 pub struct PlanBatch {
     /// Rows to write.
     pub writes: Vec<PlanWrite>,
-    /// Jobs with starts that are stored or wait to be sent, and the versions that their rows must
-    /// have: a job may have been cancelled since its starts were decided.
+    /// Jobs with starts that are stored or wait to be sent, and that the feed has not confirmed
+    /// recently, with the versions that their rows must have: a job may have been cancelled.
     pub conditions: Vec<(JobId, RowVersion)>,
     /// Runs whose start orders are sent once the rows are stored.
     pub starts: Vec<(InstanceId, RunKey)>,
@@ -115,11 +115,14 @@
         PlanBatch::take(self)
     }
 
-    /// Returns the version that the row of a job must have for its starts to be stored or sent.
+    /// Returns the version that the row of a job must have for its starts to be stored or sent, if
+    /// they depend on it.
     fn start_condition(&self, job: &JobId, entry: &JobEntry) -> Option<(JobId, RowVersion)> {
-        let has_starts =
-            self.pending_starts.contains_key(job) || self.unconfirmed_jobs.contains(job);
-        (has_starts && entry.end.is_none()).then(|| (job.clone(), entry.record_version))
+        let knowledge = self.job_knowledge.as_ref()?;
+        let is_stored_unconfirmed = self.pending_starts.contains_key(job)
+            && knowledge.needs_condition(entry.confirmed_at, self.now);
+        let has_condition = is_stored_unconfirmed || self.unconfirmed_jobs.contains(job);
+        (has_condition && entry.end.is_none()).then(|| (job.clone(), entry.record_version))
     }
 
     /// Records that a batch was stored with the given row version, and releases its start orders.
--- a/tests/job_knowledge.rs
+++ b/tests/job_knowledge.rs
@@ -26,7 +26,8 @@
 use crate::planning::step;
 
 const LIMIT: Duration = Duration::from_secs(3);
-/// The age from which starts are held back, and that up to which workers carry them out.
+/// The age from which starts are stored under a condition, that from which they are held back, and that up to which workers carry them out.
+const UNCONFIRMED_FROM: Duration = Duration::from_millis(900);
 const HELD_FROM: Duration = Duration::from_millis(1_800);
 const VALID_UNTIL: Duration = Duration::from_millis(2_700);
 const LONG_LEASE: Duration = Duration::from_secs(9);
@@ -72,6 +73,7 @@
 #[test]
 fn a_start_is_stored_only_while_its_job_is_as_it_was() {
     let mut fleet = limited_fleet();
+    fleet.pass(UNCONFIRMED_FROM);
     let batch = decided(&mut fleet);
     assert_eq!(batch.conditions, vec![("a".to_string(), fleet.version)]);
     let row = JobLayout::default().row("a");
@@ -88,12 +90,16 @@
     assert_matches!(fleet.records["a"], JobRecord::Ended { .. });
 }
 
-/// Guards against conditions on jobs that nothing starts of, which would be in conflict for nothing.
+/// Guards against conditions that limit what a transaction holds, or are in conflict, for nothing: on jobs that the feed has just
+/// confirmed, or that nothing starts of.
 #[test]
-fn a_batch_without_starts_has_no_condition_on_jobs() {
+fn a_batch_has_no_condition_on_jobs_without_need() {
+    let mut fleet = limited_fleet();
+    assert!(decided(&mut fleet).conditions.is_empty());
     let mut fleet = limited_fleet();
     fleet.submit("a", job(vec![step(1, 1_000)]));
     fleet.round();
+    fleet.pass(UNCONFIRMED_FROM);
     fleet.end_all(greengagearch::workflow::progress::RunEnd::Done);
     fleet.report_all();
     let batch = fleet.planner.take_batch().expect("the end is stored");
@@ -205,6 +211,7 @@
 #[test]
 fn a_start_that_was_stored_before_its_job_was_cancelled_is_known_as_stored() {
     let mut fleet = limited_fleet();
+    fleet.pass(UNCONFIRMED_FROM);
     let batch = decided(&mut fleet);
     let transaction = batch_transaction(&batch, OWNER_VERSION, JobLayout::default());
     let progress = RowName::new(PROGRESS_TABLE, "main", "a");
