Store: a row that is not base64 no longer fails its whole page

What operators would see: after one row of another writer whose value is not base64, agents, planner processes or jobs of that table are not read any more; after a takeover nothing runs.

Cause: StoreClient decoded a page all or nothing.

Change: such a value becomes an empty one, which is malformed for every kind of row and skipped where it is decoded.

Why it works: each row is judged by itself, as those with malformed JSON were already.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -57,11 +57,13 @@
         }
     }
 
-    fn decode(self) -> Result<StoredRow, RowError> {
-        let bytes = self.value.map(|text| STANDARD.decode(text)).transpose();
-        let value = bytes.map_err(|error| malformed(&error))?.filter(|_| !self.deleted);
+    /// Decodes a row. A value of another writer that is not encoded as told becomes an empty one,
+    /// which is malformed for every kind of row, so that the other rows of the response hold.
+    fn decode(self) -> StoredRow {
+        let value = self.value.filter(|_| !self.deleted);
+        let value = value.map(|text| STANDARD.decode(text).unwrap_or_default());
         let name = RowName { table: self.table, partition: self.partition, key: self.key };
-        Ok(StoredRow { name, value, version: self.version.unwrap_or(0) })
+        StoredRow { name, value, version: self.version.unwrap_or(0) }
     }
 }
 
@@ -87,7 +89,7 @@
 }
 
 impl WireRows {
-    fn decode(self) -> Result<Vec<StoredRow>, RowError> {
+    fn decode(self) -> Vec<StoredRow> {
         self.rows.into_iter().map(WireRow::decode).collect()
     }
 }
@@ -167,7 +169,7 @@
         }
         let answer: WireRows = decode(self.send_timed(self.reading("rows-get", &query)).await)?;
         let (has_more, version) = (answer.has_more, answer.version);
-        Ok(RangePage { rows: answer.decode()?, has_more, version })
+        Ok(RangePage { rows: answer.decode(), has_more, version })
     }
 
     async fn get(&self, name: &RowName) -> Result<Option<StoredRow>, RowError> {
@@ -178,7 +180,7 @@
             ("Limit", "1"),
         ];
         let answer: WireRows = decode(self.send_timed(self.reading("rows-get", &query)).await)?;
-        let rows = answer.decode()?;
+        let rows = answer.decode();
         Ok(rows.into_iter().find(|row| row.name.key == name.key))
     }
 
@@ -193,7 +195,7 @@
         let request = self.reading("rows-feed", &query);
         let answer: WireRows = decode(self.http.send(request, wait + FEED_SLACK).await)?;
         let version = answer.version;
-        Ok(FeedPage { rows: answer.decode()?, version })
+        Ok(FeedPage { rows: answer.decode(), version })
     }
 }
 
@@ -214,7 +216,7 @@
         StatusCode::PRECONDITION_FAILED => {
             let answer: WireRows =
                 serde_json::from_slice(&body).map_err(|error| malformed(&error))?;
-            Err(RowError::Conflict { rows: answer.decode()? })
+            Err(RowError::Conflict { rows: answer.decode() })
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
             Err(RowError::Refused { reason: format!("status {}", status.as_u16()) })
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -24,6 +24,7 @@
 use crate::process::http_server::ListenerSettings;
 use crate::process::http_server::spawn_http_server;
 use crate::process::inbound::connection_guard::ConnectionGuard;
+use crate::process::malformed_entries::malformed_counts;
 use crate::process::stop_signal::StopSwitch;
 use crate::workflow::evacuation_summary::EvacuationSummary;
 
@@ -63,6 +64,8 @@
     pub bytes_sent: IntGauge,
     /// Bytes received from other processes of the system, without TCP and IP headers.
     pub bytes_received: IntGauge,
+    /// Entries of other writers that were skipped, by table or list.
+    malformed_entries: IntGaugeVec,
     /// Metrics of admission control.
     pub admission: AdmissionMetrics,
     /// Speed of each slow or ejected worker as a share of the median, by worker.
@@ -181,6 +184,11 @@
             remembered_ids: gauge("gga_remembered_ids", "Request ids that are remembered"),
             bytes_sent: gauge("gga_bytes_sent", "Bytes sent to other processes"),
             bytes_received: gauge("gga_bytes_received", "Bytes received from other processes"),
+            malformed_entries: integer_gauges(
+                "gga_malformed_entries",
+                "Entries of other writers that were skipped",
+                &["source"],
+            ),
             admission: AdmissionMetrics::open(),
             worker_speed: GaugeVec::new(
                 Opts::new("gga_worker_speed", "Speed of slow workers, 1 is the median"),
@@ -211,6 +219,10 @@
         let (sent, received) = byte_counts();
         self.bytes_sent.set(i64::try_from(sent).unwrap_or(i64::MAX));
         self.bytes_received.set(i64::try_from(received).unwrap_or(i64::MAX));
+        for (source, count) in malformed_counts() {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.malformed_entries.with_label_values(&[&source]).set(count);
+        }
         let mut text = Vec::new();
         // Writing to a vector cannot fail.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
@@ -235,7 +247,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.tasks.clone()),
@@ -255,6 +267,7 @@
             Box::new(self.evacuations.workers.clone()),
             Box::new(self.evacuations.runs.clone()),
             Box::new(self.closed_connections.clone()),
+            Box::new(self.malformed_entries.clone()),
         ];
         for collector in collectors {
             // Names are constants and unique, so that a refusal is a mistake in this file, which
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -15,6 +15,7 @@
 pub mod line_queue;
 pub mod logging;
 pub mod machine_limits;
+pub mod malformed_entries;
 pub mod metrics;
 pub mod node;
 pub mod planning;
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use log::Level;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -19,7 +18,7 @@
 use crate::ids::QueueName;
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
-use crate::process::logging::log_event;
+use crate::process::malformed_entries::report_malformed;
 use crate::workflow::admission::backlog_forecast::BacklogForecast;
 use crate::workflow::evacuation_summary::EvacuationSummary;
 use crate::workflow::planner_batch::PlanBatch;
@@ -210,18 +209,14 @@
     serde_json::to_vec(value).unwrap_or_default()
 }
 
-/// Decodes the value of a row. Returns `None` for a removed row and, with an error in the log, for
-/// a malformed one.
+/// Decodes the value of a row. Returns `None` for a removed row and for a malformed one, which is
+/// reported.
 pub fn decode<T: DeserializeOwned>(row: &StoredRow) -> Option<T> {
     let value = row.value.as_ref()?;
     match serde_json::from_slice(value) {
         Ok(decoded) => Some(decoded),
         Err(error) => {
-            log_event(
-                Level::Error,
-                "row_malformed",
-                &[("table", &row.name.table), ("key", &row.name.key), ("error", &error)],
-            );
+            report_malformed(&row.name.table, &row.name.key, &error);
             None
         }
     }
