Planner: an overwritten row does not end the link to its agent

What operators would see: the row of an agent at work is overwritten by another writer with something unreadable; the planner closes its link, and the agent's tasks wait or start elsewhere.

Cause: on_nodes took every row that it could not decode for a removed one; peer_watch did the same with the rows of planner processes. An address without a usable port was dialled for ever.

Change: only a removed row ends a link or removes a peer. A row whose address cannot be called is skipped, counted and logged.

Why it works: a link is lost by itself when its agent is gone, and a row says nothing about that.

--- a/src/process/planning/agent_links.rs
+++ b/src/process/planning/agent_links.rs
@@ -19,6 +19,7 @@
 use crate::process::planning::planner_loop::StepResult;
 use crate::process::planning::rows::NodeRow;
 use crate::process::planning::rows::decode;
+use crate::process::planning::rows::is_usable;
 use crate::workflow::grant::MAX_LEASE;
 use crate::workflow::planner::AddressedOrder;
 use crate::workflow::planner::Planner;
@@ -46,8 +47,13 @@
             return;
         }
         for row in rows {
-            let Some(node) = decode::<NodeRow>(row) else {
+            if row.value.is_none() {
                 self.links.remove(&row.name.key);
+            }
+            // A malformed row of another writer does not end the link to an agent that has
+            // registered under that key.
+            let Some(node) = decode::<NodeRow>(row).filter(|node| is_usable(row, &node.address))
+            else {
                 continue;
             };
             if let Some(link) = self.links.get(&node.address) {
--- a/src/process/planning/peer_watch.rs
+++ b/src/process/planning/peer_watch.rs
@@ -20,6 +20,7 @@
 use crate::process::planning::rows::PeerRow;
 use crate::process::planning::rows::decode;
 use crate::process::planning::rows::encode;
+use crate::process::planning::rows::is_usable;
 use crate::process::planning::shared::PlannerShared;
 
 /// Maximum time that one feed call waits for changes.
@@ -99,10 +100,11 @@
 }
 
 fn apply_row(shared: &PlannerShared, row: &StoredRow) {
-    match decode::<PeerRow>(row) {
-        Some(PeerRow { address, domain, share, .. }) => {
-            shared.add_peer(PeerHost { address, domain, share });
-        }
-        None => shared.remove_peer(&row.name.key),
+    if row.value.is_none() {
+        shared.remove_peer(&row.name.key);
+    }
+    let peer = decode::<PeerRow>(row).filter(|peer| is_usable(row, &peer.address));
+    if let Some(PeerRow { address, domain, share, .. }) = peer {
+        shared.add_peer(PeerHost { address, domain, share });
     }
 }
--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -222,6 +223,28 @@
     }
 }
 
+/// Returns whether a process can be reached at the address that its row names. Another address is
+/// reported as malformed.
+///
+/// ```
+/// use greengagearch::external::row_store::RowName;
+/// use greengagearch::external::row_store::StoredRow;
+/// use greengagearch::process::planning::rows::NODE_TABLE;
+/// use greengagearch::process::planning::rows::is_usable;
+///
+/// let name = RowName::new(NODE_TABLE, "hosts", "10.0.0.1:7000");
+/// let row = StoredRow { name, value: Some(b"{}".to_vec()), version: 7 };
+/// assert!(is_usable(&row, "10.0.0.1:7000"));
+/// assert!(!is_usable(&row, "10.0.0.1:99999"));
+/// ```
+pub fn is_usable(row: &StoredRow, address: &str) -> bool {
+    let is_usable = address.parse().is_ok_and(|address: SocketAddr| address.port() != 0);
+    if !is_usable {
+        report_malformed(&row.name.table, &row.name.key, &"not an address with a port");
+    }
+    is_usable
+}
+
 /// Builds the transaction that stores a batch on condition that the owner's row still has the
 /// version `owner_version`, and that the jobs with starts have not been changed.
 pub fn batch_transaction(
--- a/tests/malformed_rows.rs
+++ b/tests/malformed_rows.rs
@@ -54,3 +54,29 @@
     }
     take_over(&mut env).await;
 }
+
+/// Guards against a runner that is lost because the row of its agent, which is at work, is overwritten.
+#[tokio::test]
+async fn a_row_that_is_overwritten_does_not_end_the_link_to_its_agent() {
+    let mut env = start(2).await;
+    let agents = env.store.keys(NODE_TABLE);
+    let peers = env.store.keys(PEER_TABLE);
+    for (number, value) in (0..).zip(values()) {
+        play(&env, number, &format!("{value:.40}"), async || {
+            for agent in &agents {
+                for table in [NODE_TABLE, LIFE_TABLE] {
+                    let partition = agent_row(table, agent).partition;
+                    env.store.put(table, &partition, agent, value.clone());
+                }
+            }
+            for peer in &peers {
+                env.store.put(PEER_TABLE, HOST_PARTITION, peer, value.clone());
+            }
+        })
+        .await;
+    }
+    // The agents register again with their processes.
+    env.restart_agent(0);
+    env.restart_agent(1);
+    take_over(&mut env).await;
+}
