Agent: a malformed entry of a runner's lists leaves the others

What callers would see: a runner lists one entry that cannot be read for longer than its leases; all its tasks end with the leases and start again elsewhere, and it gets no work.

Cause: an answer was decoded all or nothing, and one that cannot be decoded counts as no answer.

Change: entries are decoded one by one from their raw text (serde_json's raw_value), so that neither nesting nor a number fails the body. A field without which the run is still named takes its default; an entry that names no run is skipped, counted and logged. It may stand for any run, so nothing is concluded from what is not listed beside it, as where the list of ends is full, and the runner gets no new runs meanwhile. Ends numbered over 2^53 are skipped: their acknowledgement would cover all others.

--- a/src/platform/runner_client.rs
+++ b/src/platform/runner_client.rs
@@ -241,11 +241,11 @@
             let (connection, lists) = self.poll_any(target, request).await?;
             let selected = self.pool(target).select(connection, &target.instance);
             self.pool(target).put(selected.ok_or(RunnerError::OtherInstance)?);
-            return lists.decode();
+            return Ok(lists.decode());
         }
         let call = call_of(target, "hold", &WireHold::new(target.fence, request))?;
         let lists: WireLists = self.call(target, call, limit_of(request)).await?;
-        lists.decode()
+        Ok(lists.decode())
     }
 }
 
--- a/src/platform/runner_wire.rs
+++ b/src/platform/runner_wire.rs
@@ -6,6 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
 
 use crate::connection::node_protocol::EndedRun;
 use crate::connection::node_protocol::PresentRun;
@@ -17,12 +22,16 @@
 use crate::ids::FencingToken;
 use crate::ids::RunNumber;
 use crate::ids::StartMillis;
+use crate::process::malformed_entries::report_malformed;
 use crate::workflow::progress::RunEnd;
 use crate::workflow::task_name::InvalidTaskName;
 use crate::workflow::task_name::TaskName;
 
 /// Maximum number of ends in one response.
 const MAX_LISTED_ENDS: usize = 500;
+/// Greatest number of an end. Numbers begin at 1 with each instance, and the acknowledgement of an
+/// end covers all up to its number.
+const MAX_END_NUMBER: u64 = 1 << 53;
 /// Pace at which runs start, in percent; runners do not tell the pace that was ordered since.
 const FULL_PACE: u32 = 100;
 
@@ -76,23 +85,34 @@
     started_at: Option<StartMillis>,
 }
 
-/// A run at work: task, run, saved work, percent of its work that is done, and its usage.
-pub(super) type WireRunning = (String, RunNumber, Option<String>, f64, Option<f64>);
-/// An end: number, task, run, how, saved work.
-pub(super) type WireEnded = (u64, String, RunNumber, String, Option<String>);
+/// An entry of a list. Each is decoded by itself, so that a malformed one leaves the others.
+type WireEntry = Box<RawValue>;
 
 #[derive(Debug, Deserialize)]
 pub(super) struct WireLists {
     #[serde(rename = "ClockMs")]
-    pub(super) clock: RunnerMillis,
+    clock: RunnerMillis,
     #[serde(rename = "Running", default)]
-    pub(super) running: Vec<WireRunning>,
+    running: Vec<WireEntry>,
     #[serde(rename = "Ended", default)]
-    pub(super) ended: Vec<WireEnded>,
+    ended: Vec<WireEntry>,
     #[serde(rename = "born", default)]
     started_at: Option<StartMillis>,
 }
 
+/// Why an entry of a list is skipped.
+#[derive(Debug, Snafu)]
+enum MalformedEntry {
+    #[snafu(display("{source}"))]
+    Json { source: serde_json::Error },
+    #[snafu(display("field {index} is missing"))]
+    Missing { index: usize },
+    #[snafu(display("the number {number} is too large"))]
+    Number { number: u64 },
+    #[snafu(display("{source}"))]
+    Task { source: InvalidTaskName },
+}
+
 /// Any answer that says no more than that an order was carried out.
 #[derive(Debug, Deserialize)]
 pub(super) struct WireDone {
@@ -174,32 +194,57 @@
 }
 
 impl WireLists {
-    pub(super) fn decode(self) -> Result<PollResponse, RunnerError> {
-        Ok(PollResponse {
+    /// Decodes the lists. Malformed entries are skipped and reported. One of them may stand for any
+    /// run, so nothing is concluded from what is not listed beside it.
+    pub(super) fn decode(&self) -> PollResponse {
+        let running = decode_entries(&self.running, "running", decode_running);
+        let ended = decode_entries(&self.ended, "ended", decode_ended);
+        let has_skipped = running.len() < self.running.len() || ended.len() < self.ended.len();
+        PollResponse {
             clock: self.clock,
-            may_omit_ends: self.ended.len() >= MAX_LISTED_ENDS,
-            running: self.running.into_iter().map(decode_running).collect::<Result<_, _>>()?,
-            ended: self.ended.into_iter().map(decode_ended).collect::<Result<_, _>>()?,
-        })
+            may_omit_ends: has_skipped || self.ended.len() >= MAX_LISTED_ENDS,
+            running,
+            ended,
+        }
     }
 }
 
-fn decode_running(running: WireRunning) -> Result<PresentRun, RunnerError> {
-    let (task, run, checkpoint, progress, usage) = running;
+fn decode_entries<T>(
+    entries: &[WireEntry],
+    list: &str,
+    decode: impl Fn(&[&RawValue]) -> Result<T, MalformedEntry>,
+) -> Vec<T> {
+    let decode_entry = |entry: &WireEntry| {
+        let fields: Vec<&RawValue> = serde_json::from_str(entry.get()).context(JsonSnafu)?;
+        decode(&fields)
+    };
+    let report =
+        |entry: &WireEntry, error: &MalformedEntry| report_malformed(list, entry.get(), error);
+    let decoded = entries.iter().map(|entry| (entry, decode_entry(entry)));
+    decoded
+        .filter_map(|(entry, decoded)| decoded.inspect_err(|error| report(entry, error)).ok())
+        .collect()
+}
+
+/// Decodes a run at work: task, run, saved work, percent of its work that is done, and its usage.
+fn decode_running(fields: &[&RawValue]) -> Result<PresentRun, MalformedEntry> {
     Ok(PresentRun {
-        task: decode_task(&task)?,
-        run,
+        task: task_field(fields, 0)?,
+        run: field(fields, 1)?,
         is_started: true,
-        checkpoint: checkpoint.unwrap_or_default(),
-        progress_percent: progress as u32,
+        checkpoint: optional_field(fields, 2),
+        progress_percent: optional_field::<f64>(fields, 3) as u32,
         pace_percent: FULL_PACE,
         mean_pace_percent: FULL_PACE,
-        usage: usage.unwrap_or(0.0) as u64,
+        usage: optional_field::<f64>(fields, 4) as u64,
     })
 }
 
-fn decode_ended(ended: WireEnded) -> Result<EndedRun, RunnerError> {
-    let (number, task, run, how, checkpoint) = ended;
+/// Decodes an end: number, task, run, how, saved work.
+fn decode_ended(fields: &[&RawValue]) -> Result<EndedRun, MalformedEntry> {
+    let number = field(fields, 0)?;
+    ensure!(number <= MAX_END_NUMBER, NumberSnafu { number });
+    let how: String = field(fields, 3)?;
     let end = match how.as_str() {
         "done" => RunEnd::Done,
         "failed" => RunEnd::Failed,
@@ -208,8 +253,23 @@
         "alone" => RunEnd::Alone,
         _ => RunEnd::Lapsed,
     };
-    let checkpoint = checkpoint.unwrap_or_default();
-    Ok(EndedRun { number, task: decode_task(&task)?, run, end, checkpoint })
+    let (task, run) = (task_field(fields, 1)?, field(fields, 2)?);
+    Ok(EndedRun { number, task, run, end, checkpoint: optional_field(fields, 4) })
+}
+
+fn field<T: DeserializeOwned>(fields: &[&RawValue], index: usize) -> Result<T, MalformedEntry> {
+    let value = fields.get(index).context(MissingSnafu { index })?;
+    serde_json::from_str(value.get()).context(JsonSnafu)
+}
+
+/// Decodes a field without which the entry still names its run.
+fn optional_field<T: DeserializeOwned + Default>(fields: &[&RawValue], index: usize) -> T {
+    field::<Option<T>>(fields, index).ok().flatten().unwrap_or_default()
+}
+
+fn task_field(fields: &[&RawValue], index: usize) -> Result<TaskName, MalformedEntry> {
+    let name: String = field(fields, index)?;
+    name.parse().context(TaskSnafu)
 }
 
 /// An answer that nothing may be concluded from.
@@ -217,23 +277,21 @@
     RunnerError::NoAnswer { is_broken: false, reason: error.to_string() }
 }
 
-/// A list that names something else than tasks is no answer that anything may be concluded from.
-fn decode_task(text: &str) -> Result<TaskName, RunnerError> {
-    text.parse().map_err(|error: InvalidTaskName| unreadable(&error))
-}
-
 #[cfg(test)]
 mod tests {
+    use serde_json::json;
+
     use super::*;
 
     /// Guards against ends that are taken for absent: a response lists the first 500 ends only.
     #[test]
     fn a_full_list_of_ends_may_omit_later_ones() {
         for (count, may_omit) in [(499, false), (500, true)] {
-            let end = |number: u64| (number, "a.0.0.0".to_string(), 1, "done".to_string(), None);
-            let ended = (1..=count).map(end).collect();
-            let lists = WireLists { clock: 0, running: Vec::new(), ended, started_at: None };
-            assert_eq!(lists.decode().unwrap().may_omit_ends, may_omit, "{count}");
+            let ends: Vec<_> =
+                (1..=count).map(|number| json!([number, "a.0.0.0", 1, "done", null])).collect();
+            let body = json!({ "ClockMs": 0, "Running": [], "Ended": ends }).to_string();
+            let lists: WireLists = serde_json::from_str(&body).unwrap();
+            assert_eq!(lists.decode().may_omit_ends, may_omit, "{count}");
         }
     }
 }
--- a/standins/src/platform_runner.rs
+++ b/standins/src/platform_runner.rs
@@ -61,6 +61,8 @@
     lapsed: Option<Instant>,
     is_over: bool,
     is_draining: bool,
+    /// Entries that come first in its lists, as JSON: of what runs, and of what has ended.
+    foreign_entries: [String; 2],
     /// Whether no other life follows by itself.
     is_closed: bool,
     successor: Option<PlatformRunner>,
@@ -209,6 +211,11 @@
         self.lock().is_draining = true;
     }
 
+    /// Lists these entries, as JSON, before its own from now on: of what runs, and of what has ended. Empty texts list none.
+    pub fn set_foreign_entries(&self, running: &str, ended: &str) {
+        self.lock().foreign_entries = [running.to_string(), ended.to_string()];
+    }
+
     /// Number of runs whose start has come, be it carried out or not, without those that were refused as long as it was unwell.
     pub fn starts_that_came(&self) -> usize {
         self.lock().came.len()
--- a/standins/src/platform_runner/calls.rs
+++ b/standins/src/platform_runner/calls.rs
@@ -8,6 +8,7 @@
 use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
 use axum::middleware::from_fn_with_state;
 use axum::response::IntoResponse;
 use axum::response::Response;
@@ -198,5 +199,19 @@
     let running: Vec<_> =
         life.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
     let body = json!({ "ClockMs": runner.clock_ms(), "Running": running, "Ended": life.ended });
-    Json(with_start_time(body, runner.start_time)).into_response()
+    let mut text = with_start_time(body, runner.start_time).to_string();
+    for (list, entry) in ["Running", "Ended"].into_iter().zip(&life.foreign_entries) {
+        insert_entry(&mut text, list, entry);
+    }
+    ([(CONTENT_TYPE, "application/json")], text).into_response()
+}
+
+/// Inserts an entry at the begin of a list.
+fn insert_entry(body: &mut String, list: &str, entry: &str) {
+    let begin = format!("\"{list}\":[");
+    if let Some(at) = body.find(&begin).filter(|_| !entry.is_empty()) {
+        let at = at + begin.len();
+        let separator = if body[at..].starts_with(']') { "" } else { "," };
+        body.insert_str(at, &format!("{entry}{separator}"));
+    }
 }
