Agent: a heartbeat of another writer costs no runner

Cause: a heartbeat under the id of the current instance replaced all that was known of it. Nobody listened at the new address, which was taken for the end of the instance, and the runner's own heartbeats were dropped from then on.

Change: the registry refuses heartbeats that name no runner to use: a state other than ready and draining, an address that cannot be called, amounts over 2^40, sequence numbers over 2^62. An instance keeps the address at which it has answered a poll; it is one life of a runner and never moves. One that ends without ever having answered may register again, since the first heartbeat may have been the other writer's, and it counts as no crash.

Why it works: only answers to polls decide which instance is current, and now where it is.

--- a/src/platform/runner_registry.rs
+++ b/src/platform/runner_registry.rs
@@ -18,9 +18,18 @@
 use crate::ids::StartMillis;
 use crate::platform::instance_name::instance_name;
 use crate::process::inbound::error_text::bounded_text;
+use crate::process::malformed_entries::report_malformed;
 use crate::process::node::registered_runner::RegisteredRunner;
 use crate::workflow::spec::ResourceVector;
 
+/// The states of a runner that registers.
+const READY: &str = "ready";
+const DRAINING: &str = "draining";
+/// Greatest amount of a resource. The sum over all runners stays far below what an integer holds.
+const MAX_AMOUNT: u64 = 1 << 40;
+/// Greatest sequence number: no later heartbeat could exceed one close to the limit of an integer.
+const MAX_SEQUENCE: u64 = 1 << 62;
+
 /// Takes what runners say.
 pub trait RunnerRegistry: Send + Sync {
     /// Takes a heartbeat.
@@ -29,7 +38,7 @@
     fn on_deregister(&self, runner: &str);
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
 struct WireRoom {
     #[serde(rename = "Cpu", default)]
     millicores: u64,
@@ -59,6 +68,23 @@
     started_at: Option<StartMillis>,
 }
 
+impl WireBeat {
+    /// Returns why a heartbeat of another writer names no runner that can be used.
+    fn check(&self) -> Option<&'static str> {
+        let WireRoom { millicores, memory_mib, accelerators } = self.capacity;
+        if self.state != READY && self.state != DRAINING {
+            return Some("the state is neither ready nor draining");
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Some("the address cannot be called");
+        }
+        if [millicores, memory_mib, accelerators].into_iter().any(|amount| amount > MAX_AMOUNT) {
+            return Some("the capacity is too large");
+        }
+        (self.sequence > MAX_SEQUENCE).then_some("the sequence number is too large")
+    }
+}
+
 type SharedRegistry = Arc<dyn RunnerRegistry>;
 
 /// The routes of the listener.
@@ -80,8 +106,14 @@
     Path(runner): Path<RunnerId>,
     beat: Result<Json<WireBeat>, JsonRejection>,
 ) -> Result<Json<Value>, (StatusCode, String)> {
-    let refuse = |error: JsonRejection| (error.status(), bounded_text(error.body_text()));
-    let Json(beat) = beat.map_err(refuse)?;
+    let refuse = |status: StatusCode, reason: String| {
+        report_malformed("heartbeats", &runner, &reason);
+        (status, bounded_text(reason))
+    };
+    let Json(beat) = beat.map_err(|error| refuse(error.status(), error.body_text()))?;
+    if let Some(finding) = beat.check() {
+        return Err(refuse(StatusCode::UNPROCESSABLE_ENTITY, finding.to_string()));
+    }
     let status = RunnerStatus {
         instance: instance_name(&runner, beat.started_at),
         service: beat.service,
@@ -92,7 +124,7 @@
             accelerators: beat.capacity.accelerators,
         },
         labels: beat.labels,
-        draining: beat.state != "ready",
+        draining: beat.state == DRAINING,
     };
     let address = beat.address.to_string();
     let (sequence, started_at) = (beat.sequence, beat.started_at);
--- a/src/process/node/runner_instances.rs
+++ b/src/process/node/runner_instances.rs
@@ -38,10 +38,15 @@
 #[derive(Debug, Default)]
 pub struct RunnerInstances {
     current: Option<RegisteredRunner>,
+    /// Whether the current instance has answered a poll. It keeps the address at which it has.
+    has_answered: bool,
     /// Another instance that has registered, or that was silent when the current one took its
     /// place.
     candidate: Option<CandidateInstance>,
     former: VecDeque<InstanceId>,
+    /// Former instances that have never answered a poll. The address at which nothing listened may
+    /// have been another writer's.
+    never_answered: VecDeque<InstanceId>,
     /// Instances that only heartbeats have named while the current one answered. They may run on
     /// other hosts, so the planner is not told that they have ended.
     dropped: VecDeque<InstanceId>,
@@ -99,12 +104,20 @@
         newest_poll: PollNumber,
     ) -> HeartbeatEffect {
         let instance = &runner.status.instance;
+        if self.never_answered.contains(instance) {
+            self.never_answered.retain(|former| former != instance);
+            self.former.retain(|former| former != instance);
+        }
         if self.former.contains(instance) || self.dropped.contains(instance) {
             return HeartbeatEffect::Dropped;
         }
         match &self.current {
             Some(known) if known.status.instance == *instance => {
-                if runner.sequence <= known.sequence {
+                let has_moved = known.address != runner.address;
+                if has_moved && self.has_answered {
+                    return HeartbeatEffect::Dropped;
+                }
+                if runner.sequence <= known.sequence && !has_moved {
                     return HeartbeatEffect::Unchanged;
                 }
                 let has_changed = known.status != runner.status;
@@ -143,6 +156,7 @@
     /// Records that the current instance has answered a poll. Returns whether that ends other
     /// instances whose end the planner may not know.
     pub fn on_poll_response(&mut self, number: PollNumber) -> bool {
+        self.has_answered = true;
         self.deregistered_at.take_if(|deregistered_at| number > *deregistered_at);
         // The known instance has answered a poll sent after the heartbeat of the candidate.
         let stale = self.candidate.take_if(|candidate| number > candidate.newest_poll);
@@ -188,11 +202,12 @@
     }
 
     /// Records the crash of the current instance and its young runs. A runner that is draining or
-    /// has announced its end has not crashed.
+    /// has announced its end has not crashed, and one that has never answered may not have run.
     pub fn record_crash(&mut self, young: Vec<YoungRun>, now: Instant) {
         let announced_end =
             |runner: &&RegisteredRunner| runner.status.draining || self.deregistered_at.is_some();
-        if let Some(runner) = self.current.as_ref().filter(|runner| !announced_end(runner)) {
+        let crashed = self.current.as_ref().filter(|runner| !announced_end(runner));
+        if let Some(runner) = crashed.filter(|_| self.has_answered) {
             let instance = runner.status.instance.clone();
             self.crashes.push((now, RunnerCrash { instance, young }));
         }
@@ -249,6 +264,7 @@
         if let Some(candidate) = self.candidate.take() {
             self.deregistered_at = None;
             let silent = self.current.replace(candidate.runner);
+            self.has_answered = false;
             self.candidate =
                 silent.map(|runner| CandidateInstance { runner, newest_poll, was_current: true });
         }
@@ -262,6 +278,9 @@
         };
         self.deregistered_at = None;
         push_bounded(&mut self.former, runner.status.instance.clone());
+        if !std::mem::take(&mut self.has_answered) {
+            push_bounded(&mut self.never_answered, runner.status.instance.clone());
+        }
         self.predecessor =
             runner.started_at.is_some().then_some((runner, now + SUCCESSOR_POLL_SPAN));
         if let Some(candidate) = self.candidate.take() {
@@ -310,6 +329,7 @@
 
     fn install(&mut self, runner: RegisteredRunner) {
         self.predecessor = None;
+        self.has_answered = false;
         self.current = Some(runner);
     }
 }
