Soak: entry hosts are cut off from the store beside cancels

No task may start later than 3 s after the answer to the cancel of its job, the default of planner.cancel-limit.

Draws of the other kinds stay as they were, so that their seeds mean the same.

--- a/standins/src/bin/gga-soak.rs
+++ b/standins/src/bin/gga-soak.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use getopts::Matches;
 use getopts::Options;
 use greengagearch::cli::add_common;
 use greengagearch::cli::common_answer;
@@ -15,7 +16,7 @@
 use greengagearch_standins::soak::run_soak;
 
 const PURPOSE: &str = "Runs the product's processes under faults drawn from a seed.\n\n\
-    Usage: gga-soak [--seed N] [--seeds COUNT] [--minutes M] [--long] [--logs FOLDER]";
+    Usage: gga-soak [--seed N] [--seeds COUNT] [--minutes M] [--long | --cuts] [--logs FOLDER]";
 /// Length of a soak without `--minutes`.
 const DEFAULT_MINUTES: f64 = 1.0;
 
@@ -80,6 +81,11 @@
     options.optopt("", "seeds", "number of seeds, one after another (1)", "COUNT");
     options.optopt("", "minutes", "how long faults come with each (1)", "M");
     options.optflag("", "long", "tasks of seconds, faults that outlast leases, eleven runners");
+    options.optflag(
+        "",
+        "cuts",
+        "entry hosts are cut off from the store, and many jobs are cancelled",
+    );
     options.optflag("", "crowds", "crowds of clients that do not behave come to entry hosts");
     options.optopt("", "logs", "folder for logs and reports (soak-logs)", "FOLDER");
     add_common(&mut options);
@@ -93,17 +99,21 @@
         first: number(&matches, "seed", 1)?,
         count: number(&matches, "seeds", 1)?,
         length: Duration::from_secs_f64(minutes.max(0.0) * 60.0),
-        kind: if matches.opt_present("long") { SoakKind::Long } else { SoakKind::Short },
+        kind: kind(&matches),
         crowds: matches.opt_present("crowds"),
         logs: matches.opt_str("logs").unwrap_or_else(|| "soak-logs".to_string()).into(),
     }))
 }
 
-fn number<T: std::str::FromStr>(
-    matches: &getopts::Matches,
-    name: &str,
-    default: T,
-) -> Result<T, Error> {
+fn kind(matches: &Matches) -> SoakKind {
+    match (matches.opt_present("long"), matches.opt_present("cuts")) {
+        (true, _) => SoakKind::Long,
+        (false, true) => SoakKind::StoreCuts,
+        (false, false) => SoakKind::Short,
+    }
+}
+
+fn number<T: std::str::FromStr>(matches: &Matches, name: &str, default: T) -> Result<T, Error> {
     let Some(text) = matches.opt_str(name) else {
         return Ok(default);
     };
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -158,7 +158,7 @@
     }
 
     async fn follow(&mut self, job: &str) {
-        let cancels_at = self.rng.random_bool(0.12).then(|| {
+        let cancels_at = self.rng.random_bool(self.scale.cancel_share).then(|| {
             Instant::now()
                 + Duration::from_millis(self.rng.random_range(self.scale.cancel_millis.clone()))
         });
--- a/standins/src/soak/ledger.rs
+++ b/standins/src/soak/ledger.rs
@@ -8,9 +8,6 @@
 use crate::platform_journal::RunJournal;
 use crate::platform_journal::RunRecord;
 
-/// Time after the answer to a cancelling in which orders that were on their way may still be carried out.
-const CANCEL_LATENCY: Duration = Duration::from_secs(15);
-
 /// How runs end whose runner has crashed.
 const CRASHED: &str = "crashed";
 /// Crashes of runners under a task, after which it may be given up.
@@ -67,7 +64,7 @@
     }
 
     /// The first promise that is broken by now.
-    pub fn first_broken(&self, journal: &RunJournal) -> Option<String> {
+    pub fn first_broken(&self, journal: &RunJournal, cancel_latency: Duration) -> Option<String> {
         if let Some(seen) = &self.seen_broken {
             return Some(seen.clone());
         }
@@ -78,7 +75,7 @@
         let by_job = by_job(&records);
         for (job, known) in &self.jobs {
             let runs = by_job.get(job.as_str()).map_or(&[][..], Vec::as_slice);
-            if let Some(text) = broken_of(job, known, runs) {
+            if let Some(text) = broken_of(job, known, runs, cancel_latency) {
                 return Some(text);
             }
         }
@@ -151,12 +148,17 @@
     None
 }
 
-fn broken_of(job: &str, known: &KnownJob, runs: &[&RunRecord]) -> Option<String> {
+fn broken_of(
+    job: &str,
+    known: &KnownJob,
+    runs: &[&RunRecord],
+    cancel_latency: Duration,
+) -> Option<String> {
     if known.is_refused && !runs.is_empty() {
         return Some(format!("job {job} was refused by all answers and ran"));
     }
     let late =
-        known.cancelled.and_then(|at| runs.iter().find(|run| run.began > at + CANCEL_LATENCY));
+        known.cancelled.and_then(|at| runs.iter().find(|run| run.began > at + cancel_latency));
     if let Some(late) = late {
         return Some(format!("{} began after its job was cancelled", late.task));
     }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -38,6 +38,7 @@
 use crate::soak::faults::FaultPlayer;
 use crate::soak::ledger::SoakLedger;
 pub use crate::soak::scale::SoakKind;
+use crate::soak::scale::SoakScale;
 
 /// Time between two checks of the promises.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
@@ -179,7 +180,7 @@
     let player = FaultPlayer::new(shared.clone(), scale.clone(), faults_seed);
     let faults = tokio::spawn(player.play(plan.length));
     let mut told = Instant::now();
-    let mut broken = check_until(&shared, &journal, || {
+    let mut broken = check_until((&shared, &scale), &journal, || {
         if told.elapsed() > PROGRESS_EVERY {
             told = Instant::now();
             let seconds = shared.started.elapsed().as_secs();
@@ -197,7 +198,7 @@
         let calm_until = Instant::now() + scale.calm;
         let have_ended = || callers.iter().all(JoinHandle::is_finished);
         let is_over = || Instant::now() >= calm_until || have_ended();
-        broken = check_until(&shared, &journal, is_over).await;
+        broken = check_until((&shared, &scale), &journal, is_over).await;
     }
     let broken = broken.or_else(|| shared.ledger().broken_at_end(&journal));
     callers.iter().for_each(JoinHandle::abort);
@@ -213,13 +214,13 @@
 
 /// Checks the promises again and again until something is over. Gives the first that is broken.
 async fn check_until(
-    shared: &SoakShared,
+    (shared, scale): (&SoakShared, &SoakScale),
     journal: &RunJournal,
     mut is_over: impl FnMut() -> bool,
 ) -> Option<String> {
     while !is_over() {
         tokio::time::sleep(CHECK_EVERY).await;
-        let broken = shared.ledger().first_broken(journal);
+        let broken = shared.ledger().first_broken(journal, scale.cancel_latency);
         let broken = broken.or_else(|| shared.evacuations().first_late(&journal.records()));
         if broken.is_some() {
             return broken;
--- a/standins/src/soak/scale.rs
+++ b/standins/src/soak/scale.rs
@@ -9,6 +9,13 @@
 /// Share of the outages of a long soak that may outlast a lease.
 const LONG_OUTAGES: f64 = 0.5;
 
+/// Share of the jobs that are cancelled beside other faults.
+const CANCEL_SHARE: f64 = 0.12;
+/// The default of `planner.cancel-limit`.
+const CANCEL_LIMIT: Duration = Duration::from_secs(3);
+/// Time for which orders of a cancelled job that were held up on their way may still be carried out.
+const HELD_UP_LATENCY: Duration = Duration::from_secs(15);
+
 /// A kind of soak.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SoakKind {
@@ -17,6 +24,8 @@
     Short,
     /// Tasks of seconds on a nearly full fleet in several failure domains, and faults that outlast a lease.
     Long,
+    /// Entry hosts are cut off from the store one after another, and many jobs are cancelled.
+    StoreCuts,
 }
 
 /// What a kind of soak uses.
@@ -32,8 +41,12 @@
     pub run_millis: Range<i32>,
     /// What a task needs of a runner's 4,000, where that is drawn.
     pub task_cpu: Option<Range<u32>>,
-    /// Time after which a job is cancelled that is.
+    /// Share of the jobs that are cancelled, and the time after which each is.
+    pub cancel_share: f64,
     pub cancel_millis: Range<u64>,
+    /// Time after the answer to a cancelling in which the last task of the job starts, if faults of runners and agents may hold orders
+    /// up.
+    pub cancel_latency: Duration,
     /// Time in which everything has to come to its end when the faults are over: leases of lost workers last
     /// 10 s, and a machine beside load is slow.
     pub calm: Duration,
@@ -51,7 +64,9 @@
                 callers: 16,
                 run_millis: 20..900,
                 task_cpu: None,
+                cancel_share: CANCEL_SHARE,
                 cancel_millis: 0..1_500,
+                cancel_latency: HELD_UP_LATENCY,
                 calm: Duration::from_secs(90),
             },
             SoakKind::Long => SoakScale {
@@ -63,9 +78,25 @@
                 callers: 20,
                 run_millis: 500..8_000,
                 task_cpu: Some(700..1_400),
+                cancel_share: CANCEL_SHARE,
                 cancel_millis: 0..8_000,
+                cancel_latency: HELD_UP_LATENCY,
                 calm: Duration::from_secs(180),
             },
+            SoakKind::StoreCuts => SoakScale {
+                kind: self,
+                planners: 3,
+                nodes: 4,
+                returning_nodes: 0,
+                domains: 1,
+                callers: 16,
+                run_millis: 500..3_000,
+                task_cpu: None,
+                cancel_share: 0.5,
+                cancel_millis: 0..4_000,
+                cancel_latency: CANCEL_LIMIT,
+                calm: Duration::from_secs(90),
+            },
         }
     }
 }
@@ -77,6 +108,7 @@
             SoakKind::Short => rng.random_range(100..4_000),
             SoakKind::Long if rng.random_bool(LONG_OUTAGES) => rng.random_range(10_000..14_000),
             SoakKind::Long => rng.random_range(100..10_000),
+            SoakKind::StoreCuts => rng.random_range(3_000..6_000),
         }
     }
 }
