Soak: cuts that meet cancels of jobs whose next steps become ready

Change: series do not overlap, begin mostly with the entry host that plans, last as long for each host, and all live jobs are cancelled through the last host before it is cut. Jobs have two or three steps of 1.5 to 3 s.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -85,7 +85,7 @@
     }
 
     fn draw(&mut self, job: &str) -> Value {
-        let steps = self.rng.random_range(1..=3);
+        let steps = self.rng.random_range(self.scale.steps.clone());
         let counts: Vec<u32> = (0..steps).map(|_| self.rng.random_range(1..=4)).collect();
         let run_ms = self.rng.random_range(self.scale.run_millis.clone());
         let fails = if self.rng.random_bool(0.08) { " fail" } else { "" };
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -9,7 +9,6 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::SliceRandom;
 
 use crate::platform_runner::RefusedCalls;
 use crate::platform_runner::RunnerRefusal;
@@ -27,8 +26,6 @@
 /// Time after which the life follows that a drain has ended.
 const LEAVES_FOR: Duration = Duration::from_millis(500);
 
-/// Time between the cuts of two entry hosts.
-const CUT_PAUSE_MILLIS: RangeInclusive<u64> = 100..=800;
 /// For how long a runner refuses calls.
 const REFUSAL_MILLIS: RangeInclusive<u64> = 200..=4_000;
 /// Time after which refusals follow a fault of orders: the first tries have come, and their repeats have not been answered.
@@ -213,21 +210,6 @@
         format!("line of planner {planner} to the store: {fault:?} for {span:?}")
     }
 
-    /// Entry hosts are cut off from the store one after another, so that each is alone at times.
-    async fn cut_off_planners(&mut self) {
-        let mut planners: Vec<usize> = (0..self.scale.planners).collect();
-        planners.shuffle(&mut self.rng);
-        for planner in planners {
-            let span = self.later(Mend::PlannerLine(planner));
-            let cluster = self.shared.cluster.lock().await;
-            cluster.planners[planner].line.set_fault(ProxyFault::Cut);
-            drop(cluster);
-            self.shared.tell(format!("planner {planner} is cut off from the store for {span:?}"));
-            tokio::time::sleep(Duration::from_millis(self.rng.random_range(CUT_PAUSE_MILLIS)))
-                .await;
-        }
-    }
-
     pub(super) async fn break_agent_line(&mut self, node: usize) -> String {
         let fault = self.draw_line_fault();
         let span = self.later(Mend::AgentLine(node));
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod long_faults;
 mod scale;
+mod store_cuts;
 
 use std::fmt;
 use std::path::PathBuf;
--- a/standins/src/soak/scale.rs
+++ b/standins/src/soak/scale.rs
@@ -1,6 +1,7 @@
 //! The kinds of soaks: the size of the fleet and of the jobs, and how long faults last.
 
 use std::ops::Range;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -38,6 +39,8 @@
     pub returning_nodes: usize,
     pub domains: usize,
     pub callers: usize,
+    /// Steps of a job, one after another.
+    pub steps: RangeInclusive<u32>,
     pub run_millis: Range<i32>,
     /// What a task needs of a runner's 4,000, where that is drawn.
     pub task_cpu: Option<Range<u32>>,
@@ -62,6 +65,7 @@
                 returning_nodes: 2,
                 domains: 2,
                 callers: 16,
+                steps: 1..=3,
                 run_millis: 20..900,
                 task_cpu: None,
                 cancel_share: CANCEL_SHARE,
@@ -76,6 +80,7 @@
                 returning_nodes: 5,
                 domains: 3,
                 callers: 20,
+                steps: 1..=3,
                 run_millis: 500..8_000,
                 task_cpu: Some(700..1_400),
                 cancel_share: CANCEL_SHARE,
@@ -90,9 +95,11 @@
                 returning_nodes: 0,
                 domains: 1,
                 callers: 16,
-                run_millis: 500..3_000,
+                // The next step becomes ready during a cut.
+                steps: 2..=3,
+                run_millis: 1_500..3_000,
                 task_cpu: None,
-                cancel_share: 0.5,
+                cancel_share: 0.2,
                 cancel_millis: 0..4_000,
                 cancel_latency: CANCEL_LIMIT,
                 calm: Duration::from_secs(90),
