Agent: only an instance that registers elsewhere may register again

Cause: an instance that had ended without an answer might register again with any heartbeat.

Change: only with one that names another address than the one at which nothing listened. A late heartbeat of the ended life names the same.

Measured: the test passes as it was; tests/malformed_heartbeats.rs, returning_runner and life_names hold.

--- a/src/process/node/runner_instances.rs
+++ b/src/process/node/runner_instances.rs
@@ -44,9 +44,9 @@
     /// place.
     candidate: Option<CandidateInstance>,
     former: VecDeque<InstanceId>,
-    /// Former instances that have never answered a poll. The address at which nothing listened may
-    /// have been another writer's.
-    never_answered: VecDeque<InstanceId>,
+    /// Former instances that have never answered a poll, each with the address at which nothing
+    /// listened. It may have been another writer's.
+    never_answered: VecDeque<(InstanceId, String)>,
     /// Instances that only heartbeats have named while the current one answered. They may run on
     /// other hosts, so the planner is not told that they have ended.
     dropped: VecDeque<InstanceId>,
@@ -104,8 +104,11 @@
         newest_poll: PollNumber,
     ) -> HeartbeatEffect {
         let instance = &runner.status.instance;
-        if self.never_answered.contains(instance) {
-            self.never_answered.retain(|former| former != instance);
+        let was_elsewhere = |(former, address): &(InstanceId, String)| {
+            former == instance && *address != runner.address
+        };
+        if self.never_answered.iter().any(was_elsewhere) {
+            self.never_answered.retain(|(former, _)| former != instance);
             self.former.retain(|former| former != instance);
         }
         if self.former.contains(instance) || self.dropped.contains(instance) {
@@ -279,7 +282,8 @@
         self.deregistered_at = None;
         push_bounded(&mut self.former, runner.status.instance.clone());
         if !std::mem::take(&mut self.has_answered) {
-            push_bounded(&mut self.never_answered, runner.status.instance.clone());
+            let unanswered = (runner.status.instance.clone(), runner.address.clone());
+            push_bounded(&mut self.never_answered, unanswered);
         }
         self.predecessor =
             runner.started_at.is_some().then_some((runner, now + SUCCESSOR_POLL_SPAN));
@@ -334,7 +338,7 @@
     }
 }
 
-fn push_bounded(instances: &mut VecDeque<InstanceId>, instance: InstanceId) {
+fn push_bounded<T>(instances: &mut VecDeque<T>, instance: T) {
     instances.push_back(instance);
     if instances.len() > MAX_FORMER_INSTANCES {
         instances.pop_front();
