Planner: the feed of jobs waits for a slow store

Cause: after a failure the feed called without a wait, and such a call has 0.7 s for its response. A slow store answered none in time, each failure was followed by another such call, and the planner learned of no job.

Change: only the first call of a feed does not wait.

The new test, with 800 ms a call, passes now.

--- a/src/process/planning/table_feed.rs
+++ b/src/process/planning/table_feed.rs
@@ -76,9 +76,9 @@
     let mut is_first = true;
     loop {
         let sent_at = clock::now();
-        // A call that waits for nothing shows at once that the store answers again, and what has
-        // changed since the rows were read that the feed begins with.
-        let wait = if has_failed || is_first { Duration::ZERO } else { FEED_TIMEOUT };
+        // The first call shows at once what has changed since the rows were read that the feed begins
+        // with. Later ones have to wait: a slow store answers none in time that waits for nothing.
+        let wait = if is_first { Duration::ZERO } else { FEED_TIMEOUT };
         is_first = false;
         let read = next_rows(shared.store.as_ref(), table, &partitions, (after, wait)).await;
         shared.pace_retries(&read).await;
--- a/tests/unread_cancel.rs
+++ b/tests/unread_cancel.rs
@@ -18,6 +18,9 @@
 /// Time in which the second step would have begun once the first one has ended.
 const BEGUN_AFTER: Duration = Duration::from_secs(2);
 
+/// Longer than the feed's limit for the response to a call that does not wait.
+const SLOW_CALL: Duration = Duration::from_millis(800);
+
 async fn start() -> PlatformCluster {
     let programs = Path::new(env!("CARGO_BIN_EXE_gga-planner")).parent().unwrap();
     let mut env = PlatformCluster::start(programs, None, 1, 1).await;
@@ -70,3 +73,21 @@
     env.until_state(PLANNING, &job, "completed").await;
     env.assert_nothing_doubled();
 }
+
+/// Guards against jobs that do not start while the store is only slow: the planner's feed gives its calls up too soon, or starts wait
+/// for what a slow store cannot confirm in time.
+#[tokio::test]
+async fn jobs_start_while_every_call_of_the_store_takes_most_of_a_second() {
+    let env = start().await;
+    for seat in &env.planners {
+        seat.listener.set_fault(StoreFault::Slow(SLOW_CALL));
+    }
+    // Longer than a call of the feed that began before.
+    tokio::time::sleep(BEGUN_AFTER).await;
+    for number in 1..=2 {
+        let job = job_name(number);
+        env.submit_until_accepted(PLANNING, &job, &job_of_steps("run_ms=50", &[2, 1])).await;
+        env.until(async || has_run(&env, &job, 1)).await;
+    }
+    env.assert_nothing_doubled();
+}
