Feed: a read of all rows is not confirmed for a wait that it does not have

Found by reading the change again. After lost history the feed reads all rows, and if there are none it counted the wait of an ordinary call as confirmed, up to 1.5 s too late: a response on its way for that long would have passed for a recent one.

The comment of batch_transaction names the conditions that there are since.

--- a/src/process/planning/rows.rs
+++ b/src/process/planning/rows.rs
@@ -246,7 +246,7 @@
 }
 
 /// Builds the transaction that stores a batch on condition that the owner's row still has the
-/// version `owner_version`, and that the jobs with starts have not been changed.
+/// version `owner_version`, and that the rows of the jobs in its conditions have not changed.
 pub fn batch_transaction(
     batch: &PlanBatch,
     owner_version: RowVersion,
--- a/src/process/planning/table_feed.rs
+++ b/src/process/planning/table_feed.rs
@@ -88,8 +88,9 @@
                     log_event(Level::Info, "feed_regained", &[("table", &table)]);
                 }
                 // The response may have been under way for long, but the store delays one without
-                // changes by the whole wait.
-                let delay = if rows.is_empty() { wait } else { Duration::ZERO };
+                // changes by the whole wait. A read of all rows waits for nothing.
+                let was_delayed = after.is_some() && rows.is_empty();
+                let delay = if was_delayed { wait } else { Duration::ZERO };
                 let confirmed_at = clock::now().min(sent_at + delay);
                 after = Some(version);
                 if sender.send(FeedRead { rows, confirmed_at }).is_err() {
